--- /dev/null
+++ b/crates/bundle/src/object.rs
@@ -0,0 +1,304 @@
+//! Services, routes and sealed secrets, and the bundle that holds them.
+
+use crate::Digest;
+use serde::{Deserialize, Serialize};
+use speedy::{Readable, Writable};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+/// A group of interchangeable back ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+pub struct Service {
+    /// Unique name.
+    pub name: String,
+    /// Calls one upstream runs at once.
+    pub upstream_slots: u32,
+    /// Connections one upstream accepts in all.
+    pub upstream_connections: u32,
+}
+
+/// Which calls are kept when there is not room for all.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Readable,
+    Writable,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    /// Shed first: reports and other work that can wait.
+    Low,
+    /// Ordinary reads.
+    Normal,
+    /// Shed last: charges and refunds.
+    High,
+}
+
+/// One of a route's services with its share of calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Name of a service in the same bundle.
+    pub service: String,
+    /// Share relative to the other targets.
+    pub weight: u32,
+}
+
+/// Which calls go where, and under which promises.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+pub struct Route {
+    /// Unique name.
+    pub name: String,
+    /// Host the call must name, or `*`.
+    pub host: String,
+    /// Prefix of the path.
+    pub path_prefix: String,
+    /// Methods; empty means any.
+    pub methods: Vec<String>,
+    /// Services with weights; at least one.
+    pub targets: Vec<Target>,
+    /// Secret sent to the back end as a bearer token.
+    pub secret: Option<String>,
+    /// Longest a call may take, milliseconds.
+    pub timeout_ms: u32,
+    /// Whether running a call twice is harmless.
+    pub repeatable: bool,
+    /// Which calls are shed first.
+    pub priority: Priority,
+    /// Retries allowed, per cent of the route's calls.
+    pub retry_budget_percent: u32,
+    /// Refuse calls when the configuration may be older than this, seconds; 0 means never.
+    pub max_staleness_s: u32,
+}
+
+/// A secret's value, sealed so that only proxies can read it.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+pub struct SealedSecret {
+    /// Unique name.
+    pub name: String,
+    /// Which sealing key opens it.
+    pub key_id: u32,
+    /// Nonce of the sealing.
+    pub nonce: [u8; 12],
+    /// Ciphertext and tag.
+    pub ciphertext: Vec<u8>,
+}
+
+impl fmt::Debug for SealedSecret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "SealedSecret({}, key {}, redacted)",
+            self.name, self.key_id
+        )
+    }
+}
+
+/// The three kinds of object.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Readable,
+    Writable,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum ObjectKind {
+    /// A [`Service`].
+    Service,
+    /// A [`Route`].
+    Route,
+    /// A [`SealedSecret`].
+    Secret,
+}
+
+impl fmt::Display for ObjectKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            ObjectKind::Service => "service",
+            ObjectKind::Route => "route",
+            ObjectKind::Secret => "secret",
+        })
+    }
+}
+
+/// Names an object within a bundle.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Readable, Writable,
+)]
+pub struct ObjectId {
+    /// Its kind.
+    pub kind: ObjectKind,
+    /// Its name, unique within the kind.
+    pub name: String,
+}
+
+impl fmt::Display for ObjectId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} '{}'", self.kind, self.name)
+    }
+}
+
+/// One object of a bundle.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Object {
+    /// A service.
+    Service(Service),
+    /// A route.
+    Route(Route),
+    /// A sealed secret.
+    Secret(SealedSecret),
+}
+
+impl Object {
+    /// Its name within the bundle.
+    pub fn id(&self) -> ObjectId {
+        let (kind, name) = match self {
+            Object::Service(service) => (ObjectKind::Service, &service.name),
+            Object::Route(route) => (ObjectKind::Route, &route.name),
+            Object::Secret(secret) => (ObjectKind::Secret, &secret.name),
+        };
+        ObjectId {
+            kind,
+            name: name.clone(),
+        }
+    }
+
+    /// The canonical encoding, over which the digest is taken.
+    pub fn encode(&self) -> Vec<u8> {
+        self.write_to_vec().expect("encoding to memory cannot fail")
+    }
+}
+
+/// An object with the digest of its canonical encoding.
+#[derive(Debug, PartialEq, Eq)]
+pub struct HashedObject {
+    /// The object.
+    pub object: Object,
+    /// Its digest.
+    pub digest: Digest,
+}
+
+/// A whole configuration. Cloning shares the objects.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bundle {
+    objects: BTreeMap<ObjectId, Arc<HashedObject>>,
+    digest: Digest,
+}
+
+impl Default for Bundle {
+    fn default() -> Self {
+        Bundle::from_objects(Vec::new())
+    }
+}
+
+impl Bundle {
+    /// Puts objects together; a later object replaces an earlier one of the same id. References
+    /// are not checked here, see [`Bundle::check`].
+    pub fn from_objects(objects: Vec<Object>) -> Self {
+        let hash = |object: Object| {
+            let digest = Digest::of(&object.encode());
+            (object.id(), Arc::new(HashedObject { object, digest }))
+        };
+        Bundle::from_hashed(objects.into_iter().map(hash).collect())
+    }
+
+    pub(crate) fn from_hashed(objects: BTreeMap<ObjectId, Arc<HashedObject>>) -> Self {
+        let digest = manifest_digest(&objects);
+        Bundle { objects, digest }
+    }
+
+    /// Digest over the names and digests of all objects.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// All objects by id.
+    pub fn objects(&self) -> &BTreeMap<ObjectId, Arc<HashedObject>> {
+        &self.objects
+    }
+
+    /// The services, by name.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.objects
+            .values()
+            .filter_map(|hashed| match &hashed.object {
+                Object::Service(service) => Some(service),
+                _ => None,
+            })
+    }
+
+    /// The routes, by name.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.objects
+            .values()
+            .filter_map(|hashed| match &hashed.object {
+                Object::Route(route) => Some(route),
+                _ => None,
+            })
+    }
+
+    /// The sealed secrets, by name.
+    pub fn secrets(&self) -> impl Iterator<Item = &SealedSecret> {
+        self.objects
+            .values()
+            .filter_map(|hashed| match &hashed.object {
+                Object::Secret(secret) => Some(secret),
+                _ => None,
+            })
+    }
+
+    /// Whether an object of this kind and name is present.
+    pub fn contains(&self, kind: ObjectKind, name: &str) -> bool {
+        self.objects.contains_key(&ObjectId {
+            kind,
+            name: name.to_owned(),
+        })
+    }
+
+    /// All objects, encoded; the inverse of [`Bundle::decode`].
+    pub fn encode(&self) -> Vec<u8> {
+        let objects: Vec<Object> = self
+            .objects
+            .values()
+            .map(|hashed| hashed.object.clone())
+            .collect();
+        objects
+            .write_to_vec()
+            .expect("encoding to memory cannot fail")
+    }
+
+    /// Decodes what [`Bundle::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Self, speedy::Error> {
+        Vec::<Object>::read_from_buffer(bytes).map(Bundle::from_objects)
+    }
+}
+
+fn manifest_digest(objects: &BTreeMap<ObjectId, Arc<HashedObject>>) -> Digest {
+    let mut context = ring::digest::Context::new(&ring::digest::SHA256);
+    for (id, hashed) in objects {
+        context.update(&[id.kind as u8]);
+        context.update(&(id.name.len() as u32).to_le_bytes());
+        context.update(id.name.as_bytes());
+        context.update(&hashed.digest.0);
+    }
+    let mut digest = [0; 32];
+    digest.copy_from_slice(context.finish().as_ref());
+    Digest(digest)
+}
--- /dev/null
+++ b/crates/bundle/src/source.rs
@@ -0,0 +1,325 @@
+//! Reading a bundle from an operator's TOML file or folder.
+
+use crate::{
+    Bundle, Object, ObjectId, ObjectKind, Priority, Problem, Route, SealKey, Service, Target,
+    LIMITS,
+};
+use serde::Deserialize;
+use snafu::{ensure, ResultExt, Snafu};
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+use toml::Spanned;
+
+const DEFAULT_TIMEOUT_MS: u32 = 1_000;
+const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 20;
+const DEFAULT_UPSTREAM_SLOTS: u32 = 20;
+const DEFAULT_UPSTREAM_CONNECTIONS: u32 = 130;
+
+/// Why an operator's files are not a bundle.
+#[derive(Debug, Snafu)]
+pub enum SourceError {
+    /// A file could not be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Read {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The files are larger than a bundle may be.
+    #[snafu(display("{}: {bytes} bytes, at most {most} are allowed", path.display()))]
+    TooLarge {
+        /// Which file.
+        path: PathBuf,
+        /// Its size.
+        bytes: u64,
+        /// The limit.
+        most: usize,
+    },
+    /// A file is not TOML, or has an unknown or missing field.
+    #[snafu(display("{}:{line}: {message}", path.display()))]
+    Syntax {
+        /// Which file.
+        path: PathBuf,
+        /// Line, from 1.
+        line: usize,
+        /// What the parser says.
+        message: String,
+    },
+    /// Two objects have one name.
+    #[snafu(display("{}:{line}: {id} is defined twice; first in {first}", path.display()))]
+    Duplicate {
+        /// Which file.
+        path: PathBuf,
+        /// Line of the second, from 1.
+        line: usize,
+        /// The name.
+        id: ObjectId,
+        /// Place of the first.
+        first: String,
+    },
+    /// The folder has no `.toml` file.
+    #[snafu(display("{}: no .toml file in this folder", path.display()))]
+    Empty {
+        /// Which folder.
+        path: PathBuf,
+    },
+    /// Secrets need a sealing key and none was given.
+    #[snafu(display("{}:{line}: secrets need a sealing key (--seal-key)", path.display()))]
+    NoSealKey {
+        /// Which file.
+        path: PathBuf,
+        /// Line, from 1.
+        line: usize,
+    },
+    /// The objects do not make a valid bundle.
+    #[snafu(display("{}", lines.join("\n")))]
+    Invalid {
+        /// One line per problem: place, object, field, reason.
+        lines: Vec<String>,
+    },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BundleFile {
+    #[serde(default)]
+    service: Vec<ServiceTable>,
+    #[serde(default)]
+    route: Vec<RouteTable>,
+    #[serde(default)]
+    secret: Vec<SecretTable>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceTable {
+    name: Spanned<String>,
+    #[serde(default = "default_slots")]
+    upstream_slots: u32,
+    #[serde(default = "default_connections")]
+    upstream_connections: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RouteTable {
+    name: Spanned<String>,
+    #[serde(default = "any_host")]
+    host: String,
+    path_prefix: String,
+    #[serde(default)]
+    methods: Vec<String>,
+    service: Option<String>,
+    #[serde(default)]
+    targets: Vec<Target>,
+    secret: Option<String>,
+    #[serde(default = "default_timeout")]
+    timeout_ms: u32,
+    repeatable: bool,
+    #[serde(default = "default_priority")]
+    priority: Priority,
+    #[serde(default = "default_budget")]
+    retry_budget_percent: u32,
+    #[serde(default)]
+    max_staleness_s: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SecretTable {
+    name: Spanned<String>,
+    value: String,
+}
+
+fn default_slots() -> u32 {
+    DEFAULT_UPSTREAM_SLOTS
+}
+fn default_connections() -> u32 {
+    DEFAULT_UPSTREAM_CONNECTIONS
+}
+fn default_timeout() -> u32 {
+    DEFAULT_TIMEOUT_MS
+}
+fn default_budget() -> u32 {
+    DEFAULT_RETRY_BUDGET_PERCENT
+}
+fn default_priority() -> Priority {
+    Priority::Normal
+}
+fn any_host() -> String {
+    "*".to_owned()
+}
+
+struct Place {
+    path: PathBuf,
+    line: usize,
+}
+
+impl Place {
+    fn text(&self) -> String {
+        format!("{}:{}", self.path.display(), self.line)
+    }
+}
+
+#[derive(Default)]
+struct Collected {
+    objects: Vec<Object>,
+    places: BTreeMap<ObjectId, Place>,
+}
+
+/// Reads a bundle from a file, or from all `.toml` files of a folder, and checks it.
+pub fn load(path: &Path, seal_key: Option<&SealKey>) -> Result<Bundle, SourceError> {
+    let mut collected = Collected::default();
+    for file in files_of(path)? {
+        collect_file(&file, seal_key, &mut collected)?;
+    }
+    let bundle = Bundle::from_objects(collected.objects);
+    let problems = bundle.check();
+    if problems.is_empty() {
+        return Ok(bundle);
+    }
+    let lines: Vec<String> = problems
+        .iter()
+        .map(|problem| locate(problem, &collected.places, path))
+        .collect();
+    InvalidSnafu { lines }.fail()
+}
+
+fn locate(problem: &Problem, places: &BTreeMap<ObjectId, Place>, whole: &Path) -> String {
+    let place = problem.object.as_ref().and_then(|id| places.get(id));
+    let place = place.map_or_else(|| whole.display().to_string(), Place::text);
+    format!("{place}: {problem}")
+}
+
+fn files_of(path: &Path) -> Result<Vec<PathBuf>, SourceError> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let mut files = Vec::new();
+    for file in fs::read_dir(path).context(ReadSnafu { path })? {
+        let file = file.context(ReadSnafu { path })?.path();
+        if file
+            .extension()
+            .is_some_and(|extension| extension == "toml")
+        {
+            files.push(file);
+        }
+    }
+    files.sort();
+    ensure!(!files.is_empty(), EmptySnafu { path });
+    Ok(files)
+}
+
+fn collect_file(
+    path: &Path,
+    seal_key: Option<&SealKey>,
+    collected: &mut Collected,
+) -> Result<(), SourceError> {
+    let bytes = fs::metadata(path).context(ReadSnafu { path })?.len();
+    let most = LIMITS.bundle_bytes;
+    ensure!(bytes <= most as u64, TooLargeSnafu { path, bytes, most });
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    let file: BundleFile = toml::from_str(&text).map_err(|error| SourceError::Syntax {
+        path: path.to_owned(),
+        line: error.span().map_or(1, |span| line_of(&text, span.start)),
+        message: error.message().to_owned(),
+    })?;
+    let mut add = |name: &Spanned<String>, object: Object| {
+        let line = line_of(&text, name.span().start);
+        let id = object.id();
+        if let Some(first) = collected.places.get(&id) {
+            return DuplicateSnafu {
+                path,
+                line,
+                id,
+                first: first.text(),
+            }
+            .fail();
+        }
+        collected.places.insert(
+            id,
+            Place {
+                path: path.to_owned(),
+                line,
+            },
+        );
+        collected.objects.push(object);
+        Ok(())
+    };
+    for table in file.service {
+        add(&table.name, service_from(&table))?;
+    }
+    for table in file.route {
+        add(&table.name, route_from(&table))?;
+    }
+    for table in file.secret {
+        let line = line_of(&text, table.name.span().start);
+        let key = seal_key.ok_or(SourceError::NoSealKey {
+            path: path.to_owned(),
+            line,
+        })?;
+        add(&table.name, secret_from(&table, path, line, key)?)?;
+    }
+    Ok(())
+}
+
+fn service_from(table: &ServiceTable) -> Object {
+    Object::Service(Service {
+        name: table.name.get_ref().clone(),
+        upstream_slots: table.upstream_slots,
+        upstream_connections: table.upstream_connections,
+    })
+}
+
+fn route_from(table: &RouteTable) -> Object {
+    let single = table.service.iter().map(|name| Target {
+        service: name.clone(),
+        weight: 1,
+    });
+    Object::Route(Route {
+        name: table.name.get_ref().clone(),
+        host: table.host.clone(),
+        path_prefix: table.path_prefix.clone(),
+        methods: table.methods.clone(),
+        targets: single.chain(table.targets.iter().cloned()).collect(),
+        secret: table.secret.clone(),
+        timeout_ms: table.timeout_ms,
+        repeatable: table.repeatable,
+        priority: table.priority,
+        retry_budget_percent: table.retry_budget_percent,
+        max_staleness_s: table.max_staleness_s,
+    })
+}
+
+fn secret_from(
+    table: &SecretTable,
+    path: &Path,
+    line: usize,
+    key: &SealKey,
+) -> Result<Object, SourceError> {
+    let name = table.name.get_ref();
+    if table.value.len() > LIMITS.secret_bytes {
+        let id = ObjectId {
+            kind: ObjectKind::Secret,
+            name: name.clone(),
+        };
+        let most = LIMITS.secret_bytes;
+        let reason = format!("{} bytes, at most {most} are allowed", table.value.len());
+        let problem = Problem {
+            object: Some(id),
+            field: "value",
+            reason,
+        };
+        return InvalidSnafu {
+            lines: vec![format!("{}:{line}: {problem}", path.display())],
+        }
+        .fail();
+    }
+    Ok(Object::Secret(key.seal(name, &table.value)))
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    text[..offset.min(text.len())].matches('\n').count() + 1
+}
--- /dev/null
+++ b/crates/bundle/src/validate.rs
@@ -0,0 +1,199 @@
+//! What makes a bundle acceptable; run at submission and again before a proxy applies it.
+
+use crate::{Bundle, ObjectId, ObjectKind, Route};
+use std::fmt;
+
+/// Largest sizes and counts a bundle may have.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Encoded size of the whole, bytes.
+    pub bundle_bytes: usize,
+    /// Number of objects.
+    pub objects: usize,
+    /// Length of a name, characters.
+    pub name_characters: usize,
+    /// Length of a secret's value, bytes.
+    pub secret_bytes: usize,
+    /// Longest timeout of a route, milliseconds.
+    pub timeout_ms: u32,
+}
+
+/// The limits in force.
+pub const LIMITS: Limits = Limits {
+    bundle_bytes: 1024 * 1024,
+    objects: 20_000,
+    name_characters: 128,
+    secret_bytes: 16 * 1024,
+    timeout_ms: 300_000,
+};
+
+/// One reason why a bundle is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The object at fault; `None` for the bundle as a whole.
+    pub object: Option<ObjectId>,
+    /// The field at fault.
+    pub field: &'static str,
+    /// What is wrong, with the allowed values.
+    pub reason: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.object {
+            Some(object) => write!(formatter, "{object}: {}: {}", self.field, self.reason),
+            None => write!(formatter, "{}: {}", self.field, self.reason),
+        }
+    }
+}
+
+impl Bundle {
+    /// Lists everything wrong with the bundle; empty means it may be applied.
+    pub fn check(&self) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        self.check_sizes(&mut problems);
+        for id in self.objects().keys() {
+            check_name(id, &mut problems);
+        }
+        for service in self.services() {
+            let id = ObjectId {
+                kind: ObjectKind::Service,
+                name: service.name.clone(),
+            };
+            check_range(
+                &id,
+                "upstream_slots",
+                service.upstream_slots,
+                1,
+                100_000,
+                &mut problems,
+            );
+            let connections = service.upstream_connections;
+            check_range(
+                &id,
+                "upstream_connections",
+                connections,
+                1,
+                100_000,
+                &mut problems,
+            );
+        }
+        for route in self.routes() {
+            self.check_route(route, &mut problems);
+        }
+        problems
+    }
+
+    fn check_sizes(&self, problems: &mut Vec<Problem>) {
+        let bytes = self.encode().len();
+        if bytes > LIMITS.bundle_bytes {
+            let reason = format!("{bytes} bytes, at most {} are allowed", LIMITS.bundle_bytes);
+            problems.push(Problem {
+                object: None,
+                field: "size",
+                reason,
+            });
+        }
+        let count = self.objects().len();
+        if count > LIMITS.objects {
+            let reason = format!("{count} objects, at most {} are allowed", LIMITS.objects);
+            problems.push(Problem {
+                object: None,
+                field: "objects",
+                reason,
+            });
+        }
+    }
+
+    fn check_route(&self, route: &Route, problems: &mut Vec<Problem>) {
+        let id = ObjectId {
+            kind: ObjectKind::Route,
+            name: route.name.clone(),
+        };
+        if !route.path_prefix.starts_with('/') {
+            push(
+                problems,
+                &id,
+                "path_prefix",
+                "must begin with '/'".to_owned(),
+            );
+        }
+        if route.host.is_empty() {
+            push(
+                problems,
+                &id,
+                "host",
+                "must be a host name or '*'".to_owned(),
+            );
+        }
+        if route.targets.is_empty() {
+            push(
+                problems,
+                &id,
+                "service",
+                "a route needs at least one service".to_owned(),
+            );
+        }
+        for target in &route.targets {
+            if !self.contains(ObjectKind::Service, &target.service) {
+                let reason = format!("no service '{}' in this bundle", target.service);
+                push(problems, &id, "service", reason);
+            }
+            check_range(&id, "weight", target.weight, 1, 1_000_000, problems);
+        }
+        if let Some(secret) = &route.secret {
+            if !self.contains(ObjectKind::Secret, secret) {
+                let reason = format!("no secret '{secret}' in this bundle");
+                push(problems, &id, "secret", reason);
+            }
+        }
+        check_range(
+            &id,
+            "timeout_ms",
+            route.timeout_ms,
+            1,
+            LIMITS.timeout_ms,
+            problems,
+        );
+        let budget = route.retry_budget_percent;
+        check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
+    }
+}
+
+fn check_name(id: &ObjectId, problems: &mut Vec<Problem>) {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let name = &id.name;
+    let valid =
+        !name.is_empty() && name.len() <= LIMITS.name_characters && name.chars().all(allowed);
+    if !valid {
+        let most = LIMITS.name_characters;
+        let reason = format!("1 to {most} characters out of a-z A-Z 0-9 - _ . are allowed");
+        push(problems, id, "name", reason);
+    }
+}
+
+fn check_range(
+    id: &ObjectId,
+    field: &'static str,
+    value: u32,
+    least: u32,
+    most: u32,
+    problems: &mut Vec<Problem>,
+) {
+    if !(least..=most).contains(&value) {
+        push(
+            problems,
+            id,
+            field,
+            format!("{value} is outside {least} to {most}"),
+        );
+    }
+}
+
+fn push(problems: &mut Vec<Problem>, id: &ObjectId, field: &'static str, reason: String) {
+    problems.push(Problem {
+        object: Some(id.clone()),
+        field,
+        reason,
+    });
+}
--- /dev/null
+++ b/crates/chutecove/src/cli/bundle.rs
@@ -0,0 +1,262 @@
+//! `chutecove bundle`
+
+use crate::cli::{free_argument, operator_client, operator_options, parse};
+use crate::exit::Failure;
+use crate::operator::{read_seal_key, OperatorClient};
+use ::bundle::{approval_message, source, Bundle, BundleUpdate, Delta, Digest, SealKey};
+use getopts::{Matches, Options};
+use rollout::{Accepted, Command, Stage};
+use serde_json::Value;
+use std::path::Path;
+
+const BRIEF: &str = "\
+Usage: chutecove bundle check PATH                     (a .toml file or a folder of them)
+       chutecove bundle submit PATH --version N
+       chutecove bundle approve DIGEST
+       chutecove bundle roll DIGEST --expect GENERATION [--stage STAGE ...] [--advance-after S]
+       chutecove bundle advance GENERATION --from-stage N
+       chutecove bundle pause|resume GENERATION
+       chutecove bundle withdraw --expect GENERATION [--to DIGEST]
+       chutecove bundle list | history | show DIGEST
+       chutecove bundle diff PATH PATH
+
+STAGE is proxies:NAME,NAME or zones:ZONE,ZONE or percent:N; a last stage 'all' is added.";
+
+/// Works with bundles.
+pub fn run(arguments: &[String]) -> Result<(), Failure> {
+    let mut options = Options::new();
+    operator_options(&mut options);
+    options.optopt(
+        "",
+        "version",
+        "the operators' own number for the bundle",
+        "N",
+    );
+    options.optopt("", "expect", "newest generation you know of", "GENERATION");
+    options.optmulti("", "stage", "a stage of the rollout, in order", "STAGE");
+    options.optopt(
+        "",
+        "advance-after",
+        "advance by itself after S healthy seconds",
+        "S",
+    );
+    options.optopt("", "from-stage", "number of stages reached", "N");
+    options.optopt("", "to", "content to return to", "DIGEST");
+    options.optopt(
+        "",
+        "seal-key",
+        "file of sealing keys, for check and diff",
+        "FILE",
+    );
+    let Some(matches) = parse(options, BRIEF, arguments)? else {
+        return Ok(());
+    };
+    match free_argument(&matches, 0, "VERB")? {
+        "check" => check(&matches),
+        "diff" => diff(&matches),
+        "submit" => submit(&matches),
+        "approve" => approve(&matches),
+        "roll" => roll(&matches),
+        "withdraw" => withdraw(&matches),
+        verb @ ("advance" | "pause" | "resume") => control_rollout(&matches, verb),
+        "list" => print_json(&operator_client(&matches)?, "/v1/bundles"),
+        "history" => print_json(&operator_client(&matches)?, "/v1/history"),
+        "show" => {
+            let digest = digest_argument(&matches, 1)?;
+            print_json(
+                &operator_client(&matches)?,
+                &format!("/v1/bundles/{digest}"),
+            )
+        }
+        _ => Err(Failure::usage(BRIEF)),
+    }
+}
+
+fn number<T: std::str::FromStr>(matches: &Matches, name: &str) -> Result<Option<T>, Failure> {
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(None);
+    };
+    let parsed = text.parse().ok();
+    parsed
+        .map(Some)
+        .ok_or_else(|| Failure::usage(format!("--{name}: '{text}' is not a number")))
+}
+
+fn required_number<T: std::str::FromStr>(matches: &Matches, name: &str) -> Result<T, Failure> {
+    number(matches, name)?.ok_or_else(|| Failure::usage(format!("--{name} is missing")))
+}
+
+fn digest_argument(matches: &Matches, position: usize) -> Result<Digest, Failure> {
+    let text = free_argument(matches, position, "DIGEST")?;
+    text.parse()
+        .map_err(|error| Failure::usage(format!("'{text}': {error}")))
+}
+
+fn load(path: &str, key: Option<&SealKey>) -> Result<Bundle, Failure> {
+    source::load(Path::new(path), key).map_err(Failure::usage)
+}
+
+/// A check needs no real key: any will do, since nothing is sent.
+fn local_key(matches: &Matches) -> Result<SealKey, Failure> {
+    match matches.opt_str("seal-key") {
+        Some(path) => read_seal_key(Path::new(&path)),
+        None => Ok(SealKey::new(0, [0; 32])),
+    }
+}
+
+fn check(matches: &Matches) -> Result<(), Failure> {
+    let bundle = load(
+        free_argument(matches, 1, "PATH")?,
+        Some(&local_key(matches)?),
+    )?;
+    println!(
+        "valid: {} services, {} routes, {} secrets, {} bytes",
+        bundle.services().count(),
+        bundle.routes().count(),
+        bundle.secrets().count(),
+        bundle.encode().len()
+    );
+    Ok(())
+}
+
+fn diff(matches: &Matches) -> Result<(), Failure> {
+    let key = local_key(matches)?;
+    let old = load(free_argument(matches, 1, "PATH")?, Some(&key))?;
+    let new = load(free_argument(matches, 2, "PATH")?, Some(&key))?;
+    let delta = Delta::between(&old, &new);
+    for id in &delta.removed {
+        println!("- {id}");
+    }
+    for object in &delta.upserts {
+        let id = object.id();
+        let sign = if old.objects().contains_key(&id) {
+            '~'
+        } else {
+            '+'
+        };
+        println!("{sign} {id}");
+    }
+    Ok(())
+}
+
+fn submit(matches: &Matches) -> Result<(), Failure> {
+    let client = operator_client(matches)?;
+    let version: u64 = required_number(matches, "version")?;
+    let key = client.settings().seal_key()?;
+    let bundle = load(free_argument(matches, 1, "PATH")?, key.as_ref())?;
+    let compressed = BundleUpdate::compress(&bundle);
+    let path = format!("/v1/submit?version={version}");
+    let request_id = matches.opt_str("request-id");
+    let accepted: Accepted = client.post(&path, &compressed, request_id.as_deref())?;
+    print_accepted(&accepted);
+    Ok(())
+}
+
+fn send(matches: &Matches, client: &OperatorClient, command: &Command) -> Result<(), Failure> {
+    let body = serde_json::to_vec(command).map_err(Failure::refused)?;
+    let request_id = matches.opt_str("request-id");
+    let accepted: Accepted = client.post("/v1/commands", &body, request_id.as_deref())?;
+    print_accepted(&accepted);
+    Ok(())
+}
+
+fn approve(matches: &Matches) -> Result<(), Failure> {
+    let client = operator_client(matches)?;
+    let digest = digest_argument(matches, 1)?;
+    let signature = client.sign(&approval_message(&digest));
+    send(matches, &client, &Command::Approve { digest, signature })
+}
+
+fn roll(matches: &Matches) -> Result<(), Failure> {
+    let client = operator_client(matches)?;
+    let mut stages = matches
+        .opt_strs("stage")
+        .iter()
+        .map(|text| parse_stage(text))
+        .collect::<Result<Vec<_>, _>>()?;
+    if stages.last() != Some(&Stage::All) {
+        stages.push(Stage::All);
+    }
+    let command = Command::Roll {
+        digest: digest_argument(matches, 1)?,
+        expected_generation: required_number(matches, "expect")?,
+        stages,
+        advance_after_s: number(matches, "advance-after")?,
+    };
+    send(matches, &client, &command)
+}
+
+fn parse_stage(text: &str) -> Result<Stage, Failure> {
+    if text == "all" {
+        return Ok(Stage::All);
+    }
+    let list = |names: &str| names.split(',').map(str::to_owned).collect();
+    match text.split_once(':') {
+        Some(("proxies", names)) => Ok(Stage::Proxies(list(names))),
+        Some(("zones", names)) => Ok(Stage::Zones(list(names))),
+        Some(("percent", share)) => share
+            .parse()
+            .map(Stage::Percent)
+            .map_err(|_| Failure::usage(format!("--stage: '{share}' is not a number"))),
+        _ => Err(Failure::usage(format!(
+            "--stage: '{text}' is not proxies:..., zones:..., percent:N or all"
+        ))),
+    }
+}
+
+fn control_rollout(matches: &Matches, verb: &str) -> Result<(), Failure> {
+    let client = operator_client(matches)?;
+    let text = free_argument(matches, 1, "GENERATION")?;
+    let generation: u64 = text
+        .parse()
+        .map_err(|_| Failure::usage(format!("'{text}' is not a generation")))?;
+    let command = match verb {
+        "advance" => Command::Advance {
+            generation,
+            from_stage: required_number(matches, "from-stage")?,
+        },
+        "pause" => Command::Pause { generation },
+        _ => Command::Resume { generation },
+    };
+    send(matches, &client, &command)
+}
+
+fn withdraw(matches: &Matches) -> Result<(), Failure> {
+    let client = operator_client(matches)?;
+    let to = matches.opt_str("to").map(|text| text.parse()).transpose();
+    let command = Command::Withdraw {
+        expected_generation: required_number(matches, "expect")?,
+        to: to.map_err(|error| Failure::usage(format!("--to: {error}")))?,
+    };
+    send(matches, &client, &command)
+}
+
+fn print_accepted(accepted: &Accepted) {
+    match accepted {
+        Accepted::Submitted { version, digest } => {
+            println!("submitted version {version}: {digest}")
+        }
+        Accepted::Approved { digest } => println!("approved {digest}"),
+        Accepted::Rolled { generation } => println!("rolling out generation {generation}"),
+        Accepted::Advanced {
+            generation,
+            stages,
+            complete,
+        } => {
+            let end = if *complete { ", complete" } else { "" };
+            println!("generation {generation} reached stage {stages}{end}");
+        }
+        Accepted::Paused { generation } => println!("paused generation {generation}"),
+        Accepted::Resumed { generation } => println!("resumed generation {generation}"),
+        Accepted::Withdrawn { generation, digest } => {
+            println!("generation {generation} returns to {digest}");
+        }
+    }
+}
+
+fn print_json(client: &OperatorClient, path: &str) -> Result<(), Failure> {
+    let value: Value = client.get(path)?;
+    let text = serde_json::to_string_pretty(&value).map_err(Failure::refused)?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/chutecove/src/cli/data.rs
@@ -0,0 +1,140 @@
+//! `chutecove data`
+
+use crate::cli::{free_argument, parse};
+use crate::exit::Failure;
+use consensus::Payload;
+use control::{CLAIM_GROUP_PREFIX, CONFIG_GROUP};
+use getopts::Options;
+use rollout::ConfigMachine;
+use std::fs;
+use std::path::{Path, PathBuf};
+use storage::{DataFolder, DiskStore};
+
+const BRIEF: &str = "\
+Usage: chutecove data check DIR        (reads everything; the replica must be stopped)
+       chutecove data show DIR         (identity, groups, positions, generations)
+       chutecove data backup DIR DEST  (copies a stopped replica's folder, after a check)
+       chutecove data restore SRC DIR  (copies a backup to an empty folder, after a check)";
+
+/// Checks, shows, copies data folders.
+pub fn run(arguments: &[String]) -> Result<(), Failure> {
+    let Some(matches) = parse(Options::new(), BRIEF, arguments)? else {
+        return Ok(());
+    };
+    let verb = free_argument(&matches, 0, "VERB")?;
+    let first = Path::new(free_argument(&matches, 1, "DIR")?);
+    match verb {
+        "check" => check(first).map(|groups| println!("{} groups are whole", groups.len())),
+        "show" => show(first),
+        "backup" | "restore" => {
+            let second = Path::new(free_argument(&matches, 2, "DEST")?);
+            copy(first, second)
+        }
+        _ => Err(Failure::usage(BRIEF)),
+    }
+}
+
+fn groups_of(folder: &Path) -> Result<Vec<PathBuf>, Failure> {
+    let listing = fs::read_dir(folder)
+        .map_err(|error| Failure::usage(format!("{}: {error}", folder.display())))?;
+    let is_group = |path: &PathBuf| {
+        let name = path
+            .file_name()
+            .and_then(|name| name.to_str())
+            .unwrap_or_default();
+        path.is_dir() && (name == CONFIG_GROUP || name.starts_with(CLAIM_GROUP_PREFIX))
+    };
+    let mut groups: Vec<PathBuf> = listing
+        .flatten()
+        .map(|entry| entry.path())
+        .filter(is_group)
+        .collect();
+    groups.sort();
+    Ok(groups)
+}
+
+fn check(folder: &Path) -> Result<Vec<PathBuf>, Failure> {
+    DataFolder::identity(folder).map_err(Failure::refused)?;
+    let groups = groups_of(folder)?;
+    for group in &groups {
+        DiskStore::inspect(group).map_err(Failure::refused)?;
+    }
+    Ok(groups)
+}
+
+fn show(folder: &Path) -> Result<(), Failure> {
+    let identity = DataFolder::identity(folder).map_err(Failure::refused)?;
+    println!("{identity}");
+    for group in groups_of(folder)? {
+        let Some(state) = DiskStore::inspect(&group).map_err(Failure::refused)? else {
+            continue;
+        };
+        let meta = &state.snapshot.meta;
+        let last = state.entries.last().map_or(meta.index, |entry| entry.index);
+        println!("{}", group.display());
+        println!(
+            "  term {} vote {:?}",
+            state.hard_state.term, state.hard_state.vote
+        );
+        println!(
+            "  snapshot at {} of term {}, last entry {last}",
+            meta.index, meta.term
+        );
+        println!(
+            "  voters {:?} learners {:?}",
+            meta.membership.voters, meta.membership.learners
+        );
+        let commands = state.entries.iter();
+        let commands = commands.filter(|entry| matches!(entry.payload, Payload::Command(_)));
+        println!("  {} commands after the snapshot", commands.count());
+        if group.ends_with(CONFIG_GROUP) {
+            show_generations(&state.snapshot.data);
+        }
+    }
+    Ok(())
+}
+
+fn show_generations(snapshot: &[u8]) {
+    let Ok(machine) = ConfigMachine::decode(snapshot) else {
+        return;
+    };
+    for record in machine.history() {
+        let digest = record.digest.short();
+        println!(
+            "  generation {} {digest} by {}",
+            record.generation, record.operator
+        );
+    }
+}
+
+fn copy(source: &Path, destination: &Path) -> Result<(), Failure> {
+    check(source)?;
+    if destination.exists()
+        && fs::read_dir(destination).is_ok_and(|mut files| files.next().is_some())
+    {
+        return Err(Failure::usage(format!(
+            "{} is not empty",
+            destination.display()
+        )));
+    }
+    copy_folder(source, destination)
+        .map_err(|error| Failure::refused(format!("{}: {error}", destination.display())))?;
+    check(destination)?;
+    println!("copied and checked");
+    Ok(())
+}
+
+fn copy_folder(source: &Path, destination: &Path) -> std::io::Result<()> {
+    fs::create_dir_all(destination)?;
+    for file in fs::read_dir(source)? {
+        let file = file?;
+        let target = destination.join(file.file_name());
+        if file.file_type()?.is_dir() {
+            copy_folder(&file.path(), &target)?;
+        } else {
+            fs::copy(file.path(), &target)?;
+            fs::File::open(&target)?.sync_all()?;
+        }
+    }
+    fs::File::open(destination)?.sync_all()
+}
--- /dev/null
+++ b/crates/chutecove/src/cli/mod.rs
@@ -0,0 +1,95 @@
+//! The subcommands, one file each.
+
+pub mod bundle;
+pub mod control;
+pub mod data;
+pub mod keys;
+pub mod members;
+pub mod proxy;
+pub mod relay;
+pub mod settings;
+pub mod status;
+
+use crate::exit::Failure;
+use crate::operator::{OperatorClient, OperatorSettings};
+use getopts::{Matches, Options};
+use std::path::{Path, PathBuf};
+
+/// Where an operator's own settings are looked for.
+const DEFAULT_OPERATOR_CONFIG: &str = "operator.toml";
+
+/// Adds `--help`, parses, and prints the usage if asked; `None` means that was all.
+pub fn parse(
+    mut options: Options,
+    brief: &str,
+    arguments: &[String],
+) -> Result<Option<Matches>, Failure> {
+    options.optflag("h", "help", "print this text");
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| Failure::usage(format!("{error}\n\n{}", options.usage(brief))))?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(brief));
+        return Ok(None);
+    }
+    Ok(Some(matches))
+}
+
+/// Options of every role.
+pub fn role_options() -> Options {
+    let mut options = Options::new();
+    options.reqopt("s", "settings", "settings file (TOML)", "FILE");
+    options.optmulti("", "set", "override one setting", "KEY=VALUE");
+    options.optopt(
+        "",
+        "log-level",
+        "error, warn, info, debug or trace (info)",
+        "LEVEL",
+    );
+    options
+}
+
+/// Starts logging and returns the settings file with its overrides.
+pub fn start_role(matches: &Matches) -> Result<(PathBuf, Vec<String>), Failure> {
+    let level = matches
+        .opt_str("log-level")
+        .unwrap_or_else(|| "info".to_owned());
+    let level = telemetry::parse_level(&level).map_err(Failure::usage)?;
+    telemetry::init_logging(level);
+    let path = matches.opt_str("settings").unwrap_or_default();
+    Ok((PathBuf::from(path), matches.opt_strs("set")))
+}
+
+/// Adds the options of an operator's connection.
+pub fn operator_options(options: &mut Options) {
+    options.optopt(
+        "c",
+        "config",
+        "operator's settings file (operator.toml)",
+        "FILE",
+    );
+    options.optopt(
+        "",
+        "request-id",
+        "repeat an earlier request under its id",
+        "ID",
+    );
+}
+
+/// Opens an operator's connection.
+pub fn operator_client(matches: &Matches) -> Result<OperatorClient, Failure> {
+    let path = matches
+        .opt_str("config")
+        .unwrap_or_else(|| DEFAULT_OPERATOR_CONFIG.to_owned());
+    OperatorClient::new(OperatorSettings::load(Path::new(&path))?)
+}
+
+/// The argument at a position after the verb.
+pub fn free_argument<'a>(
+    matches: &'a Matches,
+    position: usize,
+    name: &str,
+) -> Result<&'a str, Failure> {
+    let found = matches.free.get(position).map(String::as_str);
+    found.ok_or_else(|| Failure::usage(format!("argument {name} is missing")))
+}
--- /dev/null
+++ b/crates/chutecove/src/cli/status.rs
@@ -0,0 +1,86 @@
+//! `chutecove status`
+
+use crate::cli::{operator_client, operator_options, parse};
+use crate::exit::Failure;
+use getopts::Options;
+use serde_json::Value;
+use std::thread;
+use std::time::Duration;
+
+const BRIEF: &str = "Usage: chutecove status [--watch] [--json]";
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Moves to the top left and clears the screen (ECMA-48).
+const CLEAR_SCREEN: &str = "\x1b[H\x1b[2J";
+
+/// Shows how far each generation has spread.
+pub fn run(arguments: &[String]) -> Result<(), Failure> {
+    let mut options = Options::new();
+    operator_options(&mut options);
+    options.optflag("w", "watch", "draw again every second");
+    options.optflag("", "json", "print JSON");
+    let Some(matches) = parse(options, BRIEF, arguments)? else {
+        return Ok(());
+    };
+    let client = operator_client(&matches)?;
+    loop {
+        let status: Value = client.get("/v1/status")?;
+        let text = match matches.opt_present("json") {
+            true => format!("{status}\n"),
+            false => render(&status),
+        };
+        if !matches.opt_present("watch") {
+            print!("{text}");
+            return Ok(());
+        }
+        print!("{CLEAR_SCREEN}{text}");
+        thread::sleep(WATCH_INTERVAL);
+    }
+}
+
+fn render(status: &Value) -> String {
+    let spread = &status["spread"];
+    let mut lines = vec![
+        format!("newest generation   {}", status["newest_generation"]),
+        format!("base generation     {}", status["base_generation"]),
+    ];
+    if !status["candidate_generation"].is_null() {
+        let paused = if status["paused"] == true {
+            ", paused"
+        } else {
+            ""
+        };
+        let (reached, all) = (&status["stages"][0], &status["stages"][1]);
+        lines.push(format!(
+            "rolling out         {} (stage {reached} of {all}{paused}; {} of {} in it applied)",
+            status["candidate_generation"], spread["staged_applied"], spread["staged"]
+        ));
+    }
+    lines.push(format!(
+        "proxies             {} in touch, {} unknown, {} refused their target",
+        spread["proxies"], spread["unknown"], spread["errors"]
+    ));
+    for entry in spread["by_generation"].as_array().into_iter().flatten() {
+        lines.push(format!(
+            "  generation {:<8} {} proxies",
+            entry[0].to_string(),
+            entry[1]
+        ));
+    }
+    lines.push(format!("relays              {} in touch", spread["relays"]));
+    for relay in spread["silent_relays"].as_array().into_iter().flatten() {
+        lines.push(format!("  silent            {relay}"));
+    }
+    for laggard in spread["laggards"].as_array().into_iter().flatten() {
+        lines.push(format!(
+            "  behind            {} has {}, should have {}{}",
+            laggard["proxy"].as_str().unwrap_or("?"),
+            laggard["generation"],
+            laggard["target"],
+            laggard["error"]
+                .as_str()
+                .map(|error| format!(": {error}"))
+                .unwrap_or_default()
+        ));
+    }
+    lines.join("\n") + "\n"
+}
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,240 @@
+//! The in-memory log of one member: entries after the compaction point, and the latest snapshot.
+
+use crate::message::SharedSnapshot;
+use crate::{Entry, Index, Membership, Payload, Snapshot, SnapshotMeta, Term};
+use std::sync::Arc;
+
+/// Entries kept behind a snapshot so that a follower slightly behind needs no snapshot.
+pub const RETAINED_ENTRIES: u64 = 512;
+
+/// Log entries with the commit, persisted and handed-out positions.
+#[derive(Clone, Debug)]
+pub struct RaftLog {
+    base_index: Index,
+    base_term: Term,
+    entries: Vec<Entry>,
+    snapshot: SharedSnapshot,
+    /// Highest index known to be committed.
+    pub committed: Index,
+    /// Highest index saved durably by the driver.
+    pub persisted: Index,
+    /// Highest index handed to the driver for application.
+    pub handed_out: Index,
+}
+
+impl RaftLog {
+    /// Rebuilds the log from what storage recovered.
+    pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let snapshot_index = snapshot.meta.index;
+        let (base_index, base_term, kept) = match entries.first() {
+            Some(first) if first.index <= snapshot_index => (first.index, first.term, 1),
+            _ => (snapshot_index, snapshot.meta.term, 0),
+        };
+        let entries: Vec<Entry> = entries.into_iter().skip(kept).collect();
+        let persisted = entries.last().map_or(base_index, |entry| entry.index);
+        RaftLog {
+            base_index,
+            base_term,
+            entries,
+            snapshot: Arc::new(snapshot),
+            committed: snapshot_index,
+            persisted,
+            handed_out: snapshot_index,
+        }
+    }
+
+    /// Index of the last entry.
+    pub fn last_index(&self) -> Index {
+        self.entries
+            .last()
+            .map_or(self.base_index, |entry| entry.index)
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> Term {
+        self.entries
+            .last()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Term of the entry at `index`, if it is still held.
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        if index == self.snapshot.meta.index {
+            return Some(self.snapshot.meta.term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// The entry at `index`, if held.
+    pub fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Up to `limit` entries from `from`; `None` if `from` was compacted away.
+    pub fn slice(&self, from: Index, limit: usize, byte_limit: usize) -> Option<Vec<Entry>> {
+        let offset = from.checked_sub(self.base_index + 1)? as usize;
+        let mut bytes = 0;
+        let taken = self.entries.iter().skip(offset).take(limit);
+        Some(
+            taken
+                .take_while(|entry| {
+                    let first = bytes == 0;
+                    bytes += entry_bytes(entry);
+                    first || bytes <= byte_limit
+                })
+                .cloned()
+                .collect(),
+        )
+    }
+
+    /// Adds an entry made by this member as leader.
+    pub fn append(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push(entry);
+    }
+
+    /// Stores a leader's entries, cutting a conflicting tail (section 3.5); returns those that are
+    /// new and must be saved.
+    pub fn merge(&mut self, entries: Vec<Entry>) -> Vec<Entry> {
+        let mut fresh = Vec::new();
+        for entry in entries {
+            if fresh.is_empty() && self.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.last_index() {
+                self.truncate_from(entry.index);
+            }
+            if entry.index == self.last_index() + 1 {
+                self.entries.push(entry.clone());
+                fresh.push(entry);
+            }
+        }
+        fresh
+    }
+
+    fn truncate_from(&mut self, index: Index) {
+        assert!(
+            index > self.committed,
+            "a committed entry must never be cut"
+        );
+        let keep = index.saturating_sub(self.base_index + 1) as usize;
+        self.entries.truncate(keep);
+        self.persisted = self.persisted.min(index - 1);
+    }
+
+    /// Entries committed and saved, but not handed out yet.
+    pub fn take_committed(&mut self) -> Vec<Entry> {
+        let until = self.committed.min(self.persisted);
+        let from = self.handed_out + 1;
+        if until < from {
+            return Vec::new();
+        }
+        let count = (until - from + 1) as usize;
+        let taken = self.slice(from, count, usize::MAX).unwrap_or_default();
+        self.handed_out = until;
+        taken
+    }
+
+    /// The latest snapshot.
+    pub fn snapshot(&self) -> &SharedSnapshot {
+        &self.snapshot
+    }
+
+    /// Replaces the whole log by a snapshot received from the leader.
+    pub fn install(&mut self, snapshot: Snapshot) {
+        let meta = snapshot.meta.clone();
+        if self.term_at(meta.index) == Some(meta.term) && meta.index > self.base_index {
+            self.snapshot = Arc::new(snapshot);
+        } else {
+            self.entries.clear();
+            self.base_index = meta.index;
+            self.base_term = meta.term;
+            self.snapshot = Arc::new(snapshot);
+            self.persisted = meta.index;
+        }
+        self.committed = self.committed.max(meta.index);
+        self.handed_out = self.handed_out.max(meta.index);
+        self.persisted = self.persisted.max(meta.index);
+    }
+
+    /// Records a snapshot taken by the driver and drops entries far behind it.
+    pub fn compact(&mut self, snapshot: Snapshot) {
+        let index = snapshot.meta.index;
+        if index <= self.snapshot.meta.index {
+            return;
+        }
+        self.snapshot = Arc::new(snapshot);
+        let new_base = index.saturating_sub(RETAINED_ENTRIES);
+        if new_base > self.base_index {
+            if let Some(term) = self.term_at(new_base) {
+                let drop = (new_base - self.base_index) as usize;
+                self.entries.drain(..drop);
+                self.base_index = new_base;
+                self.base_term = term;
+            }
+        }
+    }
+
+    /// Entries the storage must keep: those after the compaction point.
+    pub fn retained(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// First index that is still held.
+    pub fn first_index(&self) -> Index {
+        self.base_index + 1
+    }
+
+    /// The membership in force: the last one appended, else the snapshot's (section 4.1).
+    pub fn membership(&self) -> (Membership, Index) {
+        let appended = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Membership(membership) => Some((membership.clone(), entry.index)),
+                _ => None,
+            });
+        let from_snapshot = || {
+            (
+                self.snapshot.meta.membership.clone(),
+                self.snapshot.meta.index,
+            )
+        };
+        match appended {
+            Some(found) if found.1 > self.snapshot.meta.index => found,
+            _ => from_snapshot(),
+        }
+    }
+
+    /// What a snapshot taken at `index` stands for; `None` if the entry is not held.
+    pub fn meta_at(&self, index: Index) -> Option<SnapshotMeta> {
+        let term = self.term_at(index)?;
+        let held = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Membership(membership) if entry.index <= index => Some(membership.clone()),
+                _ => None,
+            });
+        let membership = held.unwrap_or_else(|| self.snapshot.meta.membership.clone());
+        Some(SnapshotMeta {
+            index,
+            term,
+            membership,
+        })
+    }
+}
+
+fn entry_bytes(entry: &Entry) -> usize {
+    const OVERHEAD: usize = 32;
+    match &entry.payload {
+        Payload::Command(command) => command.len() + OVERHEAD,
+        _ => OVERHEAD,
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replication.rs
@@ -0,0 +1,399 @@
+//! Log replication, commitment and snapshot transfer (sections 3.5, 3.6 and 5).
+
+use crate::progress::Mode;
+use crate::raft::{Raft, Role, Weakness};
+use crate::{AppendResult, Body, Entry, Index, NodeId, Snapshot, SnapshotMeta};
+
+/// Most entries in one append message.
+const MAX_APPEND_ENTRIES: usize = 256;
+/// Most bytes of entries in one append message.
+const MAX_APPEND_BYTES: usize = 512 * 1024;
+/// Entries sent ahead of a peer's acknowledgement before the leader waits.
+const MAX_IN_FLIGHT_ENTRIES: u64 = 1024;
+/// Size of one snapshot chunk, bytes.
+const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
+
+impl Raft {
+    fn peer_ids(&self) -> Vec<NodeId> {
+        self.peers()
+            .map(|peers| peers.keys().copied().collect())
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn broadcast_append(&mut self) {
+        for peer in self.peer_ids() {
+            self.send_append(peer);
+        }
+    }
+
+    /// Starts a new heartbeat round, which also confirms reads that wait for it.
+    pub(crate) fn broadcast_heartbeat(&mut self) {
+        self.round += 1;
+        for peer in self.peer_ids() {
+            self.send_heartbeat(peer);
+        }
+    }
+
+    fn send_heartbeat(&mut self, peer: NodeId) {
+        let Role::Leader { peers } = &self.role else {
+            return;
+        };
+        let Some(progress) = peers.get(&peer) else {
+            return;
+        };
+        if matches!(progress.mode, Mode::Snapshot { .. }) {
+            self.send_append(peer);
+            return;
+        }
+        let prev_index = progress.next_index - 1;
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            self.send_append(peer);
+            return;
+        };
+        let commit = self.log.committed;
+        let round = self.round;
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries: Vec::new(),
+            commit,
+            round,
+        };
+        self.send(peer, body);
+    }
+
+    pub(crate) fn send_append(&mut self, peer: NodeId) {
+        let round = self.round;
+        let commit = self.log.committed;
+        let snapshot_index = self.log.snapshot().meta.index;
+        let Role::Leader { peers } = &mut self.role else {
+            return;
+        };
+        let Some(progress) = peers.get_mut(&peer) else {
+            return;
+        };
+        if matches!(progress.mode, Mode::Snapshot { .. }) {
+            self.send_snapshot_chunk(peer);
+            return;
+        }
+        let window = progress.match_index + MAX_IN_FLIGHT_ENTRIES;
+        let window_full = progress.mode == Mode::Replicate && progress.next_index > window;
+        if window_full || progress.probe_in_flight {
+            return;
+        }
+        let prev_index = progress.next_index - 1;
+        let entries = self
+            .log
+            .slice(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
+        match (self.log.term_at(prev_index), entries) {
+            (Some(prev_term), Some(entries)) => {
+                match progress.mode {
+                    Mode::Replicate => progress.next_index += entries.len() as u64,
+                    _ => progress.probe_in_flight = true,
+                }
+                self.send(
+                    peer,
+                    Body::Append {
+                        prev_index,
+                        prev_term,
+                        entries,
+                        commit,
+                        round,
+                    },
+                );
+            }
+            _ => {
+                progress.mode = Mode::Snapshot {
+                    index: snapshot_index,
+                    offset: 0,
+                };
+                self.send_snapshot_chunk(peer);
+            }
+        }
+    }
+
+    fn send_snapshot_chunk(&mut self, peer: NodeId) {
+        let round = self.round;
+        let snapshot = self.log.snapshot().clone();
+        let Role::Leader { peers } = &mut self.role else {
+            return;
+        };
+        let Some(progress) = peers.get_mut(&peer) else {
+            return;
+        };
+        let Mode::Snapshot { index, offset } = &mut progress.mode else {
+            return;
+        };
+        if *index != snapshot.meta.index {
+            *index = snapshot.meta.index;
+            *offset = 0;
+        }
+        let start = (*offset as usize).min(snapshot.data.len());
+        let end = (start + SNAPSHOT_CHUNK_BYTES).min(snapshot.data.len());
+        let body = Body::SnapshotChunk {
+            meta: snapshot.meta.clone(),
+            offset: start as u64,
+            total: snapshot.data.len() as u64,
+            data: snapshot.data[start..end].to_vec(),
+            round,
+        };
+        self.send(peer, body);
+    }
+
+    pub(crate) fn handle_replication(&mut self, from: NodeId, body: Body) {
+        match body {
+            Body::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            } => {
+                self.follow(from);
+                self.on_append(from, prev_index, prev_term, entries, commit, round);
+            }
+            Body::SnapshotChunk {
+                meta,
+                offset,
+                total,
+                data,
+                round,
+            } => {
+                self.follow(from);
+                self.on_snapshot_chunk(from, meta, offset, total, data, round);
+            }
+            Body::AppendReply { round, result } => self.on_append_reply(from, round, result),
+            Body::SnapshotProgress {
+                index,
+                next_offset,
+                round,
+            } => {
+                self.on_snapshot_progress(from, index, next_offset, round);
+            }
+            _ => {}
+        }
+    }
+
+    /// A message from the leader of the current term makes every other role follow it.
+    fn follow(&mut self, leader: NodeId) {
+        if matches!(self.role, Role::Follower { leader: Some(known) } if known == leader) {
+            self.ticks_since_leader = 0;
+            return;
+        }
+        self.become_follower(self.term, Some(leader));
+    }
+
+    fn on_append(
+        &mut self,
+        from: NodeId,
+        prev_index: Index,
+        prev_term: u64,
+        entries: Vec<Entry>,
+        commit: Index,
+        round: u64,
+    ) {
+        if prev_index < self.log.committed {
+            // Everything up to the commit index equals the leader's already (section 3.6.3).
+            let already = self.log.committed;
+            let later: Vec<Entry> = entries
+                .into_iter()
+                .filter(|entry| entry.index > already)
+                .collect();
+            self.accept_entries(from, already, later, commit, round);
+            return;
+        }
+        if self.log.term_at(prev_index) != Some(prev_term) {
+            self.reject_append(from, round, prev_index);
+            return;
+        }
+        self.accept_entries(from, prev_index, entries, commit, round);
+    }
+
+    fn accept_entries(
+        &mut self,
+        from: NodeId,
+        prev_index: Index,
+        entries: Vec<Entry>,
+        commit: Index,
+        round: u64,
+    ) {
+        let matched = entries.last().map_or(prev_index, |entry| entry.index);
+        let fresh = self.log.merge(entries);
+        if !fresh.is_empty() {
+            let first = fresh[0].index;
+            self.out.entries.retain(|entry| entry.index < first);
+            self.out.entries.extend(fresh);
+            self.refresh_membership();
+        }
+        self.log.committed = self.log.committed.max(commit.min(matched));
+        let result = AppendResult::Accepted(matched);
+        self.send(from, Body::AppendReply { round, result });
+    }
+
+    /// Answers with the last index that may still match: the end of a shorter log, or the entry
+    /// before the conflicting term (section 3.5, last paragraph).
+    pub(crate) fn reject_append(&mut self, to: NodeId, round: u64, prev_index: Index) {
+        let mut hint = prev_index.min(self.log.last_index());
+        let conflicting = self.log.term_at(hint);
+        while hint > self.log.committed && self.log.term_at(hint) == conflicting {
+            hint -= 1;
+        }
+        let shorter = self.log.last_index() < prev_index;
+        let hint = if shorter { self.log.last_index() } else { hint };
+        let result = AppendResult::Rejected(hint);
+        self.send(to, Body::AppendReply { round, result });
+    }
+
+    fn on_append_reply(&mut self, from: NodeId, round: u64, result: AppendResult) {
+        let last = self.log.last_index();
+        let Role::Leader { peers } = &mut self.role else {
+            return;
+        };
+        let Some(progress) = peers.get_mut(&from) else {
+            return;
+        };
+        progress.heard_from(round);
+        match result {
+            AppendResult::Accepted(index) => progress.accepted(index),
+            AppendResult::Rejected(hint) => {
+                let probe = hint.min(progress.next_index.saturating_sub(2));
+                progress.rejected(probe);
+            }
+        }
+        let behind = progress.next_index <= last;
+        self.maybe_commit();
+        self.confirm_reads();
+        if behind {
+            self.send_append(from);
+        }
+        self.try_finish_transfer(from);
+    }
+
+    /// Commits the highest index a majority stores, if it is of this term (section 3.6.2).
+    pub(crate) fn maybe_commit(&mut self) {
+        let id = self.config.id;
+        let own = self.log.persisted;
+        let Role::Leader { peers } = &self.role else {
+            return;
+        };
+        let mut matches: Vec<Index> = self
+            .membership
+            .voters
+            .iter()
+            .map(|voter| match peers.get(voter) {
+                Some(progress) => progress.match_index,
+                None if *voter == id => own,
+                None => 0,
+            })
+            .collect();
+        matches.sort_unstable_by(|left, right| right.cmp(left));
+        let Some(candidate) = matches.get(self.membership.quorum() - 1).copied() else {
+            return;
+        };
+        let own_term = self.log.term_at(candidate) == Some(self.term);
+        if candidate > self.log.committed && (own_term || self.weak(Weakness::CommitAnyTerm)) {
+            self.log.committed = candidate;
+            self.after_commit();
+        }
+    }
+
+    fn after_commit(&mut self) {
+        self.release_waiting_reads();
+        // Followers learn the commit index at once rather than with the next heartbeat, since it
+        // is what lets them answer and what convergence waits for.
+        self.broadcast_commit();
+        let removed = !self.membership.voters.contains(&self.config.id);
+        if removed && self.membership_index <= self.log.committed {
+            self.become_follower(self.term, None);
+        }
+    }
+
+    fn broadcast_commit(&mut self) {
+        for peer in self.peer_ids() {
+            self.send_heartbeat(peer);
+        }
+    }
+
+    fn on_snapshot_chunk(
+        &mut self,
+        from: NodeId,
+        meta: SnapshotMeta,
+        offset: u64,
+        total: u64,
+        data: Vec<u8>,
+        round: u64,
+    ) {
+        if meta.index <= self.log.committed {
+            let result = AppendResult::Accepted(self.log.committed);
+            self.send(from, Body::AppendReply { round, result });
+            return;
+        }
+        let index = meta.index;
+        let same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|incoming| incoming.meta == meta);
+        if !same {
+            self.incoming = Some(Snapshot {
+                meta,
+                data: Vec::new(),
+            });
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return;
+        };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&data);
+        }
+        let next_offset = incoming.data.len() as u64;
+        if next_offset < total {
+            self.send(
+                from,
+                Body::SnapshotProgress {
+                    index,
+                    next_offset,
+                    round,
+                },
+            );
+            return;
+        }
+        self.install_incoming(from, round);
+    }
+
+    fn install_incoming(&mut self, from: NodeId, round: u64) {
+        let Some(snapshot) = self.incoming.take() else {
+            return;
+        };
+        let index = snapshot.meta.index;
+        self.log.install(snapshot.clone());
+        let log = &self.log;
+        self.out
+            .entries
+            .retain(|entry| entry.index > index && log.term_at(entry.index) == Some(entry.term));
+        self.out.snapshot = Some(snapshot);
+        self.refresh_membership();
+        let result = AppendResult::Accepted(index);
+        self.send(from, Body::AppendReply { round, result });
+    }
+
+    fn on_snapshot_progress(&mut self, from: NodeId, index: Index, next_offset: u64, round: u64) {
+        let Role::Leader { peers } = &mut self.role else {
+            return;
+        };
+        let Some(progress) = peers.get_mut(&from) else {
+            return;
+        };
+        progress.heard_from(round);
+        if let Mode::Snapshot {
+            index: sending,
+            offset,
+        } = &mut progress.mode
+        {
+            if *sending == index {
+                *offset = next_offset;
+            }
+            self.send_snapshot_chunk(from);
+        }
+        self.confirm_reads();
+    }
+}
--- /dev/null
+++ b/crates/control/src/api.rs
@@ -0,0 +1,403 @@
+//! The operators' HTTP interface; docs/API.md describes it.
+
+use crate::authentication::{
+    AuthenticationError, IncomingRequest, OPERATOR_HEADER, REQUEST_ID_HEADER, SIGNATURE_HEADER,
+    TIME_HEADER,
+};
+use crate::members::{change_group, MemberChange as Change};
+use crate::replica::RequestError;
+use crate::runtime::Shared;
+use bundle::{Approval, Digest, LIMITS};
+use consensus::Membership;
+use rollout::{Command, GenerationRecord, Refusal, Request, SpreadSummary, VersionSummary};
+use rouille::Response;
+use serde::{Deserialize, Serialize};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::info;
+use verdict::{Verdict, VERDICT_HEADER};
+
+pub use crate::members::MemberChange;
+
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(3);
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// A compressed bundle is never longer than the bundle limit plus framing.
+const MAX_BODY_BYTES: u64 = LIMITS.bundle_bytes as u64 + 64 * 1024;
+
+/// An error as JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ApiError {
+    /// Stable kind.
+    pub error: String,
+    /// For people.
+    pub message: String,
+    /// Whether the request may have taken effect.
+    pub verdict: Verdict,
+    /// Where the leader's interface is, if it is known and elsewhere.
+    pub leader_api: Option<SocketAddr>,
+}
+
+/// Answer of `GET /v1/status`.
+#[derive(Clone, Debug, Serialize)]
+pub struct StatusView {
+    /// Member that answered.
+    pub member: u64,
+    /// Its term.
+    pub term: u64,
+    /// The newest generation accepted.
+    pub newest_generation: u64,
+    /// The generation of proxies outside a rollout.
+    pub base_generation: u64,
+    /// The generation being rolled out.
+    pub candidate_generation: Option<u64>,
+    /// Stages reached and in all.
+    pub stages: Option<(u32, usize)>,
+    /// Whether the rollout waits for an operator.
+    pub paused: bool,
+    /// How far each generation has spread.
+    pub spread: SpreadSummary,
+}
+
+/// Answer of `GET /v1/members`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MembersView {
+    /// Leader of the configuration group.
+    pub leader: Option<u64>,
+    /// Voters.
+    pub voters: Vec<u64>,
+    /// Learners.
+    pub learners: Vec<u64>,
+    /// How many log entries each peer still lacks, as the leader knows it.
+    pub behind: Vec<(u64, u64)>,
+}
+
+type ApiResult = Result<Response, (u16, ApiError)>;
+
+/// Starts the interface; returns the address in use.
+pub(crate) fn spawn(
+    shared: Arc<Shared>,
+) -> Result<SocketAddr, Box<dyn std::error::Error + Send + Sync>> {
+    let address = shared.settings.api_listen;
+    let server = rouille::Server::new(address, move |request| handle(&shared, request))?;
+    let bound = server.server_addr();
+    std::thread::spawn(move || server.run());
+    Ok(bound)
+}
+
+fn handle(shared: &Shared, request: &rouille::Request) -> Response {
+    let result = read_body(request).and_then(|body| route(shared, request, &body));
+    result.unwrap_or_else(|(status, error)| {
+        let verdict = error.verdict.as_str();
+        Response::json(&error)
+            .with_status_code(status)
+            .with_unique_header(VERDICT_HEADER, verdict)
+    })
+}
+
+fn error(status: u16, kind: &str, message: impl ToString) -> (u16, ApiError) {
+    let error = kind.to_owned();
+    let message = message.to_string();
+    (
+        status,
+        ApiError {
+            error,
+            message,
+            verdict: Verdict::NotRun,
+            leader_api: None,
+        },
+    )
+}
+
+fn read_body(request: &rouille::Request) -> Result<Vec<u8>, (u16, ApiError)> {
+    let mut body = Vec::new();
+    let Some(reader) = request.data() else {
+        return Ok(body);
+    };
+    let read = reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+    read.map_err(|cause| error(400, "body_unreadable", cause))?;
+    if body.len() as u64 > MAX_BODY_BYTES {
+        return Err(error(
+            413,
+            "body_too_large",
+            format!("at most {MAX_BODY_BYTES} bytes"),
+        ));
+    }
+    Ok(body)
+}
+
+fn route(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
+    let path = request.url();
+    match (request.method(), path.as_str()) {
+        ("POST", "/v1/submit") => {
+            authenticate(shared, request, body, Some("submit"))?;
+            let version = request
+                .get_param("version")
+                .and_then(|text| text.parse().ok());
+            let version = version
+                .ok_or_else(|| error(400, "bad_version", "?version= must be a whole number"))?;
+            execute(
+                shared,
+                request,
+                Command::Submit {
+                    version,
+                    compressed: body.to_vec(),
+                },
+            )
+        }
+        ("POST", "/v1/commands") => command(shared, request, body),
+        ("POST", "/v1/members") => change_members(shared, request, body),
+        ("GET", "/v1/status") => read(shared, request, body, status),
+        ("GET", "/v1/bundles") => read(shared, request, body, list_bundles),
+        ("GET", "/v1/history") => read(shared, request, body, list_history),
+        ("GET", "/v1/members") => read(shared, request, body, list_members),
+        ("GET", path) if path.starts_with("/v1/bundles/") => {
+            let digest = path.trim_start_matches("/v1/bundles/").to_owned();
+            read(shared, request, body, move |shared| {
+                show_bundle(shared, &digest)
+            })
+        }
+        _ => Err(error(404, "no_such_path", "see docs/API.md")),
+    }
+}
+
+fn authenticate(
+    shared: &Shared,
+    request: &rouille::Request,
+    body: &[u8],
+    role: Option<&'static str>,
+) -> Result<(), (u16, ApiError)> {
+    let path = request.raw_url();
+    let incoming = IncomingRequest {
+        method: request.method(),
+        path,
+        operator: request.header(OPERATOR_HEADER),
+        request_id: request.header(REQUEST_ID_HEADER),
+        time_s: request.header(TIME_HEADER),
+        signature: request.header(SIGNATURE_HEADER),
+        body,
+    };
+    shared
+        .operators
+        .authenticate(&incoming, role)
+        .map_err(|cause| match cause {
+            AuthenticationError::Forbidden { .. } => error(403, "forbidden", cause),
+            AuthenticationError::Operators { .. } => error(500, "operators_unreadable", cause),
+            _ => error(401, "not_authenticated", cause),
+        })
+}
+
+fn command(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
+    let command: Command =
+        serde_json::from_slice(body).map_err(|cause| error(400, "bad_command", cause))?;
+    let role = match &command {
+        Command::Submit { .. } => "submit",
+        Command::Approve { .. } => "approve",
+        _ => "roll",
+    };
+    authenticate(shared, request, body, Some(role))?;
+    if let Command::Approve { digest, signature } = &command {
+        let operator = request
+            .header(OPERATOR_HEADER)
+            .unwrap_or_default()
+            .to_owned();
+        let approval = Approval {
+            operator,
+            signature: signature.clone(),
+        };
+        let verified = shared.operators.verify_approval(digest, &approval);
+        verified.map_err(|cause| error(401, "bad_approval", cause))?;
+    }
+    execute(shared, request, command)
+}
+
+fn execute(shared: &Shared, request: &rouille::Request, command: Command) -> ApiResult {
+    let proposal = Request {
+        operator: request
+            .header(OPERATOR_HEADER)
+            .unwrap_or_default()
+            .to_owned(),
+        request_id: request
+            .header(REQUEST_ID_HEADER)
+            .unwrap_or_default()
+            .to_owned(),
+        command,
+    };
+    let operator = proposal.operator.clone();
+    let answer = shared.groups.config.propose(proposal, PROPOSE_TIMEOUT);
+    match answer.map_err(|cause| request_error(shared, &cause))? {
+        Ok(accepted) => {
+            info!(%operator, accepted = ?accepted, "command_accepted");
+            Ok(Response::json(&accepted))
+        }
+        Err(refusal) => {
+            info!(%operator, refusal = %refusal, "command_refused");
+            Err(refused(&refusal))
+        }
+    }
+}
+
+fn refused(refusal: &Refusal) -> (u16, ApiError) {
+    let kind = serde_json::to_value(refusal).ok();
+    let kind = kind
+        .as_ref()
+        .and_then(|value| value.get("kind"))
+        .and_then(|kind| kind.as_str());
+    let (status, mut body) = error(409, kind.unwrap_or("refused"), refusal);
+    body.verdict = refusal.verdict();
+    (status, body)
+}
+
+fn request_error(shared: &Shared, cause: &RequestError) -> (u16, ApiError) {
+    let (status, kind) = match cause {
+        RequestError::NotLeader { .. } => (421, "not_leader"),
+        RequestError::Refused { .. } => (409, "refused"),
+        RequestError::Unanswered { .. } => (504, "unanswered"),
+    };
+    let (status, mut body) = error(status, kind, cause);
+    body.verdict = cause.verdict();
+    if let RequestError::NotLeader {
+        leader: Some(leader),
+    } = cause
+    {
+        body.leader_api = shared.addresses.get(*leader).map(|peer| peer.api_address);
+    }
+    (status, body)
+}
+
+/// Answers a read from the leader, after a quorum confirmed that it is current.
+fn read(
+    shared: &Shared,
+    request: &rouille::Request,
+    body: &[u8],
+    answer: impl FnOnce(&Shared) -> ApiResult,
+) -> ApiResult {
+    authenticate(shared, request, body, None)?;
+    let confirmed = shared.groups.config.read(READ_TIMEOUT);
+    confirmed.map_err(|cause| request_error(shared, &cause))?;
+    answer(shared)
+}
+
+fn status(shared: &Shared) -> ApiResult {
+    let spread = shared.lock_spread().summary(shared.clock.now_ms());
+    let published = shared.groups.config.lock();
+    let machine = &published.machine.0;
+    let view = machine.view();
+    Ok(Response::json(&StatusView {
+        member: shared.settings.member_id,
+        term: published.status.term,
+        newest_generation: machine.newest_generation(),
+        base_generation: view.base.generation,
+        candidate_generation: view.candidate.as_ref().map(|found| found.target.generation),
+        stages: machine.rollout_stages(),
+        paused: machine.paused(),
+        spread,
+    }))
+}
+
+fn list_bundles(shared: &Shared) -> ApiResult {
+    let versions: Vec<VersionSummary> = shared.groups.config.lock().machine.0.versions();
+    Ok(Response::json(&versions))
+}
+
+fn list_history(shared: &Shared) -> ApiResult {
+    let published = shared.groups.config.lock();
+    let history: Vec<GenerationRecord> = published.machine.0.history().cloned().collect();
+    Ok(Response::json(&history))
+}
+
+/// One object of a bundle as operators see it; secrets only by name.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum ShownObject<'a> {
+    Service(&'a bundle::Service),
+    Route(&'a bundle::Route),
+    Secret { name: &'a str, key_id: u32 },
+}
+
+fn show_bundle(shared: &Shared, digest: &str) -> ApiResult {
+    let digest: Digest = digest
+        .parse()
+        .map_err(|cause| error(400, "bad_digest", cause))?;
+    let published = shared.groups.config.lock();
+    let stored = published.machine.0.bundle(&digest);
+    let stored = stored.ok_or_else(|| error(404, "unknown_bundle", "no such bundle"))?;
+    let show = |object| match object {
+        &bundle::Object::Service(ref service) => ShownObject::Service(service),
+        &bundle::Object::Route(ref route) => ShownObject::Route(route),
+        &bundle::Object::Secret(ref secret) => ShownObject::Secret {
+            name: &secret.name,
+            key_id: secret.key_id,
+        },
+    };
+    let objects = stored
+        .bundle
+        .objects()
+        .values()
+        .map(|hashed| show(&hashed.object));
+    Ok(Response::json(&objects.collect::<Vec<_>>()))
+}
+
+fn list_members(shared: &Shared) -> ApiResult {
+    let published = shared.groups.config.lock();
+    let status = &published.status;
+    let last = status.applied;
+    let behind = status
+        .matched
+        .iter()
+        .map(|(id, at)| (*id, last.saturating_sub(*at)))
+        .collect();
+    Ok(Response::json(&members_view(
+        &status.membership,
+        status.leader,
+        behind,
+    )))
+}
+
+fn members_view(
+    membership: &Membership,
+    leader: Option<u64>,
+    behind: Vec<(u64, u64)>,
+) -> MembersView {
+    MembersView {
+        leader,
+        voters: membership.voters.iter().copied().collect(),
+        learners: membership.learners.iter().copied().collect(),
+        behind,
+    }
+}
+
+fn change_members(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
+    authenticate(shared, request, body, Some("members"))?;
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Body {
+        group: u32,
+        change: Change,
+    }
+    let body: Body =
+        serde_json::from_slice(body).map_err(|cause| error(400, "bad_change", cause))?;
+    if let Change::AddLearner(id) | Change::Promote(id) = body.change {
+        if shared.addresses.get(id).is_none() {
+            let message = format!("member {id} is not in the settings of this replica");
+            return Err(error(409, "unknown_member", message));
+        }
+    }
+    // Each group has its own leader; the operator's tool goes from group to group.
+    let changed = match body.group {
+        0 => change_group(&shared.groups.config, body.change),
+        group => match shared.groups.claims.get(group as usize - 1) {
+            Some(replica) => change_group(replica, body.change),
+            None => return Err(error(404, "no_such_group", "no such group")),
+        },
+    };
+    changed.map_err(|cause| request_error(shared, &cause))?;
+    let published = shared.groups.config.lock();
+    let status = &published.status;
+    Ok(Response::json(&members_view(
+        &status.membership,
+        status.leader,
+        Vec::new(),
+    )))
+}
--- /dev/null
+++ b/crates/endpoints/src/subset.rs
@@ -0,0 +1,79 @@
+//! Which few upstreams one proxy uses, so that no upstream has more connections than it takes.
+//!
+//! Rendezvous hashing (Thaler and Ravishankar, 1998): every proxy ranks the endpoints by a hash
+//! of both names, so a change of one endpoint moves only the proxies that used it.
+
+use crate::{Endpoint, EndpointKey};
+
+/// Share of an upstream's connections that subsets plan with; the rest is headroom for changes
+/// of the fleet that have not spread yet.
+const PLANNED_CONNECTIONS_PERCENT: u32 = 70;
+/// Fewest upstreams in a subset, so that one failure leaves a choice.
+const MIN_SUBSET: usize = 2;
+
+/// What the size of a subset depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct SubsetParameters {
+    /// Connections one upstream accepts in all.
+    pub upstream_connections: u32,
+    /// Number of proxies that use the service.
+    pub subscribers: u32,
+    /// Number of live upstreams.
+    pub upstreams: usize,
+    /// Connections a proxy wishes to have to one upstream.
+    pub wished_connections: u32,
+}
+
+/// Number of upstreams one proxy uses, and connections it may have to each.
+pub fn subset_size(parameters: SubsetParameters) -> (usize, u32) {
+    let upstreams = parameters.upstreams.max(1);
+    let planned = parameters.upstream_connections * PLANNED_CONNECTIONS_PERCENT / 100;
+    let whole = u64::from(planned) * upstreams as u64;
+    let share = (whole / u64::from(parameters.subscribers.max(1))).max(1) as u32;
+    let wished = parameters.wished_connections.max(1);
+    let size = (share / wished) as usize;
+    let size = size.clamp(MIN_SUBSET.min(upstreams), upstreams);
+    let connections = (share / size as u32).clamp(1, planned.max(1));
+    (size, connections)
+}
+
+/// Ranks endpoints for a proxy and takes the first `size`: own zone first, then own region, then
+/// the others.
+pub fn choose_subset<'a>(
+    proxy: &str,
+    zone: &str,
+    region: &str,
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+    size: usize,
+) -> Vec<&'a Endpoint> {
+    let mut ranked: Vec<(u8, u64, &Endpoint)> = endpoints
+        .map(|endpoint| {
+            let distance = distance(zone, region, endpoint);
+            (distance, rendezvous_rank(proxy, &endpoint.key), endpoint)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(distance, rank, _)| (*distance, *rank));
+    ranked
+        .into_iter()
+        .take(size)
+        .map(|(_, _, endpoint)| endpoint)
+        .collect()
+}
+
+fn distance(zone: &str, region: &str, endpoint: &Endpoint) -> u8 {
+    if endpoint.zone == zone {
+        0
+    } else if endpoint.region == region {
+        1
+    } else {
+        2
+    }
+}
+
+fn rendezvous_rank(proxy: &str, key: &EndpointKey) -> u64 {
+    let text = format!("{proxy}\n{}\n{}", key.service, key.socket_address());
+    let digest = ring::digest::digest(&ring::digest::SHA256, text.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest.as_ref()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/endpoints/src/table.rs
@@ -0,0 +1,323 @@
+//! A relay's table of all endpoints, with the changes since any sequence number.
+
+use crate::{Endpoint, EndpointKey, EndpointState, EndpointUpdate};
+use speedy::{Readable, Writable};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Removed endpoints remembered, so that deltas can name them and old marks stay in force.
+const MAX_TOMBSTONES: usize = 8_192;
+/// Leaving marks remembered for peers.
+const MAX_MARKS: usize = 8_192;
+
+/// News that an incarnation of a back end leaves.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub struct LeavingMark {
+    /// Which back end.
+    pub key: EndpointKey,
+    /// Which of its incarnations.
+    pub incarnation: u64,
+}
+
+/// When the loss of many endpoints at once is believed.
+#[derive(Clone, Copy, Debug)]
+pub struct MassExpiryGuard {
+    /// Share of a service's endpoints that may vanish in one reading, per cent.
+    pub max_vanished_percent: usize,
+    /// Readings in a row that must agree before a larger loss is believed.
+    pub confirmations: u32,
+}
+
+impl Default for MassExpiryGuard {
+    fn default() -> Self {
+        MassExpiryGuard {
+            max_vanished_percent: 50,
+            confirmations: 60,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    endpoint: Endpoint,
+    sequence: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Tombstone {
+    incarnation: u64,
+    state: EndpointState,
+    sequence: u64,
+}
+
+/// All endpoints one relay knows.
+#[derive(Clone, Debug)]
+pub struct EndpointTable {
+    epoch: u64,
+    sequence: u64,
+    entries: BTreeMap<EndpointKey, Entry>,
+    tombstones: BTreeMap<EndpointKey, Tombstone>,
+    pruned_until: u64,
+    marks: BTreeMap<LeavingMark, u64>,
+    guard: MassExpiryGuard,
+    suspicious_readings: BTreeMap<String, u32>,
+    subscribers: BTreeMap<String, u32>,
+    subscribers_sequence: u64,
+}
+
+impl EndpointTable {
+    /// An empty table; `epoch` must differ between starts of a relay.
+    pub fn new(epoch: u64, guard: MassExpiryGuard) -> Self {
+        EndpointTable {
+            epoch,
+            sequence: 0,
+            entries: BTreeMap::new(),
+            tombstones: BTreeMap::new(),
+            pruned_until: 0,
+            marks: BTreeMap::new(),
+            guard,
+            suspicious_readings: BTreeMap::new(),
+            subscribers: BTreeMap::new(),
+            subscribers_sequence: 0,
+        }
+    }
+
+    /// Identifies this process's sequence numbers.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Position of the latest change.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Number of endpoints.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.entries.values().map(|entry| &entry.endpoint)
+    }
+
+    /// Merges one reading of the platform's list.
+    pub fn merge_list(&mut self, listed: &[Endpoint]) {
+        for endpoint in listed {
+            self.merge(endpoint.clone());
+        }
+        let present: BTreeSet<&EndpointKey> = listed.iter().map(|endpoint| &endpoint.key).collect();
+        let vanished: Vec<EndpointKey> = self
+            .entries
+            .keys()
+            .filter(|key| !present.contains(key))
+            .cloned()
+            .collect();
+        self.remove_vanished(vanished);
+    }
+
+    fn merge(&mut self, mut endpoint: Endpoint) {
+        if let Some(tombstone) = self.tombstones.get(&endpoint.key) {
+            if endpoint.incarnation < tombstone.incarnation {
+                return;
+            }
+            if endpoint.incarnation == tombstone.incarnation {
+                endpoint.state = endpoint.state.max(tombstone.state);
+            }
+        }
+        let mark = LeavingMark {
+            key: endpoint.key.clone(),
+            incarnation: endpoint.incarnation,
+        };
+        if self.marks.contains_key(&mark) {
+            endpoint.state = EndpointState::Leaving;
+        }
+        if let Some(held) = self.entries.get(&endpoint.key) {
+            if endpoint.incarnation < held.endpoint.incarnation {
+                return;
+            }
+            if endpoint.incarnation == held.endpoint.incarnation {
+                endpoint.state = endpoint.state.max(held.endpoint.state);
+            }
+            if held.endpoint == endpoint {
+                return;
+            }
+        }
+        self.sequence += 1;
+        self.tombstones.remove(&endpoint.key);
+        let key = endpoint.key.clone();
+        self.entries.insert(
+            key,
+            Entry {
+                endpoint,
+                sequence: self.sequence,
+            },
+        );
+    }
+
+    /// Removes endpoints that the list no longer has, unless too many of a service vanish at once.
+    fn remove_vanished(&mut self, vanished: Vec<EndpointKey>) {
+        let mut by_service: BTreeMap<String, Vec<EndpointKey>> = BTreeMap::new();
+        for key in vanished {
+            by_service.entry(key.service.clone()).or_default().push(key);
+        }
+        self.suspicious_readings
+            .retain(|service, _| by_service.contains_key(service));
+        for (service, keys) in by_service {
+            if self.loss_is_believed(&service, &keys) {
+                self.suspicious_readings.remove(&service);
+                keys.into_iter().for_each(|key| self.remove(key));
+            }
+        }
+    }
+
+    fn loss_is_believed(&mut self, service: &str, vanished: &[EndpointKey]) -> bool {
+        let live = |key: &&EndpointKey| {
+            self.entries
+                .get(*key)
+                .is_some_and(|entry| entry.endpoint.state == EndpointState::Live)
+        };
+        let lost = vanished.iter().filter(live).count();
+        let total = self
+            .entries
+            .keys()
+            .filter(|key| key.service == service)
+            .filter(live)
+            .count();
+        if lost * 100 <= total * self.guard.max_vanished_percent {
+            return true;
+        }
+        let readings = self
+            .suspicious_readings
+            .entry(service.to_owned())
+            .or_default();
+        *readings += 1;
+        *readings >= self.guard.confirmations
+    }
+
+    fn remove(&mut self, key: EndpointKey) {
+        let Some(entry) = self.entries.remove(&key) else {
+            return;
+        };
+        self.sequence += 1;
+        let tombstone = Tombstone {
+            incarnation: entry.endpoint.incarnation,
+            state: entry.endpoint.state,
+            sequence: self.sequence,
+        };
+        self.tombstones.insert(key, tombstone);
+        while self.tombstones.len() > MAX_TOMBSTONES {
+            self.prune_oldest_tombstone();
+        }
+    }
+
+    fn prune_oldest_tombstone(&mut self) {
+        let oldest = self
+            .tombstones
+            .iter()
+            .min_by_key(|(_, tombstone)| tombstone.sequence);
+        let Some((key, sequence)) = oldest.map(|(key, found)| (key.clone(), found.sequence)) else {
+            return;
+        };
+        self.tombstones.remove(&key);
+        self.pruned_until = self.pruned_until.max(sequence);
+    }
+
+    /// Takes in that an incarnation leaves; true if that was news.
+    pub fn mark_leaving(&mut self, mark: LeavingMark) -> bool {
+        if self.marks.contains_key(&mark) {
+            return false;
+        }
+        self.sequence += 1;
+        self.marks.insert(mark.clone(), self.sequence);
+        if self.marks.len() > MAX_MARKS {
+            let oldest = self.marks.iter().min_by_key(|(_, sequence)| **sequence);
+            if let Some(oldest) = oldest.map(|(mark, _)| mark.clone()) {
+                self.marks.remove(&oldest);
+            }
+        }
+        if let Some(entry) = self.entries.get_mut(&mark.key) {
+            if entry.endpoint.incarnation <= mark.incarnation {
+                entry.endpoint.incarnation = mark.incarnation;
+                entry.endpoint.state = EndpointState::Leaving;
+                entry.sequence = self.sequence;
+            }
+        }
+        true
+    }
+
+    /// Marks newer than `sequence`, for a peer.
+    pub fn marks_since(&self, sequence: u64) -> Vec<LeavingMark> {
+        let newer = self.marks.iter().filter(|(_, at)| **at > sequence);
+        newer.map(|(mark, _)| mark.clone()).collect()
+    }
+
+    /// Sets how many proxies of the fleet subscribe to each service.
+    pub fn set_subscribers(&mut self, counts: BTreeMap<String, u32>) {
+        let rounded: BTreeMap<String, u32> = counts
+            .into_iter()
+            .map(|(service, count)| (service, count.next_power_of_two()))
+            .collect();
+        if rounded != self.subscribers {
+            self.sequence += 1;
+            self.subscribers = rounded;
+            self.subscribers_sequence = self.sequence;
+        }
+    }
+
+    /// What brings a reader at `(epoch, sequence)` up to date for some services; `None` if
+    /// nothing of theirs changed.
+    pub fn update_since(
+        &self,
+        epoch: u64,
+        sequence: u64,
+        services: &BTreeSet<String>,
+    ) -> Option<EndpointUpdate> {
+        let full = epoch != self.epoch || sequence < self.pruned_until || sequence == 0;
+        let since = if full { 0 } else { sequence };
+        let wanted = |key: &EndpointKey| services.contains(&key.service);
+        let changed: Vec<Endpoint> = self
+            .entries
+            .values()
+            .filter(|entry| entry.sequence > since && wanted(&entry.endpoint.key))
+            .map(|entry| entry.endpoint.clone())
+            .collect();
+        let removed: Vec<EndpointKey> = self
+            .tombstones
+            .iter()
+            .filter(|(key, tombstone)| !full && tombstone.sequence > since && wanted(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let subscribers = match self.subscribers_sequence > since {
+            true => self.subscribers_of(services),
+            false => Vec::new(),
+        };
+        if !full && changed.is_empty() && removed.is_empty() && subscribers.is_empty() {
+            return None;
+        }
+        let (epoch, sequence) = (self.epoch, self.sequence);
+        Some(EndpointUpdate {
+            epoch,
+            sequence,
+            full,
+            changed,
+            removed,
+            subscribers,
+        })
+    }
+
+    fn subscribers_of(&self, services: &BTreeSet<String>) -> Vec<(String, u32)> {
+        let wanted = self
+            .subscribers
+            .iter()
+            .filter(|(service, _)| services.contains(*service));
+        wanted
+            .map(|(service, count)| (service.clone(), *count))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/layout.rs
@@ -0,0 +1,288 @@
+//! Where everything of a fleet runs: addresses, settings files, certificates.
+
+use super::keys::FleetKeys;
+use super::ports::PortRange;
+use settings::{
+    ControlAddressSettings, ControlSettings, LocalBackendSettings, PeerSettings, ProxySettings,
+    RelayAddressSettings, RelaySettings,
+};
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use wire::Role;
+
+/// One zone.
+#[derive(Clone, Debug)]
+pub struct ZoneSpec {
+    /// Name.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Relays.
+    pub relays: usize,
+    /// Proxies.
+    pub proxies: usize,
+}
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Name.
+    pub fleet: String,
+    /// Control replicas.
+    pub voters: usize,
+    /// Groups of claims.
+    pub claim_groups: u32,
+    /// Zones.
+    pub zones: Vec<ZoneSpec>,
+    /// Whether proxies have a disk.
+    pub proxy_disks: bool,
+}
+
+/// One control replica.
+#[derive(Clone, Debug)]
+pub struct VoterPlace {
+    /// Member id.
+    pub id: u64,
+    /// Its settings file.
+    pub settings_file: PathBuf,
+    /// Its settings.
+    pub settings: ControlSettings,
+}
+
+/// One relay.
+#[derive(Clone, Debug)]
+pub struct RelayPlace {
+    /// Its settings file.
+    pub settings_file: PathBuf,
+    /// Its settings.
+    pub settings: RelaySettings,
+}
+
+/// One proxy.
+#[derive(Clone, Debug)]
+pub struct ProxyPlace {
+    /// Its settings file.
+    pub settings_file: PathBuf,
+    /// Its settings.
+    pub settings: ProxySettings,
+}
+
+/// A fleet with all files written.
+pub struct FleetLayout {
+    /// Folder of everything.
+    pub folder: PathBuf,
+    /// What it consists of.
+    pub spec: FleetSpec,
+    /// Keys.
+    pub keys: FleetKeys,
+    /// Free ports.
+    pub ports: PortRange,
+    /// Where the platform's list is.
+    pub platform: SocketAddr,
+    /// Control replicas.
+    pub voters: Vec<VoterPlace>,
+    /// Relays.
+    pub relays: Vec<RelayPlace>,
+    /// Proxies.
+    pub proxies: Vec<ProxyPlace>,
+}
+
+impl FleetLayout {
+    /// Chooses addresses and writes keys and settings.
+    pub fn create(folder: &Path, spec: FleetSpec) -> Result<Self, crate::Failure> {
+        let keys = FleetKeys::create(&folder.join("keys"), &spec.fleet)?;
+        let mut ports = PortRange::default();
+        let platform = ports.next_address();
+        let mut layout = FleetLayout {
+            folder: folder.to_owned(),
+            spec,
+            keys,
+            ports,
+            platform,
+            voters: Vec::new(),
+            relays: Vec::new(),
+            proxies: Vec::new(),
+        };
+        layout.place_voters()?;
+        layout.place_relays()?;
+        layout.place_proxies()?;
+        Ok(layout)
+    }
+
+    /// Operators' addresses of all replicas.
+    pub fn api(&self) -> Vec<SocketAddr> {
+        self.voters
+            .iter()
+            .map(|voter| voter.settings.api_listen)
+            .collect()
+    }
+
+    fn place_voters(&mut self) -> Result<(), crate::Failure> {
+        let peers: Vec<PeerSettings> = (1..=self.spec.voters as u64)
+            .map(|id| PeerSettings {
+                id,
+                address: self.ports.next_address(),
+                api_address: self.ports.next_address(),
+            })
+            .collect();
+        for peer in &peers {
+            self.place_voter(peer.clone(), peers.clone())?;
+        }
+        Ok(())
+    }
+
+    /// Writes the settings of one control replica.
+    pub fn place_voter(
+        &mut self,
+        own: PeerSettings,
+        peer: Vec<PeerSettings>,
+    ) -> Result<(), crate::Failure> {
+        let name = format!("control-{}", own.id);
+        let zone = self.spec.zones[own.id as usize % self.spec.zones.len()]
+            .name
+            .clone();
+        let settings = ControlSettings {
+            fleet: self.spec.fleet.clone(),
+            member_id: own.id,
+            listen: own.address,
+            api_listen: own.api_address,
+            metrics_listen: self.ports.next_address(),
+            data_dir: self.folder.join(&name),
+            operators_file: self.keys.operators_file(),
+            tls: self.keys.issue(Role::Control, &name, &zone)?,
+            peer,
+            claim_groups: self.spec.claim_groups,
+            tick_ms: 20,
+            election_ms: 400,
+            heartbeat_ms: 80,
+            hold_ms: 500,
+            max_readers: 64,
+            checkpoint_bytes: 4 * 1024 * 1024,
+        };
+        let settings_file = self.write_settings(&name, &settings)?;
+        self.voters.push(VoterPlace {
+            id: own.id,
+            settings_file,
+            settings,
+        });
+        Ok(())
+    }
+
+    fn place_relays(&mut self) -> Result<(), crate::Failure> {
+        let mut places = Vec::new();
+        for zone in self.spec.zones.clone() {
+            for number in 1..=zone.relays {
+                let name = format!("relay-{}-{number}", zone.name);
+                places.push((name, zone.clone(), self.ports.next_address()));
+            }
+        }
+        let control: Vec<ControlAddressSettings> = self
+            .voters
+            .iter()
+            .map(|voter| ControlAddressSettings {
+                id: voter.id,
+                address: voter.settings.listen,
+            })
+            .collect();
+        for (name, zone, listen) in &places {
+            let others = places.iter().filter(|(_, _, address)| address != listen);
+            let settings = RelaySettings {
+                fleet: self.spec.fleet.clone(),
+                name: name.clone(),
+                zone: zone.name.clone(),
+                region: zone.region.clone(),
+                listen: *listen,
+                metrics_listen: self.ports.next_address(),
+                tls: self.keys.issue(Role::Relay, name, &zone.name)?,
+                control: control.clone(),
+                peer: others.map(|(_, _, address)| *address).collect(),
+                platform_url: format!("http://{}/machines", self.platform),
+                platform_poll_ms: 500,
+                hold_ms: 2_500,
+                proxy_lease_ms: 6_000,
+                max_catch_ups: 32,
+                max_connections: 2_000,
+                claim_groups: self.spec.claim_groups,
+            };
+            let settings_file = self.write_settings(name, &settings)?;
+            self.relays.push(RelayPlace {
+                settings_file,
+                settings,
+            });
+        }
+        Ok(())
+    }
+
+    fn place_proxies(&mut self) -> Result<(), crate::Failure> {
+        for zone in self.spec.zones.clone() {
+            for number in 1..=zone.proxies {
+                let name = format!("proxy-{}-{number}", zone.name);
+                self.place_proxy(&name, &zone, Vec::new())?;
+            }
+        }
+        Ok(())
+    }
+
+    fn place_proxy(
+        &mut self,
+        name: &str,
+        zone: &ZoneSpec,
+        local_backend: Vec<LocalBackendSettings>,
+    ) -> Result<(), crate::Failure> {
+        let settings = ProxySettings {
+            fleet: self.spec.fleet.clone(),
+            name: name.to_owned(),
+            zone: zone.name.clone(),
+            region: zone.region.clone(),
+            listen: self.ports.next_address(),
+            metrics_listen: self.ports.next_address(),
+            tls: self.keys.issue(Role::Proxy, name, &zone.name)?,
+            relay: self.relay_addresses(),
+            seal_key_file: self.keys.seal_key_file(),
+            operators_file: self.keys.operators_file(),
+            data_dir: self.spec.proxy_disks.then(|| self.folder.join(name)),
+            local_backend,
+            workers: 256,
+            max_calls: 1_024,
+            max_body_bytes: 4 * 1024 * 1024,
+            health_poll_ms: 500,
+            drain_notice_ms: 500,
+            drain_limit_ms: 10_000,
+            claim_keep_s: 3_600,
+        };
+        let settings_file = self.write_settings(name, &settings)?;
+        self.proxies.push(ProxyPlace {
+            settings_file,
+            settings,
+        });
+        Ok(())
+    }
+
+    /// All relays, as proxies reach them.
+    pub fn relay_addresses(&self) -> Vec<RelayAddressSettings> {
+        let address = |relay: &RelayPlace| RelayAddressSettings {
+            address: relay.settings.listen,
+            zone: relay.settings.zone.clone(),
+            region: relay.settings.region.clone(),
+        };
+        self.relays.iter().map(address).collect()
+    }
+
+    fn write_settings<T: serde::Serialize>(
+        &self,
+        name: &str,
+        settings: &T,
+    ) -> Result<PathBuf, crate::Failure> {
+        let path = self.folder.join(format!("{name}.toml"));
+        fs::write(&path, settings::to_toml(settings)).map_err(|error| error.to_string())?;
+        Ok(path)
+    }
+
+    /// Writes a proxy's settings again after a change.
+    pub fn rewrite_proxy(&self, position: usize) -> Result<(), crate::Failure> {
+        let place = &self.proxies[position];
+        fs::write(&place.settings_file, settings::to_toml(&place.settings))
+            .map_err(|error| error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! A whole fleet as processes on this machine.
+
+mod bundles;
+mod keys;
+mod layout;
+mod ports;
+mod process;
+mod running;
+
+pub use bundles::{bundle_toml, ServiceShape};
+pub use keys::FleetKeys;
+pub use layout::{FleetLayout, FleetSpec, ProxyPlace, RelayPlace, VoterPlace, ZoneSpec};
+pub use ports::PortRange;
+pub use process::ManagedProcess;
+pub use running::{send, BackendPlace, RunningFleet};
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,46 @@
+//! The lab: stands in for everything outside the product, and proves the product against it.
+#![forbid(unsafe_code)]
+
+mod demo;
+mod fleet;
+mod stand_in;
+
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+chutecove-lab: stand-ins, faults, measurements
+
+Usage: chutecove-lab COMMAND [OPTIONS]
+
+  demo               a whole fleet in separate processes, with calls, rollouts and a drain
+  backend            one stand-in back end (started by the other commands)
+  product ...        the product's own command line, in this binary
+";
+
+/// A command's failure, for people.
+type Failure = String;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let Some((command, rest)) = arguments.split_first() else {
+        eprint!("{USAGE}");
+        return ExitCode::from(2);
+    };
+    let result = match command.as_str() {
+        "product" => return chutecove::main_with(rest),
+        "demo" => demo::run(rest),
+        "backend" => stand_in::backend::run(rest),
+        "--help" | "-h" | "help" => {
+            print!("{USAGE}");
+            Ok(())
+        }
+        other => Err(format!("unknown command '{other}'\n\n{USAGE}")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/call.rs
@@ -0,0 +1,402 @@
+//! The path of one call through the proxy.
+
+use crate::dispatch::AcquireError;
+use crate::keyed::{claim, request_digest, ClaimResult, HeldClaim, KEY_HEADER};
+use crate::refusal::{Refusal, RefusalKind, HOP_HEADER};
+use crate::runtime::Shared;
+use crate::upstream::{
+    SendError, SendPolicy, UpstreamAnswer, UpstreamRequest, BACKEND_STATE_HEADER, LOAD_HEADER,
+};
+use endpoints::EndpointKey;
+use forward::{
+    BudgetError, CallBudget, CallReport, CompiledRoute, RoutingTable, DEADLINE_HEADER, DEPTH_HEADER,
+};
+use std::io::Read;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use touche::{Body, HeaderMap, HttpBody, Method, Request, Response};
+use verdict::{Verdict, VERDICT_HEADER};
+
+/// Header with the generation that a call was routed by.
+pub(crate) const GENERATION_HEADER: &str = "X-Chutecove-Generation";
+/// Sends of one call, the first included.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those we set ourselves.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// A call that was read whole.
+struct Call {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Vec<u8>,
+    deadline: Instant,
+    depth: u32,
+}
+
+/// Answers a call, whatever happens.
+pub(crate) fn handle(shared: &Shared, request: Request<Body>) -> Response<Vec<u8>> {
+    let Some(_place) = shared.calls.enter(shared.settings.max_calls) else {
+        let refusal = Refusal::not_run(RefusalKind::Overloaded, "too many calls at once");
+        return refuse(shared, &refusal);
+    };
+    let table = shared.routing();
+    let response = match process(shared, &table, request) {
+        Ok(answer) => {
+            shared.metrics.answered.inc();
+            to_response(answer)
+        }
+        Err(refusal) => refuse(shared, &refusal),
+    };
+    finish_response(shared, &table, response)
+}
+
+fn refuse(shared: &Shared, refusal: &Refusal) -> Response<Vec<u8>> {
+    match refusal.verdict {
+        Verdict::NotRun => shared.metrics.refused_not_run.inc(),
+        Verdict::MayHaveRun => shared.metrics.refused_may_have_run.inc(),
+        Verdict::Ran => shared.metrics.refused_ran.inc(),
+    };
+    refusal.to_response(&shared.settings.name)
+}
+
+/// While the proxy stops, every answer is the last on its connection.
+fn finish_response(
+    shared: &Shared,
+    table: &RoutingTable,
+    mut response: Response<Vec<u8>>,
+) -> Response<Vec<u8>> {
+    let headers = response.headers_mut();
+    headers.insert(GENERATION_HEADER, table.generation.into());
+    if shared.stop.is_set() {
+        headers.insert(
+            "Connection",
+            touche::header::HeaderValue::from_static("close"),
+        );
+    }
+    response
+}
+
+fn process(
+    shared: &Shared,
+    table: &Arc<RoutingTable>,
+    request: Request<Body>,
+) -> Result<UpstreamAnswer, Refusal> {
+    let route = find_route(shared, table, &request)?;
+    let call = read_call(shared, &route, request)?;
+    shared
+        .dispatcher
+        .count_call(&route.route.name, route.route.retry_budget_percent);
+    let key = call.headers.get(KEY_HEADER).cloned();
+    match key {
+        Some(key) if !route.route.repeatable => {
+            let key = key.to_str().map_err(|_| {
+                Refusal::not_run(RefusalKind::BadRequest, format!("{KEY_HEADER} is not text"))
+            })?;
+            send_claimed(shared, &route, &call, key)
+        }
+        _ => send(shared, &route, &call, None),
+    }
+}
+
+fn find_route(
+    shared: &Shared,
+    table: &RoutingTable,
+    request: &Request<Body>,
+) -> Result<Arc<CompiledRoute>, Refusal> {
+    if table.generation == 0 {
+        let message = "no configuration is in force yet";
+        return Err(Refusal::not_run(RefusalKind::NotConfigured, message));
+    }
+    let host = request
+        .headers()
+        .get("Host")
+        .and_then(|host| host.to_str().ok());
+    let (method, path) = (request.method().as_str(), request.uri().path());
+    let route = table
+        .find(host.unwrap_or_default(), method, path)
+        .ok_or_else(|| {
+            Refusal::not_run(
+                RefusalKind::NoRoute,
+                format!("no route for {method} {path}"),
+            )
+        })?;
+    let most_s = u64::from(route.route.max_staleness_s);
+    if most_s > 0
+        && shared
+            .staleness_ms()
+            .is_none_or(|age_ms| age_ms > most_s * 1_000)
+    {
+        let message = format!("the configuration may be older than {most_s} s");
+        return Err(Refusal::not_run(RefusalKind::TooStale, message));
+    }
+    Ok(route.clone())
+}
+
+fn read_call(
+    shared: &Shared,
+    route: &CompiledRoute,
+    request: Request<Body>,
+) -> Result<Call, Refusal> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let text = |name: &str| {
+        parts
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let remaining = text(DEADLINE_HEADER);
+    let budget = CallBudget::from_headers(0, route.route.timeout_ms, remaining, text(DEPTH_HEADER))
+        .map_err(budget_refusal)?;
+    let body = read_body(body, shared.settings.max_body_bytes)?;
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned();
+    Ok(Call {
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+        deadline: arrived + Duration::from_micros(budget.deadline_us),
+        depth: budget.depth,
+    })
+}
+
+fn budget_refusal(error: BudgetError) -> Refusal {
+    let kind = match error {
+        BudgetError::Malformed => RefusalKind::BadRequest,
+        BudgetError::TooDeep => RefusalKind::TooDeep,
+        BudgetError::Expired => RefusalKind::Expired,
+    };
+    Refusal::not_run(kind, error)
+}
+
+fn read_body(body: Body, most: u64) -> Result<Vec<u8>, Refusal> {
+    let mut bytes = Vec::new();
+    let read = body.into_reader().take(most + 1).read_to_end(&mut bytes);
+    read.map_err(|error| Refusal::not_run(RefusalKind::BadRequest, error))?;
+    if bytes.len() as u64 > most {
+        let message = format!("at most {most} bytes are allowed");
+        return Err(Refusal::not_run(RefusalKind::BodyTooLarge, message));
+    }
+    Ok(bytes)
+}
+
+/// Sends a call that must run at most once, however often the caller sends it.
+fn send_claimed(
+    shared: &Shared,
+    route: &CompiledRoute,
+    call: &Call,
+    key: &str,
+) -> Result<UpstreamAnswer, Refusal> {
+    let digest = request_digest(call.method.as_str(), &call.path, &call.body);
+    let keep_ms = shared.settings.claim_keep_s * 1_000;
+    let name = &route.route.name;
+    match claim(&shared.claims, name, key, digest, keep_ms, call.deadline)? {
+        ClaimResult::Answered(answer) => Ok(answer),
+        ClaimResult::Send(held) => send(shared, route, call, Some(held)),
+    }
+}
+
+/// Sends a call, and again where the verdict, the budget and the time allow.
+fn send(
+    shared: &Shared,
+    route: &CompiledRoute,
+    call: &Call,
+    held: Option<HeldClaim<'_>>,
+) -> Result<UpstreamAnswer, Refusal> {
+    let result = send_attempts(shared, route, call);
+    if let Some(held) = held {
+        match &result {
+            Ok(answer) if !did_not_run(answer) => held.finish(answer),
+            Ok(_) => held.release(),
+            Err(refusal) if refusal.verdict == Verdict::NotRun => held.release(),
+            // It may have run: the claim stays, so that it never runs again.
+            Err(_) => {}
+        }
+    }
+    result
+}
+
+fn send_attempts(
+    shared: &Shared,
+    route: &CompiledRoute,
+    call: &Call,
+) -> Result<UpstreamAnswer, Refusal> {
+    let service = route.service(shared.dispatcher.draw()).to_owned();
+    let mut tried: Vec<EndpointKey> = Vec::new();
+    let mut worst = Verdict::NotRun;
+    loop {
+        let priority = route.route.priority;
+        let acquired = shared
+            .dispatcher
+            .acquire(&service, priority, &tried, call.deadline);
+        let upstream = acquired.map_err(|error| acquire_refusal(error, &service, worst))?;
+        let outcome = attempt(shared, route, call, &upstream);
+        tried.push(upstream);
+        let may_retry = |verdict: Verdict| {
+            (verdict == Verdict::NotRun || route.route.repeatable)
+                && (tried.len() as u32) < MAX_ATTEMPTS
+                && Instant::now() < call.deadline
+                && shared
+                    .dispatcher
+                    .take_retry(&route.route.name, route.route.retry_budget_percent)
+        };
+        match outcome {
+            Ok(answer) if is_shed(&answer) && may_retry(Verdict::NotRun) => {}
+            Ok(answer) => return Ok(answer),
+            Err(error) => {
+                if error.verdict == Verdict::MayHaveRun {
+                    worst = Verdict::MayHaveRun;
+                }
+                if !may_retry(error.verdict) {
+                    return Err(send_refusal(&error, worst));
+                }
+            }
+        }
+        shared.metrics.retries.inc();
+    }
+}
+
+fn acquire_refusal(error: AcquireError, service: &str, verdict: Verdict) -> Refusal {
+    let (kind, message) = match error {
+        AcquireError::NoUpstream => (
+            RefusalKind::NoUpstream,
+            format!("no live upstream of '{service}' is left to try"),
+        ),
+        AcquireError::Overloaded => (
+            RefusalKind::Overloaded,
+            format!("all upstreams of '{service}' are busy"),
+        ),
+    };
+    Refusal {
+        kind,
+        verdict,
+        message,
+    }
+}
+
+fn send_refusal(error: &SendError, verdict: Verdict) -> Refusal {
+    let kind = match (verdict, error.timed_out) {
+        (Verdict::NotRun, _) => RefusalKind::Unreachable,
+        (_, true) => RefusalKind::UpstreamTimeout,
+        _ => RefusalKind::UpstreamLost,
+    };
+    Refusal {
+        kind,
+        verdict,
+        message: error.message.clone(),
+    }
+}
+
+fn attempt(
+    shared: &Shared,
+    route: &CompiledRoute,
+    call: &Call,
+    upstream: &EndpointKey,
+) -> Result<UpstreamAnswer, SendError> {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let headers = upstream_headers(route, call, left);
+    let request = UpstreamRequest {
+        method: &call.method,
+        path: &call.path,
+        headers: &headers,
+        body: &call.body,
+        timeout: left.max(Duration::from_millis(1)),
+        policy: if route.route.repeatable {
+            SendPolicy::Repeatable
+        } else {
+            SendPolicy::Once
+        },
+    };
+    shared.metrics.sent.inc();
+    let outcome = shared.upstreams.send(upstream.socket_address(), &request);
+    shared.dispatcher.finish(upstream, report_of(&outcome));
+    if let Ok(answer) = &outcome {
+        if answer
+            .headers
+            .get(BACKEND_STATE_HEADER)
+            .is_some_and(|state| state == "draining")
+        {
+            shared.observe_leaving(upstream);
+        }
+    }
+    outcome
+}
+
+fn upstream_headers(route: &CompiledRoute, call: &Call, left: Duration) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(call.headers.len() + 3);
+    for (name, value) in &call.headers {
+        if !CONNECTION_HEADERS.contains(&name.as_str()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers.insert(DEADLINE_HEADER, (left.as_millis() as u64).into());
+    headers.insert(DEPTH_HEADER, call.depth.into());
+    if let Some(token) = &route.token {
+        let value = zeroize::Zeroizing::new(format!("Bearer {}", token.as_str()));
+        if let Ok(mut value) = touche::header::HeaderValue::from_str(&value) {
+            value.set_sensitive(true);
+            headers.insert("Authorization", value);
+        }
+    }
+    headers
+}
+
+fn report_of(outcome: &Result<UpstreamAnswer, SendError>) -> CallReport {
+    match outcome {
+        Ok(answer) if is_shed(answer) => CallReport::Shed,
+        Ok(answer) => {
+            let load = answer
+                .headers
+                .get(LOAD_HEADER)
+                .and_then(|load| load.to_str().ok());
+            CallReport::Answered {
+                load: load.and_then(|load| load.parse().ok()),
+            }
+        }
+        Err(_) => CallReport::Failed,
+    }
+}
+
+fn did_not_run(answer: &UpstreamAnswer) -> bool {
+    answer
+        .headers
+        .get(VERDICT_HEADER)
+        .is_some_and(|verdict| verdict == Verdict::NotRun.as_str())
+}
+
+/// The back end itself, and not a proxy behind it that has already retried, refused the call.
+fn is_shed(answer: &UpstreamAnswer) -> bool {
+    did_not_run(answer) && !answer.headers.contains_key(HOP_HEADER)
+}
+
+fn to_response(answer: UpstreamAnswer) -> Response<Vec<u8>> {
+    let mut builder = Response::builder().status(answer.status);
+    if let Some(headers) = builder.headers_mut() {
+        for (name, value) in &answer.headers {
+            if !CONNECTION_HEADERS.contains(&name.as_str()) {
+                headers.append(name.clone(), value.clone());
+            }
+        }
+        if !headers.contains_key(VERDICT_HEADER) {
+            let ran = touche::header::HeaderValue::from_static("ran");
+            headers.insert(VERDICT_HEADER, ran);
+        }
+    }
+    builder.body(answer.body).expect("all headers are valid")
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,30 @@
+//! The proxy: takes configuration and endpoints from a relay and forwards calls.
+//!
+//! [`ProxyCore`] and [`RelayChooser`] decide the control side without I/O; the simulator and the
+//! hollow fleet drive the same code. The call path is in `call`, its decisions in crate `forward`.
+#![forbid(unsafe_code)]
+
+mod applied_store;
+mod call;
+mod chooser;
+mod claim_link;
+mod core;
+mod dispatch;
+mod keyed;
+mod local_backend;
+mod observe;
+mod refusal;
+mod runtime;
+mod server;
+mod upstream;
+mod watch;
+
+pub use crate::core::{Preparation, ProxyCore, ProxyWeakness, ReplyEffect};
+pub use chooser::{RelayAddress, RelayChooser};
+pub use refusal::{Refusal, RefusalKind, HOP_HEADER};
+pub use runtime::{run, ProxyError, RunningProxy};
+pub use upstream::{
+    SendError, SendPolicy, UpstreamAnswer, UpstreamClient, UpstreamRequest, BACKEND_STATE_HEADER,
+    LOAD_HEADER,
+};
+pub use watch::{run_watch, WatchCounters, Watcher};
--- /dev/null
+++ b/crates/proxy/src/runtime.rs
@@ -0,0 +1,449 @@
+//! Starting and stopping a proxy.
+
+use crate::chooser::{RelayAddress, RelayChooser};
+use crate::claim_link::ClaimLink;
+use crate::core::{Preparation, ProxyCore};
+use crate::dispatch::Dispatcher;
+use crate::server::CallCounter;
+use crate::upstream::UpstreamClient;
+use crate::watch::{run_watch, WatchCounters, Watcher};
+use crate::{applied_store, local_backend, observe, server};
+use bundle::{Approval, OperatorKeys, SealKeys};
+use endpoints::{EndpointKey, EndpointView, LeavingMark};
+use forward::{BalancerIdentity, RoutingTable};
+use rollout::ProxyName;
+use settings::{ProxySettings, SettingsError};
+use snafu::{ensure, ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::thread;
+use std::time::{Duration, Instant};
+use telemetry::{Clock, Counter, Gauge, MetricsServer, MetricsServerError, Registry, StopSignal};
+use tracing::{info, warn};
+use wire::{Role, TlsError, TlsFiles, TlsIdentity};
+
+const TLS_RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+const STOP_POLL: Duration = Duration::from_millis(10);
+/// On a planned stop, no call must have arrived for this long before the process ends.
+const QUIET_TIME: Duration = Duration::from_millis(300);
+const OBSERVATION_QUEUE: usize = 1_024;
+
+/// A proxy could not start.
+#[derive(Debug, Snafu)]
+pub enum ProxyError {
+    /// Certificates.
+    #[snafu(display("{source}"))]
+    Tls {
+        /// Cause.
+        source: TlsError,
+    },
+    /// The certificate is another process's.
+    #[snafu(display("the certificate is for {found}, the settings for proxy {expected}"))]
+    WrongCertificate {
+        /// Role and name in the certificate.
+        found: String,
+        /// Name in the settings.
+        expected: String,
+    },
+    /// A file of keys or state.
+    #[snafu(display("{}: {reason}", path.display()))]
+    File {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        reason: String,
+    },
+    /// List of operators.
+    #[snafu(display("{source}"))]
+    Operators {
+        /// Cause.
+        source: SettingsError,
+    },
+    /// Address for callers.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Address for metrics.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Cause.
+        source: MetricsServerError,
+    },
+}
+
+/// Metrics of a proxy.
+pub(crate) struct ProxyMetrics {
+    pub answered: Counter,
+    pub refused_not_run: Counter,
+    pub refused_may_have_run: Counter,
+    pub refused_ran: Counter,
+    pub sent: Counter,
+    pub retries: Counter,
+    pub generation: Gauge,
+    pub watch: WatchCounters,
+}
+
+/// Everything the threads of one proxy share.
+pub(crate) struct Shared {
+    pub settings: ProxySettings,
+    pub tls: Arc<TlsIdentity>,
+    pub clock: Clock,
+    pub stop: StopSignal,
+    pub metrics: ProxyMetrics,
+    pub dispatcher: Dispatcher,
+    pub upstreams: UpstreamClient,
+    pub claims: Arc<ClaimLink>,
+    pub calls: CallCounter,
+    seal_keys: SealKeys,
+    operators: OperatorKeys,
+    core: Mutex<ProxyCore>,
+    routing: RwLock<Arc<RoutingTable>>,
+    relay: Mutex<Option<SocketAddr>>,
+    observations: SyncSender<LeavingMark>,
+}
+
+impl Shared {
+    fn lock_core(&self) -> MutexGuard<'_, ProxyCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The routes in force; a call keeps the table it began with.
+    pub fn routing(&self) -> Arc<RoutingTable> {
+        self.routing
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Time since the configuration was last known to be current, milliseconds.
+    pub fn staleness_ms(&self) -> Option<u64> {
+        self.lock_core().staleness_ms(self.clock.now_ms())
+    }
+
+    /// The relay in use.
+    pub fn current_relay(&self) -> Option<SocketAddr> {
+        *self.relay.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Marks this proxy observed itself.
+    pub fn own_marks(&self) -> Vec<LeavingMark> {
+        self.lock_core().endpoints().own_marks()
+    }
+
+    /// A back end said that it leaves: it gets no new call from here, and the relay is told.
+    pub fn observe_leaving(&self, key: &EndpointKey) {
+        let mark = self.lock_core().endpoints_mut().observe_leaving(key);
+        if let Some(mark) = mark {
+            self.dispatcher.remove(key);
+            info!(service = %key.service, address = %key.socket_address(), "backend_leaving");
+            let _ = self.observations.try_send(mark);
+        }
+    }
+
+    fn compile(&self, preparation: &Preparation) -> Result<RoutingTable, String> {
+        RoutingTable::compile(preparation.generation, &preparation.bundle, &self.seal_keys)
+            .map_err(|error| error.to_string())
+    }
+
+    fn install(&self, table: RoutingTable) {
+        self.metrics.generation.set(table.generation as i64);
+        let mut routing = self.routing.write().unwrap_or_else(PoisonError::into_inner);
+        *routing = Arc::new(table);
+    }
+}
+
+impl Watcher for Shared {
+    fn put_in_force(
+        &self,
+        preparation: &Preparation,
+        approval: Option<&Approval>,
+    ) -> Result<(), String> {
+        if preparation.generation > 0 && !preparation.bundle.objects().is_empty() {
+            let approval = approval.ok_or("the bundle is not signed off")?;
+            self.operators
+                .verify_approval(&preparation.bundle.digest(), approval)
+                .map_err(|error| error.to_string())?;
+        }
+        let table = self.compile(preparation)?;
+        if let Some(folder) = &self.settings.data_dir {
+            applied_store::save(folder, preparation).map_err(|error| error.to_string())?;
+        }
+        self.install(table);
+        Ok(())
+    }
+
+    fn endpoints_changed(&self, endpoints: &EndpointView) {
+        let table = self.routing();
+        let used = table.used_services();
+        let services = table
+            .services()
+            .values()
+            .filter(|service| used.contains(&service.name));
+        self.dispatcher.update(endpoints, services);
+    }
+
+    fn connected(&self, relay: SocketAddr) {
+        *self.relay.lock().unwrap_or_else(PoisonError::into_inner) = Some(relay);
+    }
+}
+
+/// A proxy that runs in threads of its own.
+pub struct RunningProxy {
+    shared: Arc<Shared>,
+    /// Address in use for callers.
+    pub address: SocketAddr,
+    /// Address in use for metrics.
+    pub metrics_address: SocketAddr,
+}
+
+/// Starts a proxy.
+pub fn run(settings: ProxySettings, stop: StopSignal) -> Result<RunningProxy, ProxyError> {
+    let files = TlsFiles {
+        authority: settings.tls.authority.clone(),
+        certificate: settings.tls.certificate.clone(),
+        key: settings.tls.key.clone(),
+    };
+    let tls = TlsIdentity::load(files).context(TlsSnafu)?;
+    check_certificate(&tls, &settings)?;
+    let seal_keys = load_seal_keys(&settings.seal_key_file)?;
+    let operators = load_operator_keys(&settings.operators_file)?;
+    let stored = load_applied(&settings)?;
+    let clock = Clock::default();
+    let registry = Registry::default();
+    let name = ProxyName {
+        id: settings.name.clone(),
+        zone: settings.zone.clone(),
+    };
+    let identity = BalancerIdentity {
+        proxy: settings.name.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+    };
+    let relays: Vec<RelayAddress> = settings.relay.iter().map(relay_address).collect();
+    let chooser = RelayChooser::new(&relays, &settings.zone, &settings.region, fastrand::u64(..));
+    let mut by_preference = relays.clone();
+    by_preference.sort_by_key(|relay| relay.zone != settings.zone);
+    let claim_relays = by_preference.iter().map(|relay| relay.address).collect();
+    let (observations, observed) = sync_channel(OBSERVATION_QUEUE);
+    let shared = Arc::new(Shared {
+        dispatcher: Dispatcher::new(identity, clock),
+        upstreams: UpstreamClient::new(settings.max_body_bytes),
+        claims: ClaimLink::start(tls.clone(), claim_relays),
+        calls: CallCounter::default(),
+        metrics: metrics(&registry),
+        core: Mutex::new(ProxyCore::new(name, stored.clone())),
+        routing: RwLock::default(),
+        relay: Mutex::default(),
+        observations,
+        seal_keys,
+        operators,
+        settings,
+        tls,
+        clock,
+        stop,
+    });
+    if let Some(stored) = &stored {
+        let table = shared.compile(stored).map_err(|reason| ProxyError::File {
+            path: shared.settings.data_dir.clone().unwrap_or_default(),
+            reason,
+        })?;
+        shared.install(table);
+    }
+    let metrics_address = serve_metrics(&shared, registry)?;
+    let listen = shared.settings.listen;
+    let address = server::spawn(shared.clone()).context(ListenSnafu { address: listen })?;
+    observe::spawn(&shared, observed);
+    local_backend::spawn(&shared);
+    spawn_watch(&shared, chooser);
+    spawn_tls_reload(&shared);
+    info!(name = %shared.settings.name, %address, "proxy_started");
+    Ok(RunningProxy {
+        shared,
+        address,
+        metrics_address,
+    })
+}
+
+fn relay_address(settings: &settings::RelayAddressSettings) -> RelayAddress {
+    RelayAddress {
+        address: settings.address,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+    }
+}
+
+fn check_certificate(tls: &TlsIdentity, settings: &ProxySettings) -> Result<(), ProxyError> {
+    let identity = tls.identity();
+    let matches = identity.role == Role::Proxy
+        && identity.name == settings.name
+        && identity.zone == settings.zone;
+    let found = format!("{} {} in {}", identity.role, identity.name, identity.zone);
+    let expected = format!("{} in {}", settings.name, settings.zone);
+    ensure!(matches, WrongCertificateSnafu { found, expected });
+    Ok(())
+}
+
+fn load_seal_keys(path: &PathBuf) -> Result<SealKeys, ProxyError> {
+    let fail = |reason: String| ProxyError::File {
+        path: path.clone(),
+        reason,
+    };
+    let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
+    let text = zeroize::Zeroizing::new(text);
+    SealKeys::parse(&text).map_err(|error| fail(error.to_string()))
+}
+
+fn load_operator_keys(path: &PathBuf) -> Result<OperatorKeys, ProxyError> {
+    let listed = settings::load_operators(path).context(OperatorsSnafu)?;
+    let mut keys = OperatorKeys::default();
+    for operator in &listed.operator {
+        // The settings check made sure that the key is well formed.
+        let _ = keys.insert_hex(&operator.name, &operator.public_key);
+    }
+    Ok(keys)
+}
+
+fn load_applied(settings: &ProxySettings) -> Result<Option<Preparation>, ProxyError> {
+    let Some(folder) = &settings.data_dir else {
+        return Ok(None);
+    };
+    applied_store::load(folder).map_err(|error| ProxyError::File {
+        path: folder.clone(),
+        reason: error.to_string(),
+    })
+}
+
+fn metrics(registry: &Registry) -> ProxyMetrics {
+    ProxyMetrics {
+        answered: registry.counter("proxy_calls_answered", "Calls answered by a back end"),
+        refused_not_run: registry.counter(
+            "proxy_calls_refused_not_run",
+            "Calls refused that have not run",
+        ),
+        refused_may_have_run: registry.counter(
+            "proxy_calls_refused_may_have_run",
+            "Calls refused that may have run",
+        ),
+        refused_ran: registry.counter("proxy_calls_refused_ran", "Calls that ran, answer not kept"),
+        sent: registry.counter("proxy_sends", "Sends to back ends, retries included"),
+        retries: registry.counter("proxy_retries", "Sends after the first of a call"),
+        generation: registry.gauge("proxy_generation", "Generation in force"),
+        watch: WatchCounters {
+            sent_bytes: registry.counter("proxy_control_sent_bytes", "Frames sent to relays"),
+            received_bytes: registry.counter(
+                "proxy_control_received_bytes",
+                "Frames received from relays",
+            ),
+        },
+    }
+}
+
+fn serve_metrics(shared: &Arc<Shared>, registry: Registry) -> Result<SocketAddr, ProxyError> {
+    let for_ready = shared.clone();
+    let for_status = shared.clone();
+    let server = MetricsServer {
+        registry,
+        ready: Box::new(move || readiness(&for_ready)),
+        status: Box::new(move || status(&for_status)),
+    };
+    server
+        .run(shared.settings.metrics_listen)
+        .context(MetricsSnafu)
+}
+
+fn readiness(shared: &Shared) -> Result<(), String> {
+    if shared.stop.is_set() {
+        return Err("stopping".to_owned());
+    }
+    match shared.lock_core().generation() {
+        Some(_) => Ok(()),
+        None => Err("no configuration is in force yet".to_owned()),
+    }
+}
+
+fn status(shared: &Shared) -> String {
+    let core = shared.lock_core();
+    let staleness_ms = core.staleness_ms(shared.clock.now_ms());
+    let refused = core.refused().map(
+        |refused| serde_json::json!({ "generation": refused.generation, "error": refused.error }),
+    );
+    let endpoints: Vec<serde_json::Value> = core
+        .endpoints()
+        .endpoints()
+        .map(|endpoint| serde_json::json!(endpoint))
+        .collect();
+    serde_json::json!({
+        "name": shared.settings.name,
+        "zone": shared.settings.zone,
+        "generation": core.generation(),
+        "digest": core.bundle().digest(),
+        "staleness_ms": staleness_ms,
+        "refused": refused,
+        "relay": shared.current_relay(),
+        "calls_in_flight": shared.calls.in_flight(),
+        "endpoints": endpoints,
+        "upstreams": shared.dispatcher.status(),
+    })
+    .to_string()
+}
+
+fn spawn_watch(shared: &Arc<Shared>, mut chooser: RelayChooser) {
+    let shared = shared.clone();
+    thread::spawn(move || {
+        let counters = shared.metrics.watch.clone();
+        let (clock, stop) = (shared.clock, shared.stop.clone());
+        let watcher: &Shared = &shared;
+        run_watch(
+            &shared.core,
+            &shared.tls,
+            &mut chooser,
+            watcher,
+            &counters,
+            clock,
+            &stop,
+        );
+    });
+}
+
+fn spawn_tls_reload(shared: &Arc<Shared>) {
+    let shared = shared.clone();
+    thread::spawn(move || loop {
+        thread::sleep(TLS_RELOAD_INTERVAL);
+        match shared.tls.reload_if_changed() {
+            Ok(true) => info!("certificates_reloaded"),
+            Ok(false) => {}
+            Err(error) => warn!(%error, "certificates_not_reloaded"),
+        }
+    });
+}
+
+impl RunningProxy {
+    /// Waits for the stop signal, finishes all calls and returns.
+    pub fn wait(&self) {
+        let shared = &self.shared;
+        shared.stop.wait();
+        info!("proxy_draining");
+        thread::sleep(Duration::from_millis(shared.settings.drain_notice_ms));
+        let limit = Instant::now() + Duration::from_millis(shared.settings.drain_limit_ms);
+        let mut quiet_since = Instant::now();
+        let mut seen = shared.calls.entered();
+        while Instant::now() < limit {
+            let entered = shared.calls.entered();
+            if entered != seen || shared.calls.in_flight() > 0 {
+                seen = entered;
+                quiet_since = Instant::now();
+            }
+            if quiet_since.elapsed() >= QUIET_TIME {
+                break;
+            }
+            thread::sleep(STOP_POLL);
+        }
+        info!(in_flight = shared.calls.in_flight(), "proxy_stopped");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/claim_forward.rs
@@ -0,0 +1,119 @@
+//! Passing claims on to the leader of their group.
+
+use claims::group_of;
+use settings::{ControlAddressSettings, RelaySettings};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+use tracing::debug;
+use verdict::Verdict;
+use wire::{
+    connect, ClaimReply, ClaimRequest, ClientConnection, Purpose, Role, TlsIdentity, WireError,
+};
+
+/// Longest time for one claim, changes of leader included.
+const FORWARD_LIMIT: Duration = Duration::from_secs(2);
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const RETRY_PAUSE: Duration = Duration::from_millis(15);
+
+/// Connections to control replicas, and who leads which group.
+pub(crate) struct ClaimForwarder {
+    replicas: Vec<ControlAddressSettings>,
+    groups: u32,
+    leaders: Mutex<BTreeMap<u32, usize>>,
+    idle: Mutex<BTreeMap<usize, Vec<ClientConnection>>>,
+}
+
+impl ClaimForwarder {
+    pub fn new(settings: &RelaySettings) -> Self {
+        ClaimForwarder {
+            replicas: settings.control.clone(),
+            groups: settings.claim_groups,
+            leaders: Mutex::default(),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Asks until the group's leader answers or time is over. Commands carry the attempt they
+    /// belong to, so sending one twice is harmless.
+    pub fn forward(&self, tls: &TlsIdentity, request: ClaimRequest) -> ClaimReply {
+        if self.groups == 0 {
+            return ClaimReply::Unavailable {
+                verdict: Verdict::NotRun,
+            };
+        }
+        let group = group_of(request.command.key(), self.groups);
+        let deadline = Instant::now() + FORWARD_LIMIT;
+        let mut verdict = Verdict::NotRun;
+        while Instant::now() < deadline {
+            let replica = self.leader(group);
+            match self.call(tls, replica, &request) {
+                Ok(ClaimReply::NotLeader { leader }) => self.redirect(group, replica, leader),
+                Ok(ClaimReply::Unavailable { verdict: reason }) => {
+                    verdict = worst(verdict, reason);
+                    self.redirect(group, replica, None);
+                }
+                Ok(answer) => return answer,
+                Err(error) => {
+                    debug!(%error, group, "claim_forward_failed");
+                    verdict = worst(verdict, error.verdict());
+                    self.redirect(group, replica, None);
+                }
+            }
+        }
+        ClaimReply::Unavailable { verdict }
+    }
+
+    fn leader(&self, group: u32) -> usize {
+        let leaders = self.leaders.lock().unwrap_or_else(PoisonError::into_inner);
+        leaders
+            .get(&group)
+            .copied()
+            .unwrap_or(group as usize % self.replicas.len())
+    }
+
+    fn redirect(&self, group: u32, asked: usize, leader: Option<u64>) {
+        let named = self
+            .replicas
+            .iter()
+            .position(|replica| Some(replica.id) == leader);
+        let next = named.unwrap_or((asked + 1) % self.replicas.len());
+        self.leaders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(group, next);
+        if named.is_none() {
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    fn call(
+        &self,
+        tls: &TlsIdentity,
+        replica: usize,
+        request: &ClaimRequest,
+    ) -> Result<ClaimReply, WireError> {
+        let address = self.replicas[replica].address;
+        let mut connection = match self.take_idle(replica) {
+            Some(connection) => connection,
+            None => connect(tls, address, Role::Control, Purpose::Claims)?,
+        };
+        let reply = connection.call(request, CALL_TIMEOUT)?;
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.entry(replica).or_default().push(connection);
+        Ok(reply)
+    }
+
+    fn take_idle(&self, replica: usize) -> Option<ClientConnection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get_mut(&replica).and_then(Vec::pop)
+    }
+}
+
+fn worst(known: Verdict, new: Verdict) -> Verdict {
+    match (known, new) {
+        (Verdict::NotRun, Verdict::NotRun) => Verdict::NotRun,
+        _ => Verdict::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/machine.rs
@@ -0,0 +1,644 @@
+//! The replicated state machine of bundles, approvals and rollouts.
+
+use crate::command::{
+    BadStagesSnafu, GenerationConflictSnafu, InvalidBundleSnafu, NoSuchRolloutSnafu,
+    NotApprovedSnafu, NothingToWithdrawSnafu, RequestIdReusedSnafu, RolloutInProgressSnafu,
+    SelfApprovalSnafu, UnknownBundleSnafu, VersionConflictSnafu,
+};
+use crate::{Accepted, Answer, Candidate, Command, GenerationTarget, Request, Stage, TargetView};
+use bundle::{Approval, Bundle, Digest, LIMITS};
+use serde::Serialize;
+use snafu::{ensure, OptionExt};
+use speedy::{Readable, Writable};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Bundles kept for deltas and withdrawal, besides those in use.
+const RETAINED_BUNDLES: usize = 64;
+/// Version numbers remembered, so that one is not taken twice.
+const RETAINED_VERSIONS: usize = 16_384;
+/// Generations kept for `list`.
+const RETAINED_GENERATIONS: usize = 1024;
+/// Answers kept for resends.
+const RETAINED_ANSWERS: usize = 4096;
+
+/// Why a generation was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Readable, Writable)]
+#[serde(rename_all = "lowercase")]
+pub enum GenerationKind {
+    /// An operator rolled a bundle out.
+    Rolled,
+    /// An operator withdrew the generation before.
+    Withdrawn,
+}
+
+/// One generation in the history.
+#[derive(Clone, Debug, PartialEq, Serialize, Readable, Writable)]
+pub struct GenerationRecord {
+    /// Its number.
+    pub generation: u64,
+    /// Its content.
+    pub digest: Digest,
+    /// Who made it.
+    pub operator: String,
+    /// Why.
+    pub kind: GenerationKind,
+    /// Log index at which it was accepted.
+    pub accepted_at: u64,
+}
+
+/// A submitted bundle.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredBundle {
+    /// Content.
+    pub bundle: Bundle,
+    /// The operators' number.
+    pub version: u64,
+    /// Who submitted it.
+    pub submitter: String,
+    /// Sign-off.
+    pub approval: Option<Approval>,
+}
+
+/// A line of `bundle list`.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct VersionSummary {
+    /// The operators' number.
+    pub version: u64,
+    /// Content.
+    pub digest: Digest,
+    /// Who submitted it.
+    pub submitter: String,
+    /// Who approved it.
+    pub approver: Option<String>,
+    /// Number of objects.
+    pub objects: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+struct Rollout {
+    target: GenerationTarget,
+    stages: Vec<Stage>,
+    reached: u32,
+    advance_after_s: Option<u32>,
+    paused: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+struct RecordedAnswer {
+    operator: String,
+    request_id: String,
+    command_digest: Digest,
+    answer: Answer,
+}
+
+/// Who took a version number, and for which content; kept longer than the content.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+struct VersionClaim {
+    digest: Digest,
+    submitter: String,
+}
+
+/// State of the configuration, rebuilt identically by every replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigMachine {
+    revision: u64,
+    bundles: BTreeMap<Digest, StoredBundle>,
+    bundle_order: VecDeque<Digest>,
+    versions: BTreeMap<u64, VersionClaim>,
+    base: GenerationTarget,
+    rollout: Option<Rollout>,
+    newest_generation: u64,
+    history: VecDeque<GenerationRecord>,
+    answers: VecDeque<RecordedAnswer>,
+}
+
+#[derive(Readable, Writable)]
+struct EncodedBundle {
+    objects: Vec<u8>,
+    version: u64,
+    submitter: String,
+    approval: Option<Approval>,
+}
+
+#[derive(Readable, Writable)]
+struct EncodedMachine {
+    revision: u64,
+    bundles: Vec<EncodedBundle>,
+    versions: BTreeMap<u64, VersionClaim>,
+    base: GenerationTarget,
+    rollout: Option<Rollout>,
+    newest_generation: u64,
+    history: Vec<GenerationRecord>,
+    answers: Vec<RecordedAnswer>,
+}
+
+impl Default for ConfigMachine {
+    fn default() -> Self {
+        ConfigMachine {
+            revision: 0,
+            bundles: BTreeMap::new(),
+            bundle_order: VecDeque::new(),
+            versions: BTreeMap::new(),
+            base: TargetView::empty().base,
+            rollout: None,
+            newest_generation: 0,
+            history: VecDeque::new(),
+            answers: VecDeque::new(),
+        }
+    }
+}
+
+impl ConfigMachine {
+    /// Applies the committed request at log position `index`.
+    pub fn apply(&mut self, index: u64, request: &Request) -> Answer {
+        let command_digest = command_digest(&request.command);
+        if let Some(recorded) = self.recorded(request) {
+            let reused = recorded.command_digest != command_digest;
+            let request_id = &request.request_id;
+            ensure!(!reused, RequestIdReusedSnafu { request_id });
+            return recorded.answer.clone();
+        }
+        let answer = self.execute(index, request);
+        self.record(request, command_digest, answer.clone());
+        answer
+    }
+
+    fn recorded(&self, request: &Request) -> Option<&RecordedAnswer> {
+        self.answers.iter().rev().find(|answer| {
+            answer.request_id == request.request_id && answer.operator == request.operator
+        })
+    }
+
+    fn record(&mut self, request: &Request, command_digest: Digest, answer: Answer) {
+        self.answers.push_back(RecordedAnswer {
+            operator: request.operator.clone(),
+            request_id: request.request_id.clone(),
+            command_digest,
+            answer,
+        });
+        while self.answers.len() > RETAINED_ANSWERS {
+            self.answers.pop_front();
+        }
+    }
+
+    fn execute(&mut self, index: u64, request: &Request) -> Answer {
+        let operator = &request.operator;
+        match &request.command {
+            Command::Submit {
+                version,
+                compressed,
+            } => self.submit(operator, *version, compressed),
+            Command::Approve { digest, signature } => self.approve(operator, digest, signature),
+            Command::Roll {
+                digest,
+                expected_generation,
+                stages,
+                advance_after_s,
+            } => {
+                self.check_generation(*expected_generation)?;
+                self.roll(index, operator, digest, stages, *advance_after_s)
+            }
+            Command::Advance {
+                generation,
+                from_stage,
+            } => self.advance(index, *generation, *from_stage),
+            Command::Pause { generation } => {
+                self.rollout_of(*generation)?.paused = true;
+                Ok(Accepted::Paused {
+                    generation: *generation,
+                })
+            }
+            Command::Resume { generation } => {
+                self.rollout_of(*generation)?.paused = false;
+                Ok(Accepted::Resumed {
+                    generation: *generation,
+                })
+            }
+            Command::Withdraw {
+                expected_generation,
+                to,
+            } => {
+                self.check_generation(*expected_generation)?;
+                self.withdraw(index, operator, *to)
+            }
+        }
+    }
+
+    fn submit(&mut self, operator: &str, version: u64, compressed: &[u8]) -> Answer {
+        let bundle = decode_submission(compressed)?;
+        let digest = bundle.digest();
+        if let Some(held) = self.versions.get(&version) {
+            if held.digest == digest {
+                return Ok(Accepted::Submitted { version, digest });
+            }
+            let (winner, winner_digest) = (&held.submitter, held.digest);
+            return VersionConflictSnafu {
+                version,
+                winner,
+                winner_digest,
+            }
+            .fail();
+        }
+        let submitter = operator.to_owned();
+        self.versions.insert(
+            version,
+            VersionClaim {
+                digest,
+                submitter: submitter.clone(),
+            },
+        );
+        while self.versions.len() > RETAINED_VERSIONS {
+            self.versions.pop_first();
+        }
+        if let Entry::Vacant(vacant) = self.bundles.entry(digest) {
+            vacant.insert(StoredBundle {
+                bundle,
+                version,
+                submitter,
+                approval: None,
+            });
+            self.bundle_order.push_back(digest);
+        }
+        self.evict_bundles();
+        Ok(Accepted::Submitted { version, digest })
+    }
+
+    fn evict_bundles(&mut self) {
+        let in_use: Vec<Digest> = self.view().targets().map(|target| target.digest).collect();
+        while self.bundle_order.len() > RETAINED_BUNDLES {
+            let Some(position) = self
+                .bundle_order
+                .iter()
+                .position(|digest| !in_use.contains(digest))
+            else {
+                return;
+            };
+            if let Some(digest) = self.bundle_order.remove(position) {
+                self.bundles.remove(&digest);
+            }
+        }
+    }
+
+    fn approve(&mut self, operator: &str, digest: &Digest, signature: &[u8]) -> Answer {
+        let digest = *digest;
+        let stored = self
+            .bundles
+            .get_mut(&digest)
+            .context(UnknownBundleSnafu { digest })?;
+        ensure!(stored.submitter != operator, SelfApprovalSnafu { operator });
+        if stored.approval.is_none() {
+            let signature = signature.to_vec();
+            stored.approval = Some(Approval {
+                operator: operator.to_owned(),
+                signature,
+            });
+        }
+        Ok(Accepted::Approved { digest })
+    }
+
+    fn check_generation(&self, expected: u64) -> Result<(), crate::Refusal> {
+        let current = self.newest_generation;
+        let winner = self
+            .history
+            .back()
+            .map_or("nobody", |record| &record.operator);
+        ensure!(
+            expected == current,
+            GenerationConflictSnafu {
+                expected,
+                current,
+                winner
+            }
+        );
+        Ok(())
+    }
+
+    fn roll(
+        &mut self,
+        index: u64,
+        operator: &str,
+        digest: &Digest,
+        stages: &[Stage],
+        advance_after_s: Option<u32>,
+    ) -> Answer {
+        let digest = *digest;
+        if let Some(rollout) = &self.rollout {
+            return RolloutInProgressSnafu {
+                generation: rollout.target.generation,
+            }
+            .fail();
+        }
+        check_stages(stages)?;
+        let stored = self
+            .bundles
+            .get(&digest)
+            .context(UnknownBundleSnafu { digest })?;
+        let approval = stored
+            .approval
+            .clone()
+            .context(NotApprovedSnafu { digest })?;
+        let generation = self.next_generation(index, operator, digest, GenerationKind::Rolled);
+        let target = GenerationTarget {
+            generation,
+            digest,
+            approval: Some(approval),
+        };
+        let stages = stages.to_vec();
+        self.rollout = Some(Rollout {
+            target,
+            stages,
+            reached: 1,
+            advance_after_s,
+            paused: false,
+        });
+        self.finish_if_complete();
+        Ok(Accepted::Rolled { generation })
+    }
+
+    fn next_generation(
+        &mut self,
+        index: u64,
+        operator: &str,
+        digest: Digest,
+        kind: GenerationKind,
+    ) -> u64 {
+        self.newest_generation += 1;
+        self.revision = index;
+        self.history.push_back(GenerationRecord {
+            generation: self.newest_generation,
+            digest,
+            operator: operator.to_owned(),
+            kind,
+            accepted_at: index,
+        });
+        while self.history.len() > RETAINED_GENERATIONS {
+            self.history.pop_front();
+        }
+        self.newest_generation
+    }
+
+    fn rollout_of(&mut self, generation: u64) -> Result<&mut Rollout, crate::Refusal> {
+        self.rollout
+            .as_mut()
+            .filter(|rollout| rollout.target.generation == generation)
+            .context(NoSuchRolloutSnafu { generation })
+    }
+
+    fn advance(&mut self, index: u64, generation: u64, from_stage: u32) -> Answer {
+        let rollout = self.rollout_of(generation)?;
+        ensure!(
+            rollout.reached == from_stage,
+            NoSuchRolloutSnafu { generation }
+        );
+        rollout.reached += 1;
+        let stages = rollout.reached;
+        self.revision = index;
+        let complete = self.finish_if_complete();
+        Ok(Accepted::Advanced {
+            generation,
+            stages,
+            complete,
+        })
+    }
+
+    /// A rollout whose last stage is reached becomes the base of the whole fleet.
+    fn finish_if_complete(&mut self) -> bool {
+        match self.rollout.take() {
+            Some(rollout) if rollout.reached as usize >= rollout.stages.len() => {
+                self.base = rollout.target;
+                true
+            }
+            unfinished => {
+                self.rollout = unfinished;
+                false
+            }
+        }
+    }
+
+    fn withdraw(&mut self, index: u64, operator: &str, to: Option<Digest>) -> Answer {
+        let digest = to
+            .or_else(|| self.earlier_content())
+            .context(NothingToWithdrawSnafu)?;
+        let approval = match self.bundles.get(&digest) {
+            Some(stored) => Some(
+                stored
+                    .approval
+                    .clone()
+                    .context(NotApprovedSnafu { digest })?,
+            ),
+            None if digest == Bundle::default().digest() => None,
+            None => return UnknownBundleSnafu { digest }.fail(),
+        };
+        let generation = self.next_generation(index, operator, digest, GenerationKind::Withdrawn);
+        self.base = GenerationTarget {
+            generation,
+            digest,
+            approval,
+        };
+        self.rollout = None;
+        Ok(Accepted::Withdrawn { generation, digest })
+    }
+
+    /// What the newest generation replaced.
+    fn earlier_content(&self) -> Option<Digest> {
+        if self.rollout.is_some() {
+            return Some(self.base.digest);
+        }
+        let newest = self.history.back()?.digest;
+        let earlier = self
+            .history
+            .iter()
+            .rev()
+            .find(|record| record.digest != newest);
+        earlier.map(|record| record.digest)
+    }
+
+    /// What relays need to know.
+    pub fn view(&self) -> TargetView {
+        let candidate = self.rollout.as_ref().map(|rollout| Candidate {
+            target: rollout.target.clone(),
+            active_stages: rollout.stages[..rollout.reached as usize].to_vec(),
+        });
+        TargetView {
+            revision: self.revision,
+            base: self.base.clone(),
+            candidate,
+        }
+    }
+
+    /// The rollout's generation, stages reached and rule, unless paused or absent.
+    pub(crate) fn self_advancing(&self) -> Option<(u64, u32, u32)> {
+        let rollout = self.rollout.as_ref().filter(|rollout| !rollout.paused)?;
+        let seconds = rollout.advance_after_s?;
+        Some((rollout.target.generation, rollout.reached, seconds))
+    }
+
+    /// Whether the rollout is paused.
+    pub fn paused(&self) -> bool {
+        self.rollout.as_ref().is_some_and(|rollout| rollout.paused)
+    }
+
+    /// Number of stages of the rollout in progress, reached and in all.
+    pub fn rollout_stages(&self) -> Option<(u32, usize)> {
+        self.rollout
+            .as_ref()
+            .map(|rollout| (rollout.reached, rollout.stages.len()))
+    }
+
+    /// The newest generation accepted.
+    pub fn newest_generation(&self) -> u64 {
+        self.newest_generation
+    }
+
+    /// A stored bundle; the empty one is always known.
+    pub fn bundle(&self, digest: &Digest) -> Option<&StoredBundle> {
+        self.bundles.get(digest)
+    }
+
+    /// Content by digest, the empty bundle included.
+    pub fn content(&self, digest: &Digest) -> Option<Bundle> {
+        let empty = Bundle::default();
+        if *digest == empty.digest() {
+            return Some(empty);
+        }
+        self.bundles.get(digest).map(|stored| stored.bundle.clone())
+    }
+
+    /// The digest submitted under a version.
+    pub fn version(&self, version: u64) -> Option<Digest> {
+        self.versions.get(&version).map(|held| held.digest)
+    }
+
+    /// All stored versions.
+    pub fn versions(&self) -> Vec<VersionSummary> {
+        let summary = |(version, held): (&u64, &VersionClaim)| {
+            let stored = self.bundles.get(&held.digest)?;
+            Some(VersionSummary {
+                version: *version,
+                digest: held.digest,
+                submitter: held.submitter.clone(),
+                approver: stored
+                    .approval
+                    .as_ref()
+                    .map(|approval| approval.operator.clone()),
+                objects: stored.bundle.objects().len(),
+            })
+        };
+        self.versions.iter().filter_map(summary).collect()
+    }
+
+    /// The generations kept, oldest first.
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &GenerationRecord> {
+        self.history.iter()
+    }
+
+    /// Encodes the whole state for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        let bundles = self
+            .bundle_order
+            .iter()
+            .filter_map(|digest| self.bundles.get(digest));
+        let encoded = EncodedMachine {
+            revision: self.revision,
+            bundles: bundles.map(encode_bundle).collect(),
+            versions: self.versions.clone(),
+            base: self.base.clone(),
+            rollout: self.rollout.clone(),
+            newest_generation: self.newest_generation,
+            history: self.history.iter().cloned().collect(),
+            answers: self.answers.iter().cloned().collect(),
+        };
+        encoded
+            .write_to_vec()
+            .expect("encoding to memory cannot fail")
+    }
+
+    /// Restores what [`ConfigMachine::encode`] wrote; empty bytes stand for a new fleet.
+    pub fn decode(bytes: &[u8]) -> Result<Self, speedy::Error> {
+        if bytes.is_empty() {
+            return Ok(ConfigMachine::default());
+        }
+        let encoded = EncodedMachine::read_from_buffer(bytes)?;
+        let mut machine = ConfigMachine {
+            revision: encoded.revision,
+            versions: encoded.versions,
+            base: encoded.base,
+            rollout: encoded.rollout,
+            newest_generation: encoded.newest_generation,
+            history: encoded.history.into(),
+            answers: encoded.answers.into(),
+            ..ConfigMachine::default()
+        };
+        for stored in encoded.bundles {
+            let bundle = Bundle::decode(&stored.objects)?;
+            let digest = bundle.digest();
+            machine.bundle_order.push_back(digest);
+            machine.bundles.insert(
+                digest,
+                StoredBundle {
+                    bundle,
+                    version: stored.version,
+                    submitter: stored.submitter,
+                    approval: stored.approval,
+                },
+            );
+        }
+        Ok(machine)
+    }
+}
+
+fn encode_bundle(stored: &StoredBundle) -> EncodedBundle {
+    EncodedBundle {
+        objects: stored.bundle.encode(),
+        version: stored.version,
+        submitter: stored.submitter.clone(),
+        approval: stored.approval.clone(),
+    }
+}
+
+fn decode_submission(compressed: &[u8]) -> Result<Bundle, crate::Refusal> {
+    let update = bundle::BundleUpdate::decompress(compressed);
+    let bundle = update.ok().context(InvalidBundleSnafu {
+        problem: "it cannot be decoded",
+    })?;
+    match bundle.check().first() {
+        Some(problem) => InvalidBundleSnafu {
+            problem: problem.to_string(),
+        }
+        .fail(),
+        None => Ok(bundle),
+    }
+}
+
+fn command_digest(command: &Command) -> Digest {
+    Digest::of(
+        &command
+            .write_to_vec()
+            .expect("encoding to memory cannot fail"),
+    )
+}
+
+fn check_stages(stages: &[Stage]) -> Result<(), crate::Refusal> {
+    let last_is_all = matches!(stages.last(), Some(Stage::All));
+    let reason = "the last stage must be 'all', so that a rollout can end";
+    ensure!(last_is_all, BadStagesSnafu { reason });
+    let percent_ok = stages.iter().all(|stage| match stage {
+        Stage::Percent(percent) => (1..=100).contains(percent),
+        _ => true,
+    });
+    ensure!(
+        percent_ok,
+        BadStagesSnafu {
+            reason: "a share is 1 to 100 per cent"
+        }
+    );
+    let most = LIMITS.objects;
+    ensure!(
+        stages.len() <= most,
+        BadStagesSnafu {
+            reason: "too many stages"
+        }
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/storage/src/record.rs
@@ -0,0 +1,93 @@
+//! One saved batch as bytes: length, checksum, payload.
+
+use consensus::{Entry, HardState};
+use speedy::{Readable, Writable};
+
+/// Bytes before the payload: length and CRC-32, both little-endian `u32`.
+const HEADER_BYTES: usize = 8;
+/// Longest payload that is believed; a larger length means damage.
+const MAX_PAYLOAD_BYTES: usize = 256 * 1024 * 1024;
+
+/// What one `save` wrote.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct Record {
+    /// New hard state, if it changed.
+    pub hard_state: Option<HardState>,
+    /// Entries saved.
+    pub entries: Vec<Entry>,
+}
+
+/// How a file of records ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TailState {
+    /// The last record is whole.
+    Clean,
+    /// The file ends in an unfinished record that begins at this byte: a torn write.
+    Torn(u64),
+    /// A damaged record at this byte is followed by a whole one: not a torn write.
+    Damaged(u64),
+}
+
+/// Encodes a record with its header.
+pub fn encode_record<T: Writable<speedy::LittleEndian>>(record: &T) -> Vec<u8> {
+    let payload = record
+        .write_to_vec()
+        .expect("encoding to memory cannot fail");
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
+    bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    bytes
+}
+
+/// Decodes all whole records, and tells how the bytes end.
+pub fn decode_records<T>(bytes: &[u8]) -> (Vec<T>, TailState)
+where
+    T: for<'a> Readable<'a, speedy::LittleEndian>,
+{
+    let mut records = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        match decode_at(bytes, offset) {
+            Some((record, next)) => {
+                records.push(record);
+                offset = next;
+            }
+            None if whole_record_after::<T>(bytes, offset) => {
+                return (records, TailState::Damaged(offset as u64));
+            }
+            None => return (records, TailState::Torn(offset as u64)),
+        }
+    }
+    (records, TailState::Clean)
+}
+
+fn decode_at<T>(bytes: &[u8], offset: usize) -> Option<(T, usize)>
+where
+    T: for<'a> Readable<'a, speedy::LittleEndian>,
+{
+    let header = bytes.get(offset..offset + HEADER_BYTES)?;
+    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
+    let checksum = u32::from_le_bytes(header[4..].try_into().ok()?);
+    if length == 0 || length > MAX_PAYLOAD_BYTES {
+        return None;
+    }
+    let start = offset + HEADER_BYTES;
+    let payload = bytes.get(start..start + length)?;
+    if crc32fast::hash(payload) != checksum {
+        return None;
+    }
+    T::read_from_buffer(payload)
+        .ok()
+        .map(|record| (record, start + length))
+}
+
+/// Looks for a whole record after a bad one: records are synced in order, so one can only stand
+/// there if the bad one was once whole too.
+fn whole_record_after<T>(bytes: &[u8], bad: usize) -> bool
+where
+    T: for<'a> Readable<'a, speedy::LittleEndian>,
+{
+    (bad + 1..bytes.len().saturating_sub(HEADER_BYTES))
+        .any(|offset| decode_at::<T>(bytes, offset).is_some())
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,12 @@
+//! Logs, metrics, health endpoints, the monotonic clock and the stop signal.
+#![forbid(unsafe_code)]
+
+mod clock;
+mod logging;
+mod metrics;
+mod signal;
+
+pub use clock::Clock;
+pub use logging::{init_logging, parse_level, UnknownLevel};
+pub use metrics::{Counter, Gauge, MetricsServer, MetricsServerError, Registry};
+pub use signal::{StopSignal, StopSignalError};
