--- a/crates/bundle/src/approval.rs
+++ b/crates/bundle/src/approval.rs
@@ -73,13 +73,8 @@
         message: &[u8],
         signature: &[u8],
     ) -> Result<(), ApprovalError> {
-        let key = self
-            .0
-            .get(operator)
-            .context(UnknownOperatorSnafu { operator })?;
-        let valid = UnparsedPublicKey::new(&ED25519, key)
-            .verify(message, signature)
-            .is_ok();
+        let key = self.0.get(operator).context(UnknownOperatorSnafu { operator })?;
+        let valid = UnparsedPublicKey::new(&ED25519, key).verify(message, signature).is_ok();
         ensure!(valid, BadSignatureSnafu { operator });
         Ok(())
     }
@@ -90,10 +85,6 @@
         digest: &Digest,
         approval: &Approval,
     ) -> Result<(), ApprovalError> {
-        self.verify(
-            &approval.operator,
-            &approval_message(digest),
-            &approval.signature,
-        )
+        self.verify(&approval.operator, &approval_message(digest), &approval.signature)
     }
 }
--- a/crates/bundle/src/delta.rs
+++ b/crates/bundle/src/delta.rs
@@ -71,11 +71,8 @@
 impl Delta {
     /// The difference between two bundles.
     pub fn between(base: &Bundle, target: &Bundle) -> Delta {
-        let removed = base
-            .objects()
-            .keys()
-            .filter(|id| !target.objects().contains_key(id))
-            .cloned();
+        let removed =
+            base.objects().keys().filter(|id| !target.objects().contains_key(id)).cloned();
         let changed = target.objects().iter().filter(|(id, hashed)| {
             base.objects().get(id).map(|held| held.digest) != Some(hashed.digest)
         });
@@ -119,10 +116,7 @@
 }
 
 fn snapshot_of(target: &Bundle) -> BundleUpdate {
-    BundleUpdate::Snapshot {
-        target: target.digest(),
-        compressed: BundleUpdate::compress(target),
-    }
+    BundleUpdate::Snapshot { target: target.digest(), compressed: BundleUpdate::compress(target) }
 }
 
 impl BundleUpdate {
@@ -153,26 +147,14 @@
 
 fn apply_delta(delta: &Delta, held: &Bundle) -> Result<Bundle, UpdateError> {
     let (base, held_digest) = (delta.base, held.digest());
-    ensure!(
-        base == held_digest,
-        WrongBaseSnafu {
-            base,
-            held: held_digest
-        }
-    );
+    ensure!(base == held_digest, WrongBaseSnafu { base, held: held_digest });
     let mut objects = held.objects().clone();
     for id in &delta.removed {
         objects.remove(id);
     }
     for object in &delta.upserts {
         let digest = Digest::of(&object.encode());
-        objects.insert(
-            object.id(),
-            Arc::new(HashedObject {
-                object: object.clone(),
-                digest,
-            }),
-        );
+        objects.insert(object.id(), Arc::new(HashedObject { object: object.clone(), digest }));
     }
     accept(Bundle::from_hashed(objects), delta.target)
 }
@@ -181,10 +163,7 @@
     let found = bundle.digest();
     ensure!(found == expected, WrongResultSnafu { found, expected });
     match bundle.check().first() {
-        Some(problem) => InvalidSnafu {
-            problem: problem.to_string(),
-        }
-        .fail(),
+        Some(problem) => InvalidSnafu { problem: problem.to_string() }.fail(),
         None => Ok(bundle),
     }
 }
--- a/crates/bundle/src/digest.rs
+++ b/crates/bundle/src/digest.rs
@@ -29,9 +29,7 @@
 
 impl fmt::Display for Digest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
 
--- a/crates/bundle/src/object.rs
+++ b/crates/bundle/src/object.rs
@@ -95,11 +95,7 @@
 
 impl fmt::Debug for SealedSecret {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "SealedSecret({}, key {}, redacted)",
-            self.name, self.key_id
-        )
+        write!(formatter, "SealedSecret({}, key {}, redacted)", self.name, self.key_id)
     }
 }
 
@@ -174,10 +170,7 @@
             Object::Route(route) => (ObjectKind::Route, &route.name),
             Object::Secret(secret) => (ObjectKind::Secret, &secret.name),
         };
-        ObjectId {
-            kind,
-            name: name.clone(),
-        }
+        ObjectId { kind, name: name.clone() }
     }
 
     /// The canonical encoding, over which the digest is taken.
@@ -236,52 +229,38 @@
 
     /// The services, by name.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.objects
-            .values()
-            .filter_map(|hashed| match &hashed.object {
-                Object::Service(service) => Some(service),
-                _ => None,
-            })
+        self.objects.values().filter_map(|hashed| match &hashed.object {
+            Object::Service(service) => Some(service),
+            _ => None,
+        })
     }
 
     /// The routes, by name.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.objects
-            .values()
-            .filter_map(|hashed| match &hashed.object {
-                Object::Route(route) => Some(route),
-                _ => None,
-            })
+        self.objects.values().filter_map(|hashed| match &hashed.object {
+            Object::Route(route) => Some(route),
+            _ => None,
+        })
     }
 
     /// The sealed secrets, by name.
     pub fn secrets(&self) -> impl Iterator<Item = &SealedSecret> {
-        self.objects
-            .values()
-            .filter_map(|hashed| match &hashed.object {
-                Object::Secret(secret) => Some(secret),
-                _ => None,
-            })
+        self.objects.values().filter_map(|hashed| match &hashed.object {
+            Object::Secret(secret) => Some(secret),
+            _ => None,
+        })
     }
 
     /// Whether an object of this kind and name is present.
     pub fn contains(&self, kind: ObjectKind, name: &str) -> bool {
-        self.objects.contains_key(&ObjectId {
-            kind,
-            name: name.to_owned(),
-        })
+        self.objects.contains_key(&ObjectId { kind, name: name.to_owned() })
     }
 
     /// All objects, encoded; the inverse of [`Bundle::decode`].
     pub fn encode(&self) -> Vec<u8> {
-        let objects: Vec<Object> = self
-            .objects
-            .values()
-            .map(|hashed| hashed.object.clone())
-            .collect();
-        objects
-            .write_to_vec()
-            .expect("encoding to memory cannot fail")
+        let objects: Vec<Object> =
+            self.objects.values().map(|hashed| hashed.object.clone()).collect();
+        objects.write_to_vec().expect("encoding to memory cannot fail")
     }
 
     /// Decodes what [`Bundle::encode`] wrote.
--- a/crates/bundle/src/seal.rs
+++ b/crates/bundle/src/seal.rs
@@ -57,19 +57,12 @@
 impl SealKey {
     /// Makes a key from random bytes.
     pub fn new(id: u32, bytes: [u8; KEY_BYTES]) -> Self {
-        SealKey {
-            id,
-            bytes: Zeroizing::new(bytes),
-        }
+        SealKey { id, bytes: Zeroizing::new(bytes) }
     }
 
     /// The line that stands for this key in a key file.
     pub fn to_line(&self) -> Zeroizing<String> {
-        let hex: String = self
-            .bytes
-            .iter()
-            .map(|byte| format!("{byte:02x}"))
-            .collect();
+        let hex: String = self.bytes.iter().map(|byte| format!("{byte:02x}")).collect();
         Zeroizing::new(format!("{} {hex}", self.id))
     }
 
@@ -95,12 +88,7 @@
                 &mut ciphertext,
             )
             .expect("the value is far below the cipher's limit");
-        SealedSecret {
-            name: name.to_owned(),
-            key_id: self.id,
-            nonce,
-            ciphertext,
-        }
+        SealedSecret { name: name.to_owned(), key_id: self.id, nonce, ciphertext }
     }
 }
 
@@ -135,10 +123,7 @@
     /// Opens a sealed secret; the value is wiped when dropped.
     pub fn open(&self, secret: &SealedSecret) -> Result<Zeroizing<String>, SealError> {
         let (name, key_id) = (&secret.name, secret.key_id);
-        let key = self
-            .0
-            .get(&key_id)
-            .context(UnknownKeySnafu { name, key_id })?;
+        let key = self.0.get(&key_id).context(UnknownKeySnafu { name, key_id })?;
         let mut buffer = Zeroizing::new(secret.ciphertext.clone());
         let nonce = Nonce::assume_unique_for_key(secret.nonce);
         let aad = Aad::from(name.as_bytes());
--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -180,10 +180,8 @@
     if problems.is_empty() {
         return Ok(bundle);
     }
-    let lines: Vec<String> = problems
-        .iter()
-        .map(|problem| locate(problem, &collected.places, path))
-        .collect();
+    let lines: Vec<String> =
+        problems.iter().map(|problem| locate(problem, &collected.places, path)).collect();
     InvalidSnafu { lines }.fail()
 }
 
@@ -200,10 +198,7 @@
     let mut files = Vec::new();
     for file in fs::read_dir(path).context(ReadSnafu { path })? {
         let file = file.context(ReadSnafu { path })?.path();
-        if file
-            .extension()
-            .is_some_and(|extension| extension == "toml")
-        {
+        if file.extension().is_some_and(|extension| extension == "toml") {
             files.push(file);
         }
     }
@@ -230,21 +225,9 @@
         let line = line_of(&text, name.span().start);
         let id = object.id();
         if let Some(first) = collected.places.get(&id) {
-            return DuplicateSnafu {
-                path,
-                line,
-                id,
-                first: first.text(),
-            }
-            .fail();
+            return DuplicateSnafu { path, line, id, first: first.text() }.fail();
         }
-        collected.places.insert(
-            id,
-            Place {
-                path: path.to_owned(),
-                line,
-            },
-        );
+        collected.places.insert(id, Place { path: path.to_owned(), line });
         collected.objects.push(object);
         Ok(())
     };
@@ -256,10 +239,7 @@
     }
     for table in file.secret {
         let line = line_of(&text, table.name.span().start);
-        let key = seal_key.ok_or(SourceError::NoSealKey {
-            path: path.to_owned(),
-            line,
-        })?;
+        let key = seal_key.ok_or(SourceError::NoSealKey { path: path.to_owned(), line })?;
         add(&table.name, secret_from(&table, path, line, key)?)?;
     }
     Ok(())
@@ -274,10 +254,7 @@
 }
 
 fn route_from(table: &RouteTable) -> Object {
-    let single = table.service.iter().map(|name| Target {
-        service: name.clone(),
-        weight: 1,
-    });
+    let single = table.service.iter().map(|name| Target { service: name.clone(), weight: 1 });
     Object::Route(Route {
         name: table.name.get_ref().clone(),
         host: table.host.clone(),
@@ -301,21 +278,12 @@
 ) -> Result<Object, SourceError> {
     let name = table.name.get_ref();
     if table.value.len() > LIMITS.secret_bytes {
-        let id = ObjectId {
-            kind: ObjectKind::Secret,
-            name: name.clone(),
-        };
+        let id = ObjectId { kind: ObjectKind::Secret, name: name.clone() };
         let most = LIMITS.secret_bytes;
         let reason = format!("{} bytes, at most {most} are allowed", table.value.len());
-        let problem = Problem {
-            object: Some(id),
-            field: "value",
-            reason,
-        };
-        return InvalidSnafu {
-            lines: vec![format!("{}:{line}: {problem}", path.display())],
-        }
-        .fail();
+        let problem = Problem { object: Some(id), field: "value", reason };
+        return InvalidSnafu { lines: vec![format!("{}:{line}: {problem}", path.display())] }
+            .fail();
     }
     Ok(Object::Secret(key.seal(name, &table.value)))
 }
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -56,27 +56,10 @@
             check_name(id, &mut problems);
         }
         for service in self.services() {
-            let id = ObjectId {
-                kind: ObjectKind::Service,
-                name: service.name.clone(),
-            };
-            check_range(
-                &id,
-                "upstream_slots",
-                service.upstream_slots,
-                1,
-                100_000,
-                &mut problems,
-            );
+            let id = ObjectId { kind: ObjectKind::Service, name: service.name.clone() };
+            check_range(&id, "upstream_slots", service.upstream_slots, 1, 100_000, &mut problems);
             let connections = service.upstream_connections;
-            check_range(
-                &id,
-                "upstream_connections",
-                connections,
-                1,
-                100_000,
-                &mut problems,
-            );
+            check_range(&id, "upstream_connections", connections, 1, 100_000, &mut problems);
         }
         for route in self.routes() {
             self.check_route(route, &mut problems);
@@ -88,51 +71,25 @@
         let bytes = self.encode().len();
         if bytes > LIMITS.bundle_bytes {
             let reason = format!("{bytes} bytes, at most {} are allowed", LIMITS.bundle_bytes);
-            problems.push(Problem {
-                object: None,
-                field: "size",
-                reason,
-            });
+            problems.push(Problem { object: None, field: "size", reason });
         }
         let count = self.objects().len();
         if count > LIMITS.objects {
             let reason = format!("{count} objects, at most {} are allowed", LIMITS.objects);
-            problems.push(Problem {
-                object: None,
-                field: "objects",
-                reason,
-            });
+            problems.push(Problem { object: None, field: "objects", reason });
         }
     }
 
     fn check_route(&self, route: &Route, problems: &mut Vec<Problem>) {
-        let id = ObjectId {
-            kind: ObjectKind::Route,
-            name: route.name.clone(),
-        };
+        let id = ObjectId { kind: ObjectKind::Route, name: route.name.clone() };
         if !route.path_prefix.starts_with('/') {
-            push(
-                problems,
-                &id,
-                "path_prefix",
-                "must begin with '/'".to_owned(),
-            );
+            push(problems, &id, "path_prefix", "must begin with '/'".to_owned());
         }
         if route.host.is_empty() {
-            push(
-                problems,
-                &id,
-                "host",
-                "must be a host name or '*'".to_owned(),
-            );
+            push(problems, &id, "host", "must be a host name or '*'".to_owned());
         }
         if route.targets.is_empty() {
-            push(
-                problems,
-                &id,
-                "service",
-                "a route needs at least one service".to_owned(),
-            );
+            push(problems, &id, "service", "a route needs at least one service".to_owned());
         }
         for target in &route.targets {
             if !self.contains(ObjectKind::Service, &target.service) {
@@ -147,14 +104,7 @@
                 push(problems, &id, "secret", reason);
             }
         }
-        check_range(
-            &id,
-            "timeout_ms",
-            route.timeout_ms,
-            1,
-            LIMITS.timeout_ms,
-            problems,
-        );
+        check_range(&id, "timeout_ms", route.timeout_ms, 1, LIMITS.timeout_ms, problems);
         let budget = route.retry_budget_percent;
         check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
     }
@@ -181,19 +131,10 @@
     problems: &mut Vec<Problem>,
 ) {
     if !(least..=most).contains(&value) {
-        push(
-            problems,
-            id,
-            field,
-            format!("{value} is outside {least} to {most}"),
-        );
+        push(problems, id, field, format!("{value} is outside {least} to {most}"));
     }
 }
 
 fn push(problems: &mut Vec<Problem>, id: &ObjectId, field: &'static str, reason: String) {
-    problems.push(Problem {
-        object: Some(id.clone()),
-        field,
-        reason,
-    });
+    problems.push(Problem { object: Some(id.clone()), field, reason });
 }
--- a/crates/chutecove/src/cli/bundle.rs
+++ b/crates/chutecove/src/cli/bundle.rs
@@ -26,28 +26,13 @@
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
     let mut options = Options::new();
     operator_options(&mut options);
-    options.optopt(
-        "",
-        "version",
-        "the operators' own number for the bundle",
-        "N",
-    );
+    options.optopt("", "version", "the operators' own number for the bundle", "N");
     options.optopt("", "expect", "newest generation you know of", "GENERATION");
     options.optmulti("", "stage", "a stage of the rollout, in order", "STAGE");
-    options.optopt(
-        "",
-        "advance-after",
-        "advance by itself after S healthy seconds",
-        "S",
-    );
+    options.optopt("", "advance-after", "advance by itself after S healthy seconds", "S");
     options.optopt("", "from-stage", "number of stages reached", "N");
     options.optopt("", "to", "content to return to", "DIGEST");
-    options.optopt(
-        "",
-        "seal-key",
-        "file of sealing keys, for check and diff",
-        "FILE",
-    );
+    options.optopt("", "seal-key", "file of sealing keys, for check and diff", "FILE");
     let Some(matches) = parse(options, BRIEF, arguments)? else {
         return Ok(());
     };
@@ -63,10 +48,7 @@
         "history" => print_json(&operator_client(&matches)?, "/v1/history"),
         "show" => {
             let digest = digest_argument(&matches, 1)?;
-            print_json(
-                &operator_client(&matches)?,
-                &format!("/v1/bundles/{digest}"),
-            )
+            print_json(&operator_client(&matches)?, &format!("/v1/bundles/{digest}"))
         }
         _ => Err(Failure::usage(BRIEF)),
     }
@@ -77,9 +59,7 @@
         return Ok(None);
     };
     let parsed = text.parse().ok();
-    parsed
-        .map(Some)
-        .ok_or_else(|| Failure::usage(format!("--{name}: '{text}' is not a number")))
+    parsed.map(Some).ok_or_else(|| Failure::usage(format!("--{name}: '{text}' is not a number")))
 }
 
 fn required_number<T: std::str::FromStr>(matches: &Matches, name: &str) -> Result<T, Failure> {
@@ -88,8 +68,7 @@
 
 fn digest_argument(matches: &Matches, position: usize) -> Result<Digest, Failure> {
     let text = free_argument(matches, position, "DIGEST")?;
-    text.parse()
-        .map_err(|error| Failure::usage(format!("'{text}': {error}")))
+    text.parse().map_err(|error| Failure::usage(format!("'{text}': {error}")))
 }
 
 fn load(path: &str, key: Option<&SealKey>) -> Result<Bundle, Failure> {
@@ -105,10 +84,7 @@
 }
 
 fn check(matches: &Matches) -> Result<(), Failure> {
-    let bundle = load(
-        free_argument(matches, 1, "PATH")?,
-        Some(&local_key(matches)?),
-    )?;
+    let bundle = load(free_argument(matches, 1, "PATH")?, Some(&local_key(matches)?))?;
     println!(
         "valid: {} services, {} routes, {} secrets, {} bytes",
         bundle.services().count(),
@@ -129,11 +105,7 @@
     }
     for object in &delta.upserts {
         let id = object.id();
-        let sign = if old.objects().contains_key(&id) {
-            '~'
-        } else {
-            '+'
-        };
+        let sign = if old.objects().contains_key(&id) { '~' } else { '+' };
         println!("{sign} {id}");
     }
     Ok(())
@@ -207,14 +179,12 @@
 fn control_rollout(matches: &Matches, verb: &str) -> Result<(), Failure> {
     let client = operator_client(matches)?;
     let text = free_argument(matches, 1, "GENERATION")?;
-    let generation: u64 = text
-        .parse()
-        .map_err(|_| Failure::usage(format!("'{text}' is not a generation")))?;
+    let generation: u64 =
+        text.parse().map_err(|_| Failure::usage(format!("'{text}' is not a generation")))?;
     let command = match verb {
-        "advance" => Command::Advance {
-            generation,
-            from_stage: required_number(matches, "from-stage")?,
-        },
+        "advance" => {
+            Command::Advance { generation, from_stage: required_number(matches, "from-stage")? }
+        }
         "pause" => Command::Pause { generation },
         _ => Command::Resume { generation },
     };
@@ -238,11 +208,7 @@
         }
         Accepted::Approved { digest } => println!("approved {digest}"),
         Accepted::Rolled { generation } => println!("rolling out generation {generation}"),
-        Accepted::Advanced {
-            generation,
-            stages,
-            complete,
-        } => {
+        Accepted::Advanced { generation, stages, complete } => {
             let end = if *complete { ", complete" } else { "" };
             println!("generation {generation} reached stage {stages}{end}");
         }
--- a/crates/chutecove/src/cli/control.rs
+++ b/crates/chutecove/src/cli/control.rs
@@ -10,19 +10,12 @@
 /// Runs a control replica until it is asked to stop.
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
     let mut options = role_options();
-    options.optflag(
-        "",
-        "bootstrap",
-        "start a new fleet with the replicas of the settings",
-    );
+    options.optflag("", "bootstrap", "start a new fleet with the replicas of the settings");
     options.optflag("", "join", "start a new member that waits to be added");
     let Some(matches) = parse(options, BRIEF, arguments)? else {
         return Ok(());
     };
-    let mode = match (
-        matches.opt_present("bootstrap"),
-        matches.opt_present("join"),
-    ) {
+    let mode = match (matches.opt_present("bootstrap"), matches.opt_present("join")) {
         (true, true) => return Err(Failure::usage("--bootstrap and --join exclude each other")),
         (true, false) => StartMode::Bootstrap,
         (false, true) => StartMode::Join,
--- a/crates/chutecove/src/cli/data.rs
+++ b/crates/chutecove/src/cli/data.rs
@@ -38,17 +38,11 @@
     let listing = fs::read_dir(folder)
         .map_err(|error| Failure::usage(format!("{}: {error}", folder.display())))?;
     let is_group = |path: &PathBuf| {
-        let name = path
-            .file_name()
-            .and_then(|name| name.to_str())
-            .unwrap_or_default();
+        let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
         path.is_dir() && (name == CONFIG_GROUP || name.starts_with(CLAIM_GROUP_PREFIX))
     };
-    let mut groups: Vec<PathBuf> = listing
-        .flatten()
-        .map(|entry| entry.path())
-        .filter(is_group)
-        .collect();
+    let mut groups: Vec<PathBuf> =
+        listing.flatten().map(|entry| entry.path()).filter(is_group).collect();
     groups.sort();
     Ok(groups)
 }
@@ -72,18 +66,9 @@
         let meta = &state.snapshot.meta;
         let last = state.entries.last().map_or(meta.index, |entry| entry.index);
         println!("{}", group.display());
-        println!(
-            "  term {} vote {:?}",
-            state.hard_state.term, state.hard_state.vote
-        );
-        println!(
-            "  snapshot at {} of term {}, last entry {last}",
-            meta.index, meta.term
-        );
-        println!(
-            "  voters {:?} learners {:?}",
-            meta.membership.voters, meta.membership.learners
-        );
+        println!("  term {} vote {:?}", state.hard_state.term, state.hard_state.vote);
+        println!("  snapshot at {} of term {}, last entry {last}", meta.index, meta.term);
+        println!("  voters {:?} learners {:?}", meta.membership.voters, meta.membership.learners);
         let commands = state.entries.iter();
         let commands = commands.filter(|entry| matches!(entry.payload, Payload::Command(_)));
         println!("  {} commands after the snapshot", commands.count());
@@ -100,10 +85,7 @@
     };
     for record in machine.history() {
         let digest = record.digest.short();
-        println!(
-            "  generation {} {digest} by {}",
-            record.generation, record.operator
-        );
+        println!("  generation {} {digest} by {}", record.generation, record.operator);
     }
 }
 
@@ -112,10 +94,7 @@
     if destination.exists()
         && fs::read_dir(destination).is_ok_and(|mut files| files.next().is_some())
     {
-        return Err(Failure::usage(format!(
-            "{} is not empty",
-            destination.display()
-        )));
+        return Err(Failure::usage(format!("{} is not empty", destination.display())));
     }
     copy_folder(source, destination)
         .map_err(|error| Failure::refused(format!("{}: {error}", destination.display())))?;
--- a/crates/chutecove/src/cli/keys.rs
+++ b/crates/chutecove/src/cli/keys.rs
@@ -53,9 +53,7 @@
 }
 
 fn required(matches: &Matches, name: &str) -> Result<String, Failure> {
-    matches
-        .opt_str(name)
-        .ok_or_else(|| Failure::usage(format!("--{name} is missing")))
+    matches.opt_str(name).ok_or_else(|| Failure::usage(format!("--{name} is missing")))
 }
 
 fn file_failure(path: &Path, error: &std::io::Error) -> Failure {
@@ -63,11 +61,7 @@
 }
 
 fn write_new(path: &Path, content: &str, mode: u32) -> Result<(), Failure> {
-    let file = OpenOptions::new()
-        .write(true)
-        .create_new(true)
-        .mode(mode)
-        .open(path);
+    let file = OpenOptions::new().write(true).create_new(true).mode(mode).open(path);
     file.and_then(|mut file| file.write_all(content.as_bytes()))
         .map_err(|error| file_failure(path, &error))
 }
@@ -78,16 +72,8 @@
 
 fn init(folder: &Path, fleet: &str) -> Result<(), Failure> {
     let authority = CertificateAuthority::create(fleet).map_err(Failure::refused)?;
-    write_new(
-        &folder.join(AUTHORITY_KEY),
-        authority.key_pem(),
-        PRIVATE_MODE,
-    )?;
-    write_new(
-        &folder.join(AUTHORITY_CERTIFICATE),
-        authority.certificate_pem(),
-        0o644,
-    )?;
+    write_new(&folder.join(AUTHORITY_KEY), authority.key_pem(), PRIVATE_MODE)?;
+    write_new(&folder.join(AUTHORITY_CERTIFICATE), authority.certificate_pem(), 0o644)?;
     println!("{}", folder.join(AUTHORITY_CERTIFICATE).display());
     Ok(())
 }
@@ -103,24 +89,12 @@
     // The newest authority signs; it stands first in the file of those trusted.
     let certificate = read(&folder.join(AUTHORITY_CERTIFICATE))?;
     let authority = CertificateAuthority::from_pem(certificate, read(&folder.join(AUTHORITY_KEY))?);
-    let identity = Identity {
-        role,
-        name: name.clone(),
-        zone,
-    };
+    let identity = Identity { role, name: name.clone(), zone };
     let lifetime = Duration::from_secs(days * 24 * 3600);
     let issued = issue_certificate(&authority, &identity, lifetime).map_err(Failure::refused)?;
     // A replaced certificate is renamed into place, so that a running process never reads half.
-    replace(
-        &folder.join(format!("{name}.key")),
-        &issued.key_pem,
-        PRIVATE_MODE,
-    )?;
-    replace(
-        &folder.join(format!("{name}.pem")),
-        &issued.certificate_pem,
-        0o644,
-    )?;
+    replace(&folder.join(format!("{name}.key")), &issued.key_pem, PRIVATE_MODE)?;
+    replace(&folder.join(format!("{name}.pem")), &issued.certificate_pem, 0o644)?;
     println!("{}", folder.join(format!("{name}.pem")).display());
     Ok(())
 }
@@ -141,26 +115,17 @@
     write_new(&path, &encode_hex(pkcs8.as_ref()), PRIVATE_MODE)?;
     println!("[[operator]]");
     println!("name = \"{name}\"");
-    println!(
-        "public_key = \"{}\"",
-        encode_hex(pair.public_key().as_ref())
-    );
+    println!("public_key = \"{}\"", encode_hex(pair.public_key().as_ref()));
     println!("roles = [\"submit\"]");
     Ok(())
 }
 
 fn seal(folder: &Path) -> Result<(), Failure> {
     let path = folder.join(SEAL_KEYS);
-    let text = if path.exists() {
-        read(&path)?
-    } else {
-        String::new()
-    };
+    let text = if path.exists() { read(&path)? } else { String::new() };
     let next = text.lines().filter(|line| !line.trim().is_empty()).count() as u32 + 1;
     let mut bytes = [0; 32];
-    SystemRandom::new()
-        .fill(&mut bytes)
-        .map_err(|_| Failure::refused("no random bytes"))?;
+    SystemRandom::new().fill(&mut bytes).map_err(|_| Failure::refused("no random bytes"))?;
     let line = SealKey::new(next, bytes).to_line();
     replace(&path, &format!("{text}{}\n", line.as_str()), PRIVATE_MODE)?;
     println!("{} now holds key {next}", path.display());
@@ -170,11 +135,7 @@
 fn rotate(folder: &Path, fleet: &str) -> Result<(), Failure> {
     let old = read(&folder.join(AUTHORITY_CERTIFICATE))?;
     let authority = CertificateAuthority::create(fleet).map_err(Failure::refused)?;
-    replace(
-        &folder.join(AUTHORITY_KEY),
-        authority.key_pem(),
-        PRIVATE_MODE,
-    )?;
+    replace(&folder.join(AUTHORITY_KEY), authority.key_pem(), PRIVATE_MODE)?;
     let both = format!("{}{old}", authority.certificate_pem());
     replace(&folder.join(AUTHORITY_CERTIFICATE), &both, 0o644)?;
     println!(
--- a/crates/chutecove/src/cli/members.rs
+++ b/crates/chutecove/src/cli/members.rs
@@ -15,12 +15,7 @@
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
     let mut options = Options::new();
     operator_options(&mut options);
-    options.optopt(
-        "",
-        "groups",
-        "number of claim groups, as in control's settings (2)",
-        "N",
-    );
+    options.optopt("", "groups", "number of claim groups, as in control's settings (2)", "N");
     let Some(matches) = parse(options, BRIEF, arguments)? else {
         return Ok(());
     };
@@ -32,9 +27,7 @@
         return Ok(());
     }
     let id = free_argument(&matches, 1, "ID")?;
-    let id: u64 = id
-        .parse()
-        .map_err(|_| Failure::usage(format!("'{id}' is not a member id")))?;
+    let id: u64 = id.parse().map_err(|_| Failure::usage(format!("'{id}' is not a member id")))?;
     let change = match verb {
         "add" => MemberChange::AddLearner(id),
         "promote" => MemberChange::Promote(id),
@@ -53,10 +46,7 @@
 }
 
 fn print_members(view: &MembersView) {
-    println!(
-        "leader    {}",
-        view.leader.map_or("none".to_owned(), |id| id.to_string())
-    );
+    println!("leader    {}", view.leader.map_or("none".to_owned(), |id| id.to_string()));
     println!("voters    {:?}", view.voters);
     println!("learners  {:?}", view.learners);
     for (id, entries) in &view.behind {
--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -40,20 +40,13 @@
     let mut options = Options::new();
     options.reqopt("s", "settings", "settings file (TOML)", "FILE");
     options.optmulti("", "set", "override one setting", "KEY=VALUE");
-    options.optopt(
-        "",
-        "log-level",
-        "error, warn, info, debug or trace (info)",
-        "LEVEL",
-    );
+    options.optopt("", "log-level", "error, warn, info, debug or trace (info)", "LEVEL");
     options
 }
 
 /// Starts logging and returns the settings file with its overrides.
 pub fn start_role(matches: &Matches) -> Result<(PathBuf, Vec<String>), Failure> {
-    let level = matches
-        .opt_str("log-level")
-        .unwrap_or_else(|| "info".to_owned());
+    let level = matches.opt_str("log-level").unwrap_or_else(|| "info".to_owned());
     let level = telemetry::parse_level(&level).map_err(Failure::usage)?;
     telemetry::init_logging(level);
     let path = matches.opt_str("settings").unwrap_or_default();
@@ -62,25 +55,13 @@
 
 /// Adds the options of an operator's connection.
 pub fn operator_options(options: &mut Options) {
-    options.optopt(
-        "c",
-        "config",
-        "operator's settings file (operator.toml)",
-        "FILE",
-    );
-    options.optopt(
-        "",
-        "request-id",
-        "repeat an earlier request under its id",
-        "ID",
-    );
+    options.optopt("c", "config", "operator's settings file (operator.toml)", "FILE");
+    options.optopt("", "request-id", "repeat an earlier request under its id", "ID");
 }
 
 /// Opens an operator's connection.
 pub fn operator_client(matches: &Matches) -> Result<OperatorClient, Failure> {
-    let path = matches
-        .opt_str("config")
-        .unwrap_or_else(|| DEFAULT_OPERATOR_CONFIG.to_owned());
+    let path = matches.opt_str("config").unwrap_or_else(|| DEFAULT_OPERATOR_CONFIG.to_owned());
     OperatorClient::new(OperatorSettings::load(Path::new(&path))?)
 }
 
--- a/crates/chutecove/src/cli/settings.rs
+++ b/crates/chutecove/src/cli/settings.rs
@@ -25,11 +25,7 @@
         "control" => to_toml(&load::<ControlSettings>(path, &overrides).map_err(Failure::usage)?),
         "relay" => to_toml(&load::<RelaySettings>(path, &overrides).map_err(Failure::usage)?),
         "proxy" => to_toml(&load::<ProxySettings>(path, &overrides).map_err(Failure::usage)?),
-        other => {
-            return Err(Failure::usage(format!(
-                "'{other}' is not control, relay or proxy"
-            )))
-        }
+        other => return Err(Failure::usage(format!("'{other}' is not control, relay or proxy"))),
     };
     print!("{printed}");
     Ok(())
--- a/crates/chutecove/src/cli/status.rs
+++ b/crates/chutecove/src/cli/status.rs
@@ -44,11 +44,7 @@
         format!("base generation     {}", status["base_generation"]),
     ];
     if !status["candidate_generation"].is_null() {
-        let paused = if status["paused"] == true {
-            ", paused"
-        } else {
-            ""
-        };
+        let paused = if status["paused"] == true { ", paused" } else { "" };
         let (reached, all) = (&status["stages"][0], &status["stages"][1]);
         lines.push(format!(
             "rolling out         {} (stage {reached} of {all}{paused}; {} of {} in it applied)",
@@ -60,11 +56,7 @@
         spread["proxies"], spread["unknown"], spread["errors"]
     ));
     for entry in spread["by_generation"].as_array().into_iter().flatten() {
-        lines.push(format!(
-            "  generation {:<8} {} proxies",
-            entry[0].to_string(),
-            entry[1]
-        ));
+        lines.push(format!("  generation {:<8} {} proxies", entry[0].to_string(), entry[1]));
     }
     lines.push(format!("relays              {} in touch", spread["relays"]));
     for relay in spread["silent_relays"].as_array().into_iter().flatten() {
@@ -76,10 +68,7 @@
             laggard["proxy"].as_str().unwrap_or("?"),
             laggard["generation"],
             laggard["target"],
-            laggard["error"]
-                .as_str()
-                .map(|error| format!(": {error}"))
-                .unwrap_or_default()
+            laggard["error"].as_str().map(|error| format!(": {error}")).unwrap_or_default()
         ));
     }
     lines.join("\n") + "\n"
--- a/crates/chutecove/src/exit.rs
+++ b/crates/chutecove/src/exit.rs
@@ -23,17 +23,11 @@
 impl Failure {
     /// Wrong arguments, settings or files.
     pub fn usage(message: impl Display) -> Self {
-        Failure {
-            message: message.to_string(),
-            code: USAGE,
-        }
+        Failure { message: message.to_string(), code: USAGE }
     }
 
     /// Refused or failed.
     pub fn refused(message: impl Display) -> Self {
-        Failure {
-            message: message.to_string(),
-            code: REFUSED,
-        }
+        Failure { message: message.to_string(), code: REFUSED }
     }
 }
--- a/crates/chutecove/src/lib.rs
+++ b/crates/chutecove/src/lib.rs
@@ -73,8 +73,6 @@
             println!("chutecove {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        other => Err(Failure::usage(format!(
-            "unknown command '{other}'\n\n{USAGE}"
-        ))),
+        other => Err(Failure::usage(format!("unknown command '{other}'\n\n{USAGE}"))),
     }
 }
--- a/crates/chutecove/src/operator.rs
+++ b/crates/chutecove/src/operator.rs
@@ -60,9 +60,7 @@
     let fail = |reason: String| Failure::usage(format!("{}: {reason}", path.display()));
     let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
     let keys = SealKeys::parse(&text).map_err(|error| fail(error.to_string()))?;
-    keys.newest()
-        .cloned()
-        .ok_or_else(|| fail("the file holds no key".to_owned()))
+    keys.newest().cloned().ok_or_else(|| fail("the file holds no key".to_owned()))
 }
 
 /// A body with its path.
@@ -92,11 +90,7 @@
             .http_status_as_error(false)
             .proxy(None)
             .build();
-        Ok(OperatorClient {
-            settings,
-            key,
-            agent: config.into(),
-        })
+        Ok(OperatorClient { settings, key, agent: config.into() })
     }
 
     /// The operator's settings.
@@ -112,12 +106,7 @@
     /// Reads.
     pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
         let request_id = new_request_id();
-        self.call(&Call {
-            method: "GET",
-            path,
-            body: &[],
-            request_id: &request_id,
-        })
+        self.call(&Call { method: "GET", path, body: &[], request_id: &request_id })
     }
 
     /// Changes something. Resends carry the same request id, so that the change is made once.
@@ -128,12 +117,7 @@
         request_id: Option<&str>,
     ) -> Result<T, Failure> {
         let request_id = request_id.map_or_else(new_request_id, str::to_owned);
-        self.call(&Call {
-            method: "POST",
-            path,
-            body,
-            request_id: &request_id,
-        })
+        self.call(&Call { method: "POST", path, body, request_id: &request_id })
     }
 
     fn call<T: DeserializeOwned>(&self, call: &Call<'_>) -> Result<T, Failure> {
@@ -172,18 +156,11 @@
     }
 
     fn send(&self, address: SocketAddr, call: &Call<'_>) -> Outcome {
-        let time_s = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |since| since.as_secs());
+        let time_s =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
         let operator = &self.settings.operator;
-        let message = signing_message(
-            call.method,
-            call.path,
-            operator,
-            call.request_id,
-            time_s,
-            call.body,
-        );
+        let message =
+            signing_message(call.method, call.path, operator, call.request_id, time_s, call.body);
         let request = ureq::http::Request::builder()
             .method(call.method)
             .uri(format!("http://{address}{}", call.path))
@@ -196,10 +173,7 @@
             .map_err(ureq::Error::from)
             .and_then(|request| self.agent.run(request))
             .and_then(|mut answer| {
-                Ok((
-                    answer.status().as_u16(),
-                    answer.body_mut().read_to_string()?,
-                ))
+                Ok((answer.status().as_u16(), answer.body_mut().read_to_string()?))
             });
         match answered {
             Ok((200, text)) => Outcome::Answered(text),
@@ -237,33 +211,20 @@
 }
 
 fn refusal(error: &ApiError) -> Failure {
-    let code = if error.verdict == Verdict::NotRun {
-        REFUSED
-    } else {
-        MAY_HAVE_RUN
-    };
-    Failure {
-        message: format!("{}: {} [{}]", error.error, error.message, error.verdict),
-        code,
-    }
+    let code = if error.verdict == Verdict::NotRun { REFUSED } else { MAY_HAVE_RUN };
+    Failure { message: format!("{}: {} [{}]", error.error, error.message, error.verdict), code }
 }
 
 fn gave_up(verdict: Verdict, request_id: &str, message: &str) -> Failure {
     if verdict == Verdict::NotRun {
         let message = format!("no control replica answered: {message} [not-run]");
-        return Failure {
-            message,
-            code: UNREACHABLE,
-        };
+        return Failure { message, code: UNREACHABLE };
     }
     let message = format!(
         "not answered in time: {message} [may-have-run]; send it again with \
          --request-id {request_id} to learn the outcome without doing it twice"
     );
-    Failure {
-        message,
-        code: MAY_HAVE_RUN,
-    }
+    Failure { message, code: MAY_HAVE_RUN }
 }
 
 fn new_request_id() -> String {
@@ -283,7 +244,5 @@
         return None;
     }
     let pairs = (0..text.len()).step_by(2);
-    pairs
-        .map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok())
-        .collect()
+    pairs.map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok()).collect()
 }
--- a/crates/claims/src/machine.rs
+++ b/crates/claims/src/machine.rs
@@ -59,21 +59,11 @@
     /// Applies a committed command.
     pub fn apply(&mut self, command: &ClaimCommand) -> ClaimAnswer {
         match command {
-            ClaimCommand::Begin {
-                key,
-                request,
-                attempt,
-                now_ms,
-                keep_ms,
-            } => {
+            ClaimCommand::Begin { key, request, attempt, now_ms, keep_ms } => {
                 self.expire(*now_ms);
                 self.begin(key, request, *attempt, *keep_ms)
             }
-            ClaimCommand::Finish {
-                key,
-                attempt,
-                outcome,
-            } => self.finish(key, *attempt, outcome),
+            ClaimCommand::Finish { key, attempt, outcome } => self.finish(key, *attempt, outcome),
             ClaimCommand::Release { key, attempt } => self.release(key, *attempt),
         }
     }
@@ -129,14 +119,7 @@
         }
         let expires_ms = self.now_ms.saturating_add(keep_ms);
         let state = ClaimState::Started { attempt };
-        self.claims.insert(
-            key.to_owned(),
-            Claim {
-                request: *request,
-                expires_ms,
-                state,
-            },
-        );
+        self.claims.insert(key.to_owned(), Claim { request: *request, expires_ms, state });
         self.expiry.insert((expires_ms, key.to_owned()));
         ClaimAnswer::Started
     }
@@ -162,9 +145,7 @@
     /// Encodes the whole state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         let state = (self.now_ms, &self.claims);
-        state
-            .write_to_vec()
-            .expect("encoding to memory cannot fail")
+        state.write_to_vec().expect("encoding to memory cannot fail")
     }
 
     /// Restores what [`ClaimMachine::encode`] wrote; empty bytes stand for no claims.
@@ -173,26 +154,14 @@
             return Ok(ClaimMachine::default());
         }
         let (now_ms, claims) = <(u64, BTreeMap<ClaimKey, Claim>)>::read_from_buffer(bytes)?;
-        let expiry = claims
-            .iter()
-            .map(|(key, claim)| (claim.expires_ms, key.clone()))
-            .collect();
-        Ok(ClaimMachine {
-            claims,
-            expiry,
-            now_ms,
-            weakness: None,
-        })
+        let expiry = claims.iter().map(|(key, claim)| (claim.expires_ms, key.clone())).collect();
+        Ok(ClaimMachine { claims, expiry, now_ms, weakness: None })
     }
 }
 
 fn bounded(outcome: &Outcome) -> Outcome {
     let mut kept = outcome.clone();
-    if kept
-        .body
-        .as_ref()
-        .is_some_and(|body| body.len() > MAX_OUTCOME_BODY_BYTES)
-    {
+    if kept.body.as_ref().is_some_and(|body| body.len() > MAX_OUTCOME_BODY_BYTES) {
         kept.body = None;
     }
     kept
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -88,20 +88,10 @@
             transfer,
         };
         let id = self.config.id;
-        let voters: Vec<NodeId> = self
-            .membership
-            .voters
-            .iter()
-            .copied()
-            .filter(|voter| *voter != id)
-            .collect();
+        let voters: Vec<NodeId> =
+            self.membership.voters.iter().copied().filter(|voter| *voter != id).collect();
         for to in voters {
-            let message = Message {
-                from: id,
-                to,
-                term: campaign_term,
-                body: body.clone(),
-            };
+            let message = Message { from: id, to, term: campaign_term, body: body.clone() };
             self.out.messages.push(message);
         }
     }
@@ -160,17 +150,13 @@
     /// Returns false when the message must be ignored.
     fn observe_higher_term(&mut self, message: &Message) -> bool {
         match message.body {
-            Body::RequestVote { pre: true, .. }
-            | Body::VoteReply {
-                pre: true,
-                granted: true,
-            } => true,
+            Body::RequestVote { pre: true, .. } | Body::VoteReply { pre: true, granted: true } => {
+                true
+            }
             // A live leader protects its followers from disruptive candidates (section 4.2.3).
-            Body::RequestVote {
-                pre: false,
-                transfer: false,
-                ..
-            } if self.leader_is_recent() => false,
+            Body::RequestVote { pre: false, transfer: false, .. } if self.leader_is_recent() => {
+                false
+            }
             Body::Append { .. } | Body::SnapshotChunk { .. } => {
                 self.become_follower(message.term, Some(message.from));
                 true
@@ -189,13 +175,7 @@
                 self.reject_append(message.from, round, 0);
             }
             Body::RequestVote { pre: true, .. } => {
-                self.send(
-                    message.from,
-                    Body::VoteReply {
-                        pre: true,
-                        granted: false,
-                    },
-                );
+                self.send(message.from, Body::VoteReply { pre: true, granted: false });
             }
             _ => {}
         }
@@ -204,12 +184,7 @@
     fn handle(&mut self, message: Message) {
         let from = message.from;
         match message.body {
-            Body::RequestVote {
-                pre,
-                last_index,
-                last_term,
-                ..
-            } => {
+            Body::RequestVote { pre, last_index, last_term, .. } => {
                 let up_to_date =
                     (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
                 if pre {
@@ -230,12 +205,7 @@
         let reply_term = if granted { term } else { self.term };
         let body = Body::VoteReply { pre: true, granted };
         let id = self.config.id;
-        self.out.messages.push(Message {
-            from: id,
-            to: from,
-            term: reply_term,
-            body,
-        });
+        self.out.messages.push(Message { from: id, to: from, term: reply_term, body });
     }
 
     fn answer_vote(&mut self, from: NodeId, up_to_date: bool) {
@@ -246,13 +216,7 @@
             self.vote = Some(from);
             self.reset_election_timer();
         }
-        self.send(
-            from,
-            Body::VoteReply {
-                pre: false,
-                granted,
-            },
-        );
+        self.send(from, Body::VoteReply { pre: false, granted });
     }
 
     fn on_vote_reply(&mut self, from: NodeId, pre_reply: bool, granted: bool) {
@@ -292,10 +256,8 @@
             return;
         }
         let last = self.log.last_index();
-        let caught_up = self
-            .peers()
-            .and_then(|peers| peers.get(&peer))
-            .is_some_and(|p| p.match_index == last);
+        let caught_up =
+            self.peers().and_then(|peers| peers.get(&peer)).is_some_and(|p| p.match_index == last);
         if caught_up {
             self.send(peer, Body::TimeoutNow);
         } else {
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -45,16 +45,12 @@
 
     /// Index of the last entry.
     pub fn last_index(&self) -> Index {
-        self.entries
-            .last()
-            .map_or(self.base_index, |entry| entry.index)
+        self.entries.last().map_or(self.base_index, |entry| entry.index)
     }
 
     /// Term of the last entry.
     pub fn last_term(&self) -> Term {
-        self.entries
-            .last()
-            .map_or(self.base_term, |entry| entry.term)
+        self.entries.last().map_or(self.base_term, |entry| entry.term)
     }
 
     /// Term of the entry at `index`, if it is still held.
@@ -117,10 +113,7 @@
     }
 
     fn truncate_from(&mut self, index: Index) {
-        assert!(
-            index > self.committed,
-            "a committed entry must never be cut"
-        );
+        assert!(index > self.committed, "a committed entry must never be cut");
         let keep = index.saturating_sub(self.base_index + 1) as usize;
         self.entries.truncate(keep);
         self.persisted = self.persisted.min(index - 1);
@@ -191,20 +184,11 @@
 
     /// The membership in force: the last one appended, else the snapshot's (section 4.1).
     pub fn membership(&self) -> (Membership, Index) {
-        let appended = self
-            .entries
-            .iter()
-            .rev()
-            .find_map(|entry| match &entry.payload {
-                Payload::Membership(membership) => Some((membership.clone(), entry.index)),
-                _ => None,
-            });
-        let from_snapshot = || {
-            (
-                self.snapshot.meta.membership.clone(),
-                self.snapshot.meta.index,
-            )
-        };
+        let appended = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Membership(membership) => Some((membership.clone(), entry.index)),
+            _ => None,
+        });
+        let from_snapshot = || (self.snapshot.meta.membership.clone(), self.snapshot.meta.index);
         match appended {
             Some(found) if found.1 > self.snapshot.meta.index => found,
             _ => from_snapshot(),
@@ -214,20 +198,12 @@
     /// What a snapshot taken at `index` stands for; `None` if the entry is not held.
     pub fn meta_at(&self, index: Index) -> Option<SnapshotMeta> {
         let term = self.term_at(index)?;
-        let held = self
-            .entries
-            .iter()
-            .rev()
-            .find_map(|entry| match &entry.payload {
-                Payload::Membership(membership) if entry.index <= index => Some(membership.clone()),
-                _ => None,
-            });
+        let held = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Membership(membership) if entry.index <= index => Some(membership.clone()),
+            _ => None,
+        });
         let membership = held.unwrap_or_else(|| self.snapshot.meta.membership.clone());
-        Some(SnapshotMeta {
-            index,
-            term,
-            membership,
-        })
+        Some(SnapshotMeta { index, term, membership })
     }
 }
 
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -46,10 +46,7 @@
 impl Membership {
     /// A group of voters without learners.
     pub fn of_voters(voters: impl IntoIterator<Item = NodeId>) -> Self {
-        Membership {
-            voters: voters.into_iter().collect(),
-            learners: BTreeSet::new(),
-        }
+        Membership { voters: voters.into_iter().collect(), learners: BTreeSet::new() }
     }
 
     /// Number of voters that make a majority.
@@ -75,10 +72,7 @@
         if self.voters.symmetric_difference(&next.voters).count() > 1 {
             return Err(MembershipError::MoreThanOneVoter);
         }
-        let unknown = next
-            .voters
-            .difference(&self.voters)
-            .any(|id| !self.learners.contains(id));
+        let unknown = next.voters.difference(&self.voters).any(|id| !self.learners.contains(id));
         if unknown {
             return Err(MembershipError::NotALearner);
         }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -207,10 +207,7 @@
 
     /// Term and vote, as they must be saved.
     pub fn hard_state(&self) -> HardState {
-        HardState {
-            term: self.term,
-            vote: self.vote,
-        }
+        HardState { term: self.term, vote: self.vote }
     }
 
     /// Number of the latest heartbeat round.
@@ -251,11 +248,7 @@
         if let Err(source) = self.membership.check_change(&next) {
             return refuse(source);
         }
-        let joining = next
-            .voters
-            .difference(&self.membership.voters)
-            .next()
-            .copied();
+        let joining = next.voters.difference(&self.membership.voters).next().copied();
         if joining.is_some_and(|id| !self.caught_up(id)) {
             return refuse(MembershipError::LearnerBehind);
         }
@@ -269,9 +262,7 @@
 
     fn check_can_propose(&self) -> Result<(), ProposeError> {
         if !self.is_leader() {
-            return Err(ProposeError::NotLeader {
-                leader: self.leader(),
-            });
+            return Err(ProposeError::NotLeader { leader: self.leader() });
         }
         if self.transfer_to.is_some() {
             return Err(ProposeError::NotReady);
@@ -281,11 +272,7 @@
 
     pub(crate) fn append_own(&mut self, payload: Payload) -> Index {
         let index = self.log.last_index() + 1;
-        let entry = Entry {
-            term: self.term,
-            index,
-            payload,
-        };
+        let entry = Entry { term: self.term, index, payload };
         self.log.append(entry.clone());
         self.out.entries.push(entry);
         self.refresh_membership();
@@ -348,12 +335,7 @@
     }
 
     pub(crate) fn send(&mut self, to: NodeId, body: Body) {
-        let message = Message {
-            from: self.config.id,
-            to,
-            term: self.term,
-            body,
-        };
+        let message = Message { from: self.config.id, to, term: self.term, body };
         self.out.messages.push(message);
     }
 
--- a/crates/consensus/src/read_index.rs
+++ b/crates/consensus/src/read_index.rs
@@ -19,24 +19,15 @@
     /// Starts a read; its `context` comes back in `Ready::reads` or `Ready::failed_reads`.
     pub fn read_index(&mut self, context: u64) -> Result<(), ProposeError> {
         if !self.is_leader() {
-            return Err(ProposeError::NotLeader {
-                leader: self.leader(),
-            });
+            return Err(ProposeError::NotLeader { leader: self.leader() });
         }
         let committed = self.log.committed;
         if self.weak(Weakness::UnconfirmedReads) {
-            self.out.reads.push(ReadState {
-                context,
-                index: committed,
-            });
+            self.out.reads.push(ReadState { context, index: committed });
             return Ok(());
         }
         let index = self.committed_in_term().then_some(committed);
-        self.pending_reads.push(PendingRead {
-            context,
-            index,
-            round: self.round + 1,
-        });
+        self.pending_reads.push(PendingRead { context, index, round: self.round + 1 });
         if index.is_some() {
             self.broadcast_heartbeat();
             self.confirm_reads();
@@ -52,11 +43,7 @@
         let committed = self.log.committed;
         let next_round = self.round + 1;
         let mut released = false;
-        for read in self
-            .pending_reads
-            .iter_mut()
-            .filter(|read| read.index.is_none())
-        {
+        for read in self.pending_reads.iter_mut().filter(|read| read.index.is_none()) {
             read.index = Some(committed);
             read.round = next_round;
             released = true;
@@ -75,10 +62,7 @@
         let out = &mut self.out;
         self.pending_reads.retain(|read| match read.index {
             Some(index) if read.round <= confirmed_round => {
-                out.reads.push(ReadState {
-                    context: read.context,
-                    index,
-                });
+                out.reads.push(ReadState { context: read.context, index });
                 false
             }
             _ => true,
@@ -94,17 +78,10 @@
             .membership
             .voters
             .iter()
-            .map(|voter| {
-                peers
-                    .get(voter)
-                    .map_or(self.round, |progress| progress.acked_round)
-            })
+            .map(|voter| peers.get(voter).map_or(self.round, |progress| progress.acked_round))
             .collect();
         rounds.sort_unstable_by(|left, right| right.cmp(left));
-        rounds
-            .get(self.membership.quorum() - 1)
-            .copied()
-            .unwrap_or(0)
+        rounds.get(self.membership.quorum() - 1).copied().unwrap_or(0)
     }
 
     pub(crate) fn fail_pending_reads(&mut self) {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -15,9 +15,7 @@
 
 impl Raft {
     fn peer_ids(&self) -> Vec<NodeId> {
-        self.peers()
-            .map(|peers| peers.keys().copied().collect())
-            .unwrap_or_default()
+        self.peers().map(|peers| peers.keys().copied().collect()).unwrap_or_default()
     }
 
     pub(crate) fn broadcast_append(&mut self) {
@@ -52,13 +50,7 @@
         };
         let commit = self.log.committed;
         let round = self.round;
-        let body = Body::Append {
-            prev_index,
-            prev_term,
-            entries: Vec::new(),
-            commit,
-            round,
-        };
+        let body = Body::Append { prev_index, prev_term, entries: Vec::new(), commit, round };
         self.send(peer, body);
     }
 
@@ -82,31 +74,17 @@
             return;
         }
         let prev_index = progress.next_index - 1;
-        let entries = self
-            .log
-            .slice(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
+        let entries = self.log.slice(progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES);
         match (self.log.term_at(prev_index), entries) {
             (Some(prev_term), Some(entries)) => {
                 match progress.mode {
                     Mode::Replicate => progress.next_index += entries.len() as u64,
                     _ => progress.probe_in_flight = true,
                 }
-                self.send(
-                    peer,
-                    Body::Append {
-                        prev_index,
-                        prev_term,
-                        entries,
-                        commit,
-                        round,
-                    },
-                );
+                self.send(peer, Body::Append { prev_index, prev_term, entries, commit, round });
             }
             _ => {
-                progress.mode = Mode::Snapshot {
-                    index: snapshot_index,
-                    offset: 0,
-                };
+                progress.mode = Mode::Snapshot { index: snapshot_index, offset: 0 };
                 self.send_snapshot_chunk(peer);
             }
         }
@@ -142,32 +120,16 @@
 
     pub(crate) fn handle_replication(&mut self, from: NodeId, body: Body) {
         match body {
-            Body::Append {
-                prev_index,
-                prev_term,
-                entries,
-                commit,
-                round,
-            } => {
+            Body::Append { prev_index, prev_term, entries, commit, round } => {
                 self.follow(from);
                 self.on_append(from, prev_index, prev_term, entries, commit, round);
             }
-            Body::SnapshotChunk {
-                meta,
-                offset,
-                total,
-                data,
-                round,
-            } => {
+            Body::SnapshotChunk { meta, offset, total, data, round } => {
                 self.follow(from);
                 self.on_snapshot_chunk(from, meta, offset, total, data, round);
             }
             Body::AppendReply { round, result } => self.on_append_reply(from, round, result),
-            Body::SnapshotProgress {
-                index,
-                next_offset,
-                round,
-            } => {
+            Body::SnapshotProgress { index, next_offset, round } => {
                 self.on_snapshot_progress(from, index, next_offset, round);
             }
             _ => {}
@@ -195,10 +157,8 @@
         if prev_index < self.log.committed {
             // Everything up to the commit index equals the leader's already (section 3.6.3).
             let already = self.log.committed;
-            let later: Vec<Entry> = entries
-                .into_iter()
-                .filter(|entry| entry.index > already)
-                .collect();
+            let later: Vec<Entry> =
+                entries.into_iter().filter(|entry| entry.index > already).collect();
             self.accept_entries(from, already, later, commit, round);
             return;
         }
@@ -329,15 +289,9 @@
             return;
         }
         let index = meta.index;
-        let same = self
-            .incoming
-            .as_ref()
-            .is_some_and(|incoming| incoming.meta == meta);
+        let same = self.incoming.as_ref().is_some_and(|incoming| incoming.meta == meta);
         if !same {
-            self.incoming = Some(Snapshot {
-                meta,
-                data: Vec::new(),
-            });
+            self.incoming = Some(Snapshot { meta, data: Vec::new() });
         }
         let Some(incoming) = &mut self.incoming else {
             return;
@@ -347,14 +301,7 @@
         }
         let next_offset = incoming.data.len() as u64;
         if next_offset < total {
-            self.send(
-                from,
-                Body::SnapshotProgress {
-                    index,
-                    next_offset,
-                    round,
-                },
-            );
+            self.send(from, Body::SnapshotProgress { index, next_offset, round });
             return;
         }
         self.install_incoming(from, round);
@@ -384,11 +331,7 @@
             return;
         };
         progress.heard_from(round);
-        if let Mode::Snapshot {
-            index: sending,
-            offset,
-        } = &mut progress.mode
-        {
+        if let Mode::Snapshot { index: sending, offset } = &mut progress.mode {
             if *sending == index {
                 *offset = next_offset;
             }
--- a/crates/control/src/address_book.rs
+++ b/crates/control/src/address_book.rs
@@ -23,10 +23,7 @@
     pub fn new(settings: &ControlSettings, path: Option<PathBuf>) -> Self {
         let by_id = index(&settings.peer);
         let modified = path.as_deref().and_then(modification_time);
-        AddressBook {
-            path,
-            peers: Mutex::new(Known { by_id, modified }),
-        }
+        AddressBook { path, peers: Mutex::new(Known { by_id, modified }) }
     }
 
     pub fn get(&self, id: u64) -> Option<PeerSettings> {
@@ -62,7 +59,5 @@
 }
 
 fn modification_time(path: &Path) -> Option<SystemTime> {
-    path.metadata()
-        .and_then(|metadata| metadata.modified())
-        .ok()
+    path.metadata().and_then(|metadata| metadata.modified()).ok()
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -90,24 +90,14 @@
     let result = read_body(request).and_then(|body| route(shared, request, &body));
     result.unwrap_or_else(|(status, error)| {
         let verdict = error.verdict.as_str();
-        Response::json(&error)
-            .with_status_code(status)
-            .with_unique_header(VERDICT_HEADER, verdict)
+        Response::json(&error).with_status_code(status).with_unique_header(VERDICT_HEADER, verdict)
     })
 }
 
 fn error(status: u16, kind: &str, message: impl ToString) -> (u16, ApiError) {
     let error = kind.to_owned();
     let message = message.to_string();
-    (
-        status,
-        ApiError {
-            error,
-            message,
-            verdict: Verdict::NotRun,
-            leader_api: None,
-        },
-    )
+    (status, ApiError { error, message, verdict: Verdict::NotRun, leader_api: None })
 }
 
 fn read_body(request: &rouille::Request) -> Result<Vec<u8>, (u16, ApiError)> {
@@ -118,11 +108,7 @@
     let read = reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
     read.map_err(|cause| error(400, "body_unreadable", cause))?;
     if body.len() as u64 > MAX_BODY_BYTES {
-        return Err(error(
-            413,
-            "body_too_large",
-            format!("at most {MAX_BODY_BYTES} bytes"),
-        ));
+        return Err(error(413, "body_too_large", format!("at most {MAX_BODY_BYTES} bytes")));
     }
     Ok(body)
 }
@@ -132,19 +118,10 @@
     match (request.method(), path.as_str()) {
         ("POST", "/v1/submit") => {
             authenticate(shared, request, body, Some("submit"))?;
-            let version = request
-                .get_param("version")
-                .and_then(|text| text.parse().ok());
+            let version = request.get_param("version").and_then(|text| text.parse().ok());
             let version = version
                 .ok_or_else(|| error(400, "bad_version", "?version= must be a whole number"))?;
-            execute(
-                shared,
-                request,
-                Command::Submit {
-                    version,
-                    compressed: body.to_vec(),
-                },
-            )
+            execute(shared, request, Command::Submit { version, compressed: body.to_vec() })
         }
         ("POST", "/v1/commands") => command(shared, request, body),
         ("POST", "/v1/members") => change_members(shared, request, body),
@@ -154,9 +131,7 @@
         ("GET", "/v1/members") => read(shared, request, body, list_members),
         ("GET", path) if path.starts_with("/v1/bundles/") => {
             let digest = path.trim_start_matches("/v1/bundles/").to_owned();
-            read(shared, request, body, move |shared| {
-                show_bundle(shared, &digest)
-            })
+            read(shared, request, body, move |shared| show_bundle(shared, &digest))
         }
         _ => Err(error(404, "no_such_path", "see docs/API.md")),
     }
@@ -178,14 +153,11 @@
         signature: request.header(SIGNATURE_HEADER),
         body,
     };
-    shared
-        .operators
-        .authenticate(&incoming, role)
-        .map_err(|cause| match cause {
-            AuthenticationError::Forbidden { .. } => error(403, "forbidden", cause),
-            AuthenticationError::Operators { .. } => error(500, "operators_unreadable", cause),
-            _ => error(401, "not_authenticated", cause),
-        })
+    shared.operators.authenticate(&incoming, role).map_err(|cause| match cause {
+        AuthenticationError::Forbidden { .. } => error(403, "forbidden", cause),
+        AuthenticationError::Operators { .. } => error(500, "operators_unreadable", cause),
+        _ => error(401, "not_authenticated", cause),
+    })
 }
 
 fn command(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
@@ -198,14 +170,8 @@
     };
     authenticate(shared, request, body, Some(role))?;
     if let Command::Approve { digest, signature } = &command {
-        let operator = request
-            .header(OPERATOR_HEADER)
-            .unwrap_or_default()
-            .to_owned();
-        let approval = Approval {
-            operator,
-            signature: signature.clone(),
-        };
+        let operator = request.header(OPERATOR_HEADER).unwrap_or_default().to_owned();
+        let approval = Approval { operator, signature: signature.clone() };
         let verified = shared.operators.verify_approval(digest, &approval);
         verified.map_err(|cause| error(401, "bad_approval", cause))?;
     }
@@ -214,14 +180,8 @@
 
 fn execute(shared: &Shared, request: &rouille::Request, command: Command) -> ApiResult {
     let proposal = Request {
-        operator: request
-            .header(OPERATOR_HEADER)
-            .unwrap_or_default()
-            .to_owned(),
-        request_id: request
-            .header(REQUEST_ID_HEADER)
-            .unwrap_or_default()
-            .to_owned(),
+        operator: request.header(OPERATOR_HEADER).unwrap_or_default().to_owned(),
+        request_id: request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned(),
         command,
     };
     let operator = proposal.operator.clone();
@@ -240,10 +200,7 @@
 
 fn refused(refusal: &Refusal) -> (u16, ApiError) {
     let kind = serde_json::to_value(refusal).ok();
-    let kind = kind
-        .as_ref()
-        .and_then(|value| value.get("kind"))
-        .and_then(|kind| kind.as_str());
+    let kind = kind.as_ref().and_then(|value| value.get("kind")).and_then(|kind| kind.as_str());
     let (status, mut body) = error(409, kind.unwrap_or("refused"), refusal);
     body.verdict = refusal.verdict();
     (status, body)
@@ -257,10 +214,7 @@
     };
     let (status, mut body) = error(status, kind, cause);
     body.verdict = cause.verdict();
-    if let RequestError::NotLeader {
-        leader: Some(leader),
-    } = cause
-    {
+    if let RequestError::NotLeader { leader: Some(leader) } = cause {
         body.leader_api = shared.addresses.get(*leader).map(|peer| peer.api_address);
     }
     (status, body)
@@ -317,25 +271,18 @@
 }
 
 fn show_bundle(shared: &Shared, digest: &str) -> ApiResult {
-    let digest: Digest = digest
-        .parse()
-        .map_err(|cause| error(400, "bad_digest", cause))?;
+    let digest: Digest = digest.parse().map_err(|cause| error(400, "bad_digest", cause))?;
     let published = shared.groups.config.lock();
     let stored = published.machine.0.bundle(&digest);
     let stored = stored.ok_or_else(|| error(404, "unknown_bundle", "no such bundle"))?;
     let show = |object| match object {
         &bundle::Object::Service(ref service) => ShownObject::Service(service),
         &bundle::Object::Route(ref route) => ShownObject::Route(route),
-        &bundle::Object::Secret(ref secret) => ShownObject::Secret {
-            name: &secret.name,
-            key_id: secret.key_id,
-        },
+        &bundle::Object::Secret(ref secret) => {
+            ShownObject::Secret { name: &secret.name, key_id: secret.key_id }
+        }
     };
-    let objects = stored
-        .bundle
-        .objects()
-        .values()
-        .map(|hashed| show(&hashed.object));
+    let objects = stored.bundle.objects().values().map(|hashed| show(&hashed.object));
     Ok(Response::json(&objects.collect::<Vec<_>>()))
 }
 
@@ -343,16 +290,8 @@
     let published = shared.groups.config.lock();
     let status = &published.status;
     let last = status.applied;
-    let behind = status
-        .matched
-        .iter()
-        .map(|(id, at)| (*id, last.saturating_sub(*at)))
-        .collect();
-    Ok(Response::json(&members_view(
-        &status.membership,
-        status.leader,
-        behind,
-    )))
+    let behind = status.matched.iter().map(|(id, at)| (*id, last.saturating_sub(*at))).collect();
+    Ok(Response::json(&members_view(&status.membership, status.leader, behind)))
 }
 
 fn members_view(
@@ -395,9 +334,5 @@
     changed.map_err(|cause| request_error(shared, &cause))?;
     let published = shared.groups.config.lock();
     let status = &published.status;
-    Ok(Response::json(&members_view(
-        &status.membership,
-        status.leader,
-        Vec::new(),
-    )))
+    Ok(Response::json(&members_view(&status.membership, status.leader, Vec::new())))
 }
--- a/crates/control/src/authentication.rs
+++ b/crates/control/src/authentication.rs
@@ -108,36 +108,19 @@
         request: &IncomingRequest<'_>,
         role: Option<&'static str>,
     ) -> Result<(), AuthenticationError> {
-        let operator = request.operator.context(MissingSnafu {
-            header: OPERATOR_HEADER,
-        })?;
-        let request_id = request.request_id.context(MissingSnafu {
-            header: REQUEST_ID_HEADER,
-        })?;
-        let time = request.time_s.context(MissingSnafu {
-            header: TIME_HEADER,
-        })?;
-        let time_s: u64 = time.parse().ok().context(MalformedSnafu {
-            header: TIME_HEADER,
-        })?;
-        let signature = request.signature.context(MissingSnafu {
-            header: SIGNATURE_HEADER,
-        })?;
-        let signature = decode_hex(signature).context(MalformedSnafu {
-            header: SIGNATURE_HEADER,
-        })?;
-        ensure!(
-            unix_time_s().abs_diff(time_s) <= MAX_CLOCK_DIFFERENCE_S,
-            ExpiredSnafu
-        );
-        let listed = settings::load_operators(&self.path)
-            .context(OperatorsSnafu)?
-            .operator;
+        let operator = request.operator.context(MissingSnafu { header: OPERATOR_HEADER })?;
+        let request_id = request.request_id.context(MissingSnafu { header: REQUEST_ID_HEADER })?;
+        let time = request.time_s.context(MissingSnafu { header: TIME_HEADER })?;
+        let time_s: u64 = time.parse().ok().context(MalformedSnafu { header: TIME_HEADER })?;
+        let signature = request.signature.context(MissingSnafu { header: SIGNATURE_HEADER })?;
+        let signature =
+            decode_hex(signature).context(MalformedSnafu { header: SIGNATURE_HEADER })?;
+        ensure!(unix_time_s().abs_diff(time_s) <= MAX_CLOCK_DIFFERENCE_S, ExpiredSnafu);
+        let listed = settings::load_operators(&self.path).context(OperatorsSnafu)?.operator;
         let keys = operator_keys(&listed).context(SignatureSnafu)?;
         let (method, path, body) = (request.method, request.path, request.body);
         let message = signing_message(method, path, operator, request_id, time_s, body);
-        keys.verify(operator, &message, &signature)
-            .context(SignatureSnafu)?;
+        keys.verify(operator, &message, &signature).context(SignatureSnafu)?;
         let Some(role) = role else { return Ok(()) };
         let entry = listed.iter().find(|entry| entry.name == operator);
         let allowed = entry.is_some_and(|entry| entry.roles.iter().any(|held| held == role));
@@ -151,12 +134,9 @@
         digest: &Digest,
         approval: &bundle::Approval,
     ) -> Result<(), AuthenticationError> {
-        let listed = settings::load_operators(&self.path)
-            .context(OperatorsSnafu)?
-            .operator;
+        let listed = settings::load_operators(&self.path).context(OperatorsSnafu)?.operator;
         let keys = operator_keys(&listed).context(SignatureSnafu)?;
-        keys.verify_approval(digest, approval)
-            .context(SignatureSnafu)
+        keys.verify_approval(digest, approval).context(SignatureSnafu)
     }
 }
 
@@ -169,9 +149,7 @@
 }
 
 fn unix_time_s() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_secs())
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
 }
 
 fn decode_hex(text: &str) -> Option<Vec<u8>> {
@@ -179,7 +157,5 @@
         return None;
     }
     let pairs = (0..text.len()).step_by(2);
-    pairs
-        .map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok())
-        .collect()
+    pairs.map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok()).collect()
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -173,18 +173,12 @@
             quorum_contact: None,
         };
         thread::spawn(move || driver.run(received));
-        Ok(Replica {
-            inputs,
-            published,
-            changed,
-        })
+        Ok(Replica { inputs, published, changed })
     }
 
     /// The state machine and status.
     pub fn lock(&self) -> MutexGuard<'_, Published<M>> {
-        self.published
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.published.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits for a change of the state machine or the status.
@@ -209,9 +203,7 @@
         command: M::Command,
         timeout: Duration,
     ) -> Result<M::Answer, RequestError> {
-        self.request(timeout, Verdict::MayHaveRun, |reply| {
-            Input::Propose(command, reply)
-        })
+        self.request(timeout, Verdict::MayHaveRun, |reply| Input::Propose(command, reply))
     }
 
     /// Waits until this replica has applied everything committed before the call, confirmed by a
@@ -238,9 +230,7 @@
     ) -> Result<T, RequestError> {
         let (reply, answer) = sync_channel(1);
         if self.inputs.send(input(reply)).is_err() {
-            return Err(RequestError::Unanswered {
-                verdict: Verdict::NotRun,
-            });
+            return Err(RequestError::Unanswered { verdict: Verdict::NotRun });
         }
         let unanswered = RequestError::Unanswered { verdict };
         answer.recv_timeout(timeout).unwrap_or(Err(unanswered))
@@ -330,9 +320,7 @@
                 let furthest = self.raft.peers().and_then(|peers| {
                     let voters = &self.raft.membership().voters;
                     let eligible = peers.iter().filter(|(id, _)| voters.contains(id));
-                    eligible
-                        .max_by_key(|(_, progress)| progress.match_index)
-                        .map(|(id, _)| *id)
+                    eligible.max_by_key(|(_, progress)| progress.match_index).map(|(id, _)| *id)
                 });
                 if let Some(peer) = furthest {
                     self.raft.transfer_leadership(peer);
@@ -353,8 +341,7 @@
         };
         match self.raft.propose(encoded) {
             Ok((term, index)) => {
-                self.proposals
-                    .insert(index, (term, Proposal::Command(reply)));
+                self.proposals.insert(index, (term, Proposal::Command(reply)));
             }
             Err(refusal) => {
                 let _ = reply.try_send(Err(request_error(refusal)));
@@ -411,8 +398,7 @@
         }
         if let Some(snapshot) = &ready.snapshot {
             let retained = self.raft.log().retained();
-            self.store
-                .checkpoint(self.raft.hard_state(), snapshot, retained)?;
+            self.store.checkpoint(self.raft.hard_state(), snapshot, retained)?;
         } else {
             self.store.save(ready.hard_state, &ready.entries)?;
         }
@@ -470,12 +456,7 @@
                 return Some(proposal);
             }
             // Another entry took this place: the proposal can never be committed.
-            refuse(
-                proposal,
-                RequestError::Unanswered {
-                    verdict: Verdict::NotRun,
-                },
-            );
+            refuse(proposal, RequestError::Unanswered { verdict: Verdict::NotRun });
             None
         });
         match &entry.payload {
@@ -520,10 +501,7 @@
     }
 
     fn publish_status(&mut self) {
-        let mut published = self
-            .published
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
         let status = &mut published.status;
         let is_leader = self.raft.is_leader();
         let leader_changed = status.is_leader != is_leader || status.leader != self.raft.leader();
@@ -537,12 +515,7 @@
         status.matched = self
             .raft
             .peers()
-            .map(|peers| {
-                peers
-                    .iter()
-                    .map(|(id, peer)| (*id, peer.match_index))
-                    .collect()
-            })
+            .map(|peers| peers.iter().map(|(id, peer)| (*id, peer.match_index)).collect())
             .unwrap_or_default();
         let (leader, term) = (status.leader, status.term);
         drop(published);
@@ -554,18 +527,14 @@
 
     fn checkpoint(&mut self) -> Result<(), StorageError> {
         let (applied, data) = {
-            let published = self
-                .published
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
+            let published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
             (published.status.applied, published.machine.encode())
         };
         let Some(snapshot) = self.raft.compact(applied, data) else {
             return Ok(());
         };
         let retained = self.raft.log().retained();
-        self.store
-            .checkpoint(self.raft.hard_state(), &snapshot, retained)?;
+        self.store.checkpoint(self.raft.hard_state(), &snapshot, retained)?;
         info!(group = %self.parameters.group, index = applied, "checkpoint_made");
         Ok(())
     }
@@ -585,11 +554,9 @@
 fn request_error(error: ProposeError) -> RequestError {
     match error {
         ProposeError::NotLeader { leader } => RequestError::NotLeader { leader },
-        ProposeError::NotReady => RequestError::Refused {
-            reason: "the leader is handing over its office".to_owned(),
-        },
-        ProposeError::Membership { source } => RequestError::Refused {
-            reason: source.to_string(),
-        },
+        ProposeError::NotReady => {
+            RequestError::Refused { reason: "the leader is handing over its office".to_owned() }
+        }
+        ProposeError::Membership { source } => RequestError::Refused { reason: source.to_string() },
     }
 }
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -150,10 +150,7 @@
     check_certificate(&tls, &settings)?;
     let operators = OperatorDirectory::new(settings.operators_file.clone());
     operators.check().context(OperatorsSnafu)?;
-    let identity = FolderIdentity {
-        fleet: settings.fleet.clone(),
-        member: settings.member_id,
-    };
+    let identity = FolderIdentity { fleet: settings.fleet.clone(), member: settings.member_id };
     let create = mode != StartMode::Resume;
     let folder = open_data_folder(&settings.data_dir, &identity, create).context(StorageSnafu)?;
     let addresses = Arc::new(AddressBook::new(&settings, settings_path));
@@ -182,20 +179,12 @@
         Arc::new(move |connection| serve::serve(&for_handler, connection)),
     );
     let api_listen = shared.settings.api_listen;
-    let api_address = api::spawn(shared.clone()).map_err(|cause| ControlError::Api {
-        address: api_listen,
-        reason: cause.to_string(),
-    })?;
+    let api_address = api::spawn(shared.clone())
+        .map_err(|cause| ControlError::Api { address: api_listen, reason: cause.to_string() })?;
     spawn_reloads(&shared, tls);
     spawn_advancer(&shared);
     info!(member = shared.settings.member_id, %address, %api_address, "control_started");
-    Ok(RunningControl {
-        shared,
-        stop,
-        _folder: folder,
-        address,
-        api_address,
-    })
+    Ok(RunningControl { shared, stop, _folder: folder, address, api_address })
 }
 
 fn check_certificate(tls: &TlsIdentity, settings: &ControlSettings) -> Result<(), ControlError> {
@@ -250,18 +239,14 @@
         checkpoint_bytes: settings.checkpoint_bytes,
     };
     let transport = transport.clone();
-    Replica::start(parameters, move |message| {
-        transport.send(GroupMessage { group, message })
-    })
+    Replica::start(parameters, move |message| transport.send(GroupMessage { group, message }))
 }
 
 fn metrics(registry: &Registry) -> ControlMetrics {
     ControlMetrics {
         relay_sent_bytes: registry.counter("control_relay_sent_bytes", "Frames sent to relays"),
-        relay_received_bytes: registry.counter(
-            "control_relay_received_bytes",
-            "Frames received from relays",
-        ),
+        relay_received_bytes: registry
+            .counter("control_relay_received_bytes", "Frames received from relays"),
         readers: registry.gauge("control_readers", "Relays served"),
         readers_turned_away: registry
             .counter("control_readers_turned_away", "Relays told to come back"),
@@ -279,10 +264,7 @@
         }),
         status: Box::new(move || own_status(&for_status)),
     };
-    server
-        .run(shared.settings.metrics_listen)
-        .context(MetricsSnafu)
-        .map(|_| ())
+    server.run(shared.settings.metrics_listen).context(MetricsSnafu).map(|_| ())
 }
 
 fn own_status(shared: &Shared) -> String {
@@ -341,11 +323,7 @@
             let Some(command) = command else { continue };
             let request_id = format!("advance-{now_ms}-{}", fastrand::u64(..));
             let operator = CONTROL_OPERATOR.to_owned();
-            let request = Request {
-                operator,
-                request_id,
-                command,
-            };
+            let request = Request { operator, request_id, command };
             match shared.groups.config.propose(request, ADVANCE_TIMEOUT) {
                 Ok(answer) => info!(answer = ?answer, "rollout_advanced"),
                 Err(error) => warn!(%error, "rollout_not_advanced"),
@@ -359,10 +337,7 @@
     pub fn wait(&self) {
         self.stop.wait();
         info!("control_stopping");
-        self.shared
-            .groups
-            .config
-            .transfer_leadership(TRANSFER_TIMEOUT);
+        self.shared.groups.config.transfer_leadership(TRANSFER_TIMEOUT);
         for replica in &self.shared.groups.claims {
             replica.transfer_leadership(TRANSFER_TIMEOUT);
         }
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -67,9 +67,7 @@
 
 fn turn_away(connection: &mut ServerConnection) -> Result<(), WireError> {
     let _: WatchRequest = connection.receive(REQUEST_TIMEOUT)?;
-    connection.send(&WatchReply::Busy {
-        retry_after_ms: fastrand::u32(READER_RETRY_AFTER_MS),
-    })
+    connection.send(&WatchReply::Busy { retry_after_ms: fastrand::u32(READER_RETRY_AFTER_MS) })
 }
 
 fn answer_watches(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
@@ -89,9 +87,7 @@
     let mut published = replica.lock();
     loop {
         if !published.status.is_leader {
-            return WatchReply::NotLeader {
-                leader: published.status.leader,
-            };
+            return WatchReply::NotLeader { leader: published.status.leader };
         }
         let left = deadline.saturating_duration_since(Instant::now());
         let newer = published.machine.0.view().revision > request.revision;
@@ -110,10 +106,7 @@
 
 fn quorum_is_recent(shared: &Shared, published: &Published<ConfigState>) -> bool {
     let longest = Duration::from_millis(shared.settings.election_ms);
-    published
-        .status
-        .quorum_contact
-        .is_some_and(|contact| contact.elapsed() < longest)
+    published.status.quorum_contact.is_some_and(|contact| contact.elapsed() < longest)
 }
 
 fn changed_since(published: &Published<ConfigState>, request: &WatchRequest) -> WatchReply {
@@ -122,13 +115,8 @@
     if view.revision <= request.revision {
         return WatchReply::Unchanged;
     }
-    let base: Option<Bundle> = request
-        .held
-        .iter()
-        .find_map(|digest| machine.content(digest));
-    let needed = view
-        .targets()
-        .filter(|target| !request.held.contains(&target.digest));
+    let base: Option<Bundle> = request.held.iter().find_map(|digest| machine.content(digest));
+    let needed = view.targets().filter(|target| !request.held.contains(&target.digest));
     let updates: Vec<BundleUpdate> = needed
         .filter_map(|target| machine.content(&target.digest))
         .map(|target| best_update(base.as_ref(), &target))
@@ -158,14 +146,9 @@
     if !published.status.is_leader || confirmed.is_err() {
         return ReportReply::NotLeader { leader };
     }
-    let confirmed_revision = confirmed
-        .ok()
-        .flatten()
-        .map(|_| published.machine.0.view().revision);
+    let confirmed_revision = confirmed.ok().flatten().map(|_| published.machine.0.view().revision);
     drop(published);
-    shared
-        .lock_spread()
-        .record(shared.clock.now_ms(), request.report);
+    shared.lock_spread().record(shared.clock.now_ms(), request.report);
     ReportReply::Done { confirmed_revision }
 }
 
@@ -181,42 +164,26 @@
     let groups = shared.groups.claims.len() as u32;
     let group = group_of(request.command.key(), groups);
     let Some(replica) = shared.groups.claims.get(group as usize) else {
-        return ClaimReply::Unavailable {
-            verdict: verdict::Verdict::NotRun,
-        };
+        return ClaimReply::Unavailable { verdict: verdict::Verdict::NotRun };
     };
     let command = stamp(request.command);
     match replica.propose(command, CLAIM_TIMEOUT) {
         Ok(answer) => ClaimReply::Answer(answer),
         Err(RequestError::NotLeader { leader }) => ClaimReply::NotLeader { leader },
-        Err(error) => ClaimReply::Unavailable {
-            verdict: error.verdict(),
-        },
+        Err(error) => ClaimReply::Unavailable { verdict: error.verdict() },
     }
 }
 
 /// Replaces the proxy's clock by the leader's.
 fn stamp(command: ClaimCommand) -> ClaimCommand {
     match command {
-        ClaimCommand::Begin {
-            key,
-            request,
-            attempt,
-            keep_ms,
-            ..
-        } => ClaimCommand::Begin {
-            key,
-            request,
-            attempt,
-            keep_ms,
-            now_ms: wall_clock_ms(),
-        },
+        ClaimCommand::Begin { key, request, attempt, keep_ms, .. } => {
+            ClaimCommand::Begin { key, request, attempt, keep_ms, now_ms: wall_clock_ms() }
+        }
         other => other,
     }
 }
 
 fn wall_clock_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
--- a/crates/control/src/transport.rs
+++ b/crates/control/src/transport.rs
@@ -24,20 +24,14 @@
 
 impl Transport {
     pub fn new(tls: Arc<TlsIdentity>, addresses: Arc<AddressBook>) -> Self {
-        Transport {
-            tls,
-            addresses,
-            queues: Mutex::default(),
-        }
+        Transport { tls, addresses, queues: Mutex::default() }
     }
 
     /// Queues a message for its receiver, or drops it.
     pub fn send(&self, message: GroupMessage) {
         let peer = message.message.to;
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
-        let queue = queues
-            .entry(peer)
-            .or_insert_with(|| self.start_sender(peer));
+        let queue = queues.entry(peer).or_insert_with(|| self.start_sender(peer));
         if let Err(TrySendError::Disconnected(_)) = queue.try_send(message) {
             queues.remove(&peer);
         }
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -34,11 +34,7 @@
 impl EndpointKey {
     /// Names a back end of a service.
     pub fn new(service: &str, address: SocketAddr) -> Self {
-        EndpointKey {
-            service: service.to_owned(),
-            address: address.ip(),
-            port: address.port(),
-        }
+        EndpointKey { service: service.to_owned(), address: address.ip(), port: address.port() }
     }
 
     /// Where it listens.
--- a/crates/endpoints/src/subset.rs
+++ b/crates/endpoints/src/subset.rs
@@ -53,11 +53,7 @@
         })
         .collect();
     ranked.sort_unstable_by_key(|(distance, rank, _)| (*distance, *rank));
-    ranked
-        .into_iter()
-        .take(size)
-        .map(|(_, _, endpoint)| endpoint)
-        .collect()
+    ranked.into_iter().take(size).map(|(_, _, endpoint)| endpoint).collect()
 }
 
 fn distance(zone: &str, region: &str, endpoint: &Endpoint) -> u8 {
--- a/crates/endpoints/src/table.rs
+++ b/crates/endpoints/src/table.rs
@@ -29,10 +29,7 @@
 
 impl Default for MassExpiryGuard {
     fn default() -> Self {
-        MassExpiryGuard {
-            max_vanished_percent: 50,
-            confirmations: 60,
-        }
+        MassExpiryGuard { max_vanished_percent: 50, confirmations: 60 }
     }
 }
 
@@ -112,12 +109,8 @@
             self.merge(endpoint.clone());
         }
         let present: BTreeSet<&EndpointKey> = listed.iter().map(|endpoint| &endpoint.key).collect();
-        let vanished: Vec<EndpointKey> = self
-            .entries
-            .keys()
-            .filter(|key| !present.contains(key))
-            .cloned()
-            .collect();
+        let vanished: Vec<EndpointKey> =
+            self.entries.keys().filter(|key| !present.contains(key)).cloned().collect();
         self.remove_vanished(vanished);
     }
 
@@ -130,10 +123,7 @@
                 endpoint.state = endpoint.state.max(tombstone.state);
             }
         }
-        let mark = LeavingMark {
-            key: endpoint.key.clone(),
-            incarnation: endpoint.incarnation,
-        };
+        let mark = LeavingMark { key: endpoint.key.clone(), incarnation: endpoint.incarnation };
         if self.marks.contains_key(&mark) {
             endpoint.state = EndpointState::Leaving;
         }
@@ -151,13 +141,7 @@
         self.sequence += 1;
         self.tombstones.remove(&endpoint.key);
         let key = endpoint.key.clone();
-        self.entries.insert(
-            key,
-            Entry {
-                endpoint,
-                sequence: self.sequence,
-            },
-        );
+        self.entries.insert(key, Entry { endpoint, sequence: self.sequence });
     }
 
     /// Removes endpoints that the list no longer has, unless too many of a service vanish at once.
@@ -166,8 +150,7 @@
         for key in vanished {
             by_service.entry(key.service.clone()).or_default().push(key);
         }
-        self.suspicious_readings
-            .retain(|service, _| by_service.contains_key(service));
+        self.suspicious_readings.retain(|service, _| by_service.contains_key(service));
         for (service, keys) in by_service {
             if self.loss_is_believed(&service, &keys) {
                 self.suspicious_readings.remove(&service);
@@ -178,24 +161,14 @@
 
     fn loss_is_believed(&mut self, service: &str, vanished: &[EndpointKey]) -> bool {
         let live = |key: &&EndpointKey| {
-            self.entries
-                .get(*key)
-                .is_some_and(|entry| entry.endpoint.state == EndpointState::Live)
+            self.entries.get(*key).is_some_and(|entry| entry.endpoint.state == EndpointState::Live)
         };
         let lost = vanished.iter().filter(live).count();
-        let total = self
-            .entries
-            .keys()
-            .filter(|key| key.service == service)
-            .filter(live)
-            .count();
+        let total = self.entries.keys().filter(|key| key.service == service).filter(live).count();
         if lost * 100 <= total * self.guard.max_vanished_percent {
             return true;
         }
-        let readings = self
-            .suspicious_readings
-            .entry(service.to_owned())
-            .or_default();
+        let readings = self.suspicious_readings.entry(service.to_owned()).or_default();
         *readings += 1;
         *readings >= self.guard.confirmations
     }
@@ -217,10 +190,7 @@
     }
 
     fn prune_oldest_tombstone(&mut self) {
-        let oldest = self
-            .tombstones
-            .iter()
-            .min_by_key(|(_, tombstone)| tombstone.sequence);
+        let oldest = self.tombstones.iter().min_by_key(|(_, tombstone)| tombstone.sequence);
         let Some((key, sequence)) = oldest.map(|(key, found)| (key.clone(), found.sequence)) else {
             return;
         };
@@ -278,6 +248,10 @@
         sequence: u64,
         services: &BTreeSet<String>,
     ) -> Option<EndpointUpdate> {
+        // A table that was never filled has nothing to say, not even that it is empty.
+        if self.sequence == 0 {
+            return None;
+        }
         let full = epoch != self.epoch || sequence < self.pruned_until || sequence == 0;
         let since = if full { 0 } else { sequence };
         let wanted = |key: &EndpointKey| services.contains(&key.service);
@@ -301,23 +275,11 @@
             return None;
         }
         let (epoch, sequence) = (self.epoch, self.sequence);
-        Some(EndpointUpdate {
-            epoch,
-            sequence,
-            full,
-            changed,
-            removed,
-            subscribers,
-        })
+        Some(EndpointUpdate { epoch, sequence, full, changed, removed, subscribers })
     }
 
     fn subscribers_of(&self, services: &BTreeSet<String>) -> Vec<(String, u32)> {
-        let wanted = self
-            .subscribers
-            .iter()
-            .filter(|(service, _)| services.contains(*service));
-        wanted
-            .map(|(service, count)| (service.clone(), *count))
-            .collect()
+        let wanted = self.subscribers.iter().filter(|(service, _)| services.contains(*service));
+        wanted.map(|(service, count)| (service.clone(), *count)).collect()
     }
 }
--- a/crates/endpoints/src/view.rs
+++ b/crates/endpoints/src/view.rs
@@ -43,15 +43,11 @@
     }
 
     fn apply_full(&mut self, update: EndpointUpdate) {
-        let listed: BTreeSet<EndpointKey> = update
-            .changed
-            .iter()
-            .map(|endpoint| endpoint.key.clone())
-            .collect();
+        let listed: BTreeSet<EndpointKey> =
+            update.changed.iter().map(|endpoint| endpoint.key.clone()).collect();
         let services: BTreeSet<String> = listed.iter().map(|key| key.service.clone()).collect();
         // A service that a (restarted) relay knows nothing of yet keeps its last known set.
-        self.endpoints
-            .retain(|key, _| listed.contains(key) || !services.contains(&key.service));
+        self.endpoints.retain(|key, _| listed.contains(key) || !services.contains(&key.service));
         self.apply_changes(update);
     }
 
@@ -69,10 +65,7 @@
     }
 
     fn merge(&mut self, mut endpoint: Endpoint) {
-        let mark = LeavingMark {
-            key: endpoint.key.clone(),
-            incarnation: endpoint.incarnation,
-        };
+        let mark = LeavingMark { key: endpoint.key.clone(), incarnation: endpoint.incarnation };
         if self.own_marks.contains(&mark) {
             endpoint.state = EndpointState::Leaving;
         }
@@ -91,10 +84,7 @@
     /// report, if it is news.
     pub fn observe_leaving(&mut self, key: &EndpointKey) -> Option<LeavingMark> {
         let endpoint = self.endpoints.get_mut(key)?;
-        let mark = LeavingMark {
-            key: key.clone(),
-            incarnation: endpoint.incarnation,
-        };
+        let mark = LeavingMark { key: key.clone(), incarnation: endpoint.incarnation };
         if !self.own_marks.insert(mark.clone()) {
             return None;
         }
--- a/crates/forward/src/balance.rs
+++ b/crates/forward/src/balance.rs
@@ -94,11 +94,7 @@
 impl Balancer {
     /// A balancer without upstreams.
     pub fn new(identity: BalancerIdentity, policy: OutlierPolicy) -> Self {
-        Balancer {
-            identity,
-            policy,
-            services: BTreeMap::new(),
-        }
+        Balancer { identity, policy, services: BTreeMap::new() }
     }
 
     /// Takes over the live endpoints for the services given.
@@ -143,23 +139,15 @@
                 load: 0.0,
                 load_ms: now_ms,
             };
-            let upstream = state
-                .upstreams
-                .entry(endpoint.key.clone())
-                .or_insert_with(fresh);
+            let upstream = state.upstreams.entry(endpoint.key.clone()).or_insert_with(fresh);
             if upstream.incarnation != endpoint.incarnation {
                 let in_flight = upstream.in_flight;
-                *upstream = Upstream {
-                    in_flight,
-                    ..fresh()
-                };
+                *upstream = Upstream { in_flight, ..fresh() };
             }
             upstream.limit.set_ceiling(connections);
         }
         let subset = &state.subset;
-        state
-            .upstreams
-            .retain(|key, upstream| upstream.in_flight > 0 || subset.contains(key));
+        state.upstreams.retain(|key, upstream| upstream.in_flight > 0 || subset.contains(key));
     }
 
     /// Takes an upstream out at once, before the next update of the view.
@@ -177,15 +165,9 @@
         now_ms: u64,
         random: &mut fastrand::Rng,
     ) -> Result<EndpointKey, PickError> {
-        let state = self
-            .services
-            .get_mut(service)
-            .ok_or(PickError::NoUpstream)?;
-        let known: Vec<&EndpointKey> = state
-            .subset
-            .iter()
-            .filter(|key| !exclude.contains(key))
-            .collect();
+        let state = self.services.get_mut(service).ok_or(PickError::NoUpstream)?;
+        let known: Vec<&EndpointKey> =
+            state.subset.iter().filter(|key| !exclude.contains(key)).collect();
         if known.is_empty() {
             return Err(PickError::NoUpstream);
         }
@@ -194,11 +176,8 @@
             let upstream = &state.upstreams[key];
             upstream.in_flight < upstream.limit.current()
         };
-        let mut candidates: Vec<&EndpointKey> = known
-            .iter()
-            .copied()
-            .filter(|key| healthy(key) && has_room(key))
-            .collect();
+        let mut candidates: Vec<&EndpointKey> =
+            known.iter().copied().filter(|key| healthy(key) && has_room(key)).collect();
         if candidates.is_empty() && !known.iter().any(|key| healthy(key)) {
             // All ejected: trying one that fails beats refusing everything.
             candidates = known.iter().copied().filter(|key| has_room(key)).collect();
@@ -209,12 +188,7 @@
         let first = candidates[random.usize(..candidates.len())];
         let second = candidates[random.usize(..candidates.len())];
         let score = |key: &EndpointKey| score(&state.upstreams[key], now_ms);
-        let chosen = if score(second) < score(first) {
-            second
-        } else {
-            first
-        }
-        .clone();
+        let chosen = if score(second) < score(first) { second } else { first }.clone();
         if let Some(upstream) = state.upstreams.get_mut(&chosen) {
             upstream.in_flight += 1;
         }
@@ -259,10 +233,7 @@
     /// Upstreams in use, by service.
     pub fn status(&self, now_ms: u64) -> BTreeMap<String, Vec<UpstreamStatus>> {
         let describe = |state: &ServiceState| {
-            let subset = state
-                .subset
-                .iter()
-                .filter_map(|key| state.upstreams.get_key_value(key));
+            let subset = state.subset.iter().filter_map(|key| state.upstreams.get_key_value(key));
             let one = |(key, upstream): (&EndpointKey, &Upstream)| UpstreamStatus {
                 address: key.socket_address().to_string(),
                 in_flight: upstream.in_flight,
@@ -271,10 +242,7 @@
             };
             subset.map(one).collect()
         };
-        self.services
-            .iter()
-            .map(|(name, state)| (name.clone(), describe(state)))
-            .collect()
+        self.services.iter().map(|(name, state)| (name.clone(), describe(state))).collect()
     }
 }
 
--- a/crates/forward/src/deadline.rs
+++ b/crates/forward/src/deadline.rs
@@ -24,10 +24,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             BudgetError::Malformed => {
-                write!(
-                    formatter,
-                    "{DEADLINE_HEADER} and {DEPTH_HEADER} must be whole numbers"
-                )
+                write!(formatter, "{DEADLINE_HEADER} and {DEPTH_HEADER} must be whole numbers")
             }
             BudgetError::TooDeep => write!(formatter, "the call passed {MAX_DEPTH} proxies"),
             BudgetError::Expired => formatter.write_str("the caller's time is over"),
@@ -63,10 +60,7 @@
             return Err(BudgetError::Expired);
         }
         let allowed_ms = u64::from(remaining_ms.min(route_timeout_ms));
-        Ok(CallBudget {
-            deadline_us: now_us + allowed_ms * 1_000,
-            depth: passed + 1,
-        })
+        Ok(CallBudget { deadline_us: now_us + allowed_ms * 1_000, depth: passed + 1 })
     }
 
     /// Time left, microseconds.
@@ -76,7 +70,5 @@
 }
 
 fn parse(header: Option<&str>) -> Result<Option<u32>, BudgetError> {
-    header
-        .map(|text| text.trim().parse().map_err(|_| BudgetError::Malformed))
-        .transpose()
+    header.map(|text| text.trim().parse().map_err(|_| BudgetError::Malformed)).transpose()
 }
--- a/crates/forward/src/limit.rs
+++ b/crates/forward/src/limit.rs
@@ -21,11 +21,7 @@
     /// A limit that never exceeds `ceiling`.
     pub fn new(ceiling: u32) -> Self {
         let ceiling = ceiling.max(1);
-        AdaptiveLimit {
-            limit: INITIAL_LIMIT.min(f64::from(ceiling)),
-            ceiling,
-            decreased_ms: None,
-        }
+        AdaptiveLimit { limit: INITIAL_LIMIT.min(f64::from(ceiling)), ceiling, decreased_ms: None }
     }
 
     /// Changes the ceiling, for example when the fleet grew.
@@ -49,9 +45,7 @@
 
     /// A call was shed or ran out of time.
     pub fn on_overload(&mut self, now_ms: u64) {
-        let recently = self
-            .decreased_ms
-            .is_some_and(|at| now_ms < at + DECREASE_INTERVAL_MS);
+        let recently = self.decreased_ms.is_some_and(|at| now_ms < at + DECREASE_INTERVAL_MS);
         if !recently {
             self.limit = (self.limit * DECREASE_FACTOR).max(MIN_LIMIT);
             self.decreased_ms = Some(now_ms);
--- a/crates/forward/src/outlier.rs
+++ b/crates/forward/src/outlier.rs
@@ -53,9 +53,7 @@
 
     /// Leaves it out for a time.
     pub fn eject(&mut self, policy: &OutlierPolicy, now_ms: u64) {
-        let doubled = policy
-            .base_ejection_ms
-            .saturating_mul(1 << self.ejections.min(16));
+        let doubled = policy.base_ejection_ms.saturating_mul(1 << self.ejections.min(16));
         self.ejected_until_ms = Some(now_ms + doubled.min(policy.max_ejection_ms));
         self.ejections += 1;
         // One more failure after its return ejects it again.
--- a/crates/forward/src/queue.rs
+++ b/crates/forward/src/queue.rs
@@ -35,11 +35,7 @@
 impl AdmissionQueue {
     /// A queue for at most `capacity` calls.
     pub fn new(capacity: usize) -> Self {
-        AdmissionQueue {
-            waiting: Vec::new(),
-            capacity,
-            next_ticket: 1,
-        }
+        AdmissionQueue { waiting: Vec::new(), capacity, next_ticket: 1 }
     }
 
     /// Number of calls waiting.
@@ -54,9 +50,7 @@
 
     /// Whether a call of this priority would have to wait behind another.
     pub fn has_waiting(&self, priority: Priority) -> bool {
-        self.waiting
-            .iter()
-            .any(|waiting| waiting.priority >= priority)
+        self.waiting.iter().any(|waiting| waiting.priority >= priority)
     }
 
     /// Joins the queue until `give_up_us`; `None` when it is full of calls at least as important.
@@ -76,11 +70,7 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.waiting.push(Waiting {
-            ticket,
-            priority,
-            give_up_us,
-        });
+        self.waiting.push(Waiting { ticket, priority, give_up_us });
         Some(ticket)
     }
 
--- a/crates/forward/src/routing.rs
+++ b/crates/forward/src/routing.rs
@@ -25,10 +25,7 @@
         match self {
             RoutingError::Secret(error) => error.fmt(formatter),
             RoutingError::Dangling { route, missing } => {
-                write!(
-                    formatter,
-                    "route '{route}' names '{missing}', which is not there"
-                )
+                write!(formatter, "route '{route}' names '{missing}', which is not there")
             }
         }
     }
@@ -81,10 +78,8 @@
         bundle: &Bundle,
         keys: &SealKeys,
     ) -> Result<RoutingTable, RoutingError> {
-        let services: BTreeMap<String, Service> = bundle
-            .services()
-            .map(|service| (service.name.clone(), service.clone()))
-            .collect();
+        let services: BTreeMap<String, Service> =
+            bundle.services().map(|service| (service.name.clone(), service.clone())).collect();
         let mut routes = Vec::new();
         for route in bundle.routes() {
             routes.push(Arc::new(compile_route(route, bundle, &services, keys)?));
@@ -92,25 +87,15 @@
         // The longest prefix wins; a named host wins over `*`.
         routes.sort_by_key(|compiled| {
             let route = &compiled.route;
-            (
-                std::cmp::Reverse(route.path_prefix.len()),
-                route.host == "*",
-                route.name.clone(),
-            )
+            (std::cmp::Reverse(route.path_prefix.len()), route.host == "*", route.name.clone())
         });
-        Ok(RoutingTable {
-            generation,
-            routes,
-            services,
-        })
+        Ok(RoutingTable { generation, routes, services })
     }
 
     /// The route for a call.
     pub fn find(&self, host: &str, method: &str, path: &str) -> Option<&Arc<CompiledRoute>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        self.routes
-            .iter()
-            .find(|compiled| matches(&compiled.route, host, method, path))
+        self.routes.iter().find(|compiled| matches(&compiled.route, host, method, path))
     }
 
     /// A service by name.
@@ -125,10 +110,7 @@
 
     /// Names of the services that routes use.
     pub fn used_services(&self) -> BTreeSet<String> {
-        let targets = self
-            .routes
-            .iter()
-            .flat_map(|compiled| &compiled.route.targets);
+        let targets = self.routes.iter().flat_map(|compiled| &compiled.route.targets);
         targets.map(|target| target.service.clone()).collect()
     }
 }
@@ -143,11 +125,7 @@
         route: route.name.clone(),
         missing: missing.to_owned(),
     };
-    if let Some(target) = route
-        .targets
-        .iter()
-        .find(|t| !services.contains_key(&t.service))
-    {
+    if let Some(target) = route.targets.iter().find(|t| !services.contains_key(&t.service)) {
         return Err(dangling(&target.service));
     }
     let token = match &route.secret {
@@ -158,16 +136,8 @@
             Some(keys.open(sealed).map_err(RoutingError::Secret)?)
         }
     };
-    let total_weight = route
-        .targets
-        .iter()
-        .map(|target| u64::from(target.weight))
-        .sum();
-    Ok(CompiledRoute {
-        route: route.clone(),
-        token,
-        total_weight,
-    })
+    let total_weight = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    Ok(CompiledRoute { route: route.clone(), token, total_weight })
 }
 
 fn matches(route: &Route, host: &str, method: &str, path: &str) -> bool {
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -53,10 +53,7 @@
     let mut report = Report::default();
     let result = drive(&mut fleet, &mut report);
     let failed = fleet.stop_all();
-    report.check(
-        failed.is_empty(),
-        format!("planned stops failed: {failed:?}"),
-    );
+    report.check(failed.is_empty(), format!("planned stops failed: {failed:?}"));
     if let Err(failure) = result {
         report.problems.push(failure);
     }
@@ -122,27 +119,13 @@
     let generation = fleet.roll_out(&bundle_toml(services, 0), 1, 0, stages, None)?;
     fleet.wait_until("generation 1 in zone-a", IN_FORCE_LIMIT, |fleet| {
         let generations = fleet.generations();
-        let zone_a = generations
-            .iter()
-            .filter(|(name, _)| name.contains("zone-a"));
+        let zone_a = generations.iter().filter(|(name, _)| name.contains("zone-a"));
         zone_a.clone().count() > 0 && zone_a.into_iter().all(|(_, held)| *held >= Some(1))
     })?;
-    println!(
-        "generation {generation} is in force in zone-a only: {}",
-        spread_line(fleet)?
-    );
-    send(
-        &fleet.submitter()?,
-        &Command::Advance {
-            generation,
-            from_stage: 1,
-        },
-    )?;
+    println!("generation {generation} is in force in zone-a only: {}", spread_line(fleet)?);
+    send(&fleet.submitter()?, &Command::Advance { generation, from_stage: 1 })?;
     let took = fleet.wait_in_force(generation, IN_FORCE_LIMIT)?;
-    println!(
-        "generation {generation} is in force everywhere {:.0} ms after acceptance",
-        ms(took)
-    );
+    println!("generation {generation} is in force everywhere {:.0} ms after acceptance", ms(took));
     Ok(())
 }
 
@@ -150,30 +133,16 @@
     let stages = vec![Stage::Percent(30), Stage::All];
     let generation = fleet.roll_out(&bundle_toml(services, 1), 2, 1, stages, None)?;
     std::thread::sleep(Duration::from_millis(500));
-    println!(
-        "generation {generation} is rolling: {}",
-        spread_line(fleet)?
-    );
-    send(
-        &fleet.submitter()?,
-        &Command::Advance {
-            generation,
-            from_stage: 1,
-        },
-    )?;
+    println!("generation {generation} is rolling: {}", spread_line(fleet)?);
+    send(&fleet.submitter()?, &Command::Advance { generation, from_stage: 1 })?;
     let took = fleet.wait_in_force(generation, IN_FORCE_LIMIT)?;
-    println!(
-        "generation {generation} is in force everywhere {:.0} ms after acceptance",
-        ms(took)
-    );
+    println!("generation {generation} is in force everywhere {:.0} ms after acceptance", ms(took));
     Ok(())
 }
 
 fn drain_one(fleet: &mut RunningFleet, report: &mut Report) -> Result<(), crate::Failure> {
     let leaving = fleet.backends[0].clone();
-    fleet
-        .platform
-        .set_state(&leaving.service, leaving.address, "leaving");
+    fleet.platform.set_state(&leaving.service, leaving.address, "leaving");
     let start = Instant::now();
     let address = leaving.address.to_string();
     fleet.wait_until("the drain on every proxy", DRAIN_LIMIT, |fleet| {
@@ -187,16 +156,10 @@
         leaving.name,
         ms(start.elapsed())
     );
-    let process = fleet
-        .processes
-        .get_mut(&leaving.name)
-        .ok_or("no such back end")?;
+    let process = fleet.processes.get_mut(&leaving.name).ok_or("no such back end")?;
     process.terminate();
     let ended = process.wait_ended(DRAIN_LIMIT + Duration::from_secs(10));
-    report.check(
-        ended.is_some_and(|status| status.success()),
-        "the back end did not stop",
-    );
+    report.check(ended.is_some_and(|status| status.success()), "the back end did not stop");
     fleet.platform.remove(&leaving.service, leaving.address);
     std::thread::sleep(Duration::from_secs(1));
     Ok(())
@@ -212,12 +175,7 @@
         })
         .collect();
     LoadPlan {
-        targets: fleet
-            .layout
-            .proxies
-            .iter()
-            .map(|proxy| proxy.settings.listen)
-            .collect(),
+        targets: fleet.layout.proxies.iter().map(|proxy| proxy.settings.listen).collect(),
         kinds,
         threads: CALLER_THREADS,
         rate: CALL_RATE,
@@ -231,29 +189,18 @@
         "chutecove_proxy_control_received_bytes_total",
     ];
     let of = |metrics| -> f64 { names.iter().filter_map(|n| fleet.metric(metrics, n)).sum() };
-    fleet
-        .layout
-        .proxies
-        .iter()
-        .map(|proxy| of(proxy.settings.metrics_listen))
-        .sum()
+    fleet.layout.proxies.iter().map(|proxy| of(proxy.settings.metrics_listen)).sum()
 }
 
 fn spread_line(fleet: &RunningFleet) -> Result<String, crate::Failure> {
-    let status: serde_json::Value = fleet
-        .submitter()?
-        .get("/v1/status")
-        .map_err(|failure| failure.message)?;
+    let status: serde_json::Value =
+        fleet.submitter()?.get("/v1/status").map_err(|failure| failure.message)?;
     let spread = &status["spread"];
     let mut parts = Vec::new();
     for entry in spread["by_generation"].as_array().into_iter().flatten() {
         parts.push(format!("generation {} on {} proxies", entry[0], entry[1]));
     }
-    Ok(format!(
-        "{}, {} unknown",
-        parts.join(", "),
-        spread["unknown"]
-    ))
+    Ok(format!("{}, {} unknown", parts.join(", "), spread["unknown"]))
 }
 
 fn print_calls(fleet: &RunningFleet, tally: &Tally, report: &mut Report) {
@@ -271,16 +218,9 @@
         tally.latency.value_at_quantile(0.5) as f64 / 1_000.0,
         tally.latency.value_at_quantile(0.99) as f64 / 1_000.0
     );
-    println!(
-        "charges: {}, run twice or mistold: {}",
-        tally.ledger.len(),
-        contradictions.len()
-    );
+    println!("charges: {}, run twice or mistold: {}", tally.ledger.len(), contradictions.len());
     report.check(tally.answered > 0, "no call was answered");
-    report.check(
-        tally.wrong == 0,
-        format!("wrong answers: {:?}", tally.examples),
-    );
+    report.check(tally.wrong == 0, format!("wrong answers: {:?}", tally.examples));
     report.check(tally.cut == 0, format!("cut calls: {:?}", tally.examples));
     report.check(contradictions.is_empty(), contradictions.join("; "));
 }
--- a/crates/lab/src/fleet/bundles.rs
+++ b/crates/lab/src/fleet/bundles.rs
@@ -18,20 +18,12 @@
 impl ServiceShape {
     /// A service that only answers reads.
     pub fn reads(name: &str, slots: u32, connections: u32) -> Self {
-        ServiceShape {
-            name: name.to_owned(),
-            slots,
-            connections,
-            takes_charges: false,
-        }
+        ServiceShape { name: name.to_owned(), slots, connections, takes_charges: false }
     }
 
     /// A service that also takes charges.
     pub fn charges(name: &str, slots: u32, connections: u32) -> Self {
-        ServiceShape {
-            takes_charges: true,
-            ..ServiceShape::reads(name, slots, connections)
-        }
+        ServiceShape { takes_charges: true, ..ServiceShape::reads(name, slots, connections) }
     }
 
     /// The fare firm's services.
@@ -49,11 +41,7 @@
     let mut text = String::new();
     for (position, service) in services.iter().enumerate() {
         let name = &service.name;
-        let timeout_ms = if position == 0 {
-            2_000 + revision
-        } else {
-            2_000
-        };
+        let timeout_ms = if position == 0 { 2_000 + revision } else { 2_000 };
         let _ = write!(
             text,
             "[[service]]\nname = \"{name}\"\nupstream_slots = {}\nupstream_connections = {}\n\n\
--- a/crates/lab/src/fleet/keys.rs
+++ b/crates/lab/src/fleet/keys.rs
@@ -31,15 +31,9 @@
         fs::create_dir_all(folder).map_err(|error| error.to_string())?;
         let authority = CertificateAuthority::create(fleet).map_err(|error| error.to_string())?;
         let mut bytes = [0; 32];
-        SystemRandom::new()
-            .fill(&mut bytes)
-            .map_err(|_| "no random bytes".to_owned())?;
+        SystemRandom::new().fill(&mut bytes).map_err(|_| "no random bytes".to_owned())?;
         let seal_key = SealKey::new(1, bytes);
-        let keys = FleetKeys {
-            folder: folder.to_owned(),
-            authority,
-            seal_key,
-        };
+        let keys = FleetKeys { folder: folder.to_owned(), authority, seal_key };
         keys.write("authority.pem", keys.authority.certificate_pem())?;
         keys.write("seal.keys", &keys.seal_key.to_line())?;
         let operators = OperatorsFile {
@@ -70,11 +64,7 @@
 
     /// Issues a certificate and returns where it lies.
     pub fn issue(&self, role: Role, name: &str, zone: &str) -> Result<TlsSettings, crate::Failure> {
-        let identity = Identity {
-            role,
-            name: name.to_owned(),
-            zone: zone.to_owned(),
-        };
+        let identity = Identity { role, name: name.to_owned(), zone: zone.to_owned() };
         let issued = issue_certificate(&self.authority, &identity, CERTIFICATE_LIFETIME)
             .map_err(|error| error.to_string())?;
         self.write(&format!("{name}.pem"), &issued.certificate_pem)?;
--- a/crates/lab/src/fleet/layout.rs
+++ b/crates/lab/src/fleet/layout.rs
@@ -112,10 +112,7 @@
 
     /// Operators' addresses of all replicas.
     pub fn api(&self) -> Vec<SocketAddr> {
-        self.voters
-            .iter()
-            .map(|voter| voter.settings.api_listen)
-            .collect()
+        self.voters.iter().map(|voter| voter.settings.api_listen).collect()
     }
 
     fn place_voters(&mut self) -> Result<(), crate::Failure> {
@@ -139,9 +136,7 @@
         peer: Vec<PeerSettings>,
     ) -> Result<(), crate::Failure> {
         let name = format!("control-{}", own.id);
-        let zone = self.spec.zones[own.id as usize % self.spec.zones.len()]
-            .name
-            .clone();
+        let zone = self.spec.zones[own.id as usize % self.spec.zones.len()].name.clone();
         let settings = ControlSettings {
             fleet: self.spec.fleet.clone(),
             member_id: own.id,
@@ -161,11 +156,7 @@
             checkpoint_bytes: 4 * 1024 * 1024,
         };
         let settings_file = self.write_settings(&name, &settings)?;
-        self.voters.push(VoterPlace {
-            id: own.id,
-            settings_file,
-            settings,
-        });
+        self.voters.push(VoterPlace { id: own.id, settings_file, settings });
         Ok(())
     }
 
@@ -180,10 +171,7 @@
         let control: Vec<ControlAddressSettings> = self
             .voters
             .iter()
-            .map(|voter| ControlAddressSettings {
-                id: voter.id,
-                address: voter.settings.listen,
-            })
+            .map(|voter| ControlAddressSettings { id: voter.id, address: voter.settings.listen })
             .collect();
         for (name, zone, listen) in &places {
             let others = places.iter().filter(|(_, _, address)| address != listen);
@@ -206,10 +194,7 @@
                 claim_groups: self.spec.claim_groups,
             };
             let settings_file = self.write_settings(name, &settings)?;
-            self.relays.push(RelayPlace {
-                settings_file,
-                settings,
-            });
+            self.relays.push(RelayPlace { settings_file, settings });
         }
         Ok(())
     }
@@ -252,10 +237,7 @@
             claim_keep_s: 3_600,
         };
         let settings_file = self.write_settings(name, &settings)?;
-        self.proxies.push(ProxyPlace {
-            settings_file,
-            settings,
-        });
+        self.proxies.push(ProxyPlace { settings_file, settings });
         Ok(())
     }
 
--- a/crates/lab/src/fleet/ports.rs
+++ b/crates/lab/src/fleet/ports.rs
@@ -13,9 +13,7 @@
 
 impl Default for PortRange {
     fn default() -> Self {
-        PortRange {
-            next: fastrand::u16(FIRST_PORT..LAST_PORT - 4_000),
-        }
+        PortRange { next: fastrand::u16(FIRST_PORT..LAST_PORT - 4_000) }
     }
 }
 
@@ -23,11 +21,7 @@
     /// The next free address on the loopback interface.
     pub fn next_address(&mut self) -> SocketAddr {
         loop {
-            self.next = if self.next >= LAST_PORT {
-                FIRST_PORT
-            } else {
-                self.next + 1
-            };
+            self.next = if self.next >= LAST_PORT { FIRST_PORT } else { self.next + 1 };
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.next));
             if TcpListener::bind(address).is_ok() {
                 return address;
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -25,11 +25,7 @@
             .stdout(output.try_clone()?)
             .stderr(output)
             .spawn()?;
-        Ok(ManagedProcess {
-            name: name.to_owned(),
-            child,
-            ended: None,
-        })
+        Ok(ManagedProcess { name: name.to_owned(), child, ended: None })
     }
 
     /// Its name in the fleet.
@@ -76,9 +72,7 @@
     fn signal(&mut self, signal: &str) {
         if self.is_running() {
             let id = self.child.id().to_string();
-            let _ = Command::new("kill")
-                .args([&format!("-{signal}"), &id])
-                .status();
+            let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
         }
     }
 
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -73,11 +73,7 @@
     fn product(&self, role: &str, settings_file: &std::path::Path, more: &[&str]) -> Vec<String> {
         let path = settings_file.display().to_string();
         let fixed = ["product", role, "--settings", &path];
-        fixed
-            .iter()
-            .chain(more)
-            .map(|argument| (*argument).to_owned())
-            .collect()
+        fixed.iter().chain(more).map(|argument| (*argument).to_owned()).collect()
     }
 
     /// Starts one control replica; `flag` is `--bootstrap`, `--join` or nothing.
@@ -171,11 +167,7 @@
             self.start_proxy(position)?;
         }
         self.wait_until("a leader", START_LIMIT, |fleet| {
-            fleet
-                .layout
-                .voters
-                .iter()
-                .any(|voter| fleet.is_ready(voter.settings.metrics_listen))
+            fleet.layout.voters.iter().any(|voter| fleet.is_ready(voter.settings.metrics_listen))
         })
     }
 
@@ -198,11 +190,7 @@
 
     /// Reads a text over HTTP; `None` if there is no answer with status 200.
     pub fn get(&self, address: SocketAddr, path: &str) -> Option<String> {
-        let mut answer = self
-            .agent
-            .get(format!("http://{address}{path}"))
-            .call()
-            .ok()?;
+        let mut answer = self.agent.get(format!("http://{address}{path}")).call().ok()?;
         if answer.status() != 200 {
             return None;
         }
@@ -211,10 +199,7 @@
 
     /// Posts to a stand-in.
     pub fn post(&self, address: SocketAddr, path: &str) -> bool {
-        self.agent
-            .post(format!("http://{address}{path}"))
-            .send_empty()
-            .is_ok()
+        self.agent.post(format!("http://{address}{path}")).send_empty().is_ok()
     }
 
     /// Whether a process says that it is ready.
@@ -230,9 +215,7 @@
     /// The value of a metric.
     pub fn metric(&self, metrics: SocketAddr, name: &str) -> Option<f64> {
         let text = self.get(metrics, "/metrics")?;
-        let line = text
-            .lines()
-            .find(|line| line.split(' ').next() == Some(name))?;
+        let line = text.lines().find(|line| line.split(' ').next() == Some(name))?;
         line.rsplit(' ').next()?.parse().ok()
     }
 
@@ -242,12 +225,7 @@
         self.layout
             .proxies
             .iter()
-            .map(|proxy| {
-                (
-                    proxy.settings.name.clone(),
-                    generation(proxy.settings.metrics_listen),
-                )
-            })
+            .map(|proxy| (proxy.settings.name.clone(), generation(proxy.settings.metrics_listen)))
             .collect()
     }
 
@@ -258,21 +236,15 @@
         limit: Duration,
     ) -> Result<Duration, crate::Failure> {
         let start = Instant::now();
-        let mut missing: Vec<SocketAddr> = self
-            .layout
-            .proxies
-            .iter()
-            .map(|proxy| proxy.settings.metrics_listen)
-            .collect();
+        let mut missing: Vec<SocketAddr> =
+            self.layout.proxies.iter().map(|proxy| proxy.settings.metrics_listen).collect();
         while !missing.is_empty() {
             missing.retain(|metrics| {
                 let held = self.status(*metrics).and_then(|s| s["generation"].as_u64());
                 held.is_none_or(|held| held < generation)
             });
             if start.elapsed() > limit {
-                return Err(format!(
-                    "generation {generation} is not in force on {missing:?}"
-                ));
+                return Err(format!("generation {generation} is not in force on {missing:?}"));
             }
         }
         Ok(start.elapsed())
@@ -305,17 +277,11 @@
         let digest = bundle.digest();
         let compressed = bundle::BundleUpdate::compress(&bundle);
         let submit = format!("/v1/submit?version={version}");
-        let _: Accepted = submitter
-            .post(&submit, &compressed, None)
-            .map_err(|failure| failure.message)?;
+        let _: Accepted =
+            submitter.post(&submit, &compressed, None).map_err(|failure| failure.message)?;
         let signature = approver.sign(&bundle::approval_message(&digest));
         send(&approver, &Command::Approve { digest, signature })?;
-        let roll = Command::Roll {
-            digest,
-            expected_generation: expected,
-            stages,
-            advance_after_s,
-        };
+        let roll = Command::Roll { digest, expected_generation: expected, stages, advance_after_s };
         match send(&submitter, &roll)? {
             Accepted::Rolled { generation } => Ok(generation),
             other => Err(format!("unexpected answer {other:?}")),
@@ -343,7 +309,5 @@
 /// Sends an operator's command.
 pub fn send(client: &OperatorClient, command: &Command) -> Result<Accepted, crate::Failure> {
     let body = serde_json::to_vec(command).map_err(|error| error.to_string())?;
-    client
-        .post("/v1/commands", &body, None)
-        .map_err(|failure| failure.message)
+    client.post("/v1/commands", &body, None).map_err(|failure| failure.message)
 }
--- a/crates/lab/src/stand_in/backend.rs
+++ b/crates/lab/src/stand_in/backend.rs
@@ -52,19 +52,10 @@
     options.reqopt("", "runs-file", "file that counts runs", "FILE");
     options.optopt("", "slots", "calls run at once (20)", "N");
     options.optopt("", "work-us", "time a call takes, microseconds (200)", "US");
-    options.optopt(
-        "",
-        "cold-ms",
-        "time during which calls take ten times as long (0)",
-        "MS",
-    );
-    let matches = options
-        .parse(arguments)
-        .map_err(|error| error.to_string())?;
+    options.optopt("", "cold-ms", "time during which calls take ten times as long (0)", "MS");
+    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
     let number = |name: &str, default: u64| {
-        matches
-            .opt_get_default(name, default)
-            .map_err(|error| format!("--{name}: {error}"))
+        matches.opt_get_default(name, default).map_err(|error| format!("--{name}: {error}"))
     };
     let listen: SocketAddr = matches
         .opt_str("listen")
@@ -116,17 +107,12 @@
             Err(_) => std::thread::sleep(Duration::from_millis(20)),
         }
     });
-    let server = Server::builder()
-        .max_threads(512)
-        .nodelay(true)
-        .from_connections(connections);
+    let server = Server::builder().max_threads(512).nodelay(true).from_connections(connections);
     let _ = server.make_service(move |connection: &Connection| {
         let backend = backend.clone();
         let connection = connection.clone();
         Ok::<_, Infallible>(move |request: Request<Body>| {
-            backend
-                .answer(&connection, request)
-                .ok_or_else(|| std::io::Error::other("broken"))
+            backend.answer(&connection, request).ok_or_else(|| std::io::Error::other("broken"))
         })
     });
 }
@@ -185,12 +171,7 @@
 
     fn call(&self, connection: &Connection, request: Request<Body>) -> Option<Response<Vec<u8>>> {
         let (parts, body) = request.into_parts();
-        let text = |name: &str| {
-            parts
-                .headers
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-        };
+        let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let mut received = Vec::new();
         body.into_reader().read_to_end(&mut received).ok()?;
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
@@ -211,9 +192,7 @@
             }
             return None;
         }
-        let size = text(SIZE_HEADER)
-            .and_then(|size| size.parse().ok())
-            .unwrap_or(64);
+        let size = text(SIZE_HEADER).and_then(|size| size.parse().ok()).unwrap_or(64);
         let body = answer_body(&self.service, text(NONCE_HEADER).unwrap_or("none"), size);
         Some(self.finish(Response::builder().status(200), body))
     }
--- a/crates/lab/src/stand_in/caller.rs
+++ b/crates/lab/src/stand_in/caller.rs
@@ -51,7 +51,7 @@
     pub sent: u64,
     /// Whole answers to the own request.
     pub answered: u64,
-    /// Refusals by verdict.
+    /// Refusals by verdict and kind.
     pub refused: BTreeMap<String, u64>,
     /// Connections lost between caller and proxy: cut calls.
     pub cut: u64,
@@ -144,7 +144,8 @@
 
 enum CallEnd {
     Answered,
-    Refused(String),
+    /// Verdict, and the kind of refusal.
+    Refused(String, String),
     Cut(String),
     Wrong(String),
 }
@@ -157,12 +158,7 @@
             .no_delay(true)
             .proxy(None)
             .build();
-        Caller {
-            plan,
-            number,
-            agent: config.into(),
-            tally: Tally::new(),
-        }
+        Caller { plan, number, agent: config.into(), tally: Tally::new() }
     }
 
     fn run(mut self, stop: &AtomicBool) -> Tally {
@@ -213,11 +209,7 @@
         if kind.is_charge {
             request = request.header("Idempotency-Key", nonce);
         }
-        let body = if kind.is_charge {
-            format!("charge {nonce}")
-        } else {
-            String::new()
-        };
+        let body = if kind.is_charge { format!("charge {nonce}") } else { String::new() };
         let answered = match kind.is_charge {
             true => request.body(body).map(|request| self.agent.run(request)),
             false => request.body(()).map(|request| self.agent.run(request)),
@@ -239,7 +231,8 @@
                 let latency_us = scheduled.elapsed().as_micros() as u64;
                 let _ = self.tally.latency.record(latency_us.min(MAX_LATENCY_US));
             }
-            CallEnd::Refused(verdict) => {
+            CallEnd::Refused(verdict, kind) => {
+                self.tally.example(format!("refused: {kind}"));
                 *self.tally.refused.entry(verdict).or_default() += 1;
             }
             CallEnd::Cut(text) => {
@@ -257,11 +250,18 @@
 fn told(end: &CallEnd) -> Told {
     match end {
         CallEnd::Answered => Told::Answered,
-        CallEnd::Refused(verdict) if verdict == "not-run" => Told::NotRun,
+        CallEnd::Refused(verdict, _) if verdict == "not-run" => Told::NotRun,
         _ => Told::MayHaveRun,
     }
 }
 
+/// The kind in a proxy's refusal; a back end's own has no body.
+fn refusal_kind(body: &[u8]) -> String {
+    let parsed: Option<serde_json::Value> = serde_json::from_slice(body).ok();
+    let kind = parsed.as_ref().and_then(|body| body["message"].as_str());
+    kind.unwrap_or("by the back end").to_owned()
+}
+
 fn judge(
     kind: &CallKind,
     nonce: &str,
@@ -280,12 +280,8 @@
         }
         return CallEnd::Wrong(format!("{nonce} got {}", String::from_utf8_lossy(&body)));
     }
-    match answer
-        .headers()
-        .get(VERDICT_HEADER)
-        .and_then(|verdict| verdict.to_str().ok())
-    {
-        Some(verdict) => CallEnd::Refused(verdict.to_owned()),
+    match answer.headers().get(VERDICT_HEADER).and_then(|verdict| verdict.to_str().ok()) {
+        Some(verdict) => CallEnd::Refused(verdict.to_owned(), refusal_kind(&body)),
         None => CallEnd::Wrong(format!("{nonce} got status {status} without a verdict")),
     }
 }
--- a/crates/lab/src/stand_in/platform.rs
+++ b/crates/lab/src/stand_in/platform.rs
@@ -63,9 +63,7 @@
     pub fn set(&self, machine: ListedMachine) {
         let mut state = self.lock();
         state.version += 1;
-        state
-            .machines
-            .insert((machine.service.clone(), machine.address), machine);
+        state.machines.insert((machine.service.clone(), machine.address), machine);
     }
 
     /// Changes the state of a machine.
--- a/crates/proxy/src/applied_store.rs
+++ b/crates/proxy/src/applied_store.rs
@@ -37,10 +37,7 @@
         return Ok(None);
     };
     let whole = bundle.digest() == applied.digest;
-    Ok(whole.then_some(Preparation {
-        generation: applied.generation,
-        bundle,
-    }))
+    Ok(whole.then_some(Preparation { generation: applied.generation, bundle }))
 }
 
 /// Saves and syncs what will be in force.
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -80,10 +80,7 @@
     let headers = response.headers_mut();
     headers.insert(GENERATION_HEADER, table.generation.into());
     if shared.stop.is_set() {
-        headers.insert(
-            "Connection",
-            touche::header::HeaderValue::from_static("close"),
-        );
+        headers.insert("Connection", touche::header::HeaderValue::from_static("close"));
     }
     response
 }
@@ -95,9 +92,7 @@
 ) -> Result<UpstreamAnswer, Refusal> {
     let route = find_route(shared, table, &request)?;
     let call = read_call(shared, &route, request)?;
-    shared
-        .dispatcher
-        .count_call(&route.route.name, route.route.retry_budget_percent);
+    shared.dispatcher.count_call(&route.route.name, route.route.retry_budget_percent);
     let key = call.headers.get(KEY_HEADER).cloned();
     match key {
         Some(key) if !route.route.repeatable => {
@@ -119,25 +114,13 @@
         let message = "no configuration is in force yet";
         return Err(Refusal::not_run(RefusalKind::NotConfigured, message));
     }
-    let host = request
-        .headers()
-        .get("Host")
-        .and_then(|host| host.to_str().ok());
+    let host = request.headers().get("Host").and_then(|host| host.to_str().ok());
     let (method, path) = (request.method().as_str(), request.uri().path());
-    let route = table
-        .find(host.unwrap_or_default(), method, path)
-        .ok_or_else(|| {
-            Refusal::not_run(
-                RefusalKind::NoRoute,
-                format!("no route for {method} {path}"),
-            )
-        })?;
+    let route = table.find(host.unwrap_or_default(), method, path).ok_or_else(|| {
+        Refusal::not_run(RefusalKind::NoRoute, format!("no route for {method} {path}"))
+    })?;
     let most_s = u64::from(route.route.max_staleness_s);
-    if most_s > 0
-        && shared
-            .staleness_ms()
-            .is_none_or(|age_ms| age_ms > most_s * 1_000)
-    {
+    if most_s > 0 && shared.staleness_ms().is_none_or(|age_ms| age_ms > most_s * 1_000) {
         let message = format!("the configuration may be older than {most_s} s");
         return Err(Refusal::not_run(RefusalKind::TooStale, message));
     }
@@ -151,21 +134,12 @@
 ) -> Result<Call, Refusal> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
-    let text = |name: &str| {
-        parts
-            .headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
+    let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let remaining = text(DEADLINE_HEADER);
     let budget = CallBudget::from_headers(0, route.route.timeout_ms, remaining, text(DEPTH_HEADER))
         .map_err(budget_refusal)?;
     let body = read_body(body, shared.settings.max_body_bytes)?;
-    let path = parts
-        .uri
-        .path_and_query()
-        .map_or("/", |path| path.as_str())
-        .to_owned();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     Ok(Call {
         method: parts.method,
         path,
@@ -242,9 +216,7 @@
     let mut worst = Verdict::NotRun;
     loop {
         let priority = route.route.priority;
-        let acquired = shared
-            .dispatcher
-            .acquire(&service, priority, &tried, call.deadline);
+        let acquired = shared.dispatcher.acquire(&service, priority, &tried, call.deadline);
         let upstream = acquired.map_err(|error| acquire_refusal(error, &service, worst))?;
         let outcome = attempt(shared, route, call, &upstream);
         tried.push(upstream);
@@ -252,9 +224,7 @@
             (verdict == Verdict::NotRun || route.route.repeatable)
                 && (tried.len() as u32) < MAX_ATTEMPTS
                 && Instant::now() < call.deadline
-                && shared
-                    .dispatcher
-                    .take_retry(&route.route.name, route.route.retry_budget_percent)
+                && shared.dispatcher.take_retry(&route.route.name, route.route.retry_budget_percent)
         };
         match outcome {
             Ok(answer) if is_shed(&answer) && may_retry(Verdict::NotRun) => {}
@@ -274,20 +244,14 @@
 
 fn acquire_refusal(error: AcquireError, service: &str, verdict: Verdict) -> Refusal {
     let (kind, message) = match error {
-        AcquireError::NoUpstream => (
-            RefusalKind::NoUpstream,
-            format!("no live upstream of '{service}' is left to try"),
-        ),
-        AcquireError::Overloaded => (
-            RefusalKind::Overloaded,
-            format!("all upstreams of '{service}' are busy"),
-        ),
+        AcquireError::NoUpstream => {
+            (RefusalKind::NoUpstream, format!("no live upstream of '{service}' is left to try"))
+        }
+        AcquireError::Overloaded => {
+            (RefusalKind::Overloaded, format!("all upstreams of '{service}' are busy"))
+        }
     };
-    Refusal {
-        kind,
-        verdict,
-        message,
-    }
+    Refusal { kind, verdict, message }
 }
 
 fn send_refusal(error: &SendError, verdict: Verdict) -> Refusal {
@@ -296,11 +260,7 @@
         (_, true) => RefusalKind::UpstreamTimeout,
         _ => RefusalKind::UpstreamLost,
     };
-    Refusal {
-        kind,
-        verdict,
-        message: error.message.clone(),
-    }
+    Refusal { kind, verdict, message: error.message.clone() }
 }
 
 fn attempt(
@@ -317,21 +277,13 @@
         headers: &headers,
         body: &call.body,
         timeout: left.max(Duration::from_millis(1)),
-        policy: if route.route.repeatable {
-            SendPolicy::Repeatable
-        } else {
-            SendPolicy::Once
-        },
+        policy: if route.route.repeatable { SendPolicy::Repeatable } else { SendPolicy::Once },
     };
     shared.metrics.sent.inc();
     let outcome = shared.upstreams.send(upstream.socket_address(), &request);
     shared.dispatcher.finish(upstream, report_of(&outcome));
     if let Ok(answer) = &outcome {
-        if answer
-            .headers
-            .get(BACKEND_STATE_HEADER)
-            .is_some_and(|state| state == "draining")
-        {
+        if answer.headers.get(BACKEND_STATE_HEADER).is_some_and(|state| state == "draining") {
             shared.observe_leaving(upstream);
         }
     }
@@ -361,23 +313,15 @@
     match outcome {
         Ok(answer) if is_shed(answer) => CallReport::Shed,
         Ok(answer) => {
-            let load = answer
-                .headers
-                .get(LOAD_HEADER)
-                .and_then(|load| load.to_str().ok());
-            CallReport::Answered {
-                load: load.and_then(|load| load.parse().ok()),
-            }
+            let load = answer.headers.get(LOAD_HEADER).and_then(|load| load.to_str().ok());
+            CallReport::Answered { load: load.and_then(|load| load.parse().ok()) }
         }
         Err(_) => CallReport::Failed,
     }
 }
 
 fn did_not_run(answer: &UpstreamAnswer) -> bool {
-    answer
-        .headers
-        .get(VERDICT_HEADER)
-        .is_some_and(|verdict| verdict == Verdict::NotRun.as_str())
+    answer.headers.get(VERDICT_HEADER).is_some_and(|verdict| verdict == Verdict::NotRun.as_str())
 }
 
 /// The back end itself, and not a proxy behind it that has already retried, refused the call.
--- a/crates/proxy/src/chooser.rs
+++ b/crates/proxy/src/chooser.rs
@@ -35,10 +35,8 @@
     /// Ranks relays by distance; equal ones in random order, so that proxies spread.
     pub fn new(relays: &[RelayAddress], zone: &str, region: &str, seed: u64) -> Self {
         let mut random = fastrand::Rng::with_seed(seed);
-        let mut ranked: Vec<(u8, RelayAddress)> = relays
-            .iter()
-            .map(|relay| (distance(relay, zone, region), relay.clone()))
-            .collect();
+        let mut ranked: Vec<(u8, RelayAddress)> =
+            relays.iter().map(|relay| (distance(relay, zone, region), relay.clone())).collect();
         random.shuffle(&mut ranked);
         ranked.sort_by_key(|(distance, _)| *distance);
         RelayChooser {
--- a/crates/proxy/src/claim_link.rs
+++ b/crates/proxy/src/claim_link.rs
@@ -48,9 +48,7 @@
     /// Asks until a quorum answers or `limit` is reached.
     pub fn ask(&self, command: &ClaimCommand, limit: Instant) -> Result<ClaimAnswer, NoQuorum> {
         while Instant::now() < limit {
-            let timeout = limit
-                .saturating_duration_since(Instant::now())
-                .min(CALL_TIMEOUT);
+            let timeout = limit.saturating_duration_since(Instant::now()).min(CALL_TIMEOUT);
             match self.call(command, timeout) {
                 Some(answer) => return Ok(answer),
                 None => self.go_to_next_relay(),
@@ -77,33 +75,21 @@
     }
 
     fn call(&self, command: &ClaimCommand, timeout: Duration) -> Option<ClaimAnswer> {
-        let idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .pop();
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
         let mut connection = match idle {
             Some(connection) => connection,
             None => {
-                let preferred = *self
-                    .preferred
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner);
+                let preferred = *self.preferred.lock().unwrap_or_else(PoisonError::into_inner);
                 let address = self.relays[preferred];
                 connect(&self.tls, address, Role::Relay, Purpose::Claims)
                     .map_err(|error| debug!(%error, "claim_connect_failed"))
                     .ok()?
             }
         };
-        let request = ClaimRequest {
-            command: command.clone(),
-        };
+        let request = ClaimRequest { command: command.clone() };
         match connection.call(&request, timeout) {
             Ok(ClaimReply::Answer(answer)) => {
-                self.idle
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .push(connection);
+                self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(connection);
                 Some(answer)
             }
             Ok(other) => {
@@ -118,15 +104,9 @@
     }
 
     fn go_to_next_relay(&self) {
-        let mut preferred = self
-            .preferred
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut preferred = self.preferred.lock().unwrap_or_else(PoisonError::into_inner);
         *preferred = (*preferred + 1) % self.relays.len();
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
         drop(preferred);
         thread::sleep(Duration::from_millis(fastrand::u64(1..20)));
     }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -42,8 +42,6 @@
         preparation: Preparation,
         /// Sign-off to check.
         approval: Option<bundle::Approval>,
-        /// Endpoints to take in afterwards, with [`ProxyCore::take_endpoints`].
-        endpoints: Option<EndpointUpdate>,
     },
     /// Come back to this relay after so many milliseconds.
     Retry {
@@ -142,11 +140,7 @@
         }
         let (endpoint_epoch, endpoint_sequence) = self.endpoints.position();
         let unknown_base = Digest([0; 32]);
-        let digest = if self.needs_snapshot {
-            unknown_base
-        } else {
-            self.bundle.digest()
-        };
+        let digest = if self.needs_snapshot { unknown_base } else { self.bundle.digest() };
         ProxyPoll::State(ProxyState {
             name: self.name.clone(),
             generation: self.generation,
@@ -163,14 +157,10 @@
         match reply {
             ProxyReply::Unchanged { source_age_ms } => {
                 self.note_currency(source_age_ms, now_ms);
-                ReplyEffect::None {
-                    endpoints_changed: false,
-                }
+                ReplyEffect::None { endpoints_changed: false }
             }
             ProxyReply::Update(update) => self.on_update(update, now_ms),
-            ProxyReply::Busy { retry_after_ms } => ReplyEffect::Retry {
-                after_ms: retry_after_ms,
-            },
+            ProxyReply::Busy { retry_after_ms } => ReplyEffect::Retry { after_ms: retry_after_ms },
             ProxyReply::Leaving => ReplyEffect::Leave,
         }
     }
@@ -183,36 +173,28 @@
     }
 
     fn on_update(&mut self, update: ProxyUpdate, now_ms: u64) -> ReplyEffect {
+        // Endpoints first: they belong to the services this proxy asked for. If the configuration
+        // changes the services, `commit` forgets the position and asks for all endpoints again.
+        let endpoints_changed = self.take_endpoints(update.endpoints);
+        let unchanged = ReplyEffect::None { endpoints_changed };
         let Some(config) = update.config else {
             self.note_currency(update.source_age_ms, now_ms);
-            let endpoints_changed = self.take_endpoints(update.endpoints);
-            return ReplyEffect::None { endpoints_changed };
+            return unchanged;
         };
         if !self.may_apply(&config) {
             self.must_say_state = true;
-            let endpoints_changed = self.take_endpoints(update.endpoints);
-            return ReplyEffect::None { endpoints_changed };
+            return unchanged;
         }
-        let source_age_ms = update.source_age_ms;
         match self.rebuild(&config) {
             Ok(bundle) => {
-                let at = now_ms.saturating_sub(u64::from(source_age_ms));
+                let at = now_ms.saturating_sub(u64::from(update.source_age_ms));
                 self.current_at_ms = Some(self.current_at_ms.map_or(at, |known| known.max(at)));
-                let preparation = Preparation {
-                    generation: config.generation,
-                    bundle,
-                };
-                let approval = config.approval;
-                ReplyEffect::Prepare {
-                    preparation,
-                    approval,
-                    endpoints: update.endpoints,
-                }
+                let preparation = Preparation { generation: config.generation, bundle };
+                ReplyEffect::Prepare { preparation, approval: config.approval }
             }
             Err(error) => {
                 self.on_update_error(config.generation, &error);
-                let endpoints_changed = self.take_endpoints(update.endpoints);
-                ReplyEffect::None { endpoints_changed }
+                unchanged
             }
         }
     }
@@ -230,11 +212,7 @@
     fn rebuild(&self, config: &ConfigUpdate) -> Result<Bundle, UpdateError> {
         if self.weakness == Some(ProxyWeakness::AppliesUnchecked) {
             if let bundle::BundleUpdate::Delta(delta) = &config.update {
-                let held = self
-                    .bundle
-                    .objects()
-                    .values()
-                    .map(|hashed| hashed.object.clone());
+                let held = self.bundle.objects().values().map(|hashed| hashed.object.clone());
                 let first = delta.upserts.iter().take(1).cloned();
                 return Ok(Bundle::from_objects(held.chain(first).collect()));
             }
@@ -281,7 +259,7 @@
     }
 
     /// Takes endpoint news in; true if there were any.
-    pub fn take_endpoints(&mut self, update: Option<EndpointUpdate>) -> bool {
+    fn take_endpoints(&mut self, update: Option<EndpointUpdate>) -> bool {
         let Some(update) = update else { return false };
         if self.weakness == Some(ProxyWeakness::ForgetsLeaving) {
             self.endpoints = EndpointView::default();
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -45,11 +45,7 @@
             budgets: BTreeMap::new(),
             random: fastrand::Rng::new(),
         };
-        Dispatcher {
-            state: Mutex::new(state),
-            freed: Condvar::new(),
-            clock,
-        }
+        Dispatcher { state: Mutex::new(state), freed: Condvar::new(), clock }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -78,15 +74,9 @@
     ) -> Result<EndpointKey, AcquireError> {
         let mut guard = self.lock();
         let state = &mut *guard;
-        let queue = state
-            .queues
-            .entry(service.to_owned())
-            .or_insert_with(new_queue);
+        let queue = state.queues.entry(service.to_owned()).or_insert_with(new_queue);
         if !queue.has_waiting(priority) {
-            match state
-                .balancer
-                .pick(service, exclude, self.clock.now_ms(), &mut state.random)
-            {
+            match state.balancer.pick(service, exclude, self.clock.now_ms(), &mut state.random) {
                 Ok(key) => return Ok(key),
                 Err(PickError::NoUpstream) => return Err(AcquireError::NoUpstream),
                 Err(PickError::AllBusy) => {}
@@ -102,10 +92,7 @@
         };
         loop {
             let state = &mut *guard;
-            let queue = state
-                .queues
-                .entry(service.to_owned())
-                .or_insert_with(new_queue);
+            let queue = state.queues.entry(service.to_owned()).or_insert_with(new_queue);
             let waited = start.elapsed();
             match queue.decide(ticket, waited.as_micros() as u64) {
                 QueueDecision::Shed => {
@@ -115,9 +102,7 @@
                 }
                 QueueDecision::Go => {
                     let now_ms = self.clock.now_ms();
-                    let picked = state
-                        .balancer
-                        .pick(service, exclude, now_ms, &mut state.random);
+                    let picked = state.balancer.pick(service, exclude, now_ms, &mut state.random);
                     if picked != Err(PickError::AllBusy) {
                         queue.leave(ticket);
                         self.freed.notify_all();
@@ -162,9 +147,7 @@
     ) -> T {
         let mut guard = self.lock();
         if !guard.budgets.contains_key(route) {
-            guard
-                .budgets
-                .insert(route.to_owned(), RetryBudget::new(percent));
+            guard.budgets.insert(route.to_owned(), RetryBudget::new(percent));
         }
         action(guard.budgets.get_mut(route).expect("it was just inserted"))
     }
--- a/crates/proxy/src/keyed.rs
+++ b/crates/proxy/src/keyed.rs
@@ -43,13 +43,7 @@
     let key = format!("{route}\n{key}");
     let attempt = fastrand::u64(..);
     let request = request_digest;
-    let begin = ClaimCommand::Begin {
-        key: key.clone(),
-        request,
-        attempt,
-        now_ms: 0,
-        keep_ms,
-    };
+    let begin = ClaimCommand::Begin { key: key.clone(), request, attempt, now_ms: 0, keep_ms };
     let Ok(answer) = link.ask(&begin, limit) else {
         // The claim may have been recorded although its answer was lost.
         link.record_later(ClaimCommand::Release { key, attempt });
@@ -82,28 +76,20 @@
 impl HeldClaim<'_> {
     /// Records the answer; resends get it.
     pub fn finish(self, answer: &UpstreamAnswer) {
-        let content_type = answer
-            .headers
-            .get("Content-Type")
-            .and_then(|value| value.to_str().ok());
+        let content_type = answer.headers.get("Content-Type").and_then(|value| value.to_str().ok());
         let outcome = Outcome {
             status: answer.status.as_u16(),
             content_type: content_type.unwrap_or_default().to_owned(),
             body: Some(answer.body.clone()),
         };
         let (key, attempt) = (self.key, self.attempt);
-        self.link.record_later(ClaimCommand::Finish {
-            key,
-            attempt,
-            outcome,
-        });
+        self.link.record_later(ClaimCommand::Finish { key, attempt, outcome });
     }
 
     /// The call certainly did not run; a resend may run it.
     pub fn release(self) {
         let (key, attempt) = (self.key, self.attempt);
-        self.link
-            .record_later(ClaimCommand::Release { key, attempt });
+        self.link.record_later(ClaimCommand::Release { key, attempt });
     }
 }
 
@@ -112,10 +98,7 @@
         return Err(Refusal {
             kind: RefusalKind::OutcomeNotKept,
             verdict: Verdict::Ran,
-            message: format!(
-                "it ran with status {}; its answer was not kept",
-                outcome.status
-            ),
+            message: format!("it ran with status {}; its answer was not kept", outcome.status),
         });
     };
     let mut headers = HeaderMap::new();
@@ -123,11 +106,7 @@
         headers.insert("Content-Type", value);
     }
     let status = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
-    Ok(UpstreamAnswer {
-        status,
-        headers,
-        body,
-    })
+    Ok(UpstreamAnswer { status, headers, body })
 }
 
 /// Digest of what a keyed request asks for.
--- a/crates/proxy/src/local_backend.rs
+++ b/crates/proxy/src/local_backend.rs
@@ -36,20 +36,12 @@
 }
 
 fn agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(REQUEST_TIMEOUT))
-        .proxy(None)
-        .build();
+    let config =
+        ureq::Agent::config_builder().timeout_global(Some(REQUEST_TIMEOUT)).proxy(None).build();
     config.into()
 }
 
 fn state_of(agent: &ureq::Agent, url: &str) -> Option<Health> {
-    let text = agent
-        .get(url)
-        .call()
-        .ok()?
-        .body_mut()
-        .read_to_string()
-        .ok()?;
+    let text = agent.get(url).call().ok()?.body_mut().read_to_string().ok()?;
     serde_json::from_str(&text).ok()
 }
--- a/crates/proxy/src/observe.rs
+++ b/crates/proxy/src/observe.rs
@@ -26,11 +26,7 @@
             };
             let relay = shared.current_relay();
             let relay_changed = relay.is_some() && relay != told;
-            let leaving = if relay_changed {
-                shared.own_marks()
-            } else {
-                news
-            };
+            let leaving = if relay_changed { shared.own_marks() } else { news };
             let Some(relay) = relay.filter(|_| !leaving.is_empty()) else {
                 continue;
             };
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -103,13 +103,7 @@
 
 impl fmt::Display for Refusal {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{}: {} ({})",
-            self.kind.as_str(),
-            self.message,
-            self.verdict
-        )
+        write!(formatter, "{}: {} ({})", self.kind.as_str(), self.message, self.verdict)
     }
 }
 
@@ -118,11 +112,7 @@
 impl Refusal {
     /// A refusal before anything was sent.
     pub fn not_run(kind: RefusalKind, message: impl ToString) -> Self {
-        Refusal {
-            kind,
-            verdict: Verdict::NotRun,
-            message: message.to_string(),
-        }
+        Refusal { kind, verdict: Verdict::NotRun, message: message.to_string() }
     }
 
     /// The HTTP answer.
@@ -140,8 +130,6 @@
         if self.kind.is_transient() {
             builder = builder.header("Retry-After", RETRY_AFTER_S);
         }
-        builder
-            .body(body.to_string().into_bytes())
-            .expect("all headers are valid")
+        builder.body(body.to_string().into_bytes()).expect("all headers are valid")
     }
 }
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -115,10 +115,7 @@
 
     /// The routes in force; a call keeps the table it began with.
     pub fn routing(&self) -> Arc<RoutingTable> {
-        self.routing
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.routing.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Time since the configuration was last known to be current, milliseconds.
@@ -181,10 +178,7 @@
     fn endpoints_changed(&self, endpoints: &EndpointView) {
         let table = self.routing();
         let used = table.used_services();
-        let services = table
-            .services()
-            .values()
-            .filter(|service| used.contains(&service.name));
+        let services = table.services().values().filter(|service| used.contains(&service.name));
         self.dispatcher.update(endpoints, services);
     }
 
@@ -216,10 +210,7 @@
     let stored = load_applied(&settings)?;
     let clock = Clock::default();
     let registry = Registry::default();
-    let name = ProxyName {
-        id: settings.name.clone(),
-        zone: settings.zone.clone(),
-    };
+    let name = ProxyName { id: settings.name.clone(), zone: settings.zone.clone() };
     let identity = BalancerIdentity {
         proxy: settings.name.clone(),
         zone: settings.zone.clone(),
@@ -263,11 +254,7 @@
     spawn_watch(&shared, chooser);
     spawn_tls_reload(&shared);
     info!(name = %shared.settings.name, %address, "proxy_started");
-    Ok(RunningProxy {
-        shared,
-        address,
-        metrics_address,
-    })
+    Ok(RunningProxy { shared, address, metrics_address })
 }
 
 fn relay_address(settings: &settings::RelayAddressSettings) -> RelayAddress {
@@ -290,10 +277,7 @@
 }
 
 fn load_seal_keys(path: &PathBuf) -> Result<SealKeys, ProxyError> {
-    let fail = |reason: String| ProxyError::File {
-        path: path.clone(),
-        reason,
-    };
+    let fail = |reason: String| ProxyError::File { path: path.clone(), reason };
     let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
     let text = zeroize::Zeroizing::new(text);
     SealKeys::parse(&text).map_err(|error| fail(error.to_string()))
@@ -313,33 +297,25 @@
     let Some(folder) = &settings.data_dir else {
         return Ok(None);
     };
-    applied_store::load(folder).map_err(|error| ProxyError::File {
-        path: folder.clone(),
-        reason: error.to_string(),
-    })
+    applied_store::load(folder)
+        .map_err(|error| ProxyError::File { path: folder.clone(), reason: error.to_string() })
 }
 
 fn metrics(registry: &Registry) -> ProxyMetrics {
     ProxyMetrics {
         answered: registry.counter("proxy_calls_answered", "Calls answered by a back end"),
-        refused_not_run: registry.counter(
-            "proxy_calls_refused_not_run",
-            "Calls refused that have not run",
-        ),
-        refused_may_have_run: registry.counter(
-            "proxy_calls_refused_may_have_run",
-            "Calls refused that may have run",
-        ),
+        refused_not_run: registry
+            .counter("proxy_calls_refused_not_run", "Calls refused that have not run"),
+        refused_may_have_run: registry
+            .counter("proxy_calls_refused_may_have_run", "Calls refused that may have run"),
         refused_ran: registry.counter("proxy_calls_refused_ran", "Calls that ran, answer not kept"),
         sent: registry.counter("proxy_sends", "Sends to back ends, retries included"),
         retries: registry.counter("proxy_retries", "Sends after the first of a call"),
         generation: registry.gauge("proxy_generation", "Generation in force"),
         watch: WatchCounters {
             sent_bytes: registry.counter("proxy_control_sent_bytes", "Frames sent to relays"),
-            received_bytes: registry.counter(
-                "proxy_control_received_bytes",
-                "Frames received from relays",
-            ),
+            received_bytes: registry
+                .counter("proxy_control_received_bytes", "Frames received from relays"),
         },
     }
 }
@@ -352,9 +328,7 @@
         ready: Box::new(move || readiness(&for_ready)),
         status: Box::new(move || status(&for_status)),
     };
-    server
-        .run(shared.settings.metrics_listen)
-        .context(MetricsSnafu)
+    server.run(shared.settings.metrics_listen).context(MetricsSnafu)
 }
 
 fn readiness(shared: &Shared) -> Result<(), String> {
@@ -373,11 +347,8 @@
     let refused = core.refused().map(
         |refused| serde_json::json!({ "generation": refused.generation, "error": refused.error }),
     );
-    let endpoints: Vec<serde_json::Value> = core
-        .endpoints()
-        .endpoints()
-        .map(|endpoint| serde_json::json!(endpoint))
-        .collect();
+    let endpoints: Vec<serde_json::Value> =
+        core.endpoints().endpoints().map(|endpoint| serde_json::json!(endpoint)).collect();
     serde_json::json!({
         "name": shared.settings.name,
         "zone": shared.settings.zone,
@@ -399,15 +370,7 @@
         let counters = shared.metrics.watch.clone();
         let (clock, stop) = (shared.clock, shared.stop.clone());
         let watcher: &Shared = &shared;
-        run_watch(
-            &shared.core,
-            &shared.tls,
-            &mut chooser,
-            watcher,
-            &counters,
-            clock,
-            &stop,
-        );
+        run_watch(&shared.core, &shared.tls, &mut chooser, watcher, &counters, clock, &stop);
     });
 }
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -107,21 +107,15 @@
             SendPolicy::Once => &self.fresh,
         };
         let prepared = prepare(address, request)?;
-        let configured = agent
-            .configure_request(prepared)
-            .timeout_global(Some(request.timeout))
-            .build();
+        let configured =
+            agent.configure_request(prepared).timeout_global(Some(request.timeout)).build();
         let answer = agent.run(configured).map_err(|error| classify(&error))?;
         let (parts, mut body) = answer.into_parts();
         // The library checks the length announced; a short answer is an error here, and its
         // connection is dropped.
         let read = body.with_config().limit(self.max_body_bytes).read_to_vec();
         let body = read.map_err(|error| after_head(&error))?;
-        Ok(UpstreamAnswer {
-            status: parts.status,
-            headers: parts.headers,
-            body,
-        })
+        Ok(UpstreamAnswer { status: parts.status, headers: parts.headers, body })
     }
 }
 
@@ -151,12 +145,7 @@
     let uri = format!("http://{address}{}", request.path);
     let mut builder = http::Request::builder().method(request.method).uri(uri);
     if let Some(headers) = builder.headers_mut() {
-        headers.extend(
-            request
-                .headers
-                .iter()
-                .map(|(name, value)| (name.clone(), value.clone())),
-        );
+        headers.extend(request.headers.iter().map(|(name, value)| (name.clone(), value.clone())));
     }
     builder.body(request.body).map_err(|error| SendError {
         verdict: Verdict::NotRun,
@@ -182,18 +171,10 @@
         }
         _ => (Verdict::MayHaveRun, false),
     };
-    SendError {
-        verdict,
-        timed_out,
-        message,
-    }
+    SendError { verdict, timed_out, message }
 }
 
 fn after_head(error: &ureq::Error) -> SendError {
     let timed_out = matches!(error, ureq::Error::Timeout(_));
-    SendError {
-        verdict: Verdict::MayHaveRun,
-        timed_out,
-        message: error.to_string(),
-    }
+    SendError { verdict: Verdict::MayHaveRun, timed_out, message: error.to_string() }
 }
--- a/crates/proxy/src/watch.rs
+++ b/crates/proxy/src/watch.rs
@@ -55,14 +55,8 @@
         match connect(tls, relay, Role::Relay, Purpose::ProxyWatch) {
             Ok(connection) => {
                 watcher.connected(relay);
-                let mut conversation = Conversation {
-                    core,
-                    chooser,
-                    watcher,
-                    counters,
-                    clock,
-                    stop,
-                };
+                let mut conversation =
+                    Conversation { core, chooser, watcher, counters, clock, stop };
                 match conversation.run(connection) {
                     Ok(pause) => {
                         backoff.reset();
@@ -120,13 +114,8 @@
                     self.watcher.endpoints_changed(self.lock().endpoints());
                 }
             }
-            ReplyEffect::Prepare {
-                preparation,
-                approval,
-                endpoints,
-            } => {
+            ReplyEffect::Prepare { preparation, approval } => {
                 self.put_in_force(preparation, approval.as_ref());
-                self.lock().take_endpoints(endpoints);
                 self.watcher.endpoints_changed(self.lock().endpoints());
             }
             ReplyEffect::Retry { after_ms } => {
--- a/crates/relay/src/claim_forward.rs
+++ b/crates/relay/src/claim_forward.rs
@@ -39,9 +39,7 @@
     /// belong to, so sending one twice is harmless.
     pub fn forward(&self, tls: &TlsIdentity, request: ClaimRequest) -> ClaimReply {
         if self.groups == 0 {
-            return ClaimReply::Unavailable {
-                verdict: Verdict::NotRun,
-            };
+            return ClaimReply::Unavailable { verdict: Verdict::NotRun };
         }
         let group = group_of(request.command.key(), self.groups);
         let deadline = Instant::now() + FORWARD_LIMIT;
@@ -67,22 +65,13 @@
 
     fn leader(&self, group: u32) -> usize {
         let leaders = self.leaders.lock().unwrap_or_else(PoisonError::into_inner);
-        leaders
-            .get(&group)
-            .copied()
-            .unwrap_or(group as usize % self.replicas.len())
+        leaders.get(&group).copied().unwrap_or(group as usize % self.replicas.len())
     }
 
     fn redirect(&self, group: u32, asked: usize, leader: Option<u64>) {
-        let named = self
-            .replicas
-            .iter()
-            .position(|replica| Some(replica.id) == leader);
+        let named = self.replicas.iter().position(|replica| Some(replica.id) == leader);
         let next = named.unwrap_or((asked + 1) % self.replicas.len());
-        self.leaders
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(group, next);
+        self.leaders.lock().unwrap_or_else(PoisonError::into_inner).insert(group, next);
         if named.is_none() {
             thread::sleep(RETRY_PAUSE);
         }
--- a/crates/relay/src/control_link.rs
+++ b/crates/relay/src/control_link.rs
@@ -36,13 +36,7 @@
     fn new(replicas: &[ControlAddressSettings], purpose: Purpose) -> Self {
         let current = fastrand::usize(..replicas.len());
         let backoff = Backoff::new(BACKOFF_BASE_MS, BACKOFF_CAP_MS, fastrand::u64(..));
-        ControlLink {
-            replicas: replicas.to_vec(),
-            current,
-            purpose,
-            connection: None,
-            backoff,
-        }
+        ControlLink { replicas: replicas.to_vec(), current, purpose, connection: None, backoff }
     }
 
     fn call<Q, A>(
@@ -57,12 +51,7 @@
     {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => connect(
-                tls,
-                self.replicas[self.current].address,
-                Role::Control,
-                self.purpose,
-            )?,
+            None => connect(tls, self.replicas[self.current].address, Role::Control, self.purpose)?,
         };
         let answer = connection.call(request, timeout)?;
         self.connection = Some(connection);
@@ -72,10 +61,7 @@
     /// Goes to the leader named, or to the next replica after a pause.
     fn redirect(&mut self, leader: Option<u64>) {
         self.connection = None;
-        let named = self
-            .replicas
-            .iter()
-            .position(|replica| Some(replica.id) == leader);
+        let named = self.replicas.iter().position(|replica| Some(replica.id) == leader);
         match named {
             Some(position) if position != self.current => self.current = position,
             _ => {
@@ -124,10 +110,7 @@
     if !locked.core.on_watch_reply(reply, shared.clock.now_ms()) {
         return;
     }
-    let generation = locked
-        .core
-        .view()
-        .map_or(0, |view| view.newest_generation());
+    let generation = locked.core.view().map_or(0, |view| view.newest_generation());
     shared.metrics.generation.set(generation as i64);
     shared.report_changed(&mut locked);
     drop(locked);
@@ -172,19 +155,10 @@
         let version = locked.report_version;
         if ticket.is_some() || version != reported_version || left.is_zero() {
             let report = locked.core.report(shared.clock.now_ms());
-            return (
-                ReportRequest {
-                    report,
-                    confirm: ticket.is_some(),
-                },
-                ticket,
-                version,
-            );
+            return (ReportRequest { report, confirm: ticket.is_some() }, ticket, version);
         }
-        let (guard, _) = shared
-            .reports
-            .wait_timeout(locked, left)
-            .unwrap_or_else(PoisonError::into_inner);
+        let (guard, _) =
+            shared.reports.wait_timeout(locked, left).unwrap_or_else(PoisonError::into_inner);
         locked = guard;
     }
 }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -107,12 +107,7 @@
     /// What to ask control for.
     pub fn watch_request(&self) -> WatchRequest {
         let revision = self.view.as_ref().map_or(0, |view| view.revision);
-        let held = self
-            .history
-            .newest_first()
-            .take(MAX_BASES)
-            .copied()
-            .collect();
+        let held = self.history.newest_first().take(MAX_BASES).copied().collect();
         WatchRequest { revision, held }
     }
 
@@ -144,9 +139,7 @@
                 self.history.insert(bundle, &in_use);
             }
         }
-        let complete = in_use
-            .iter()
-            .all(|digest| self.history.get(digest).is_some());
+        let complete = in_use.iter().all(|digest| self.history.get(digest).is_some());
         if complete {
             self.view = Some(view);
         }
@@ -168,14 +161,7 @@
         let view = self.view.as_ref().unwrap_or(&empty);
         let parameters = &self.parameters;
         let (name, zone) = (&parameters.name, &parameters.zone);
-        build_report(
-            name,
-            zone,
-            view,
-            &mut self.proxies,
-            parameters.proxy_lease_ms,
-            now_ms,
-        )
+        build_report(name, zone, view, &mut self.proxies, parameters.proxy_lease_ms, now_ms)
     }
 
     /// Whether a confirmed read is wanted; taken before the read is sent.
@@ -190,9 +176,7 @@
 
     /// Time since control's leader was last heard from, milliseconds.
     pub fn source_age_ms(&self, now_ms: u64) -> u32 {
-        let age = self
-            .source_heard_ms
-            .map(|heard| now_ms.saturating_sub(heard));
+        let age = self.source_heard_ms.map(|heard| now_ms.saturating_sub(heard));
         age.map_or(u32::MAX, |age| u32::try_from(age).unwrap_or(u32::MAX))
     }
 
@@ -202,10 +186,7 @@
     pub fn open_session(&mut self, state: &ProxyState, now_ms: u64) -> SessionId {
         let id = SessionId(self.next_session);
         self.next_session += 1;
-        let ticket = state
-            .generation
-            .is_none()
-            .then(|| self.confirmations.issue());
+        let ticket = state.generation.is_none().then(|| self.confirmations.issue());
         let session = Session::new(state, ticket, now_ms);
         self.note_proxy(&session);
         self.sessions.insert(id, session);
@@ -255,22 +236,12 @@
         };
         // Until a starting proxy has its configuration it has no routes to use endpoints for.
         let waits = config.is_none() && session.position.generation.is_none();
-        let endpoints = if waits {
-            None
-        } else {
-            self.endpoints_for(&session)
-        };
+        let endpoints = if waits { None } else { self.endpoints_for(&session) };
         if config.is_none() && endpoints.is_none() {
             return None;
         }
-        let large = config
-            .as_ref()
-            .is_some_and(|config| is_large(&config.update));
-        let reply = ProxyReply::Update(ProxyUpdate {
-            config,
-            endpoints,
-            source_age_ms,
-        });
+        let large = config.as_ref().is_some_and(|config| is_large(&config.update));
+        let reply = ProxyReply::Update(ProxyUpdate { config, endpoints, source_age_ms });
         if let Some(session) = self.sessions.get_mut(&id) {
             session.on_sent(&reply);
             session.catching_up = large;
@@ -280,15 +251,11 @@
 
     /// The answer when the holding time is over.
     pub fn unchanged(&self, now_ms: u64) -> ProxyReply {
-        ProxyReply::Unchanged {
-            source_age_ms: self.source_age_ms(now_ms),
-        }
+        ProxyReply::Unchanged { source_age_ms: self.source_age_ms(now_ms) }
     }
 
     fn busy(&mut self) -> ProxyReply {
-        ProxyReply::Busy {
-            retry_after_ms: self.random.u32(RETRY_AFTER_MS),
-        }
+        ProxyReply::Busy { retry_after_ms: self.random.u32(RETRY_AFTER_MS) }
     }
 
     fn config_for(&mut self, session: &Session) -> Result<Option<ConfigUpdate>, ProxyReply> {
@@ -296,22 +263,14 @@
             return Ok(None);
         };
         let target = view.target_for(&session.name).clone();
-        let behind = session
-            .position
-            .generation
-            .is_none_or(|held| held < target.generation);
-        let refused = session
-            .refused
-            .as_ref()
-            .is_some_and(|refused| refused.generation == target.generation);
+        let behind = session.position.generation.is_none_or(|held| held < target.generation);
+        let refused =
+            session.refused.as_ref().is_some_and(|refused| refused.generation == target.generation);
         let confirmed = self.is_confirmed(session, view.revision);
         if !behind || refused || !confirmed {
             return Ok(None);
         }
-        let Some(update) = self
-            .history
-            .update(&session.position.digest, &target.digest)
-        else {
+        let Some(update) = self.history.update(&session.position.digest, &target.digest) else {
             return Ok(None);
         };
         if is_large(&update) && self.catch_ups() >= self.parameters.max_catch_ups {
@@ -336,27 +295,20 @@
     }
 
     fn catch_ups(&self) -> usize {
-        self.sessions
-            .values()
-            .filter(|session| session.catching_up)
-            .count()
+        self.sessions.values().filter(|session| session.catching_up).count()
     }
 
     fn endpoints_for(&self, session: &Session) -> Option<endpoints::EndpointUpdate> {
         let position = &session.position;
         let (epoch, sequence) = (position.endpoint_epoch, position.endpoint_sequence);
-        self.endpoints
-            .update_since(epoch, sequence, &session.services)
+        self.endpoints.update_since(epoch, sequence, &session.services)
     }
 
     // ---- towards other relays ----
 
     /// Takes in that back ends leave; returns how many of the marks were news.
     pub fn observe_leaving(&mut self, marks: Vec<LeavingMark>) -> u32 {
-        marks
-            .into_iter()
-            .map(|mark| u32::from(self.endpoints.mark_leaving(mark)))
-            .sum()
+        marks.into_iter().map(|mark| u32::from(self.endpoints.mark_leaving(mark))).sum()
     }
 
     /// Answers a peer, or `None` to hold its request until there are marks.
@@ -383,8 +335,7 @@
     /// Takes a peer's answer in; true if there is news for proxies.
     pub fn on_mirror_reply(&mut self, peer: &str, reply: MirrorReply) -> bool {
         let before = self.endpoints.sequence();
-        self.peer_subscribers
-            .insert(peer.to_owned(), reply.subscribers);
+        self.peer_subscribers.insert(peer.to_owned(), reply.subscribers);
         self.observe_leaving(reply.marks);
         self.refresh_subscribers();
         self.endpoints.sequence() > before
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -56,20 +56,14 @@
             let Some(dropped) = oldest.and_then(|position| self.order.remove(position)) else {
                 return;
             };
-            let objects = self
-                .bundles
-                .remove(&dropped)
-                .map_or(0, |gone| gone.objects().len());
+            let objects = self.bundles.remove(&dropped).map_or(0, |gone| gone.objects().len());
             self.references -= objects;
         }
     }
 
     /// The smallest update from `base` to `target`; `None` if `target` is not held.
     pub fn update(&mut self, base: &Digest, target: &Digest) -> Option<BundleUpdate> {
-        let found = self
-            .cached
-            .iter()
-            .find(|(from, to, _)| from == base && to == target);
+        let found = self.cached.iter().find(|(from, to, _)| from == base && to == target);
         if let Some((_, _, update)) = found {
             return Some(update.clone());
         }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -43,16 +43,10 @@
     mut connection: ClientConnection,
 ) -> Result<(), WireError> {
     let name = peer.to_string();
-    let mut request = MirrorRequest {
-        epoch: 0,
-        sequence: 0,
-    };
+    let mut request = MirrorRequest { epoch: 0, sequence: 0 };
     while !shared.stop.is_set() {
         let reply: MirrorReply = connection.call(&request, MIRROR_TIMEOUT)?;
-        request = MirrorRequest {
-            epoch: reply.epoch,
-            sequence: reply.sequence,
-        };
+        request = MirrorRequest { epoch: reply.epoch, sequence: reply.sequence };
         if shared.lock().core.on_mirror_reply(&name, reply) {
             shared.news.notify_all();
         }
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -110,27 +110,15 @@
     url: &str,
     version: &mut String,
 ) -> Result<Option<Vec<Endpoint>>, PlatformError> {
-    let boxed = |source| PlatformError::Request {
-        source: Box::new(source),
-    };
-    let mut answer = agent
-        .get(url)
-        .header("If-None-Match", version.as_str())
-        .call()
-        .map_err(boxed)?;
+    let boxed = |source| PlatformError::Request { source: Box::new(source) };
+    let mut answer =
+        agent.get(url).header("If-None-Match", version.as_str()).call().map_err(boxed)?;
     if answer.status() == 304 {
         return Ok(None);
     }
-    let tag = answer
-        .headers()
-        .get("ETag")
-        .and_then(|tag| tag.to_str().ok());
+    let tag = answer.headers().get("ETag").and_then(|tag| tag.to_str().ok());
     let tag = tag.unwrap_or_default().to_owned();
-    let text = answer
-        .body_mut()
-        .with_config()
-        .limit(MAX_LIST_BYTES)
-        .read_to_string();
+    let text = answer.body_mut().with_config().limit(MAX_LIST_BYTES).read_to_string();
     let listed = parse_machines(&text.map_err(boxed)?)?;
     *version = tag;
     Ok(Some(listed))
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -130,10 +130,7 @@
         clock: Clock::default(),
         stop,
         metrics: metrics(&registry),
-        locked: Mutex::new(Locked {
-            core: RelayCore::new(parameters),
-            report_version: 0,
-        }),
+        locked: Mutex::new(Locked { core: RelayCore::new(parameters), report_version: 0 }),
         news: Condvar::new(),
         reports: Condvar::new(),
         settings,
@@ -145,11 +142,7 @@
     mirror::spawn(&shared);
     spawn_tls_reload(&shared);
     info!(name = %shared.settings.name, %address, "relay_started");
-    Ok(RunningRelay {
-        shared,
-        address,
-        metrics_address,
-    })
+    Ok(RunningRelay { shared, address, metrics_address })
 }
 
 fn check_certificate(tls: &TlsIdentity, settings: &RelaySettings) -> Result<(), RelayError> {
@@ -184,9 +177,7 @@
         ready: Box::new(move || readiness(&for_ready)),
         status: Box::new(move || status(&for_status)),
     };
-    server
-        .run(shared.settings.metrics_listen)
-        .context(MetricsSnafu)
+    server.run(shared.settings.metrics_listen).context(MetricsSnafu)
 }
 
 fn readiness(shared: &Shared) -> Result<(), String> {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -41,20 +41,14 @@
     let session = {
         let mut locked = shared.lock();
         let session = locked.core.open_session(state, shared.clock.now_ms());
-        shared
-            .metrics
-            .sessions
-            .set(locked.core.session_count() as i64);
+        shared.metrics.sessions.set(locked.core.session_count() as i64);
         shared.report_changed(&mut locked);
         session
     };
     let result = answer_polls(shared, connection, session);
     let mut locked = shared.lock();
     locked.core.close_session(session);
-    shared
-        .metrics
-        .sessions
-        .set(locked.core.session_count() as i64);
+    shared.metrics.sessions.set(locked.core.session_count() as i64);
     shared.report_changed(&mut locked);
     result
 }
@@ -99,10 +93,8 @@
         if left.is_zero() {
             return locked.core.unchanged(now_ms);
         }
-        let (guard, _) = shared
-            .news
-            .wait_timeout(locked, left)
-            .unwrap_or_else(PoisonError::into_inner);
+        let (guard, _) =
+            shared.news.wait_timeout(locked, left).unwrap_or_else(PoisonError::into_inner);
         locked = guard;
     }
 }
@@ -157,10 +149,8 @@
             if left.is_zero() {
                 break locked.core.mirror_reply(Vec::new());
             }
-            let (guard, _) = shared
-                .news
-                .wait_timeout(locked, left)
-                .unwrap_or_else(PoisonError::into_inner);
+            let (guard, _) =
+                shared.news.wait_timeout(locked, left).unwrap_or_else(PoisonError::into_inner);
             locked = guard;
         };
         drop(locked);
--- a/crates/relay/src/spread.rs
+++ b/crates/relay/src/spread.rs
@@ -30,11 +30,8 @@
     proxies.retain(|_, proxy| {
         now_ms.saturating_sub(proxy.last_heard_ms) <= FORGET_AFTER_LEASES * lease_ms
     });
-    let mut report = RelayReport {
-        relay: relay.to_owned(),
-        zone: zone.to_owned(),
-        ..RelayReport::default()
-    };
+    let mut report =
+        RelayReport { relay: relay.to_owned(), zone: zone.to_owned(), ..RelayReport::default() };
     let mut by_generation: BTreeMap<u64, u32> = BTreeMap::new();
     for proxy in proxies.values() {
         if now_ms.saturating_sub(proxy.last_heard_ms) > lease_ms {
@@ -51,10 +48,7 @@
 
 fn count_proxy(report: &mut RelayReport, view: &TargetView, proxy: &KnownProxy, generation: u64) {
     let target = view.target_for(&proxy.name).generation;
-    let staged = view
-        .candidate
-        .as_ref()
-        .is_some_and(|candidate| candidate.covers(&proxy.name));
+    let staged = view.candidate.as_ref().is_some_and(|candidate| candidate.covers(&proxy.name));
     let behind = proxy.generation.is_none() || generation < target;
     if staged {
         report.staged += 1;
@@ -63,10 +57,7 @@
     if !behind {
         return;
     }
-    let refused = proxy
-        .refused
-        .as_ref()
-        .filter(|refused| refused.generation == target);
+    let refused = proxy.refused.as_ref().filter(|refused| refused.generation == target);
     report.errors += u32::from(refused.is_some());
     if report.laggards.len() < MAX_LAGGARDS {
         report.laggards.push(Laggard {
--- a/crates/rollout/src/advance.rs
+++ b/crates/rollout/src/advance.rs
@@ -39,16 +39,9 @@
         let current = self
             .healthy_since
             .filter(|held| held.generation == generation && held.stage == stage)
-            .unwrap_or(HealthyStage {
-                generation,
-                stage,
-                since_ms: now_ms,
-            });
+            .unwrap_or(HealthyStage { generation, stage, since_ms: now_ms });
         self.healthy_since = Some(current);
         let waited = now_ms.saturating_sub(current.since_ms) >= u64::from(seconds) * 1_000;
-        waited.then_some(Command::Advance {
-            generation,
-            from_stage: stage,
-        })
+        waited.then_some(Command::Advance { generation, from_stage: stage })
     }
 }
