--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -185,40 +185,24 @@
     fn execute(&mut self, index: u64, request: &Request) -> Answer {
         let operator = &request.operator;
         match &request.command {
-            Command::Submit {
-                version,
-                compressed,
-            } => self.submit(operator, *version, compressed),
+            Command::Submit { version, compressed } => self.submit(operator, *version, compressed),
             Command::Approve { digest, signature } => self.approve(operator, digest, signature),
-            Command::Roll {
-                digest,
-                expected_generation,
-                stages,
-                advance_after_s,
-            } => {
+            Command::Roll { digest, expected_generation, stages, advance_after_s } => {
                 self.check_generation(*expected_generation)?;
                 self.roll(index, operator, digest, stages, *advance_after_s)
             }
-            Command::Advance {
-                generation,
-                from_stage,
-            } => self.advance(index, *generation, *from_stage),
+            Command::Advance { generation, from_stage } => {
+                self.advance(index, *generation, *from_stage)
+            }
             Command::Pause { generation } => {
                 self.rollout_of(*generation)?.paused = true;
-                Ok(Accepted::Paused {
-                    generation: *generation,
-                })
+                Ok(Accepted::Paused { generation: *generation })
             }
             Command::Resume { generation } => {
                 self.rollout_of(*generation)?.paused = false;
-                Ok(Accepted::Resumed {
-                    generation: *generation,
-                })
+                Ok(Accepted::Resumed { generation: *generation })
             }
-            Command::Withdraw {
-                expected_generation,
-                to,
-            } => {
+            Command::Withdraw { expected_generation, to } => {
                 self.check_generation(*expected_generation)?;
                 self.withdraw(index, operator, *to)
             }
@@ -233,31 +217,15 @@
                 return Ok(Accepted::Submitted { version, digest });
             }
             let (winner, winner_digest) = (&held.submitter, held.digest);
-            return VersionConflictSnafu {
-                version,
-                winner,
-                winner_digest,
-            }
-            .fail();
+            return VersionConflictSnafu { version, winner, winner_digest }.fail();
         }
         let submitter = operator.to_owned();
-        self.versions.insert(
-            version,
-            VersionClaim {
-                digest,
-                submitter: submitter.clone(),
-            },
-        );
+        self.versions.insert(version, VersionClaim { digest, submitter: submitter.clone() });
         while self.versions.len() > RETAINED_VERSIONS {
             self.versions.pop_first();
         }
         if let Entry::Vacant(vacant) = self.bundles.entry(digest) {
-            vacant.insert(StoredBundle {
-                bundle,
-                version,
-                submitter,
-                approval: None,
-            });
+            vacant.insert(StoredBundle { bundle, version, submitter, approval: None });
             self.bundle_order.push_back(digest);
         }
         self.evict_bundles();
@@ -267,10 +235,8 @@
     fn evict_bundles(&mut self) {
         let in_use: Vec<Digest> = self.view().targets().map(|target| target.digest).collect();
         while self.bundle_order.len() > RETAINED_BUNDLES {
-            let Some(position) = self
-                .bundle_order
-                .iter()
-                .position(|digest| !in_use.contains(digest))
+            let Some(position) =
+                self.bundle_order.iter().position(|digest| !in_use.contains(digest))
             else {
                 return;
             };
@@ -282,35 +248,19 @@
 
     fn approve(&mut self, operator: &str, digest: &Digest, signature: &[u8]) -> Answer {
         let digest = *digest;
-        let stored = self
-            .bundles
-            .get_mut(&digest)
-            .context(UnknownBundleSnafu { digest })?;
+        let stored = self.bundles.get_mut(&digest).context(UnknownBundleSnafu { digest })?;
         ensure!(stored.submitter != operator, SelfApprovalSnafu { operator });
         if stored.approval.is_none() {
             let signature = signature.to_vec();
-            stored.approval = Some(Approval {
-                operator: operator.to_owned(),
-                signature,
-            });
+            stored.approval = Some(Approval { operator: operator.to_owned(), signature });
         }
         Ok(Accepted::Approved { digest })
     }
 
     fn check_generation(&self, expected: u64) -> Result<(), crate::Refusal> {
         let current = self.newest_generation;
-        let winner = self
-            .history
-            .back()
-            .map_or("nobody", |record| &record.operator);
-        ensure!(
-            expected == current,
-            GenerationConflictSnafu {
-                expected,
-                current,
-                winner
-            }
-        );
+        let winner = self.history.back().map_or("nobody", |record| &record.operator);
+        ensure!(expected == current, GenerationConflictSnafu { expected, current, winner });
         Ok(())
     }
 
@@ -324,34 +274,15 @@
     ) -> Answer {
         let digest = *digest;
         if let Some(rollout) = &self.rollout {
-            return RolloutInProgressSnafu {
-                generation: rollout.target.generation,
-            }
-            .fail();
+            return RolloutInProgressSnafu { generation: rollout.target.generation }.fail();
         }
         check_stages(stages)?;
-        let stored = self
-            .bundles
-            .get(&digest)
-            .context(UnknownBundleSnafu { digest })?;
-        let approval = stored
-            .approval
-            .clone()
-            .context(NotApprovedSnafu { digest })?;
+        let stored = self.bundles.get(&digest).context(UnknownBundleSnafu { digest })?;
+        let approval = stored.approval.clone().context(NotApprovedSnafu { digest })?;
         let generation = self.next_generation(index, operator, digest, GenerationKind::Rolled);
-        let target = GenerationTarget {
-            generation,
-            digest,
-            approval: Some(approval),
-        };
+        let target = GenerationTarget { generation, digest, approval: Some(approval) };
         let stages = stages.to_vec();
-        self.rollout = Some(Rollout {
-            target,
-            stages,
-            reached: 1,
-            advance_after_s,
-            paused: false,
-        });
+        self.rollout = Some(Rollout { target, stages, reached: 1, advance_after_s, paused: false });
         self.finish_if_complete();
         Ok(Accepted::Rolled { generation })
     }
@@ -387,19 +318,12 @@
 
     fn advance(&mut self, index: u64, generation: u64, from_stage: u32) -> Answer {
         let rollout = self.rollout_of(generation)?;
-        ensure!(
-            rollout.reached == from_stage,
-            NoSuchRolloutSnafu { generation }
-        );
+        ensure!(rollout.reached == from_stage, NoSuchRolloutSnafu { generation });
         rollout.reached += 1;
         let stages = rollout.reached;
         self.revision = index;
         let complete = self.finish_if_complete();
-        Ok(Accepted::Advanced {
-            generation,
-            stages,
-            complete,
-        })
+        Ok(Accepted::Advanced { generation, stages, complete })
     }
 
     /// A rollout whose last stage is reached becomes the base of the whole fleet.
@@ -417,25 +341,14 @@
     }
 
     fn withdraw(&mut self, index: u64, operator: &str, to: Option<Digest>) -> Answer {
-        let digest = to
-            .or_else(|| self.earlier_content())
-            .context(NothingToWithdrawSnafu)?;
+        let digest = to.or_else(|| self.earlier_content()).context(NothingToWithdrawSnafu)?;
         let approval = match self.bundles.get(&digest) {
-            Some(stored) => Some(
-                stored
-                    .approval
-                    .clone()
-                    .context(NotApprovedSnafu { digest })?,
-            ),
+            Some(stored) => Some(stored.approval.clone().context(NotApprovedSnafu { digest })?),
             None if digest == Bundle::default().digest() => None,
             None => return UnknownBundleSnafu { digest }.fail(),
         };
         let generation = self.next_generation(index, operator, digest, GenerationKind::Withdrawn);
-        self.base = GenerationTarget {
-            generation,
-            digest,
-            approval,
-        };
+        self.base = GenerationTarget { generation, digest, approval };
         self.rollout = None;
         Ok(Accepted::Withdrawn { generation, digest })
     }
@@ -446,11 +359,7 @@
             return Some(self.base.digest);
         }
         let newest = self.history.back()?.digest;
-        let earlier = self
-            .history
-            .iter()
-            .rev()
-            .find(|record| record.digest != newest);
+        let earlier = self.history.iter().rev().find(|record| record.digest != newest);
         earlier.map(|record| record.digest)
     }
 
@@ -460,11 +369,7 @@
             target: rollout.target.clone(),
             active_stages: rollout.stages[..rollout.reached as usize].to_vec(),
         });
-        TargetView {
-            revision: self.revision,
-            base: self.base.clone(),
-            candidate,
-        }
+        TargetView { revision: self.revision, base: self.base.clone(), candidate }
     }
 
     /// The rollout's generation, stages reached and rule, unless paused or absent.
@@ -481,9 +386,7 @@
 
     /// Number of stages of the rollout in progress, reached and in all.
     pub fn rollout_stages(&self) -> Option<(u32, usize)> {
-        self.rollout
-            .as_ref()
-            .map(|rollout| (rollout.reached, rollout.stages.len()))
+        self.rollout.as_ref().map(|rollout| (rollout.reached, rollout.stages.len()))
     }
 
     /// The newest generation accepted.
@@ -518,10 +421,7 @@
                 version: *version,
                 digest: held.digest,
                 submitter: held.submitter.clone(),
-                approver: stored
-                    .approval
-                    .as_ref()
-                    .map(|approval| approval.operator.clone()),
+                approver: stored.approval.as_ref().map(|approval| approval.operator.clone()),
                 objects: stored.bundle.objects().len(),
             })
         };
@@ -535,10 +435,7 @@
 
     /// Encodes the whole state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        let bundles = self
-            .bundle_order
-            .iter()
-            .filter_map(|digest| self.bundles.get(digest));
+        let bundles = self.bundle_order.iter().filter_map(|digest| self.bundles.get(digest));
         let encoded = EncodedMachine {
             revision: self.revision,
             bundles: bundles.map(encode_bundle).collect(),
@@ -549,9 +446,7 @@
             history: self.history.iter().cloned().collect(),
             answers: self.answers.iter().cloned().collect(),
         };
-        encoded
-            .write_to_vec()
-            .expect("encoding to memory cannot fail")
+        encoded.write_to_vec().expect("encoding to memory cannot fail")
     }
 
     /// Restores what [`ConfigMachine::encode`] wrote; empty bytes stand for a new fleet.
@@ -599,24 +494,15 @@
 
 fn decode_submission(compressed: &[u8]) -> Result<Bundle, crate::Refusal> {
     let update = bundle::BundleUpdate::decompress(compressed);
-    let bundle = update.ok().context(InvalidBundleSnafu {
-        problem: "it cannot be decoded",
-    })?;
+    let bundle = update.ok().context(InvalidBundleSnafu { problem: "it cannot be decoded" })?;
     match bundle.check().first() {
-        Some(problem) => InvalidBundleSnafu {
-            problem: problem.to_string(),
-        }
-        .fail(),
+        Some(problem) => InvalidBundleSnafu { problem: problem.to_string() }.fail(),
         None => Ok(bundle),
     }
 }
 
 fn command_digest(command: &Command) -> Digest {
-    Digest::of(
-        &command
-            .write_to_vec()
-            .expect("encoding to memory cannot fail"),
-    )
+    Digest::of(&command.write_to_vec().expect("encoding to memory cannot fail"))
 }
 
 fn check_stages(stages: &[Stage]) -> Result<(), crate::Refusal> {
@@ -627,18 +513,8 @@
         Stage::Percent(percent) => (1..=100).contains(percent),
         _ => true,
     });
-    ensure!(
-        percent_ok,
-        BadStagesSnafu {
-            reason: "a share is 1 to 100 per cent"
-        }
-    );
+    ensure!(percent_ok, BadStagesSnafu { reason: "a share is 1 to 100 per cent" });
     let most = LIMITS.objects;
-    ensure!(
-        stages.len() <= most,
-        BadStagesSnafu {
-            reason: "too many stages"
-        }
-    );
+    ensure!(stages.len() <= most, BadStagesSnafu { reason: "too many stages" });
     Ok(())
 }
--- a/crates/rollout/src/spread.rs
+++ b/crates/rollout/src/spread.rs
@@ -104,9 +104,7 @@
                 summary.proxies += count;
             }
             let room = MAX_LAGGARDS.saturating_sub(summary.laggards.len());
-            summary
-                .laggards
-                .extend(report.laggards.iter().take(room).cloned());
+            summary.laggards.extend(report.laggards.iter().take(room).cloned());
         }
         summary.by_generation = by_generation.into_iter().rev().collect();
         summary
--- a/crates/rollout/src/view.rs
+++ b/crates/rollout/src/view.rs
@@ -64,11 +64,7 @@
         let digest = bundle::Bundle::default().digest();
         TargetView {
             revision: 0,
-            base: GenerationTarget {
-                generation: 0,
-                digest,
-                approval: None,
-            },
+            base: GenerationTarget { generation: 0, digest, approval: None },
             candidate: None,
         }
     }
@@ -88,10 +84,7 @@
 
     /// The highest generation in use.
     pub fn newest_generation(&self) -> u64 {
-        self.targets()
-            .map(|target| target.generation)
-            .max()
-            .unwrap_or(0)
+        self.targets().map(|target| target.generation).max().unwrap_or(0)
     }
 }
 
@@ -99,9 +92,7 @@
     /// Whether a stage reached so far includes the proxy.
     pub fn covers(&self, proxy: &ProxyName) -> bool {
         let generation = self.target.generation;
-        self.active_stages
-            .iter()
-            .any(|stage| stage.includes(proxy, generation))
+        self.active_stages.iter().any(|stage| stage.includes(proxy, generation))
     }
 }
 
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -91,23 +91,14 @@
         checks.range("claim_groups", u64::from(self.claim_groups), 0, 64);
         checks.range("tick_ms", self.tick_ms, 1, 1_000);
         checks.range("election_ms", self.election_ms, 5 * self.tick_ms, 60_000);
-        checks.range(
-            "heartbeat_ms",
-            self.heartbeat_ms,
-            self.tick_ms,
-            self.election_ms / 3,
-        );
+        checks.range("heartbeat_ms", self.heartbeat_ms, self.tick_ms, self.election_ms / 3);
         checks.range("hold_ms", self.hold_ms, 50, 10_000);
         checks.range("max_readers", self.max_readers, 1, 10_000);
         checks.range("checkpoint_bytes", self.checkpoint_bytes, 4_096, 1 << 32);
         let mut ids: Vec<u64> = self.peer.iter().map(|peer| peer.id).collect();
         ids.sort_unstable();
         ids.dedup();
-        checks.require(
-            "peer",
-            ids.len() == self.peer.len(),
-            "two peers have the same id",
-        );
+        checks.require("peer", ids.len() == self.peer.len(), "two peers have the same id");
         let own = ids.contains(&self.member_id);
         checks.require("peer", own, "this member's own id must be listed");
     }
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -67,10 +67,8 @@
     let mut checks = Checks::default();
     settings.validate(&mut checks);
     let problems = checks.into_problems();
-    let lines: Vec<String> = problems
-        .iter()
-        .map(|problem| format!("{}: {problem}", path.display()))
-        .collect();
+    let lines: Vec<String> =
+        problems.iter().map(|problem| format!("{}: {problem}", path.display())).collect();
     ensure!(lines.is_empty(), InvalidSnafu { lines });
     Ok(settings)
 }
@@ -86,9 +84,7 @@
 
 fn apply_override(table: &mut toml::Table, text: &str) -> Result<(), SettingsError> {
     let message = "expected key=value";
-    let (key, value) = text
-        .split_once('=')
-        .context(OverrideSnafu { text, message })?;
+    let (key, value) = text.split_once('=').context(OverrideSnafu { text, message })?;
     let parsed = toml::from_str::<toml::Table>(&format!("value = {value}"))
         .ok()
         .and_then(|mut parsed| parsed.remove("value"))
@@ -97,13 +93,9 @@
     let mut parts: Vec<&str> = key.split('.').collect();
     let last = parts.pop().unwrap_or_default();
     for part in parts {
-        let inner = place
-            .entry(part)
-            .or_insert_with(|| toml::Value::Table(toml::Table::new()));
+        let inner = place.entry(part).or_insert_with(|| toml::Value::Table(toml::Table::new()));
         let message = format!("'{part}' is not a table");
-        place = inner
-            .as_table_mut()
-            .context(OverrideSnafu { text, message })?;
+        place = inner.as_table_mut().context(OverrideSnafu { text, message })?;
     }
     place.insert(last.to_owned(), parsed);
     Ok(())
@@ -143,15 +135,8 @@
             let hex = operator.public_key.len() == 64
                 && operator.public_key.chars().all(|c| c.is_ascii_hexdigit());
             checks.require("operator.public_key", hex, "must be 64 hexadecimal digits");
-            let known = operator
-                .roles
-                .iter()
-                .all(|role| ROLES.contains(&role.as_str()));
-            checks.require(
-                "operator.roles",
-                known,
-                "may hold submit, approve, roll, members",
-            );
+            let known = operator.roles.iter().all(|role| ROLES.contains(&role.as_str()));
+            checks.require("operator.roles", known, "may hold submit, approve, roll, members");
         }
     }
 }
--- a/crates/settings/src/proxy.rs
+++ b/crates/settings/src/proxy.rs
@@ -108,11 +108,7 @@
         checks.name("name", &self.name);
         checks.name("zone", &self.zone);
         checks.name("region", &self.region);
-        checks.require(
-            "relay",
-            !self.relay.is_empty(),
-            "at least one relay is needed",
-        );
+        checks.require("relay", !self.relay.is_empty(), "at least one relay is needed");
         checks.range("workers", self.workers, 1, 4_096);
         checks.range("max_calls", self.max_calls, 1, 100_000);
         checks.range("max_body_bytes", self.max_body_bytes, 1_024, 1 << 30);
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -84,19 +84,10 @@
         checks.name("name", &self.name);
         checks.name("zone", &self.zone);
         checks.name("region", &self.region);
-        checks.require(
-            "control",
-            !self.control.is_empty(),
-            "at least one replica is needed",
-        );
+        checks.require("control", !self.control.is_empty(), "at least one replica is needed");
         checks.range("platform_poll_ms", self.platform_poll_ms, 50, 60_000);
         checks.range("hold_ms", self.hold_ms, 100, 30_000);
-        checks.range(
-            "proxy_lease_ms",
-            self.proxy_lease_ms,
-            2 * self.hold_ms,
-            120_000,
-        );
+        checks.range("proxy_lease_ms", self.proxy_lease_ms, 2 * self.hold_ms, 120_000);
         checks.range("max_catch_ups", self.max_catch_ups, 1, 10_000);
         checks.range("max_connections", self.max_connections, 1, 100_000);
         checks.range("claim_groups", u64::from(self.claim_groups), 0, 64);
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -30,11 +30,7 @@
 
 impl fmt::Display for FolderIdentity {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "member {} of fleet '{}'",
-            self.member, self.fleet
-        )
+        write!(formatter, "member {} of fleet '{}'", self.member, self.fleet)
     }
 }
 
@@ -62,37 +58,21 @@
     let identity_path = path.join(IDENTITY_FILE);
     let exists = identity_path.exists();
     ensure!(exists || create, EmptyFolderSnafu { path });
-    fs::create_dir_all(path).context(IoSnafu {
-        action: "create",
-        path,
-    })?;
+    fs::create_dir_all(path).context(IoSnafu { action: "create", path })?;
     let lock_path = path.join(LOCK_FILE);
     let lock = OpenOptions::new()
         .create(true)
         .truncate(false)
         .write(true)
         .open(&lock_path)
-        .context(IoSnafu {
-            action: "open",
-            path: &lock_path,
-        })?;
+        .context(IoSnafu { action: "open", path: &lock_path })?;
     ensure!(lock.try_lock().is_ok(), LockedSnafu { path });
     if !exists {
         write_synced(path, IDENTITY_FILE, &encode_record(identity))?;
     }
     let found = read_identity(path)?;
-    ensure!(
-        found == *identity,
-        WrongOwnerSnafu {
-            path,
-            found,
-            expected: identity.clone()
-        }
-    );
-    Ok(DataFolder {
-        path: path.to_owned(),
-        _lock: lock,
-    })
+    ensure!(found == *identity, WrongOwnerSnafu { path, found, expected: identity.clone() });
+    Ok(DataFolder { path: path.to_owned(), _lock: lock })
 }
 
 impl DataFolder {
@@ -109,16 +89,9 @@
 
 fn read_identity(folder: &Path) -> Result<FolderIdentity, StorageError> {
     let path = folder.join(IDENTITY_FILE);
-    let bytes = fs::read(&path).context(IoSnafu {
-        action: "read",
-        path: &path,
-    })?;
+    let bytes = fs::read(&path).context(IoSnafu { action: "read", path: &path })?;
     let (mut records, _) = decode_records::<FolderIdentity>(&bytes);
-    let damaged = DamagedSnafu {
-        path,
-        offset: 0u64,
-        reason: "the identity is not readable",
-    };
+    let damaged = DamagedSnafu { path, offset: 0u64, reason: "the identity is not readable" };
     records.pop().ok_or_else(|| damaged.build())
 }
 
@@ -126,34 +99,17 @@
 fn write_synced(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
     let temporary = folder.join(format!("{name}.tmp"));
     let path = folder.join(name);
-    let mut file = File::create(&temporary).context(IoSnafu {
-        action: "create",
-        path: &temporary,
-    })?;
-    file.write_all(bytes).context(IoSnafu {
-        action: "write",
-        path: &temporary,
-    })?;
-    file.sync_all().context(IoSnafu {
-        action: "sync",
-        path: &temporary,
-    })?;
-    fs::rename(&temporary, &path).context(IoSnafu {
-        action: "rename",
-        path: &temporary,
-    })?;
+    let mut file =
+        File::create(&temporary).context(IoSnafu { action: "create", path: &temporary })?;
+    file.write_all(bytes).context(IoSnafu { action: "write", path: &temporary })?;
+    file.sync_all().context(IoSnafu { action: "sync", path: &temporary })?;
+    fs::rename(&temporary, &path).context(IoSnafu { action: "rename", path: &temporary })?;
     sync_folder(folder)
 }
 
 fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    let handle = File::open(folder).context(IoSnafu {
-        action: "open",
-        path: folder,
-    })?;
-    handle.sync_all().context(IoSnafu {
-        action: "sync",
-        path: folder,
-    })
+    let handle = File::open(folder).context(IoSnafu { action: "open", path: folder })?;
+    handle.sync_all().context(IoSnafu { action: "sync", path: folder })
 }
 
 /// A store in a folder of its own.
@@ -168,10 +124,7 @@
 impl DiskStore {
     /// Opens or creates the store of one group. `initial` is used only when nothing is stored.
     pub fn open(folder: &Path, initial: Snapshot) -> Result<(DiskStore, Recovered), StorageError> {
-        fs::create_dir_all(folder).context(IoSnafu {
-            action: "create",
-            path: folder,
-        })?;
+        fs::create_dir_all(folder).context(IoSnafu { action: "create", path: folder })?;
         let Some(sequence) = latest_checkpoint(folder)? else {
             return Self::create(folder, initial);
         };
@@ -179,38 +132,19 @@
         let log_path = folder.join(format!("{LOG_PREFIX}{sequence}"));
         let log_bytes = replay_log(&log_path, &mut state)?;
         let log = open_log(&log_path)?;
-        log.set_len(log_bytes).context(IoSnafu {
-            action: "truncate",
-            path: &log_path,
-        })?;
-        log.sync_all().context(IoSnafu {
-            action: "sync",
-            path: &log_path,
-        })?;
+        log.set_len(log_bytes).context(IoSnafu { action: "truncate", path: &log_path })?;
+        log.sync_all().context(IoSnafu { action: "sync", path: &log_path })?;
         sync_folder(folder)?;
         remove_older(folder, sequence)?;
-        let store = DiskStore {
-            folder: folder.to_owned(),
-            sequence,
-            log,
-            log_bytes,
-        };
+        let store = DiskStore { folder: folder.to_owned(), sequence, log, log_bytes };
         Ok((store, state))
     }
 
     fn create(folder: &Path, initial: Snapshot) -> Result<(DiskStore, Recovered), StorageError> {
-        let state = Recovered {
-            hard_state: HardState::default(),
-            snapshot: initial,
-            entries: Vec::new(),
-        };
+        let state =
+            Recovered { hard_state: HardState::default(), snapshot: initial, entries: Vec::new() };
         let log = write_checkpoint(folder, 1, state.hard_state, &state.snapshot, &[])?;
-        let store = DiskStore {
-            folder: folder.to_owned(),
-            sequence: 1,
-            log,
-            log_bytes: 0,
-        };
+        let store = DiskStore { folder: folder.to_owned(), sequence: 1, log, log_bytes: 0 };
         Ok((store, state))
     }
 
@@ -230,10 +164,7 @@
         .create(true)
         .append(true)
         .open(path)
-        .context(IoSnafu {
-            action: "open",
-            path,
-        })
+        .context(IoSnafu { action: "open", path })
 }
 
 fn latest_checkpoint(folder: &Path) -> Result<Option<u64>, StorageError> {
@@ -242,16 +173,10 @@
 }
 
 fn numbered_files(folder: &Path, prefix: &str) -> Result<Vec<u64>, StorageError> {
-    let listing = fs::read_dir(folder).context(IoSnafu {
-        action: "list",
-        path: folder,
-    })?;
+    let listing = fs::read_dir(folder).context(IoSnafu { action: "list", path: folder })?;
     let mut numbers = Vec::new();
     for file in listing {
-        let file = file.context(IoSnafu {
-            action: "list",
-            path: folder,
-        })?;
+        let file = file.context(IoSnafu { action: "list", path: folder })?;
         let name = file.file_name();
         let number = name.to_str().and_then(|name| name.strip_prefix(prefix));
         numbers.extend(number.and_then(|digits| digits.parse::<u64>().ok()));
@@ -261,19 +186,12 @@
 
 fn read_checkpoint(folder: &Path, sequence: u64) -> Result<Recovered, StorageError> {
     let path = folder.join(format!("{CHECKPOINT_PREFIX}{sequence}"));
-    let bytes = fs::read(&path).context(IoSnafu {
-        action: "read",
-        path: &path,
-    })?;
+    let bytes = fs::read(&path).context(IoSnafu { action: "read", path: &path })?;
     let (mut records, tail) = decode_records::<Checkpoint>(&bytes);
     let reason = "the checkpoint does not have its checksum";
     ensure!(
         tail == TailState::Clean && records.len() == 1,
-        DamagedSnafu {
-            path,
-            offset: 0u64,
-            reason
-        }
+        DamagedSnafu { path, offset: 0u64, reason }
     );
     let checkpoint = records.remove(0);
     Ok(Recovered {
@@ -288,22 +206,14 @@
     if !path.exists() {
         return Ok(0);
     }
-    let bytes = fs::read(path).context(IoSnafu {
-        action: "read",
-        path,
-    })?;
+    let bytes = fs::read(path).context(IoSnafu { action: "read", path })?;
     let (records, tail) = decode_records::<Record>(&bytes);
     let kept = match tail {
         TailState::Clean => bytes.len() as u64,
         TailState::Torn(offset) => offset,
         TailState::Damaged(offset) => {
             let reason = "a record lost its checksum but later ones are whole";
-            return DamagedSnafu {
-                path,
-                offset,
-                reason,
-            }
-            .fail();
+            return DamagedSnafu { path, offset, reason }.fail();
         }
     };
     for record in records {
@@ -321,15 +231,9 @@
 ) -> Result<File, StorageError> {
     let log_path = folder.join(format!("{LOG_PREFIX}{sequence}"));
     let log = open_log(&log_path)?;
-    log.sync_all().context(IoSnafu {
-        action: "sync",
-        path: &log_path,
-    })?;
-    let checkpoint = Checkpoint {
-        hard_state,
-        snapshot: snapshot.clone(),
-        entries: entries.to_vec(),
-    };
+    log.sync_all().context(IoSnafu { action: "sync", path: &log_path })?;
+    let checkpoint =
+        Checkpoint { hard_state, snapshot: snapshot.clone(), entries: entries.to_vec() };
     let name = format!("{CHECKPOINT_PREFIX}{sequence}");
     write_synced(folder, &name, &encode_record(&checkpoint))?;
     Ok(log)
@@ -340,10 +244,7 @@
         for number in numbered_files(folder, prefix)? {
             if number < sequence {
                 let path = folder.join(format!("{prefix}{number}"));
-                fs::remove_file(&path).context(IoSnafu {
-                    action: "remove",
-                    path: &path,
-                })?;
+                fs::remove_file(&path).context(IoSnafu { action: "remove", path: &path })?;
             }
         }
     }
@@ -356,20 +257,11 @@
         hard_state: Option<HardState>,
         entries: &[Entry],
     ) -> Result<(), StorageError> {
-        let record = Record {
-            hard_state,
-            entries: entries.to_vec(),
-        };
+        let record = Record { hard_state, entries: entries.to_vec() };
         let bytes = encode_record(&record);
         let path = self.folder.join(format!("{LOG_PREFIX}{}", self.sequence));
-        self.log.write_all(&bytes).context(IoSnafu {
-            action: "write",
-            path: &path,
-        })?;
-        self.log.sync_data().context(IoSnafu {
-            action: "sync",
-            path: &path,
-        })?;
+        self.log.write_all(&bytes).context(IoSnafu { action: "write", path: &path })?;
+        self.log.sync_data().context(IoSnafu { action: "sync", path: &path })?;
         self.log_bytes += bytes.len() as u64;
         Ok(())
     }
--- a/crates/storage/src/memory.rs
+++ b/crates/storage/src/memory.rs
@@ -29,17 +29,9 @@
 impl MemoryStore {
     /// A new disk with the fleet's first snapshot.
     pub fn new(snapshot: Snapshot) -> Self {
-        let checkpoint = Recovered {
-            hard_state: HardState::default(),
-            snapshot,
-            entries: Vec::new(),
-        };
-        MemoryStore {
-            checkpoint,
-            synced: Vec::new(),
-            unsynced: Vec::new(),
-            lies_about_sync: false,
-        }
+        let checkpoint =
+            Recovered { hard_state: HardState::default(), snapshot, entries: Vec::new() };
+        MemoryStore { checkpoint, synced: Vec::new(), unsynced: Vec::new(), lies_about_sync: false }
     }
 
     /// Makes the disk report success early; checkers must notice.
@@ -77,10 +69,7 @@
         hard_state: Option<HardState>,
         entries: &[Entry],
     ) -> Result<(), StorageError> {
-        let record = Record {
-            hard_state,
-            entries: entries.to_vec(),
-        };
+        let record = Record { hard_state, entries: entries.to_vec() };
         let encoded = encode_record(&record);
         if self.lies_about_sync {
             // What was written before is synced by the next write, as a real disk would in time.
@@ -98,11 +87,8 @@
         snapshot: &Snapshot,
         entries: &[Entry],
     ) -> Result<(), StorageError> {
-        self.checkpoint = Recovered {
-            hard_state,
-            snapshot: snapshot.clone(),
-            entries: entries.to_vec(),
-        };
+        self.checkpoint =
+            Recovered { hard_state, snapshot: snapshot.clone(), entries: entries.to_vec() };
         self.synced.clear();
         self.unsynced.clear();
         Ok(())
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -30,9 +30,7 @@
 
 /// Encodes a record with its header.
 pub fn encode_record<T: Writable<speedy::LittleEndian>>(record: &T) -> Vec<u8> {
-    let payload = record
-        .write_to_vec()
-        .expect("encoding to memory cannot fail");
+    let payload = record.write_to_vec().expect("encoding to memory cannot fail");
     let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
     bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
     bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
@@ -77,9 +75,7 @@
     if crc32fast::hash(payload) != checksum {
         return None;
     }
-    T::read_from_buffer(payload)
-        .ok()
-        .map(|record| (record, start + length))
+    T::read_from_buffer(payload).ok().map(|record| (record, start + length))
 }
 
 /// Looks for a whole record after a bad one: records are synced in order, so one can only stand
--- a/crates/telemetry/src/clock.rs
+++ b/crates/telemetry/src/clock.rs
@@ -10,9 +10,7 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        Clock {
-            start: Instant::now(),
-        }
+        Clock { start: Instant::now() }
     }
 }
 
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -14,11 +14,7 @@
 
 impl fmt::Display for UnknownLevel {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "log level '{}' is not error, warn, info, debug or trace",
-            self.0
-        )
+        write!(formatter, "log level '{}' is not error, warn, info, debug or trace", self.0)
     }
 }
 
@@ -57,10 +53,7 @@
         SystemTime.format_time(&mut writer)?;
         let level = event.metadata().level().as_str().to_ascii_lowercase();
         write!(writer, " level={level}")?;
-        let mut visitor = KeyValueVisitor {
-            writer: &mut writer,
-            result: Ok(()),
-        };
+        let mut visitor = KeyValueVisitor { writer: &mut writer, result: Ok(()) };
         event.record(&mut visitor);
         visitor.result?;
         writeln!(writer)
@@ -76,9 +69,7 @@
     fn pair(&mut self, name: &str, value: &str) {
         let name = if name == "message" { "event" } else { name };
         let plain = !value.is_empty()
-            && value
-                .chars()
-                .all(|c| c.is_ascii_graphic() && c != '"' && c != '=');
+            && value.chars().all(|c| c.is_ascii_graphic() && c != '"' && c != '=');
         let written = if plain {
             write!(self.writer, " {name}={value}")
         } else {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -23,16 +23,14 @@
     /// Registers a counter; the name must carry its unit and not `_total`, which is added.
     pub fn counter(&self, name: &str, help: &str) -> Counter {
         let counter = Counter::default();
-        self.lock()
-            .register(format!("chutecove_{name}"), help, counter.clone());
+        self.lock().register(format!("chutecove_{name}"), help, counter.clone());
         counter
     }
 
     /// Registers a gauge; the name must carry its unit.
     pub fn gauge(&self, name: &str, help: &str) -> Gauge {
         let gauge = Gauge::default();
-        self.lock()
-            .register(format!("chutecove_{name}"), help, gauge.clone());
+        self.lock().register(format!("chutecove_{name}"), help, gauge.clone());
         gauge
     }
 
@@ -73,10 +71,7 @@
     pub fn run(self, address: SocketAddr) -> Result<SocketAddr, MetricsServerError> {
         let handler = move |request: &rouille::Request| self.answer(&request.url());
         let server = rouille::Server::new(address, handler)
-            .map_err(|error| MetricsServerError {
-                address,
-                reason: error.to_string(),
-            })?
+            .map_err(|error| MetricsServerError { address, reason: error.to_string() })?
             .pool_size(SERVER_THREADS);
         let bound = server.server_addr();
         thread::spawn(move || server.run());
--- a/crates/telemetry/src/signal.rs
+++ b/crates/telemetry/src/signal.rs
@@ -34,9 +34,7 @@
 
     /// A signal that tests set themselves.
     pub fn manual() -> Self {
-        StopSignal {
-            stopped: Arc::new(AtomicBool::new(false)),
-        }
+        StopSignal { stopped: Arc::new(AtomicBool::new(false)) }
     }
 
     /// Asks to stop.
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -46,11 +46,7 @@
 
 impl fmt::Display for UnknownVerdict {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "'{}' is not a verdict (not-run, may-have-run, ran)",
-            self.0
-        )
+        write!(formatter, "'{}' is not a verdict (not-run, may-have-run, ran)", self.0)
     }
 }
 
--- a/crates/wire/src/authority.rs
+++ b/crates/wire/src/authority.rs
@@ -38,9 +38,7 @@
     pub fn create(fleet: &str) -> Result<Self, AuthorityError> {
         let key = KeyPair::generate().context(AuthoritySnafu)?;
         let mut params = CertificateParams::new(Vec::new()).context(AuthoritySnafu)?;
-        params
-            .distinguished_name
-            .push(DnType::CommonName, format!("chutecove {fleet}"));
+        params.distinguished_name.push(DnType::CommonName, format!("chutecove {fleet}"));
         params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
         params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
         set_validity(&mut params, AUTHORITY_LIFETIME);
@@ -53,10 +51,7 @@
 
     /// Uses an existing authority.
     pub fn from_pem(certificate_pem: String, key_pem: String) -> Self {
-        CertificateAuthority {
-            certificate_pem,
-            key_pem,
-        }
+        CertificateAuthority { certificate_pem, key_pem }
     }
 
     /// The authority's certificate, PEM.
@@ -81,20 +76,13 @@
         .context(AuthoritySnafu)?;
     let key = KeyPair::generate().context(AuthoritySnafu)?;
     let mut params = CertificateParams::new(identity.dns_names()).context(AuthoritySnafu)?;
-    params
-        .distinguished_name
-        .push(DnType::CommonName, identity.name.clone());
+    params.distinguished_name.push(DnType::CommonName, identity.name.clone());
     params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
-    params.extended_key_usages = vec![
-        ExtendedKeyUsagePurpose::ClientAuth,
-        ExtendedKeyUsagePurpose::ServerAuth,
-    ];
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ClientAuth, ExtendedKeyUsagePurpose::ServerAuth];
     set_validity(&mut params, lifetime);
     let certificate = params.signed_by(&key, &issuer).context(AuthoritySnafu)?;
-    Ok(IssuedCertificate {
-        certificate_pem: certificate.pem(),
-        key_pem: key.serialize_pem(),
-    })
+    Ok(IssuedCertificate { certificate_pem: certificate.pem(), key_pem: key.serialize_pem() })
 }
 
 fn set_validity(params: &mut CertificateParams, lifetime: Duration) {
--- a/crates/wire/src/backoff.rs
+++ b/crates/wire/src/backoff.rs
@@ -17,20 +17,12 @@
 impl Backoff {
     /// A backoff whose longest delay doubles from `base_ms` up to `cap_ms`.
     pub fn new(base_ms: u64, cap_ms: u64, seed: u64) -> Self {
-        Backoff {
-            base_ms,
-            cap_ms,
-            failures: 0,
-            random: fastrand::Rng::with_seed(seed),
-        }
+        Backoff { base_ms, cap_ms, failures: 0, random: fastrand::Rng::with_seed(seed) }
     }
 
     /// Delay after another failure, milliseconds.
     pub fn next_delay_ms(&mut self) -> u64 {
-        let longest = self
-            .base_ms
-            .saturating_mul(1 << self.failures.min(16))
-            .min(self.cap_ms);
+        let longest = self.base_ms.saturating_mul(1 << self.failures.min(16)).min(self.cap_ms);
         self.failures += 1;
         self.random.u64(0..=longest)
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -98,12 +98,7 @@
     let session =
         rustls::ClientConnection::new(tls.client(), name).context(TlsSnafu { address })?;
     let stream = StreamOwned::new(session, socket);
-    let mut connection = ClientConnection {
-        stream,
-        address,
-        sent_bytes: 0,
-        received_bytes: 0,
-    };
+    let mut connection = ClientConnection { stream, address, sent_bytes: 0, received_bytes: 0 };
     connection.greet(purpose)?;
     Ok(connection)
 }
@@ -117,10 +112,7 @@
 impl ClientConnection {
     fn greet(&mut self, purpose: Purpose) -> Result<(), WireError> {
         let address = self.address;
-        let hello = Hello {
-            protocol: PROTOCOL_VERSION,
-            purpose,
-        };
+        let hello = Hello { protocol: PROTOCOL_VERSION, purpose };
         write_frame(&mut self.stream, &hello).context(GreetingSnafu { address })?;
         let (reply, _) =
             read_frame::<HelloReply>(&mut self.stream).context(GreetingSnafu { address })?;
@@ -158,10 +150,7 @@
         A: for<'a> Readable<'a, LittleEndian>,
     {
         let address = self.address;
-        self.stream
-            .sock
-            .set_read_timeout(Some(timeout))
-            .context(ConnectSnafu { address })?;
+        self.stream.sock.set_read_timeout(Some(timeout)).context(ConnectSnafu { address })?;
         self.send(request)?;
         let (answer, received) =
             read_frame(&mut self.stream).context(ConversationSnafu { address })?;
@@ -188,9 +177,7 @@
         socket: TcpStream,
         allow: impl Fn(&Identity, Purpose) -> bool,
     ) -> Result<ServerConnection, WireError> {
-        let address = socket
-            .peer_addr()
-            .unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)));
+        let address = socket.peer_addr().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)));
         prepare_socket(&socket).context(ConnectSnafu { address })?;
         let session = rustls::ServerConnection::new(tls.server()).context(TlsSnafu { address })?;
         let mut stream = StreamOwned::new(session, socket);
@@ -203,28 +190,13 @@
         let reason = refusal(&hello, &peer, allow);
         let reply = match &reason {
             None => HelloReply::Welcome,
-            Some(reason) => HelloReply::Refused {
-                reason: reason.clone(),
-            },
+            Some(reason) => HelloReply::Refused { reason: reason.clone() },
         };
         write_frame(&mut stream, &reply).context(GreetingSnafu { address })?;
         let refused = reason.is_some();
-        ensure!(
-            !refused,
-            RefusedSnafu {
-                address,
-                reason: reason.unwrap_or_default()
-            }
-        );
+        ensure!(!refused, RefusedSnafu { address, reason: reason.unwrap_or_default() });
         let purpose = hello.purpose;
-        Ok(ServerConnection {
-            stream,
-            address,
-            peer,
-            purpose,
-            sent_bytes: 0,
-            received_bytes: 0,
-        })
+        Ok(ServerConnection { stream, address, peer, purpose, sent_bytes: 0, received_bytes: 0 })
     }
 
     /// Who is at the other end.
@@ -243,10 +215,7 @@
         T: for<'a> Readable<'a, LittleEndian>,
     {
         let address = self.address;
-        self.stream
-            .sock
-            .set_read_timeout(Some(timeout))
-            .context(ConnectSnafu { address })?;
+        self.stream.sock.set_read_timeout(Some(timeout)).context(ConnectSnafu { address })?;
         let (message, received) =
             read_frame(&mut self.stream).context(ConversationSnafu { address })?;
         self.received_bytes += received as u64;
@@ -276,15 +245,10 @@
 ) -> Option<String> {
     if hello.protocol != PROTOCOL_VERSION {
         let spoken = hello.protocol;
-        return Some(format!(
-            "protocol {spoken} is not spoken here, {PROTOCOL_VERSION} is"
-        ));
+        return Some(format!("protocol {spoken} is not spoken here, {PROTOCOL_VERSION} is"));
     }
     if !allow(peer, hello.purpose) {
-        return Some(format!(
-            "a {} may not open {:?} here",
-            peer.role, hello.purpose
-        ));
+        return Some(format!("a {} may not open {:?} here", peer.role, hello.purpose));
     }
     None
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -37,9 +37,7 @@
     message: &T,
 ) -> Result<usize, FrameError> {
     let mut frame = vec![0; LENGTH_BYTES];
-    message
-        .write_to_stream(&mut frame)
-        .context(UndecodableSnafu)?;
+    message.write_to_stream(&mut frame).context(UndecodableSnafu)?;
     let bytes = frame.len() - LENGTH_BYTES;
     ensure!(bytes <= MAX_FRAME_BYTES, TooLongSnafu { bytes });
     frame[..LENGTH_BYTES].copy_from_slice(&(bytes as u32).to_le_bytes());
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/identity.rs
@@ -33,9 +33,7 @@
 
     /// Reads the stable spelling.
     pub fn parse(text: &str) -> Option<Role> {
-        [Role::Control, Role::Relay, Role::Proxy]
-            .into_iter()
-            .find(|role| role.as_str() == text)
+        [Role::Control, Role::Relay, Role::Proxy].into_iter().find(|role| role.as_str() == text)
     }
 
     /// The DNS name by which clients ask for a server of this role.
@@ -74,9 +72,7 @@
     /// Reads the DNS names of a certificate; `None` if one of the three is missing.
     pub fn from_dns_names<'a>(names: impl Iterator<Item = &'a str> + Clone) -> Option<Identity> {
         let with_suffix = |suffix: &str| {
-            names
-                .clone()
-                .find_map(|name| name.strip_suffix(suffix).map(str::to_owned))
+            names.clone().find_map(|name| name.strip_suffix(suffix).map(str::to_owned))
         };
         Some(Identity {
             role: Role::parse(&with_suffix(ROLE_SUFFIX)?)?,
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -35,11 +35,7 @@
     pub fn bind(address: SocketAddr, max_connections: usize) -> Result<Server, ServerError> {
         let listener = TcpListener::bind(address).context(ServerSnafu { address })?;
         let address = listener.local_addr().context(ServerSnafu { address })?;
-        Ok(Server {
-            listener,
-            address,
-            max_connections,
-        })
+        Ok(Server { listener, address, max_connections })
     }
 
     /// The address listened on.
@@ -70,12 +66,7 @@
                     drop(socket);
                     continue;
                 }
-                let shared = (
-                    tls.clone(),
-                    allow.clone(),
-                    on_error.clone(),
-                    handler.clone(),
-                );
+                let shared = (tls.clone(), allow.clone(), on_error.clone(), handler.clone());
                 spawn_connection(socket, open.clone(), shared);
             }
         };
@@ -96,9 +87,7 @@
         }
         open.fetch_sub(1, Ordering::Relaxed);
     };
-    let spawned = thread::Builder::new()
-        .stack_size(CONNECTION_STACK_BYTES)
-        .spawn(serve);
+    let spawned = thread::Builder::new().stack_size(CONNECTION_STACK_BYTES).spawn(serve);
     if spawned.is_err() {
         counter.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -75,11 +75,7 @@
     /// Loads the files.
     pub fn load(files: TlsFiles) -> Result<Arc<Self>, TlsError> {
         let (loaded, identity) = load(&files)?;
-        Ok(Arc::new(TlsIdentity {
-            files,
-            identity,
-            loaded: Mutex::new(loaded),
-        }))
+        Ok(Arc::new(TlsIdentity { files, identity, loaded: Mutex::new(loaded) }))
     }
 
     /// Who this process is.
@@ -114,69 +110,45 @@
 fn modification_times(files: &TlsFiles) -> Vec<Option<SystemTime>> {
     [&files.authority, &files.certificate, &files.key]
         .into_iter()
-        .map(|path| {
-            path.metadata()
-                .and_then(|metadata| metadata.modified())
-                .ok()
-        })
+        .map(|path| path.metadata().and_then(|metadata| metadata.modified()).ok())
         .collect()
 }
 
 fn load(files: &TlsFiles) -> Result<(Loaded, Identity), TlsError> {
     let modified = modification_times(files);
     let chain = read_certificates(&files.certificate)?;
-    let identity = identity_of(&chain).context(NoIdentitySnafu {
-        path: &files.certificate,
-    })?;
+    let identity = identity_of(&chain).context(NoIdentitySnafu { path: &files.certificate })?;
     let key = PrivateKeyDer::from_pem_file(&files.key).context(PemSnafu { path: &files.key })?;
     let mut roots = RootCertStore::empty();
     for authority in read_certificates(&files.authority)? {
-        roots.add(authority).context(UnusableSnafu {
-            path: &files.authority,
-        })?;
+        roots.add(authority).context(UnusableSnafu { path: &files.authority })?;
     }
     let roots = Arc::new(roots);
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
         .build()
-        .context(VerifierSnafu {
-            path: &files.authority,
-        })?;
+        .context(VerifierSnafu { path: &files.authority })?;
     let mut server = ServerConfig::builder_with_provider(provider.clone())
         .with_safe_default_protocol_versions()
-        .context(UnusableSnafu {
-            path: &files.certificate,
-        })?
+        .context(UnusableSnafu { path: &files.certificate })?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain.clone(), key.clone_key())
-        .context(UnusableSnafu {
-            path: &files.certificate,
-        })?;
+        .context(UnusableSnafu { path: &files.certificate })?;
     // Sessions are never resumed, so that a replaced certificate counts from the next connection.
     server.send_tls13_tickets = 0;
     let mut client = ClientConfig::builder_with_provider(provider)
         .with_safe_default_protocol_versions()
-        .context(UnusableSnafu {
-            path: &files.certificate,
-        })?
+        .context(UnusableSnafu { path: &files.certificate })?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)
-        .context(UnusableSnafu {
-            path: &files.certificate,
-        })?;
+        .context(UnusableSnafu { path: &files.certificate })?;
     client.resumption = rustls::client::Resumption::disabled();
-    let loaded = Loaded {
-        client: Arc::new(client),
-        server: Arc::new(server),
-        modified,
-    };
+    let loaded = Loaded { client: Arc::new(client), server: Arc::new(server), modified };
     Ok((loaded, identity))
 }
 
 fn read_certificates(path: &PathBuf) -> Result<Vec<CertificateDer<'static>>, TlsError> {
-    CertificateDer::pem_file_iter(path)
-        .and_then(Iterator::collect)
-        .context(PemSnafu { path })
+    CertificateDer::pem_file_iter(path).and_then(Iterator::collect).context(PemSnafu { path })
 }
 
 /// Reads who a certificate chain stands for.
