--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -213,14 +213,19 @@
             return;
         };
         progress.heard_from(round);
+        let mut lost_entries = false;
         match result {
             AppendResult::Accepted(index) => progress.accepted(index),
             AppendResult::Rejected(hint) => {
+                // Late news, or a peer that lost what it had acknowledged. To answer the latter
+                // at once would go on for ever without getting further, so it waits for the
+                // next heartbeat.
+                lost_entries = hint < progress.match_index;
                 let probe = hint.min(progress.next_index.saturating_sub(2));
                 progress.rejected(probe);
             }
         }
-        let behind = progress.next_index <= last;
+        let behind = progress.next_index <= last && !lost_entries;
         self.maybe_commit();
         self.confirm_reads();
         if behind {
--- /dev/null
+++ b/crates/consensus/tests/network.rs
@@ -0,0 +1,273 @@
+//! A network of members in one thread: elections, replication, membership and reads.
+
+use consensus::{
+    Config, HardState, Membership, MembershipError, Message, NodeId, Payload, ProposeError, Raft,
+    Snapshot, SnapshotMeta,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const ELECTION_TICKS: u32 = 10;
+/// More than any exchange of messages in these tests needs.
+const MOST_MESSAGES: usize = 5_000;
+
+struct Network {
+    members: BTreeMap<NodeId, Raft>,
+    cut: BTreeSet<NodeId>,
+    queue: Vec<Message>,
+    applied: BTreeMap<NodeId, Vec<Vec<u8>>>,
+    confirmed_reads: Vec<u64>,
+    failed_reads: Vec<u64>,
+    delivered: usize,
+}
+
+fn empty_member(id: NodeId, membership: &Membership) -> Raft {
+    let config =
+        Config { id, election_ticks: ELECTION_TICKS, heartbeat_ticks: 2, seed: 1, weakness: None };
+    let meta = SnapshotMeta { index: 0, term: 0, membership: membership.clone() };
+    Raft::new(config, HardState::default(), Snapshot { meta, data: Vec::new() }, Vec::new())
+}
+
+impl Network {
+    fn of(count: u64) -> Self {
+        let membership = Membership::of_voters(1..=count);
+        Network {
+            members: (1..=count).map(|id| (id, empty_member(id, &membership))).collect(),
+            cut: BTreeSet::new(),
+            queue: Vec::new(),
+            applied: BTreeMap::new(),
+            confirmed_reads: Vec::new(),
+            failed_reads: Vec::new(),
+            delivered: 0,
+        }
+    }
+
+    fn with_leader(count: u64) -> (Self, NodeId) {
+        let mut network = Network::of(count);
+        let leader = network.elect();
+        (network, leader)
+    }
+
+    fn tick(&mut self, times: u32) {
+        for _ in 0..times {
+            for member in self.members.values_mut() {
+                member.tick();
+            }
+            self.settle();
+        }
+    }
+
+    fn elect(&mut self) -> NodeId {
+        for _ in 0..20 * ELECTION_TICKS {
+            self.tick(1);
+            if let Some(leader) = self.current_leader() {
+                return leader;
+            }
+        }
+        panic!("nobody was elected");
+    }
+
+    fn current_leader(&self) -> Option<NodeId> {
+        let connected = self.members.values().filter(|member| !self.cut.contains(&member.id()));
+        connected.filter(|member| member.is_leader()).map(Raft::id).next()
+    }
+
+    fn member(&mut self, id: NodeId) -> &mut Raft {
+        self.members.get_mut(&id).expect("the member is there")
+    }
+
+    fn propose(&mut self, leader: NodeId, command: &str) {
+        self.member(leader).propose(command.as_bytes().to_vec()).expect("it leads");
+        self.settle();
+    }
+
+    /// Delivers messages until there are none, or far too many were delivered.
+    fn settle(&mut self) {
+        let limit = self.delivered + MOST_MESSAGES;
+        loop {
+            self.collect();
+            if self.queue.is_empty() || self.delivered >= limit {
+                return;
+            }
+            for message in std::mem::take(&mut self.queue) {
+                self.delivered += 1;
+                let dropped = self.cut.contains(&message.from) || self.cut.contains(&message.to);
+                if let (false, Some(member)) = (dropped, self.members.get_mut(&message.to)) {
+                    member.step(message);
+                }
+            }
+        }
+    }
+
+    fn collect(&mut self) {
+        for (id, member) in &mut self.members {
+            while member.has_ready() {
+                let ready = member.ready();
+                let last = member.log().last_index();
+                member.on_persisted(last);
+                self.queue.extend(ready.messages);
+                let commands =
+                    ready.committed.into_iter().filter_map(|entry| match entry.payload {
+                        Payload::Command(command) => Some(command),
+                        _ => None,
+                    });
+                self.applied.entry(*id).or_default().extend(commands);
+                self.confirmed_reads.extend(ready.reads.iter().map(|read| read.context));
+                self.failed_reads.extend(ready.failed_reads);
+            }
+        }
+    }
+
+    fn applied_by(&self, id: NodeId) -> Vec<String> {
+        let commands = self.applied.get(&id).cloned().unwrap_or_default();
+        commands.into_iter().map(|command| String::from_utf8(command).expect("text")).collect()
+    }
+
+    fn followers(&self, leader: NodeId) -> Vec<NodeId> {
+        self.members.keys().copied().filter(|id| *id != leader).collect()
+    }
+}
+
+#[test]
+fn one_leader_is_elected_and_replicates() {
+    for count in [1, 3, 5] {
+        let (mut network, leader) = Network::with_leader(count);
+        network.propose(leader, "first");
+        network.tick(3);
+        for id in 1..=count {
+            assert_eq!(network.applied_by(id), ["first"], "member {id} of {count}");
+        }
+    }
+}
+
+#[test]
+fn a_minority_commits_nothing() {
+    let (mut network, leader) = Network::with_leader(5);
+    let followers = network.followers(leader);
+    network.cut.extend(&followers[..3]);
+    network.propose(leader, "lost");
+    assert!(network.applied_by(leader).is_empty());
+}
+
+#[test]
+fn a_leader_without_a_quorum_steps_down_and_fails_its_reads() {
+    let (mut network, leader) = Network::with_leader(3);
+    network.cut.insert(leader);
+    network.member(leader).read_index(7).expect("it still believes to lead");
+    network.tick(3 * ELECTION_TICKS);
+    assert!(!network.members[&leader].is_leader());
+    assert_eq!(network.confirmed_reads, Vec::<u64>::new());
+    assert_eq!(network.failed_reads, [7]);
+}
+
+#[test]
+fn a_member_that_was_cut_off_does_not_disturb_the_term() {
+    let (mut network, leader) = Network::with_leader(3);
+    let apart = network.followers(leader)[0];
+    let term = network.members[&leader].term();
+    network.cut.insert(apart);
+    network.tick(20 * ELECTION_TICKS);
+    network.cut.clear();
+    network.tick(2 * ELECTION_TICKS);
+    assert_eq!(network.members[&leader].term(), term, "pre-vote keeps the term");
+    assert!(network.members[&leader].is_leader());
+}
+
+#[test]
+fn an_uncommitted_entry_of_a_deposed_leader_gives_way() {
+    let (mut network, old) = Network::with_leader(3);
+    network.cut.insert(old);
+    network.propose(old, "never");
+    let new = network.elect();
+    network.propose(new, "kept");
+    network.cut.clear();
+    network.tick(ELECTION_TICKS);
+    for id in 1..=3 {
+        assert_eq!(network.applied_by(id), ["kept"]);
+    }
+}
+
+#[test]
+fn office_is_handed_over_on_request() {
+    let (mut network, leader) = Network::with_leader(3);
+    let next = network.followers(leader)[0];
+    network.member(leader).transfer_leadership(next);
+    network.settle();
+    network.tick(1);
+    assert_eq!(network.current_leader(), Some(next));
+}
+
+#[test]
+fn a_member_far_behind_gets_a_snapshot_in_chunks() {
+    const SNAPSHOT_BYTES: usize = 700 * 1024;
+    let (mut network, leader) = Network::with_leader(3);
+    let behind = network.followers(leader)[0];
+    network.cut.insert(behind);
+    // More than a leader keeps behind its snapshot.
+    for number in 0..600 {
+        network.propose(leader, &number.to_string());
+    }
+    let index = network.members[&leader].log().last_index();
+    let compacted = network.member(leader).compact(index, vec![9; SNAPSHOT_BYTES]);
+    assert!(compacted.is_some());
+    network.cut.clear();
+    network.tick(2 * ELECTION_TICKS);
+    network.propose(leader, "after");
+    let log = network.members[&behind].log();
+    assert_eq!(log.snapshot().data.len(), SNAPSHOT_BYTES);
+    assert_eq!(network.applied_by(behind).last().map(String::as_str), Some("after"));
+}
+
+#[test]
+fn membership_changes_are_refused_when_two_majorities_could_form() {
+    let (mut network, leader) = Network::with_leader(3);
+    let cases: [(Membership, MembershipError); 3] = [
+        (Membership::of_voters([leader]), MembershipError::MoreThanOneVoter),
+        (Membership::of_voters([]), MembershipError::NoVoters),
+        (Membership::of_voters(1..=4), MembershipError::NotALearner),
+    ];
+    for (next, expected) in cases {
+        let refused = network.member(leader).propose_membership(next);
+        assert_eq!(refused, Err(ProposeError::Membership { source: expected }));
+    }
+    let apart = network.followers(leader);
+    network.cut.extend(&apart);
+    let mut with_learner = Membership::of_voters(1..=3);
+    with_learner.learners.insert(4);
+    network.member(leader).propose_membership(with_learner.clone()).expect("it is allowed");
+    let second = network.member(leader).propose_membership(Membership::of_voters(1..=2));
+    let source = MembershipError::ChangeInProgress;
+    assert_eq!(second, Err(ProposeError::Membership { source }));
+}
+
+#[test]
+fn a_learner_is_promoted_only_once_it_has_caught_up() {
+    let (mut network, leader) = Network::with_leader(3);
+    network.propose(leader, "before");
+    let mut next = Membership::of_voters(1..=3);
+    next.learners.insert(4);
+    network.member(leader).propose_membership(next).expect("a learner may join");
+    network.settle();
+    let early = network.member(leader).propose_membership(Membership::of_voters(1..=4));
+    let source = MembershipError::LearnerBehind;
+    assert_eq!(early, Err(ProposeError::Membership { source }));
+    network.members.insert(4, empty_member(4, &Membership::default()));
+    network.tick(ELECTION_TICKS);
+    network.member(leader).propose_membership(Membership::of_voters(1..=4)).expect("caught up");
+    network.settle();
+    assert_eq!(network.applied_by(4), ["before"]);
+}
+
+/// A peer that lost what it had acknowledged rejects everything. Before the leader made it wait
+/// for the next heartbeat, the two of them exchanged messages without end.
+#[test]
+fn a_peer_that_lost_acknowledged_entries_is_not_answered_without_end() {
+    let (mut network, leader) = Network::with_leader(3);
+    let peer = network.followers(leader)[0];
+    network.propose(leader, "acknowledged");
+    network.propose(leader, "too");
+    network.members.insert(peer, empty_member(peer, &Membership::of_voters(1..=3)));
+    let before = network.delivered;
+    network.propose(leader, "after the loss");
+    network.tick(4);
+    assert!(network.delivered - before < 200, "{} messages", network.delivered - before);
+}
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -275,15 +275,18 @@
     let published = shared.groups.config.lock();
     let stored = published.machine.0.bundle(&digest);
     let stored = stored.ok_or_else(|| error(404, "unknown_bundle", "no such bundle"))?;
-    let show = |object| match object {
-        &bundle::Object::Service(ref service) => ShownObject::Service(service),
-        &bundle::Object::Route(ref route) => ShownObject::Route(route),
-        &bundle::Object::Secret(ref secret) => {
+    let objects = stored.bundle.objects().values().map(|hashed| shown(&hashed.object));
+    Ok(Response::json(&objects.collect::<Vec<_>>()))
+}
+
+fn shown(object: &bundle::Object) -> ShownObject<'_> {
+    match object {
+        bundle::Object::Service(service) => ShownObject::Service(service),
+        bundle::Object::Route(route) => ShownObject::Route(route),
+        bundle::Object::Secret(secret) => {
             ShownObject::Secret { name: &secret.name, key_id: secret.key_id }
         }
-    };
-    let objects = stored.bundle.objects().values().map(|hashed| show(&hashed.object));
-    Ok(Response::json(&objects.collect::<Vec<_>>()))
+    }
 }
 
 fn list_members(shared: &Shared) -> ApiResult {
--- a/crates/control/src/authentication.rs
+++ b/crates/control/src/authentication.rs
@@ -153,7 +153,7 @@
 }
 
 fn decode_hex(text: &str) -> Option<Vec<u8>> {
-    if text.len() % 2 != 0 || !text.is_ascii() {
+    if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return None;
     }
     let pairs = (0..text.len()).step_by(2);
--- a/crates/lab/src/fleet/layout.rs
+++ b/crates/lab/src/fleet/layout.rs
@@ -260,11 +260,4 @@
         fs::write(&path, settings::to_toml(settings)).map_err(|error| error.to_string())?;
         Ok(path)
     }
-
-    /// Writes a proxy's settings again after a change.
-    pub fn rewrite_proxy(&self, position: usize) -> Result<(), crate::Failure> {
-        let place = &self.proxies[position];
-        fs::write(&place.settings_file, settings::to_toml(&place.settings))
-            .map_err(|error| error.to_string())
-    }
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -8,8 +8,5 @@
 mod running;
 
 pub use bundles::{bundle_toml, ServiceShape};
-pub use keys::FleetKeys;
-pub use layout::{FleetLayout, FleetSpec, ProxyPlace, RelayPlace, VoterPlace, ZoneSpec};
-pub use ports::PortRange;
-pub use process::ManagedProcess;
-pub use running::{send, BackendPlace, RunningFleet};
+pub use layout::{FleetLayout, FleetSpec, ZoneSpec};
+pub use running::{send, RunningFleet};
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -22,8 +22,6 @@
     pub name: String,
     /// Service.
     pub service: String,
-    /// Zone.
-    pub zone: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// File that counts its runs.
@@ -116,13 +114,8 @@
         let name = format!("backend-{service}-{}", self.backends.len() + 1);
         let address = self.layout.ports.next_address();
         let runs_file = self.layout.folder.join(format!("{name}.runs"));
-        let place = BackendPlace {
-            name: name.clone(),
-            service: service.to_owned(),
-            zone: zone.name.clone(),
-            address,
-            runs_file,
-        };
+        let place =
+            BackendPlace { name: name.clone(), service: service.to_owned(), address, runs_file };
         self.backends.push(place);
         self.run_backend(self.backends.len() - 1, more)?;
         self.platform.set(ListedMachine {
@@ -197,11 +190,6 @@
         answer.body_mut().read_to_string().ok()
     }
 
-    /// Posts to a stand-in.
-    pub fn post(&self, address: SocketAddr, path: &str) -> bool {
-        self.agent.post(format!("http://{address}{path}")).send_empty().is_ok()
-    }
-
     /// Whether a process says that it is ready.
     pub fn is_ready(&self, metrics: SocketAddr) -> bool {
         self.get(metrics, "/readyz").is_some()
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod demo;
 mod fleet;
+mod sim;
 mod stand_in;
 
 use std::process::ExitCode;
@@ -13,6 +14,7 @@
 Usage: chutecove-lab COMMAND [OPTIONS]
 
   demo               a whole fleet in separate processes, with calls, rollouts and a drain
+  sim                the cores in virtual time, with seeded faults and checks
   backend            one stand-in back end (started by the other commands)
   product ...        the product's own command line, in this binary
 ";
@@ -29,6 +31,7 @@
     let result = match command.as_str() {
         "product" => return chutecove::main_with(rest),
         "demo" => demo::run(rest),
+        "sim" => sim::run(rest),
         "backend" => stand_in::backend::run(rest),
         "--help" | "-h" | "help" => {
             print!("{USAGE}");
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -11,8 +11,6 @@
 pub enum ProxyWeakness {
     /// Applies whatever generation arrives.
     AcceptsOlder,
-    /// A starting proxy applies a target that no quorum confirmed.
-    AcceptsUnconfirmed,
     /// Applies the objects of a delta without looking at the result.
     AppliesUnchecked,
     /// Forgets its own leaving marks when a relay lists the endpoint as live.
@@ -205,7 +203,7 @@
             Some(held) => {
                 config.generation > held || self.weakness == Some(ProxyWeakness::AcceptsOlder)
             }
-            None => config.confirmed || self.weakness == Some(ProxyWeakness::AcceptsUnconfirmed),
+            None => config.confirmed,
         }
     }
 
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -15,7 +15,7 @@
 use settings::{ProxySettings, SettingsError};
 use snafu::{ensure, ResultExt, Snafu};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::thread;
@@ -276,14 +276,14 @@
     Ok(())
 }
 
-fn load_seal_keys(path: &PathBuf) -> Result<SealKeys, ProxyError> {
-    let fail = |reason: String| ProxyError::File { path: path.clone(), reason };
+fn load_seal_keys(path: &Path) -> Result<SealKeys, ProxyError> {
+    let fail = |reason: String| ProxyError::File { path: path.to_owned(), reason };
     let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
     let text = zeroize::Zeroizing::new(text);
     SealKeys::parse(&text).map_err(|error| fail(error.to_string()))
 }
 
-fn load_operator_keys(path: &PathBuf) -> Result<OperatorKeys, ProxyError> {
+fn load_operator_keys(path: &Path) -> Result<OperatorKeys, ProxyError> {
     let listed = settings::load_operators(path).context(OperatorsSnafu)?;
     let mut keys = OperatorKeys::default();
     for operator in &listed.operator {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -25,8 +25,8 @@
 pub enum RelayWeakness {
     /// A starting proxy is served without confirmation by a quorum.
     NoConfirmation,
-    /// A view is taken over although it is older than the one held.
-    AcceptsOlderViews,
+    /// A proxy that is ahead of this relay is sent the older target.
+    SendsOlder,
 }
 
 /// Fixed parameters of a relay.
@@ -48,6 +48,9 @@
     pub weakness: Option<RelayWeakness>,
 }
 
+/// As many large updates as allowed are on their way.
+struct CatchUpsFull;
+
 /// State of a relay.
 #[derive(Clone, Debug)]
 pub struct RelayCore {
@@ -129,8 +132,7 @@
     /// Takes over a newer view, if every bundle it names is there.
     fn adopt(&mut self, view: TargetView, updates: &[BundleUpdate]) -> bool {
         let held = self.view.as_ref().map(|view| view.revision);
-        let older = held.is_some_and(|revision| view.revision <= revision);
-        if older && self.parameters.weakness != Some(RelayWeakness::AcceptsOlderViews) {
+        if held.is_some_and(|revision| view.revision <= revision) {
             return false;
         }
         let in_use: Vec<Digest> = view.targets().map(|target| target.digest).collect();
@@ -232,7 +234,7 @@
         let session = self.sessions.get(&id)?.clone();
         let config = match self.config_for(&session) {
             Ok(config) => config,
-            Err(busy) => return Some(busy),
+            Err(CatchUpsFull) => return Some(self.busy()),
         };
         // Until a starting proxy has its configuration it has no routes to use endpoints for.
         let waits = config.is_none() && session.position.generation.is_none();
@@ -258,12 +260,15 @@
         ProxyReply::Busy { retry_after_ms: self.random.u32(RETRY_AFTER_MS) }
     }
 
-    fn config_for(&mut self, session: &Session) -> Result<Option<ConfigUpdate>, ProxyReply> {
+    fn config_for(&mut self, session: &Session) -> Result<Option<ConfigUpdate>, CatchUpsFull> {
         let Some(view) = &self.view else {
             return Ok(None);
         };
         let target = view.target_for(&session.name).clone();
-        let behind = session.position.generation.is_none_or(|held| held < target.generation);
+        let sends_older = self.parameters.weakness == Some(RelayWeakness::SendsOlder);
+        let behind = session.position.generation.is_none_or(|held| {
+            held < target.generation || (sends_older && held != target.generation)
+        });
         let refused =
             session.refused.as_ref().is_some_and(|refused| refused.generation == target.generation);
         let confirmed = self.is_confirmed(session, view.revision);
@@ -274,7 +279,7 @@
             return Ok(None);
         };
         if is_large(&update) && self.catch_ups() >= self.parameters.max_catch_ups {
-            return Err(self.busy());
+            return Err(CatchUpsFull);
         }
         Ok(Some(ConfigUpdate {
             generation: target.generation,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod spread;
 
 pub use crate::core::{RelayCore, RelayParameters, RelayWeakness};
+pub use confirmation::Ticket;
 pub use history::BundleHistory;
 pub use platform::{parse_machines, Machine, MachineState, PlatformError};
 pub use runtime::{run, RelayError, RunningRelay};
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -13,6 +13,8 @@
 
 pub use advance::Advancer;
 pub use command::{Accepted, Answer, Command, Refusal, Request, CONTROL_OPERATOR};
-pub use machine::{ConfigMachine, GenerationKind, GenerationRecord, StoredBundle, VersionSummary};
+pub use machine::{
+    ConfigMachine, GenerationKind, GenerationRecord, RolloutWeakness, StoredBundle, VersionSummary,
+};
 pub use spread::{FleetSpread, Laggard, RelayReport, SpreadSummary, REPORT_LEASE_MS};
 pub use view::{Candidate, GenerationTarget, ProxyName, Stage, TargetView};
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -99,6 +99,17 @@
     submitter: String,
 }
 
+/// Mechanisms that can be switched off, only to prove that the checks notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutWeakness {
+    /// A resent request is executed again.
+    ForgetsAnswers,
+    /// A version number can be taken by a second bundle.
+    AcceptsVersionTwice,
+    /// A withdrawal returns to the earlier generation's number.
+    CountsDown,
+}
+
 /// State of the configuration, rebuilt identically by every replica.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ConfigMachine {
@@ -111,6 +122,7 @@
     newest_generation: u64,
     history: VecDeque<GenerationRecord>,
     answers: VecDeque<RecordedAnswer>,
+    weakness: Option<RolloutWeakness>,
 }
 
 #[derive(Readable, Writable)]
@@ -145,15 +157,23 @@
             newest_generation: 0,
             history: VecDeque::new(),
             answers: VecDeque::new(),
+            weakness: None,
         }
     }
 }
 
 impl ConfigMachine {
+    /// Switches a mechanism off for checker tests.
+    pub fn weaken(&mut self, weakness: RolloutWeakness) {
+        self.weakness = Some(weakness);
+    }
+
     /// Applies the committed request at log position `index`.
     pub fn apply(&mut self, index: u64, request: &Request) -> Answer {
         let command_digest = command_digest(&request.command);
-        if let Some(recorded) = self.recorded(request) {
+        let recorded = self.recorded(request);
+        let recorded = recorded.filter(|_| !self.is_weak(RolloutWeakness::ForgetsAnswers));
+        if let Some(recorded) = recorded {
             let reused = recorded.command_digest != command_digest;
             let request_id = &request.request_id;
             ensure!(!reused, RequestIdReusedSnafu { request_id });
@@ -164,6 +184,10 @@
         answer
     }
 
+    fn is_weak(&self, weakness: RolloutWeakness) -> bool {
+        self.weakness == Some(weakness)
+    }
+
     fn recorded(&self, request: &Request) -> Option<&RecordedAnswer> {
         self.answers.iter().rev().find(|answer| {
             answer.request_id == request.request_id && answer.operator == request.operator
@@ -212,7 +236,8 @@
     fn submit(&mut self, operator: &str, version: u64, compressed: &[u8]) -> Answer {
         let bundle = decode_submission(compressed)?;
         let digest = bundle.digest();
-        if let Some(held) = self.versions.get(&version) {
+        let held = self.versions.get(&version);
+        if let Some(held) = held.filter(|_| !self.is_weak(RolloutWeakness::AcceptsVersionTwice)) {
             if held.digest == digest {
                 return Ok(Accepted::Submitted { version, digest });
             }
@@ -347,7 +372,11 @@
             None if digest == Bundle::default().digest() => None,
             None => return UnknownBundleSnafu { digest }.fail(),
         };
-        let generation = self.next_generation(index, operator, digest, GenerationKind::Withdrawn);
+        let mut generation =
+            self.next_generation(index, operator, digest, GenerationKind::Withdrawn);
+        if self.is_weak(RolloutWeakness::CountsDown) {
+            generation = self.base.generation;
+        }
         self.base = GenerationTarget { generation, digest, approval };
         self.rollout = None;
         Ok(Accepted::Withdrawn { generation, digest })
--- /dev/null
+++ b/crates/simulator/src/control_node.rs
@@ -0,0 +1,395 @@
+//! A simulated control replica around the product's consensus core and state machines.
+
+use crate::checker::Checker;
+use crate::host::Hosts;
+use crate::packet::{CallId, Node, Packet, ProposalReply, SimCommand, Timer};
+use bundle::{best_update, Bundle, BundleUpdate};
+use claims::ClaimMachine;
+use consensus::{
+    Config, Entry, Index, Membership, Message, Payload, ProposeError, Raft, Ready, Snapshot,
+    SnapshotMeta,
+};
+use rollout::{ConfigMachine, RolloutWeakness};
+use speedy::{Readable, Writable};
+use std::collections::{BTreeMap, VecDeque};
+use storage::{CrashPoint, LogStore, MemoryStore, Record};
+use wire::{ReportReply, ReportRequest, WatchReply, WatchRequest};
+
+pub(crate) const TICK_MS: u64 = 20;
+pub(crate) const ELECTION_TICKS: u32 = 20;
+const HEARTBEAT_TICKS: u32 = 4;
+const HOLD_MS: u64 = 500;
+/// Small, so that checkpoints and snapshot transfers happen in every run.
+const CHECKPOINT_BYTES: u64 = 24 * 1024;
+
+/// The weaknesses of broken variants that concern a replica.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ControlWeakness {
+    pub consensus: Option<consensus::Weakness>,
+    pub rollout: Option<RolloutWeakness>,
+    pub claims: Option<claims::ClaimWeakness>,
+}
+
+struct HeldWatch {
+    relay: Node,
+    call: CallId,
+    request: WatchRequest,
+    deadline_ms: u64,
+}
+
+/// A relay's wish for a confirmed revision.
+#[derive(Clone, Copy)]
+struct PendingRead {
+    relay: Node,
+    call: CallId,
+    /// Newest revision anywhere when the read began.
+    floor: u64,
+}
+
+pub(crate) struct ControlNode {
+    pub id: u64,
+    pub raft: Raft,
+    pub store: MemoryStore,
+    pub config: ConfigMachine,
+    pub claims: ClaimMachine,
+    applied: Index,
+    weakness: ControlWeakness,
+    proposals: BTreeMap<Index, (u64, Node, CallId)>,
+    reads: BTreeMap<u64, PendingRead>,
+    confirmed: Vec<(Index, PendingRead)>,
+    next_read: u64,
+    held: Vec<HeldWatch>,
+    rounds: VecDeque<(u64, u64)>,
+    quorum_contact_ms: Option<u64>,
+    /// The next write is torn, and the process dies.
+    pub tear_next_write: Option<TornWrite>,
+    /// Set when the process died in a write: how long until it restarts, milliseconds.
+    pub died_for_ms: Option<u64>,
+}
+
+/// A write that reaches the disk only in part.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TornWrite {
+    /// How much of it is durable.
+    pub bytes: usize,
+    /// How long the process stays dead.
+    pub restart_ms: u64,
+}
+
+pub(crate) fn first_snapshot(membership: Membership) -> Snapshot {
+    Snapshot { meta: SnapshotMeta { index: 0, term: 0, membership }, data: Vec::new() }
+}
+
+impl ControlNode {
+    /// Starts from what the disk holds.
+    pub fn start(id: u64, mut store: MemoryStore, weakness: ControlWeakness, seed: u64) -> Self {
+        let recovered = store.recover();
+        let (config, claims) = decode(&recovered.snapshot.data, weakness);
+        let consensus = Config {
+            id,
+            election_ticks: ELECTION_TICKS,
+            heartbeat_ticks: HEARTBEAT_TICKS,
+            seed,
+            weakness: weakness.consensus,
+        };
+        let raft =
+            Raft::new(consensus, recovered.hard_state, recovered.snapshot, recovered.entries);
+        ControlNode {
+            id,
+            applied: raft.log().handed_out,
+            raft,
+            store,
+            config,
+            claims,
+            weakness,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            confirmed: Vec::new(),
+            next_read: 1,
+            held: Vec::new(),
+            rounds: VecDeque::new(),
+            quorum_contact_ms: None,
+            tear_next_write: None,
+            died_for_ms: None,
+        }
+    }
+
+    pub fn on_timer(&mut self, timer: &Timer, hosts: &mut Hosts, checker: &mut Checker) {
+        if *timer == Timer::Tick {
+            self.raft.tick();
+            self.work(hosts, checker);
+        }
+    }
+
+    pub fn on_packet(
+        &mut self,
+        from: Node,
+        packet: Packet,
+        hosts: &mut Hosts,
+        checker: &mut Checker,
+    ) {
+        match packet {
+            Packet::Raft(message) => self.raft.step(message),
+            Packet::Propose(call, command) => self.propose(from, call, &command, hosts),
+            Packet::Watch(call, request) => {
+                let deadline_ms = hosts.now_ms + HOLD_MS;
+                self.held.push(HeldWatch { relay: from, call, request, deadline_ms });
+            }
+            Packet::Report(call, request) => self.report(from, call, &request, hosts, checker),
+            _ => {}
+        }
+        self.work(hosts, checker);
+    }
+
+    fn propose(&mut self, from: Node, call: CallId, command: &SimCommand, hosts: &mut Hosts) {
+        let bytes = command.write_to_vec().expect("encoding to memory cannot fail");
+        match self.raft.propose(bytes) {
+            Ok((term, index)) => {
+                self.proposals.insert(index, (term, from, call));
+            }
+            Err(ProposeError::NotLeader { leader }) => {
+                let reply = ProposalReply::NotLeader { leader };
+                hosts.send(Node::Control(self.id), from, Packet::ProposeAnswer(call, reply));
+            }
+            Err(_) => {
+                let reply = ProposalReply::NotRun;
+                hosts.send(Node::Control(self.id), from, Packet::ProposeAnswer(call, reply));
+            }
+        }
+    }
+
+    fn report(
+        &mut self,
+        from: Node,
+        call: CallId,
+        request: &ReportRequest,
+        hosts: &mut Hosts,
+        checker: &Checker,
+    ) {
+        if request.confirm {
+            let context = self.next_read;
+            self.next_read += 1;
+            if self.raft.read_index(context).is_ok() {
+                let floor = checker.newest_revision();
+                self.reads.insert(context, PendingRead { relay: from, call, floor });
+                return;
+            }
+        }
+        let reply = match self.raft.is_leader() && !request.confirm {
+            true => ReportReply::Done { confirmed_revision: None },
+            false => ReportReply::NotLeader { leader: self.raft.leader() },
+        };
+        hosts.send(Node::Control(self.id), from, Packet::ReportAnswer(call, reply));
+    }
+
+    /// Proposes a membership change as the operators' tool would.
+    pub fn change_membership(
+        &mut self,
+        next: Membership,
+        hosts: &mut Hosts,
+        checker: &mut Checker,
+    ) -> bool {
+        let done = self.raft.propose_membership(next).is_ok();
+        self.work(hosts, checker);
+        done
+    }
+
+    fn work(&mut self, hosts: &mut Hosts, checker: &mut Checker) {
+        while self.raft.has_ready() && self.died_for_ms.is_none() {
+            let ready = self.raft.ready();
+            if !self.save(&ready) {
+                return;
+            }
+            for message in &ready.messages {
+                self.send_message(message.clone(), hosts);
+            }
+            self.apply(ready, hosts, checker);
+        }
+        self.note_rounds(hosts.now_ms);
+        self.answer_watches(hosts);
+        if self.store.bytes_since_checkpoint() >= CHECKPOINT_BYTES {
+            self.checkpoint();
+        }
+    }
+
+    fn send_message(&self, message: Message, hosts: &mut Hosts) {
+        hosts.send(Node::Control(self.id), Node::Control(message.to), Packet::Raft(message));
+    }
+
+    /// False when the process died in the middle of the write.
+    fn save(&mut self, ready: &Ready) -> bool {
+        if !ready.must_save() {
+            return true;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            let retained = self.raft.log().retained().to_vec();
+            let hard_state = self.raft.hard_state();
+            self.store.checkpoint(hard_state, snapshot, &retained).expect("memory does not fail");
+        } else {
+            let record = Record { hard_state: ready.hard_state, entries: ready.entries.clone() };
+            if let Some(torn) = self.tear_next_write.take() {
+                let point = CrashPoint::DuringSave { bytes: torn.bytes };
+                self.store.crash(point, Some(&record));
+                self.died_for_ms = Some(torn.restart_ms);
+                return false;
+            }
+            self.store.save(record.hard_state, &record.entries).expect("memory does not fail");
+        }
+        self.raft.on_persisted(self.raft.log().last_index());
+        true
+    }
+
+    fn apply(&mut self, ready: Ready, hosts: &mut Hosts, checker: &mut Checker) {
+        if let Some(snapshot) = &ready.snapshot {
+            (self.config, self.claims) = decode(&snapshot.data, self.weakness);
+            self.applied = snapshot.meta.index;
+        }
+        for entry in &ready.committed {
+            self.apply_entry(entry, hosts, checker);
+            self.applied = entry.index;
+        }
+        for read in ready.reads {
+            if let Some(pending) = self.reads.remove(&read.context) {
+                self.confirmed.push((read.index, pending));
+            }
+        }
+        for context in ready.failed_reads {
+            if let Some(PendingRead { relay, call, .. }) = self.reads.remove(&context) {
+                let reply = ReportReply::NotLeader { leader: self.raft.leader() };
+                hosts.send(Node::Control(self.id), relay, Packet::ReportAnswer(call, reply));
+            }
+        }
+        self.answer_reads(hosts, checker);
+    }
+
+    fn answer_reads(&mut self, hosts: &mut Hosts, checker: &mut Checker) {
+        let revision = self.config.view().revision;
+        let applied = self.applied;
+        let id = self.id;
+        self.confirmed.retain(|(index, read)| {
+            if *index > applied {
+                return true;
+            }
+            checker.on_confirmed_read(id, read.floor, revision);
+            let reply = ReportReply::Done { confirmed_revision: Some(revision) };
+            hosts.send(Node::Control(id), read.relay, Packet::ReportAnswer(read.call, reply));
+            false
+        });
+    }
+
+    fn apply_entry(&mut self, entry: &Entry, hosts: &mut Hosts, checker: &mut Checker) {
+        let proposal = self.proposals.remove(&entry.index);
+        let own = proposal.filter(|(term, _, _)| *term == entry.term);
+        if let (Some((_, node, call)), None) = (proposal, own) {
+            let answer = Packet::ProposeAnswer(call, ProposalReply::NotRun);
+            hosts.send(Node::Control(self.id), node, answer);
+        }
+        let Payload::Command(bytes) = &entry.payload else { return };
+        checker.on_apply(self.id, entry.index, bytes);
+        let Ok(command) = SimCommand::read_from_buffer(bytes) else { return };
+        let reply = match &command {
+            SimCommand::Config(request) => {
+                let answer = self.config.apply(entry.index, request);
+                checker.on_history(self.id, &self.config);
+                if answer.is_ok() {
+                    checker.on_executed(&request.request_id, self.config.view().revision);
+                }
+                ProposalReply::Config(answer)
+            }
+            SimCommand::Claim(command) => ProposalReply::Claim(self.claims.apply(command)),
+        };
+        if let Some((_, node, call)) = own {
+            hosts.send(Node::Control(self.id), node, Packet::ProposeAnswer(call, reply));
+        }
+    }
+
+    fn note_rounds(&mut self, now_ms: u64) {
+        if !self.raft.is_leader() {
+            self.rounds.clear();
+            self.quorum_contact_ms = None;
+            return;
+        }
+        let newest = self.raft.round();
+        if self.rounds.back().is_none_or(|(round, _)| *round < newest) {
+            self.rounds.push_back((newest, now_ms));
+        }
+        let confirmed = self.raft.confirmed_round();
+        while let Some((round, started_ms)) = self.rounds.front().copied() {
+            if round > confirmed {
+                break;
+            }
+            self.quorum_contact_ms = Some(started_ms);
+            self.rounds.pop_front();
+        }
+    }
+
+    fn answer_watches(&mut self, hosts: &mut Hosts) {
+        let now_ms = hosts.now_ms;
+        let mut still_held = Vec::new();
+        for watch in std::mem::take(&mut self.held) {
+            match self.watch_reply(&watch, now_ms) {
+                Some(reply) => {
+                    let answer = Packet::WatchAnswer(watch.call, reply);
+                    hosts.send(Node::Control(self.id), watch.relay, answer);
+                }
+                None => still_held.push(watch),
+            }
+        }
+        self.held = still_held;
+    }
+
+    fn watch_reply(&self, watch: &HeldWatch, now_ms: u64) -> Option<WatchReply> {
+        if !self.raft.is_leader() {
+            return Some(WatchReply::NotLeader { leader: self.raft.leader() });
+        }
+        let view = self.config.view();
+        let newer = view.revision > watch.request.revision;
+        if !newer && now_ms < watch.deadline_ms {
+            return None;
+        }
+        let longest = TICK_MS * u64::from(ELECTION_TICKS);
+        let recent = self.quorum_contact_ms.is_some_and(|at| now_ms < at + longest);
+        if !recent {
+            return Some(WatchReply::NotLeader { leader: None });
+        }
+        if !newer {
+            return Some(WatchReply::Unchanged);
+        }
+        let held = &watch.request.held;
+        let base: Option<Bundle> = held.iter().find_map(|digest| self.config.content(digest));
+        let updates: Vec<BundleUpdate> = view
+            .targets()
+            .filter(|target| !held.contains(&target.digest))
+            .filter_map(|target| self.config.content(&target.digest))
+            .map(|target| best_update(base.as_ref(), &target))
+            .collect();
+        Some(WatchReply::Changed { view, updates })
+    }
+
+    fn checkpoint(&mut self) {
+        let data = (self.config.encode(), self.claims.encode())
+            .write_to_vec()
+            .expect("encoding to memory cannot fail");
+        if let Some(snapshot) = self.raft.compact(self.applied, data) {
+            let retained = self.raft.log().retained().to_vec();
+            let hard_state = self.raft.hard_state();
+            self.store.checkpoint(hard_state, &snapshot, &retained).expect("memory does not fail");
+        }
+    }
+}
+
+fn decode(data: &[u8], weakness: ControlWeakness) -> (ConfigMachine, ClaimMachine) {
+    let (config, claims) = match data.is_empty() {
+        true => (Vec::new(), Vec::new()),
+        false => <(Vec<u8>, Vec<u8>)>::read_from_buffer(data).expect("written by ourselves"),
+    };
+    let mut config = ConfigMachine::decode(&config).expect("written by ourselves");
+    let mut claims = ClaimMachine::decode(&claims).expect("written by ourselves");
+    if let Some(weakness) = weakness.rollout {
+        config.weaken(weakness);
+    }
+    if let Some(weakness) = weakness.claims {
+        claims.weaken(weakness);
+    }
+    (config, claims)
+}
--- /dev/null
+++ b/crates/simulator/src/host.rs
@@ -0,0 +1,206 @@
+//! Processes that die, freeze and restart, and the network between them.
+
+use crate::packet::{Node, Packet, Timer};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// Something that happens at a time.
+#[expect(clippy::large_enum_variant, reason = "boxing every packet would slow the runs down")]
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    Deliver { from: Node, packet: Packet },
+    Timer(Timer),
+}
+
+#[derive(Clone, Debug)]
+struct Scheduled {
+    at_ms: u64,
+    order: u64,
+    to: Node,
+    incarnation: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.order) == (other.at_ms, other.order)
+    }
+}
+impl Eq for Scheduled {}
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at_ms, other.order).cmp(&(self.at_ms, self.order))
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Host {
+    zone: usize,
+    up: bool,
+    incarnation: u64,
+    frozen_until_ms: u64,
+}
+
+/// How the network misbehaves now.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct NetworkFaults {
+    /// Zones from which nothing reaches another zone: (from, to).
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Longest extra delay, milliseconds.
+    pub extra_delay_ms: u64,
+    /// Consensus messages doubled, per cent.
+    pub duplicate_percent: u32,
+    /// Consensus messages lost, per cent.
+    pub loss_percent: u32,
+}
+
+/// Events, processes and the network.
+pub(crate) struct Hosts {
+    pub now_ms: u64,
+    pub random: fastrand::Rng,
+    pub faults: NetworkFaults,
+    queue: BinaryHeap<Scheduled>,
+    order: u64,
+    hosts: BTreeMap<Node, Host>,
+    isolated_until_ms: BTreeMap<Node, u64>,
+}
+
+const SAME_ZONE_DELAY_MS: u64 = 1;
+const OTHER_ZONE_DELAY_MS: u64 = 2;
+
+impl Hosts {
+    pub fn new(seed: u64) -> Self {
+        Hosts {
+            now_ms: 0,
+            random: fastrand::Rng::with_seed(seed),
+            faults: NetworkFaults::default(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            hosts: BTreeMap::new(),
+            isolated_until_ms: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a process, or starts it again.
+    pub fn start(&mut self, node: Node, zone: usize) {
+        let host = self.hosts.entry(node).or_default();
+        host.zone = zone;
+        host.up = true;
+        host.incarnation += 1;
+        host.frozen_until_ms = 0;
+    }
+
+    /// The process is gone; what was on its way to it is lost.
+    pub fn stop(&mut self, node: Node) {
+        if let Some(host) = self.hosts.get_mut(&node) {
+            host.up = false;
+        }
+    }
+
+    pub fn is_up(&self, node: Node) -> bool {
+        self.hosts.get(&node).is_some_and(|host| host.up)
+    }
+
+    pub fn freeze(&mut self, node: Node, until_ms: u64) {
+        if let Some(host) = self.hosts.get_mut(&node) {
+            host.frozen_until_ms = host.frozen_until_ms.max(until_ms);
+        }
+    }
+
+    /// Nothing passes between this process and control replicas for a while; everything else
+    /// still reaches it.
+    pub fn isolate_from_control(&mut self, node: Node, until_ms: u64) {
+        self.isolated_until_ms.insert(node, until_ms);
+    }
+
+    fn is_isolated(&self, from: Node, to: Node) -> bool {
+        let isolated = |node| self.isolated_until_ms.get(&node).is_some_and(|at| self.now_ms < *at);
+        let is_control = |node| matches!(node, Node::Control(_));
+        (isolated(from) && is_control(to)) || (isolated(to) && is_control(from))
+    }
+
+    pub fn wake_all(&mut self) {
+        self.isolated_until_ms.clear();
+        for host in self.hosts.values_mut() {
+            host.frozen_until_ms = 0;
+        }
+    }
+
+    pub fn is_frozen(&self, node: Node) -> bool {
+        self.hosts.get(&node).is_some_and(|host| self.now_ms < host.frozen_until_ms)
+    }
+
+    fn push(&mut self, at_ms: u64, to: Node, event: Event) {
+        let incarnation = self.hosts.get(&to).map_or(0, |host| host.incarnation);
+        self.order += 1;
+        self.queue.push(Scheduled { at_ms, order: self.order, to, incarnation, event });
+    }
+
+    pub fn timer(&mut self, node: Node, after_ms: u64, timer: Timer) {
+        self.push(self.now_ms + after_ms, node, Event::Timer(timer));
+    }
+
+    /// Sends a packet. One to a process that is not there is answered with a reset.
+    pub fn send(&mut self, from: Node, to: Node, packet: Packet) {
+        let (from_zone, to_zone) = (self.zone(from), self.zone(to));
+        if self.faults.cut.contains(&(from_zone, to_zone)) || self.is_isolated(from, to) {
+            return;
+        }
+        let is_raft = matches!(packet, Packet::Raft(_));
+        if is_raft && self.random.u32(0..100) < self.faults.loss_percent {
+            return;
+        }
+        let delay_ms = self.delay_ms(from_zone, to_zone);
+        if !self.is_up(to) {
+            if let Some(call) = packet.request_call() {
+                let reset = Event::Deliver { from: to, packet: Packet::Reset(call) };
+                self.push(self.now_ms + 2 * delay_ms, from, reset);
+            }
+            return;
+        }
+        if is_raft && self.random.u32(0..100) < self.faults.duplicate_percent {
+            let later_ms = self.delay_ms(from_zone, to_zone) + self.random.u64(0..200);
+            let event = Event::Deliver { from, packet: packet.clone() };
+            self.push(self.now_ms + later_ms, to, event);
+        }
+        self.push(self.now_ms + delay_ms, to, Event::Deliver { from, packet });
+    }
+
+    fn delay_ms(&mut self, from: usize, to: usize) -> u64 {
+        let base = if from == to { SAME_ZONE_DELAY_MS } else { OTHER_ZONE_DELAY_MS };
+        base + self.random.u64(0..=self.faults.extra_delay_ms)
+    }
+
+    fn zone(&self, node: Node) -> usize {
+        self.hosts.get(&node).map_or(0, |host| host.zone)
+    }
+
+    /// The next event, with time advanced to it; events of frozen processes wait for them.
+    pub fn next(&mut self, until_ms: u64) -> Option<(Node, Event)> {
+        while let Some(scheduled) = self.queue.peek() {
+            if scheduled.at_ms > until_ms {
+                break;
+            }
+            let mut scheduled = self.queue.pop()?;
+            self.now_ms = self.now_ms.max(scheduled.at_ms);
+            let Some(host) = self.hosts.get(&scheduled.to) else { continue };
+            if !host.up || host.incarnation != scheduled.incarnation {
+                continue;
+            }
+            if self.now_ms < host.frozen_until_ms {
+                // The order is kept, so that buffered packets arrive as they were sent.
+                scheduled.at_ms = host.frozen_until_ms;
+                self.queue.push(scheduled);
+                continue;
+            }
+            return Some((scheduled.to, scheduled.event));
+        }
+        self.now_ms = until_ms;
+        None
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/relay_node.rs
@@ -0,0 +1,286 @@
+//! A simulated relay around the product's core.
+
+use crate::host::Hosts;
+use crate::packet::{CallId, Node, Packet, Timer};
+use endpoints::{Endpoint, LeavingMark, MassExpiryGuard};
+use relay::{RelayCore, RelayParameters, RelayWeakness, SessionId};
+use std::collections::BTreeMap;
+use wire::{ProxyPoll, ReportReply, ReportRequest, WatchReply};
+
+const WATCH_TIMEOUT_MS: u64 = 1_200;
+const REPORT_INTERVAL_MS: u64 = 500;
+const HOLD_MS: u64 = 2_500;
+const RETRY_MS: std::ops::RangeInclusive<u64> = 1..=100;
+const LIST_INTERVAL_MS: u64 = 500;
+const PROXY_LEASE_MS: u64 = 6_000;
+const MAX_CATCH_UPS: usize = 4;
+
+/// A conversation with control.
+#[derive(Default)]
+struct Link {
+    target: usize,
+    call: Option<CallId>,
+}
+
+#[derive(Clone, Copy)]
+struct Held {
+    session: SessionId,
+    call: CallId,
+    proxy: Node,
+}
+
+pub(crate) struct RelayNode {
+    pub number: usize,
+    pub core: RelayCore,
+    controls: Vec<u64>,
+    watch: Link,
+    report: Link,
+    report_ticket: Option<ReportTicket>,
+    sessions: BTreeMap<Node, SessionId>,
+    held: Vec<Held>,
+    stays_with_dead_leader: bool,
+    next_call: CallId,
+}
+
+type ReportTicket = relay::Ticket;
+
+impl RelayNode {
+    pub fn start(
+        number: usize,
+        zone: usize,
+        controls: Vec<u64>,
+        weakness: Option<RelayWeakness>,
+        stays_with_dead_leader: bool,
+        hosts: &mut Hosts,
+    ) -> Self {
+        let parameters = RelayParameters {
+            name: format!("relay-{number}"),
+            zone: format!("zone-{zone}"),
+            epoch: hosts.random.u64(1..),
+            proxy_lease_ms: PROXY_LEASE_MS,
+            max_catch_ups: MAX_CATCH_UPS,
+            guard: MassExpiryGuard::default(),
+            weakness,
+        };
+        let node = Node::Relay(number);
+        hosts.timer(node, 0, Timer::SendWatch);
+        hosts.timer(node, 0, Timer::SendReport);
+        hosts.timer(node, 0, Timer::ReadList);
+        let target = hosts.random.usize(..controls.len());
+        RelayNode {
+            number,
+            core: RelayCore::new(parameters),
+            watch: Link { target, call: None },
+            report: Link { target, call: None },
+            controls,
+            report_ticket: None,
+            sessions: BTreeMap::new(),
+            held: Vec::new(),
+            stays_with_dead_leader,
+            // Calls of an earlier process of this name must not be taken for this one's.
+            next_call: hosts.now_ms << 20,
+        }
+    }
+
+    fn node(&self) -> Node {
+        Node::Relay(self.number)
+    }
+
+    fn new_call(&mut self) -> CallId {
+        self.next_call += 1;
+        self.next_call
+    }
+
+    /// Addresses of control after a membership change.
+    pub fn set_controls(&mut self, controls: Vec<u64>) {
+        self.controls = controls;
+        self.watch.target %= self.controls.len();
+        self.report.target %= self.controls.len();
+    }
+
+    /// The leader this relay talks to, if the call is still open.
+    pub fn open_calls_to(&self, control: u64) -> Vec<CallId> {
+        [&self.watch, &self.report]
+            .into_iter()
+            .filter(|link| self.controls[link.target] == control)
+            .filter_map(|link| link.call)
+            .collect()
+    }
+
+    pub fn on_timer(&mut self, timer: &Timer, listed: &[Endpoint], hosts: &mut Hosts) {
+        match timer {
+            Timer::SendWatch => self.send_watch(hosts),
+            Timer::SendReport => self.send_report(hosts),
+            Timer::CallTimeout(call) => self.on_lost(*call, hosts),
+            Timer::HoldOver(call) => self.on_hold_over(*call, hosts),
+            Timer::ReadList => {
+                self.core.endpoints_mut().merge_list(listed);
+                hosts.timer(self.node(), LIST_INTERVAL_MS, Timer::ReadList);
+                self.answer_held(hosts);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn on_packet(&mut self, from: Node, packet: Packet, hosts: &mut Hosts) {
+        match packet {
+            Packet::WatchAnswer(call, reply) if self.watch.call == Some(call) => {
+                self.on_watch_answer(reply, hosts);
+            }
+            Packet::ReportAnswer(call, reply) if self.report.call == Some(call) => {
+                self.on_report_answer(&reply, hosts);
+            }
+            Packet::Poll(call, poll) => self.on_poll(from, call, &poll, hosts),
+            Packet::Reset(call) => self.on_lost(call, hosts),
+            _ => {}
+        }
+    }
+
+    /// A mark from a proxy or another relay; true if it was news.
+    pub fn observe(&mut self, marks: Vec<LeavingMark>, hosts: &mut Hosts) -> bool {
+        let news = self.core.observe_leaving(marks) > 0;
+        if news {
+            self.answer_held(hosts);
+        }
+        news
+    }
+
+    fn send_watch(&mut self, hosts: &mut Hosts) {
+        let call = self.new_call();
+        self.watch.call = Some(call);
+        let control = Node::Control(self.controls[self.watch.target]);
+        hosts.send(self.node(), control, Packet::Watch(call, self.core.watch_request()));
+        hosts.timer(self.node(), WATCH_TIMEOUT_MS, Timer::CallTimeout(call));
+    }
+
+    fn send_report(&mut self, hosts: &mut Hosts) {
+        if self.report.call.is_some() {
+            return;
+        }
+        let call = self.new_call();
+        self.report.call = Some(call);
+        self.report_ticket = self.core.confirmation_wanted();
+        let report = self.core.report(hosts.now_ms);
+        let confirm = self.report_ticket.is_some();
+        let control = Node::Control(self.controls[self.report.target]);
+        let request = ReportRequest { report, confirm };
+        hosts.send(self.node(), control, Packet::Report(call, request));
+        hosts.timer(self.node(), WATCH_TIMEOUT_MS, Timer::CallTimeout(call));
+    }
+
+    fn on_lost(&mut self, call: CallId, hosts: &mut Hosts) {
+        if self.watch.call == Some(call) {
+            self.watch.call = None;
+            self.redirect_watch(None, hosts);
+        } else if self.report.call == Some(call) {
+            self.report.call = None;
+            self.redirect_report(None, hosts);
+        }
+    }
+
+    fn redirect_watch(&mut self, leader: Option<u64>, hosts: &mut Hosts) {
+        if !self.stays_with_dead_leader {
+            self.watch.target = self.next_target(self.watch.target, leader);
+        }
+        let pause_ms = hosts.random.u64(RETRY_MS);
+        hosts.timer(self.node(), pause_ms, Timer::SendWatch);
+    }
+
+    fn redirect_report(&mut self, leader: Option<u64>, hosts: &mut Hosts) {
+        self.report.target = self.next_target(self.report.target, leader);
+        let pause_ms = hosts.random.u64(RETRY_MS);
+        hosts.timer(self.node(), pause_ms, Timer::SendReport);
+    }
+
+    fn next_target(&self, current: usize, leader: Option<u64>) -> usize {
+        let named = self.controls.iter().position(|control| Some(*control) == leader);
+        match named {
+            Some(position) if position != current => position,
+            _ => (current + 1) % self.controls.len(),
+        }
+    }
+
+    fn on_watch_answer(&mut self, reply: WatchReply, hosts: &mut Hosts) {
+        self.watch.call = None;
+        match reply {
+            WatchReply::NotLeader { leader } => self.redirect_watch(leader, hosts),
+            WatchReply::Busy { retry_after_ms } => {
+                hosts.timer(self.node(), u64::from(retry_after_ms), Timer::SendWatch);
+            }
+            reply => {
+                let news = self.core.on_watch_reply(reply, hosts.now_ms);
+                self.send_watch(hosts);
+                if news {
+                    self.answer_held(hosts);
+                }
+            }
+        }
+    }
+
+    fn on_report_answer(&mut self, reply: &ReportReply, hosts: &mut Hosts) {
+        self.report.call = None;
+        match reply {
+            ReportReply::NotLeader { leader } => self.redirect_report(*leader, hosts),
+            ReportReply::Done { confirmed_revision } => {
+                if let (Some(ticket), Some(revision)) =
+                    (self.report_ticket.take(), confirmed_revision)
+                {
+                    self.core.on_confirmed(ticket, *revision);
+                    self.answer_held(hosts);
+                }
+                let wanted = self.core.confirmation_wanted().is_some();
+                let pause_ms = if wanted { 10 } else { REPORT_INTERVAL_MS };
+                hosts.timer(self.node(), pause_ms, Timer::SendReport);
+            }
+        }
+    }
+
+    fn on_poll(&mut self, proxy: Node, call: CallId, poll: &ProxyPoll, hosts: &mut Hosts) {
+        let now_ms = hosts.now_ms;
+        self.held.retain(|held| held.proxy != proxy);
+        let session = match (self.sessions.get(&proxy), poll) {
+            (Some(session), ProxyPoll::Again) => {
+                self.core.on_poll(*session, poll, now_ms);
+                *session
+            }
+            (None, ProxyPoll::Again) => {
+                hosts.send(self.node(), proxy, Packet::Reset(call));
+                return;
+            }
+            (old, ProxyPoll::State(state)) => {
+                if let Some(old) = old {
+                    self.core.close_session(*old);
+                }
+                let session = self.core.open_session(state, now_ms);
+                self.sessions.insert(proxy, session);
+                session
+            }
+        };
+        self.held.push(Held { session, call, proxy });
+        hosts.timer(self.node(), HOLD_MS, Timer::HoldOver(call));
+        if self.core.confirmation_wanted().is_some() {
+            self.send_report(hosts);
+        }
+        self.answer_held(hosts);
+    }
+
+    fn on_hold_over(&mut self, call: CallId, hosts: &mut Hosts) {
+        let position = self.held.iter().position(|held| held.call == call);
+        if let Some(held) = position.map(|position| self.held.remove(position)) {
+            let reply = self.core.unchanged(hosts.now_ms);
+            hosts.send(self.node(), held.proxy, Packet::PollAnswer(call, reply));
+        }
+    }
+
+    fn answer_held(&mut self, hosts: &mut Hosts) {
+        for held in std::mem::take(&mut self.held) {
+            match self.core.answer(held.session, hosts.now_ms) {
+                Some(reply) => {
+                    let answer = Packet::PollAnswer(held.call, reply);
+                    hosts.send(self.node(), held.proxy, answer);
+                }
+                None => self.held.push(held),
+            }
+        }
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -70,6 +70,7 @@
 }
 
 /// Answer to [`WatchRequest`].
+#[expect(clippy::large_enum_variant, reason = "one at a time per connection; never stored")]
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub enum WatchReply {
     /// A newer view with the bundles it needs.
@@ -206,6 +207,7 @@
 }
 
 /// Answer to [`ProxyPoll`].
+#[expect(clippy::large_enum_variant, reason = "one at a time per connection; never stored")]
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum ProxyReply {
     /// Nothing new.
