--- a/crates/chutecove/src/operator.rs
+++ b/crates/chutecove/src/operator.rs
@@ -13,7 +13,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use verdict::Verdict;
 
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// A replica that is silent for this long may be frozen or cut off, so another is asked; the request
+/// id makes that harmless. A leader commits in a fraction of it, also across regions.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a request is repeated under the same id until a leader answers.
 const TOTAL_LIMIT: Duration = Duration::from_secs(15);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/chutecove/tests/processes.rs
@@ -0,0 +1,423 @@
+//! The product's processes and command line, with mistakes and bad input from outside.
+
+use std::fs;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
+const LIMIT: Duration = Duration::from_secs(60);
+/// Size of the small disk, in blocks of at least 512 bytes.
+const DISK_BLOCKS: u32 = 200;
+const MOST_VERSIONS: u32 = 60;
+const SECRET: &str = "hidden-7f3a9c-value";
+
+/// A process that is ended with the test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A fleet of one replica, one relay and one proxy, in one folder.
+struct Fleet {
+    folder: tempfile::TempDir,
+    control: SocketAddr,
+    api: SocketAddr,
+    relay: SocketAddr,
+    proxy: SocketAddr,
+    metrics: [SocketAddr; 3],
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn run(folder: &Path, arguments: &[&str]) -> Output {
+    Command::new(PROGRAM).args(arguments).current_dir(folder).output().unwrap()
+}
+
+fn succeed(folder: &Path, arguments: &[&str]) -> String {
+    let output = run(folder, arguments);
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{arguments:?}: {told}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+fn tls(name: &str) -> String {
+    format!(
+        "[tls]\nauthority = \"keys/authority.pem\"\ncertificate = \"keys/{name}.pem\"\n\
+         key = \"keys/{name}.key\"\n"
+    )
+}
+
+impl Fleet {
+    fn create() -> Self {
+        let fleet = Fleet {
+            folder: tempfile::tempdir().unwrap(),
+            control: free_address(),
+            api: free_address(),
+            relay: free_address(),
+            proxy: free_address(),
+            metrics: [free_address(), free_address(), free_address()],
+        };
+        fleet.make_keys();
+        fleet.write_settings();
+        fleet
+    }
+
+    fn path(&self) -> &Path {
+        self.folder.path()
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        fs::write(self.path().join(name), text).unwrap();
+    }
+
+    fn make_keys(&self) {
+        let folder = self.path();
+        succeed(folder, &["keys", "init", "--dir", "keys", "--fleet", "fares"]);
+        succeed(folder, &["keys", "seal", "--dir", "keys"]);
+        for (role, name) in [("control", "control-1"), ("relay", "relay-1"), ("proxy", "proxy-1")] {
+            let issue = ["keys", "issue", "--dir", "keys", "--role", role, "--name", name];
+            succeed(folder, &[&issue[..], &["--zone", "zone-a"]].concat());
+        }
+        let mut operators = String::new();
+        for name in ["alice", "bob"] {
+            let text = succeed(folder, &["keys", "operator", "--dir", "keys", "--name", name]);
+            let roles = "roles = [\"submit\", \"approve\", \"roll\", \"members\"]";
+            operators.push_str(&text.replace("roles = [\"submit\"]", roles));
+            let config = format!(
+                "operator = \"{name}\"\nkey_file = \"keys/{name}.operator\"\n\
+                 seal_key_file = \"keys/seal.keys\"\napi = [\"{}\"]\n",
+                self.api
+            );
+            self.write(&format!("{name}.toml"), &config);
+        }
+        self.write("operators.toml", &operators);
+    }
+
+    fn write_settings(&self) {
+        let [control, relay, proxy] = self.metrics;
+        let peer = format!(
+            "[[peer]]\nid = 1\naddress = \"{}\"\napi_address = \"{}\"\n",
+            self.control, self.api
+        );
+        self.write(
+            "control.toml",
+            &format!(
+                "fleet = \"fares\"\nmember_id = 1\nlisten = \"{}\"\napi_listen = \"{}\"\n\
+                 metrics_listen = \"{control}\"\ndata_dir = \"data\"\n\
+                 operators_file = \"operators.toml\"\n{}{peer}",
+                self.control,
+                self.api,
+                tls("control-1")
+            ),
+        );
+        self.write(
+            "relay.toml",
+            &format!(
+                "fleet = \"fares\"\nname = \"relay-1\"\nzone = \"zone-a\"\nregion = \"south\"\n\
+                 listen = \"{}\"\nmetrics_listen = \"{relay}\"\n\
+                 platform_url = \"http://127.0.0.1:1/machines\"\n{}\
+                 [[control]]\nid = 1\naddress = \"{}\"\n",
+                self.relay,
+                tls("relay-1"),
+                self.control
+            ),
+        );
+        self.write(
+            "proxy.toml",
+            &format!(
+                "fleet = \"fares\"\nname = \"proxy-1\"\nzone = \"zone-a\"\nregion = \"south\"\n\
+                 listen = \"{}\"\nmetrics_listen = \"{proxy}\"\nseal_key_file = \"keys/seal.keys\"\n\
+                 operators_file = \"operators.toml\"\ndata_dir = \"proxy-data\"\n\
+                 drain_notice_ms = 0\n{}\
+                 [[relay]]\naddress = \"{}\"\nzone = \"zone-a\"\nregion = \"south\"\n",
+                self.proxy,
+                tls("proxy-1"),
+                self.relay
+            ),
+        );
+    }
+
+    fn log(&self, role: &str) -> PathBuf {
+        self.path().join(format!("{role}.log"))
+    }
+
+    fn start(&self, role: &str, more: &[&str]) -> Running {
+        let log = fs::File::options().create(true).append(true).open(self.log(role)).unwrap();
+        let settings = format!("{role}.toml");
+        let child = Command::new(PROGRAM)
+            .args([role, "--settings", &settings, "--log-level", "trace"])
+            .args(more)
+            .current_dir(self.path())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        Running(child)
+    }
+
+    fn start_all(&self) -> Vec<Running> {
+        let all = vec![
+            self.start("control", &["--bootstrap"]),
+            self.start("relay", &[]),
+            self.start("proxy", &[]),
+        ];
+        wait_until("control leads", || get(self.metrics[0], "/readyz").is_some());
+        all
+    }
+
+    /// Submits as one operator, approves as the other and rolls.
+    fn roll_out(&self, version: u64, expected: u64) {
+        let folder = self.path();
+        let version = version.to_string();
+        let submit = ["bundle", "submit", "bundle.toml", "--version", &version, "-c", "alice.toml"];
+        let told = succeed(folder, &submit);
+        let digest = told.split_whitespace().find(|word| word.len() == 64).expect("a digest");
+        succeed(folder, &["bundle", "approve", digest, "-c", "bob.toml"]);
+        let expected = expected.to_string();
+        succeed(folder, &["bundle", "roll", digest, "--expect", &expected, "-c", "alice.toml"]);
+    }
+
+    fn write_bundle(&self, timeout_ms: u32) {
+        self.write(
+            "bundle.toml",
+            &format!(
+                "[[service]]\nname = \"fares\"\n[[secret]]\nname = \"token\"\nvalue = \"{SECRET}\"\n\
+                 [[route]]\nname = \"all\"\npath_prefix = \"/\"\nservice = \"fares\"\n\
+                 secret = \"token\"\nrepeatable = true\ntimeout_ms = {timeout_ms}\n"
+            ),
+        );
+    }
+
+    fn wait_in_force(&self, generation: u64) {
+        let held = format!("\"generation\":{generation}");
+        wait_until("the generation is in force", || {
+            get(self.metrics[2], "/status").is_some_and(|status| status.contains(&held))
+        });
+    }
+}
+
+fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().timeout_global(Some(Duration::from_secs(5))).build().into();
+    let mut answer = agent.get(format!("http://{address}{path}")).call().ok()?;
+    answer.body_mut().read_to_string().ok()
+}
+
+fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "not within {LIMIT:?}: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn terminate(running: &mut Running) -> Option<i32> {
+    let id = running.0.id().to_string();
+    Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    running.0.wait().unwrap().code()
+}
+
+/// Starts a role that must refuse to run; returns what it says.
+fn refusal(fleet: &Fleet, arguments: &[&str]) -> String {
+    let output = run(fleet.path(), arguments);
+    assert!(!output.status.success(), "{arguments:?} started");
+    String::from_utf8(output.stderr).unwrap() + &String::from_utf8(output.stdout).unwrap()
+}
+
+#[test]
+fn a_fleet_rolls_out_hides_secrets_and_stops_as_planned() {
+    let fleet = Fleet::create();
+    let mut running = fleet.start_all();
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    fleet.wait_in_force(1);
+    fleet.write_bundle(1_001);
+    fleet.roll_out(2, 1);
+    fleet.wait_in_force(2);
+    let status = succeed(fleet.path(), &["status", "-c", "alice.toml"]);
+    assert!(status.contains("newest generation   2"), "{status}");
+    for process in running.iter_mut().rev() {
+        assert_eq!(terminate(process), Some(0));
+    }
+    for role in ["control", "relay", "proxy"] {
+        let log = fs::read_to_string(fleet.log(role)).unwrap();
+        assert!(!log.is_empty());
+        assert!(!log.contains(SECRET), "{role} logs a secret");
+    }
+    let stored = fs::read(fleet.path().join("data/config/log-1")).unwrap();
+    let secret = SECRET.as_bytes();
+    let found = stored.windows(secret.len()).any(|window| window == secret);
+    assert!(!found, "control stores a secret in the clear");
+}
+
+#[test]
+fn keys_are_replaced_while_everything_runs() {
+    let fleet = Fleet::create();
+    let _running = fleet.start_all();
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    fleet.wait_in_force(1);
+    let reloads = |role: &str| {
+        let log = fs::read_to_string(fleet.log(role)).unwrap();
+        log.matches("certificates_reloaded").count()
+    };
+    succeed(fleet.path(), &["keys", "rotate", "--dir", "keys", "--fleet", "fares"]);
+    for role in ["control", "relay", "proxy"] {
+        wait_until("the new authority is trusted", || reloads(role) >= 1);
+    }
+    let before: Vec<usize> = ["control", "relay", "proxy"].map(reloads).to_vec();
+    for (role, name) in [("control", "control-1"), ("relay", "relay-1"), ("proxy", "proxy-1")] {
+        let issue = ["keys", "issue", "--dir", "keys", "--role", role, "--name", name];
+        succeed(fleet.path(), &[&issue[..], &["--zone", "zone-a"]].concat());
+    }
+    for (role, earlier) in ["control", "relay", "proxy"].into_iter().zip(before) {
+        wait_until("the new certificate is used", || reloads(role) > earlier);
+    }
+    fleet.write_bundle(1_001);
+    fleet.roll_out(2, 1);
+    fleet.wait_in_force(2);
+}
+
+#[test]
+fn a_replica_restarts_with_everything_accepted() {
+    let fleet = Fleet::create();
+    let mut running = fleet.start_all();
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    drop(running.remove(0));
+    let _again = fleet.start("control", &[]);
+    wait_until("control leads again", || get(fleet.metrics[0], "/readyz").is_some());
+    let history = succeed(fleet.path(), &["bundle", "history", "-c", "alice.toml"]);
+    assert!(history.contains('1'), "{history}");
+    fleet.write_bundle(1_001);
+    fleet.roll_out(2, 1);
+    fleet.wait_in_force(2);
+}
+
+#[test]
+fn random_bytes_on_every_port_stop_nothing() {
+    let fleet = Fleet::create();
+    let _running = fleet.start_all();
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    fleet.wait_in_force(1);
+    let mut random = fastrand::Rng::with_seed(4);
+    let [control, relay, proxy] = fleet.metrics;
+    let ports = [fleet.control, fleet.api, fleet.relay, fleet.proxy, control, relay, proxy];
+    for address in ports {
+        for _ in 0..20 {
+            let mut socket = TcpStream::connect(address).unwrap();
+            let bytes: Vec<u8> = (0..random.usize(1..600)).map(|_| random.u8(..)).collect();
+            let _ = socket.write_all(&bytes);
+        }
+    }
+    fleet.write_bundle(1_001);
+    fleet.roll_out(2, 1);
+    fleet.wait_in_force(2);
+    for metrics in fleet.metrics {
+        assert!(get(metrics, "/healthz").is_some());
+    }
+}
+
+#[test]
+fn a_port_in_use_is_named() {
+    let fleet = Fleet::create();
+    for (role, address) in
+        [("control", fleet.control), ("relay", fleet.relay), ("proxy", fleet.proxy)]
+    {
+        let _holder = TcpListener::bind(address).unwrap();
+        let settings = format!("{role}.toml");
+        let mut arguments = vec![role, "--settings", &settings];
+        if role == "control" {
+            arguments.push("--bootstrap");
+        }
+        let told = refusal(&fleet, &arguments);
+        assert!(told.contains(&address.to_string()), "{role}: {told}");
+    }
+}
+
+#[test]
+fn data_of_another_member_is_refused() {
+    let fleet = Fleet::create();
+    let mut running = fleet.start_all();
+    assert_eq!(terminate(&mut running[0]), Some(0));
+    let control = fs::read_to_string(fleet.path().join("control.toml")).unwrap();
+    let other = control.replace("member_id = 1", "member_id = 2").replace("\nid = 1", "\nid = 2");
+    let other = other.replace("control-1", "control-2");
+    fleet.write("other.toml", &other);
+    let issue = ["keys", "issue", "--dir", "keys", "--role", "control", "--name", "control-2"];
+    succeed(fleet.path(), &[&issue[..], &["--zone", "zone-a"]].concat());
+    let told = refusal(&fleet, &["control", "--settings", "other.toml"]);
+    assert!(told.contains("belongs to member 1"), "{told}");
+}
+
+#[test]
+fn an_empty_folder_is_refused() {
+    let fleet = Fleet::create();
+    let told = refusal(&fleet, &["control", "--settings", "control.toml"]);
+    assert!(told.contains("is empty") && told.contains("--join"), "{told}");
+}
+
+/// Starts the replica with a limit on the size of its files, beyond which writes fail.
+fn start_with_small_disk(fleet: &Fleet) -> Running {
+    let limited = format!(
+        "trap '' XFSZ; ulimit -f {DISK_BLOCKS}; exec '{PROGRAM}' control --settings control.toml \
+         --bootstrap --log-level error"
+    );
+    let child = Command::new("sh")
+        .args(["-c", &limited])
+        .current_dir(fleet.path())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    Running(child)
+}
+
+#[test]
+fn a_full_disk_ends_the_replica_and_loses_nothing() {
+    let fleet = Fleet::create();
+    let mut limited = start_with_small_disk(&fleet);
+    wait_until("control leads", || get(fleet.metrics[0], "/readyz").is_some());
+    let mut random = fastrand::Rng::with_seed(9);
+    let mut accepted = Vec::new();
+    for version in 1..=MOST_VERSIONS {
+        // Random text, so that it does not compress to nothing.
+        let value: String = (0..8_000).map(|_| random.alphanumeric()).collect();
+        fleet.write("big.toml", &format!("[[secret]]\nname = \"big\"\nvalue = \"{value}\"\n"));
+        let number = version.to_string();
+        let submit = ["bundle", "submit", "big.toml", "--version", &number, "-c", "alice.toml"];
+        if !run(fleet.path(), &submit).status.success() {
+            break;
+        }
+        accepted.push(version);
+    }
+    assert_eq!(limited.0.wait().unwrap().code(), Some(74), "the failed write ends the process");
+    assert!(!accepted.is_empty() && accepted.len() < MOST_VERSIONS as usize);
+    let _again = fleet.start("control", &[]);
+    wait_until("control leads again", || get(fleet.metrics[0], "/readyz").is_some());
+    let listed = succeed(fleet.path(), &["bundle", "list", "-c", "alice.toml"]);
+    let lines = listed.lines().filter(|line| line.contains("alice")).count();
+    assert!(lines >= accepted.len(), "{} accepted: {listed}", accepted.len());
+}
+
+#[test]
+fn commands_have_their_exit_codes() {
+    let fleet = Fleet::create();
+    let code = |arguments: &[&str]| run(fleet.path(), arguments).status.code();
+    assert_eq!(code(&["bundle", "check", "missing.toml"]), Some(2));
+    assert_eq!(code(&["settings", "check", "relay", "control.toml"]), Some(2));
+    assert_eq!(code(&["settings", "check", "relay", "relay.toml"]), Some(0));
+    assert_eq!(code(&["no-such-command"]), Some(2));
+    assert_eq!(code(&["data", "check", "keys"]), Some(1));
+}
--- a/crates/endpoints/src/table.rs
+++ b/crates/endpoints/src/table.rs
@@ -53,6 +53,9 @@
     sequence: u64,
     entries: BTreeMap<EndpointKey, Entry>,
     tombstones: BTreeMap<EndpointKey, Tombstone>,
+    /// The latest change of each entry and tombstone, so that readers see only what is new to
+    /// them instead of the whole table.
+    changes: BTreeMap<u64, EndpointKey>,
     pruned_until: u64,
     marks: BTreeMap<LeavingMark, u64>,
     guard: MassExpiryGuard,
@@ -69,6 +72,7 @@
             sequence: 0,
             entries: BTreeMap::new(),
             tombstones: BTreeMap::new(),
+            changes: BTreeMap::new(),
             pruned_until: 0,
             marks: BTreeMap::new(),
             guard,
@@ -138,10 +142,22 @@
                 return;
             }
         }
-        self.sequence += 1;
-        self.tombstones.remove(&endpoint.key);
         let key = endpoint.key.clone();
-        self.entries.insert(key, Entry { endpoint, sequence: self.sequence });
+        let sequence = self.record_change(&key);
+        self.tombstones.remove(&key);
+        self.entries.insert(key, Entry { endpoint, sequence });
+    }
+
+    /// Gives a change of `key` its sequence number, in place of its last change.
+    fn record_change(&mut self, key: &EndpointKey) -> u64 {
+        let entry = self.entries.get(key).map(|entry| entry.sequence);
+        let tombstone = self.tombstones.get(key).map(|tombstone| tombstone.sequence);
+        for earlier in entry.into_iter().chain(tombstone) {
+            self.changes.remove(&earlier);
+        }
+        self.sequence += 1;
+        self.changes.insert(self.sequence, key.clone());
+        self.sequence
     }
 
     /// Removes endpoints that the list no longer has, unless too many of a service vanish at once.
@@ -174,14 +190,17 @@
     }
 
     fn remove(&mut self, key: EndpointKey) {
+        if !self.entries.contains_key(&key) {
+            return;
+        }
+        let sequence = self.record_change(&key);
         let Some(entry) = self.entries.remove(&key) else {
             return;
         };
-        self.sequence += 1;
         let tombstone = Tombstone {
             incarnation: entry.endpoint.incarnation,
             state: entry.endpoint.state,
-            sequence: self.sequence,
+            sequence,
         };
         self.tombstones.insert(key, tombstone);
         while self.tombstones.len() > MAX_TOMBSTONES {
@@ -195,6 +214,7 @@
             return;
         };
         self.tombstones.remove(&key);
+        self.changes.remove(&sequence);
         self.pruned_until = self.pruned_until.max(sequence);
     }
 
@@ -211,11 +231,13 @@
                 self.marks.remove(&oldest);
             }
         }
-        if let Some(entry) = self.entries.get_mut(&mark.key) {
-            if entry.endpoint.incarnation <= mark.incarnation {
+        let held = self.entries.get(&mark.key).map(|entry| entry.endpoint.incarnation);
+        if held.is_some_and(|incarnation| incarnation <= mark.incarnation) {
+            let sequence = self.record_change(&mark.key);
+            if let Some(entry) = self.entries.get_mut(&mark.key) {
                 entry.endpoint.incarnation = mark.incarnation;
                 entry.endpoint.state = EndpointState::Leaving;
-                entry.sequence = self.sequence;
+                entry.sequence = sequence;
             }
         }
         true
@@ -255,18 +277,12 @@
         let full = epoch != self.epoch || sequence < self.pruned_until || sequence == 0;
         let since = if full { 0 } else { sequence };
         let wanted = |key: &EndpointKey| services.contains(&key.service);
-        let changed: Vec<Endpoint> = self
-            .entries
-            .values()
-            .filter(|entry| entry.sequence > since && wanted(&entry.endpoint.key))
-            .map(|entry| entry.endpoint.clone())
-            .collect();
-        let removed: Vec<EndpointKey> = self
-            .tombstones
-            .iter()
-            .filter(|(key, tombstone)| !full && tombstone.sequence > since && wanted(key))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let newer =
+            || self.changes.range(since + 1..).map(|(_, key)| key).filter(|key| wanted(key));
+        let entries = newer().filter_map(|key| self.entries.get(key));
+        let changed: Vec<Endpoint> = entries.map(|entry| entry.endpoint.clone()).collect();
+        let gone = newer().filter(|key| !full && self.tombstones.contains_key(key));
+        let removed: Vec<EndpointKey> = gone.cloned().collect();
         let subscribers = match self.subscribers_sequence > since {
             true => self.subscribers_of(services),
             false => Vec::new(),
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -20,6 +20,7 @@
         region: "region-1".to_owned(),
         relays: 1,
         proxies: 3,
+        hollow_proxies: 0,
     };
     FleetSpec {
         fleet: "demo".to_owned(),
@@ -27,6 +28,7 @@
         claim_groups: 2,
         zones: vec![zone("zone-a"), zone("zone-b")],
         proxy_disks: false,
+        delays: None,
     }
 }
 
@@ -180,6 +182,7 @@
         threads: CALLER_THREADS,
         rate: CALL_RATE,
         key_prefix: "demo".to_owned(),
+        deadline: None,
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/experiment/fleets.rs
@@ -0,0 +1,82 @@
+//! Small fleets of whole processes for experiments with calls.
+
+use crate::fleet::{bundle_toml, FleetLayout, FleetSpec, RunningFleet, ServiceShape, ZoneSpec};
+use crate::stand_in::caller::{CallKind, LoadPlan};
+use rollout::Stage;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(15);
+
+/// A fleet with one region, zones alike, three replicas.
+pub fn spec(zones: usize, proxies_per_zone: usize) -> FleetSpec {
+    let zone = |number| ZoneSpec {
+        name: format!("zone-{number}"),
+        region: "region-1".to_owned(),
+        relays: 1,
+        proxies: proxies_per_zone,
+        hollow_proxies: 0,
+    };
+    FleetSpec {
+        fleet: "experiment".to_owned(),
+        voters: 3,
+        claim_groups: 2,
+        zones: (1..=zones).map(zone).collect(),
+        proxy_disks: false,
+        delays: None,
+    }
+}
+
+/// Starts a fleet with back ends for each service in each zone, and rolls the first bundle out.
+pub fn start(
+    folder: &Path,
+    spec: FleetSpec,
+    services: &[ServiceShape],
+    backends_per_zone: usize,
+    backend_options: &[String],
+) -> Result<RunningFleet, crate::Failure> {
+    let zones = spec.zones.len();
+    let layout = FleetLayout::create(folder, spec)?;
+    let mut fleet = RunningFleet::prepare(layout)?;
+    for service in services {
+        for number in 0..zones * backends_per_zone {
+            fleet.start_backend(&service.name, number % zones, backend_options)?;
+        }
+    }
+    fleet.start_all()?;
+    first_bundle(&fleet, services)?;
+    Ok(fleet)
+}
+
+/// Rolls the first bundle out, and waits until proxies know where back ends are.
+pub fn first_bundle(fleet: &RunningFleet, services: &[ServiceShape]) -> Result<(), crate::Failure> {
+    let text = bundle_toml(services, 0);
+    let generation = fleet.roll_out(&text, 1, 0, vec![Stage::All], None)?;
+    fleet.wait_in_force(generation, IN_FORCE_LIMIT)?;
+    fleet.wait_until("endpoints on every proxy", IN_FORCE_LIMIT, |fleet| {
+        fleet.layout.proxies.iter().all(|proxy| {
+            let status = fleet.status(proxy.settings.metrics_listen);
+            status.is_some_and(|status| {
+                status["upstreams"].as_array().is_some_and(|list| !list.is_empty())
+            })
+        })
+    })
+}
+
+/// Reads only, from the given addresses.
+pub fn reads(service: &str, targets: Vec<SocketAddr>, threads: usize, rate: f64) -> LoadPlan {
+    LoadPlan {
+        targets,
+        kinds: vec![CallKind { service: service.to_owned(), is_charge: false, answer_bytes: 256 }],
+        threads,
+        rate,
+        key_prefix: format!("run-{}", fastrand::u32(..)),
+        deadline: None,
+    }
+}
+
+/// Addresses of all proxies for callers.
+pub fn proxy_addresses(fleet: &RunningFleet) -> Vec<SocketAddr> {
+    fleet.layout.proxies.iter().map(|proxy| proxy.settings.listen).collect()
+}
--- /dev/null
+++ b/crates/lab/src/experiment/spread.rs
@@ -0,0 +1,130 @@
+//! How configuration spreads over 200 proxies of today's deployments.
+
+use super::{Findings, Series};
+use crate::fleet::bundle_toml;
+use crate::scale::{self, FleetShape, Phase, ScaleFleet};
+use bundle::BundleUpdate;
+
+const NODES: usize = 200;
+/// Bounds of what is measured here.
+const CALM_P99_MS: f64 = 250.0;
+const LEADER_KILLED_P99_MS: f64 = 2_000.0;
+const IDLE_BYTES_PER_S: f64 = 100.0;
+const HERD_MAX_MS: f64 = 5_000.0;
+const CHANGES_BEHIND: usize = 500;
+/// A node polling for the whole bundle each second is the baseline that needs no relay protocol.
+const POLLS_PER_CHANGE_INTERVAL: f64 = 5.0;
+
+/// Calm, and with the leader killed at the moment of the change.
+pub fn convergence() -> Result<Findings, crate::Failure> {
+    let report = scale::measure(FleetShape::today(NODES), &[Phase::Changes, Phase::LeaderKilled])?;
+    let mut findings = Findings::new("convergence", "quantile of proxies, per cent", "time, ms");
+    for (phase, bound) in report.phases.iter().zip([CALM_P99_MS, LEADER_KILLED_P99_MS]) {
+        let name = phase.phase.replace('-', "_");
+        findings.set(format!("{name}_p50_ms"), phase.convergence_p50_ms);
+        findings.set(format!("{name}_p99_ms"), phase.convergence_p99_ms);
+        findings.set(format!("{name}_max_ms"), phase.convergence_max_ms);
+        let within = phase.convergence_p99_ms <= bound;
+        findings.check(within, format!("{name}: p99 is above {bound} ms"));
+        let points = vec![
+            (50.0, phase.convergence_p50_ms),
+            (99.0, phase.convergence_p99_ms),
+            (100.0, phase.convergence_max_ms),
+        ];
+        findings.series.push(Series { name: phase.phase.clone(), points });
+    }
+    Ok(findings)
+}
+
+/// Bytes of a change and of an idle proxy, against two baselines.
+pub fn bytes() -> Result<Findings, crate::Failure> {
+    let shape = FleetShape::today(NODES);
+    let services = shape.service_shapes();
+    let report = scale::measure(shape, &[Phase::Idle, Phase::Changes])?;
+    let (idle, changes) = (&report.phases[0], &report.phases[1]);
+    let key = bundle::SealKey::new(1, [7; 32]);
+    let load = |revision| -> Result<bundle::Bundle, crate::Failure> {
+        let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+        let path = folder.path().join("bundle.toml");
+        let text = bundle_toml(&services, revision);
+        std::fs::write(&path, text).map_err(|error| error.to_string())?;
+        bundle::source::load(&path, Some(&key)).map_err(|error| error.to_string())
+    };
+    let (before, after) = (load(1)?, load(2)?);
+    let snapshot = BundleUpdate::compress(&after).len() as f64;
+    let delta = match bundle::best_update(Some(&before), &after) {
+        BundleUpdate::Delta(delta) => delta.encoded_size() as f64,
+        _ => snapshot,
+    };
+    let mut findings = Findings::new("bytes", "", "");
+    let per_change = changes.bytes_per_node_event;
+    findings.set("idle_bytes_per_node_s", idle.bytes_per_node_second);
+    findings.set("bytes_per_node_change", per_change);
+    findings.set("encoded_change_bytes", delta);
+    findings.set("baseline_full_push_bytes_per_node_change", snapshot);
+    findings.set(
+        "baseline_polling_each_second_bytes_per_node_5s",
+        snapshot * POLLS_PER_CHANGE_INTERVAL,
+    );
+    findings.set("times_less_than_full_push", snapshot / per_change);
+    let bound = 1.5 * delta + 200.0;
+    findings.check(per_change <= bound, format!("a change costs more than {bound:.0} bytes"));
+    let quiet = idle.bytes_per_node_second <= IDLE_BYTES_PER_S;
+    findings.check(quiet, "an idle proxy costs more than 100 bytes a second");
+    Ok(findings)
+}
+
+/// All proxies killed and started at once.
+pub fn storm() -> Result<Findings, crate::Failure> {
+    let report = scale::measure(FleetShape::today(NODES), &[Phase::Herd])?;
+    let herd = &report.phases[0];
+    let mut findings = Findings::new("storm", "quantile of proxies, per cent", "time, ms");
+    findings.set("herd_p50_ms", herd.convergence_p50_ms);
+    findings.set("herd_p99_ms", herd.convergence_p99_ms);
+    findings.set("herd_max_ms", herd.convergence_max_ms);
+    let within = herd.convergence_max_ms <= HERD_MAX_MS;
+    findings.check(within, "the herd took longer than 5 s");
+    let points = vec![
+        (50.0, herd.convergence_p50_ms),
+        (99.0, herd.convergence_p99_ms),
+        (100.0, herd.convergence_max_ms),
+    ];
+    findings.series.push(Series { name: "in force after".to_owned(), points });
+    Ok(findings)
+}
+
+/// A relay's proxies are frozen while 500 changes pass, then wake.
+pub fn catchup() -> Result<Findings, crate::Failure> {
+    let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let mut fleet = ScaleFleet::start(folder.path(), FleetShape::today(20))?;
+    let name = fleet.fleet.layout.proxies[0].settings.name.clone();
+    let metrics = fleet.fleet.layout.proxies[0].settings.metrics_listen;
+    let received = |fleet: &ScaleFleet| {
+        let name = "chutecove_proxy_control_received_bytes_total";
+        fleet.fleet.metric(metrics, name).unwrap_or(0.0)
+    };
+    let before = received(&fleet);
+    freeze(&mut fleet, &name, true);
+    for _ in 0..CHANGES_BEHIND {
+        fleet.change()?;
+    }
+    freeze(&mut fleet, &name, false);
+    fleet.wait_in_force(fleet.generation())?;
+    let caught_up = received(&fleet) - before;
+    let mut findings = Findings::new("catchup", "", "");
+    let snapshot = fleet.snapshot_bytes()? as f64;
+    findings.set("changes_missed", CHANGES_BEHIND as f64);
+    findings.set("received_bytes", caught_up);
+    findings.set("snapshot_bytes", snapshot);
+    fleet.stop();
+    Ok(findings)
+}
+
+fn freeze(fleet: &mut ScaleFleet, name: &str, frozen: bool) {
+    if let Some(process) = fleet.fleet.processes.get_mut(name) {
+        match frozen {
+            true => process.freeze(),
+            false => process.wake(),
+        }
+    }
+}
--- a/crates/lab/src/fleet/keys.rs
+++ b/crates/lab/src/fleet/keys.rs
@@ -76,6 +76,11 @@
         })
     }
 
+    /// File with an operator's private key.
+    pub fn operator_key_file(&self, operator: &str) -> PathBuf {
+        self.folder.join(format!("{operator}.operator"))
+    }
+
     /// The key that seals secrets.
     pub fn seal_key(&self) -> &SealKey {
         &self.seal_key
@@ -99,7 +104,7 @@
     ) -> Result<OperatorClient, crate::Failure> {
         let settings = OperatorSettings {
             operator: operator.to_owned(),
-            key_file: self.folder.join(format!("{operator}.operator")),
+            key_file: self.operator_key_file(operator),
             seal_key_file: Some(self.seal_key_file()),
             api,
         };
--- a/crates/lab/src/fleet/layout.rs
+++ b/crates/lab/src/fleet/layout.rs
@@ -2,6 +2,7 @@
 
 use super::keys::FleetKeys;
 use super::ports::PortRange;
+use crate::stand_in::link::{DelayPlan, LinkNetwork};
 use settings::{
     ControlAddressSettings, ControlSettings, LocalBackendSettings, PeerSettings, ProxySettings,
     RelayAddressSettings, RelaySettings,
@@ -20,8 +21,10 @@
     pub region: String,
     /// Relays.
     pub relays: usize,
-    /// Proxies.
+    /// Proxies that run as processes of their own.
     pub proxies: usize,
+    /// Proxies that share a process and carry no calls.
+    pub hollow_proxies: usize,
 }
 
 /// What a fleet consists of.
@@ -37,6 +40,15 @@
     pub zones: Vec<ZoneSpec>,
     /// Whether proxies have a disk.
     pub proxy_disks: bool,
+    /// Emulated delays between zones and regions; none if absent.
+    pub delays: Option<DelayPlan>,
+}
+
+impl FleetSpec {
+    /// The zone of a control replica: each in another one, as far as there are zones.
+    pub fn voter_zone(&self, id: u64) -> &ZoneSpec {
+        &self.zones[id as usize % self.zones.len()]
+    }
 }
 
 /// One control replica.
@@ -76,6 +88,8 @@
     pub spec: FleetSpec,
     /// Keys.
     pub keys: FleetKeys,
+    /// Delayed links between zones.
+    pub network: LinkNetwork,
     /// Free ports.
     pub ports: PortRange,
     /// Where the platform's list is.
@@ -86,6 +100,8 @@
     pub relays: Vec<RelayPlace>,
     /// Proxies.
     pub proxies: Vec<ProxyPlace>,
+    /// Proxies that share processes.
+    pub hollow_proxies: Vec<ProxyPlace>,
 }
 
 impl FleetLayout {
@@ -94,15 +110,18 @@
         let keys = FleetKeys::create(&folder.join("keys"), &spec.fleet)?;
         let mut ports = PortRange::default();
         let platform = ports.next_address();
+        let network = LinkNetwork::new(spec.delays);
         let mut layout = FleetLayout {
             folder: folder.to_owned(),
             spec,
             keys,
+            network,
             ports,
             platform,
             voters: Vec::new(),
             relays: Vec::new(),
             proxies: Vec::new(),
+            hollow_proxies: Vec::new(),
         };
         layout.place_voters()?;
         layout.place_relays()?;
@@ -136,7 +155,8 @@
         peer: Vec<PeerSettings>,
     ) -> Result<(), crate::Failure> {
         let name = format!("control-{}", own.id);
-        let zone = self.spec.zones[own.id as usize % self.spec.zones.len()].name.clone();
+        let zone = self.spec.voter_zone(own.id).clone();
+        let peer = self.peers_seen_from(&zone, peer)?;
         let settings = ControlSettings {
             fleet: self.spec.fleet.clone(),
             member_id: own.id,
@@ -145,7 +165,7 @@
             metrics_listen: self.ports.next_address(),
             data_dir: self.folder.join(&name),
             operators_file: self.keys.operators_file(),
-            tls: self.keys.issue(Role::Control, &name, &zone)?,
+            tls: self.keys.issue(Role::Control, &name, &zone.name)?,
             peer,
             claim_groups: self.spec.claim_groups,
             tick_ms: 20,
@@ -160,6 +180,79 @@
         Ok(())
     }
 
+    /// Places one more control replica, and lists it in the settings of all others and of relays.
+    pub fn add_voter(&mut self, id: u64) -> Result<(), crate::Failure> {
+        let own = PeerSettings {
+            id,
+            address: self.ports.next_address(),
+            api_address: self.ports.next_address(),
+        };
+        let known = self.voters.iter().flat_map(|voter| voter.settings.peer.clone());
+        let mut peers: Vec<PeerSettings> = known.collect();
+        peers.sort_by_key(|peer| peer.id);
+        peers.dedup_by_key(|peer| peer.id);
+        peers.push(own.clone());
+        self.place_voter(own, peers)?;
+        let newcomer = self.voters.len() - 1;
+        let listed = self.voters[newcomer].settings.peer.clone();
+        for position in 0..newcomer {
+            self.voters[position].settings.peer = listed.clone();
+            let voter = self.voters[position].clone();
+            self.write_settings(&format!("control-{}", voter.id), &voter.settings)?;
+        }
+        for position in 0..self.relays.len() {
+            let control = listed.iter();
+            let control =
+                control.map(|peer| ControlAddressSettings { id: peer.id, address: peer.address });
+            self.relays[position].settings.control = control.collect();
+            let relay = self.relays[position].clone();
+            self.write_settings(&relay.settings.name, &relay.settings)?;
+        }
+        Ok(())
+    }
+
+    /// Writes the settings file of the operator who submits; returns its path.
+    pub fn write_operator_settings(&self) -> Result<String, crate::Failure> {
+        let path = self.folder.join("operator.toml");
+        let api: Vec<String> = self.api().iter().map(|address| format!("\"{address}\"")).collect();
+        let key_file = self.keys.operator_key_file(super::keys::SUBMITTER);
+        let text = format!(
+            "operator = \"{}\"\nkey_file = \"{}\"\napi = [{}]\n",
+            super::keys::SUBMITTER,
+            key_file.display(),
+            api.join(", ")
+        );
+        fs::write(&path, text).map_err(|error| error.to_string())?;
+        Ok(path.display().to_string())
+    }
+
+    fn peers_seen_from(
+        &mut self,
+        zone: &ZoneSpec,
+        peers: Vec<PeerSettings>,
+    ) -> Result<Vec<PeerSettings>, crate::Failure> {
+        let mut seen = Vec::new();
+        for peer in peers {
+            let there = self.spec.voter_zone(peer.id).clone();
+            let address = self.network.seen_from(zone, peer.address, &there)?;
+            seen.push(PeerSettings { address, ..peer });
+        }
+        Ok(seen)
+    }
+
+    fn control_seen_from(
+        &mut self,
+        zone: &ZoneSpec,
+    ) -> Result<Vec<ControlAddressSettings>, crate::Failure> {
+        let mut seen = Vec::new();
+        for voter in &self.voters {
+            let there = self.spec.voter_zone(voter.id);
+            let address = self.network.seen_from(zone, voter.settings.listen, there)?;
+            seen.push(ControlAddressSettings { id: voter.id, address });
+        }
+        Ok(seen)
+    }
+
     fn place_relays(&mut self) -> Result<(), crate::Failure> {
         let mut places = Vec::new();
         for zone in self.spec.zones.clone() {
@@ -168,13 +261,12 @@
                 places.push((name, zone.clone(), self.ports.next_address()));
             }
         }
-        let control: Vec<ControlAddressSettings> = self
-            .voters
-            .iter()
-            .map(|voter| ControlAddressSettings { id: voter.id, address: voter.settings.listen })
-            .collect();
         for (name, zone, listen) in &places {
-            let others = places.iter().filter(|(_, _, address)| address != listen);
+            let control = self.control_seen_from(zone)?;
+            let mut peer = Vec::new();
+            for (_, there, address) in places.iter().filter(|(_, _, address)| address != listen) {
+                peer.push(self.network.seen_from(zone, *address, there)?);
+            }
             let settings = RelaySettings {
                 fleet: self.spec.fleet.clone(),
                 name: name.clone(),
@@ -183,8 +275,8 @@
                 listen: *listen,
                 metrics_listen: self.ports.next_address(),
                 tls: self.keys.issue(Role::Relay, name, &zone.name)?,
-                control: control.clone(),
-                peer: others.map(|(_, _, address)| *address).collect(),
+                control,
+                peer,
                 platform_url: format!("http://{}/machines", self.platform),
                 platform_poll_ms: 500,
                 hold_ms: 2_500,
@@ -203,7 +295,13 @@
         for zone in self.spec.zones.clone() {
             for number in 1..=zone.proxies {
                 let name = format!("proxy-{}-{number}", zone.name);
-                self.place_proxy(&name, &zone, Vec::new())?;
+                let place = self.place_proxy(&name, &zone, Vec::new())?;
+                self.proxies.push(place);
+            }
+            for number in 1..=zone.hollow_proxies {
+                let name = format!("hollow-{}-{number}", zone.name);
+                let place = self.place_proxy(&name, &zone, Vec::new())?;
+                self.hollow_proxies.push(place);
             }
         }
         Ok(())
@@ -214,7 +312,7 @@
         name: &str,
         zone: &ZoneSpec,
         local_backend: Vec<LocalBackendSettings>,
-    ) -> Result<(), crate::Failure> {
+    ) -> Result<ProxyPlace, crate::Failure> {
         let settings = ProxySettings {
             fleet: self.spec.fleet.clone(),
             name: name.to_owned(),
@@ -223,7 +321,7 @@
             listen: self.ports.next_address(),
             metrics_listen: self.ports.next_address(),
             tls: self.keys.issue(Role::Proxy, name, &zone.name)?,
-            relay: self.relay_addresses(),
+            relay: self.relays_seen_from(zone)?,
             seal_key_file: self.keys.seal_key_file(),
             operators_file: self.keys.operators_file(),
             data_dir: self.spec.proxy_disks.then(|| self.folder.join(name)),
@@ -237,18 +335,25 @@
             claim_keep_s: 3_600,
         };
         let settings_file = self.write_settings(name, &settings)?;
-        self.proxies.push(ProxyPlace { settings_file, settings });
-        Ok(())
+        Ok(ProxyPlace { settings_file, settings })
     }
 
-    /// All relays, as proxies reach them.
-    pub fn relay_addresses(&self) -> Vec<RelayAddressSettings> {
-        let address = |relay: &RelayPlace| RelayAddressSettings {
-            address: relay.settings.listen,
-            zone: relay.settings.zone.clone(),
-            region: relay.settings.region.clone(),
-        };
-        self.relays.iter().map(address).collect()
+    /// All relays, as proxies of a zone reach them.
+    fn relays_seen_from(
+        &mut self,
+        zone: &ZoneSpec,
+    ) -> Result<Vec<RelayAddressSettings>, crate::Failure> {
+        let mut seen = Vec::new();
+        for relay in &self.relays {
+            let there = ZoneSpec {
+                name: relay.settings.zone.clone(),
+                region: relay.settings.region.clone(),
+                ..zone.clone()
+            };
+            let address = self.network.seen_from(zone, relay.settings.listen, &there)?;
+            seen.push(RelayAddressSettings { address, zone: there.name, region: there.region });
+        }
+        Ok(seen)
     }
 
     fn write_settings<T: serde::Serialize>(
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -8,5 +8,6 @@
 mod running;
 
 pub use bundles::{bundle_toml, ServiceShape};
-pub use layout::{FleetLayout, FleetSpec, ZoneSpec};
+pub use layout::{FleetLayout, FleetSpec, ProxyPlace, ZoneSpec};
+pub use process::ManagedProcess;
 pub use running::{send, RunningFleet};
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -33,6 +33,11 @@
         &self.name
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether it still runs.
     pub fn is_running(&mut self) -> bool {
         if self.ended.is_none() {
@@ -54,6 +59,16 @@
         self.signal("TERM");
     }
 
+    /// Freezes it (SIGSTOP).
+    pub fn freeze(&mut self) {
+        self.signal("STOP");
+    }
+
+    /// Wakes it (SIGCONT).
+    pub fn wake(&mut self) {
+        self.signal("CONT");
+    }
+
     fn signal(&mut self, signal: &str) {
         if self.is_running() {
             let id = self.child.id().to_string();
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -4,6 +4,7 @@
 use super::layout::FleetLayout;
 use super::process::ManagedProcess;
 use crate::stand_in::platform::{ListedMachine, PlatformList};
+use bundle::Digest;
 use chutecove::operator::OperatorClient;
 use rollout::{Accepted, Command, Stage};
 use serde_json::Value;
@@ -257,6 +258,12 @@
         stages: Vec<Stage>,
         advance_after_s: Option<u32>,
     ) -> Result<u64, crate::Failure> {
+        let digest = self.submit_and_approve(text, version)?;
+        self.roll(digest, expected, stages, advance_after_s)
+    }
+
+    /// Submits a bundle as one operator and approves it as another.
+    pub fn submit_and_approve(&self, text: &str, version: u64) -> Result<Digest, crate::Failure> {
         let (submitter, approver) = (self.submitter()?, self.approver()?);
         let path = self.layout.folder.join(format!("bundle-{version}.toml"));
         std::fs::write(&path, text).map_err(|error| error.to_string())?;
@@ -269,8 +276,19 @@
             submitter.post(&submit, &compressed, None).map_err(|failure| failure.message)?;
         let signature = approver.sign(&bundle::approval_message(&digest));
         send(&approver, &Command::Approve { digest, signature })?;
+        Ok(digest)
+    }
+
+    /// Rolls an approved bundle; returns the generation.
+    pub fn roll(
+        &self,
+        digest: Digest,
+        expected: u64,
+        stages: Vec<Stage>,
+        advance_after_s: Option<u32>,
+    ) -> Result<u64, crate::Failure> {
         let roll = Command::Roll { digest, expected_generation: expected, stages, advance_after_s };
-        match send(&submitter, &roll)? {
+        match send(&self.submitter()?, &roll)? {
             Accepted::Rolled { generation } => Ok(generation),
             other => Err(format!("unexpected answer {other:?}")),
         }
--- /dev/null
+++ b/crates/lab/src/hollow.rs
@@ -0,0 +1,173 @@
+//! Hollow proxies: the product's control side and wire format without callers, many in a process.
+//!
+//! Each has its own name, certificate, connection and state. It checks the sign-off and compiles
+//! the routes as a whole proxy does, and throws the table away.
+
+use bundle::{Approval, OperatorKeys, SealKeys};
+use endpoints::EndpointView;
+use forward::RoutingTable;
+use getopts::Options;
+use proxy::{
+    run_watch, Preparation, ProxyCore, RelayAddress, RelayChooser, WatchCounters, Watcher,
+};
+use rollout::ProxyName;
+use serde::{Deserialize, Serialize};
+use settings::ProxySettings;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
+use telemetry::{Clock, StopSignal};
+use wire::{TlsFiles, TlsIdentity};
+
+const STACK_BYTES: usize = 512 * 1024;
+
+/// What a hollow process says of its proxies.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HollowStatus {
+    /// Generation in force on each proxy; 0 before the first.
+    pub generations: Vec<u64>,
+    /// When each generation was applied: generation and microseconds since 1970.
+    pub applied: Vec<(u64, u64)>,
+    /// Bytes of frames sent to relays.
+    pub sent_bytes: u64,
+    /// Bytes of frames received from relays.
+    pub received_bytes: u64,
+}
+
+struct Keys {
+    seal: SealKeys,
+    operators: OperatorKeys,
+}
+
+struct HollowProxy {
+    core: Mutex<ProxyCore>,
+    counters: WatchCounters,
+    keys: Arc<Keys>,
+    applied: Arc<Mutex<Vec<(u64, u64)>>>,
+}
+
+impl Watcher for HollowProxy {
+    fn put_in_force(
+        &self,
+        preparation: &Preparation,
+        approval: Option<&Approval>,
+    ) -> Result<(), String> {
+        if preparation.generation > 0 {
+            let approval = approval.ok_or("the bundle is not signed off")?;
+            let digest = preparation.bundle.digest();
+            let verified = self.keys.operators.verify_approval(&digest, approval);
+            verified.map_err(|error| error.to_string())?;
+        }
+        RoutingTable::compile(preparation.generation, &preparation.bundle, &self.keys.seal)
+            .map_err(|error| error.to_string())?;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let entry = (preparation.generation, now.as_micros() as u64);
+        self.applied.lock().unwrap_or_else(PoisonError::into_inner).push(entry);
+        Ok(())
+    }
+
+    fn endpoints_changed(&self, _endpoints: &EndpointView) {}
+}
+
+/// Runs hollow proxies until asked to stop.
+pub fn run(arguments: &[String]) -> Result<(), crate::Failure> {
+    let mut options = Options::new();
+    options.reqopt("", "status", "address for the status", "ADDRESS");
+    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
+    let status: SocketAddr = matches
+        .opt_str("status")
+        .and_then(|text| text.parse().ok())
+        .ok_or("--status is not an address")?;
+    let stop = StopSignal::install().map_err(|error| error.to_string())?;
+    let applied = Arc::new(Mutex::new(Vec::new()));
+    let mut keys = None;
+    let mut proxies = Vec::new();
+    for path in matches.free.iter().map(PathBuf::from) {
+        let settings: ProxySettings =
+            settings::load(&path, &[]).map_err(|error| error.to_string())?;
+        let keys = match &keys {
+            Some(keys) => Arc::clone(keys),
+            None => keys.insert(Arc::new(load_keys(&settings)?)).clone(),
+        };
+        proxies.push(start(settings, keys, applied.clone(), &stop)?);
+    }
+    let server = rouille::Server::new(status, move |_| {
+        rouille::Response::json(&status_of(&proxies, &applied))
+    })
+    .map_err(|error| error.to_string())?;
+    thread::spawn(move || server.run());
+    stop.wait();
+    Ok(())
+}
+
+fn load_keys(settings: &ProxySettings) -> Result<Keys, crate::Failure> {
+    let text =
+        std::fs::read_to_string(&settings.seal_key_file).map_err(|error| error.to_string())?;
+    let seal = SealKeys::parse(&text).map_err(|error| error.to_string())?;
+    let listed =
+        settings::load_operators(&settings.operators_file).map_err(|error| error.to_string())?;
+    let mut operators = OperatorKeys::default();
+    for operator in &listed.operator {
+        let _ = operators.insert_hex(&operator.name, &operator.public_key);
+    }
+    Ok(Keys { seal, operators })
+}
+
+fn start(
+    settings: ProxySettings,
+    keys: Arc<Keys>,
+    applied: Arc<Mutex<Vec<(u64, u64)>>>,
+    stop: &StopSignal,
+) -> Result<Arc<HollowProxy>, crate::Failure> {
+    let name = ProxyName { id: settings.name.clone(), zone: settings.zone.clone() };
+    let core = Mutex::new(ProxyCore::new(name, None));
+    let proxy = Arc::new(HollowProxy { core, counters: WatchCounters::default(), keys, applied });
+    let (running, stop) = (proxy.clone(), stop.clone());
+    let builder = thread::Builder::new().stack_size(STACK_BYTES);
+    let spawned = builder.spawn(move || watch(&running, &settings, &stop));
+    spawned.map_err(|error| error.to_string())?;
+    Ok(proxy)
+}
+
+fn watch(proxy: &HollowProxy, settings: &ProxySettings, stop: &StopSignal) {
+    let files = TlsFiles {
+        authority: settings.tls.authority.clone(),
+        certificate: settings.tls.certificate.clone(),
+        key: settings.tls.key.clone(),
+    };
+    let tls = match TlsIdentity::load(files) {
+        Ok(tls) => tls,
+        Err(error) => {
+            eprintln!("{}: {error}", settings.name);
+            return;
+        }
+    };
+    let relays: Vec<RelayAddress> = settings
+        .relay
+        .iter()
+        .map(|relay| RelayAddress {
+            address: relay.address,
+            zone: relay.zone.clone(),
+            region: relay.region.clone(),
+        })
+        .collect();
+    let seed = fastrand::u64(..);
+    let mut chooser = RelayChooser::new(&relays, &settings.zone, &settings.region, seed);
+    let clock = Clock::default();
+    run_watch(&proxy.core, &tls, &mut chooser, proxy, &proxy.counters, clock, stop);
+}
+
+fn status_of(proxies: &[Arc<HollowProxy>], applied: &Mutex<Vec<(u64, u64)>>) -> HollowStatus {
+    let generation = |proxy: &Arc<HollowProxy>| {
+        let core = proxy.core.lock().unwrap_or_else(PoisonError::into_inner);
+        core.generation().unwrap_or(0)
+    };
+    HollowStatus {
+        generations: proxies.iter().map(generation).collect(),
+        applied: applied.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+        sent_bytes: proxies.iter().map(|proxy| proxy.counters.sent_bytes.get()).sum(),
+        received_bytes: proxies.iter().map(|proxy| proxy.counters.received_bytes.get()).sum(),
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,10 @@
 #![forbid(unsafe_code)]
 
 mod demo;
+mod experiment;
 mod fleet;
+mod hollow;
+mod scale;
 mod sim;
 mod stand_in;
 
@@ -15,6 +18,10 @@
 
   demo               a whole fleet in separate processes, with calls, rollouts and a drain
   sim                the cores in virtual time, with seeded faults and checks
+  scale              a large fleet with hollow proxies, measured through changes and faults
+  experiment         one question, measured, compared and drawn
+  report             all findings of a folder on one page
+  hollow             many hollow proxies in one process (started by the other commands)
   backend            one stand-in back end (started by the other commands)
   product ...        the product's own command line, in this binary
 ";
@@ -31,6 +38,10 @@
     let result = match command.as_str() {
         "product" => return chutecove::main_with(rest),
         "demo" => demo::run(rest),
+        "experiment" => experiment::run(rest),
+        "report" => experiment::report::run(rest),
+        "scale" => scale::run(rest),
+        "hollow" => hollow::run(rest),
         "sim" => sim::run(rest),
         "backend" => stand_in::backend::run(rest),
         "--help" | "-h" | "help" => {
--- a/crates/lab/src/stand_in/backend.rs
+++ b/crates/lab/src/stand_in/backend.rs
@@ -39,6 +39,9 @@
     behaviour: Behaviour,
     running: AtomicU32,
     runs: AtomicU64,
+    /// Where every call calls on: the next proxy and its service.
+    next: Option<(SocketAddr, String)>,
+    agent: ureq::Agent,
     log: File,
     started: Instant,
     stop: StopSignal,
@@ -53,6 +56,8 @@
     options.optopt("", "slots", "calls run at once (20)", "N");
     options.optopt("", "work-us", "time a call takes, microseconds (200)", "US");
     options.optopt("", "cold-ms", "time during which calls take ten times as long (0)", "MS");
+    options.optopt("", "next", "call this proxy for each call", "ADDRESS");
+    options.optopt("", "next-service", "service to call there", "NAME");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
     let number = |name: &str, default: u64| {
         matches.opt_get_default(name, default).map_err(|error| format!("--{name}: {error}"))
@@ -81,6 +86,13 @@
         },
         running: AtomicU32::new(0),
         runs: AtomicU64::new(0),
+        next: next_hop(&matches)?,
+        agent: ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .no_delay(true)
+            .proxy(None)
+            .build()
+            .into(),
         log,
         started: Instant::now(),
         stop: stop.clone(),
@@ -117,6 +129,12 @@
     });
 }
 
+fn next_hop(matches: &getopts::Matches) -> Result<Option<(SocketAddr, String)>, crate::Failure> {
+    let Some(text) = matches.opt_str("next") else { return Ok(None) };
+    let address = text.parse().map_err(|_| "--next is not an address".to_owned())?;
+    Ok(Some((address, matches.opt_str("next-service").unwrap_or_default())))
+}
+
 /// Releases a slot.
 struct Slot<'a>(&'a AtomicU32);
 
@@ -192,11 +210,38 @@
             }
             return None;
         }
+        if let Some(failed) = self.call_next(&parts.headers) {
+            return Some(failed);
+        }
         let size = text(SIZE_HEADER).and_then(|size| size.parse().ok()).unwrap_or(64);
         let body = answer_body(&self.service, text(NONCE_HEADER).unwrap_or("none"), size);
         Some(self.finish(Response::builder().status(200), body))
     }
 
+    /// Calls the next proxy; an answer other than 200 is passed back as it came.
+    fn call_next(&self, headers: &touche::HeaderMap) -> Option<Response<Vec<u8>>> {
+        let (address, service) = self.next.as_ref()?;
+        let mut request = self.agent.get(format!("http://{address}/{service}/next"));
+        for name in [NONCE_HEADER, forward::DEADLINE_HEADER, forward::DEPTH_HEADER] {
+            if let Some(value) = headers.get(name).and_then(|value| value.to_str().ok()) {
+                request = request.header(name, value);
+            }
+        }
+        let Ok(answer) = request.call() else {
+            return Some(self.finish(Response::builder().status(502), Vec::new()));
+        };
+        if answer.status() == 200 {
+            return None;
+        }
+        let mut builder = Response::builder().status(answer.status().as_u16());
+        for name in [verdict::VERDICT_HEADER, proxy::HOP_HEADER] {
+            if let Some(value) = answer.headers().get(name).and_then(|value| value.to_str().ok()) {
+                builder = builder.header(name, value);
+            }
+        }
+        Some(self.finish(builder, Vec::new()))
+    }
+
     fn work(&self) -> Duration {
         let work = Duration::from_micros(self.behaviour.work_us.load(Ordering::Relaxed));
         let cold = self.started.elapsed().as_millis() < u128::from(self.behaviour.cold_ms);
--- a/crates/lab/src/stand_in/caller.rs
+++ b/crates/lab/src/stand_in/caller.rs
@@ -42,6 +42,8 @@
     pub rate: f64,
     /// Prefix of charge keys, unique to the run.
     pub key_prefix: String,
+    /// Time a caller gives each call, told to the proxy; an answer after it counts as late.
+    pub deadline: Option<Duration>,
 }
 
 /// What became of the calls.
@@ -53,6 +55,10 @@
     pub answered: u64,
     /// Refusals by verdict and kind.
     pub refused: BTreeMap<String, u64>,
+    /// Whole answers after the caller's deadline, not counted as answered.
+    pub late: u64,
+    /// Connections that the proxy did not accept: nothing was sent.
+    pub unreachable: u64,
     /// Connections lost between caller and proxy: cut calls.
     pub cut: u64,
     /// Answers that belong to another call, or are not whole, marked as complete.
@@ -71,6 +77,8 @@
         Tally {
             sent: 0,
             answered: 0,
+            late: 0,
+            unreachable: 0,
             refused: BTreeMap::new(),
             cut: 0,
             wrong: 0,
@@ -84,6 +92,8 @@
     pub fn merge(&mut self, other: Tally) {
         self.sent += other.sent;
         self.answered += other.answered;
+        self.late += other.late;
+        self.unreachable += other.unreachable;
         self.cut += other.cut;
         self.wrong += other.wrong;
         for (verdict, count) in other.refused {
@@ -146,6 +156,8 @@
     Answered,
     /// Verdict, and the kind of refusal.
     Refused(String, String),
+    /// Nothing was sent: the proxy does not listen.
+    Unreachable,
     Cut(String),
     Wrong(String),
 }
@@ -209,6 +221,9 @@
         if kind.is_charge {
             request = request.header("Idempotency-Key", nonce);
         }
+        if let Some(deadline) = self.plan.deadline {
+            request = request.header(forward::DEADLINE_HEADER, deadline.as_millis() as u64);
+        }
         let body = if kind.is_charge { format!("charge {nonce}") } else { String::new() };
         let answered = match kind.is_charge {
             true => request.body(body).map(|request| self.agent.run(request)),
@@ -219,13 +234,20 @@
                 let body = answer.body_mut().read_to_vec();
                 judge(kind, nonce, &answer, body)
             }
+            Ok(Err(error)) if is_refused_connection(&error) => CallEnd::Unreachable,
             Ok(Err(error)) => CallEnd::Cut(error.to_string()),
             Err(error) => CallEnd::Cut(error.to_string()),
         }
     }
 
+    fn is_late(&self, scheduled: Instant) -> bool {
+        self.plan.deadline.is_some_and(|deadline| scheduled.elapsed() > deadline)
+    }
+
     fn count(&mut self, end: CallEnd, scheduled: Instant) {
         match end {
+            CallEnd::Answered if self.is_late(scheduled) => self.tally.late += 1,
+            CallEnd::Unreachable => self.tally.unreachable += 1,
             CallEnd::Answered => {
                 self.tally.answered += 1;
                 let latency_us = scheduled.elapsed().as_micros() as u64;
@@ -250,11 +272,16 @@
 fn told(end: &CallEnd) -> Told {
     match end {
         CallEnd::Answered => Told::Answered,
+        CallEnd::Unreachable => Told::NotRun,
         CallEnd::Refused(verdict, _) if verdict == "not-run" => Told::NotRun,
         _ => Told::MayHaveRun,
     }
 }
 
+fn is_refused_connection(error: &ureq::Error) -> bool {
+    matches!(error, ureq::Error::Io(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// The kind in a proxy's refusal; a back end's own has no body.
 fn refusal_kind(body: &[u8]) -> String {
     let parsed: Option<serde_json::Value> = serde_json::from_slice(body).ok();
--- a/crates/lab/src/stand_in/mod.rs
+++ b/crates/lab/src/stand_in/mod.rs
@@ -3,4 +3,5 @@
 pub mod backend;
 pub mod caller;
 pub mod ledger;
+pub mod link;
 pub mod platform;
--- a/crates/lab/src/stand_in/platform.rs
+++ b/crates/lab/src/stand_in/platform.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Lists a machine as started again.
+    pub fn next_incarnation(&self, service: &str, address: SocketAddr) {
+        let mut state = self.lock();
+        state.version += 1;
+        if let Some(machine) = state.machines.get_mut(&(service.to_owned(), address)) {
+            machine.state = "live".to_owned();
+            machine.incarnation += 1;
+        }
+    }
+
     /// Takes a machine off the list.
     pub fn remove(&self, service: &str, address: SocketAddr) {
         let mut state = self.lock();
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,7 +1,7 @@
 //! Accepting callers.
 //!
 //! `rouille` cannot send `Connection: close`, without which a planned stop would cut callers that
-//! keep their connections; `touche` is its nearest kin that can (docs/design/calls.md).
+//! keep their connections; `touche` is its nearest kin that can (docs/design/0005-libraries.md).
 
 use crate::call;
 use crate::runtime::Shared;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -7,7 +7,7 @@
 use bundle::{BundleUpdate, Digest};
 use endpoints::{EndpointTable, LeavingMark, MassExpiryGuard};
 use rollout::{RelayReport, TargetView};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::{
     ConfigUpdate, MirrorReply, MirrorRequest, ProxyPoll, ProxyReply, ProxyState, ProxyUpdate,
     WatchReply, WatchRequest,
@@ -63,6 +63,8 @@
     proxies: BTreeMap<String, KnownProxy>,
     confirmations: Confirmations,
     source_heard_ms: Option<u64>,
+    /// Connected proxies by service, kept up to date session by session.
+    own_subscribers: BTreeMap<String, u32>,
     peer_subscribers: BTreeMap<String, Vec<(String, u32)>>,
     random: fastrand::Rng,
 }
@@ -79,6 +81,7 @@
             proxies: BTreeMap::new(),
             confirmations: Confirmations::default(),
             source_heard_ms: None,
+            own_subscribers: BTreeMap::new(),
             peer_subscribers: BTreeMap::new(),
             random: fastrand::Rng::with_seed(parameters.epoch),
             parameters,
@@ -191,6 +194,7 @@
         let ticket = state.generation.is_none().then(|| self.confirmations.issue());
         let session = Session::new(state, ticket, now_ms);
         self.note_proxy(&session);
+        self.count_subscriptions(&session.services, 1);
         self.sessions.insert(id, session);
         self.refresh_subscribers();
         id
@@ -201,18 +205,30 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
+        let earlier = session.services.clone();
         session.on_poll(poll, now_ms);
         let session = session.clone();
         self.note_proxy(&session);
-        if matches!(poll, ProxyPoll::State(_)) {
+        if session.services != earlier {
+            self.count_subscriptions(&earlier, -1);
+            self.count_subscriptions(&session.services, 1);
             self.refresh_subscribers();
         }
     }
 
     /// A proxy's connection ended.
     pub fn close_session(&mut self, id: SessionId) {
-        self.sessions.remove(&id);
-        self.refresh_subscribers();
+        if let Some(session) = self.sessions.remove(&id) {
+            self.count_subscriptions(&session.services, -1);
+            self.refresh_subscribers();
+        }
+    }
+
+    fn count_subscriptions(&mut self, services: &BTreeSet<String>, change: i32) {
+        for service in services {
+            let count = self.own_subscribers.entry(service.clone()).or_default();
+            *count = count.saturating_add_signed(change);
+        }
     }
 
     fn note_proxy(&mut self, session: &Session) {
@@ -333,29 +349,23 @@
             epoch: self.endpoints.epoch(),
             sequence: self.endpoints.sequence(),
             marks,
-            subscribers: self.own_subscribers().into_iter().collect(),
+            subscribers: self.own_subscribers.clone().into_iter().collect(),
         }
     }
 
     /// Takes a peer's answer in; true if there is news for proxies.
     pub fn on_mirror_reply(&mut self, peer: &str, reply: MirrorReply) -> bool {
         let before = self.endpoints.sequence();
-        self.peer_subscribers.insert(peer.to_owned(), reply.subscribers);
         self.observe_leaving(reply.marks);
-        self.refresh_subscribers();
-        self.endpoints.sequence() > before
-    }
-
-    fn own_subscribers(&self) -> BTreeMap<String, u32> {
-        let mut counts = BTreeMap::new();
-        for service in self.sessions.values().flat_map(|session| &session.services) {
-            *counts.entry(service.clone()).or_default() += 1;
+        if self.peer_subscribers.get(peer) != Some(&reply.subscribers) {
+            self.peer_subscribers.insert(peer.to_owned(), reply.subscribers);
+            self.refresh_subscribers();
         }
-        counts
+        self.endpoints.sequence() > before
     }
 
     fn refresh_subscribers(&mut self) {
-        let mut counts = self.own_subscribers();
+        let mut counts = self.own_subscribers.clone();
         for (service, count) in self.peer_subscribers.values().flatten() {
             *counts.entry(service.clone()).or_default() += count;
         }
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -4,6 +4,7 @@
 use bundle::Digest;
 use rollout::ProxyName;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use wire::{ProxyPoll, ProxyReply, ProxyState, RefusedGeneration};
 
 /// Identifies a connection of a proxy.
@@ -25,7 +26,8 @@
     pub name: ProxyName,
     pub position: Position,
     pub refused: Option<RefusedGeneration>,
-    pub services: BTreeSet<String>,
+    /// Shared, because a session is copied for every answer.
+    pub services: Arc<BTreeSet<String>>,
     /// Held until a read that began after the first request is confirmed.
     pub ticket: Option<Ticket>,
     /// Where the proxy will be once it has applied the last answer.
@@ -41,7 +43,7 @@
             name: state.name.clone(),
             position: Position::of(state),
             refused: state.refused.clone(),
-            services: state.services.iter().cloned().collect(),
+            services: Arc::new(state.services.iter().cloned().collect()),
             ticket,
             sent: None,
             catching_up: false,
@@ -63,7 +65,7 @@
                 self.sent = None;
                 self.position = Position::of(state);
                 self.refused = state.refused.clone();
-                self.services = state.services.iter().cloned().collect();
+                self.services = Arc::new(state.services.iter().cloned().collect());
             }
         }
     }
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -94,7 +94,8 @@
         Ok(true)
     }
 
-    pub(crate) fn client(&self) -> Arc<ClientConfig> {
+    /// Configuration of the calling side.
+    pub fn client(&self) -> Arc<ClientConfig> {
         self.lock().client.clone()
     }
 
