--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -321,6 +321,9 @@
     let body: Body =
         serde_json::from_slice(body).map_err(|cause| error(400, "bad_change", cause))?;
     if let Change::AddLearner(id) | Change::Promote(id) = body.change {
+        // The operator has just listed the newcomer; do not wait for the next look at the file.
+        let reloaded = shared.addresses.reload_if_changed();
+        reloaded.map_err(|cause| error(500, "settings_unreadable", cause))?;
         if shared.addresses.get(id).is_none() {
             let message = format!("member {id} is not in the settings of this replica");
             return Err(error(409, "unknown_member", message));
--- /dev/null
+++ b/crates/control/src/replica/driver.rs
@@ -0,0 +1,346 @@
+//! The thread of one replica: takes inputs in, saves, sends and applies.
+
+use super::{decode_machine, Input, Published, ReplicaParameters, Reply, RequestError};
+use crate::machine::StateMachine;
+use consensus::{Membership, Message, ProposeError, Raft, Ready};
+use speedy::{Readable, Writable};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Instant;
+use storage::{DiskStore, LogStore, StorageError};
+use tracing::{error, info};
+use verdict::Verdict;
+
+/// Inputs taken in before the next save, so that one sync serves many of them.
+const MAX_BATCH: usize = 512;
+/// Exit code of a process whose disk failed.
+const EXIT_DISK_FAILED: i32 = 74;
+
+/// One replica's thread: the core, its store, and who waits for what.
+pub(super) struct Driver<M: StateMachine> {
+    raft: Raft,
+    store: DiskStore,
+    parameters: ReplicaParameters,
+    published: Arc<Mutex<Published<M>>>,
+    changed: Arc<Condvar>,
+    send: Box<dyn Fn(Message) + Send>,
+    /// Proposals and membership changes not committed yet, by index, with their term.
+    proposals: BTreeMap<u64, (u64, Proposal<M>)>,
+    reads: BTreeMap<u64, Reply<u64>>,
+    confirmed_reads: Vec<(u64, Reply<u64>)>,
+    next_read: u64,
+    /// Start of heartbeat rounds not yet answered by a quorum.
+    rounds: VecDeque<(u64, Instant)>,
+    quorum_contact: Option<Instant>,
+}
+
+enum Proposal<M: StateMachine> {
+    Command(Reply<M::Answer>),
+    Membership(Reply<u64>),
+}
+
+impl<M: StateMachine> Driver<M> {
+    /// A driver that has not begun yet.
+    pub fn new(
+        raft: Raft,
+        store: DiskStore,
+        parameters: ReplicaParameters,
+        published: Arc<Mutex<Published<M>>>,
+        changed: Arc<Condvar>,
+        send: Box<dyn Fn(Message) + Send>,
+    ) -> Self {
+        Driver {
+            raft,
+            store,
+            parameters,
+            published,
+            changed,
+            send,
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            confirmed_reads: Vec::new(),
+            next_read: 1,
+            rounds: VecDeque::new(),
+            quorum_contact: None,
+        }
+    }
+
+    /// Runs until every handle of the replica is gone.
+    pub fn run(mut self, inputs: Receiver<Input<M>>) {
+        let mut next_tick = Instant::now() + self.parameters.tick;
+        loop {
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match inputs.recv_timeout(wait) {
+                Ok(input) => {
+                    self.take(input);
+                    for input in inputs.try_iter().take(MAX_BATCH) {
+                        self.take(input);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if Instant::now() >= next_tick {
+                self.raft.tick();
+                // After a pause of the process one tick passes, not all that were missed: an
+                // election must wait for messages that are already in the socket buffers.
+                next_tick = Instant::now() + self.parameters.tick;
+            }
+            if let Err(failure) = self.work() {
+                error!(group = %self.parameters.group, error = %failure, "storage_failed");
+                std::process::exit(EXIT_DISK_FAILED);
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input<M>) {
+        match input {
+            Input::Message(message) => self.raft.step(message),
+            Input::Propose(command, reply) => self.propose(&command, reply),
+            Input::Read(reply) => self.read(reply),
+            Input::ChangeMembership(next, reply) => self.change_membership(next, reply),
+            Input::TransferLeadership(done) => {
+                let furthest = self.raft.peers().and_then(|peers| {
+                    let voters = &self.raft.membership().voters;
+                    let eligible = peers.iter().filter(|(id, _)| voters.contains(id));
+                    eligible.max_by_key(|(_, progress)| progress.match_index).map(|(id, _)| *id)
+                });
+                if let Some(peer) = furthest {
+                    self.raft.transfer_leadership(peer);
+                }
+                let _ = done.try_send(());
+            }
+        }
+    }
+
+    fn propose(&mut self, command: &M::Command, reply: Reply<M::Answer>) {
+        let encoded = match command.write_to_vec() {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                let reason = error.to_string();
+                let _ = reply.try_send(Err(RequestError::Refused { reason }));
+                return;
+            }
+        };
+        match self.raft.propose(encoded) {
+            Ok((term, index)) => {
+                self.proposals.insert(index, (term, Proposal::Command(reply)));
+            }
+            Err(refusal) => {
+                let _ = reply.try_send(Err(request_error(refusal)));
+            }
+        }
+    }
+
+    fn read(&mut self, reply: Reply<u64>) {
+        let context = self.next_read;
+        self.next_read += 1;
+        match self.raft.read_index(context) {
+            Ok(()) => {
+                self.reads.insert(context, reply);
+            }
+            Err(refusal) => {
+                let _ = reply.try_send(Err(request_error(refusal)));
+            }
+        }
+    }
+
+    fn change_membership(&mut self, next: Membership, reply: Reply<u64>) {
+        match self.raft.propose_membership(next) {
+            Ok(index) => {
+                let proposal = Proposal::Membership(reply);
+                self.proposals.insert(index, (self.raft.term(), proposal));
+            }
+            Err(refusal) => {
+                let _ = reply.try_send(Err(request_error(refusal)));
+            }
+        }
+    }
+
+    /// Saves, sends and applies until the core has nothing more to hand over.
+    fn work(&mut self) -> Result<(), StorageError> {
+        while self.raft.has_ready() {
+            let ready = self.raft.ready();
+            self.save(&ready)?;
+            for message in &ready.messages {
+                (self.send)(message.clone());
+            }
+            self.apply(ready)?;
+        }
+        self.note_rounds();
+        self.publish_status();
+        if self.store.bytes_since_checkpoint() >= self.parameters.checkpoint_bytes {
+            self.checkpoint()?;
+        }
+        Ok(())
+    }
+
+    fn save(&mut self, ready: &Ready) -> Result<(), StorageError> {
+        if !ready.must_save() {
+            return Ok(());
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            let retained = self.raft.log().retained();
+            self.store.checkpoint(self.raft.hard_state(), snapshot, retained)?;
+        } else {
+            self.store.save(ready.hard_state, &ready.entries)?;
+        }
+        self.raft.on_persisted(self.raft.log().last_index());
+        Ok(())
+    }
+
+    fn apply(&mut self, ready: Ready) -> Result<(), StorageError> {
+        let published = self.published.clone();
+        let mut published = published.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(snapshot) = &ready.snapshot {
+            published.machine = decode_machine::<M>(snapshot, &self.parameters)?;
+            published.status.applied = snapshot.meta.index;
+            info!(group = %self.parameters.group, index = snapshot.meta.index, "snapshot_installed");
+        }
+        let changed = !ready.committed.is_empty() || ready.snapshot.is_some();
+        for entry in ready.committed {
+            self.apply_entry(&mut published, &entry);
+            published.status.applied = entry.index;
+        }
+        let applied = published.status.applied;
+        drop(published);
+        if changed {
+            self.changed.notify_all();
+        }
+        for read in ready.reads {
+            if let Some(reply) = self.reads.remove(&read.context) {
+                self.confirmed_reads.push((read.index, reply));
+            }
+        }
+        for context in ready.failed_reads {
+            if let Some(reply) = self.reads.remove(&context) {
+                let leader = self.raft.leader();
+                let _ = reply.try_send(Err(RequestError::NotLeader { leader }));
+            }
+        }
+        self.answer_reads(applied);
+        Ok(())
+    }
+
+    fn answer_reads(&mut self, applied: u64) {
+        self.confirmed_reads.retain(|(index, reply)| {
+            if *index > applied {
+                return true;
+            }
+            let _ = reply.try_send(Ok(applied));
+            false
+        });
+    }
+
+    fn apply_entry(&mut self, published: &mut Published<M>, entry: &consensus::Entry) {
+        let proposal = self.proposals.remove(&entry.index);
+        let own = proposal.and_then(|(term, proposal)| {
+            if term == entry.term {
+                return Some(proposal);
+            }
+            // Another entry took this place: the proposal can never be committed.
+            refuse(proposal, RequestError::Unanswered { verdict: Verdict::NotRun });
+            None
+        });
+        match &entry.payload {
+            consensus::Payload::Command(bytes) => {
+                let Ok(command) = M::Command::read_from_buffer(bytes) else {
+                    error!(group = %self.parameters.group, index = entry.index, "undecodable_entry");
+                    return;
+                };
+                let answer = published.machine.apply(entry.index, &command);
+                if let Some(Proposal::Command(reply)) = own {
+                    let _ = reply.try_send(Ok(answer));
+                }
+            }
+            consensus::Payload::Membership(_) => {
+                if let Some(Proposal::Membership(reply)) = own {
+                    let _ = reply.try_send(Ok(entry.index));
+                }
+            }
+            consensus::Payload::Noop => {}
+        }
+    }
+
+    /// Remembers when the latest round answered by a quorum began.
+    fn note_rounds(&mut self) {
+        if !self.raft.is_leader() {
+            self.rounds.clear();
+            self.quorum_contact = None;
+            return;
+        }
+        let newest = self.raft.round();
+        if self.rounds.back().is_none_or(|(round, _)| *round < newest) {
+            self.rounds.push_back((newest, Instant::now()));
+        }
+        let confirmed = self.raft.confirmed_round();
+        while let Some((round, started)) = self.rounds.front().copied() {
+            if round > confirmed {
+                break;
+            }
+            self.quorum_contact = Some(started);
+            self.rounds.pop_front();
+        }
+    }
+
+    fn publish_status(&mut self) {
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+        let status = &mut published.status;
+        let is_leader = self.raft.is_leader();
+        let leader_changed = status.is_leader != is_leader || status.leader != self.raft.leader();
+        status.is_leader = is_leader;
+        status.leader = self.raft.leader();
+        status.term = self.raft.term();
+        status.quorum_contact = self.quorum_contact;
+        if status.membership != *self.raft.membership() {
+            status.membership = self.raft.membership().clone();
+        }
+        status.matched = self
+            .raft
+            .peers()
+            .map(|peers| peers.iter().map(|(id, peer)| (*id, peer.match_index)).collect())
+            .unwrap_or_default();
+        let (leader, term) = (status.leader, status.term);
+        drop(published);
+        if leader_changed {
+            info!(group = %self.parameters.group, ?leader, term, "leader_changed");
+            self.changed.notify_all();
+        }
+    }
+
+    fn checkpoint(&mut self) -> Result<(), StorageError> {
+        let (applied, data) = {
+            let published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+            (published.status.applied, published.machine.encode())
+        };
+        let Some(snapshot) = self.raft.compact(applied, data) else {
+            return Ok(());
+        };
+        let retained = self.raft.log().retained();
+        self.store.checkpoint(self.raft.hard_state(), &snapshot, retained)?;
+        info!(group = %self.parameters.group, index = applied, "checkpoint_made");
+        Ok(())
+    }
+}
+
+fn refuse<M: StateMachine>(proposal: Proposal<M>, error: RequestError) {
+    match proposal {
+        Proposal::Command(reply) => {
+            let _ = reply.try_send(Err(error));
+        }
+        Proposal::Membership(reply) => {
+            let _ = reply.try_send(Err(error));
+        }
+    }
+}
+
+fn request_error(error: ProposeError) -> RequestError {
+    match error {
+        ProposeError::NotLeader { leader } => RequestError::NotLeader { leader },
+        ProposeError::NotReady => {
+            RequestError::Refused { reason: "the leader is handing over its office".to_owned() }
+        }
+        ProposeError::Membership { source } => RequestError::Refused { reason: source.to_string() },
+    }
+}
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -181,7 +181,8 @@
     let api_listen = shared.settings.api_listen;
     let api_address = api::spawn(shared.clone())
         .map_err(|cause| ControlError::Api { address: api_listen, reason: cause.to_string() })?;
-    spawn_reloads(&shared, tls);
+    tls.watch_files();
+    spawn_address_reloads(&shared);
     spawn_advancer(&shared);
     info!(member = shared.settings.member_id, %address, %api_address, "control_started");
     Ok(RunningControl { shared, stop, _folder: folder, address, api_address })
@@ -288,15 +289,11 @@
     }
 }
 
-fn spawn_reloads(shared: &Arc<Shared>, tls: Arc<TlsIdentity>) {
+/// Reads the addresses of other replicas again when the settings file changes.
+fn spawn_address_reloads(shared: &Arc<Shared>) {
     let shared = shared.clone();
     thread::spawn(move || loop {
         thread::sleep(RELOAD_INTERVAL);
-        match tls.reload_if_changed() {
-            Ok(true) => info!("certificates_reloaded"),
-            Ok(false) => {}
-            Err(error) => warn!(%error, "certificates_not_reloaded"),
-        }
         match shared.addresses.reload_if_changed() {
             Ok(true) => info!("addresses_reloaded"),
             Ok(false) => {}
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -145,18 +145,11 @@
 fn drain_one(fleet: &mut RunningFleet, report: &mut Report) -> Result<(), crate::Failure> {
     let leaving = fleet.backends[0].clone();
     fleet.platform.set_state(&leaving.service, leaving.address, "leaving");
-    let start = Instant::now();
-    let address = leaving.address.to_string();
-    fleet.wait_until("the drain on every proxy", DRAIN_LIMIT, |fleet| {
-        fleet.layout.proxies.iter().all(|proxy| {
-            let status = fleet.status(proxy.settings.metrics_listen);
-            status.is_some_and(|status| !status["upstreams"].to_string().contains(&address))
-        })
-    })?;
+    let took = fleet.wait_unused(leaving.address, DRAIN_LIMIT)?;
     println!(
         "{} gets no new work {:.0} ms after the platform's list said so",
         leaving.name,
-        ms(start.elapsed())
+        ms(took)
     );
     let process = fleet.processes.get_mut(&leaving.name).ok_or("no such back end")?;
     process.terminate();
--- a/crates/lab/src/experiment/drain.rs
+++ b/crates/lab/src/experiment/drain.rs
@@ -4,7 +4,7 @@
 use super::Findings;
 use crate::fleet::{RunningFleet, ServiceShape};
 use crate::stand_in::caller::RunningLoad;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const SERVICE: &str = "balance";
 const RATE: f64 = 400.0;
@@ -61,18 +61,10 @@
 fn stop_backend_by_list(fleet: &mut RunningFleet, position: usize) -> Result<f64, crate::Failure> {
     let place = fleet.backends[position].clone();
     fleet.platform.set_state(&place.service, place.address, "leaving");
-    let started = Instant::now();
-    let address = place.address.to_string();
-    fleet.wait_until("no new work for the leaving back end", LEAVING_LIMIT, |fleet| {
-        fleet.layout.proxies.iter().all(|proxy| {
-            let status = fleet.status(proxy.settings.metrics_listen);
-            status.is_some_and(|status| !status["upstreams"].to_string().contains(&address))
-        })
-    })?;
-    let took_ms = started.elapsed().as_secs_f64() * 1_000.0;
+    let took = fleet.wait_unused(place.address, LEAVING_LIMIT)?;
     end(fleet, &place.name)?;
     restart_backend(fleet, position)?;
-    Ok(took_ms)
+    Ok(took.as_secs_f64() * 1_000.0)
 }
 
 /// It is only told to stop; its own answers say that it is draining.
--- a/crates/lab/src/experiment/plot.rs
+++ b/crates/lab/src/experiment/plot.rs
@@ -48,6 +48,7 @@
     }
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
         .background_style(WHITE.mix(0.8))
         .border_style(BLACK)
         .label_font(FONT)
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -218,6 +218,23 @@
             .collect()
     }
 
+    /// Waits until no proxy uses an upstream any more; returns how long that took.
+    pub fn wait_unused(
+        &self,
+        upstream: SocketAddr,
+        limit: Duration,
+    ) -> Result<Duration, crate::Failure> {
+        let start = Instant::now();
+        let address = upstream.to_string();
+        self.wait_until("no new work for the leaving back end", limit, |fleet| {
+            fleet.layout.proxies.iter().all(|proxy| {
+                let status = fleet.status(proxy.settings.metrics_listen);
+                status.is_some_and(|status| !status["upstreams"].to_string().contains(&address))
+            })
+        })?;
+        Ok(start.elapsed())
+    }
+
     /// Waits until all proxies have at least this generation; returns the time it took.
     pub fn wait_in_force(
         &self,
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -21,10 +21,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use telemetry::{Clock, Counter, Gauge, MetricsServer, MetricsServerError, Registry, StopSignal};
-use tracing::{info, warn};
+use tracing::info;
 use wire::{Role, TlsError, TlsFiles, TlsIdentity};
 
-const TLS_RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 const STOP_POLL: Duration = Duration::from_millis(10);
 /// On a planned stop, callers that keep a connection get this much quiet time to call on it and
 /// to be told that it is the last time.
@@ -255,7 +254,7 @@
     observe::spawn(&shared, observed);
     local_backend::spawn(&shared);
     spawn_watch(&shared, chooser);
-    spawn_tls_reload(&shared);
+    shared.tls.clone().watch_files();
     info!(name = %shared.settings.name, %address, "proxy_started");
     Ok(RunningProxy { shared, callers, address, metrics_address })
 }
@@ -377,18 +376,6 @@
     });
 }
 
-fn spawn_tls_reload(shared: &Arc<Shared>) {
-    let shared = shared.clone();
-    thread::spawn(move || loop {
-        thread::sleep(TLS_RELOAD_INTERVAL);
-        match shared.tls.reload_if_changed() {
-            Ok(true) => info!("certificates_reloaded"),
-            Ok(false) => {}
-            Err(error) => warn!(%error, "certificates_not_reloaded"),
-        }
-    });
-}
-
 impl RunningProxy {
     /// Waits for the stop signal, finishes all calls and returns.
     pub fn wait(&self) {
--- a/crates/relay/src/runtime.rs
+++ b/crates/relay/src/runtime.rs
@@ -14,7 +14,6 @@
 use wire::{Identity, Purpose, Role, Server, ServerError, TlsError, TlsFiles, TlsIdentity};
 
 /// How often certificates are looked at for changes.
-const TLS_RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait for proxies to go elsewhere on a planned stop.
 const STOP_LIMIT: Duration = Duration::from_secs(3);
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -140,7 +139,7 @@
     control_link::spawn(&shared);
     platform::spawn(&shared);
     mirror::spawn(&shared);
-    spawn_tls_reload(&shared);
+    shared.tls.clone().watch_files();
     info!(name = %shared.settings.name, %address, "relay_started");
     Ok(RunningRelay { shared, address, metrics_address })
 }
@@ -233,18 +232,6 @@
     }
 }
 
-fn spawn_tls_reload(shared: &Arc<Shared>) {
-    let shared = shared.clone();
-    thread::spawn(move || loop {
-        thread::sleep(TLS_RELOAD_INTERVAL);
-        match shared.tls.reload_if_changed() {
-            Ok(true) => info!("certificates_reloaded"),
-            Ok(false) => {}
-            Err(error) => warn!(%error, "certificates_not_reloaded"),
-        }
-    });
-}
-
 impl RunningRelay {
     /// Waits for the stop signal, then sends the proxies elsewhere and returns.
     pub fn wait(&self) {
--- a/crates/simulator/src/proxy_node.rs
+++ b/crates/simulator/src/proxy_node.rs
@@ -38,6 +38,8 @@
     call: Option<CallId>,
     next_call: CallId,
     weakness: Option<ProxyWeakness>,
+    /// Broken variant: a lost answer is told to be not run.
+    pub mistells: bool,
     controls: Vec<u64>,
     tries: Vec<KeyedTry>,
 }
@@ -74,6 +76,7 @@
             call: None,
             next_call: 0,
             weakness,
+            mistells: false,
             controls,
             tries: Vec::new(),
         }
@@ -292,13 +295,14 @@
                 checker.on_run(&key);
                 // The back end's answer is lost in a third of the runs.
                 let answered = hosts.random.u32(0..3) > 0;
-                checker.on_told(&key, false);
+                checker.on_told(&key, self.mistells && !answered);
                 if answered {
                     let outcome = Outcome { status: 200, content_type: String::new(), body: None };
                     self.tell_control(ClaimCommand::Finish { key, attempt, outcome }, hosts);
                 }
             }
-            ClaimAnswer::MayHaveRun | ClaimAnswer::Recorded(_) => checker.on_told(&key, false),
+            ClaimAnswer::MayHaveRun => checker.on_told(&key, self.mistells),
+            ClaimAnswer::Recorded(_) => checker.on_told(&key, false),
             _ => checker.on_told(&key, true),
         }
     }
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -144,11 +144,15 @@
     WithdrawCountsDown,
     /// Relays never look for another control replica.
     RelayStaysWithDeadLeader,
+    /// A call whose answer was lost is told to be not run.
+    LostAnswerToldNotRun,
+    /// Relays take no notice of leaving back ends.
+    RelayIgnoresLeaving,
 }
 
 impl BrokenVariant {
     /// Every variant.
-    pub const ALL: [BrokenVariant; 13] = [
+    pub const ALL: [BrokenVariant; 15] = [
         BrokenVariant::DoubleVote,
         BrokenVariant::UnconfirmedReads,
         BrokenVariant::LyingDisks,
@@ -162,6 +166,8 @@
         BrokenVariant::AcceptsVersionTwice,
         BrokenVariant::WithdrawCountsDown,
         BrokenVariant::RelayStaysWithDeadLeader,
+        BrokenVariant::LostAnswerToldNotRun,
+        BrokenVariant::RelayIgnoresLeaving,
     ];
 
     /// The stable spelling.
@@ -180,6 +186,8 @@
             BrokenVariant::AcceptsVersionTwice => "accepts-version-twice",
             BrokenVariant::WithdrawCountsDown => "withdraw-counts-down",
             BrokenVariant::RelayStaysWithDeadLeader => "relay-stays-with-dead-leader",
+            BrokenVariant::LostAnswerToldNotRun => "lost-answer-told-not-run",
+            BrokenVariant::RelayIgnoresLeaving => "relay-ignores-leaving",
         }
     }
 
@@ -199,6 +207,8 @@
             BrokenVariant::AcceptsVersionTwice => Scenario::Race,
             BrokenVariant::WithdrawCountsDown => Scenario::Calm,
             BrokenVariant::RelayStaysWithDeadLeader => Scenario::Kill,
+            BrokenVariant::LostAnswerToldNotRun => Scenario::Kill,
+            BrokenVariant::RelayIgnoresLeaving => Scenario::Calm,
         }
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -1,8 +1,14 @@
 //! One run: everything put together, driven by events until it has converged.
 
+mod convergence;
+mod injection;
+mod outside;
+mod processes;
+mod repair;
+
 use crate::checker::{Checker, Violation};
-use crate::control_node::{first_snapshot, ControlNode, ControlWeakness, TornWrite, TICK_MS};
-use crate::faults::{schedule, Fault, Kind};
+use crate::control_node::{first_snapshot, ControlNode, ControlWeakness, TICK_MS};
+use crate::faults::{schedule, Fault};
 use crate::host::{Event, Hosts, NetworkFaults};
 use crate::operators::{Desk, OperatorNode};
 use crate::packet::{Node, Packet, Timer};
@@ -11,12 +17,12 @@
 use crate::scenario::{BrokenVariant, Scenario};
 use crate::workload::first_list;
 use consensus::Membership;
-use endpoints::{Endpoint, EndpointState};
+use endpoints::Endpoint;
 use proxy::ProxyWeakness;
-use relay::RelayWeakness;
+use repair::Repair;
 use rollout::RolloutWeakness;
-use std::collections::{BTreeMap, BTreeSet};
-use storage::{CrashPoint, MemoryStore};
+use std::collections::BTreeMap;
+use storage::MemoryStore;
 
 const ZONES: usize = 3;
 const RELAYS: usize = 3;
@@ -67,12 +73,6 @@
     World::new(parameters).run()
 }
 
-/// A replica whose disk was lost, and the steps of its replacement.
-struct Repair {
-    lost: u64,
-    replacement: u64,
-}
-
 struct World {
     parameters: RunParameters,
     hosts: Hosts,
@@ -157,7 +157,8 @@
             let seed = self.hosts.random.u64(..);
             let zone = number % ZONES;
             let controls = self.control_ids();
-            let proxy = ProxyNode::new(number, zone, &relay_zones, weakness, controls, seed);
+            let mut proxy = ProxyNode::new(number, zone, &relay_zones, weakness, controls, seed);
+            proxy.mistells = self.is_broken(BrokenVariant::LostAnswerToldNotRun);
             self.proxies.push(proxy);
             self.start_proxy(number);
         }
@@ -223,349 +224,6 @@
         }
     }
 
-    // ---- processes ----
-
-    fn start_control(&mut self, id: u64) {
-        let Some(store) = self.disks.get(&id).cloned() else { return };
-        self.hosts.start(Node::Control(id), id as usize % ZONES);
-        let seed = self.hosts.random.u64(..);
-        let node = ControlNode::start(id, store, self.control_weakness(), seed);
-        self.controls.insert(id, node);
-        let tick_ms = self.tick_ms.get(&id).copied().unwrap_or(TICK_MS);
-        self.hosts.timer(Node::Control(id), tick_ms, Timer::Tick);
-    }
-
-    fn stop_control(&mut self, id: u64) {
-        let Some(mut node) = self.controls.remove(&id) else { return };
-        if node.died_for_ms.is_none() {
-            node.store.crash(CrashPoint::Clean, None);
-        }
-        self.disks.insert(id, node.store);
-        self.hosts.stop(Node::Control(id));
-        let relays = self.relays.iter().flatten();
-        let resets: Vec<(usize, u64)> = relays
-            .flat_map(|relay| relay.open_calls_to(id).into_iter().map(|call| (relay.number, call)))
-            .collect();
-        for (relay, call) in resets {
-            self.hosts.send(Node::Control(id), Node::Relay(relay), Packet::Reset(call));
-        }
-    }
-
-    fn start_relay(&mut self, number: usize) {
-        self.hosts.start(Node::Relay(number), number % ZONES);
-        let weakness = match self.parameters.broken {
-            Some(BrokenVariant::RelayWithoutConfirmation) => Some(RelayWeakness::NoConfirmation),
-            Some(BrokenVariant::AcceptsOlder) => Some(RelayWeakness::SendsOlder),
-            _ => None,
-        };
-        let stays = self.is_broken(BrokenVariant::RelayStaysWithDeadLeader);
-        let controls = self.control_ids();
-        let zone = number % ZONES;
-        let relay = RelayNode::start(number, zone, controls, weakness, stays, &mut self.hosts);
-        self.relays[number] = Some(relay);
-    }
-
-    fn stop_relay(&mut self, number: usize) {
-        self.relays[number] = None;
-        self.hosts.stop(Node::Relay(number));
-        let open = self.proxies.iter().filter_map(|proxy| {
-            let (relay, call) = proxy.open_call()?;
-            (relay == number).then_some((proxy.number, call))
-        });
-        for (proxy, call) in open.collect::<Vec<_>>() {
-            self.hosts.send(Node::Relay(number), Node::Proxy(proxy), Packet::Reset(call));
-        }
-    }
-
-    fn start_proxy(&mut self, number: usize) {
-        self.hosts.start(Node::Proxy(number), number % ZONES);
-        self.proxies[number].restart(&mut self.hosts);
-    }
-
-    fn start(&mut self, node: Node) {
-        self.trace(|| format!("start {node:?}"));
-        match node {
-            Node::Control(id) => self.start_control(id),
-            Node::Relay(number) => self.start_relay(number),
-            Node::Proxy(number) => self.start_proxy(number),
-            Node::Operator(_) => {}
-        }
-    }
-
-    fn kill(&mut self, node: Node, restart_ms: u64) {
-        if !self.hosts.is_up(node) {
-            return;
-        }
-        self.trace(|| format!("kill {node:?} for {restart_ms} ms"));
-        match node {
-            Node::Control(id) => self.stop_control(id),
-            Node::Relay(number) => self.stop_relay(number),
-            _ => self.hosts.stop(node),
-        }
-        self.restarts.push((self.hosts.now_ms + restart_ms, node));
-    }
-
-    fn leader(&self) -> Option<u64> {
-        let leaders = self.controls.values().filter(|node| node.raft.is_leader());
-        leaders.max_by_key(|node| node.raft.term()).map(|node| node.id)
-    }
-
-    fn pick(&mut self, kind: Kind) -> Option<Node> {
-        match kind {
-            Kind::Leader => self.leader().map(Node::Control),
-            Kind::Control => {
-                let ids: Vec<u64> = self.controls.keys().copied().collect();
-                let position = self.hosts.random.usize(..ids.len().max(1));
-                ids.get(position).map(|id| Node::Control(*id))
-            }
-            Kind::Relay => Some(Node::Relay(self.hosts.random.usize(..RELAYS))),
-            Kind::Proxy => Some(Node::Proxy(self.hosts.random.usize(..PROXIES))),
-        }
-    }
-
-    fn all_of(&self, kind: Kind) -> Vec<Node> {
-        match kind {
-            Kind::Control | Kind::Leader => {
-                self.controls.keys().map(|id| Node::Control(*id)).collect()
-            }
-            Kind::Relay => (0..RELAYS).map(Node::Relay).collect(),
-            Kind::Proxy => (0..PROXIES).map(Node::Proxy).collect(),
-        }
-    }
-
-    // ---- faults ----
-
-    fn inject(&mut self, fault: Fault) {
-        self.trace(|| format!("fault {fault:?}"));
-        match fault {
-            Fault::KillOne { kind, restart_ms } => {
-                if let Some(node) = self.pick(kind) {
-                    self.kill(node, restart_ms);
-                }
-            }
-            Fault::KillAll { kind, restart_ms } => {
-                for node in self.all_of(kind) {
-                    let after_ms = self.hosts.random.u64(1..=restart_ms);
-                    self.kill(node, after_ms);
-                }
-            }
-            Fault::LoseDisk => self.lose_disk(),
-            Fault::TearWrite { bytes, restart_ms } => {
-                if let Some(Node::Control(id)) = self.pick(Kind::Control) {
-                    if let Some(node) = self.controls.get_mut(&id) {
-                        node.tear_next_write = Some(TornWrite { bytes, restart_ms });
-                    }
-                }
-            }
-            Fault::Cut { both_ways, heal_ms } => self.cut(both_ways, heal_ms),
-            Fault::Freeze { kind, wake_ms } => {
-                if let Some(node) = self.pick(kind) {
-                    let until_ms = self.hosts.now_ms + wake_ms;
-                    self.hosts.freeze(node, until_ms);
-                }
-            }
-            Fault::Isolate { kind, heal_ms } => {
-                if let Some(node) = self.pick(kind) {
-                    let until_ms = self.hosts.now_ms + heal_ms;
-                    self.hosts.isolate_from_control(node, until_ms);
-                }
-            }
-            Fault::PauseTogether { wake_ms, heal_ms } => self.pause_together(wake_ms, heal_ms),
-            Fault::Disturb { extra_delay_ms } => {
-                self.hosts.faults.extra_delay_ms = extra_delay_ms;
-                self.hosts.faults.duplicate_percent = 10;
-                self.hosts.faults.loss_percent = 10;
-            }
-            Fault::Skew => {
-                for id in self.control_ids() {
-                    let tick_ms = self.hosts.random.u64(TICK_MS / 2..=2 * TICK_MS);
-                    self.tick_ms.insert(id, tick_ms);
-                }
-            }
-            Fault::BackendLeaves => self.backend_leaves(),
-        }
-    }
-
-    fn pause_together(&mut self, wake_ms: u64, heal_ms: u64) {
-        let now_ms = self.hosts.now_ms;
-        if let Some(leader) = self.pick(Kind::Leader) {
-            self.hosts.freeze(leader, now_ms + wake_ms);
-            self.hosts.isolate_from_control(leader, now_ms + heal_ms);
-        }
-        if let Some(relay) = self.pick(Kind::Relay) {
-            self.hosts.freeze(relay, now_ms + wake_ms);
-        }
-    }
-
-    fn cut(&mut self, both_ways: bool, heal_ms: u64) {
-        let zone = self.hosts.random.usize(..ZONES);
-        let at_ms = self.hosts.now_ms + heal_ms;
-        for other in (0..ZONES).filter(|other| *other != zone) {
-            let mut pairs = vec![(zone, other)];
-            if both_ways {
-                pairs.push((other, zone));
-            }
-            for pair in pairs {
-                self.hosts.faults.cut.insert(pair);
-                self.heals.push((at_ms, pair));
-            }
-        }
-    }
-
-    /// A replica dies with its disk. Only one at a time: a second loss before the repair is done
-    /// could take committed entries with it, which no replicated system survives.
-    fn lose_disk(&mut self) {
-        if self.repair.is_some() {
-            return;
-        }
-        let Some(Node::Control(lost)) = self.pick(Kind::Control) else { return };
-        self.stop_control(lost);
-        self.disks.remove(&lost);
-        if self.is_broken(BrokenVariant::SameIdAfterLostDisk) {
-            let members = self.controls.keys().copied().chain([lost]);
-            let snapshot = first_snapshot(Membership::of_voters(members));
-            self.disks.insert(lost, MemoryStore::new(snapshot));
-            self.start_control(lost);
-            if std::mem::take(&mut self.second_loss_pending) {
-                self.lose_disk();
-            }
-            return;
-        }
-        let replacement = self.next_member;
-        self.next_member += 1;
-        let empty = first_snapshot(Membership::default());
-        self.disks.insert(replacement, MemoryStore::new(empty));
-        self.start_control(replacement);
-        self.trace(|| format!("disk of {lost} is lost, {replacement} joins"));
-        self.repair = Some(Repair { lost, replacement });
-        self.tell_controls();
-    }
-
-    fn tell_controls(&mut self) {
-        let ids = self.control_ids();
-        for relay in self.relays.iter_mut().flatten() {
-            relay.set_controls(ids.clone());
-        }
-        for proxy in &mut self.proxies {
-            proxy.set_controls(ids.clone());
-        }
-        for operator in &mut self.operators {
-            operator.set_controls(ids.clone());
-        }
-    }
-
-    /// The next step of a replacement: learner, removal of the lost one, promotion.
-    fn continue_repair(&mut self) {
-        let Some(Repair { lost, replacement }) = &self.repair else { return };
-        let (lost, replacement) = (*lost, *replacement);
-        let Some(leader) = self.leader() else { return };
-        if self.hosts.is_frozen(Node::Control(leader)) {
-            return;
-        }
-        let Some(node) = self.controls.get_mut(&leader) else { return };
-        let mut next = node.raft.membership().clone();
-        if !next.voters.contains(&lost) && next.voters.contains(&replacement) {
-            let committed = node.raft.propose_membership(next).is_ok();
-            if committed && node.raft.committed_in_term() {
-                self.finish_repair();
-            }
-            return;
-        }
-        if !next.learners.contains(&replacement) && !next.voters.contains(&replacement) {
-            next.learners.insert(replacement);
-        } else if next.voters.contains(&lost) {
-            next.voters.remove(&lost);
-        } else {
-            next.learners.remove(&replacement);
-            next.voters.insert(replacement);
-        }
-        node.change_membership(next, &mut self.hosts, &mut self.checker);
-    }
-
-    fn finish_repair(&mut self) {
-        self.trace(|| "repair is done".to_owned());
-        self.repair = None;
-        if std::mem::take(&mut self.second_loss_pending) {
-            self.lose_disk();
-        }
-    }
-
-    // ---- back ends and callers ----
-
-    fn backend_leaves(&mut self) {
-        let now_ms = self.hosts.now_ms;
-        let Some((_, list)) = self.lists.last() else { return };
-        let mut list = list.clone();
-        let position = self.hosts.random.usize(..list.len());
-        if list[position].state == EndpointState::Leaving {
-            return;
-        }
-        list[position].state = EndpointState::Leaving;
-        let endpoint = list[position].clone();
-        self.lists.push((now_ms, list));
-        self.returns.push((now_ms + RETURN_AFTER_MS, position));
-        self.leaving_checks.push((now_ms + LEAVING_LIMIT_MS, endpoint.clone()));
-        // One proxy hears it from the back end itself, before any list says so.
-        let number = self.hosts.random.usize(..PROXIES);
-        if self.hosts.is_up(Node::Proxy(number)) {
-            let proxy = &mut self.proxies[number];
-            if let Some(mark) = proxy.observe_leaving(&endpoint.key, &mut self.checker) {
-                let relay = Node::Relay(proxy.current_relay());
-                self.hosts.send(Node::Proxy(number), relay, Packet::Marks(vec![mark]));
-            }
-        }
-    }
-
-    fn backend_returns(&mut self, position: usize) {
-        let Some((_, list)) = self.lists.last() else { return };
-        let mut list = list.clone();
-        list[position].incarnation += 1;
-        list[position].state = EndpointState::Live;
-        self.lists.push((self.hosts.now_ms, list));
-    }
-
-    fn check_leaving(&mut self, endpoint: &Endpoint) {
-        if self.parameters.scenario != Scenario::Calm {
-            return;
-        }
-        for proxy in &self.proxies {
-            let view = proxy.core.endpoints();
-            let live = view
-                .live(&endpoint.key.service)
-                .any(|one| one.key == endpoint.key && one.incarnation == endpoint.incarnation);
-            if live {
-                let what = format!("proxy {} still uses {:?}", proxy.number, endpoint.key);
-                self.checker.violate("leaving-gets-no-work", what);
-            }
-        }
-    }
-
-    fn listed_for(&self, relay: usize) -> Vec<Endpoint> {
-        let seen_ms = self.hosts.now_ms.saturating_sub(self.list_lag_ms[relay]);
-        let older = self.lists.iter().rev().find(|(at_ms, _)| *at_ms <= seen_ms);
-        older.map(|(_, list)| list.clone()).unwrap_or_default()
-    }
-
-    /// A caller sends a keyed call, or sends an earlier one again through another proxy.
-    fn keyed_call(&mut self) {
-        let now_ms = self.hosts.now_ms;
-        if now_ms < FAULTS_END_MS {
-            self.next_key += 1;
-            self.open_keys.push((now_ms, format!("key-{}", self.next_key)));
-        }
-        let again = self.hosts.random.usize(..self.open_keys.len().max(1));
-        let newest = self.open_keys.len().saturating_sub(1);
-        for position in [newest, again] {
-            let Some((_, key)) = self.open_keys.get(position).cloned() else { continue };
-            let number = self.hosts.random.usize(..PROXIES);
-            if self.hosts.is_up(Node::Proxy(number)) && !self.hosts.is_frozen(Node::Proxy(number)) {
-                self.proxies[number].begin_keyed(&key, &mut self.hosts);
-            }
-        }
-    }
-
-    // ---- the run ----
-
     fn run(mut self) -> RunOutcome {
         let mut now_ms = 0;
         while now_ms < FAULTS_END_MS && self.checker.violations.is_empty() {
@@ -724,72 +382,6 @@
             node.tear_next_write = None;
         }
     }
-
-    fn has_converged(&self) -> bool {
-        let Some(leader) = self.leader().and_then(|id| self.controls.get(&id)) else {
-            return false;
-        };
-        let view = leader.config.view();
-        self.repair.is_none()
-            && self.operators.iter().all(OperatorNode::is_idle)
-            && leader.config.newest_generation() >= self.checker.newest_promised()
-            && self.controls.values().all(|node| node.config == leader.config)
-            && self.proxies.iter().all(|proxy| {
-                let target = view.target_for(proxy.core.name());
-                // Before the first generation there is nothing to put in force.
-                proxy.core.generation().unwrap_or(0) == target.generation
-                    && proxy.core.bundle().digest() == target.digest
-            })
-    }
-
-    fn check_end(&mut self, convergence_ms: u64) {
-        if !self.checker.violations.is_empty() {
-            return;
-        }
-        if convergence_ms >= CONVERGENCE_LIMIT_MS {
-            let state = self.describe_state();
-            self.checker.violate("convergence", format!("not within the limit: {state}"));
-        }
-        if let Some(node) = self.leader().and_then(|id| self.controls.get(&id)) {
-            self.checker.on_final_state(&node.config);
-            let requests = self.desk.making_requests.len() as u64;
-            self.checker.on_final_count(node.config.newest_generation(), requests);
-        }
-        self.checker.on_final_calls();
-        self.check_views();
-    }
-
-    fn describe_state(&self) -> String {
-        let proxies: Vec<Option<u64>> =
-            self.proxies.iter().map(|proxy| proxy.core.generation()).collect();
-        let controls: Vec<String> = self
-            .controls
-            .values()
-            .map(|node| {
-                let generation = node.config.newest_generation();
-                format!("{} term {} generation {generation}", node.id, node.raft.term())
-            })
-            .collect();
-        let idle: Vec<bool> = self.operators.iter().map(OperatorNode::is_idle).collect();
-        let repairing = self.repair.is_some();
-        format!(
-            "leader {:?} controls {controls:?} proxies {proxies:?} idle {idle:?} repairing {repairing}",
-            self.leader()
-        )
-    }
-
-    /// No proxy may hold a reference to what it lacks.
-    fn check_views(&mut self) {
-        let broken: BTreeSet<usize> = self
-            .proxies
-            .iter()
-            .filter(|proxy| !proxy.core.bundle().check().is_empty())
-            .map(|proxy| proxy.number)
-            .collect();
-        if !broken.is_empty() {
-            self.checker.violate("no-dangling-reference", format!("proxies {broken:?}"));
-        }
-    }
 }
 
 fn take_due<T>(waiting: &mut Vec<(u64, T)>, now_ms: u64) -> Vec<T> {
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -8,7 +8,11 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::SystemTime;
+use std::thread;
+use std::time::{Duration, SystemTime};
+use tracing::{info, warn};
+
+const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Where a process finds its certificate.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -94,6 +98,18 @@
         Ok(true)
     }
 
+    /// Starts a thread that loads the files again whenever they change.
+    pub fn watch_files(self: Arc<Self>) {
+        thread::spawn(move || loop {
+            thread::sleep(RELOAD_INTERVAL);
+            match self.reload_if_changed() {
+                Ok(true) => info!("certificates_reloaded"),
+                Ok(false) => {}
+                Err(error) => warn!(%error, "certificates_not_reloaded"),
+            }
+        });
+    }
+
     /// Configuration of the calling side.
     pub fn client(&self) -> Arc<ClientConfig> {
         self.lock().client.clone()
