Measure what eight proxies in a row add

Cause: CAPACITY.md named a chain of 8 as not run. Change: 'experiment chain', against back ends that call each other.

--- a/crates/lab/src/experiment/amplification.rs
+++ b/crates/lab/src/experiment/amplification.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const HOPS: usize = 8;
+/// Proxies in the chain.
+pub const HOPS: usize = 8;
 const BACKENDS_PER_HOP: usize = 2;
 const RATE: f64 = 100.0;
 const THREADS: usize = 32;
@@ -47,12 +48,13 @@
     Ok(findings)
 }
 
-fn service(hop: usize) -> String {
+/// Service of a hop, from 1.
+pub fn service(hop: usize) -> String {
     format!("hop-{hop}")
 }
 
 /// Back ends of each hop call the proxy of the next.
-fn start_chain(fleet: &mut RunningFleet) -> Result<(), crate::Failure> {
+pub fn start_chain(fleet: &mut RunningFleet) -> Result<(), crate::Failure> {
     for hop in 1..=HOPS {
         let mut options = vec!["--slots".to_owned(), "64".to_owned()];
         if hop < HOPS {
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod amplification;
 mod calls;
+mod chain;
 mod claims;
 mod drain;
 mod faults;
@@ -86,7 +87,7 @@
 
 type Run = fn() -> Result<Findings, crate::Failure>;
 
-const EXPERIMENTS: [(&str, &str, Run); 11] = [
+const EXPERIMENTS: [(&str, &str, Run); 12] = [
     (
         "convergence",
         "time until a change is in force, calm and with the leader killed",
@@ -96,6 +97,7 @@
     ("storm", "all proxies restart at once", spread::storm),
     ("catchup", "a proxy 500 changes behind", spread::catchup),
     ("calls", "time and processor time a proxy adds to a call", calls::run),
+    ("chain", "time that eight proxies in a row add", chain::run),
     ("claims", "what a call that runs at most once costs", claims::run),
     ("repair", "a lost disk, its replacement, and a second loss right after", repair::run),
     ("overload", "goodput at 0.5 to 4 times the capacity", overload::run),
--- a/crates/lab/src/fleet/running.rs
+++ b/crates/lab/src/fleet/running.rs
@@ -104,21 +104,31 @@
         self.start(&name, &arguments)
     }
 
-    /// Starts one back end and lists it as live.
-    pub fn start_backend(
+    /// Starts one back end that no proxy knows of.
+    pub fn start_unlisted_backend(
         &mut self,
         service: &str,
-        zone: usize,
         more: &[String],
     ) -> Result<usize, crate::Failure> {
-        let zone = self.layout.spec.zones[zone].clone();
         let name = format!("backend-{service}-{}", self.backends.len() + 1);
         let address = self.layout.ports.next_address();
         let runs_file = self.layout.folder.join(format!("{name}.runs"));
-        let place =
-            BackendPlace { name: name.clone(), service: service.to_owned(), address, runs_file };
+        let place = BackendPlace { name, service: service.to_owned(), address, runs_file };
         self.backends.push(place);
         self.run_backend(self.backends.len() - 1, more)?;
+        Ok(self.backends.len() - 1)
+    }
+
+    /// Starts one back end and lists it as live.
+    pub fn start_backend(
+        &mut self,
+        service: &str,
+        zone: usize,
+        more: &[String],
+    ) -> Result<usize, crate::Failure> {
+        let zone = self.layout.spec.zones[zone].clone();
+        let position = self.start_unlisted_backend(service, more)?;
+        let address = self.backends[position].address;
         self.platform.set(ListedMachine {
             service: service.to_owned(),
             address,
@@ -127,7 +137,7 @@
             zone: zone.name,
             region: zone.region,
         });
-        Ok(self.backends.len() - 1)
+        Ok(position)
     }
 
     /// Starts the process of a placed back end, again after it was ended.
