Revert the try with mimalloc

Ruled out: keeping it for proxies alone, which grew too. Conclusion: the cause of 0.48 MB a proxy in a relay is still only suspected: the list of endpoints that is built for each proxy when it starts.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,12 +9,8 @@
 mod sim;
 mod stand_in;
 
-use mimalloc::MiMalloc;
 use std::process::ExitCode;
 
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
-
 const USAGE: &str = "\
 chutecove-lab: stand-ins, faults, measurements
 
