Tests of processes hand out ports that nothing else takes

Cause: two of the process tests failed once with 'control leads' not within 60 s. They run side by side and took ports that the system chose and gave free again, so another process could take one before its owner started. Change: ports come from below the range of outgoing connections, each handed out once in a run.

--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -5,10 +5,14 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
+const FIRST_PORT: u32 = 10_000;
+const PORT_BLOCKS: u32 = 20;
+const PORTS_PER_BLOCK: u32 = 1_000;
 const LIMIT: Duration = Duration::from_secs(60);
 /// Size of the small disk, in blocks of at least 512 bytes.
 const DISK_BLOCKS: u32 = 200;
@@ -35,8 +39,18 @@
     metrics: [SocketAddr; 3],
 }
 
+/// A free address below the range that the system uses for outgoing connections, handed out once:
+/// the tests run side by side, and a port the system chose may be taken before its process starts.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = FIRST_PORT + std::process::id() % PORT_BLOCKS * PORTS_PER_BLOCK;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_BLOCK;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn run(folder: &Path, arguments: &[&str]) -> Output {
