--help works for commands with required options

Change: help is looked for before parsing. Ruled out: making the options optional (their absence must stay an error). Conclusion: every command of the README prints its help.

--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -25,13 +25,14 @@
     arguments: &[String],
 ) -> Result<Option<Matches>, Failure> {
     options.optflag("h", "help", "print this text");
-    let matches = options
-        .parse(arguments)
-        .map_err(|error| Failure::usage(format!("{error}\n\n{}", options.usage(brief))))?;
-    if matches.opt_present("help") {
+    // Looked for before parsing, which would first ask for the required options.
+    if arguments.iter().any(|argument| argument == "-h" || argument == "--help") {
         print!("{}", options.usage(brief));
         return Ok(None);
     }
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| Failure::usage(format!("{error}\n\n{}", options.usage(brief))))?;
     Ok(Some(matches))
 }
 
--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -433,5 +433,10 @@
     assert_eq!(code(&["settings", "check", "relay", "control.toml"]), Some(2));
     assert_eq!(code(&["settings", "check", "relay", "relay.toml"]), Some(0));
     assert_eq!(code(&["no-such-command"]), Some(2));
+    let commands =
+        ["control", "relay", "proxy", "bundle", "status", "members", "keys", "settings", "data"];
+    for command in commands {
+        assert_eq!(code(&[command, "--help"]), Some(0), "{command} --help");
+    }
     assert_eq!(code(&["data", "check", "keys"]), Some(1));
 }
