A running replica's folder is not copied as a backup

Cause: a new test of backup and restore showed that 'data backup' copied the folder of a running replica, whose files could change meanwhile; the help only said that the replica must be stopped. Change: the copy holds the folder's lock, which a running replica has. Ruled out: a damaged copy going unnoticed (it is checked after copying, but two groups could be of different moments). Before and after: the test fails without the lock and passes with it. Conclusion: backup, check, restore, restart and a further rollout are shown by one test.

--- a/crates/chutecove/src/cli/data.rs
+++ b/crates/chutecove/src/cli/data.rs
@@ -8,7 +8,7 @@
 use rollout::ConfigMachine;
 use std::fs;
 use std::path::{Path, PathBuf};
-use storage::{DataFolder, DiskStore};
+use storage::{open_data_folder, DataFolder, DiskStore};
 
 const BRIEF: &str = "\
 Usage: chutecove data check DIR        (reads everything; the replica must be stopped)
@@ -90,6 +90,9 @@
 }
 
 fn copy(source: &Path, destination: &Path) -> Result<(), Failure> {
+    let identity = DataFolder::identity(source).map_err(Failure::refused)?;
+    // A running replica holds the lock: its files could change while they are copied.
+    let _locked = open_data_folder(source, &identity, false).map_err(Failure::refused)?;
     check(source)?;
     if destination.exists()
         && fs::read_dir(destination).is_ok_and(|mut files| files.next().is_some())
--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -318,6 +318,29 @@
     fleet.wait_in_force(2);
 }
 
+#[test]
+fn a_backup_is_checked_restored_and_holds_what_was_accepted() {
+    let fleet = Fleet::create();
+    let mut running = fleet.start_all();
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    let folder = fleet.path();
+    let busy = run(folder, &["data", "backup", "data", "too-early"]);
+    assert!(!busy.status.success(), "a running replica's folder was copied");
+    assert_eq!(terminate(&mut running[0]), Some(0));
+    succeed(folder, &["data", "backup", "data", "backup"]);
+    succeed(folder, &["data", "check", "backup"]);
+    fs::remove_dir_all(folder.join("data")).unwrap();
+    succeed(folder, &["data", "restore", "backup", "data"]);
+    let _again = fleet.start("control", &[]);
+    wait_until("control leads again", || get(fleet.metrics[0], "/readyz").is_some());
+    let status = succeed(folder, &["status", "-c", "alice.toml"]);
+    assert!(status.contains("newest generation   1"), "{status}");
+    fleet.write_bundle(1_001);
+    fleet.roll_out(2, 1);
+    fleet.wait_in_force(2);
+}
+
 #[test]
 fn random_bytes_on_every_port_stop_nothing() {
     let fleet = Fleet::create();
