--- /dev/null
+++ b/crates/admission/src/gate.rs
@@ -0,0 +1,160 @@
+//! Which incarnation is beside this sidecar, and whether it may still be given calls.
+//!
+//! States only go forward within one incarnation, and an incarnation that was replaced never
+//! comes back, however late its messages arrive.
+
+use crate::Millis;
+use mesh::{InstanceRecord, InstanceState};
+use std::collections::VecDeque;
+
+/// Part of the drain time during which the gate stays open for calls already on their way.
+const OPEN_PART: f64 = 0.5;
+/// Replaced incarnations remembered.
+const RETIRED_KEPT: usize = 64;
+
+/// Whether calls may pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateState {
+    /// There is no upstream yet.
+    Absent,
+    /// Calls pass.
+    Open,
+    /// Calls that come now still pass; peers should send no more.
+    Closing,
+    /// Nothing passes.
+    Closed,
+}
+
+/// The upstream beside a sidecar.
+#[derive(Clone, Debug)]
+pub struct DrainGate {
+    drain_ms: u64,
+    current: Option<Current>,
+    retired: VecDeque<String>,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    id: String,
+    state: InstanceState,
+    slots: u32,
+    cold_until: Millis,
+    newest_sequence: u64,
+    /// Until when calls still pass, once it was told that it ends.
+    open_until: Option<Millis>,
+}
+
+impl DrainGate {
+    /// No upstream yet; one that says it leaves is given nothing after `drain_ms`.
+    pub fn new(drain_ms: u64) -> Self {
+        DrainGate { drain_ms, current: None, retired: VecDeque::new() }
+    }
+
+    /// Takes in what coordinators know from before this sidecar's start.
+    pub fn restore(&mut self, record: &InstanceRecord, now: Millis) {
+        if self.current.is_none() && !self.retired.contains(&record.id) {
+            self.replace(record, 0, now);
+        }
+        if self.advance(&record.id, record.state, now) {
+            self.close_now(&record.id);
+        }
+    }
+
+    /// Takes in what the upstream tells of itself; true if that is news to others. `sequence`
+    /// orders its messages.
+    pub fn told(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) -> bool {
+        if self.retired.contains(&record.id) {
+            return false;
+        }
+        if self.current.as_ref().is_none_or(|current| current.id != record.id) {
+            self.replace(record, sequence, now);
+            return true;
+        }
+        let Some(current) = &mut self.current else {
+            return false;
+        };
+        let slots_changed = current.slots != record.slots && sequence > current.newest_sequence;
+        if sequence > current.newest_sequence {
+            current.newest_sequence = sequence;
+            current.slots = record.slots;
+            current.cold_until = now + u64::from(record.cold_remaining_ms);
+        }
+        self.advance(&record.id, record.state, now) || slots_changed
+    }
+
+    /// Takes in that an incarnation ends; true if that is news to others.
+    pub fn left(&mut self, id: &str, now: Millis) -> bool {
+        self.advance(id, InstanceState::Left, now)
+    }
+
+    fn replace(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) {
+        if let Some(former) = self.current.take() {
+            self.retired.push_back(former.id);
+            if self.retired.len() > RETIRED_KEPT {
+                self.retired.pop_front();
+            }
+        }
+        // An end that is news was acknowledged by this process; any other may have been
+        // acknowledged long ago, by an earlier life.
+        let leaving = record.state != InstanceState::Ready;
+        self.current = Some(Current {
+            id: record.id.clone(),
+            state: record.state,
+            slots: record.slots,
+            cold_until: now + u64::from(record.cold_remaining_ms),
+            newest_sequence: sequence,
+            open_until: leaving.then_some(0),
+        });
+    }
+
+    fn advance(&mut self, id: &str, state: InstanceState, now: Millis) -> bool {
+        let Some(current) = self.current.as_mut().filter(|current| current.id == id) else {
+            return false;
+        };
+        if state <= current.state {
+            return false;
+        }
+        current.state = state;
+        let open_for = (self.drain_ms as f64 * OPEN_PART) as u64;
+        current.open_until.get_or_insert(now + open_for);
+        true
+    }
+
+    fn close_now(&mut self, id: &str) {
+        if let Some(current) = self.current.as_mut().filter(|current| current.id == id) {
+            current.open_until = Some(0);
+        }
+    }
+
+    /// Whether calls may pass now.
+    pub fn state(&self, now: Millis) -> GateState {
+        let Some(current) = &self.current else {
+            return GateState::Absent;
+        };
+        match current.open_until {
+            None => GateState::Open,
+            Some(until) if now < until => GateState::Closing,
+            Some(_) => GateState::Closed,
+        }
+    }
+
+    /// Id of the incarnation beside this sidecar.
+    pub fn id(&self) -> Option<&str> {
+        self.current.as_ref().map(|current| current.id.as_str())
+    }
+
+    /// Calls it works on at once.
+    pub fn slots(&self) -> Option<u32> {
+        self.current.as_ref().map(|current| current.slots)
+    }
+
+    /// What others should know.
+    pub fn record(&self, now: Millis) -> Option<InstanceRecord> {
+        self.current.as_ref().map(|current| InstanceRecord {
+            id: current.id.clone(),
+            state: current.state,
+            slots: current.slots,
+            cold_remaining_ms: current.cold_until.saturating_sub(now) as u32,
+        })
+    }
+}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,13 @@
+//! The one gate to an upstream: how many calls it has at once, who waits, and for how long.
+//!
+//! Pure: time is passed in as milliseconds of a monotonic clock.
+#![forbid(unsafe_code)]
+
+mod gate;
+mod queue;
+
+pub use gate::{DrainGate, GateState};
+pub use queue::{Admission, Decision, JobId, Ticket};
+
+/// Milliseconds of a monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,167 @@
+//! Slots and the short queue in front of them.
+
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// Names a call at this upstream.
+pub type JobId = u64;
+
+const SERVICE_WEIGHT: f64 = 0.05;
+const INITIAL_SERVICE_MS: f64 = 100.0;
+const SHORTEST_RETRY_MS: u64 = 50;
+
+/// What is known of a call that wants a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// Its id.
+    pub job: JobId,
+    /// Order among those waiting; 0 goes first.
+    pub rank: u32,
+    /// Longest useful wait, milliseconds.
+    pub patience_ms: u64,
+    /// When its caller stops waiting for the answer.
+    pub deadline: Millis,
+}
+
+/// What to do with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Give it to the upstream now.
+    Run,
+    /// It waits.
+    Wait,
+    /// It is not run; there may be room after this time, milliseconds.
+    Refuse {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    job: JobId,
+    latest_start: Millis,
+}
+
+/// Slots of one upstream.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    limit: u32,
+    running: u32,
+    /// Keyed by rank and order of arrival.
+    waiting: BTreeMap<(u32, u64), Waiting>,
+    arrivals: u64,
+    service_ms: f64,
+}
+
+impl Admission {
+    /// An idle upstream that is given `limit` calls at once.
+    pub fn new(limit: u32) -> Self {
+        Admission {
+            limit: limit.max(1),
+            running: 0,
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+            service_ms: INITIAL_SERVICE_MS,
+        }
+    }
+
+    /// Changes the number of calls at once.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit = limit.max(1);
+    }
+
+    /// Most calls at once.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Calls the upstream has.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Calls that wait.
+    pub fn queued(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
+    /// Recent time that a call occupies a slot, milliseconds.
+    pub fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
+    /// Decides on a new call.
+    pub fn submit(&mut self, ticket: Ticket, now: Millis) -> Decision {
+        if self.running < self.limit && self.waiting.is_empty() {
+            self.running += 1;
+            return Decision::Run;
+        }
+        let ahead = self.waiting.range(..(ticket.rank, u64::MAX)).count();
+        let wait_ms = self.wait_behind(ahead);
+        if wait_ms > ticket.patience_ms {
+            return Decision::Refuse { retry_after_ms: self.retry_after_ms(ticket.patience_ms) };
+        }
+        let latest_start = ticket.deadline.min(now + ticket.patience_ms);
+        let key = (ticket.rank, self.arrivals);
+        self.arrivals += 1;
+        self.waiting.insert(key, Waiting { job: ticket.job, latest_start });
+        Decision::Wait
+    }
+
+    /// Expected wait of a call with this many in front of it, milliseconds.
+    fn wait_behind(&self, ahead: usize) -> u64 {
+        let turns = (ahead + 1) as f64 / f64::from(self.limit);
+        (turns * self.service_ms) as u64
+    }
+
+    /// When a call of this patience would be let in, by the rate at which slots become free.
+    pub fn retry_after_ms(&self, patience_ms: u64) -> u64 {
+        let all = self.wait_behind(self.waiting.len());
+        all.saturating_sub(patience_ms).max(SHORTEST_RETRY_MS)
+    }
+
+    /// Takes back the slot of a call; `occupied_ms` is how long it had it, if that tells anything.
+    pub fn release(&mut self, occupied_ms: Option<u64>) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(occupied) = occupied_ms {
+            self.service_ms += (occupied as f64 - self.service_ms) * SERVICE_WEIGHT;
+        }
+    }
+
+    /// The next call to run, if a slot is free; its slot is taken.
+    pub fn start_next(&mut self) -> Option<JobId> {
+        if self.running >= self.limit {
+            return None;
+        }
+        let (_, waiting) = self.waiting.pop_first()?;
+        self.running += 1;
+        Some(waiting.job)
+    }
+
+    /// Removes a call that waits; false if it does not.
+    pub fn cancel(&mut self, job: JobId) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|_, waiting| waiting.job != job);
+        self.waiting.len() < before
+    }
+
+    /// Removes the calls that waited as long as they would.
+    pub fn expire(&mut self, now: Millis) -> Vec<JobId> {
+        let late = |waiting: &Waiting| waiting.latest_start <= now;
+        let expired = self.waiting.values().filter(|waiting| late(waiting));
+        let expired: Vec<JobId> = expired.map(|waiting| waiting.job).collect();
+        self.waiting.retain(|_, waiting| !late(waiting));
+        expired
+    }
+
+    /// Removes every call that waits.
+    pub fn clear(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.waiting).into_values().map(|waiting| waiting.job).collect()
+    }
+
+    /// When the next waiting call expires.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.waiting.values().map(|waiting| waiting.latest_start).min()
+    }
+}
--- a/crates/bundle/src/delta.rs
+++ b/crates/bundle/src/delta.rs
@@ -2,6 +2,7 @@
 
 use crate::object::HashedObject;
 use crate::{Bundle, Digest, Object, ObjectId, LIMITS};
+use serde::{Deserialize, Serialize};
 use snafu::{ensure, OptionExt, Snafu};
 use speedy::{Readable, Writable};
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 const SNAPSHOT_COMPRESSION_LEVEL: i32 = 3;
 
 /// What turns the bundle `base` into the bundle `target`.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
 pub struct Delta {
     /// Digest of the bundle to start from.
     pub base: Digest,
@@ -25,7 +26,7 @@
 }
 
 /// A way to bring a reader to a bundle.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
 #[speedy(tag_type = u8)]
 pub enum BundleUpdate {
     /// The reader has it already.
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -17,8 +17,8 @@
 pub use delta::{best_update, BundleUpdate, Delta, UpdateError};
 pub use digest::{Digest, DigestParseError};
 pub use object::{
-    Bundle, HashedObject, Object, ObjectId, ObjectKind, Priority, Route, SealedSecret, Service,
-    Target,
+    Bundle, CallLimits, HashedObject, Object, ObjectId, ObjectKind, Priority, Route, SealedSecret,
+    Service, Target, CALL_LIMITS_NAME,
 };
 pub use seal::{SealError, SealKey, SealKeys};
 pub use validate::{Limits, Problem, LIMITS};
--- a/crates/bundle/src/object.rs
+++ b/crates/bundle/src/object.rs
@@ -17,6 +17,10 @@
     pub upstream_slots: u32,
     /// Connections one upstream accepts in all.
     pub upstream_connections: u32,
+    /// Text of the operator's tools, kept and returned as it came and never interpreted.
+    #[speedy(length_type = u64_varint)]
+    #[serde(default)]
+    pub annotation: String,
 }
 
 /// Which calls are kept when there is not room for all.
@@ -86,6 +90,49 @@
     pub retry_budget_percent: u32,
     /// Refuse calls when the configuration may be older than this, seconds; 0 means never.
     pub max_staleness_s: u32,
+    /// Most upstreams one call may be sent to.
+    pub attempts: u32,
+    /// Time within which an answer is worth most, milliseconds; 0 means the whole timeout.
+    pub target_latency_ms: u32,
+    /// Order among routes of one priority when there is not room for all; 0 goes first.
+    pub rank: u32,
+    /// Text of the operator's tools, kept and returned as it came and never interpreted.
+    #[speedy(length_type = u64_varint)]
+    #[serde(default)]
+    pub annotation: String,
+}
+
+/// Bounds on what callers may send and how long they may take.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+#[serde(deny_unknown_fields)]
+pub struct CallLimits {
+    /// Longest head of a call, bytes.
+    pub header_bytes: u32,
+    /// Longest body of a call, bytes.
+    pub body_bytes: u32,
+    /// Longest time for sending a head, milliseconds.
+    pub header_timeout_ms: u32,
+    /// Longest rest of a connection between calls, milliseconds.
+    pub idle_timeout_ms: u32,
+    /// Text of the operator's tools, kept and returned as it came and never interpreted.
+    #[speedy(length_type = u64_varint)]
+    #[serde(default)]
+    pub annotation: String,
+}
+
+/// Name under which the one [`CallLimits`] of a bundle is kept.
+pub const CALL_LIMITS_NAME: &str = "limits";
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        CallLimits {
+            header_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+            annotation: String::new(),
+        }
+    }
 }
 
 /// A secret's value, sealed so that only proxies can read it.
@@ -133,6 +180,8 @@
     Route,
     /// A [`SealedSecret`].
     Secret,
+    /// The [`CallLimits`].
+    Limits,
 }
 
 impl fmt::Display for ObjectKind {
@@ -141,6 +190,7 @@
             ObjectKind::Service => "service",
             ObjectKind::Route => "route",
             ObjectKind::Secret => "secret",
+            ObjectKind::Limits => "limits",
         })
     }
 }
@@ -164,7 +214,7 @@
 }
 
 /// One object of a bundle.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
 #[speedy(tag_type = u8)]
 pub enum Object {
     /// A service.
@@ -173,17 +223,20 @@
     Route(Route),
     /// A sealed secret.
     Secret(SealedSecret),
+    /// Bounds on calls.
+    Limits(CallLimits),
 }
 
 impl Object {
     /// Its name within the bundle.
     pub fn id(&self) -> ObjectId {
         let (kind, name) = match self {
-            Object::Service(service) => (ObjectKind::Service, &service.name),
-            Object::Route(route) => (ObjectKind::Route, &route.name),
-            Object::Secret(secret) => (ObjectKind::Secret, &secret.name),
+            Object::Service(service) => (ObjectKind::Service, service.name.as_str()),
+            Object::Route(route) => (ObjectKind::Route, route.name.as_str()),
+            Object::Secret(secret) => (ObjectKind::Secret, secret.name.as_str()),
+            Object::Limits(_) => (ObjectKind::Limits, CALL_LIMITS_NAME),
         };
-        ObjectId { kind, name: name.clone() }
+        ObjectId { kind, name: name.to_owned() }
     }
 
     /// The canonical encoding, over which the digest is taken.
@@ -264,11 +317,29 @@
         })
     }
 
+    /// The bounds on calls, or the default ones.
+    pub fn limits(&self) -> CallLimits {
+        let found = self.objects.values().find_map(|hashed| match &hashed.object {
+            Object::Limits(limits) => Some(limits.clone()),
+            _ => None,
+        });
+        found.unwrap_or_default()
+    }
+
     /// Whether an object of this kind and name is present.
     pub fn contains(&self, kind: ObjectKind, name: &str) -> bool {
         self.objects.contains_key(&ObjectId { kind, name: name.to_owned() })
     }
 
+    /// The same bundle, sharing the memory of every object that `other` has as well.
+    pub fn sharing_with(&self, other: &Bundle) -> Bundle {
+        let shared = |(id, hashed): (&ObjectId, &Arc<HashedObject>)| {
+            let known = other.objects.get(id).filter(|known| known.digest == hashed.digest);
+            (id.clone(), known.unwrap_or(hashed).clone())
+        };
+        Bundle { objects: self.objects.iter().map(shared).collect(), digest: self.digest }
+    }
+
     /// All objects, encoded; the inverse of [`Bundle::decode`].
     pub fn encode(&self) -> Vec<u8> {
         let objects: Vec<Object> =
--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -14,6 +14,7 @@
 const DEFAULT_TIMEOUT_MS: u32 = 1_000;
 /// Below the 1.2 sends per call that a failing last hop may cost, with what is saved up.
 const DEFAULT_RETRY_BUDGET_PERCENT: u32 = 15;
+const DEFAULT_ATTEMPTS: u32 = 2;
 const DEFAULT_UPSTREAM_SLOTS: u32 = 20;
 const DEFAULT_UPSTREAM_CONNECTIONS: u32 = 130;
 
@@ -125,6 +126,12 @@
     retry_budget_percent: u32,
     #[serde(default)]
     max_staleness_s: u32,
+    #[serde(default = "default_attempts")]
+    attempts: u32,
+    #[serde(default)]
+    target_latency_ms: u32,
+    #[serde(default)]
+    rank: u32,
 }
 
 #[derive(Deserialize)]
@@ -146,6 +153,9 @@
 fn default_budget() -> u32 {
     DEFAULT_RETRY_BUDGET_PERCENT
 }
+fn default_attempts() -> u32 {
+    DEFAULT_ATTEMPTS
+}
 fn default_priority() -> Priority {
     Priority::Normal
 }
@@ -251,6 +261,7 @@
         name: table.name.get_ref().clone(),
         upstream_slots: table.upstream_slots,
         upstream_connections: table.upstream_connections,
+        annotation: String::new(),
     })
 }
 
@@ -268,6 +279,10 @@
         priority: table.priority,
         retry_budget_percent: table.retry_budget_percent,
         max_staleness_s: table.max_staleness_s,
+        attempts: table.attempts,
+        target_latency_ms: table.target_latency_ms,
+        rank: table.rank,
+        annotation: String::new(),
     })
 }
 
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -27,6 +27,9 @@
     timeout_ms: 300_000,
 };
 
+/// How far a target latency may lie above the timeout of its route, milliseconds.
+const TARGET_LATENCY_SLACK_MS: u32 = 60_000;
+
 /// One reason why a bundle is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -96,7 +99,11 @@
                 let reason = format!("no service '{}' in this bundle", target.service);
                 push(problems, &id, "service", reason);
             }
-            check_range(&id, "weight", target.weight, 1, 1_000_000, problems);
+            check_range(&id, "weight", target.weight, 0, 1_000_000, problems);
+        }
+        let weights: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+        if weights == 0 && !route.targets.is_empty() {
+            push(problems, &id, "weight", "the weights of a route must not add up to 0".to_owned());
         }
         if let Some(secret) = &route.secret {
             if !self.contains(ObjectKind::Secret, secret) {
@@ -105,6 +112,10 @@
             }
         }
         check_range(&id, "timeout_ms", route.timeout_ms, 1, LIMITS.timeout_ms, problems);
+        if route.target_latency_ms >= route.timeout_ms.saturating_add(TARGET_LATENCY_SLACK_MS) {
+            let reason = format!("{} is far beyond timeout_ms", route.target_latency_ms);
+            push(problems, &id, "target_latency_ms", reason);
+        }
         let budget = route.retry_budget_percent;
         check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
     }
--- a/crates/chutecove/src/cli/bundle.rs
+++ b/crates/chutecove/src/cli/bundle.rs
@@ -203,6 +203,10 @@
 
 fn print_accepted(accepted: &Accepted) {
     match accepted {
+        Accepted::PolicySet => println!("the approval policy is set"),
+        Accepted::Replaced { version, generation } => {
+            println!("version {version} is in force as generation {generation}")
+        }
         Accepted::Submitted { version, digest } => {
             println!("submitted version {version}: {digest}")
         }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -268,6 +268,7 @@
     Service(&'a bundle::Service),
     Route(&'a bundle::Route),
     Secret { name: &'a str, key_id: u32 },
+    Limits(&'a bundle::CallLimits),
 }
 
 fn show_bundle(shared: &Shared, digest: &str) -> ApiResult {
@@ -286,6 +287,7 @@
         bundle::Object::Secret(secret) => {
             ShownObject::Secret { name: &secret.name, key_id: secret.key_id }
         }
+        bundle::Object::Limits(limits) => ShownObject::Limits(limits),
     }
 }
 
--- /dev/null
+++ b/crates/coordinator/src/api.rs
@@ -0,0 +1,152 @@
+//! The operators' interface of a coordinator, in whatever dialect it was started with.
+
+use crate::dialect::{OperatorCall, OperatorDialect, Replacement};
+use crate::membership::Group;
+use bundle::best_update;
+use control::RequestError;
+use mesh::MemberId;
+use rollout::{Accepted, Command, Refusal, Request};
+use rouille::Response;
+use std::io::Read;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::info;
+
+/// Operators go to another coordinator after a second; the answer must be there before.
+const PROPOSE_TIMEOUT: Duration = Duration::from_millis(800);
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+const RETRY_AFTER_S: &str = "0.2";
+
+/// What the interface needs.
+pub(crate) struct Api {
+    pub group: Arc<Group>,
+    pub dialect: Arc<dyn OperatorDialect>,
+    pub listen: SocketAddrV4,
+    pub trusted_source: String,
+}
+
+/// Starts the interface.
+pub(crate) fn spawn(api: Api) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let address = api.listen;
+    let server = rouille::Server::new(address, move |request| api.handle(request))?;
+    std::thread::spawn(move || server.run());
+    Ok(())
+}
+
+impl Api {
+    fn handle(&self, request: &rouille::Request) -> Response {
+        match self.dialect.classify(request.method(), request.raw_url()) {
+            Some(OperatorCall::Replace) => self.replace(request),
+            Some(OperatorCall::Read) => self.read(request),
+            None => Response::empty_404(),
+        }
+    }
+
+    fn replace(&self, request: &rouille::Request) -> Response {
+        let Some(body) = read_body(request) else {
+            return Response::empty_400();
+        };
+        let precondition = request.header(self.dialect.precondition_header());
+        let replacement = match self.dialect.read_replacement(precondition, &body) {
+            Ok(replacement) => replacement,
+            Err(reason) => return refused(400, 0, &reason),
+        };
+        if let Some(problem) = replacement.bundle.check().first() {
+            return refused(400, replacement.version, &problem.to_string());
+        }
+        let version = replacement.version;
+        let command = self.command(replacement);
+        let operator = self.trusted_source.clone();
+        let request_id = format!("replace-{version}-{:x}", fastrand::u64(..));
+        let proposal = Request { operator, request_id, command };
+        match self.group.replica.propose(proposal, PROPOSE_TIMEOUT) {
+            Ok(answer) => answered(version, answer),
+            Err(error) => self.not_answered(request, version, &error),
+        }
+    }
+
+    fn command(&self, replacement: Replacement) -> Command {
+        let digest = replacement.bundle.digest();
+        let (_, base) = self.group.replica.lock().machine.0.in_force();
+        Command::Replace {
+            expected_version: replacement.expected_version,
+            version: replacement.version,
+            digest,
+            update: best_update(Some(&base), &replacement.bundle),
+        }
+    }
+
+    /// Whoever leads is asked instead; the operator's tool follows.
+    fn not_answered(
+        &self,
+        request: &rouille::Request,
+        version: u64,
+        error: &RequestError,
+    ) -> Response {
+        if let RequestError::NotLeader { leader: Some(leader) } = error {
+            let leader = MemberId(*leader);
+            if leader != self.group.own {
+                info!(version, %leader, "order_redirected");
+                let address = SocketAddrV4::new(leader.address(), self.listen.port());
+                let location = format!("http://{address}{}", request.raw_url());
+                return Response::redirect_307(location);
+            }
+        }
+        info!(version, %error, verdict = ?error.verdict(), "order_not_answered");
+        Response::empty_400()
+            .with_status_code(503)
+            .with_additional_header("Retry-After", RETRY_AFTER_S)
+    }
+
+    fn read(&self, request: &rouille::Request) -> Response {
+        if let Err(error) = self.group.replica.read(READ_TIMEOUT) {
+            return self.not_answered(request, 0, &error);
+        }
+        let (version, bundle) = {
+            let published = self.group.replica.lock();
+            let machine = &published.machine.0;
+            (machine.current_version(), machine.in_force().1)
+        };
+        let body = self.dialect.write_configuration(version, &bundle);
+        info!(version, digest = ?bundle.digest(), "configuration_read");
+        Response::from_data("application/json", body)
+    }
+}
+
+fn read_body(request: &rouille::Request) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    let reader = request.data()?;
+    reader.take(MAX_BODY_BYTES + 1).read_to_end(&mut body).ok()?;
+    (body.len() as u64 <= MAX_BODY_BYTES).then_some(body)
+}
+
+fn answered(version: u64, answer: rollout::Answer) -> Response {
+    match answer {
+        Ok(accepted) => {
+            let generation = match accepted {
+                Accepted::Replaced { generation, .. } => generation,
+                _ => 0,
+            };
+            info!(version, generation, "order_accepted");
+            Response::text("accepted\n")
+        }
+        Err(refusal @ (Refusal::VersionChanged { .. } | Refusal::VersionConflict { .. })) => {
+            refused(412, version, &refusal.to_string())
+        }
+        Err(refusal @ Refusal::NotTrusted { .. }) => {
+            // The policy is set by a new leader within moments.
+            info!(version, reason = %refusal, "order_early");
+            Response::empty_400()
+                .with_status_code(503)
+                .with_additional_header("Retry-After", RETRY_AFTER_S)
+        }
+        Err(refusal) => refused(400, version, &refusal.to_string()),
+    }
+}
+
+fn refused(status: u16, version: u64, reason: &str) -> Response {
+    info!(version, status, reason, "order_refused");
+    Response::text(format!("{reason}\n")).with_status_code(status)
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,25 @@
+//! A coordinator: one replica of the configuration with what a small fleet needs beside it, in
+//! one process. It serves sidecars without a relay between, keeps the registry of sidecars, and
+//! looks after the membership of its group without an operator.
+#![forbid(unsafe_code)]
+
+mod api;
+mod autopilot;
+mod dialect;
+mod hub;
+mod identity;
+mod link;
+mod listener;
+mod membership;
+mod registry;
+mod runtime;
+mod transport;
+
+pub use autopilot::{Autopilot, Change, Facts, MemberFacts};
+pub use dialect::{OperatorCall, OperatorDialect, Replacement};
+pub use identity::{choose_member, IdentityError};
+pub use registry::{Registry, RegistryChanges};
+pub use runtime::{run, CoordinatorError, RunningCoordinator};
+
+/// Milliseconds of a monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/coordinator/src/listener.rs
@@ -0,0 +1,125 @@
+//! Connections of other coordinators and of sidecars.
+
+use crate::link::SidecarLink;
+use crate::membership::Group;
+use crate::transport::prepare;
+use mesh::{decode_frame, ConsensusFrame, Greeting, Purpose, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+use speedy::{LittleEndian, Readable};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Connections served at once; more are closed.
+const MAX_CONNECTIONS: usize = 1_024;
+const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
+const STACK_BYTES: usize = 192 * 1024;
+const READ_BYTES: usize = 8 * 1024;
+
+/// Reads frames from a connection.
+pub(crate) struct FrameReader {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl FrameReader {
+    pub fn new(stream: TcpStream) -> Self {
+        FrameReader { stream, buffer: Vec::new() }
+    }
+
+    /// The next frame; an error when the connection ended or carries something else.
+    pub fn next<T>(&mut self) -> io::Result<T>
+    where
+        T: for<'a> Readable<'a, LittleEndian>,
+    {
+        loop {
+            let decoded = decode_frame(&self.buffer).map_err(io::Error::other)?;
+            if let Some((message, length)) = decoded {
+                self.buffer.drain(..length);
+                if self.buffer.is_empty() {
+                    // A whole configuration may have passed through it.
+                    self.buffer.shrink_to(READ_BYTES);
+                }
+                return Ok(message);
+            }
+            let mut piece = [0; READ_BYTES];
+            let count = self.stream.read(&mut piece)?;
+            if count == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.buffer.extend_from_slice(&piece[..count]);
+            if self.buffer.len() > MAX_FRAME_BYTES + READ_BYTES {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+    }
+}
+
+/// Accepts connections for as long as the process runs.
+pub(crate) fn spawn(
+    listener: TcpListener,
+    fleet: String,
+    group: Arc<Group>,
+    link: Arc<SidecarLink>,
+) {
+    let open = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        for accepted in listener.incoming() {
+            let Ok(stream) = accepted else {
+                thread::sleep(Duration::from_millis(10));
+                continue;
+            };
+            if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+                warn!(limit = MAX_CONNECTIONS, "connection_turned_away");
+                continue;
+            }
+            let (fleet, group, link) = (fleet.clone(), group.clone(), link.clone());
+            let counted = open.clone();
+            counted.fetch_add(1, Ordering::Relaxed);
+            let serve = move || {
+                let peer = stream.peer_addr().ok();
+                if let Err(error) = serve(stream, &fleet, &group, &link) {
+                    info!(?peer, %error, "connection_ended");
+                }
+                counted.fetch_sub(1, Ordering::Relaxed);
+            };
+            let spawned = thread::Builder::new().stack_size(STACK_BYTES).spawn(serve);
+            if let Err(error) = spawned {
+                open.fetch_sub(1, Ordering::Relaxed);
+                warn!(%error, "connection_without_thread");
+            }
+        }
+    });
+}
+
+fn serve(stream: TcpStream, fleet: &str, group: &Group, link: &Arc<SidecarLink>) -> io::Result<()> {
+    prepare(&stream)?;
+    stream.set_read_timeout(Some(GREETING_TIMEOUT))?;
+    let peer = stream.peer_addr()?;
+    let mut reader = FrameReader::new(stream.try_clone()?);
+    let greeting: Greeting = reader.next()?;
+    if greeting.protocol != PROTOCOL_VERSION || greeting.fleet != fleet {
+        warn!(%peer, protocol = greeting.protocol, fleet = %greeting.fleet, "greeting_refused");
+        return Ok(());
+    }
+    match greeting.purpose {
+        Purpose::Consensus => {
+            stream.set_read_timeout(None)?;
+            serve_member(&mut reader, peer, group)
+        }
+        Purpose::Sidecar => link.serve(stream, reader),
+    }
+}
+
+fn serve_member(reader: &mut FrameReader, peer: SocketAddr, group: &Group) -> io::Result<()> {
+    loop {
+        match reader.next()? {
+            ConsensusFrame::Message(message) => group.receive(message),
+            ConsensusFrame::Join { member } => group.join(mesh::MemberId(member)),
+            ConsensusFrame::Removed { member } => info!(%peer, member, "removed_from_group"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/registry.rs
@@ -0,0 +1,182 @@
+//! Sidecars and their upstreams, as reported under a lease; soft state, pure.
+
+use crate::Millis;
+use mesh::{InstanceState, NodeAddress, NodeRecord};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Ends of incarnations remembered.
+const MARKS_KEPT: usize = 4_096;
+/// Departures remembered for readers that are behind; one further behind gets the whole.
+const GONE_KEPT: usize = 1_024;
+/// How long the last record of a sidecar that is gone is kept for its return, milliseconds.
+const LAST_RECORD_MS: u64 = 60_000;
+
+#[derive(Clone, Debug)]
+struct Held {
+    record: NodeRecord,
+    heard_at: Millis,
+    connected: bool,
+    changed_at: u64,
+}
+
+/// What changed since a reader's position.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RegistryChanges {
+    /// The new position.
+    pub position: u64,
+    /// Whether nodes not listed are gone.
+    pub whole: bool,
+    /// New or changed records.
+    pub changed: Vec<NodeRecord>,
+    /// Nodes that are gone.
+    pub gone: Vec<NodeAddress>,
+}
+
+/// All sidecars known to one coordinator.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    lease_ms: u64,
+    position: u64,
+    nodes: BTreeMap<NodeAddress, Held>,
+    gone: VecDeque<(u64, NodeAddress)>,
+    last: BTreeMap<NodeAddress, (NodeRecord, Millis)>,
+    marks: VecDeque<(String, InstanceState)>,
+}
+
+impl Registry {
+    /// An empty registry.
+    pub fn new(lease_ms: u64) -> Self {
+        Registry {
+            lease_ms,
+            position: 0,
+            nodes: BTreeMap::new(),
+            gone: VecDeque::new(),
+            last: BTreeMap::new(),
+            marks: VecDeque::new(),
+        }
+    }
+
+    /// What was last known of a node, with all marks.
+    pub fn last_record(&self, address: &NodeAddress) -> Option<NodeRecord> {
+        let held = self.nodes.get(address).map(|held| &held.record);
+        let held = held.filter(|record| record.instance.is_some());
+        let mut record = held.or(self.last.get(address).map(|(record, _)| record))?.clone();
+        self.apply_marks(&mut record);
+        Some(record)
+    }
+
+    /// Takes in a report; true if it changed what others should know.
+    pub fn report(&mut self, mut record: NodeRecord, now: Millis) -> bool {
+        self.apply_marks(&mut record);
+        self.keep_mark(&record);
+        if record.instance.is_some() {
+            self.last.insert(record.address, (record.clone(), now));
+        }
+        if let Some(held) = self.nodes.get_mut(&record.address) {
+            held.heard_at = now;
+            held.connected = true;
+            let older = held.record.life == record.life && held.record.sequence >= record.sequence;
+            if older {
+                return false;
+            }
+        }
+        self.position += 1;
+        let address = record.address;
+        let held = Held { record, heard_at: now, connected: true, changed_at: self.position };
+        self.nodes.insert(address, held);
+        self.gone.retain(|(_, gone)| *gone != address);
+        true
+    }
+
+    /// Notes a sign of life.
+    pub fn alive(&mut self, address: &NodeAddress, life: u64, now: Millis) {
+        if let Some(held) = self.nodes.get_mut(address).filter(|held| held.record.life == life) {
+            held.heard_at = now;
+        }
+    }
+
+    /// Notes that the connection of one life of a node ended; true if that makes it gone.
+    pub fn disconnected(&mut self, address: &NodeAddress, life: u64) -> bool {
+        let Some(held) = self.nodes.get_mut(address).filter(|held| held.record.life == life) else {
+            return false;
+        };
+        held.connected = false;
+        let stopping = held.record.stopping;
+        if stopping {
+            self.remove(*address);
+        }
+        stopping
+    }
+
+    /// Removes the nodes whose lease ended; true if there were any.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let ended = |held: &Held| held.heard_at + self.lease_ms < now;
+        let late: Vec<NodeAddress> =
+            self.nodes.iter().filter(|(_, held)| ended(held)).map(|(key, _)| *key).collect();
+        for address in &late {
+            self.remove(*address);
+        }
+        self.last.retain(|_, (_, kept)| now < *kept + LAST_RECORD_MS);
+        !late.is_empty()
+    }
+
+    fn remove(&mut self, address: NodeAddress) {
+        self.nodes.remove(&address);
+        self.position += 1;
+        self.gone.push_back((self.position, address));
+        if self.gone.len() > GONE_KEPT {
+            self.gone.pop_front();
+        }
+    }
+
+    fn apply_marks(&self, record: &mut NodeRecord) {
+        let Some(instance) = &mut record.instance else {
+            return;
+        };
+        let mark = self.marks.iter().find(|(id, _)| *id == instance.id);
+        if let Some((_, state)) = mark {
+            instance.state = instance.state.max(*state);
+        }
+    }
+
+    fn keep_mark(&mut self, record: &NodeRecord) {
+        let leaving =
+            record.instance.as_ref().filter(|instance| instance.state != InstanceState::Ready);
+        let Some(instance) = leaving else {
+            return;
+        };
+        match self.marks.iter_mut().find(|(id, _)| *id == instance.id) {
+            Some((_, state)) => *state = instance.state,
+            None => self.marks.push_back((instance.id.clone(), instance.state)),
+        }
+        if self.marks.len() > MARKS_KEPT {
+            self.marks.pop_front();
+        }
+    }
+
+    /// Position of the newest change.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Number of nodes known.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// What a reader at `position` lacks; `None` stands for a reader that has nothing.
+    pub fn changes_since(&self, position: Option<u64>) -> RegistryChanges {
+        let oldest_kept = self.gone.front().map_or(0, |(at, _)| *at);
+        let full_memory = self.gone.len() >= GONE_KEPT;
+        let known = position.filter(|position| !full_memory || *position >= oldest_kept);
+        let since = known.unwrap_or(0);
+        let news = |held: &&Held| known.is_none() || held.changed_at > since;
+        let gone = self.gone.iter().filter(|(at, _)| known.is_some() && *at > since);
+        RegistryChanges {
+            position: self.position,
+            whole: known.is_none(),
+            changed: self.nodes.values().filter(news).map(|held| held.record.clone()).collect(),
+            gone: gone.map(|(_, address)| *address).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/runtime.rs
@@ -0,0 +1,199 @@
+//! Starting and stopping a coordinator.
+
+use crate::api::{self, Api};
+use crate::autopilot::Autopilot;
+use crate::dialect::OperatorDialect;
+use crate::hub::Hub;
+use crate::identity::{self, IdentityError};
+use crate::link::SidecarLink;
+use crate::listener;
+use crate::membership::Group;
+use crate::transport::Transport;
+use consensus::{Config, Membership};
+use control::{ConfigState, Replica, ReplicaParameters, CONFIG_GROUP};
+use mesh::{ConsensusFrame, MemberId};
+use settings::CoordinatorSettings;
+use snafu::{ResultExt, Snafu};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use storage::{DataFolder, StorageError};
+use telemetry::{Clock, Gauge, MetricsServer, MetricsServerError, Registry, StopSignal};
+use tracing::info;
+
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A coordinator could not start.
+#[derive(Debug, Snafu)]
+pub enum CoordinatorError {
+    /// Data folder.
+    #[snafu(display("{source}"))]
+    Identity {
+        /// Cause.
+        source: IdentityError,
+    },
+    /// Stored log.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// Cause.
+        source: StorageError,
+    },
+    /// An address cannot be used.
+    #[snafu(display("cannot listen on {address}: {reason}"))]
+    Listen {
+        /// Which.
+        address: SocketAddr,
+        /// Cause.
+        reason: String,
+    },
+    /// Address for metrics.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Cause.
+        source: MetricsServerError,
+    },
+}
+
+/// A coordinator that runs in threads of its own.
+pub struct RunningCoordinator {
+    group: Arc<Group>,
+    stop: StopSignal,
+    _folder: DataFolder,
+}
+
+/// Starts a coordinator.
+pub fn run(
+    settings: &CoordinatorSettings,
+    dialect: Arc<dyn OperatorDialect>,
+    stop: StopSignal,
+) -> Result<RunningCoordinator, CoordinatorError> {
+    let (folder, own) = identity::open(settings).context(IdentitySnafu)?;
+    let clock = Clock::default();
+    let transport = Arc::new(Transport::new(&settings.fleet, settings.mesh_port));
+    let replica = start_replica(settings, own, &transport).context(StorageSnafu)?;
+    let voters = settings.voters as usize;
+    let autopilot = Autopilot::new(voters, settings.silence_ms);
+    let seeds: Vec<Ipv4Addr> = settings.seeds.iter().map(|seed| *seed.ip()).collect();
+    let group = Arc::new(Group::new(own, replica, transport, clock, autopilot, seeds));
+    let hub = Arc::new(Hub::new(settings.lease_ms));
+    let link = Arc::new(SidecarLink { hub: hub.clone(), group: group.clone(), clock });
+    let address = SocketAddrV4::new(settings.ip, settings.mesh_port);
+    let listen = TcpListener::bind(address);
+    let listen = listen.map_err(|cause| listen_error(address, cause))?;
+    listener::spawn(listen, settings.fleet.clone(), group.clone(), link);
+    group.spawn(settings.trusted_source.clone(), hub.clone());
+    spawn_expiry(hub.clone(), clock);
+    serve_metrics(settings, &group, &hub).context(MetricsSnafu)?;
+    let trusted_source = settings.trusted_source.clone();
+    let listen = settings.api_listen;
+    let api = Api { group: group.clone(), dialect, listen, trusted_source };
+    api::spawn(api).map_err(|cause| listen_error(listen, cause))?;
+    info!(name = %settings.name, member = %own, %address, api = %listen, "coordinator_started");
+    Ok(RunningCoordinator { group, stop, _folder: folder })
+}
+
+fn listen_error(address: SocketAddrV4, cause: impl std::fmt::Display) -> CoordinatorError {
+    CoordinatorError::Listen { address: address.into(), reason: cause.to_string() }
+}
+
+fn start_replica(
+    settings: &CoordinatorSettings,
+    own: MemberId,
+    transport: &Arc<Transport>,
+) -> Result<Replica<ConfigState>, StorageError> {
+    let ticks = |milliseconds: u64| (milliseconds / settings.tick_ms).max(1) as u32;
+    // Only a first start begins with members; anyone else learns them from the leader.
+    let initial = match own.life() {
+        0 => {
+            let seeds = settings.seeds.iter().map(|seed| MemberId::first_at(*seed.ip()).0);
+            Membership::of_voters(seeds)
+        }
+        _ => Membership::default(),
+    };
+    let parameters = ReplicaParameters {
+        group: CONFIG_GROUP.to_owned(),
+        folder: settings.data_dir.join(CONFIG_GROUP),
+        consensus: Config {
+            id: own.0,
+            election_ticks: ticks(settings.election_ms),
+            heartbeat_ticks: ticks(settings.heartbeat_ms),
+            seed: fastrand::u64(..),
+            weakness: None,
+        },
+        initial,
+        tick: Duration::from_millis(settings.tick_ms),
+        checkpoint_bytes: settings.checkpoint_bytes,
+    };
+    let transport = transport.clone();
+    Replica::start(parameters, move |message| {
+        transport.send(MemberId(message.to), ConsensusFrame::Message(message));
+    })
+}
+
+fn spawn_expiry(hub: Arc<Hub>, clock: Clock) {
+    thread::spawn(move || loop {
+        thread::sleep(EXPIRY_INTERVAL);
+        hub.expire(clock.now_ms());
+    });
+}
+
+fn serve_metrics(
+    settings: &CoordinatorSettings,
+    group: &Arc<Group>,
+    hub: &Arc<Hub>,
+) -> Result<(), MetricsServerError> {
+    let registry = Registry::default();
+    let gauges = Gauges {
+        term: registry.gauge("consensus_term", "Current term"),
+        leads: registry.gauge("consensus_leads", "Whether this member leads, 0 or 1"),
+        members: registry.gauge("consensus_members", "Members of the group"),
+        generation: registry.gauge("config_generation", "Newest generation accepted"),
+        nodes: registry.gauge("registry_nodes", "Sidecars whose lease holds"),
+    };
+    let (for_ready, for_loop, hub) = (group.clone(), group.clone(), hub.clone());
+    thread::spawn(move || loop {
+        gauges.update(&for_loop, &hub);
+        thread::sleep(Duration::from_secs(1));
+    });
+    let server = MetricsServer {
+        registry,
+        ready: Box::new(move || match for_ready.replica.lock().status.leader {
+            Some(_) => Ok(()),
+            None => Err("no leader is known".to_owned()),
+        }),
+        status: Box::new(|| "{}".to_owned()),
+    };
+    server.run(settings.metrics_listen.into()).map(|_| ())
+}
+
+struct Gauges {
+    term: Gauge,
+    leads: Gauge,
+    members: Gauge,
+    generation: Gauge,
+    nodes: Gauge,
+}
+
+impl Gauges {
+    fn update(&self, group: &Group, hub: &Hub) {
+        let published = group.replica.lock();
+        self.term.set(published.status.term as i64);
+        self.leads.set(i64::from(published.status.is_leader));
+        self.members.set(published.status.membership.members().count() as i64);
+        self.generation.set(published.machine.0.newest_generation() as i64);
+        drop(published);
+        self.nodes.set(hub.lock().registry.nodes() as i64);
+    }
+}
+
+impl RunningCoordinator {
+    /// Waits for the stop signal, hands leadership over and returns.
+    pub fn wait(&self) {
+        self.stop.wait();
+        info!("coordinator_stopping");
+        self.group.replica.transfer_leadership(TRANSFER_TIMEOUT);
+        info!("coordinator_stopped");
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/transport.rs
@@ -0,0 +1,117 @@
+//! Sending frames to other coordinators: one thread and one connection each, never blocking.
+
+use mesh::{encode_frame, ConsensusFrame, Greeting, MemberId, Purpose, PROTOCOL_VERSION};
+use socket2::{SockRef, TcpKeepalive};
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+use tracing::debug;
+
+/// Frames waiting for one peer; beyond, they are dropped, as a network would.
+const QUEUE_LENGTH: usize = 1_024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// A peer without traffic for this long gives its thread back.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Small: the threads only copy frames.
+const STACK_BYTES: usize = 128 * 1024;
+/// A machine that went dark answers nothing; sent bytes are given up after this time.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Queues towards all peers.
+pub(crate) struct Transport {
+    fleet: String,
+    port: u16,
+    queues: Mutex<BTreeMap<Ipv4Addr, SyncSender<ConsensusFrame>>>,
+}
+
+impl Transport {
+    /// No connections yet.
+    pub fn new(fleet: &str, port: u16) -> Self {
+        Transport { fleet: fleet.to_owned(), port, queues: Mutex::default() }
+    }
+
+    /// Queues a frame for a member, or drops it.
+    pub fn send(&self, to: MemberId, frame: ConsensusFrame) {
+        self.send_to_address(to.address(), frame);
+    }
+
+    /// Queues a frame for whoever is at an address, or drops it.
+    pub fn send_to_address(&self, address: Ipv4Addr, frame: ConsensusFrame) {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = queues.entry(address).or_insert_with(|| self.start_sender(address));
+        if let Err(TrySendError::Disconnected(frame)) = queue.try_send(frame) {
+            let queue = self.start_sender(address);
+            let _ = queue.try_send(frame);
+            queues.insert(address, queue);
+        }
+    }
+
+    fn start_sender(&self, address: Ipv4Addr) -> SyncSender<ConsensusFrame> {
+        let (queue, frames) = sync_channel(QUEUE_LENGTH);
+        let target = SocketAddr::from((address, self.port));
+        let greeting = Greeting {
+            protocol: PROTOCOL_VERSION,
+            fleet: self.fleet.clone(),
+            purpose: Purpose::Consensus,
+        };
+        let builder = thread::Builder::new().stack_size(STACK_BYTES);
+        // Without a thread the frames are dropped; consensus repeats what matters.
+        let _ = builder.spawn(move || send_all(target, &greeting, &frames));
+        queue
+    }
+}
+
+fn send_all(target: SocketAddr, greeting: &Greeting, frames: &Receiver<ConsensusFrame>) {
+    let mut connection: Option<TcpStream> = None;
+    let mut retry_at = Instant::now();
+    let mut buffer = Vec::new();
+    loop {
+        let frame = match frames.recv_timeout(IDLE_LIMIT) {
+            Ok(frame) => frame,
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return,
+        };
+        if connection.is_none() && Instant::now() >= retry_at {
+            connection = open(target, greeting).ok();
+            if connection.is_none() {
+                retry_at = Instant::now() + RETRY_PAUSE;
+            }
+        }
+        let Some(open) = &mut connection else { continue };
+        buffer.clear();
+        encode_frame(&frame, &mut buffer);
+        if let Err(error) = open.write_all(&buffer) {
+            debug!(%target, %error, "consensus_send_failed");
+            connection = None;
+        }
+    }
+}
+
+fn open(target: SocketAddr, greeting: &Greeting) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
+    prepare(&stream)?;
+    stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    let mut buffer = Vec::new();
+    encode_frame(greeting, &mut buffer);
+    stream.write_all(&buffer)?;
+    Ok(stream)
+}
+
+/// Makes a connection notice a peer that went dark.
+pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/crates/http1/src/write.rs
@@ -0,0 +1,82 @@
+//! Writing whole messages.
+
+use crate::Headers;
+use std::io::Write;
+
+/// Whether the connection goes on after a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPersistence {
+    /// It may carry more.
+    Keep,
+    /// It is closed after this message.
+    Close,
+}
+
+/// Appends a request with a whole body.
+pub fn write_request(
+    output: &mut Vec<u8>,
+    method: &str,
+    target: &str,
+    headers: &Headers,
+    body: &[u8],
+) {
+    let _ = write!(output, "{method} {target} HTTP/1.1\r\n");
+    write_fields(output, headers);
+    let bodiless = body.is_empty() && matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS");
+    if !bodiless {
+        let _ = write!(output, "Content-Length: {}\r\n", body.len());
+    }
+    output.extend_from_slice(b"\r\n");
+    output.extend_from_slice(body);
+}
+
+/// Appends a response with a whole body.
+pub fn write_response(
+    output: &mut Vec<u8>,
+    status: u16,
+    headers: &Headers,
+    body: &[u8],
+    persistence: ConnectionPersistence,
+) {
+    let _ = write!(output, "HTTP/1.1 {status} {}\r\n", reason_phrase(status));
+    write_fields(output, headers);
+    if status >= 200 && status != 204 && status != 304 {
+        let _ = write!(output, "Content-Length: {}\r\n", body.len());
+    }
+    if persistence == ConnectionPersistence::Close {
+        output.extend_from_slice(b"Connection: close\r\n");
+    }
+    output.extend_from_slice(b"\r\n");
+    output.extend_from_slice(body);
+}
+
+fn write_fields(output: &mut Vec<u8>, headers: &Headers) {
+    for (name, value) in headers.iter() {
+        output.extend_from_slice(name.as_bytes());
+        output.extend_from_slice(b": ");
+        output.extend_from_slice(value);
+        output.extend_from_slice(b"\r\n");
+    }
+}
+
+/// The usual phrase of a status.
+pub fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/hop.rs
@@ -0,0 +1,144 @@
+//! The header that a call carries between two sidecars, and back.
+
+use crate::InstanceState;
+
+/// Name of the header, on requests and on answers.
+pub const HOP_HEADER: &str = "x-chutecove-hop";
+
+/// What the calling sidecar tells the one beside the upstream. As a header value: six words
+/// separated by blanks, the last one `-` for any instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HopRequest {
+    /// Time left for the whole call, milliseconds.
+    pub deadline_ms: u64,
+    /// Longest useful wait for a slot, milliseconds.
+    pub patience_ms: u64,
+    /// Order among waiting calls; 0 goes first.
+    pub rank: u32,
+    /// Whether the call may run more than once.
+    pub repeatable: bool,
+    /// Service that must run it.
+    pub service: String,
+    /// Incarnation that should run it.
+    pub instance: Option<String>,
+}
+
+impl HopRequest {
+    /// The header value.
+    pub fn encode(&self) -> String {
+        format!(
+            "{} {} {} {} {} {}",
+            self.deadline_ms,
+            self.patience_ms,
+            self.rank,
+            u8::from(self.repeatable),
+            self.service,
+            self.instance.as_deref().unwrap_or("-"),
+        )
+    }
+
+    /// Reads the header value.
+    pub fn decode(text: &str) -> Option<HopRequest> {
+        let mut words = text.split(' ');
+        Some(HopRequest {
+            deadline_ms: words.next()?.parse().ok()?,
+            patience_ms: words.next()?.parse().ok()?,
+            rank: words.next()?.parse().ok()?,
+            repeatable: words.next()? == "1",
+            service: words.next()?.to_owned(),
+            instance: words.next().filter(|id| *id != "-").map(str::to_owned),
+        })
+    }
+}
+
+/// What became of a call at the sidecar beside the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HopOutcome {
+    /// The upstream answered; the answer is the upstream's own.
+    Answered,
+    /// It was never given to the upstream, and never will be.
+    Refused,
+    /// The upstream said that it did not run it.
+    Rejected,
+    /// It was given to the upstream, which did not answer it properly.
+    Unknown,
+}
+
+/// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
+/// and seven numbers or words separated by blanks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HopReply {
+    /// What became of the call.
+    pub outcome: HopOutcome,
+    /// Calls the upstream works on.
+    pub running: u32,
+    /// Calls waiting for it.
+    pub queued: u32,
+    /// Most it is given at once.
+    pub limit: u32,
+    /// Recent time from giving a call to its answer, milliseconds.
+    pub service_ms: u32,
+    /// Time this call spent with the upstream, milliseconds.
+    pub spent_ms: u32,
+    /// When a slot is likely free, milliseconds; for refusals.
+    pub retry_after_ms: u32,
+    /// State of the upstream; `Left` also when there is none.
+    pub state: InstanceState,
+}
+
+impl HopReply {
+    /// The header value.
+    pub fn encode(&self) -> String {
+        let outcome = match self.outcome {
+            HopOutcome::Answered => 'a',
+            HopOutcome::Refused => 'r',
+            HopOutcome::Rejected => 'j',
+            HopOutcome::Unknown => 'u',
+        };
+        let state = match self.state {
+            InstanceState::Ready => 'r',
+            InstanceState::Draining => 'd',
+            InstanceState::Left => 'l',
+        };
+        format!(
+            "{outcome} {} {} {} {} {} {} {state}",
+            self.running,
+            self.queued,
+            self.limit,
+            self.service_ms,
+            self.spent_ms,
+            self.retry_after_ms
+        )
+    }
+
+    /// Reads the header value.
+    pub fn decode(text: &str) -> Option<HopReply> {
+        let mut words = text.split(' ');
+        let outcome = match words.next()? {
+            "a" => HopOutcome::Answered,
+            "r" => HopOutcome::Refused,
+            "j" => HopOutcome::Rejected,
+            "u" => HopOutcome::Unknown,
+            _ => return None,
+        };
+        let mut number = || words.next()?.parse::<u32>().ok();
+        let (running, queued, limit) = (number()?, number()?, number()?);
+        let (service_ms, spent_ms, retry_after_ms) = (number()?, number()?, number()?);
+        let state = match words.next()? {
+            "r" => InstanceState::Ready,
+            "d" => InstanceState::Draining,
+            "l" => InstanceState::Left,
+            _ => return None,
+        };
+        Some(HopReply {
+            outcome,
+            running,
+            queued,
+            limit,
+            service_ms,
+            spent_ms,
+            retry_after_ms,
+            state,
+        })
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,17 @@
+//! What sidecars, coordinators and the peers of a call tell each other.
+//!
+//! Sidecars and coordinators exchange `speedy` frames (length-prefixed, see [`encode_frame`]);
+//! a call between two sidecars is HTTP/1.1 with one more header, see [`HopRequest`].
+#![forbid(unsafe_code)]
+
+mod frame;
+mod hop;
+mod link;
+mod member;
+mod record;
+
+pub use frame::{decode_frame, encode_frame, FrameError, MAX_FRAME_BYTES};
+pub use hop::{HopOutcome, HopReply, HopRequest, HOP_HEADER};
+pub use link::{ConsensusFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
+pub use member::MemberId;
+pub use record::{InstanceRecord, InstanceState, NodeAddress, NodeRecord};
--- /dev/null
+++ b/crates/mesh/src/link.rs
@@ -0,0 +1,113 @@
+//! Frames between coordinators and sidecars.
+
+use crate::{NodeAddress, NodeRecord};
+use bundle::{BundleUpdate, Digest};
+use consensus::Message;
+use speedy::{Readable, Writable};
+use std::net::Ipv4Addr;
+
+/// Version of all frames; two processes of different versions refuse each other.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// What a connection to a coordinator is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum Purpose {
+    /// Messages of the consensus group, one way.
+    Consensus,
+    /// A sidecar's link.
+    Sidecar,
+}
+
+/// First frame on every connection to a coordinator.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Greeting {
+    /// Sender's [`PROTOCOL_VERSION`].
+    pub protocol: u16,
+    /// Name of the fleet.
+    pub fleet: String,
+    /// What for.
+    pub purpose: Purpose,
+}
+
+/// Frames from one coordinator to another.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum ConsensusFrame {
+    /// A message of the group.
+    Message(Message),
+    /// A member that is not part of the group asks to be added; repeated until it is.
+    Join {
+        /// Its id.
+        member: u64,
+    },
+    /// The receiver is no part of the group any more.
+    Removed {
+        /// The id that was removed.
+        member: u64,
+    },
+}
+
+/// Frames from a sidecar.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum ToCoordinator {
+    /// What the sidecar is; the first frame, and again after every change.
+    Report(NodeRecord),
+    /// Asks for the configuration in force.
+    WantConfig {
+        /// Digest of the content held.
+        held: Digest,
+    },
+    /// A generation was put in force.
+    Applied {
+        /// Which.
+        generation: u64,
+    },
+    /// Nothing new; the sidecar lives.
+    Alive,
+}
+
+/// Frames to a sidecar.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum ToSidecar {
+    /// First answer to the first report.
+    Welcome {
+        /// What was last known of a sidecar at this address, from before this connection.
+        last: Option<NodeRecord>,
+    },
+    /// Reports up to this sequence are known here.
+    ReportTaken {
+        /// Sequence of the report.
+        sequence: u64,
+    },
+    /// Where coordinators are.
+    Members {
+        /// All of them.
+        addresses: Vec<Ipv4Addr>,
+    },
+    /// A generation is in force.
+    Announce {
+        /// Which.
+        generation: u64,
+    },
+    /// The configuration in force.
+    Config {
+        /// Its generation.
+        generation: u64,
+        /// Its content, from what the sidecar said it holds.
+        update: BundleUpdate,
+    },
+    /// News of sidecars; `whole` replaces what this coordinator said before.
+    Nodes {
+        /// Whether nodes not listed are gone.
+        whole: bool,
+        /// New or changed.
+        changed: Vec<NodeRecord>,
+        /// Gone.
+        gone: Vec<NodeAddress>,
+    },
+    /// Nothing new; the coordinator lives.
+    Alive,
+}
--- /dev/null
+++ b/crates/mesh/src/record.rs
@@ -0,0 +1,87 @@
+//! What is known of a sidecar and of the upstream beside it.
+
+use speedy::{Readable, Writable};
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+/// Where a sidecar's peers reach it; also its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub struct NodeAddress {
+    /// Address.
+    pub ip: Ipv4Addr,
+    /// Port.
+    pub port: u16,
+}
+
+impl From<SocketAddrV4> for NodeAddress {
+    fn from(address: SocketAddrV4) -> Self {
+        NodeAddress { ip: *address.ip(), port: address.port() }
+    }
+}
+
+impl From<NodeAddress> for SocketAddr {
+    fn from(address: NodeAddress) -> Self {
+        SocketAddr::from((address.ip, address.port))
+    }
+}
+
+impl fmt::Display for NodeAddress {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.ip, self.port)
+    }
+}
+
+/// How far an upstream is in its life. The order is that of time: it never goes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum InstanceState {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+    /// Said that it ends.
+    Left,
+}
+
+impl InstanceState {
+    /// One lower-case word.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            InstanceState::Ready => "ready",
+            InstanceState::Draining => "draining",
+            InstanceState::Left => "left",
+        }
+    }
+}
+
+/// One incarnation of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct InstanceRecord {
+    /// Unique id of the incarnation.
+    pub id: String,
+    /// State.
+    pub state: InstanceState,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// How much longer it stays slow after its start, milliseconds from when this was sent.
+    pub cold_remaining_ms: u32,
+}
+
+/// A sidecar with the upstream beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct NodeRecord {
+    /// Where its peers reach it; also its name.
+    pub address: NodeAddress,
+    /// Drawn at its start; tells its lives apart.
+    pub life: u64,
+    /// Rises with every change within one life.
+    pub sequence: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Service of its upstream.
+    pub service: String,
+    /// Whether the sidecar itself is stopping.
+    pub stopping: bool,
+    /// Its upstream, once it has one.
+    pub instance: Option<InstanceRecord>,
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,17 @@
+//! Where a call goes: the part of a split, the upstream, and whether it may be sent again.
+//!
+//! Pure: time is passed in as milliseconds of a monotonic clock.
+#![forbid(unsafe_code)]
+
+mod budget;
+mod split;
+mod upstream;
+mod view;
+
+pub use budget::{BudgetBounds, RetryBudget};
+pub use split::WeightedSplit;
+pub use upstream::{Upstream, UpstreamKey};
+pub use view::{ClassTimes, NodeChange, PlacementView, Request};
+
+/// Milliseconds of a monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/placement/src/upstream.rs
@@ -0,0 +1,167 @@
+//! What a node believes of one upstream.
+
+use crate::Millis;
+use mesh::{HopReply, InstanceState, NodeAddress, NodeRecord};
+
+/// Names an upstream by the sidecar beside it.
+pub type UpstreamKey = NodeAddress;
+
+/// Longest that an upstream's own figures are believed, milliseconds.
+const FIGURES_AGE_MS: u64 = 1_000;
+/// First and longest time without calls after failures, milliseconds.
+const FIRST_REST_MS: u64 = 300;
+const LONGEST_REST_MS: u64 = 3_000;
+/// Weight of a new observation of speed.
+const SPEED_WEIGHT: f64 = 0.08;
+const SLOWEST: f64 = 30.0;
+const FASTEST: f64 = 0.1;
+/// How much slower a freshly started upstream is taken to be.
+const COLD_FACTOR: f64 = 1.8;
+
+/// One upstream as this node sees it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What the coordinators say.
+    pub record: NodeRecord,
+    /// Own calls that are with it.
+    pub outstanding: u32,
+    /// How long it takes, relative to the others of its service.
+    pub speed: f64,
+    cold_until: Millis,
+    figures: Option<Figures>,
+    rest_until: Millis,
+    failures: u32,
+    refused_until: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Figures {
+    reply: HopReply,
+    at: Millis,
+    outstanding_then: u32,
+}
+
+impl Upstream {
+    /// An upstream heard of for the first time.
+    pub fn new(record: NodeRecord, now: Millis) -> Self {
+        let mut upstream = Upstream {
+            record: record.clone(),
+            outstanding: 0,
+            speed: 1.0,
+            cold_until: 0,
+            figures: None,
+            rest_until: 0,
+            failures: 0,
+            refused_until: 0,
+        };
+        upstream.update(record, now);
+        upstream
+    }
+
+    /// Takes in news of the coordinators.
+    pub fn update(&mut self, record: NodeRecord, now: Millis) {
+        let id = |record: &NodeRecord| record.instance.as_ref().map(|found| found.id.clone());
+        let other_instance = id(&self.record) != id(&record);
+        if other_instance || self.record.life != record.life {
+            self.rest_until = 0;
+            self.failures = 0;
+            self.refused_until = 0;
+            self.figures = None;
+        }
+        if other_instance {
+            self.speed = 1.0;
+        }
+        if let Some(instance) = &record.instance {
+            self.cold_until = now + u64::from(instance.cold_remaining_ms);
+        }
+        self.record = record;
+    }
+
+    /// Whether it may be given calls at all.
+    pub fn is_live(&self) -> bool {
+        let ready = |state| state == InstanceState::Ready;
+        let instance_ready = self.record.instance.as_ref().is_some_and(|held| ready(held.state));
+        let says_ready = self.figures.is_none_or(|figures| ready(figures.reply.state));
+        instance_ready && says_ready && !self.record.stopping
+    }
+
+    /// Whether it rests after failures.
+    pub fn is_resting(&self, now: Millis) -> bool {
+        now < self.rest_until
+    }
+
+    /// Whether it lately refused for want of room.
+    pub fn is_full(&self, now: Millis) -> bool {
+        now < self.refused_until
+    }
+
+    /// When its refusal ends.
+    pub fn full_until(&self) -> Millis {
+        self.refused_until
+    }
+
+    /// Most calls it works on at once.
+    pub fn limit(&self) -> u32 {
+        let told = self.figures.map(|figures| figures.reply.limit);
+        let slots = self.record.instance.as_ref().map_or(1, |instance| instance.slots);
+        told.unwrap_or(slots).max(1)
+    }
+
+    /// Calls with it, its own figures corrected by what was sent since.
+    pub fn load(&self, now: Millis) -> f64 {
+        let own = f64::from(self.outstanding);
+        let Some(figures) = self.figures else {
+            return own;
+        };
+        let age = now.saturating_sub(figures.at);
+        let belief = 1.0 - (age as f64 / FIGURES_AGE_MS as f64).min(1.0);
+        let others = f64::from(figures.reply.running + figures.reply.queued)
+            - f64::from(figures.outstanding_then);
+        own + others.max(0.0) * belief
+    }
+
+    /// Expected time from sending a call now to its answer, milliseconds; `usual_ms` is what the
+    /// call takes at an upstream of average speed.
+    pub fn expected_ms(&self, usual_ms: f64, now: Millis) -> f64 {
+        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
+        let work = usual_ms * self.speed * cold;
+        let limit = f64::from(self.limit());
+        let ahead = self.load(now) - limit + 1.0;
+        let figures = self.figures.map(|figures| f64::from(figures.reply.service_ms));
+        let each = figures.filter(|told| *told > 0.0).unwrap_or(work);
+        let wait = if ahead > 0.0 { ahead * each / limit } else { 0.0 };
+        work + wait
+    }
+
+    /// Takes in what it said with an answer.
+    pub fn note_reply(&mut self, reply: HopReply, now: Millis) {
+        self.figures = Some(Figures { reply, at: now, outstanding_then: self.outstanding });
+    }
+
+    /// Notes the time a call spent with it, where `usual_ms` is usual.
+    pub fn note_time(&mut self, spent_ms: f64, usual_ms: f64) {
+        if usual_ms <= 0.0 {
+            return;
+        }
+        let seen = (spent_ms / usual_ms).clamp(FASTEST, SLOWEST);
+        self.speed += (seen - self.speed) * SPEED_WEIGHT;
+    }
+
+    /// Notes an answer: it can be reached.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.rest_until = 0;
+    }
+
+    /// Notes that it refused for want of room.
+    pub fn note_full(&mut self, retry_after_ms: u64, now: Millis) {
+        self.refused_until = now + retry_after_ms;
+    }
+
+    /// Notes a failure; it rests for a growing time.
+    pub fn note_failure(&mut self, now: Millis) {
+        let rest = (FIRST_REST_MS << self.failures.min(6)).min(LONGEST_REST_MS);
+        self.failures += 1;
+        self.rest_until = now + rest;
+    }
+}
--- /dev/null
+++ b/crates/placement/src/view.rs
@@ -0,0 +1,162 @@
+//! All upstreams, and the choice among them.
+
+use crate::{Millis, Upstream, UpstreamKey};
+use mesh::NodeRecord;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a call to another zone costs beside its time, milliseconds of expected time.
+const OTHER_ZONE_MS: f64 = 12.0;
+/// Part of the expected time by which choices are varied, so that nodes do not choose alike.
+const VARIATION: f64 = 0.15;
+const TIME_WEIGHT: f64 = 0.05;
+/// Upstreams looked at for one call; a sample beyond.
+const MOST_CANDIDATES: usize = 24;
+
+/// What a choice depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What the call takes at an upstream of average speed, milliseconds.
+    pub usual_ms: f64,
+    /// Upstreams that had it or refused it.
+    pub tried: &'a [UpstreamKey],
+}
+
+/// What changed about a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeChange {
+    /// Nothing.
+    None,
+    /// It is new, or its state is another.
+    Changed,
+}
+
+/// Every upstream this node knows.
+#[derive(Clone, Debug)]
+pub struct PlacementView {
+    zone: String,
+    upstreams: BTreeMap<UpstreamKey, Upstream>,
+}
+
+impl PlacementView {
+    /// An empty view of a node in `zone`.
+    pub fn new(zone: &str) -> Self {
+        PlacementView { zone: zone.to_owned(), upstreams: BTreeMap::new() }
+    }
+
+    /// Takes in a record; an older one of the same life changes nothing.
+    pub fn update(&mut self, record: NodeRecord, now: Millis) -> NodeChange {
+        match self.upstreams.get_mut(&record.address) {
+            None => {
+                self.upstreams.insert(record.address, Upstream::new(record, now));
+                NodeChange::Changed
+            }
+            Some(held) => {
+                let older =
+                    held.record.life == record.life && held.record.sequence >= record.sequence;
+                if older {
+                    return NodeChange::None;
+                }
+                held.update(record, now);
+                NodeChange::Changed
+            }
+        }
+    }
+
+    /// Removes the nodes of which `keep` says no, unless a service would lose all of its live
+    /// upstreams at once: those stay until one of the others returns.
+    pub fn retain(&mut self, keep: impl Fn(&UpstreamKey) -> bool) {
+        let remaining: BTreeSet<String> = self
+            .upstreams
+            .iter()
+            .filter(|(key, upstream)| keep(key) && upstream.is_live())
+            .map(|(_, upstream)| upstream.record.service.clone())
+            .collect();
+        self.upstreams.retain(|key, upstream| {
+            let last = upstream.is_live() && !remaining.contains(&upstream.record.service);
+            keep(key) || last
+        });
+    }
+
+    /// Number of nodes known.
+    pub fn nodes(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// One upstream.
+    pub fn get(&self, key: &UpstreamKey) -> Option<&Upstream> {
+        self.upstreams.get(key)
+    }
+
+    /// One upstream, to note something of it.
+    pub fn get_mut(&mut self, key: &UpstreamKey) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(key)
+    }
+
+    /// Whether a service has an upstream that may be given calls.
+    pub fn has_live(&self, service: &str) -> bool {
+        self.upstreams.values().any(|held| held.record.service == service && held.is_live())
+    }
+
+    /// When the first upstream of a service that lately refused is expected to have room.
+    pub fn room_at(&self, service: &str) -> Option<Millis> {
+        let of_service = self.upstreams.values().filter(|held| held.record.service == service);
+        of_service.filter(|held| held.is_live()).map(Upstream::full_until).min()
+    }
+
+    /// The upstream that should have a call; `None` if none is live and untried. One that rests
+    /// after failures, or lately refused, is taken only if there is no other.
+    pub fn choose(
+        &self,
+        request: &Request<'_>,
+        now: Millis,
+        random: &mut fastrand::Rng,
+    ) -> Option<UpstreamKey> {
+        let eligible = self.upstreams.iter().filter(|(key, held)| {
+            held.record.service == request.service && held.is_live() && !request.tried.contains(key)
+        });
+        let mut candidates: Vec<_> = eligible.collect();
+        if candidates.len() > MOST_CANDIDATES {
+            random.shuffle(&mut candidates);
+            candidates.truncate(MOST_CANDIDATES);
+        }
+        let mut best: Option<((bool, bool, f64), UpstreamKey)> = None;
+        for (key, held) in candidates {
+            let expected = held.expected_ms(request.usual_ms, now);
+            let varied = expected * (1.0 + VARIATION * random.f64());
+            let far = if held.record.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
+            let cost = (held.is_resting(now), held.is_full(now), varied + far);
+            if best.as_ref().is_none_or(|(held_cost, _)| {
+                cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
+            }) {
+                best = Some((cost, *key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+}
+
+/// How long the calls of each route take at an upstream of average speed.
+#[derive(Clone, Debug, Default)]
+pub struct ClassTimes {
+    times: BTreeMap<String, f64>,
+}
+
+impl ClassTimes {
+    /// The usual time of a route's calls, milliseconds; `None` before the first answer.
+    pub fn usual_ms(&self, route: &str) -> Option<f64> {
+        self.times.get(route).copied()
+    }
+
+    /// Takes in the time a call spent with an upstream of the given speed.
+    pub fn note(&mut self, route: &str, spent_ms: f64, speed: f64) {
+        let seen = spent_ms / speed.max(0.05);
+        match self.times.get_mut(route) {
+            Some(held) => *held += (seen - *held) * TIME_WEIGHT,
+            None => {
+                self.times.insert(route.to_owned(), seen);
+            }
+        }
+    }
+}
--- a/crates/proxy/tests/core.rs
+++ b/crates/proxy/tests/core.rs
@@ -11,8 +11,12 @@
 }
 
 fn bundle_with(service: &str) -> Bundle {
-    let service_object =
-        Service { name: service.to_owned(), upstream_slots: 20, upstream_connections: 130 };
+    let service_object = Service {
+        name: service.to_owned(),
+        upstream_slots: 20,
+        upstream_connections: 130,
+        annotation: String::new(),
+    };
     let route = Route {
         name: format!("{service}-read"),
         host: "*".to_owned(),
@@ -25,6 +29,10 @@
         priority: Priority::Normal,
         retry_budget_percent: 20,
         max_staleness_s: 0,
+        attempts: 2,
+        target_latency_ms: 0,
+        rank: 0,
+        annotation: String::new(),
     };
     Bundle::from_objects(vec![Object::Service(service_object), Object::Route(route)])
 }
--- a/crates/rollout/src/command.rs
+++ b/crates/rollout/src/command.rs
@@ -1,7 +1,7 @@
 //! The operators' verbs, their answers and their refusals.
 
 use crate::Stage;
-use bundle::Digest;
+use bundle::{BundleUpdate, Digest};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use speedy::{Readable, Writable};
@@ -57,6 +57,23 @@
         /// The generation being rolled out.
         generation: u64,
     },
+    /// Names the source whose replacements arrive signed off; see [`ApprovalPolicy`].
+    SetApprovalPolicy {
+        /// The policy from now on.
+        policy: ApprovalPolicy,
+    },
+    /// Submits, signs off and rolls a version out to all proxies at once, in one commit; only for
+    /// a trusted source.
+    Replace {
+        /// The version the operator builds on; 0 for the first.
+        expected_version: u64,
+        /// The new version, above the current one.
+        version: u64,
+        /// Digest of the whole new content.
+        digest: Digest,
+        /// What turns the content of the expected version into the new one.
+        update: BundleUpdate,
+    },
     /// Makes a new generation with earlier content, for all proxies at once.
     Withdraw {
         /// The newest generation the operator knows of.
@@ -66,6 +83,20 @@
     },
 }
 
+/// Who signs versions off.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum ApprovalPolicy {
+    /// An operator other than the submitter.
+    #[default]
+    SecondOperator,
+    /// The sign-off happened before: what this principal sends counts as approved by it.
+    TrustedSource {
+        /// Name of the principal.
+        principal: String,
+    },
+}
+
 /// A verb with who sent it and the id that makes a resend harmless.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub struct Request {
@@ -117,6 +148,15 @@
         /// The generation.
         generation: u64,
     },
+    /// The policy is in force.
+    PolicySet,
+    /// The version is in force for all proxies.
+    Replaced {
+        /// The operators' number.
+        version: u64,
+        /// The generation that holds it.
+        generation: u64,
+    },
     /// Earlier content returns under a new generation.
     Withdrawn {
         /// The new generation.
@@ -193,6 +233,28 @@
         /// Why.
         reason: String,
     },
+    /// The operator is not the trusted source.
+    #[snafu(display("{operator} is not a trusted source"))]
+    NotTrusted {
+        /// Who.
+        operator: String,
+    },
+    /// Another version is current than the operator built on.
+    #[snafu(display("version {current} is current, not {expected}"))]
+    VersionChanged {
+        /// What the operator built on.
+        expected: u64,
+        /// The current version.
+        current: u64,
+    },
+    /// The new version is not above the current one.
+    #[snafu(display("version {version} is not above the current {current}"))]
+    VersionNotAbove {
+        /// What was sent.
+        version: u64,
+        /// The current version.
+        current: u64,
+    },
     /// There is no earlier content.
     #[snafu(display("there is nothing to return to"))]
     NothingToWithdraw,
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,7 +12,7 @@
 mod view;
 
 pub use advance::Advancer;
-pub use command::{Accepted, Answer, Command, Refusal, Request, CONTROL_OPERATOR};
+pub use command::{Accepted, Answer, ApprovalPolicy, Command, Refusal, Request, CONTROL_OPERATOR};
 pub use machine::{
     ConfigMachine, GenerationKind, GenerationRecord, RolloutWeakness, StoredBundle, VersionSummary,
 };
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -7,11 +7,15 @@
 
 use crate::command::{
     BadStagesSnafu, GenerationConflictSnafu, InvalidBundleSnafu, NoSuchRolloutSnafu,
-    NotApprovedSnafu, NothingToWithdrawSnafu, RequestIdReusedSnafu, RolloutInProgressSnafu,
-    SelfApprovalSnafu, UnknownBundleSnafu, VersionConflictSnafu,
+    NotApprovedSnafu, NotTrustedSnafu, NothingToWithdrawSnafu, RequestIdReusedSnafu,
+    RolloutInProgressSnafu, SelfApprovalSnafu, UnknownBundleSnafu, VersionChangedSnafu,
+    VersionConflictSnafu, VersionNotAboveSnafu,
 };
-use crate::{Accepted, Answer, Candidate, Command, GenerationTarget, Request, Stage, TargetView};
-use bundle::{Approval, Bundle, Digest, LIMITS};
+use crate::{
+    Accepted, Answer, ApprovalPolicy, Candidate, Command, GenerationTarget, Request, Stage,
+    TargetView,
+};
+use bundle::{Approval, Bundle, BundleUpdate, Digest, LIMITS};
 use records::{RecordedAnswer, Rollout, VersionClaim};
 use snafu::{ensure, OptionExt};
 use speedy::Writable;
@@ -20,6 +24,8 @@
 
 /// Bundles kept for deltas and withdrawal, besides those in use.
 const RETAINED_BUNDLES: usize = 64;
+/// Bundles kept by a fleet whose versions replace each other.
+const RETAINED_REPLACEMENTS: usize = 4;
 /// Version numbers remembered, so that one is not taken twice.
 const RETAINED_VERSIONS: usize = 16_384;
 /// Generations kept for `list`.
@@ -36,6 +42,8 @@
     AcceptsVersionTwice,
     /// A withdrawal returns to the earlier generation's number.
     CountsDown,
+    /// A replacement is taken whatever version it builds on.
+    IgnoresExpectedVersion,
 }
 
 /// State of the configuration, rebuilt identically by every replica.
@@ -50,6 +58,8 @@
     newest_generation: u64,
     history: VecDeque<GenerationRecord>,
     answers: VecDeque<RecordedAnswer>,
+    policy: ApprovalPolicy,
+    current_version: u64,
     weakness: Option<RolloutWeakness>,
 }
 
@@ -65,6 +75,8 @@
             newest_generation: 0,
             history: VecDeque::new(),
             answers: VecDeque::new(),
+            policy: ApprovalPolicy::default(),
+            current_version: 0,
             weakness: None,
         }
     }
@@ -78,6 +90,10 @@
 
     /// Applies the committed request at log position `index`.
     pub fn apply(&mut self, index: u64, request: &Request) -> Answer {
+        if let Command::Replace { .. } = &request.command {
+            // A resend is recognised by its version and content, for as long as versions are kept.
+            return self.execute(index, request);
+        }
         let command_digest = command_digest(&request.command);
         let recorded = self.recorded(request);
         let recorded = recorded.filter(|_| !self.is_weak(RolloutWeakness::ForgetsAnswers));
@@ -134,6 +150,13 @@
                 self.rollout_of(*generation)?.paused = false;
                 Ok(Accepted::Resumed { generation: *generation })
             }
+            Command::SetApprovalPolicy { policy } => {
+                self.policy = policy.clone();
+                Ok(Accepted::PolicySet)
+            }
+            Command::Replace { expected_version, version, digest, update } => {
+                self.replace(index, operator, *expected_version, *version, digest, update)
+            }
             Command::Withdraw { expected_generation, to } => {
                 self.check_generation(*expected_generation)?;
                 self.withdraw(index, operator, *to)
@@ -153,7 +176,8 @@
             return VersionConflictSnafu { version, winner, winner_digest }.fail();
         }
         let submitter = operator.to_owned();
-        self.versions.insert(version, VersionClaim { digest, submitter: submitter.clone() });
+        let claim = VersionClaim { digest, submitter: submitter.clone(), generation: 0 };
+        self.versions.insert(version, claim);
         while self.versions.len() > RETAINED_VERSIONS {
             self.versions.pop_first();
         }
@@ -165,9 +189,70 @@
         Ok(Accepted::Submitted { version, digest })
     }
 
+    fn replace(
+        &mut self,
+        index: u64,
+        operator: &str,
+        expected: u64,
+        version: u64,
+        digest: &Digest,
+        update: &BundleUpdate,
+    ) -> Answer {
+        let trusted = ApprovalPolicy::TrustedSource { principal: operator.to_owned() };
+        ensure!(self.policy == trusted, NotTrustedSnafu { operator });
+        let digest = *digest;
+        if let Some(taken) = self.versions.get(&version).filter(|held| held.digest == digest) {
+            let generation = taken.generation;
+            return Ok(Accepted::Replaced { version, generation });
+        }
+        let current = self.current_version;
+        let weak = self.is_weak(RolloutWeakness::IgnoresExpectedVersion);
+        ensure!(expected == current || weak, VersionChangedSnafu { expected, current });
+        ensure!(version > current, VersionNotAboveSnafu { version, current });
+        let base = self.content(&self.base.digest).unwrap_or_default();
+        let bundle = apply_replacement(&base, update, digest)?;
+        let approval = Approval { operator: operator.to_owned(), signature: Vec::new() };
+        let generation = self.next_generation(index, operator, digest, GenerationKind::Replaced);
+        let submitter = operator.to_owned();
+        self.versions
+            .insert(version, VersionClaim { digest, submitter: submitter.clone(), generation });
+        while self.versions.len() > RETAINED_VERSIONS {
+            self.versions.pop_first();
+        }
+        let approval = Some(approval);
+        let stored = StoredBundle { bundle, version, submitter, approval: approval.clone() };
+        if self.bundles.insert(digest, stored).is_none() {
+            self.bundle_order.push_back(digest);
+        }
+        self.base = GenerationTarget { generation, digest, approval };
+        self.rollout = None;
+        self.current_version = version;
+        self.evict_bundles_beyond(RETAINED_REPLACEMENTS);
+        Ok(Accepted::Replaced { version, generation })
+    }
+
+    /// The policy in force.
+    pub fn approval_policy(&self) -> &ApprovalPolicy {
+        &self.policy
+    }
+
+    /// The operators' number of the newest replacement; 0 before the first.
+    pub fn current_version(&self) -> u64 {
+        self.current_version
+    }
+
+    /// The generation in force outside a rollout, with its content.
+    pub fn in_force(&self) -> (GenerationTarget, Bundle) {
+        (self.base.clone(), self.content(&self.base.digest).unwrap_or_default())
+    }
+
     fn evict_bundles(&mut self) {
+        self.evict_bundles_beyond(RETAINED_BUNDLES);
+    }
+
+    fn evict_bundles_beyond(&mut self, most: usize) {
         let in_use: Vec<Digest> = self.view().targets().map(|target| target.digest).collect();
-        while self.bundle_order.len() > RETAINED_BUNDLES {
+        while self.bundle_order.len() > most {
             let Some(position) =
                 self.bundle_order.iter().position(|digest| !in_use.contains(digest))
             else {
@@ -371,6 +456,19 @@
     }
 }
 
+fn apply_replacement(
+    base: &Bundle,
+    update: &BundleUpdate,
+    digest: Digest,
+) -> Result<Bundle, crate::Refusal> {
+    let invalid =
+        |error: bundle::UpdateError| InvalidBundleSnafu { problem: error.to_string() }.build();
+    let bundle = update.apply(base).map_err(invalid)?;
+    let matches = bundle.digest() == digest;
+    ensure!(matches, InvalidBundleSnafu { problem: "the content does not have its digest" });
+    Ok(bundle.sharing_with(base))
+}
+
 fn decode_submission(compressed: &[u8]) -> Result<Bundle, crate::Refusal> {
     let update = bundle::BundleUpdate::decompress(compressed);
     let bundle = update.ok().context(InvalidBundleSnafu { problem: "it cannot be decoded" })?;
--- a/crates/rollout/src/machine/records.rs
+++ b/crates/rollout/src/machine/records.rs
@@ -11,6 +11,8 @@
 pub enum GenerationKind {
     /// An operator rolled a bundle out.
     Rolled,
+    /// A trusted source replaced the whole content.
+    Replaced,
     /// An operator withdrew the generation before.
     Withdrawn,
 }
@@ -82,4 +84,6 @@
 pub(super) struct VersionClaim {
     pub digest: Digest,
     pub submitter: String,
+    /// The generation a replacement became; 0 for a submission.
+    pub generation: u64,
 }
--- a/crates/rollout/src/machine/snapshot.rs
+++ b/crates/rollout/src/machine/snapshot.rs
@@ -2,7 +2,7 @@
 
 use super::records::{GenerationRecord, RecordedAnswer, Rollout, StoredBundle, VersionClaim};
 use super::ConfigMachine;
-use crate::GenerationTarget;
+use crate::{ApprovalPolicy, GenerationTarget};
 use bundle::{Approval, Bundle};
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
@@ -25,6 +25,8 @@
     newest_generation: u64,
     history: Vec<GenerationRecord>,
     answers: Vec<RecordedAnswer>,
+    policy: ApprovalPolicy,
+    current_version: u64,
 }
 
 impl ConfigMachine {
@@ -40,6 +42,8 @@
             newest_generation: self.newest_generation,
             history: self.history.iter().cloned().collect(),
             answers: self.answers.iter().cloned().collect(),
+            policy: self.policy.clone(),
+            current_version: self.current_version,
         };
         encoded.write_to_vec().expect("encoding to memory cannot fail")
     }
@@ -58,6 +62,8 @@
             newest_generation: encoded.newest_generation,
             history: encoded.history.into(),
             answers: encoded.answers.into(),
+            policy: encoded.policy,
+            current_version: encoded.current_version,
             ..ConfigMachine::default()
         };
         for stored in encoded.bundles {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,15 +5,19 @@
 
 mod check;
 mod control;
+mod coordinator;
 mod load;
 mod proxy;
 mod relay;
+mod sidecar;
 
 pub use check::{Checks, Problem};
 pub use control::{ControlSettings, PeerSettings};
+pub use coordinator::CoordinatorSettings;
 pub use load::{load, load_operators, to_toml, OperatorEntry, OperatorsFile, SettingsError};
 pub use proxy::{LocalBackendSettings, ProxySettings, RelayAddressSettings};
 pub use relay::{ControlAddressSettings, RelaySettings};
+pub use sidecar::{RetryBudgetSettings, SidecarSettings};
 
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/sidecar/src/calls.rs
@@ -0,0 +1,590 @@
+//! The outbound side: what becomes of each call of a caller on this machine.
+//!
+//! Pure: events come in with the time, actions go out. A call has one final answer, given at once
+//! when it is decided; it has at most one attempt at a time.
+
+use crate::config::Config;
+use crate::dialect::HeaderNames;
+use http1::{Request, Response, Slot};
+use mesh::{HopOutcome, HopReply, HopRequest, NodeAddress, HOP_HEADER};
+use placement::{BudgetBounds, ClassTimes, PlacementView, RetryBudget, WeightedSplit};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use tracing::{info, warn};
+
+use crate::net::ConnectionId;
+use crate::Millis;
+
+/// Names a call on this node.
+pub type CallId = u64;
+
+/// Usual time of a route without a target or an answer yet, milliseconds.
+const UNKNOWN_TIME_MS: f64 = 100.0;
+/// Part of a route's target latency taken for its usual time before the first answer.
+const USUAL_PART_OF_TARGET: f64 = 0.35;
+/// How much longer than usual an answer is planned to take.
+const PLANNED_TIME_FACTOR: f64 = 1.25;
+/// Least part of the target latency that a call may wait for a slot.
+const LEAST_PATIENCE_PART: f64 = 0.15;
+/// Longest wait for an upstream of a service that has none, milliseconds.
+const NO_UPSTREAM_WAIT_MS: u64 = 400;
+const PARKED_LOOK_MS: u64 = 20;
+const SHORTEST_RETRY_AFTER_MS: u64 = 50;
+const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
+/// Retry-After while no configuration is known, milliseconds.
+const UNREADY_RETRY_AFTER_MS: u64 = 300;
+/// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
+const HOP_MARGIN_MS: u64 = 8;
+
+/// Where a call came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// Connection of the caller.
+    pub connection: ConnectionId,
+    /// Place on it.
+    pub slot: Slot,
+}
+
+/// One try of a call; the number tells late news of earlier tries apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt {
+    /// The call.
+    pub call: CallId,
+    /// Which try, from 1.
+    pub number: u32,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// No byte of it was sent.
+    NotSent,
+    /// The peer told what became of it.
+    Replied(HopReply, Response),
+    /// It was sent, and nothing certain came back.
+    Lost,
+}
+
+/// What the runtime must do.
+#[derive(Debug)]
+pub enum CallAction {
+    /// Send a try to the sidecar beside an upstream.
+    Send {
+        /// Which.
+        attempt: Attempt,
+        /// Where to.
+        to: NodeAddress,
+        /// What to send, without the hop's header.
+        request: Rc<Request>,
+        /// What goes in the hop's header.
+        hop: HopRequest,
+    },
+    /// Give a call its final answer.
+    Answer {
+        /// Where it came from.
+        origin: Origin,
+        /// The answer.
+        response: Response,
+    },
+    /// Stop a try; its end is not awaited.
+    Abort(Attempt),
+}
+
+#[derive(Debug)]
+struct Call {
+    origin: Origin,
+    request: Rc<Request>,
+    attempt_id: String,
+    route: String,
+    repeatable: bool,
+    rank: u32,
+    most_arrivals: u32,
+    target_ms: u64,
+    service: String,
+    arrived: Millis,
+    deadline: Millis,
+    tries: u32,
+    arrivals: u32,
+    current: Option<(Attempt, NodeAddress)>,
+    tried: Vec<NodeAddress>,
+    parked_until: Option<Millis>,
+    /// An upstream's own failure, passed on if nothing better comes.
+    fallback: Option<Response>,
+}
+
+/// Counters of the outbound side.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallCounts {
+    /// Calls begun.
+    pub begun: u64,
+    /// Answers of upstreams passed on.
+    pub answered: u64,
+    /// Refusals that promise that the call did not run.
+    pub refused: u64,
+    /// Failures without that promise.
+    pub failed: u64,
+    /// Calls whose time was over.
+    pub timed_out: u64,
+    /// Calls whose caller went away.
+    pub cancelled: u64,
+    /// Arrivals at upstreams past the first.
+    pub repeats: u64,
+}
+
+/// All calls of callers on this machine.
+pub struct Calls {
+    names: HeaderNames,
+    service: String,
+    /// What is believed of the upstreams.
+    pub view: PlacementView,
+    splits: BTreeMap<String, WeightedSplit>,
+    budget: RetryBudget,
+    times: ClassTimes,
+    random: fastrand::Rng,
+    calls: BTreeMap<CallId, Call>,
+    by_origin: BTreeMap<Origin, CallId>,
+    deadlines: BTreeSet<(Millis, CallId)>,
+    parked: BTreeSet<CallId>,
+    next_call: CallId,
+    /// Totals since the start.
+    pub counts: CallCounts,
+}
+
+impl Calls {
+    /// The outbound side of a sidecar whose upstream belongs to `service`.
+    pub fn new(
+        names: HeaderNames,
+        service: &str,
+        zone: &str,
+        bounds: BudgetBounds,
+        seed: u64,
+    ) -> Self {
+        Calls {
+            names,
+            service: service.to_owned(),
+            view: PlacementView::new(zone),
+            splits: BTreeMap::new(),
+            budget: RetryBudget::new(bounds),
+            times: ClassTimes::default(),
+            random: fastrand::Rng::with_seed(seed),
+            calls: BTreeMap::new(),
+            by_origin: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            parked: BTreeSet::new(),
+            next_call: 1,
+            counts: CallCounts::default(),
+        }
+    }
+
+    /// Calls without a final answer.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Takes in a call.
+    pub fn begin(
+        &mut self,
+        origin: Origin,
+        request: Request,
+        config: &Config,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        self.counts.begun += 1;
+        let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
+        let Some(routing) = config.routing() else {
+            info!(id = %attempt_id, reason = "no_configuration", "call_refused");
+            self.counts.refused += 1;
+            return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
+        };
+        let host = request.headers.text("host").unwrap_or_default().to_owned();
+        let path = request.path().to_owned();
+        let Some(route) = routing.find(&host, &request.method, &path) else {
+            let generation = routing.generation;
+            info!(id = %attempt_id, %host, %path, generation, "call_without_route");
+            return vec![CallAction::Answer { origin, response: Response::empty(404) }];
+        };
+        let route = &route.route;
+        let timeout = u64::from(route.timeout_ms);
+        let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
+        let Some(service) = self.draw_service(&route.name, &route.targets) else {
+            return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
+        };
+        self.budget.note_request(&service, now);
+        let id = self.next_call;
+        self.next_call += 1;
+        let call = Call {
+            origin,
+            request: Rc::new(self.prepared(request)),
+            attempt_id,
+            route: route.name.clone(),
+            repeatable: route.repeatable,
+            rank: route.rank,
+            most_arrivals: route.attempts.max(1),
+            target_ms: match route.target_latency_ms {
+                0 => timeout,
+                target => u64::from(target),
+            },
+            service,
+            arrived: now,
+            deadline: now + told.min(timeout),
+            tries: 0,
+            arrivals: 0,
+            current: None,
+            tried: Vec::new(),
+            parked_until: None,
+            fallback: None,
+        };
+        self.deadlines.insert((call.deadline, id));
+        self.by_origin.insert(origin, id);
+        self.calls.insert(id, call);
+        self.place(id, now)
+    }
+
+    fn draw_service(&mut self, route: &str, targets: &[bundle::Target]) -> Option<String> {
+        if let [only] = targets {
+            return Some(only.service.clone());
+        }
+        let current = self.splits.get(route).is_some_and(|split| split.is_for(targets));
+        if !current {
+            let split = WeightedSplit::new(targets, &mut self.random);
+            self.splits.insert(route.to_owned(), split);
+        }
+        self.splits.get_mut(route)?.draw().map(str::to_owned)
+    }
+
+    /// The request as it goes to the peer: without what only the caller's connection concerns,
+    /// and without what only sidecars may say.
+    fn prepared(&self, mut request: Request) -> Request {
+        let headers = &mut request.headers;
+        headers.remove_connection_headers();
+        for name in [self.names.expect_instance, self.names.deadline_ms, HOP_HEADER] {
+            headers.remove(name);
+        }
+        headers.set(self.names.caller, self.service.as_bytes());
+        request
+    }
+
+    fn usual_ms(&self, call: &Call) -> f64 {
+        let guessed = match call.target_ms {
+            0 => UNKNOWN_TIME_MS,
+            target => target as f64 * USUAL_PART_OF_TARGET,
+        };
+        self.times.usual_ms(&call.route).unwrap_or(guessed)
+    }
+
+    /// Chooses an upstream for a call that has no try, or gives it up.
+    fn place(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let usual_ms = self.usual_ms(call);
+        let wanted = placement::Request { service: &call.service, usual_ms, tried: &call.tried };
+        let Some(to) = self.view.choose(&wanted, now, &mut self.random) else {
+            return self.without_upstream(id, now);
+        };
+        let hop = self.hop_request(call, &to, usual_ms, now);
+        let call = self.calls.get_mut(&id).expect("looked up above");
+        call.tries += 1;
+        let attempt = Attempt { call: id, number: call.tries };
+        call.current = Some((attempt, to));
+        call.parked_until = None;
+        call.tried.push(to);
+        self.parked.remove(&id);
+        let request = call.request.clone();
+        if call.arrivals > 0 {
+            self.budget.note_repeat(&call.service, now);
+            self.counts.repeats += 1;
+        }
+        info!(
+            id = %call.attempt_id, route = %call.route, service = %call.service, try_number = call.tries,
+            %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms, "call_placed"
+        );
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.outstanding += 1;
+        }
+        vec![CallAction::Send { attempt, to, request, hop }]
+    }
+
+    fn hop_request(&self, call: &Call, to: &NodeAddress, usual_ms: f64, now: Millis) -> HopRequest {
+        let left = call.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN_MS).max(1);
+        let speed = self.view.get(to).map_or(1.0, |upstream| upstream.speed);
+        let planned = usual_ms * speed * PLANNED_TIME_FACTOR;
+        let target = call.target_ms as f64;
+        let elapsed = now.saturating_sub(call.arrived) as f64;
+        let patience = (target - elapsed - planned).max(target * LEAST_PATIENCE_PART);
+        let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
+        HopRequest {
+            deadline_ms: left,
+            patience_ms: (patience as u64).min(left),
+            rank: call.rank,
+            repeatable: call.repeatable,
+            service: call.service.clone(),
+            instance: record.map(|instance| instance.id.clone()),
+        }
+    }
+
+    fn without_upstream(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        call.current = None;
+        let none_live = !self.view.has_live(&call.service);
+        if none_live && call.arrivals == 0 {
+            let wait = NO_UPSTREAM_WAIT_MS.min(call.target_ms / 2);
+            let until = *call.parked_until.get_or_insert(now + wait);
+            if now < until {
+                self.parked.insert(id);
+                return Vec::new();
+            }
+        }
+        let room_at = self.view.room_at(&call.service);
+        let wait = room_at.map_or(SHORTEST_RETRY_AFTER_MS * 4, |at| at.saturating_sub(now));
+        self.give_up(id, wait, now)
+    }
+
+    /// The final answer of a call that nothing more is tried for.
+    fn give_up(&mut self, id: CallId, retry_after_ms: u64, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.remove(id) else {
+            return Vec::new();
+        };
+        if let Some(response) = call.fallback {
+            self.counts.answered += 1;
+            return vec![CallAction::Answer { origin: call.origin, response }];
+        }
+        let held_ms = now.saturating_sub(call.arrived);
+        if call.arrivals == 0 {
+            self.counts.refused += 1;
+            warn!(
+                id = %call.attempt_id, route = %call.route, service = %call.service,
+                tries = call.tries, retry_after_ms, held_ms, verdict = "not-run", "call_refused"
+            );
+            return vec![refusal(call.origin, retry_after_ms)];
+        }
+        self.counts.failed += 1;
+        warn!(
+            id = %call.attempt_id, route = %call.route, service = %call.service,
+            tries = call.tries, arrivals = call.arrivals, held_ms, verdict = "may-have-run",
+            "call_failed"
+        );
+        vec![CallAction::Answer { origin: call.origin, response: Response::empty(502) }]
+    }
+
+    fn remove(&mut self, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.deadlines.remove(&(call.deadline, id));
+        self.by_origin.remove(&call.origin);
+        self.parked.remove(&id);
+        Some(call)
+    }
+
+    /// Takes in how a try ended; late news of a try that was given up change nothing.
+    pub fn ended(&mut self, attempt: Attempt, end: AttemptEnd, now: Millis) -> Vec<CallAction> {
+        let current = self.calls.get(&attempt.call).and_then(|call| call.current);
+        let Some((_, to)) = current.filter(|(held, _)| *held == attempt) else {
+            return Vec::new();
+        };
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.outstanding = upstream.outstanding.saturating_sub(1);
+        }
+        if let Some(call) = self.calls.get_mut(&attempt.call) {
+            call.current = None;
+        }
+        match end {
+            AttemptEnd::NotSent => {
+                self.note_failure(&to, attempt, "not_sent", now);
+                self.place(attempt.call, now)
+            }
+            AttemptEnd::Lost => {
+                self.note_failure(&to, attempt, "lost", now);
+                self.note_arrival(attempt.call);
+                self.repeat_or_give_up(attempt.call, now)
+            }
+            AttemptEnd::Replied(reply, response) => self.replied(attempt, to, reply, response, now),
+        }
+    }
+
+    fn note_failure(&mut self, to: &NodeAddress, attempt: Attempt, kind: &str, now: Millis) {
+        let id = self.calls.get(&attempt.call).map_or("-", |call| &call.attempt_id);
+        info!(%id, %to, try_number = attempt.number, outcome = kind, "hop_failed");
+        if let Some(upstream) = self.view.get_mut(to) {
+            upstream.note_failure(now);
+        }
+    }
+
+    fn note_arrival(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.arrivals += 1;
+        }
+    }
+
+    fn replied(
+        &mut self,
+        attempt: Attempt,
+        to: NodeAddress,
+        reply: HopReply,
+        response: Response,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        let id = attempt.call;
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let usual_ms = self.usual_ms(call);
+        let route = call.route.clone();
+        info!(
+            id = %call.attempt_id, %to, try_number = attempt.number, outcome = ?reply.outcome,
+            status = response.status, running = reply.running, queued = reply.queued,
+            limit = reply.limit, spent_ms = reply.spent_ms, "hop_replied"
+        );
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.note_reply(reply, now);
+            match reply.outcome {
+                HopOutcome::Answered if response.status < 300 => {
+                    upstream.note_success();
+                    upstream.note_time(f64::from(reply.spent_ms), usual_ms);
+                    self.times.note(&route, f64::from(reply.spent_ms), upstream.speed);
+                }
+                HopOutcome::Answered => upstream.note_success(),
+                HopOutcome::Refused => {
+                    upstream.note_full(u64::from(reply.retry_after_ms), now);
+                }
+                HopOutcome::Rejected => upstream.note_full(SHORTEST_RETRY_AFTER_MS, now),
+                HopOutcome::Unknown => {}
+            }
+        }
+        match reply.outcome {
+            HopOutcome::Answered => {
+                self.note_arrival(id);
+                self.answered(id, response, now)
+            }
+            HopOutcome::Refused => self.place(id, now),
+            HopOutcome::Rejected if is_callers_fault(&response) => self.pass_on(id, response),
+            HopOutcome::Rejected => self.place_within_budget(id, now),
+            HopOutcome::Unknown => {
+                self.note_arrival(id);
+                self.repeat_or_give_up(id, now)
+            }
+        }
+    }
+
+    fn answered(&mut self, id: CallId, response: Response, now: Millis) -> Vec<CallAction> {
+        let failed = response.status >= 500;
+        let call = self.calls.get_mut(&id);
+        match call.filter(|call| failed && call.repeatable) {
+            Some(call) => {
+                call.fallback = Some(response);
+                self.repeat_or_give_up(id, now)
+            }
+            None => self.pass_on(id, response),
+        }
+    }
+
+    fn pass_on(&mut self, id: CallId, response: Response) -> Vec<CallAction> {
+        let Some(call) = self.remove(id) else {
+            return Vec::new();
+        };
+        self.counts.answered += 1;
+        vec![CallAction::Answer { origin: call.origin, response }]
+    }
+
+    /// Sends a call that may have run once more, if it may run twice and there is room for it.
+    fn repeat_or_give_up(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let worthwhile = now + (self.usual_ms(call) as u64) < call.deadline;
+        let allowed = call.repeatable && call.arrivals < call.most_arrivals && worthwhile;
+        if !allowed {
+            return self.give_up(id, 0, now);
+        }
+        self.place_within_budget(id, now)
+    }
+
+    fn place_within_budget(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let service = call.service.clone();
+        if !self.budget.allows(&service, self.view.nodes(), now) {
+            info!(id = %call.attempt_id, %service, "retry_budget_spent");
+            return self.give_up(id, SHORTEST_RETRY_AFTER_MS, now);
+        }
+        if call.arrivals == 0 {
+            // The rejected arrival counts at the service, though the call did not run there.
+            self.budget.note_repeat(&service, now);
+        }
+        self.place(id, now)
+    }
+
+    /// A caller went away: whatever it waited for stops.
+    pub fn connection_ended(&mut self, connection: ConnectionId) -> Vec<CallAction> {
+        let first = Origin { connection, slot: 0 };
+        let last = Origin { connection, slot: Slot::MAX };
+        let ids: Vec<CallId> = self.by_origin.range(first..=last).map(|(_, id)| *id).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            if let Some(call) = self.remove(id) {
+                self.counts.cancelled += 1;
+                info!(id = %call.attempt_id, tries = call.tries, "call_cancelled");
+                actions.extend(self.abort(&call));
+            }
+        }
+        actions
+    }
+
+    fn abort(&mut self, call: &Call) -> Option<CallAction> {
+        let (attempt, to) = call.current?;
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.outstanding = upstream.outstanding.saturating_sub(1);
+        }
+        Some(CallAction::Abort(attempt))
+    }
+
+    /// Ends the calls whose time is over, and looks again for the parked ones.
+    pub fn tick(&mut self, now: Millis) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        while let Some((deadline, id)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            let Some(call) = self.remove(id) else {
+                self.deadlines.remove(&(deadline, id));
+                continue;
+            };
+            self.counts.timed_out += 1;
+            let held_ms = now.saturating_sub(call.arrived);
+            warn!(
+                id = %call.attempt_id, route = %call.route, service = %call.service,
+                tries = call.tries, held_ms, at = ?call.current.map(|(_, to)| to.to_string()),
+                verdict = "may-have-run", "call_timed_out"
+            );
+            actions.extend(self.abort(&call));
+            let response = call.fallback.unwrap_or_else(|| Response::empty(504));
+            actions.push(CallAction::Answer { origin: call.origin, response });
+        }
+        let parked: Vec<CallId> = self.parked.iter().copied().collect();
+        for id in parked {
+            actions.extend(self.place(id, now));
+        }
+        actions
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
+        let parked = (!self.parked.is_empty()).then_some(now + PARKED_LOOK_MS);
+        deadline.into_iter().chain(parked).min()
+    }
+}
+
+/// An upstream that rejects what the caller sent would be followed by all others.
+fn is_callers_fault(response: &Response) -> bool {
+    matches!(response.status, 400..=420 | 422..=428 | 430..=499)
+}
+
+fn refusal(origin: Origin, retry_after_ms: u64) -> CallAction {
+    let bounded = retry_after_ms.clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS);
+    let seconds = format!("{:.3}", bounded as f64 / 1_000.0);
+    let response = Response::empty(503).with_header("Retry-After", seconds);
+    CallAction::Answer { origin, response }
+}
--- /dev/null
+++ b/crates/sidecar/src/jobs.rs
@@ -0,0 +1,355 @@
+//! The inbound side: the only sender to the upstream beside this sidecar.
+//!
+//! Pure: events come in with the time, actions go out. Only this side knows for certain whether a
+//! call was given to the upstream, so it alone says that one was not.
+
+use crate::calls::Attempt;
+use crate::dialect::HeaderNames;
+use crate::net::ConnectionId;
+use crate::Millis;
+use admission::{Admission, Decision, DrainGate, GateState, JobId, Ticket};
+use http1::{Answer, ExchangeError, Request, Response, Slot};
+use mesh::{HopOutcome, HopReply, HopRequest, InstanceState, HOP_HEADER};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tracing::info;
+
+/// Slots of an upstream that did not tell any.
+const UNKNOWN_SLOTS: u32 = 4;
+/// A call whose deadline passed this long ago is taken from its upstream, milliseconds.
+const OVERTIME_MS: u64 = 150;
+/// Part of the slots that is used: some upstreams slow down or reset when they are full.
+const USED_PART_OF_SLOTS: f64 = 1.0;
+const REFUSED_STATUS: u16 = 503;
+const UNKNOWN_STATUS: u16 = 502;
+const FIRST_FAILURE_STATUS: u16 = 300;
+
+/// Who waits for a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// A call of a caller on this machine.
+    Local(Attempt),
+    /// A peer.
+    Peer {
+        /// Its connection.
+        connection: ConnectionId,
+        /// Place on it.
+        slot: Slot,
+    },
+}
+
+/// How a try at the upstream ended.
+#[derive(Debug)]
+pub enum UpstreamEnd {
+    /// No byte of the request was sent.
+    NotSent,
+    /// A whole answer came.
+    Answered(Answer),
+    /// It was sent, and no proper answer came.
+    Failed(ExchangeError),
+}
+
+/// What the runtime must do.
+#[derive(Debug)]
+pub enum JobAction {
+    /// Send a request to the upstream.
+    Run {
+        /// Which job.
+        job: JobId,
+        /// The request as the upstream gets it.
+        request: Request,
+    },
+    /// Stop what the upstream does for a job.
+    Abort(JobId),
+    /// Tell what became of a job.
+    Reply {
+        /// Who waits for it.
+        source: Source,
+        /// What became of it.
+        reply: HopReply,
+        /// The answer, empty unless it is the upstream's own.
+        response: Response,
+    },
+}
+
+#[derive(Debug)]
+struct Job {
+    source: Source,
+    request: Rc<Request>,
+    attempt_id: String,
+    deadline: Millis,
+    arrived: Millis,
+    started: Option<Millis>,
+}
+
+/// All calls for the upstream beside this sidecar.
+pub struct Jobs {
+    names: HeaderNames,
+    service: String,
+    /// The upstream and whether calls pass.
+    pub gate: DrainGate,
+    admission: Admission,
+    jobs: BTreeMap<JobId, Job>,
+    by_source: BTreeMap<Source, JobId>,
+    next_job: JobId,
+}
+
+impl Jobs {
+    /// The inbound side of a sidecar whose upstream belongs to `service`.
+    pub fn new(names: HeaderNames, service: &str, drain_ms: u64) -> Self {
+        Jobs {
+            names,
+            service: service.to_owned(),
+            gate: DrainGate::new(drain_ms),
+            admission: Admission::new(UNKNOWN_SLOTS),
+            jobs: BTreeMap::new(),
+            by_source: BTreeMap::new(),
+            next_job: 1,
+        }
+    }
+
+    /// Jobs without an end.
+    pub fn in_flight(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Calls the upstream works on, and calls that wait.
+    pub fn load(&self) -> (u32, u32) {
+        (self.admission.running(), self.admission.queued())
+    }
+
+    /// Takes over what the upstream told of its slots.
+    pub fn refresh_limit(&mut self) {
+        let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
+        let used = (f64::from(slots) * USED_PART_OF_SLOTS).floor() as u32;
+        self.admission.set_limit(used.max(1));
+    }
+
+    fn reply(
+        &self,
+        outcome: HopOutcome,
+        spent_ms: u64,
+        retry_after_ms: u64,
+        now: Millis,
+    ) -> HopReply {
+        let state = match self.gate.state(now) {
+            GateState::Open => InstanceState::Ready,
+            GateState::Closing => InstanceState::Draining,
+            GateState::Absent | GateState::Closed => InstanceState::Left,
+        };
+        HopReply {
+            outcome,
+            running: self.admission.running(),
+            queued: self.admission.queued(),
+            limit: self.admission.limit(),
+            service_ms: self.admission.service_ms() as u32,
+            spent_ms: spent_ms as u32,
+            retry_after_ms: retry_after_ms as u32,
+            state,
+        }
+    }
+
+    fn refuse(
+        &self,
+        source: Source,
+        id: &str,
+        reason: &str,
+        retry_after_ms: u64,
+        now: Millis,
+    ) -> JobAction {
+        let reply = self.reply(HopOutcome::Refused, 0, retry_after_ms, now);
+        info!(
+            %id, reason, running = reply.running, queued = reply.queued, limit = reply.limit,
+            retry_after_ms, verdict = "not-run", "job_refused"
+        );
+        JobAction::Reply { source, reply, response: Response::empty(REFUSED_STATUS) }
+    }
+
+    /// Takes in a call for the upstream.
+    pub fn begin(
+        &mut self,
+        source: Source,
+        request: Rc<Request>,
+        hop: &HopRequest,
+        now: Millis,
+    ) -> Vec<JobAction> {
+        let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
+        if let Some(reason) = self.mismatch(hop, now) {
+            return vec![self.refuse(source, &attempt_id, reason, 0, now)];
+        }
+        let job = self.next_job;
+        self.next_job += 1;
+        let deadline = now + hop.deadline_ms;
+        let patience_ms = hop.patience_ms;
+        let decision =
+            self.admission.submit(Ticket { job, rank: hop.rank, patience_ms, deadline }, now);
+        if let Decision::Refuse { retry_after_ms } = decision {
+            return vec![self.refuse(source, &attempt_id, "no_room", retry_after_ms, now)];
+        }
+        let entry = Job { source, request, attempt_id, deadline, arrived: now, started: None };
+        self.jobs.insert(job, entry);
+        self.by_source.insert(source, job);
+        match decision {
+            Decision::Run => self.start(job, now).into_iter().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn mismatch(&self, hop: &HopRequest, now: Millis) -> Option<&'static str> {
+        if hop.service != self.service {
+            return Some("other_service");
+        }
+        if hop.instance.as_deref().is_some_and(|id| Some(id) != self.gate.id()) {
+            return Some("other_instance");
+        }
+        match self.gate.state(now) {
+            GateState::Open | GateState::Closing => None,
+            GateState::Absent => Some("no_upstream"),
+            GateState::Closed => Some("upstream_leaves"),
+        }
+    }
+
+    /// Gives a job, which holds a slot, to the upstream.
+    fn start(&mut self, id: JobId, now: Millis) -> Option<JobAction> {
+        let instance = self.gate.id().map(str::to_owned);
+        let job = self.jobs.get_mut(&id)?;
+        job.started = Some(now);
+        let left = job.deadline.saturating_sub(now).max(1);
+        let mut request = (*job.request).clone();
+        request.headers.remove(HOP_HEADER);
+        request.headers.set(self.names.deadline_ms, left.to_string());
+        if let Some(instance) = instance {
+            request.headers.set(self.names.expect_instance, instance);
+        }
+        let waited_ms = now.saturating_sub(job.arrived);
+        info!(
+            id = %job.attempt_id, instance = ?self.gate.id(), waited_ms, left_ms = left,
+            running = self.admission.running(), limit = self.admission.limit(), "job_started"
+        );
+        Some(JobAction::Run { job: id, request })
+    }
+
+    /// Takes in how the upstream ended a job.
+    pub fn ended(&mut self, id: JobId, end: UpstreamEnd, now: Millis) -> Vec<JobAction> {
+        let Some(job) = self.remove(id) else {
+            return Vec::new();
+        };
+        let spent_ms = now.saturating_sub(job.started.unwrap_or(now));
+        let (outcome, response) = self.judge(end);
+        let telling = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
+        self.admission.release(telling.then_some(spent_ms));
+        info!(
+            id = %job.attempt_id, ?outcome, status = response.status, spent_ms,
+            running = self.admission.running(), queued = self.admission.queued(), "job_ended"
+        );
+        let retry_after_ms = match outcome {
+            HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0),
+            HopOutcome::Answered | HopOutcome::Unknown => 0,
+        };
+        let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
+        let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
+        actions.extend(self.start_waiting(now));
+        actions
+    }
+
+    /// What the upstream's answer says of the request.
+    fn judge(&self, end: UpstreamEnd) -> (HopOutcome, Response) {
+        let answer = match end {
+            UpstreamEnd::NotSent => return (HopOutcome::Refused, Response::empty(REFUSED_STATUS)),
+            UpstreamEnd::Failed(error) => {
+                info!(%error, "upstream_failed");
+                return (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS));
+            }
+            UpstreamEnd::Answered(answer) => answer,
+        };
+        let response = answer.response;
+        if response.headers.get(self.names.not_run).is_some() || response.status == 421 {
+            return (HopOutcome::Rejected, response);
+        }
+        let sealed = response.headers.get(self.names.seal).is_some();
+        if sealed || response.status >= FIRST_FAILURE_STATUS {
+            return (HopOutcome::Answered, response);
+        }
+        info!(status = response.status, "answer_without_seal");
+        (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS))
+    }
+
+    fn remove(&mut self, id: JobId) -> Option<Job> {
+        let job = self.jobs.remove(&id)?;
+        self.by_source.remove(&job.source);
+        Some(job)
+    }
+
+    fn start_waiting(&mut self, now: Millis) -> Vec<JobAction> {
+        let mut actions = Vec::new();
+        if self.gate.state(now) == GateState::Closed {
+            for id in self.admission.clear() {
+                actions.extend(self.refuse_waiting(id, "upstream_leaves", now));
+            }
+        }
+        while let Some(id) = self.admission.start_next() {
+            match self.start(id, now) {
+                Some(action) => actions.push(action),
+                None => self.admission.release(None),
+            }
+        }
+        actions
+    }
+
+    fn refuse_waiting(&mut self, id: JobId, reason: &str, now: Millis) -> Option<JobAction> {
+        let job = self.remove(id)?;
+        let retry_after_ms = self.admission.retry_after_ms(0);
+        Some(self.refuse(job.source, &job.attempt_id, reason, retry_after_ms, now))
+    }
+
+    /// Nobody waits for a job any more.
+    pub fn cancel(&mut self, source: Source, now: Millis) -> Vec<JobAction> {
+        let Some(id) = self.by_source.get(&source).copied() else {
+            return Vec::new();
+        };
+        let Some(job) = self.remove(id) else {
+            return Vec::new();
+        };
+        info!(id = %job.attempt_id, started = job.started.is_some(), "job_cancelled");
+        if self.admission.cancel(id) {
+            return Vec::new();
+        }
+        self.admission.release(None);
+        let mut actions = vec![JobAction::Abort(id)];
+        actions.extend(self.start_waiting(now));
+        actions
+    }
+
+    /// A peer's connection ended: nobody waits for its jobs.
+    pub fn connection_ended(&mut self, connection: ConnectionId, now: Millis) -> Vec<JobAction> {
+        let first = Source::Peer { connection, slot: 0 };
+        let last = Source::Peer { connection, slot: Slot::MAX };
+        let sources: Vec<Source> =
+            self.by_source.range(first..=last).map(|(source, _)| *source).collect();
+        sources.into_iter().flat_map(|source| self.cancel(source, now)).collect()
+    }
+
+    /// Ends what waited or ran too long.
+    pub fn tick(&mut self, now: Millis) -> Vec<JobAction> {
+        let mut actions = Vec::new();
+        for id in self.admission.expire(now) {
+            actions.extend(self.refuse_waiting(id, "waited_too_long", now));
+        }
+        let late = |job: &Job| job.started.is_some() && job.deadline + OVERTIME_MS <= now;
+        let overdue: Vec<JobId> =
+            self.jobs.iter().filter(|(_, job)| late(job)).map(|(id, _)| *id).collect();
+        for id in overdue {
+            actions.push(JobAction::Abort(id));
+            actions.extend(self.ended(id, UpstreamEnd::Failed(ExchangeError::NoAnswer), now));
+        }
+        actions.extend(self.start_waiting(now));
+        actions
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_tick(&self) -> Option<Millis> {
+        let running = self.jobs.values().filter(|job| job.started.is_some());
+        let overdue = running.map(|job| job.deadline + OVERTIME_MS).min();
+        overdue.into_iter().chain(self.admission.next_expiry()).min()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,29 @@
+//! A sidecar: the proxy beside one upstream, with the callers of its machine on one side and its
+//! peers on the other.
+//!
+//! One thread and one poll; everything that decides is pure and lives in [`Calls`] (outbound),
+//! [`Jobs`] (inbound), and the crates `placement`, `admission` and `http1`.
+#![forbid(unsafe_code)]
+
+mod calls;
+mod config;
+mod dialect;
+mod jobs;
+mod links;
+mod metrics;
+mod net;
+mod pool;
+mod registrar;
+mod runtime;
+mod servers;
+
+pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Origin};
+pub use config::Config;
+pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
+pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
+pub use net::ConnectionId;
+pub use registrar::{PendingAcknowledgement, Registrar};
+pub use runtime::{run, SidecarError};
+
+/// Milliseconds of a monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/sidecar/src/links.rs
@@ -0,0 +1,383 @@
+//! Links to the coordinators: what this sidecar is goes out, configuration and endpoints come in.
+//!
+//! A sidecar keeps a link to several coordinators, so that a cut among them loses nothing. Only
+//! one is asked for the content of a new generation.
+
+use crate::net::{ConnectionId, Net, NetEvent};
+use crate::Millis;
+use bundle::{BundleUpdate, Digest};
+use bytes::Buf;
+use mesh::{
+    decode_frame, encode_frame, Greeting, NodeAddress, NodeRecord, Purpose, ToCoordinator,
+    ToSidecar, PROTOCOL_VERSION,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use tracing::{info, warn};
+
+/// Most coordinators linked at once.
+const MAX_LINKS: usize = 5;
+const ALIVE_INTERVAL_MS: u64 = 1_000;
+/// A coordinator that says nothing for this long is left.
+const SILENCE_LIMIT_MS: u64 = 3_000;
+const OPEN_LIMIT_MS: u64 = 700;
+const FIRST_PAUSE_MS: u64 = 50;
+const LONGEST_PAUSE_MS: u64 = 800;
+/// A coordinator that does not send what it was asked for is passed over after this time.
+const CONFIG_WAIT_MS: u64 = 400;
+/// What a lost coordinator said of endpoints counts for this long.
+const STALE_LIMIT_MS: u64 = 15_000;
+
+/// What the links bring.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A coordinator answered for the first time; what it knows of an earlier life.
+    Welcome(Option<NodeRecord>),
+    /// A new configuration.
+    Config {
+        /// Its generation.
+        generation: u64,
+        /// Its content.
+        update: BundleUpdate,
+    },
+    /// News of a node.
+    Node(NodeRecord),
+    /// Nodes may have gone; see [`Links::is_listed`].
+    Gone,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    connection: Option<ConnectionId>,
+    open: bool,
+    welcomed: bool,
+    since: Millis,
+    heard_at: Millis,
+    sent_at: Millis,
+    retry_at: Millis,
+    failures: u32,
+    taken: u64,
+    announced: u64,
+    nodes: BTreeSet<NodeAddress>,
+    lost_at: Option<Millis>,
+}
+
+/// All links.
+pub struct Links {
+    fleet: String,
+    port: u16,
+    seeds: Vec<Ipv4Addr>,
+    members: Vec<Ipv4Addr>,
+    links: BTreeMap<Ipv4Addr, Link>,
+    record: NodeRecord,
+    random: fastrand::Rng,
+    config_asked: Option<(Ipv4Addr, Millis)>,
+    welcomed: bool,
+}
+
+impl Links {
+    /// No links yet; `record` is what this sidecar is.
+    pub fn new(
+        fleet: &str,
+        port: u16,
+        seeds: Vec<Ipv4Addr>,
+        record: NodeRecord,
+        seed: u64,
+    ) -> Self {
+        Links {
+            fleet: fleet.to_owned(),
+            port,
+            seeds,
+            members: Vec::new(),
+            links: BTreeMap::new(),
+            record,
+            random: fastrand::Rng::with_seed(seed),
+            config_asked: None,
+            welcomed: false,
+        }
+    }
+
+    /// Whether any coordinator answered since the start.
+    pub fn is_welcomed(&self) -> bool {
+        self.welcomed
+    }
+
+    /// Replaces the coordinators that are tried when no member is known or reached.
+    pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.seeds = seeds;
+    }
+
+    /// Whether a node is listed by a coordinator that may be believed.
+    pub fn is_listed(&self, node: &NodeAddress, now: Millis) -> bool {
+        let believed = |link: &&Link| link.lost_at.is_none_or(|at| now < at + STALE_LIMIT_MS);
+        self.links.values().filter(believed).any(|link| link.nodes.contains(node))
+    }
+
+    /// What this sidecar is.
+    pub fn record(&self) -> &NodeRecord {
+        &self.record
+    }
+
+    /// Tells all coordinators what this sidecar is now; returns the sequence of this report.
+    pub fn report(
+        &mut self,
+        net: &mut Net,
+        change: impl FnOnce(&mut NodeRecord),
+        now: Millis,
+    ) -> u64 {
+        change(&mut self.record);
+        self.record.sequence += 1;
+        let message = ToCoordinator::Report(self.record.clone());
+        for link in self.links.values_mut().filter(|link| link.open) {
+            send(net, link, &message, now);
+        }
+        self.record.sequence
+    }
+
+    /// How many coordinators know a report, and how many are linked.
+    pub fn taken_by(&self, sequence: u64) -> (usize, usize) {
+        let open = self.links.values().filter(|link| link.welcomed);
+        let taken = open.clone().filter(|link| link.taken >= sequence);
+        (taken.count(), open.count())
+    }
+
+    /// Tells that a generation is in force here, and goes on to a newer one that was announced.
+    pub fn applied(&mut self, net: &mut Net, generation: u64, held: Digest, now: Millis) {
+        if let Some((from, _)) = self.config_asked.take() {
+            if let Some(link) = self.links.get_mut(&from).filter(|link| link.open) {
+                send(net, link, &ToCoordinator::Applied { generation }, now);
+            }
+        }
+        self.want_config(net, generation, held, now);
+    }
+
+    /// Asks one coordinator for a newer configuration, if one was announced.
+    pub fn want_config(&mut self, net: &mut Net, applied: u64, held: Digest, now: Millis) {
+        let asked = self.config_asked.filter(|(_, at)| now < *at + CONFIG_WAIT_MS);
+        if asked.is_some() {
+            return;
+        }
+        let passed_over = self.config_asked.map(|(from, _)| from);
+        let newer = |link: &Link| link.open && link.announced > applied;
+        let found = self.links.iter().filter(|(_, link)| newer(link));
+        let best =
+            found.max_by_key(|(address, link)| (Some(**address) != passed_over, link.announced));
+        let Some(address) = best.map(|(address, _)| *address) else {
+            return;
+        };
+        if let Some(link) = self.links.get_mut(&address) {
+            send(net, link, &ToCoordinator::WantConfig { held }, now);
+            self.config_asked = Some((address, now));
+        }
+    }
+
+    /// The link a connection belongs to.
+    pub fn holds(&self, id: ConnectionId) -> bool {
+        self.links.values().any(|link| link.connection == Some(id))
+    }
+
+    /// Takes in an event of one of its connections.
+    pub fn on_event(&mut self, net: &mut Net, event: &NetEvent, now: Millis) -> Vec<LinkEvent> {
+        let id = match event {
+            NetEvent::Opened(id) | NetEvent::NotOpened(id) | NetEvent::Received(id) => *id,
+            NetEvent::Ended(id, _) => *id,
+            NetEvent::Accepted { .. } => return Vec::new(),
+        };
+        let found = self.links.iter().find(|(_, link)| link.connection == Some(id));
+        let Some(address) = found.map(|(address, _)| *address) else {
+            return Vec::new();
+        };
+        match event {
+            NetEvent::Opened(_) => {
+                self.opened(net, address, now);
+                Vec::new()
+            }
+            NetEvent::Received(_) => self.received(net, address, now),
+            _ => {
+                self.lost(net, address, "connection_ended", now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn opened(&mut self, net: &mut Net, address: Ipv4Addr, now: Millis) {
+        let Some(link) = self.links.get_mut(&address) else {
+            return;
+        };
+        link.open = true;
+        link.heard_at = now;
+        let greeting = Greeting {
+            protocol: PROTOCOL_VERSION,
+            fleet: self.fleet.clone(),
+            purpose: Purpose::Sidecar,
+        };
+        let mut bytes = Vec::new();
+        encode_frame(&greeting, &mut bytes);
+        if let Some(id) = link.connection {
+            net.send(id, &bytes);
+        }
+        send(net, link, &ToCoordinator::Report(self.record.clone()), now);
+    }
+
+    fn received(&mut self, net: &mut Net, address: Ipv4Addr, now: Millis) -> Vec<LinkEvent> {
+        let mut events = Vec::new();
+        loop {
+            let Some(link) = self.links.get_mut(&address) else {
+                return events;
+            };
+            link.heard_at = now;
+            let Some(id) = link.connection else {
+                return events;
+            };
+            let Some(input) = net.input(id) else {
+                return events;
+            };
+            match decode_frame::<ToSidecar>(input) {
+                Ok(Some((message, length))) => {
+                    input.advance(length);
+                    self.take(address, message, &mut events, now);
+                }
+                Ok(None) => {
+                    net.trim(id);
+                    return events;
+                }
+                Err(error) => {
+                    warn!(coordinator = %address, %error, "link_unreadable");
+                    self.lost(net, address, "unreadable", now);
+                    return events;
+                }
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        address: Ipv4Addr,
+        message: ToSidecar,
+        events: &mut Vec<LinkEvent>,
+        now: Millis,
+    ) {
+        let Some(link) = self.links.get_mut(&address) else {
+            return;
+        };
+        match message {
+            ToSidecar::Welcome { last } => {
+                link.welcomed = true;
+                link.failures = 0;
+                link.lost_at = None;
+                self.welcomed = true;
+                info!(coordinator = %address, restored = last.is_some(), "coordinator_linked");
+                events.push(LinkEvent::Welcome(last));
+            }
+            ToSidecar::ReportTaken { sequence } => link.taken = link.taken.max(sequence),
+            ToSidecar::Members { addresses } => {
+                info!(coordinator = %address, members = ?addresses, "members_learned");
+                self.members = addresses;
+            }
+            ToSidecar::Announce { generation } => link.announced = generation,
+            ToSidecar::Config { generation, update } => {
+                events.push(LinkEvent::Config { generation, update });
+            }
+            ToSidecar::Nodes { whole, changed, gone } => {
+                if whole {
+                    link.nodes.clear();
+                }
+                for node in &gone {
+                    link.nodes.remove(node);
+                }
+                link.nodes.extend(changed.iter().map(|record| record.address));
+                events.extend(changed.into_iter().map(LinkEvent::Node));
+                if whole || !gone.is_empty() {
+                    events.push(LinkEvent::Gone);
+                }
+            }
+            ToSidecar::Alive => {}
+        }
+        let _ = now;
+    }
+
+    fn lost(&mut self, net: &mut Net, address: Ipv4Addr, reason: &str, now: Millis) {
+        let Some(link) = self.links.get_mut(&address) else {
+            return;
+        };
+        if let Some(id) = link.connection.take() {
+            net.close(id);
+        }
+        if link.welcomed {
+            info!(coordinator = %address, reason, "coordinator_lost");
+            link.lost_at = Some(now);
+        }
+        link.open = false;
+        link.welcomed = false;
+        link.taken = 0;
+        link.announced = 0;
+        let longest = (FIRST_PAUSE_MS << link.failures.min(6)).min(LONGEST_PAUSE_MS);
+        link.failures += 1;
+        link.retry_at = now + self.random.u64(FIRST_PAUSE_MS / 2..=longest);
+        if self.config_asked.is_some_and(|(from, _)| from == address) {
+            self.config_asked = None;
+        }
+    }
+
+    /// Opens links that are missing, and leaves coordinators that are silent.
+    pub fn tick(&mut self, net: &mut Net, now: Millis) {
+        let wanted = self.wanted();
+        let silent = |link: &Link| {
+            let limit = if link.open { SILENCE_LIMIT_MS } else { OPEN_LIMIT_MS };
+            let since = if link.open { link.heard_at } else { link.since };
+            link.connection.is_some() && since + limit <= now
+        };
+        let found = self.links.iter().filter(|(_, link)| silent(link));
+        let lost: Vec<Ipv4Addr> = found.map(|(address, _)| *address).collect();
+        for address in lost {
+            self.lost(net, address, "silent", now);
+        }
+        for address in &wanted {
+            let link = self.links.entry(*address).or_default();
+            if link.connection.is_none() && link.retry_at <= now {
+                link.since = now;
+                match net.connect(SocketAddr::from((*address, self.port))) {
+                    Ok(id) => link.connection = Some(id),
+                    Err(_) => link.retry_at = now + LONGEST_PAUSE_MS,
+                }
+            }
+        }
+        let former = |address: &Ipv4Addr, link: &Link| {
+            !wanted.contains(address) && link.lost_at.is_none_or(|at| at + STALE_LIMIT_MS <= now)
+        };
+        let found = self.links.iter().filter(|(address, link)| former(address, link));
+        let unwanted: Vec<Ipv4Addr> = found.map(|(address, _)| *address).collect();
+        for address in unwanted {
+            if let Some(id) = self.links.remove(&address).and_then(|link| link.connection) {
+                net.close(id);
+            }
+        }
+        let due = |link: &&mut Link| link.open && link.sent_at + ALIVE_INTERVAL_MS <= now;
+        for link in self.links.values_mut().filter(due) {
+            send(net, link, &ToCoordinator::Alive, now);
+        }
+    }
+
+    /// The members, and the seeds while no member is reached.
+    fn wanted(&self) -> Vec<Ipv4Addr> {
+        let reached = self.links.values().any(|link| link.welcomed);
+        let mut wanted = self.members.clone();
+        if !reached || wanted.is_empty() {
+            wanted.extend(&self.seeds);
+        }
+        wanted.sort_unstable();
+        wanted.dedup();
+        wanted.truncate(MAX_LINKS + self.seeds.len());
+        wanted
+    }
+}
+
+fn send(net: &mut Net, link: &mut Link, message: &ToCoordinator, now: Millis) {
+    let Some(id) = link.connection else {
+        return;
+    };
+    let mut bytes = Vec::new();
+    encode_frame(message, &mut bytes);
+    net.send(id, &bytes);
+    link.sent_at = now;
+}
--- /dev/null
+++ b/crates/sidecar/src/net.rs
@@ -0,0 +1,360 @@
+//! Sockets: a table of connections over one poll, with buffered output.
+
+use bytes::BytesMut;
+use http1::StreamEnd;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use slab::Slab;
+use socket2::{SockRef, TcpKeepalive};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// Names a connection; never used for another one, even after its place in the table is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId {
+    place: usize,
+    generation: u64,
+}
+
+/// Tokens from here on are listeners.
+const FIRST_LISTENER: usize = 1 << 30;
+const SCRATCH_BYTES: usize = 64 * 1024;
+const EVENTS_CAPACITY: usize = 256;
+/// A machine that went dark answers nothing; sent bytes are given up after this time.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+const BACKLOG_ACCEPTS: usize = 64;
+
+/// What happened on the sockets.
+#[derive(Debug)]
+pub enum NetEvent {
+    /// A listener accepted a connection.
+    Accepted {
+        /// Which listener.
+        listener: usize,
+        /// The new connection.
+        connection: ConnectionId,
+    },
+    /// A connection that was being opened is open.
+    Opened(ConnectionId),
+    /// Bytes were added to a connection's input.
+    Received(ConnectionId),
+    /// The other side ended a connection. It stays in the table until it is closed here.
+    Ended(ConnectionId, StreamEnd),
+    /// A connection that was being opened could not be; it is closed.
+    NotOpened(ConnectionId),
+}
+
+#[derive(Debug)]
+struct Connection {
+    generation: u64,
+    stream: TcpStream,
+    input: BytesMut,
+    output: Vec<u8>,
+    sent: usize,
+    opening: bool,
+    ended: bool,
+    /// Since when this side waits for the other to end; what still comes is dropped.
+    lingering: Option<Instant>,
+}
+
+/// All sockets of one process.
+pub struct Net {
+    poll: Poll,
+    events: Events,
+    listeners: Vec<TcpListener>,
+    connections: Slab<Connection>,
+    opened: u64,
+    scratch: Vec<u8>,
+}
+
+impl Net {
+    /// No sockets yet.
+    pub fn new() -> io::Result<Self> {
+        Ok(Net {
+            poll: Poll::new()?,
+            events: Events::with_capacity(EVENTS_CAPACITY),
+            listeners: Vec::new(),
+            connections: Slab::new(),
+            opened: 0,
+            scratch: vec![0; SCRATCH_BYTES],
+        })
+    }
+
+    /// Listens on an address; returns the listener's number.
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<usize> {
+        let mut listener = TcpListener::bind(address)?;
+        let number = self.listeners.len();
+        let token = Token(FIRST_LISTENER + number);
+        self.poll.registry().register(&mut listener, token, Interest::READABLE)?;
+        self.listeners.push(listener);
+        Ok(number)
+    }
+
+    /// Begins to open a connection; [`NetEvent::Opened`] or [`NetEvent::NotOpened`] follows.
+    pub fn connect(&mut self, address: SocketAddr) -> io::Result<ConnectionId> {
+        let stream = TcpStream::connect(address)?;
+        self.add(stream, true)
+    }
+
+    fn add(&mut self, mut stream: TcpStream, opening: bool) -> io::Result<ConnectionId> {
+        prepare(&stream);
+        let entry = self.connections.vacant_entry();
+        let place = entry.key();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(place), interest)?;
+        self.opened += 1;
+        let generation = self.opened;
+        entry.insert(Connection {
+            generation,
+            stream,
+            input: BytesMut::new(),
+            output: Vec::new(),
+            sent: 0,
+            opening,
+            ended: false,
+            lingering: None,
+        });
+        Ok(ConnectionId { place, generation })
+    }
+
+    fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Connection> {
+        let found = self.connections.get_mut(id.place);
+        found.filter(|connection| connection.generation == id.generation)
+    }
+
+    /// Bytes received and not yet taken.
+    pub fn input(&mut self, id: ConnectionId) -> Option<&mut BytesMut> {
+        self.get_mut(id).map(|connection| &mut connection.input)
+    }
+
+    /// Gives the memory of an emptied input back.
+    pub fn trim(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.get_mut(id) {
+            if connection.input.is_empty() {
+                connection.input = BytesMut::new();
+            }
+        }
+    }
+
+    /// Number of connections.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Sends bytes, now or when the socket takes them.
+    pub fn send(&mut self, id: ConnectionId, bytes: &[u8]) {
+        let Some(connection) = self.get_mut(id) else {
+            return;
+        };
+        connection.output.extend_from_slice(bytes);
+        flush(connection);
+    }
+
+    /// Closes a connection at once.
+    pub fn close(&mut self, id: ConnectionId) {
+        if self.get_mut(id).is_none() {
+            return;
+        }
+        if let Some(mut connection) = self.connections.try_remove(id.place) {
+            let _ = self.poll.registry().deregister(&mut connection.stream);
+        }
+    }
+
+    /// Closes a connection in good order: its output goes out first, and the other side is told
+    /// the end. The connection is dropped when the other side ends it, see [`Net::sweep`].
+    pub fn finish(&mut self, id: ConnectionId) {
+        let Some(connection) = self.get_mut(id) else {
+            return;
+        };
+        connection.lingering = Some(Instant::now());
+        connection.input = BytesMut::new();
+        flush(connection);
+        if connection.output.is_empty() {
+            let _ = connection.stream.shutdown(Shutdown::Write);
+            if connection.ended {
+                self.close(id);
+            }
+        }
+    }
+
+    /// Drops connections that were finished longer than `longest` ago and not ended since.
+    pub fn sweep(&mut self, longest: Duration) {
+        let late = |connection: &Connection| {
+            connection.lingering.is_some_and(|since| since.elapsed() > longest)
+        };
+        let of = |(place, connection): (usize, &Connection)| ConnectionId {
+            place,
+            generation: connection.generation,
+        };
+        let found = self.connections.iter().filter(|(_, connection)| late(connection));
+        let ids: Vec<ConnectionId> = found.map(of).collect();
+        for id in ids {
+            self.close(id);
+        }
+    }
+
+    /// Waits for events, at most `longest`.
+    pub fn poll(&mut self, longest: Duration) -> Vec<NetEvent> {
+        let mut happened = Vec::new();
+        if let Err(error) = self.poll.poll(&mut self.events, Some(longest)) {
+            if error.kind() != io::ErrorKind::Interrupted {
+                tracing::error!(%error, "poll_failed");
+            }
+            return happened;
+        }
+        let ready: Vec<(usize, bool, bool)> = self
+            .events
+            .iter()
+            .map(|event| {
+                let readable = event.is_readable() || event.is_read_closed() || event.is_error();
+                (event.token().0, readable, event.is_writable() || event.is_error())
+            })
+            .collect();
+        for (token, readable, writable) in ready {
+            match token.checked_sub(FIRST_LISTENER) {
+                Some(listener) => self.accept(listener, &mut happened),
+                None => {
+                    let found = self.connections.get(token);
+                    let generation = found.map(|connection| connection.generation);
+                    if let Some(generation) = generation {
+                        let id = ConnectionId { place: token, generation };
+                        self.on_ready(id, readable, writable, &mut happened);
+                    }
+                }
+            }
+        }
+        happened
+    }
+
+    fn accept(&mut self, listener: usize, happened: &mut Vec<NetEvent>) {
+        for _ in 0..BACKLOG_ACCEPTS {
+            match self.listeners[listener].accept() {
+                Ok((stream, _)) => {
+                    if let Ok(connection) = self.add(stream, false) {
+                        happened.push(NetEvent::Accepted { listener, connection });
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    tracing::warn!(%error, "accept_failed");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn on_ready(
+        &mut self,
+        id: ConnectionId,
+        readable: bool,
+        writable: bool,
+        happened: &mut Vec<NetEvent>,
+    ) {
+        let Some(connection) = self.get_mut(id) else {
+            return;
+        };
+        if connection.opening {
+            match opened(&connection.stream) {
+                Ok(true) => {
+                    connection.opening = false;
+                    happened.push(NetEvent::Opened(id));
+                }
+                Ok(false) => return,
+                Err(_) => {
+                    self.close(id);
+                    happened.push(NetEvent::NotOpened(id));
+                    return;
+                }
+            }
+        }
+        if writable {
+            flush(connection);
+            if connection.lingering.is_some() && connection.output.is_empty() {
+                let _ = connection.stream.shutdown(Shutdown::Write);
+            }
+        }
+        if readable {
+            self.read(id, happened);
+        }
+    }
+
+    fn read(&mut self, id: ConnectionId, happened: &mut Vec<NetEvent>) {
+        let Some(connection) = self.connections.get_mut(id.place) else {
+            return;
+        };
+        if connection.ended {
+            return;
+        }
+        let mut received = false;
+        let end = loop {
+            match connection.stream.read(&mut self.scratch) {
+                Ok(0) => break Some(StreamEnd::Clean),
+                Ok(count) => {
+                    if connection.lingering.is_none() {
+                        connection.input.extend_from_slice(&self.scratch[..count]);
+                        received = true;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break None,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => break Some(StreamEnd::Reset),
+            }
+        };
+        if received {
+            happened.push(NetEvent::Received(id));
+        }
+        if let Some(end) = end {
+            connection.ended = true;
+            if connection.lingering.is_some() {
+                self.close(id);
+            } else {
+                happened.push(NetEvent::Ended(id, end));
+            }
+        }
+    }
+}
+
+fn flush(connection: &mut Connection) {
+    if connection.opening {
+        return;
+    }
+    while connection.sent < connection.output.len() {
+        match connection.stream.write(&connection.output[connection.sent..]) {
+            Ok(0) => return,
+            Ok(count) => connection.sent += count,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            // A broken connection also becomes readable, which tells its end.
+            Err(_) => return,
+        }
+    }
+    connection.sent = 0;
+    connection.output = Vec::new();
+}
+
+fn opened(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(error) = stream.take_error()? {
+        return Err(error);
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
+/// Makes a connection notice a peer that went dark. A socket that takes an option badly is used
+/// without it.
+fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+}
--- /dev/null
+++ b/crates/sidecar/src/pool.rs
@@ -0,0 +1,258 @@
+//! Connections on which this sidecar asks: one request at a time each, kept between requests.
+
+use crate::net::{ConnectionId, Net, NetEvent};
+use crate::Millis;
+use http1::{Answer, Exchange, ExchangeError, ExpectedId, StreamEnd};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Longest time for opening a connection, milliseconds.
+const OPEN_LIMIT_MS: u64 = 350;
+const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
+const MAX_ANSWER_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
+/// How an asked request ended.
+#[derive(Debug)]
+pub enum PoolEnd {
+    /// No byte of it was sent.
+    NotSent,
+    /// A whole answer.
+    Answered(Answer),
+    /// It was sent, and no proper answer came.
+    Failed(ExchangeError),
+}
+
+/// A request as it is asked.
+#[derive(Debug)]
+pub struct Asked {
+    /// Method, which decides how the answer is framed.
+    pub method: String,
+    /// The whole request as bytes.
+    pub bytes: Vec<u8>,
+    /// Id that its answer carries.
+    pub expected: Option<ExpectedId>,
+}
+
+#[derive(Debug)]
+enum State {
+    Opening { asked: Asked, since: Millis },
+    Busy { exchange: Exchange },
+    Idle { since: Millis },
+}
+
+#[derive(Debug)]
+struct Held<K> {
+    address: SocketAddr,
+    key: Option<K>,
+    state: State,
+}
+
+/// Connections with what is asked on them; `K` names a request.
+#[derive(Debug)]
+pub struct Pool<K> {
+    idle_limit_ms: u64,
+    connections: BTreeMap<ConnectionId, Held<K>>,
+    by_key: BTreeMap<K, ConnectionId>,
+    idle: BTreeMap<SocketAddr, Vec<ConnectionId>>,
+}
+
+impl<K: Copy + Ord> Pool<K> {
+    /// A pool that keeps connections for `idle_limit_ms` between requests.
+    pub fn new(idle_limit_ms: u64) -> Self {
+        Pool {
+            idle_limit_ms,
+            connections: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            idle: BTreeMap::new(),
+        }
+    }
+
+    /// Asks a request; the end comes with a later event, or at once if it cannot be sent.
+    pub fn ask(
+        &mut self,
+        net: &mut Net,
+        address: SocketAddr,
+        key: K,
+        asked: Asked,
+        now: Millis,
+    ) -> Option<PoolEnd> {
+        if let Some(id) = self.take_idle(net, address) {
+            let exchange = send(net, id, asked);
+            let state = State::Busy { exchange };
+            self.connections.insert(id, Held { address, key: Some(key), state });
+            self.by_key.insert(key, id);
+            return None;
+        }
+        let Ok(id) = net.connect(address) else {
+            return Some(PoolEnd::NotSent);
+        };
+        let state = State::Opening { asked, since: now };
+        self.connections.insert(id, Held { address, key: Some(key), state });
+        self.by_key.insert(key, id);
+        None
+    }
+
+    /// The connection used last, since the one that rested longest is the likeliest to be closed.
+    fn take_idle(&mut self, net: &mut Net, address: SocketAddr) -> Option<ConnectionId> {
+        let idle = self.idle.get_mut(&address)?;
+        while let Some(id) = idle.pop() {
+            // Bytes that came while it rested belong to no request.
+            if net.input(id).is_some_and(|input| input.is_empty()) {
+                return Some(id);
+            }
+            self.connections.remove(&id);
+            net.close(id);
+        }
+        None
+    }
+
+    /// Whether a connection belongs to this pool.
+    pub fn holds(&self, id: ConnectionId) -> bool {
+        self.connections.contains_key(&id)
+    }
+
+    /// Gives up a request; its connection is closed.
+    pub fn abort(&mut self, net: &mut Net, key: K) {
+        if let Some(id) = self.by_key.remove(&key) {
+            self.connections.remove(&id);
+            net.close(id);
+        }
+    }
+
+    /// Takes in an event of one of its connections.
+    pub fn on_event(
+        &mut self,
+        net: &mut Net,
+        event: &NetEvent,
+        now: Millis,
+    ) -> Option<(K, PoolEnd)> {
+        match event {
+            NetEvent::Opened(id) => {
+                self.opened(net, *id);
+                None
+            }
+            NetEvent::NotOpened(id) => {
+                let held = self.connections.remove(id)?;
+                let key = held.key?;
+                self.by_key.remove(&key);
+                Some((key, PoolEnd::NotSent))
+            }
+            NetEvent::Received(id) => self.received(net, *id, now),
+            NetEvent::Ended(id, end) => self.stream_ended(net, *id, *end),
+            NetEvent::Accepted { .. } => None,
+        }
+    }
+
+    fn opened(&mut self, net: &mut Net, id: ConnectionId) {
+        let Some(held) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let former = std::mem::replace(&mut held.state, State::Idle { since: 0 });
+        if let State::Opening { asked, .. } = former {
+            held.state = State::Busy { exchange: send(net, id, asked) };
+        }
+    }
+
+    fn received(&mut self, net: &mut Net, id: ConnectionId, now: Millis) -> Option<(K, PoolEnd)> {
+        let held = self.connections.get_mut(&id)?;
+        let State::Busy { exchange } = &mut held.state else {
+            // Nothing was asked.
+            self.drop_connection(net, id);
+            return None;
+        };
+        let input = net.input(id)?;
+        match exchange.receive(input) {
+            Ok(None) => None,
+            Ok(Some(answer)) => {
+                let key = held.key.take()?;
+                self.by_key.remove(&key);
+                if answer.reusable {
+                    held.state = State::Idle { since: now };
+                    self.idle.entry(held.address).or_default().push(id);
+                    net.trim(id);
+                } else {
+                    self.drop_connection(net, id);
+                }
+                Some((key, PoolEnd::Answered(answer)))
+            }
+            Err(error) => self.fail(net, id, error),
+        }
+    }
+
+    fn stream_ended(
+        &mut self,
+        net: &mut Net,
+        id: ConnectionId,
+        end: StreamEnd,
+    ) -> Option<(K, PoolEnd)> {
+        let held = self.connections.get_mut(&id)?;
+        match &mut held.state {
+            State::Idle { .. } => {
+                self.drop_connection(net, id);
+                None
+            }
+            State::Opening { .. } => {
+                let key = held.key.take()?;
+                self.by_key.remove(&key);
+                self.drop_connection(net, id);
+                Some((key, PoolEnd::NotSent))
+            }
+            State::Busy { exchange } => match exchange.end_of_stream(end) {
+                Ok(answer) => {
+                    let key = held.key.take()?;
+                    self.by_key.remove(&key);
+                    self.drop_connection(net, id);
+                    Some((key, PoolEnd::Answered(answer)))
+                }
+                Err(error) => self.fail(net, id, error),
+            },
+        }
+    }
+
+    fn fail(
+        &mut self,
+        net: &mut Net,
+        id: ConnectionId,
+        error: ExchangeError,
+    ) -> Option<(K, PoolEnd)> {
+        let key = self.connections.get_mut(&id)?.key.take()?;
+        self.by_key.remove(&key);
+        self.drop_connection(net, id);
+        Some((key, PoolEnd::Failed(error)))
+    }
+
+    fn drop_connection(&mut self, net: &mut Net, id: ConnectionId) {
+        if let Some(held) = self.connections.remove(&id) {
+            if let Some(idle) = self.idle.get_mut(&held.address) {
+                idle.retain(|other| *other != id);
+            }
+        }
+        net.close(id);
+    }
+
+    /// Closes what rested too long, and gives up what could not be opened in time.
+    pub fn tick(&mut self, net: &mut Net, now: Millis) -> Vec<(K, PoolEnd)> {
+        let late = |held: &Held<K>| match held.state {
+            State::Idle { since } => since + self.idle_limit_ms <= now,
+            State::Opening { since, .. } => since + OPEN_LIMIT_MS <= now,
+            State::Busy { .. } => false,
+        };
+        let found = self.connections.iter().filter(|(_, held)| late(held));
+        let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
+        let mut ends = Vec::new();
+        for id in ids {
+            let key = self.connections.get_mut(&id).and_then(|held| held.key.take());
+            self.drop_connection(net, id);
+            if let Some(key) = key {
+                self.by_key.remove(&key);
+                ends.push((key, PoolEnd::NotSent));
+            }
+        }
+        ends
+    }
+}
+
+fn send(net: &mut Net, id: ConnectionId, asked: Asked) -> Exchange {
+    net.send(id, &asked.bytes);
+    Exchange::new(&asked.method, asked.expected, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES)
+}
--- /dev/null
+++ b/crates/sidecar/src/servers.rs
@@ -0,0 +1,168 @@
+//! Connections on which this sidecar is asked: callers, peers, the upstream that registers, and
+//! those who look at readiness and metrics.
+
+use crate::net::{ConnectionId, Net};
+use crate::Millis;
+use http1::{Request, Response, ServerConnection, ServerLimits, Slot};
+use std::collections::BTreeMap;
+
+/// Whose connection it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerKind {
+    /// Callers on this machine.
+    Caller,
+    /// Sidecars of callers.
+    Peer,
+    /// The upstream on this machine, which registers.
+    Registration,
+    /// Readiness.
+    Ready,
+    /// Metrics.
+    Metrics,
+}
+
+/// Limits in time, milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerTimes {
+    /// Longest time for sending a head.
+    pub header_ms: u64,
+    /// Longest rest between requests.
+    pub idle_ms: u64,
+}
+
+#[derive(Debug)]
+struct Held {
+    kind: ServerKind,
+    core: ServerConnection,
+    /// Since when a request is being read.
+    reading_since: Option<Millis>,
+    /// Since when nothing was asked.
+    resting_since: Millis,
+}
+
+/// All such connections.
+#[derive(Debug, Default)]
+pub struct Servers {
+    connections: BTreeMap<ConnectionId, Held>,
+}
+
+impl Servers {
+    /// Takes in a new connection.
+    pub fn accepted(&mut self, id: ConnectionId, kind: ServerKind, now: Millis) {
+        let core = ServerConnection::default();
+        let held = Held { kind, core, reading_since: None, resting_since: now };
+        self.connections.insert(id, held);
+    }
+
+    /// What a connection is for, if it is one of these.
+    pub fn kind(&self, id: ConnectionId) -> Option<ServerKind> {
+        self.connections.get(&id).map(|held| held.kind)
+    }
+
+    /// Takes whole requests out of what was received.
+    pub fn received(
+        &mut self,
+        net: &mut Net,
+        id: ConnectionId,
+        limits: ServerLimits,
+        now: Millis,
+    ) -> Vec<(Slot, Request)> {
+        let Some(held) = self.connections.get_mut(&id) else {
+            return Vec::new();
+        };
+        let Some(input) = net.input(id) else {
+            return Vec::new();
+        };
+        let mut output = Vec::new();
+        let requests = held.core.receive(input, limits, &mut output);
+        let reading = held.core.is_reading(input);
+        held.reading_since = match reading {
+            true => held.reading_since.filter(|_| requests.is_empty()).or(Some(now)),
+            false => None,
+        };
+        held.resting_since = now;
+        net.trim(id);
+        if !output.is_empty() {
+            net.send(id, &output);
+        }
+        if held.core.unanswered() == 0 && requests.is_empty() && !output.is_empty() {
+            self.finish_if_over(net, id);
+        }
+        requests
+    }
+
+    /// A connection that was answered here, because what came could not be read, is finished.
+    fn finish_if_over(&mut self, net: &mut Net, id: ConnectionId) {
+        let over = self.connections.get(&id).is_some_and(|held| held.core.is_over());
+        if over {
+            self.connections.remove(&id);
+            net.finish(id);
+        }
+    }
+
+    /// Answers a request; `close` ends the connection after it. Requests that were held back
+    /// behind it are returned.
+    pub fn answer(
+        &mut self,
+        net: &mut Net,
+        id: ConnectionId,
+        slot: Slot,
+        response: Response,
+        close: bool,
+        now: Millis,
+    ) {
+        let Some(held) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let mut output = Vec::new();
+        let over = held.core.answer(slot, response, close, &mut output);
+        held.resting_since = now;
+        net.send(id, &output);
+        if over {
+            self.connections.remove(&id);
+            net.finish(id);
+        }
+    }
+
+    /// The other side ended a connection; true if it was one of these.
+    pub fn ended(&mut self, net: &mut Net, id: ConnectionId) -> bool {
+        let held = self.connections.remove(&id);
+        if held.is_some() {
+            net.close(id);
+        }
+        held.is_some()
+    }
+
+    /// Ends what is read too slowly or rested too long.
+    pub fn tick(&mut self, net: &mut Net, times: impl Fn(ServerKind) -> ServerTimes, now: Millis) {
+        let mut slow = Vec::new();
+        let mut idle = Vec::new();
+        for (id, held) in &self.connections {
+            let limits = times(held.kind);
+            let unanswered = held.core.unanswered();
+            if held.reading_since.is_some_and(|since| since + limits.header_ms <= now) {
+                slow.push(*id);
+            } else if unanswered == 0
+                && held.reading_since.is_none()
+                && held.resting_since + limits.idle_ms <= now
+            {
+                idle.push(*id);
+            }
+        }
+        for id in slow {
+            let Some(held) = self.connections.get_mut(&id) else { continue };
+            held.reading_since = None;
+            let mut output = Vec::new();
+            let over = held.core.time_out(&mut output);
+            net.send(id, &output);
+            if over {
+                self.connections.remove(&id);
+                net.finish(id);
+            }
+        }
+        for id in idle {
+            self.connections.remove(&id);
+            net.finish(id);
+        }
+    }
+}
--- a/crates/simulator/src/workload.rs
+++ b/crates/simulator/src/workload.rs
@@ -19,6 +19,7 @@
             name: (*service).to_owned(),
             upstream_slots: 20,
             upstream_connections: 130,
+            annotation: String::new(),
         }));
         objects.push(Object::Secret(key.seal(&secret, &format!("value {revision}"))));
         objects.push(Object::Route(Route {
@@ -33,6 +34,10 @@
             priority: Priority::Normal,
             retry_budget_percent: 20,
             max_staleness_s: 0,
+            attempts: 2,
+            target_latency_ms: 0,
+            rank: 0,
+            annotation: String::new(),
         }));
     }
     Bundle::from_objects(objects)
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,6 @@
 mod signal;
 
 pub use clock::Clock;
-pub use logging::{init_logging, parse_level, UnknownLevel};
+pub use logging::{init_logging, init_logging_to_stdout, parse_level, UnknownLevel};
 pub use metrics::{Counter, Gauge, MetricsServer, MetricsServerError, Registry};
-pub use signal::{StopSignal, StopSignalError};
+pub use signal::{ReloadSignal, StopSignal, StopSignalError};
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -3,11 +3,15 @@
 use std::fmt;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Level, Subscriber};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::format::Writer;
 use tracing_subscriber::fmt::time::{FormatTime, SystemTime};
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
 use tracing_subscriber::registry::LookupSpan;
 
+/// Lines that wait for the writer; more are dropped.
+const BUFFERED_LINES: usize = 2_048;
+
 /// The text names no log level.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnknownLevel(pub String);
@@ -36,6 +40,23 @@
     let _ = tracing::subscriber::set_global_default(subscriber);
 }
 
+/// Sends events at or above `level` to standard output, through a bounded buffer with a writer of
+/// its own: a reader that stops reading costs lines, never time. Keep the guard until the end; it
+/// writes out what is left.
+pub fn init_logging_to_stdout(level: Level) -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(BUFFERED_LINES)
+        .finish(std::io::stdout());
+    let subscriber = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(writer)
+        .event_format(KeyValueFormat)
+        .finish();
+    let _ = tracing::subscriber::set_global_default(subscriber);
+    guard
+}
+
 struct KeyValueFormat;
 
 impl<S, N> FormatEvent<S, N> for KeyValueFormat
--- a/crates/telemetry/src/signal.rs
+++ b/crates/telemetry/src/signal.rs
@@ -1,6 +1,6 @@
 //! The planned stop: SIGTERM or SIGINT.
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use snafu::{ResultExt, Snafu};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -59,3 +59,23 @@
         }
     }
 }
+
+/// Set each time the process was told that its settings changed (SIGHUP).
+#[derive(Clone, Debug, Default)]
+pub struct ReloadSignal {
+    raised: Arc<AtomicBool>,
+}
+
+impl ReloadSignal {
+    /// Installs the handler.
+    pub fn install() -> Result<Self, StopSignalError> {
+        let raised = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(SIGHUP, raised.clone()).context(StopSignalSnafu)?;
+        Ok(ReloadSignal { raised })
+    }
+
+    /// Whether it was raised since the last call.
+    pub fn take(&self) -> bool {
+        self.raised.swap(false, Ordering::SeqCst)
+    }
+}
