A planned stop refuses new calls in time, so that nothing is cut off at its end

Change: StopPlan, a pure core: serve 2.6 s, then refuse with a promise and a time to return, end when nothing is in flight. Ruled out: closing the listeners (callers would see closed connections without a promise).

--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -240,6 +240,19 @@
         self.place(id, now)
     }
 
+    /// Refuses a call because the process stops.
+    pub fn refuse_stopping(
+        &mut self,
+        origin: Origin,
+        request: &Request,
+        retry_after_ms: u64,
+    ) -> CallAction {
+        self.counts.refused += 1;
+        let id = request.headers.text(self.names.attempt_id).unwrap_or("-");
+        info!(%id, reason = "stopping", retry_after_ms, verdict = "not-run", "call_refused");
+        refusal(origin, retry_after_ms)
+    }
+
     fn draw_service(&mut self, route: &str, targets: &[bundle::Target]) -> Option<String> {
         if let [only] = targets {
             return Some(only.service.clone());
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -16,6 +16,7 @@
 mod registrar;
 mod runtime;
 mod servers;
+mod stop;
 
 pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Origin};
 pub use config::Config;
@@ -24,6 +25,7 @@
 pub use net::ConnectionId;
 pub use registrar::{PendingAcknowledgement, Registrar};
 pub use runtime::{run, SidecarError};
+pub use stop::{Activity, StopPhase, StopPlan};
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/sidecar/src/runtime.rs
+++ b/crates/sidecar/src/runtime.rs
@@ -10,6 +10,7 @@
 use crate::pool::{Asked, Pool, PoolEnd};
 use crate::registrar::Registrar;
 use crate::servers::{ServerKind, ServerTimes, Servers};
+use crate::stop::{Activity, StopPhase, StopPlan};
 use crate::{Attempt, Millis};
 use admission::JobId;
 use http1::{write_request, ExpectedId, Headers, Request, Response, ServerLimits, Slot};
@@ -41,11 +42,6 @@
 const OWN_IDLE_MS: u64 = 60_000;
 /// How long the upstream's messages wait for what coordinators know of an earlier life, ms.
 const RESTORE_WAIT_MS: u64 = 800;
-/// Callers notice a stop after two looks at the readiness.
-const LEAST_STOP_MS: u64 = 2_300;
-const QUIET_BEFORE_STOP_MS: u64 = 400;
-/// A planned stop ends this much before its limit.
-const STOP_MARGIN_MS: u64 = 500;
 
 /// A sidecar could not start.
 #[derive(Debug, Snafu)]
@@ -98,7 +94,7 @@
     jobs: Jobs,
     work: VecDeque<Work>,
     metrics: Metrics,
-    stopping_since: Option<Millis>,
+    stop: StopPlan,
     last_request: Millis,
     next_housekeeping: Millis,
     next_reload_look: Millis,
@@ -165,6 +161,7 @@
         info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
         warn!("connections between processes are plain: settings say plain_transport");
         Ok(Sidecar {
+            stop: StopPlan::new(settings.stop_ms),
             settings_modified: modified(settings_path.as_ref()),
             settings,
             settings_path,
@@ -185,7 +182,6 @@
             jobs,
             work: VecDeque::new(),
             metrics: Metrics::new(),
-            stopping_since: None,
             last_request: 0,
             next_housekeeping: 0,
             next_reload_look: RELOAD_LOOK_MS,
@@ -295,6 +291,12 @@
                 ServerKind::Caller => {
                     self.last_request = now;
                     let origin = Origin { connection: id, slot };
+                    if self.stop.refuses(now) {
+                        let after_ms = self.stop.retry_after_ms();
+                        let action = self.calls.refuse_stopping(origin, &request, after_ms);
+                        self.work.push_back(Work::Call(action));
+                        continue;
+                    }
                     let actions = self.calls.begin(origin, request, &self.config, now);
                     self.work.extend(actions.into_iter().map(Work::Call));
                 }
@@ -324,13 +326,13 @@
     }
 
     fn answer(&mut self, id: ConnectionId, slot: Slot, response: Response, now: Millis) {
-        let close = self.stopping_since.is_some();
+        let close = self.stop.has_begun();
         self.servers.answer(&mut self.net, id, slot, response, close, now);
     }
 
     fn is_ready(&self) -> bool {
         let configured = self.config.routing().is_some();
-        configured && self.links.is_welcomed() && self.stopping_since.is_none()
+        configured && self.links.is_welcomed() && !self.stop.has_begun()
     }
 
     fn metrics_response(&self, path: &str) -> Response {
@@ -620,19 +622,14 @@
     /// Whether the process may end: it was asked to, and what it had to finish is finished.
     fn is_over(&mut self, stop: &StopSignal) -> bool {
         let now = self.now();
-        if stop.is_set() && self.stopping_since.is_none() {
-            self.stopping_since = Some(now);
+        if stop.is_set() && self.stop.begin(now) {
             let (running, queued) = self.jobs.load();
             info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
             self.links.report(&mut self.net, |record| record.stopping = true, now);
         }
-        let Some(since) = self.stopping_since else {
-            return false;
-        };
-        let busy = self.calls.in_flight() + self.jobs.in_flight() > 0;
-        let quiet = now >= self.last_request + QUIET_BEFORE_STOP_MS;
-        let finished = !busy && quiet && now >= since + LEAST_STOP_MS;
-        finished || now + STOP_MARGIN_MS >= since + self.settings.stop_ms
+        let in_flight = self.calls.in_flight() + self.jobs.in_flight();
+        let activity = Activity { in_flight, last_request: self.last_request };
+        self.stop.phase(activity, now) == StopPhase::Over
     }
 }
 
