Placement is logged with its rank and target

Cause: why inner calls are refused under load could not be read from the log. Change: rank and target of the call in its line. Ruled out: nothing.

--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -309,7 +309,8 @@
             self.counts.repeats += 1;
         }
         info!(
-            id = %call.attempt_id, route = %call.route, service = %call.service, try_number = call.tries,
+            id = %call.attempt_id, route = %call.route, service = %call.service,
+            rank = call.rank, target_ms = call.target_ms, try_number = call.tries,
             %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms, "call_placed"
         );
         if let Some(upstream) = self.view.get_mut(&to) {
