Placement weighs lateness and zones; within a rank the call with the least time goes first

Ruled out: treating inner calls apart (nothing on the wire tells them from others of their route). Tests: crates/admission/tests/queue.rs.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -48,8 +48,8 @@
 pub struct Admission {
     limit: u32,
     running: u32,
-    /// Keyed by rank and order of arrival.
-    waiting: BTreeMap<(u32, u64), Waiting>,
+    /// By rank, then by the latest useful start, then by order of arrival.
+    waiting: BTreeMap<(u32, Millis, u64), Waiting>,
     arrivals: u64,
     service_ms: f64,
 }
@@ -97,13 +97,13 @@
             self.running += 1;
             return Decision::Run;
         }
-        let ahead = self.waiting.range(..(ticket.rank, u64::MAX)).count();
+        let latest_start = ticket.deadline.min(now + ticket.patience_ms);
+        let key = (ticket.rank, latest_start, self.arrivals);
+        let ahead = self.waiting.range(..key).count();
         let wait_ms = self.wait_behind(ahead);
         if wait_ms > ticket.patience_ms {
             return Decision::Refuse { retry_after_ms: self.retry_after_ms(ticket.patience_ms) };
         }
-        let latest_start = ticket.deadline.min(now + ticket.patience_ms);
-        let key = (ticket.rank, self.arrivals);
         self.arrivals += 1;
         self.waiting.insert(key, Waiting { job: ticket.job, latest_start });
         Decision::Wait
--- /dev/null
+++ b/crates/admission/tests/queue.rs
@@ -0,0 +1,79 @@
+//! The queue in front of an upstream: order, refusals, expiry.
+
+use admission::{Admission, Decision, Ticket};
+
+const LIMIT: u32 = 2;
+
+fn ticket(job: u64, rank: u32, patience_ms: u64) -> Ticket {
+    Ticket { job, rank, patience_ms, deadline: 1_000_000 }
+}
+
+fn full() -> Admission {
+    let mut admission = Admission::new(LIMIT);
+    for job in 0..u64::from(LIMIT) {
+        assert_eq!(admission.submit(ticket(job, 1, 1_000), 0), Decision::Run);
+    }
+    admission
+}
+
+fn next(admission: &mut Admission) -> Option<u64> {
+    admission.release(None);
+    admission.start_next()
+}
+
+#[test]
+fn a_more_urgent_rank_goes_first() {
+    let mut admission = full();
+    assert_eq!(admission.submit(ticket(10, 2, 900), 0), Decision::Wait);
+    assert_eq!(admission.submit(ticket(11, 1, 900), 1), Decision::Wait);
+    assert_eq!(next(&mut admission), Some(11));
+    assert_eq!(next(&mut admission), Some(10));
+}
+
+#[test]
+fn of_one_rank_the_call_with_the_least_time_goes_first() {
+    let mut admission = full();
+    assert_eq!(admission.submit(ticket(10, 1, 900), 0), Decision::Wait);
+    assert_eq!(admission.submit(ticket(11, 1, 200), 1), Decision::Wait);
+    assert_eq!(next(&mut admission), Some(11), "an inner call holds up its parent's slot");
+    assert_eq!(next(&mut admission), Some(10));
+}
+
+#[test]
+fn a_call_is_refused_at_once_when_its_wait_would_be_too_long() {
+    let mut admission = full();
+    // Two slots of 100 ms each: the fifth in the queue waits for 250 ms.
+    for job in 10..14 {
+        assert_eq!(admission.submit(ticket(job, 1, 300), 0), Decision::Wait);
+    }
+    let refused = admission.submit(ticket(20, 1, 301), 0);
+    let Decision::Wait = refused else { panic!("250 ms fit in 301: {refused:?}") };
+    match admission.submit(ticket(21, 1, 302), 0) {
+        Decision::Wait => {}
+        other => panic!("300 ms fit in 302: {other:?}"),
+    }
+    match admission.submit(ticket(22, 1, 310), 0) {
+        Decision::Refuse { retry_after_ms } => assert!(retry_after_ms >= 50),
+        other => panic!("350 ms do not fit in 310: {other:?}"),
+    }
+}
+
+#[test]
+fn a_call_that_waited_too_long_is_taken_out() {
+    let mut admission = full();
+    admission.submit(ticket(10, 1, 200), 0);
+    assert_eq!(admission.next_expiry(), Some(200));
+    assert!(admission.expire(199).is_empty());
+    assert_eq!(admission.expire(200), vec![10]);
+    assert_eq!(next(&mut admission), None);
+}
+
+#[test]
+fn no_more_than_the_limit_run() {
+    let mut admission = full();
+    admission.submit(ticket(10, 1, 900), 0);
+    assert_eq!(admission.start_next(), None);
+    assert_eq!(admission.running(), LIMIT);
+    assert!(admission.cancel(10));
+    assert!(!admission.cancel(10));
+}
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -4,8 +4,14 @@
 use mesh::NodeRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What a call to another zone costs beside its time, milliseconds of expected time.
-const OTHER_ZONE_MS: f64 = 12.0;
+/// Cost of a call to another zone, as a part of the worth of a call that is in time.
+const OTHER_ZONE_COST: f64 = 0.08;
+/// Time to another zone and back that is not part of what an upstream takes, milliseconds.
+const OTHER_ZONE_MS: f64 = 3.0;
+/// How steeply the risk of being late rises with the expected part of the time left.
+const LATENESS_EXPONENT: i32 = 6;
+/// Weight of the expected time itself, so that of equal risks the faster is taken.
+const TIME_COST: f64 = 0.03;
 /// Part of the expected time by which choices are varied, so that nodes do not choose alike.
 const VARIATION: f64 = 0.15;
 const TIME_WEIGHT: f64 = 0.05;
@@ -19,6 +25,8 @@
     pub service: &'a str,
     /// What the call takes at an upstream of average speed, milliseconds.
     pub usual_ms: f64,
+    /// Time left until its answer is worth less, milliseconds.
+    pub target_ms: f64,
     /// Upstreams that had it or refused it.
     pub tried: &'a [UpstreamKey],
 }
@@ -123,10 +131,11 @@
         }
         let mut best: Option<((bool, bool, f64), UpstreamKey)> = None;
         for (key, held) in candidates {
-            let expected = held.expected_ms(request.usual_ms, now);
-            let varied = expected * (1.0 + VARIATION * random.f64());
-            let far = if held.record.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
-            let cost = (held.is_resting(now), held.is_full(now), varied + far);
+            let varied = 1.0 + VARIATION * random.f64();
+            let expected = held.expected_ms(request.usual_ms, now) * varied;
+            let far = held.record.zone != self.zone;
+            let cost = cost_of(expected, request.target_ms, far);
+            let cost = (held.is_resting(now), held.is_full(now), cost);
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
@@ -137,6 +146,13 @@
     }
 }
 
+/// The risk that the answer is late, and what it costs to go to another zone.
+fn cost_of(expected_ms: f64, target_ms: f64, other_zone: bool) -> f64 {
+    let (way_ms, way_cost) = if other_zone { (OTHER_ZONE_MS, OTHER_ZONE_COST) } else { (0.0, 0.0) };
+    let part = (expected_ms + way_ms) / target_ms.max(1.0);
+    part.powi(LATENESS_EXPONENT) + part * TIME_COST + way_cost
+}
+
 /// How long the calls of each route take at an upstream of average speed.
 #[derive(Clone, Debug, Default)]
 pub struct ClassTimes {
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -291,7 +291,10 @@
             return Vec::new();
         };
         let usual_ms = self.usual_ms(call);
-        let wanted = placement::Request { service: &call.service, usual_ms, tried: &call.tried };
+        let elapsed = now.saturating_sub(call.arrived);
+        let target_ms = call.target_ms.saturating_sub(elapsed).max(1) as f64;
+        let service = &call.service;
+        let wanted = placement::Request { service, usual_ms, target_ms, tried: &call.tried };
         let Some(to) = self.view.choose(&wanted, now, &mut self.random) else {
             return self.without_upstream(id, now);
         };
