--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod budget;
 mod split;
+mod throttle;
 mod upstream;
 mod view;
 
 pub use budget::{BudgetBounds, RetryBudget};
 pub use split::WeightedSplit;
+pub use throttle::Throttle;
 pub use upstream::{Upstream, UpstreamKey};
 pub use view::{ClassTimes, NodeChange, PlacementView, Request};
 
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -7,7 +7,7 @@
 use crate::dialect::HeaderNames;
 use http1::{Request, Response, Slot};
 use mesh::{HopOutcome, HopReply, HopRequest, NodeAddress, HOP_HEADER};
-use placement::{BudgetBounds, ClassTimes, PlacementView, RetryBudget, WeightedSplit};
+use placement::{BudgetBounds, ClassTimes, PlacementView, RetryBudget, Throttle, WeightedSplit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -31,6 +31,8 @@
 const PARKED_LOOK_MS: u64 = 20;
 const SHORTEST_RETRY_AFTER_MS: u64 = 50;
 const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
+/// Retry-After of calls that are held back because their like fail, milliseconds.
+const THROTTLED_RETRY_AFTER_MS: u64 = 250;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 300;
 /// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
@@ -140,6 +142,7 @@
     splits: BTreeMap<String, WeightedSplit>,
     budget: RetryBudget,
     times: ClassTimes,
+    throttle: Throttle,
     random: fastrand::Rng,
     calls: BTreeMap<CallId, Call>,
     by_origin: BTreeMap<Origin, CallId>,
@@ -166,6 +169,7 @@
             splits: BTreeMap::new(),
             budget: RetryBudget::new(bounds),
             times: ClassTimes::default(),
+            throttle: Throttle::default(),
             random: fastrand::Rng::with_seed(seed),
             calls: BTreeMap::new(),
             by_origin: BTreeMap::new(),
@@ -204,6 +208,12 @@
             return vec![CallAction::Answer { origin, response: Response::empty(404) }];
         };
         let route = &route.route;
+        let draw = self.random.f64();
+        if !self.throttle.admits(&route.name, draw, now) {
+            info!(id = %attempt_id, route = %route.name, reason = "throttled", "call_refused");
+            self.counts.refused += 1;
+            return vec![refusal(origin, THROTTLED_RETRY_AFTER_MS)];
+        }
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
         let Some(service) = self.draw_service(&route.name, &route.targets) else {
@@ -486,8 +496,12 @@
 
     fn answered(&mut self, id: CallId, response: Response, now: Millis) -> Vec<CallAction> {
         let failed = response.status >= 500;
-        let call = self.calls.get_mut(&id);
-        match call.filter(|call| failed && call.repeatable) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        self.throttle.note_end(&call.route, !failed, now);
+        let worthwhile = failed && self.throttle.fails_rarely(&call.route, now);
+        match Some(call).filter(|call| worthwhile && call.repeatable) {
             Some(call) => {
                 call.fallback = Some(response);
                 self.repeat_or_give_up(id, now)
