--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -17,6 +17,9 @@
     pub job: JobId,
     /// Order among those waiting; 0 goes first.
     pub rank: u32,
+    /// Target latency of its kind, milliseconds; of one rank, the shorter goes first. Calls that
+    /// others wait for with a slot in their hands have the shortest.
+    pub target_ms: u64,
     /// Longest useful wait, milliseconds.
     pub patience_ms: u64,
     /// When its caller stops waiting for the answer.
@@ -48,8 +51,8 @@
 pub struct Admission {
     limit: u32,
     running: u32,
-    /// By rank, then by the latest useful start, then by order of arrival.
-    waiting: BTreeMap<(u32, Millis, u64), Waiting>,
+    /// By rank, then by target latency, then by order of arrival.
+    waiting: BTreeMap<(u32, u64, u64), Waiting>,
     arrivals: u64,
     service_ms: f64,
 }
@@ -98,7 +101,7 @@
             return Decision::Run;
         }
         let latest_start = ticket.deadline.min(now + ticket.patience_ms);
-        let key = (ticket.rank, latest_start, self.arrivals);
+        let key = (ticket.rank, ticket.target_ms, self.arrivals);
         let ahead = self.waiting.range(..key).count();
         let wait_ms = self.wait_behind(ahead);
         if wait_ms > ticket.patience_ms {
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -5,7 +5,7 @@
 /// Name of the header, on requests and on answers.
 pub const HOP_HEADER: &str = "x-chutecove-hop";
 
-/// What the calling sidecar tells the one beside the upstream. As a header value: six words
+/// What the calling sidecar tells the one beside the upstream. As a header value: seven words
 /// separated by blanks, the last one `-` for any instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
@@ -15,6 +15,8 @@
     pub patience_ms: u64,
     /// Order among waiting calls; 0 goes first.
     pub rank: u32,
+    /// Target latency of its route, milliseconds; of one rank, the shorter goes first.
+    pub target_ms: u64,
     /// Whether the call may run more than once.
     pub repeatable: bool,
     /// Service that must run it.
@@ -27,10 +29,11 @@
     /// The header value.
     pub fn encode(&self) -> String {
         format!(
-            "{} {} {} {} {} {}",
+            "{} {} {} {} {} {} {}",
             self.deadline_ms,
             self.patience_ms,
             self.rank,
+            self.target_ms,
             u8::from(self.repeatable),
             self.service,
             self.instance.as_deref().unwrap_or("-"),
@@ -44,6 +47,7 @@
             deadline_ms: words.next()?.parse().ok()?,
             patience_ms: words.next()?.parse().ok()?,
             rank: words.next()?.parse().ok()?,
+            target_ms: words.next()?.parse().ok()?,
             repeatable: words.next()? == "1",
             service: words.next()?.to_owned(),
             instance: words.next().filter(|id| *id != "-").map(str::to_owned),
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -24,6 +24,9 @@
 const USUAL_PART_OF_TARGET: f64 = 0.35;
 /// How much longer than usual an answer is planned to take.
 const PLANNED_TIME_FACTOR: f64 = 1.25;
+/// Most part of the target latency that a call waits for a slot: one refused so early can still
+/// be in time when it comes back, and a longer queue makes all who wait late.
+const MOST_PATIENCE_PART: f64 = 0.25;
 /// Least part of the target latency that a call may wait for a slot.
 const LEAST_PATIENCE_PART: f64 = 0.15;
 /// Longest wait for an upstream of a service that has none, milliseconds.
@@ -338,12 +341,14 @@
         let planned = usual_ms * speed * PLANNED_TIME_FACTOR;
         let target = call.target_ms as f64;
         let elapsed = now.saturating_sub(call.arrived) as f64;
-        let patience = (target - elapsed - planned).max(target * LEAST_PATIENCE_PART);
+        let useful = (target - elapsed - planned).min(target * MOST_PATIENCE_PART);
+        let patience = useful.max(target * LEAST_PATIENCE_PART);
         let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
         HopRequest {
             deadline_ms: left,
             patience_ms: (patience as u64).min(left),
             rank: call.rank,
+            target_ms: call.target_ms,
             repeatable: call.repeatable,
             service: call.service.clone(),
             instance: record.map(|instance| instance.id.clone()),
--- a/crates/sidecar/src/jobs.rs
+++ b/crates/sidecar/src/jobs.rs
@@ -180,9 +180,9 @@
         let job = self.next_job;
         self.next_job += 1;
         let deadline = now + hop.deadline_ms;
-        let patience_ms = hop.patience_ms;
-        let decision =
-            self.admission.submit(Ticket { job, rank: hop.rank, patience_ms, deadline }, now);
+        let (rank, target_ms, patience_ms) = (hop.rank, hop.target_ms, hop.patience_ms);
+        let ticket = Ticket { job, rank, target_ms, patience_ms, deadline };
+        let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
             return vec![self.refuse(source, &attempt_id, "no_room", retry_after_ms, now)];
         }
