--- /dev/null
+++ b/crates/admission/tests/gate.rs
@@ -0,0 +1,77 @@
+//! Which incarnation is beside a sidecar, and how its end is remembered.
+
+use admission::{DrainGate, GateState};
+use mesh::{InstanceRecord, InstanceState};
+
+const DRAIN_MS: u64 = 2_000;
+
+fn record(id: &str, state: InstanceState) -> InstanceRecord {
+    InstanceRecord { id: id.to_owned(), state, slots: 18, cold_remaining_ms: 0 }
+}
+
+fn serving() -> DrainGate {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    assert!(gate.told(&record("i-1", InstanceState::Ready), 1, 0));
+    gate
+}
+
+#[test]
+fn it_closes_well_before_the_drain_time_is_over() {
+    let mut gate = serving();
+    assert!(gate.told(&record("i-1", InstanceState::Draining), 2, 10_000));
+    assert_eq!(gate.state(10_500), GateState::Closing);
+    assert_eq!(gate.state(11_000), GateState::Closed);
+    assert!(gate.left("i-1", 12_000));
+    assert_eq!(gate.state(12_000), GateState::Closed, "a second end opens nothing");
+}
+
+#[test]
+fn a_late_heartbeat_does_not_bring_an_incarnation_back() {
+    let mut gate = serving();
+    gate.told(&record("i-1", InstanceState::Draining), 3, 10_000);
+    assert!(!gate.told(&record("i-1", InstanceState::Ready), 2, 10_100), "older");
+    assert!(!gate.told(&record("i-1", InstanceState::Ready), 4, 10_100), "newer, but gone is gone");
+    assert_eq!(gate.state(20_000), GateState::Closed);
+}
+
+#[test]
+fn a_replaced_incarnation_never_returns() {
+    let mut gate = serving();
+    assert!(gate.told(&record("i-2", InstanceState::Ready), 1, 5_000));
+    assert_eq!(gate.id(), Some("i-2"));
+    assert!(!gate.told(&record("i-1", InstanceState::Ready), 9, 5_100));
+    assert!(!gate.left("i-1", 5_200));
+    assert_eq!((gate.id(), gate.state(5_300)), (Some("i-2"), GateState::Open));
+}
+
+#[test]
+fn an_end_known_from_an_earlier_life_closes_it_at_once() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.restore(&record("i-1", InstanceState::Draining), 50);
+    assert_eq!(gate.state(50), GateState::Closed);
+
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&record("i-1", InstanceState::Ready), 7, 20);
+    gate.restore(&record("i-1", InstanceState::Left), 50);
+    assert_eq!(gate.state(50), GateState::Closed);
+
+    // The first thing heard after a kill is an end that the earlier life may have acknowledged.
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&record("i-1", InstanceState::Draining), 7, 20);
+    assert_eq!(gate.state(20), GateState::Closed);
+}
+
+#[test]
+fn what_coordinators_remember_does_not_replace_a_newer_incarnation() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&record("i-2", InstanceState::Ready), 1, 20);
+    gate.restore(&record("i-1", InstanceState::Left), 50);
+    assert_eq!((gate.id(), gate.state(60)), (Some("i-2"), GateState::Open));
+}
+
+#[test]
+fn without_an_upstream_nothing_passes() {
+    let gate = DrainGate::new(DRAIN_MS);
+    assert_eq!(gate.state(0), GateState::Absent);
+    assert_eq!(gate.record(0), None);
+}
--- /dev/null
+++ b/crates/coordinator/tests/autopilot.rs
@@ -0,0 +1,109 @@
+//! Changing members without an operator: table of situations.
+
+use consensus::Membership;
+use coordinator::{choose_member, Autopilot, Change, Facts, MemberFacts};
+use mesh::MemberId;
+use std::net::Ipv4Addr;
+
+const VOTERS: usize = 3;
+const SILENCE_MS: u64 = 2_000;
+const NOW: u64 = 100_000;
+
+fn at(host: u8, life: u32) -> MemberId {
+    MemberId::new(Ipv4Addr::new(10, 0, 0, host), life)
+}
+
+/// Facts led by the first voter; everyone is heard and caught up but those named.
+fn facts(voters: &[MemberId], learners: &[MemberId], silent: &[MemberId]) -> Facts {
+    let membership = Membership {
+        voters: voters.iter().map(|member| member.0).collect(),
+        learners: learners.iter().map(|member| member.0).collect(),
+    };
+    let of = |member: &MemberId| {
+        let heard_at = if silent.contains(member) { NOW - SILENCE_MS - 1 } else { NOW - 100 };
+        (*member, MemberFacts { heard_at: Some(heard_at), caught_up: true })
+    };
+    let members = voters.iter().chain(learners).map(of).collect();
+    Facts { own: voters[0], membership, members, now: NOW }
+}
+
+fn next(facts: &Facts, joining: &[MemberId]) -> Option<Change> {
+    let mut autopilot = Autopilot::new(VOTERS, SILENCE_MS);
+    for member in joining {
+        autopilot.wants_to_join(*member, NOW - 10);
+    }
+    autopilot.next_change(facts)
+}
+
+#[test]
+fn steps_follow_the_situation() {
+    let (a, b, c, d) = (at(1, 0), at(2, 0), at(3, 0), at(4, 9));
+    let b_again = at(2, 77);
+    let rows: Vec<(&str, Facts, Vec<MemberId>, Option<Change>)> = vec![
+        ("all is well", facts(&[a, b, c], &[d], &[]), vec![], None),
+        ("a newcomer", facts(&[a, b, c], &[], &[]), vec![d], Some(Change::AddLearner(d))),
+        ("one of few voters", facts(&[a, b], &[d], &[]), vec![], Some(Change::Promote(d))),
+        ("a silent voter without a spare", facts(&[a, b, c], &[], &[b]), vec![], None),
+        (
+            "a silent voter with a spare",
+            facts(&[a, b, c], &[d], &[b]),
+            vec![],
+            Some(Change::Promote(d)),
+        ),
+        ("its place is taken", facts(&[a, b, c, d], &[], &[b]), vec![], Some(Change::Remove(b))),
+        ("one voter too many, none silent", facts(&[a, b, c, d], &[], &[]), vec![], None),
+        ("a lost disk", facts(&[a, b, c], &[], &[b]), vec![b_again], Some(Change::Remove(b))),
+        (
+            "a lost disk, then the newcomer",
+            facts(&[a, c], &[], &[]),
+            vec![b_again],
+            Some(Change::AddLearner(b_again)),
+        ),
+        (
+            "a lost disk of a learner",
+            facts(&[a, b, c], &[d], &[d]),
+            vec![at(4, 10)],
+            Some(Change::Remove(d)),
+        ),
+        (
+            "two wipes in a row",
+            facts(&[a, c], &[b_again], &[b_again]),
+            vec![at(2, 78)],
+            Some(Change::Remove(b_again)),
+        ),
+        (
+            "no quorum would remain",
+            facts(&[a, b, c], &[], &[b, c]),
+            vec![b_again],
+            Some(Change::AddLearner(b_again)),
+        ),
+        ("cut off with a silent spare", facts(&[a, b, c], &[d], &[c, d]), vec![], None),
+        ("removed while away", facts(&[a, b, d], &[], &[]), vec![c], Some(Change::AddLearner(c))),
+    ];
+    for (name, facts, joining, expected) in rows {
+        assert_eq!(next(&facts, &joining), expected, "{name}");
+    }
+}
+
+#[test]
+fn a_learner_that_is_behind_does_not_vote() {
+    let (a, b, d) = (at(1, 0), at(2, 0), at(4, 9));
+    let mut facts = facts(&[a, b], &[d], &[]);
+    facts.members.insert(d, MemberFacts { heard_at: Some(NOW), caught_up: false });
+    assert_eq!(next(&facts, &[]), None);
+}
+
+#[test]
+fn the_leader_never_removes_itself() {
+    let (a, b, c) = (at(1, 0), at(2, 0), at(3, 0));
+    assert_eq!(next(&facts(&[a, b, c], &[], &[]), &[at(1, 5)]), Some(Change::AddLearner(at(1, 5))));
+}
+
+#[test]
+fn only_a_seed_of_a_new_fleet_begins_with_a_known_id() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let (own, other) = (Ipv4Addr::new(10, 0, 0, 1), Ipv4Addr::new(10, 0, 0, 2));
+    assert_eq!(choose_member(own, &[own, other], true, &mut random), at(1, 0));
+    assert_ne!(choose_member(own, &[own, other], false, &mut random).life(), 0);
+    assert_ne!(choose_member(own, &[other], true, &mut random).life(), 0);
+}
--- /dev/null
+++ b/crates/coordinator/tests/registry.rs
@@ -0,0 +1,147 @@
+//! The registry of sidecars: leases, lives, marks that stick, and what readers are told.
+
+use coordinator::Registry;
+use mesh::{InstanceRecord, InstanceState, NodeAddress, NodeRecord};
+use std::net::Ipv4Addr;
+
+const LEASE_MS: u64 = 3_000;
+
+fn address(host: u8) -> NodeAddress {
+    NodeAddress { ip: Ipv4Addr::new(10, 0, 0, host), port: 8_300 }
+}
+
+fn record(
+    host: u8,
+    life: u64,
+    sequence: u64,
+    instance: Option<(&str, InstanceState)>,
+) -> NodeRecord {
+    let instance = instance.map(|(id, state)| InstanceRecord {
+        id: id.to_owned(),
+        state,
+        slots: 9,
+        cold_remaining_ms: 0,
+    });
+    NodeRecord {
+        address: address(host),
+        life,
+        sequence,
+        zone: "a".to_owned(),
+        service: "s".to_owned(),
+        stopping: false,
+        instance,
+    }
+}
+
+fn state_of(registry: &Registry, host: u8) -> Option<InstanceState> {
+    let all = registry.changes_since(None).changed;
+    let found = all.into_iter().find(|node| node.address == address(host));
+    found.and_then(|node| node.instance).map(|instance| instance.state)
+}
+
+#[test]
+fn a_lease_ends_without_signs_of_life() {
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(record(1, 7, 1, None), 0);
+    registry.alive(&address(1), 7, 2_000);
+    assert!(!registry.expire(5_000));
+    registry.alive(&address(1), 6, 5_000);
+    assert!(registry.expire(5_001), "another life's sign counts for nothing");
+    assert_eq!(registry.nodes(), 0);
+}
+
+#[test]
+fn a_lost_connection_alone_removes_nobody_but_who_was_stopping() {
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(record(1, 7, 1, None), 0);
+    assert!(!registry.disconnected(&address(1), 7));
+    assert_eq!(registry.nodes(), 1);
+    let stopping = NodeRecord { stopping: true, ..record(1, 7, 2, None) };
+    registry.report(stopping, 10);
+    assert!(!registry.disconnected(&address(1), 6), "a late end of an earlier life");
+    assert!(registry.disconnected(&address(1), 7));
+    assert_eq!(registry.nodes(), 0);
+}
+
+#[test]
+fn the_end_of_an_incarnation_outlives_its_sidecar() {
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(record(1, 7, 1, Some(("i-1", InstanceState::Draining))), 0);
+    // The sidecar is killed, forgets, and hears a late heartbeat.
+    registry.report(record(1, 8, 1, None), 1_000);
+    let last = registry.last_record(&address(1)).expect("kept");
+    assert_eq!(last.instance.expect("kept").state, InstanceState::Draining);
+    registry.report(record(1, 8, 2, Some(("i-1", InstanceState::Ready))), 1_500);
+    assert_eq!(state_of(&registry, 1), Some(InstanceState::Draining));
+    // A new incarnation at the same place is not bound by it.
+    registry.report(record(1, 8, 3, Some(("i-2", InstanceState::Ready))), 2_000);
+    assert_eq!(state_of(&registry, 1), Some(InstanceState::Ready));
+}
+
+#[test]
+fn an_older_report_of_the_same_life_changes_nothing() {
+    let mut registry = Registry::new(LEASE_MS);
+    assert!(registry.report(record(1, 7, 5, Some(("i-1", InstanceState::Ready))), 0));
+    let position = registry.position();
+    assert!(!registry.report(record(1, 7, 4, None), 10));
+    assert_eq!(registry.position(), position);
+}
+
+/// A reader that follows deltas.
+#[derive(Default)]
+struct Reader {
+    position: Option<u64>,
+    nodes: std::collections::BTreeMap<NodeAddress, NodeRecord>,
+}
+
+impl Reader {
+    fn follow(&mut self, registry: &Registry) {
+        let changes = registry.changes_since(self.position);
+        if changes.whole {
+            self.nodes.clear();
+        }
+        for gone in &changes.gone {
+            self.nodes.remove(gone);
+        }
+        for node in changes.changed {
+            self.nodes.insert(node.address, node);
+        }
+        self.position = Some(changes.position);
+    }
+}
+
+#[test]
+fn a_reader_of_deltas_sees_what_a_new_reader_sees() {
+    for seed in 0..300 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut registry = Registry::new(LEASE_MS);
+        let mut follower = Reader::default();
+        let mut now = 0;
+        for step in 0..120 {
+            now += random.u64(0..800);
+            let host = random.u8(1..9);
+            let life = random.u64(1..3);
+            match random.u8(0..10) {
+                0..6 => {
+                    let instance = Some(("i", InstanceState::Ready));
+                    registry.report(record(host, life, step, instance), now);
+                }
+                6 => {
+                    let node = NodeRecord { stopping: true, ..record(host, life, step, None) };
+                    registry.report(node, now);
+                    registry.disconnected(&address(host), life);
+                }
+                _ => {
+                    registry.expire(now);
+                }
+            }
+            if random.bool() {
+                follower.follow(&registry);
+            }
+        }
+        follower.follow(&registry);
+        let mut fresh = Reader::default();
+        fresh.follow(&registry);
+        assert_eq!(follower.nodes, fresh.nodes, "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/shares.rs
@@ -0,0 +1,101 @@
+//! Shares of a split, and the retry budget of a fleet.
+
+use bundle::Target;
+use placement::{BudgetBounds, RetryBudget, WeightedSplit};
+use std::collections::BTreeMap;
+
+fn targets(weights: &[u32]) -> Vec<Target> {
+    let named = weights.iter().enumerate();
+    named.map(|(part, weight)| Target { service: format!("s{part}"), weight: *weight }).collect()
+}
+
+/// Worst distance of a part's share from its weight's, over a fleet of nodes that each draw
+/// `draws` times.
+fn worst_distance(weights: &[u32], nodes: u64, draws: u32, seed: u64) -> f64 {
+    let targets = targets(weights);
+    let mut counts: BTreeMap<String, f64> = BTreeMap::new();
+    for node in 0..nodes {
+        let mut random = fastrand::Rng::with_seed(seed * 1_000 + node);
+        let mut split = WeightedSplit::new(&targets, &mut random);
+        for _ in 0..draws {
+            let service = split.draw().expect("there is a weight").to_owned();
+            *counts.entry(service).or_default() += 1.0;
+        }
+    }
+    let sum: f64 = weights.iter().map(|weight| f64::from(*weight)).sum();
+    let all = f64::from(draws) * nodes as f64;
+    let distance = |target: &Target| {
+        let share = counts.get(&target.service).copied().unwrap_or(0.0) / all;
+        (share - f64::from(target.weight) / sum).abs()
+    };
+    targets.iter().map(distance).fold(0.0, f64::max)
+}
+
+#[test]
+fn shares_are_close_to_the_weights_over_a_few_hundred_calls() {
+    for seed in 0..200 {
+        for weights in [&[90, 10][..], &[50, 50], &[99, 1], &[1, 2, 3], &[0, 5, 5]] {
+            let worst = worst_distance(weights, 12, 25, seed);
+            assert!(worst < 0.03, "{weights:?}, seed {seed}: off by {worst}");
+        }
+    }
+}
+
+#[test]
+fn a_part_without_weight_gets_nothing() {
+    let mut split = WeightedSplit::new(&targets(&[0, 1]), &mut fastrand::Rng::with_seed(1));
+    assert!((0..100).all(|_| split.draw() == Some("s1")));
+    let mut split = WeightedSplit::new(&targets(&[0, 0]), &mut fastrand::Rng::with_seed(1));
+    assert_eq!(split.draw(), None);
+}
+
+const BOUNDS: BudgetBounds = BudgetBounds { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
+
+/// Plays a fleet whose every call fails, and returns the worst excess of repeats over the bound
+/// in any window.
+fn worst_excess(nodes: usize, believed_nodes: usize, seed: u64) -> f64 {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut budgets: Vec<RetryBudget> = (0..nodes).map(|_| RetryBudget::new(BOUNDS)).collect();
+    let mut events: Vec<(u64, bool)> = Vec::new();
+    let mut now = 0;
+    while now < 40_000 {
+        now += random.u64(0..4);
+        // Load comes and goes, so that windows begin and end badly.
+        if (now / 5_000) % 2 == 1 && random.u8(0..10) > 0 {
+            continue;
+        }
+        let budget = &mut budgets[random.usize(0..nodes)];
+        budget.note_request("s", now);
+        events.push((now, false));
+        if budget.allows("s", believed_nodes, now) {
+            budget.note_repeat("s", now);
+            events.push((now, true));
+        }
+    }
+    let count = |from: u64, repeats: bool| {
+        let to = from + BOUNDS.window_ms;
+        let found = events.iter().filter(|(at, kind)| (from..to).contains(at) && *kind == repeats);
+        found.count() as f64
+    };
+    let excess = |from: u64| {
+        let starts = [from, from.saturating_sub(5_000), from.saturating_sub(10_000)];
+        let requests = starts.iter().map(|start| count(*start, false)).fold(0.0, f64::max);
+        count(from, true) - BOUNDS.ratio * requests - BOUNDS.slack
+    };
+    (0..30_000).step_by(500).map(|from| excess(from as u64)).fold(f64::MIN, f64::max)
+}
+
+#[test]
+fn the_fleet_keeps_the_bound_when_every_call_fails() {
+    for seed in 0..20 {
+        for nodes in [1, 3, 12] {
+            let worst = worst_excess(nodes, nodes, seed);
+            assert!(worst <= 0.0, "{nodes} nodes, seed {seed}: {worst} too many");
+        }
+    }
+}
+
+#[test]
+fn the_check_notices_nodes_that_each_take_the_whole_slack() {
+    assert!((0..20).any(|seed| worst_excess(12, 1, seed) > 0.0));
+}
