--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -128,6 +128,9 @@
 /// Status, body and whether the connection may be used again; or the error.
 type Outcome = Result<(u16, Vec<u8>, bool), ExchangeError>;
 
+/// Name, bytes, how the connection ends then, and what comes of it.
+type Row = (&'static str, &'static [u8], Option<StreamEnd>, Option<Outcome>);
+
 fn answer(bytes: &[u8], end: Option<StreamEnd>) -> Option<Outcome> {
     let mut exchange = exchange();
     let mut input = BytesMut::from(bytes);
@@ -145,7 +148,7 @@
     let clean = Some(StreamEnd::Clean);
     let reset = Some(StreamEnd::Reset);
     let ok = |body: &str, reusable| Some(Ok((200, body.as_bytes().to_vec(), reusable)));
-    let rows: Vec<(&str, &[u8], Option<StreamEnd>, Option<Outcome>)> = vec![
+    let rows: Vec<Row> = vec![
         ("whole", b"HTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 2\r\n\r\nab", None, ok("ab", true)),
         (
             "interim first",
--- /dev/null
+++ b/crates/rollout/tests/replace.rs
@@ -0,0 +1,164 @@
+//! Replacements by a trusted source: compare-and-set, resends, races, the approval policy.
+
+use bundle::{best_update, Bundle, Object, Service};
+use rollout::{
+    Accepted, Answer, ApprovalPolicy, Command, ConfigMachine, Refusal, Request, RolloutWeakness,
+};
+use std::collections::BTreeMap;
+
+const SOURCE: &str = "platform";
+
+fn content(number: u64) -> Bundle {
+    let service = Service {
+        name: format!("service-{number}"),
+        upstream_slots: 1,
+        upstream_connections: 1,
+        annotation: format!("as sent {number}"),
+    };
+    Bundle::from_objects(vec![Object::Service(service)])
+}
+
+struct Fleet {
+    machine: ConfigMachine,
+    index: u64,
+}
+
+impl Fleet {
+    fn trusting() -> Self {
+        let mut fleet = Fleet { machine: ConfigMachine::default(), index: 0 };
+        let policy = ApprovalPolicy::TrustedSource { principal: SOURCE.to_owned() };
+        assert_eq!(
+            fleet.apply("control", Command::SetApprovalPolicy { policy }),
+            Ok(Accepted::PolicySet)
+        );
+        fleet
+    }
+
+    fn apply(&mut self, operator: &str, command: Command) -> Answer {
+        self.index += 1;
+        let request_id = format!("r{}", self.index);
+        let request = Request { operator: operator.to_owned(), request_id, command };
+        self.machine.apply(self.index, &request)
+    }
+
+    fn order(&self, expected_version: u64, version: u64, bundle: &Bundle) -> Command {
+        let (_, base) = self.machine.in_force();
+        let update = best_update(Some(&base), bundle);
+        Command::Replace { expected_version, version, digest: bundle.digest(), update }
+    }
+
+    fn replace(&mut self, expected: u64, version: u64, bundle: &Bundle) -> Answer {
+        let command = self.order(expected, version, bundle);
+        self.apply(SOURCE, command)
+    }
+}
+
+#[test]
+fn only_the_trusted_source_may_replace() {
+    let mut fleet = Fleet { machine: ConfigMachine::default(), index: 0 };
+    let refused = fleet.replace(0, 1, &content(1));
+    assert!(matches!(refused, Err(Refusal::NotTrusted { .. })), "the default is a second operator");
+    let mut fleet = Fleet::trusting();
+    let command = fleet.order(0, 1, &content(1));
+    assert!(matches!(fleet.apply("mallory", command), Err(Refusal::NotTrusted { .. })));
+}
+
+#[test]
+fn a_replacement_is_approved_and_in_force_in_one_commit() {
+    let mut fleet = Fleet::trusting();
+    assert_eq!(
+        fleet.replace(0, 12, &content(1)),
+        Ok(Accepted::Replaced { version: 12, generation: 1 })
+    );
+    let (target, bundle) = fleet.machine.in_force();
+    assert_eq!((target.generation, bundle.digest()), (1, content(1).digest()));
+    assert_eq!(target.approval.map(|approval| approval.operator), Some(SOURCE.to_owned()));
+    assert_eq!(fleet.machine.current_version(), 12);
+}
+
+#[test]
+fn of_two_orders_on_one_version_one_wins() {
+    let mut fleet = Fleet::trusting();
+    fleet.replace(0, 5, &content(1)).expect("first");
+    let one = fleet.order(5, 7, &content(2));
+    let other = fleet.order(5, 7, &content(3));
+    fleet.apply(SOURCE, one.clone()).expect("the first wins");
+    let refused = fleet.apply(SOURCE, other);
+    assert!(matches!(refused, Err(Refusal::VersionChanged { expected: 5, current: 7 })));
+    assert_eq!(fleet.machine.in_force().1.digest(), content(2).digest());
+}
+
+#[test]
+fn a_resend_of_what_was_taken_is_taken_again_whatever_came_since() {
+    let mut fleet = Fleet::trusting();
+    let first = fleet.order(0, 5, &content(1));
+    let taken = fleet.apply(SOURCE, first.clone());
+    assert_eq!(fleet.apply(SOURCE, first.clone()), taken);
+    for version in 6..400 {
+        fleet.replace(version - 1, version, &content(version)).expect("taken");
+    }
+    assert_eq!(fleet.apply(SOURCE, first), taken);
+    assert_eq!(fleet.machine.current_version(), 399, "and nothing goes back");
+}
+
+#[test]
+fn versions_climb() {
+    let mut fleet = Fleet::trusting();
+    fleet.replace(0, 5, &content(1)).expect("taken");
+    for version in [3, 5] {
+        let refused = fleet.replace(5, version, &content(2));
+        assert!(matches!(refused, Err(Refusal::VersionNotAbove { .. })), "{version}: {refused:?}");
+    }
+}
+
+#[test]
+fn the_whole_state_survives_a_snapshot() {
+    let mut fleet = Fleet::trusting();
+    for version in 1..20 {
+        fleet.replace(version - 1, version, &content(version)).expect("taken");
+    }
+    let restored = ConfigMachine::decode(&fleet.machine.encode()).expect("readable");
+    assert_eq!(restored, fleet.machine);
+    assert_eq!(restored.current_version(), 19);
+}
+
+/// Operators that race and resend; returns whether two orders on one version were both taken.
+fn two_winners(weakness: Option<RolloutWeakness>, seed: u64) -> bool {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut fleet = Fleet::trusting();
+    if let Some(weakness) = weakness {
+        fleet.machine.weaken(weakness);
+    }
+    let mut orders: Vec<(u64, u64, Command)> = Vec::new();
+    let mut winners: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut broken = false;
+    for step in 0..80 {
+        let resend = !orders.is_empty() && random.u8(0..3) == 0;
+        let (expected, version, command) = if resend {
+            orders[random.usize(..orders.len())].clone()
+        } else {
+            let current = fleet.machine.current_version();
+            let expected = current.saturating_sub(random.u64(0..2));
+            let version = current + random.u64(1..4);
+            (expected, version, fleet.order(expected, version, &content(1_000 + step)))
+        };
+        orders.push((expected, version, command.clone()));
+        if let Ok(Accepted::Replaced { generation, .. }) = fleet.apply(SOURCE, command) {
+            broken |= *winners.entry(expected).or_insert(generation) != generation;
+        }
+    }
+    broken
+}
+
+#[test]
+fn two_orders_on_one_version_are_never_both_taken() {
+    for seed in 0..300 {
+        assert!(!two_winners(None, seed), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_check_notices_orders_taken_on_any_version() {
+    let weak = Some(RolloutWeakness::IgnoresExpectedVersion);
+    assert!((0..20).any(|seed| two_winners(weak, seed)));
+}
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -17,6 +17,13 @@
     generation: u64,
 }
 
+impl ConnectionId {
+    /// An id for tests of the cores, which open no connection.
+    pub fn for_tests(number: u64) -> Self {
+        ConnectionId { place: 0, generation: number }
+    }
+}
+
 /// Tokens from here on are listeners.
 const FIRST_LISTENER: usize = 1 << 30;
 const SCRATCH_BYTES: usize = 64 * 1024;
--- /dev/null
+++ b/crates/sidecar/tests/calls.rs
@@ -0,0 +1,177 @@
+//! What becomes of a call: verdicts, repeats, deadlines, cancellation.
+
+mod common;
+
+use common::*;
+use http1::Response;
+use mesh::HopOutcome;
+use sidecar::{AttemptEnd, CallAction};
+
+#[test]
+fn without_a_configuration_nothing_is_said_about_routes() {
+    let mut world = World::unconfigured();
+    let actions = world.begin("GET", "/safe/1");
+    assert_eq!(status(&actions), Some(503));
+    assert!(retry_after_ms(&actions).is_some());
+}
+
+#[test]
+fn only_an_unknown_route_is_404() {
+    let mut world = World::with_upstreams(1);
+    assert_eq!(status(&world.begin("GET", "/nowhere/")), Some(404));
+    assert_eq!(status(&world.begin_at("other.example", "GET", "/safe/1")), Some(404));
+    assert!(sent(&world.begin("GET", "/safe/1")).is_some());
+}
+
+#[test]
+fn final_answers_follow_from_what_is_certain() {
+    // What the first upstream said, whether the call may run twice, and what the caller gets when
+    // there is no second upstream.
+    type Row = (&'static str, bool, fn() -> AttemptEnd, u16);
+    let rows: Vec<Row> = vec![
+        ("not sent, safe", true, || AttemptEnd::NotSent, 503),
+        ("not sent, unsafe", false, || AttemptEnd::NotSent, 503),
+        ("refused, unsafe", false, || replied(HopOutcome::Refused, 503), 503),
+        ("rejected, unsafe", false, || replied(HopOutcome::Rejected, 503), 503),
+        ("lost, safe", true, || AttemptEnd::Lost, 502),
+        ("lost, unsafe", false, || AttemptEnd::Lost, 502),
+        ("unknown, unsafe", false, || replied(HopOutcome::Unknown, 502), 502),
+        ("answered", false, || replied(HopOutcome::Answered, 200), 200),
+        ("failed by the upstream", false, || replied(HopOutcome::Answered, 500), 500),
+        ("failed by the upstream, safe", true, || replied(HopOutcome::Answered, 500), 500),
+        ("rejected for what the caller sent", true, || replied(HopOutcome::Rejected, 400), 400),
+    ];
+    for (name, safe, end, expected) in rows {
+        let mut world = World::with_upstreams(1);
+        let path = if safe { "/safe/1" } else { "/unsafe/1" };
+        let (attempt, _) = sent(&world.begin("POST", path)).expect("placed");
+        let actions = world.calls.ended(attempt, end(), world.now);
+        assert_eq!(status(&actions), Some(expected), "{name}");
+        let promises = expected == 503;
+        assert_eq!(retry_after_ms(&actions).is_some(), promises, "{name}");
+        assert_eq!(world.calls.in_flight(), 0, "{name}");
+    }
+}
+
+#[test]
+fn a_call_that_surely_did_not_run_goes_to_another_upstream() {
+    for path in ["/safe/1", "/unsafe/1"] {
+        for end in [|| AttemptEnd::NotSent, || replied(HopOutcome::Refused, 503)] {
+            let mut world = World::with_upstreams(3);
+            let mut seen = Vec::new();
+            let mut actions = world.begin("POST", path);
+            while let Some((attempt, to)) = sent(&actions) {
+                assert!(!seen.contains(&to), "{path}: asked twice");
+                seen.push(to);
+                actions = world.calls.ended(attempt, end(), world.now);
+            }
+            assert_eq!(seen.len(), 3, "{path}");
+            assert_eq!(status(&actions), Some(503));
+        }
+    }
+}
+
+#[test]
+fn a_call_that_may_have_run_is_repeated_only_if_it_may_run_twice() {
+    let mut world = World::with_upstreams(3);
+    let (attempt, _) = sent(&world.begin("POST", "/unsafe/1")).expect("placed");
+    assert_eq!(status(&world.calls.ended(attempt, AttemptEnd::Lost, world.now)), Some(502));
+
+    let (first, _) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+    let again = world.calls.ended(first, AttemptEnd::Lost, world.now);
+    let (second, _) = sent(&again).expect("safe calls are repeated");
+    // The route allows two upstreams.
+    assert_eq!(status(&world.calls.ended(second, AttemptEnd::Lost, world.now)), Some(502));
+}
+
+#[test]
+fn late_news_of_an_earlier_try_changes_nothing() {
+    let mut world = World::with_upstreams(2);
+    let (first, _) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+    let (second, _) =
+        sent(&world.calls.ended(first, AttemptEnd::Lost, world.now)).expect("repeated");
+    assert!(world.calls.ended(first, replied(HopOutcome::Answered, 200), world.now).is_empty());
+    let actions = world.calls.ended(second, replied(HopOutcome::Answered, 200), world.now);
+    assert_eq!(status(&actions), Some(200));
+    assert!(world.calls.ended(second, replied(HopOutcome::Answered, 200), world.now).is_empty());
+}
+
+#[test]
+fn the_final_answer_comes_at_the_earlier_of_deadline_and_timeout() {
+    for (told, expected) in [(5_000, TIMEOUT_MS), (300, 300)] {
+        let mut world = World::with_upstreams(1);
+        let actions = world.begin_with_deadline("/safe/1", told);
+        let (attempt, _) = sent(&actions).expect("placed");
+        assert!(world.calls.tick(world.now + expected - 1).is_empty());
+        let actions = world.calls.tick(world.now + expected);
+        assert_eq!(status(&actions), Some(504));
+        assert!(actions
+            .iter()
+            .any(|action| matches!(action, CallAction::Abort(a) if *a == attempt)));
+    }
+}
+
+#[test]
+fn what_is_left_of_the_time_is_handed_on() {
+    let mut world = World::with_upstreams(2);
+    let actions = world.begin_with_deadline("/safe/1", 1_000);
+    let (first, _) = sent(&actions).expect("placed");
+    let before = hop(&actions).expect("placed").deadline_ms;
+    assert!(before < 1_000);
+    let again = world.calls.ended(first, AttemptEnd::NotSent, world.now + 200);
+    assert_eq!(hop(&again).expect("placed").deadline_ms, before - 200);
+}
+
+#[test]
+fn a_caller_that_leaves_stops_what_runs_for_it() {
+    let mut world = World::with_upstreams(1);
+    let (attempt, _) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+    let connection = world.connection();
+    let actions = world.calls.connection_ended(connection);
+    assert!(matches!(actions[..], [CallAction::Abort(found)] if found == attempt));
+    assert_eq!(world.calls.in_flight(), 0);
+    assert!(world.calls.tick(world.now + 100_000).is_empty());
+}
+
+#[test]
+fn callers_cannot_speak_for_sidecars() {
+    let mut world = World::with_upstreams(1);
+    let forged = [
+        (NAMES.expect_instance, "i-0"),
+        (NAMES.caller, "another"),
+        (mesh::HOP_HEADER, "9 9 0 9 1 s -"),
+    ];
+    let actions = world.begin_with_headers("/safe/1", &forged);
+    let CallAction::Send { request, .. } = &actions[0] else { panic!("placed") };
+    assert_eq!(request.headers.text(NAMES.expect_instance), None);
+    assert_eq!(request.headers.text(NAMES.caller), Some(OWN_SERVICE));
+    assert_eq!(request.headers.text(mesh::HOP_HEADER), None);
+    assert_eq!(request.headers.text(NAMES.attempt_id), Some("id-1"));
+}
+
+#[test]
+fn a_service_without_upstreams_is_waited_for_only_shortly() {
+    let mut world = World::with_upstreams(0);
+    assert!(world.begin("GET", "/safe/1").is_empty(), "an upstream may come at any moment");
+    world.add_upstream(1);
+    let actions = world.calls.tick(world.now + 50);
+    let (attempt, _) = sent(&actions).expect("it came");
+    world.calls.ended(attempt, replied(HopOutcome::Answered, 200), world.now);
+
+    let mut world = World::with_upstreams(0);
+    world.begin("GET", "/safe/1");
+    let actions = world.calls.tick(world.now + 500);
+    assert_eq!(status(&actions), Some(503));
+}
+
+#[test]
+fn the_answer_of_an_upstream_is_passed_on_unchanged() {
+    let mut world = World::with_upstreams(1);
+    let (attempt, _) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+    let response = Response::text(203, "body").with_header("X-Own", "1");
+    let end = AttemptEnd::Replied(reply(HopOutcome::Answered), response.clone());
+    let actions = world.calls.ended(attempt, end, world.now);
+    assert!(
+        matches!(&actions[..], [CallAction::Answer { response: found, .. }] if *found == response)
+    );
+}
--- /dev/null
+++ b/crates/sidecar/tests/common/mod.rs
@@ -0,0 +1,193 @@
+//! A sidecar's outbound side without sockets.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use bundle::{best_update, Bundle, Object, Priority, Route, Service, Target};
+use http1::{Headers, Request, Response};
+use mesh::{
+    HopOutcome, HopReply, HopRequest, InstanceRecord, InstanceState, NodeAddress, NodeRecord,
+};
+use placement::BudgetBounds;
+use sidecar::{Attempt, AttemptEnd, CallAction, Calls, Config, ConnectionId, HeaderNames, Origin};
+use std::net::Ipv4Addr;
+
+pub const NAMES: HeaderNames = HeaderNames {
+    attempt_id: "x-attempt",
+    deadline_ms: "x-deadline",
+    seal: "x-seal",
+    expect_instance: "x-expect",
+    not_run: "x-not-run",
+    caller: "x-caller",
+};
+pub const OWN_SERVICE: &str = "own";
+pub const SERVICE: &str = "fares";
+pub const HOST: &str = "fares.example";
+pub const TIMEOUT_MS: u64 = 2_000;
+const TARGET_MS: u32 = 600;
+
+/// The outbound side with its configuration.
+pub struct World {
+    pub calls: Calls,
+    pub config: Config,
+    pub now: u64,
+    next_slot: u64,
+}
+
+fn route(name: &str, prefix: &str, repeatable: bool) -> Object {
+    Object::Route(Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: prefix.to_owned(),
+        methods: Vec::new(),
+        targets: vec![Target { service: SERVICE.to_owned(), weight: 1 }],
+        secret: None,
+        timeout_ms: TIMEOUT_MS as u32,
+        repeatable,
+        priority: Priority::Normal,
+        retry_budget_percent: 20,
+        max_staleness_s: 0,
+        attempts: 2,
+        target_latency_ms: TARGET_MS,
+        rank: 1,
+        annotation: String::new(),
+    })
+}
+
+pub fn bundle() -> Bundle {
+    let service = Service {
+        name: SERVICE.to_owned(),
+        upstream_slots: 1,
+        upstream_connections: 100,
+        annotation: String::new(),
+    };
+    let routes = [route("safe", "/safe/", true), route("unsafe", "/unsafe/", false)];
+    Bundle::from_objects(routes.into_iter().chain([Object::Service(service)]).collect())
+}
+
+impl World {
+    pub fn unconfigured() -> Self {
+        let bounds = BudgetBounds { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
+        let calls = Calls::new(NAMES, OWN_SERVICE, "zone-a", bounds, 1);
+        World { calls, config: Config::default(), now: 10_000, next_slot: 0 }
+    }
+
+    pub fn with_upstreams(count: u8) -> Self {
+        let mut world = World::unconfigured();
+        assert!(world.config.apply(1, &best_update(None, &bundle())));
+        for host in 1..=count {
+            world.add_upstream(host);
+        }
+        world
+    }
+
+    pub fn add_upstream(&mut self, host: u8) {
+        let instance = InstanceRecord {
+            id: format!("i-{host}"),
+            state: InstanceState::Ready,
+            slots: 9,
+            cold_remaining_ms: 0,
+        };
+        let record = NodeRecord {
+            address: NodeAddress { ip: Ipv4Addr::new(10, 0, 0, host), port: 8_300 },
+            life: 1,
+            sequence: 1,
+            zone: "zone-a".to_owned(),
+            service: SERVICE.to_owned(),
+            stopping: false,
+            instance: Some(instance),
+        };
+        self.calls.view.update(record, self.now);
+    }
+
+    pub fn connection(&self) -> ConnectionId {
+        ConnectionId::for_tests(1)
+    }
+
+    pub fn begin(&mut self, method: &str, path: &str) -> Vec<CallAction> {
+        self.begin_request(HOST, method, path, &[])
+    }
+
+    pub fn begin_at(&mut self, host: &str, method: &str, path: &str) -> Vec<CallAction> {
+        self.begin_request(host, method, path, &[])
+    }
+
+    pub fn begin_with_deadline(&mut self, path: &str, deadline_ms: u64) -> Vec<CallAction> {
+        let deadline = deadline_ms.to_string();
+        self.begin_request(HOST, "GET", path, &[(NAMES.deadline_ms, &deadline)])
+    }
+
+    pub fn begin_with_headers(&mut self, path: &str, more: &[(&str, &str)]) -> Vec<CallAction> {
+        self.begin_request(HOST, "GET", path, more)
+    }
+
+    fn begin_request(
+        &mut self,
+        host: &str,
+        method: &str,
+        path: &str,
+        more: &[(&str, &str)],
+    ) -> Vec<CallAction> {
+        self.next_slot += 1;
+        let mut headers = Headers::default();
+        headers.push("Host", host);
+        headers.push(NAMES.attempt_id, format!("id-{}", self.next_slot));
+        for (name, value) in more {
+            headers.push(*name, *value);
+        }
+        let request = Request {
+            method: method.to_owned(),
+            target: path.to_owned(),
+            headers,
+            body: Vec::new(),
+        };
+        let origin = Origin { connection: self.connection(), slot: self.next_slot };
+        self.calls.begin(origin, request, &self.config, self.now)
+    }
+}
+
+pub fn sent(actions: &[CallAction]) -> Option<(Attempt, NodeAddress)> {
+    actions.iter().find_map(|action| match action {
+        CallAction::Send { attempt, to, .. } => Some((*attempt, *to)),
+        _ => None,
+    })
+}
+
+pub fn hop(actions: &[CallAction]) -> Option<HopRequest> {
+    actions.iter().find_map(|action| match action {
+        CallAction::Send { hop, .. } => Some(hop.clone()),
+        _ => None,
+    })
+}
+
+fn answer(actions: &[CallAction]) -> Option<&Response> {
+    actions.iter().find_map(|action| match action {
+        CallAction::Answer { response, .. } => Some(response),
+        _ => None,
+    })
+}
+
+pub fn status(actions: &[CallAction]) -> Option<u16> {
+    answer(actions).map(|response| response.status)
+}
+
+pub fn retry_after_ms(actions: &[CallAction]) -> Option<u64> {
+    let seconds: f64 = answer(actions)?.headers.text("retry-after")?.parse().ok()?;
+    Some((seconds * 1_000.0) as u64)
+}
+
+pub fn reply(outcome: HopOutcome) -> HopReply {
+    HopReply {
+        outcome,
+        running: 1,
+        queued: 0,
+        limit: 9,
+        service_ms: 100,
+        spent_ms: 100,
+        retry_after_ms: 80,
+        state: InstanceState::Ready,
+    }
+}
+
+pub fn replied(outcome: HopOutcome, status: u16) -> AttemptEnd {
+    AttemptEnd::Replied(reply(outcome), Response::empty(status))
+}
--- /dev/null
+++ b/crates/sidecar/tests/jobs.rs
@@ -0,0 +1,189 @@
+//! The inbound side: who is let to the upstream, and what its answers mean.
+
+mod common;
+
+use common::{NAMES, SERVICE};
+use http1::{Answer, ExchangeError, Headers, Request, Response};
+use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
+use sidecar::{ConnectionId, JobAction, Jobs, Source, UpstreamEnd};
+use std::rc::Rc;
+
+const DRAIN_MS: u64 = 2_000;
+const SLOTS: u32 = 2;
+
+fn record(id: &str, state: InstanceState) -> InstanceRecord {
+    InstanceRecord { id: id.to_owned(), state, slots: SLOTS, cold_remaining_ms: 0 }
+}
+
+fn jobs() -> Jobs {
+    let mut jobs = Jobs::new(NAMES, SERVICE, DRAIN_MS);
+    jobs.gate.told(&record("i-1", InstanceState::Ready), 1, 0);
+    jobs.refresh_limit();
+    jobs
+}
+
+fn source(slot: u64) -> Source {
+    Source::Peer { connection: ConnectionId::for_tests(1), slot }
+}
+
+fn hop(service: &str, instance: Option<&str>) -> HopRequest {
+    HopRequest {
+        deadline_ms: 1_000,
+        patience_ms: 500,
+        rank: 1,
+        target_ms: 600,
+        repeatable: true,
+        service: service.to_owned(),
+        instance: instance.map(str::to_owned),
+    }
+}
+
+fn request() -> Rc<Request> {
+    let mut headers = Headers::default();
+    headers.push(NAMES.attempt_id, "7");
+    headers.push(NAMES.expect_instance, "forged");
+    let request =
+        Request { method: "GET".to_owned(), target: "/".to_owned(), headers, body: Vec::new() };
+    Rc::new(request)
+}
+
+fn begin(jobs: &mut Jobs, slot: u64, now: u64) -> Vec<JobAction> {
+    jobs.begin(source(slot), request(), &hop(SERVICE, Some("i-1")), now)
+}
+
+fn outcomes(actions: &[JobAction]) -> Vec<HopOutcome> {
+    let outcome = |action: &JobAction| match action {
+        JobAction::Reply { reply, .. } => Some(reply.outcome),
+        _ => None,
+    };
+    actions.iter().filter_map(outcome).collect()
+}
+
+fn started(actions: &[JobAction]) -> Option<(u64, &Request)> {
+    actions.iter().find_map(|action| match action {
+        JobAction::Run { job, request } => Some((*job, request)),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_upstream_is_told_what_is_left_and_who_is_meant() {
+    let mut jobs = jobs();
+    let actions = begin(&mut jobs, 1, 100);
+    let (_, request) = started(&actions).expect("it runs");
+    assert_eq!(request.headers.text(NAMES.deadline_ms), Some("1000"));
+    assert_eq!(request.headers.text(NAMES.expect_instance), Some("i-1"));
+}
+
+#[test]
+fn a_call_meant_for_others_is_refused() {
+    let mut jobs = jobs();
+    for hop in [hop("another", None), hop(SERVICE, Some("i-0"))] {
+        let actions = jobs.begin(source(1), request(), &hop, 100);
+        assert_eq!(outcomes(&actions), [HopOutcome::Refused]);
+    }
+    let actions = jobs.begin(source(2), request(), &hop(SERVICE, None), 100);
+    assert!(started(&actions).is_some(), "any incarnation will do");
+}
+
+#[test]
+fn nothing_passes_after_the_gate_has_closed_not_even_what_waits() {
+    let mut jobs = jobs();
+    let first = begin(&mut jobs, 1, 0);
+    begin(&mut jobs, 2, 0);
+    assert!(begin(&mut jobs, 3, 0).is_empty(), "it waits");
+    jobs.gate.told(&record("i-1", InstanceState::Draining), 2, 10);
+    let (first, _) = started(&first).expect("runs");
+    let answer = Answer { response: sealed(200), reusable: true };
+    let late = DRAIN_MS;
+    let actions = jobs.ended(first, UpstreamEnd::Answered(answer), late);
+    assert!(started(&actions).is_none(), "{actions:?}");
+    assert_eq!(outcomes(&actions), [HopOutcome::Answered, HopOutcome::Refused]);
+    assert_eq!(outcomes(&begin(&mut jobs, 4, late)), [HopOutcome::Refused]);
+}
+
+fn sealed(status: u16) -> Response {
+    Response::empty(status).with_header(NAMES.seal, "s")
+}
+
+#[test]
+fn what_an_answer_says_of_the_request() {
+    let answered = |response| UpstreamEnd::Answered(Answer { response, reusable: true });
+    let rows: Vec<(&str, UpstreamEnd, HopOutcome)> = vec![
+        ("sealed success", answered(sealed(200)), HopOutcome::Answered),
+        ("success without seal", answered(Response::empty(200)), HopOutcome::Unknown),
+        ("sealed failure", answered(sealed(500)), HopOutcome::Answered),
+        (
+            "rejection",
+            answered(Response::empty(503).with_header(NAMES.not_run, "1")),
+            HopOutcome::Rejected,
+        ),
+        ("another incarnation", answered(Response::empty(421)), HopOutcome::Rejected),
+        ("not sent", UpstreamEnd::NotSent, HopOutcome::Refused),
+        ("cut short", UpstreamEnd::Failed(ExchangeError::CutShort), HopOutcome::Unknown),
+        ("no answer", UpstreamEnd::Failed(ExchangeError::NoAnswer), HopOutcome::Unknown),
+    ];
+    for (name, end, expected) in rows {
+        let mut jobs = jobs();
+        let actions = begin(&mut jobs, 1, 0);
+        let (job, _) = started(&actions).expect("it runs");
+        assert_eq!(outcomes(&jobs.ended(job, end, 50)), [expected], "{name}");
+        assert_eq!(jobs.load(), (0, 0), "{name}: the slot is free again");
+    }
+}
+
+#[test]
+fn a_peer_that_leaves_frees_the_slot_for_the_next() {
+    let mut jobs = jobs();
+    begin(&mut jobs, 1, 0);
+    begin(&mut jobs, 2, 0);
+    let other = Source::Peer { connection: ConnectionId::for_tests(2), slot: 1 };
+    assert!(jobs.begin(other, request(), &hop(SERVICE, None), 0).is_empty());
+    let actions = jobs.connection_ended(ConnectionId::for_tests(1), 10);
+    let aborted = actions.iter().filter(|action| matches!(action, JobAction::Abort(_)));
+    assert_eq!(aborted.count(), 2);
+    assert!(started(&actions).is_some(), "the waiting one starts");
+    assert_eq!(jobs.load(), (1, 0));
+}
+
+#[test]
+fn what_runs_past_its_deadline_is_taken_away() {
+    let mut jobs = jobs();
+    begin(&mut jobs, 1, 0);
+    assert!(jobs.tick(1_000).is_empty());
+    let actions = jobs.tick(1_200);
+    assert!(actions.iter().any(|action| matches!(action, JobAction::Abort(_))));
+    assert_eq!(outcomes(&actions), [HopOutcome::Unknown]);
+}
+
+#[test]
+fn slots_are_never_exceeded_and_never_lost() {
+    for seed in 0..300 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut jobs = jobs();
+        let mut running: Vec<u64> = Vec::new();
+        let mut now = 0;
+        for slot in 0..200 {
+            now += random.u64(0..60);
+            let actions = match random.u8(0..6) {
+                0..3 => begin(&mut jobs, slot, now),
+                3 if !running.is_empty() => {
+                    let job = running.swap_remove(random.usize(..running.len()));
+                    let answer = Answer { response: sealed(200), reusable: true };
+                    jobs.ended(job, UpstreamEnd::Answered(answer), now)
+                }
+                4 => jobs.cancel(source(random.u64(0..=slot)), now),
+                _ => jobs.tick(now),
+            };
+            for action in &actions {
+                match action {
+                    JobAction::Run { job, .. } => running.push(*job),
+                    JobAction::Abort(job) => running.retain(|held| held != job),
+                    JobAction::Reply { .. } => {}
+                }
+            }
+            assert!(running.len() as u32 <= SLOTS, "seed {seed}");
+            assert_eq!(jobs.load().0 as usize, running.len(), "seed {seed}");
+        }
+    }
+}
