After an outage: earlier elections, links and configuration; cut-off peers that answer are kept

Change: an unlisted upstream stays while its own answers are fresh; links give up opening after 0.3 s; the first election comes early (pre-votes protect a live leader); calls wait up to 0.8 s for the first configuration; an update is made once for all who hold the same; three failures at least hold a route back; the retry budget uses 0.75 of the ratio and 0.8 of the slack. Ruled out: longer leases (a dark machine would be believed longer).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -57,6 +57,14 @@
         self.election_deadline = least + self.random.u32(0..least.max(1));
     }
 
+    /// A member that just started asks for votes early: if all were down there is no leader to
+    /// wait for, and if there is one its followers refuse the pre-vote (section 9.6).
+    pub(crate) fn shorten_first_election(&mut self) {
+        self.reset_election_timer();
+        let most = (self.config.election_ticks / 2).max(2);
+        self.election_deadline = self.random.u32(1..=most);
+    }
+
     /// Whether a live leader was heard from within the shortest election timeout (section 4.2.3).
     fn leader_is_recent(&self) -> bool {
         self.is_leader()
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -167,7 +167,7 @@
             out: Ready::default(),
             saved_hard_state: hard,
         };
-        raft.reset_election_timer();
+        raft.shorten_first_election();
         raft
     }
 
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -3,7 +3,7 @@
 use crate::hub::Hub;
 use crate::listener::FrameReader;
 use crate::membership::Group;
-use bundle::{best_update, Digest};
+use bundle::{best_update, Bundle, BundleUpdate, Digest};
 use mesh::{encode_frame, MemberId, NodeAddress, NodeRecord, ToCoordinator, ToSidecar};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, Shutdown, TcpStream};
@@ -22,9 +22,18 @@
 
 /// What all links need.
 pub(crate) struct SidecarLink {
-    pub hub: Arc<Hub>,
-    pub group: Arc<Group>,
-    pub clock: Clock,
+    hub: Arc<Hub>,
+    group: Arc<Group>,
+    clock: Clock,
+    /// The last update made, which many sidecars ask for at once.
+    made: Mutex<Option<MadeUpdate>>,
+}
+
+/// What turns the content a sidecar holds into that of a generation.
+pub(crate) struct MadeUpdate {
+    held: Digest,
+    generation: u64,
+    update: BundleUpdate,
 }
 
 /// The writing half, shared by the reader's answers and the news.
@@ -47,6 +56,10 @@
 }
 
 impl SidecarLink {
+    pub fn new(hub: Arc<Hub>, group: Arc<Group>, clock: Clock) -> Self {
+        SidecarLink { hub, group, clock, made: Mutex::new(None) }
+    }
+
     /// Serves one sidecar until its connection ends.
     pub fn serve(self: &Arc<Self>, stream: TcpStream, mut reader: FrameReader) -> io::Result<()> {
         stream.set_read_timeout(Some(SILENCE_LIMIT))?;
@@ -108,10 +121,27 @@
         let Some((generation, held_bundle, bundle)) = self.group.configuration(held) else {
             return Ok(());
         };
-        let update = best_update(held_bundle.as_ref(), &bundle);
+        let update = self.update_for(held, generation, held_bundle.as_ref(), &bundle);
         writer.send(&ToSidecar::Config { generation, update })
     }
 
+    fn update_for(
+        &self,
+        held: Digest,
+        generation: u64,
+        held_bundle: Option<&Bundle>,
+        bundle: &Bundle,
+    ) -> BundleUpdate {
+        let mut made = self.made.lock().unwrap_or_else(PoisonError::into_inner);
+        let fits = |made: &&MadeUpdate| made.held == held && made.generation == generation;
+        if let Some(made) = made.as_ref().filter(fits) {
+            return made.update.clone();
+        }
+        let update = best_update(held_bundle, bundle);
+        *made = Some(MadeUpdate { held, generation, update: update.clone() });
+        update
+    }
+
     /// Sends what changed, and a sign of life when nothing did.
     fn send_news(&self, writer: &Writer) {
         let mut position = None;
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -78,7 +78,7 @@
     let seeds: Vec<Ipv4Addr> = settings.seeds.iter().map(|seed| *seed.ip()).collect();
     let group = Arc::new(Group::new(own, replica, transport, clock, autopilot, seeds));
     let hub = Arc::new(Hub::new(settings.lease_ms));
-    let link = Arc::new(SidecarLink { hub: hub.clone(), group: group.clone(), clock });
+    let link = Arc::new(SidecarLink::new(hub.clone(), group.clone(), clock));
     let address = SocketAddrV4::new(settings.ip, settings.mesh_port);
     let listen = TcpListener::bind(address);
     let listen = listen.map_err(|cause| listen_error(address, cause))?;
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -8,8 +8,8 @@
 
 /// Part of the fleet's ratio that a node uses: the rest covers windows that begin and end at the
 /// wrong moments, and repeats within repeats.
-const USED_PART_OF_RATIO: f64 = 0.6;
-const USED_PART_OF_SLACK: f64 = 0.7;
+const USED_PART_OF_RATIO: f64 = 0.75;
+const USED_PART_OF_SLACK: f64 = 0.8;
 const SLICES: u64 = 10;
 
 /// The fleet's bound for each service.
--- a/crates/placement/src/throttle.rs
+++ b/crates/placement/src/throttle.rs
@@ -12,6 +12,8 @@
 const LOOK_MS: u64 = 300;
 /// Fewest ends between two changes.
 const LOOK_ENDS: u32 = 4;
+/// Fewer failures than this between two changes are chance.
+const LEAST_FAILURES: u32 = 3;
 /// Part of failures beyond which less is admitted.
 const FAILURES_BORNE: f64 = 0.2;
 const FALL: f64 = 0.8;
@@ -63,7 +65,8 @@
             return;
         }
         let part = f64::from(remembered.failed) / f64::from(remembered.ended);
-        remembered.admitted = if part > FAILURES_BORNE {
+        let many = part > FAILURES_BORNE && remembered.failed >= LEAST_FAILURES;
+        remembered.admitted = if many {
             (remembered.admitted * FALL).max(LEAST_ADMITTED)
         } else {
             (remembered.admitted + RISE).min(1.0)
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -13,6 +13,8 @@
 const LONGEST_REST_MS: u64 = 3_000;
 /// Weight of a new observation of speed.
 const SPEED_WEIGHT: f64 = 0.08;
+/// How long an answer proves that an upstream can be reached though no coordinator lists it, ms.
+const PROOF_MS: u64 = 5_000;
 const SLOWEST: f64 = 30.0;
 const FASTEST: f64 = 0.1;
 /// How much slower a freshly started upstream is taken to be.
@@ -32,6 +34,8 @@
     rest_until: Millis,
     failures: u32,
     refused_until: Millis,
+    listed: bool,
+    answered_at: Option<Millis>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +57,8 @@
             rest_until: 0,
             failures: 0,
             refused_until: 0,
+            listed: true,
+            answered_at: None,
         };
         upstream.update(record, now);
         upstream
@@ -75,6 +81,18 @@
             self.cold_until = now + u64::from(instance.cold_remaining_ms);
         }
         self.record = record;
+        self.listed = true;
+    }
+
+    /// Notes whether a coordinator lists it.
+    pub fn set_listed(&mut self, listed: bool) {
+        self.listed = listed;
+    }
+
+    /// Whether it is there for all this node knows: a coordinator lists it, or it answered this
+    /// node a moment ago and was only cut off from the coordinators.
+    pub fn is_present(&self, now: Millis) -> bool {
+        self.listed || self.answered_at.is_some_and(|at| now < at + PROOF_MS)
     }
 
     /// Whether it may be given calls at all.
@@ -136,6 +154,7 @@
     /// Takes in what it said with an answer.
     pub fn note_reply(&mut self, reply: HopReply, now: Millis) {
         self.figures = Some(Figures { reply, at: now, outstanding_then: self.outstanding });
+        self.answered_at = Some(now);
     }
 
     /// Notes the time a call spent with it, where `usual_ms` is usual.
@@ -162,6 +181,7 @@
     pub fn note_failure(&mut self, now: Millis) {
         let rest = (FIRST_REST_MS << self.failures.min(6)).min(LONGEST_REST_MS);
         self.failures += 1;
+        self.answered_at = None;
         self.rest_until = now + rest;
     }
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -72,18 +72,23 @@
         }
     }
 
-    /// Removes the nodes of which `keep` says no, unless a service would lose all of its live
-    /// upstreams at once: those stay until one of the others returns.
-    pub fn retain(&mut self, keep: impl Fn(&UpstreamKey) -> bool) {
+    /// Removes the nodes that no coordinator lists any more, but for those that answer this node
+    /// all the same. If a service would lose all of its live upstreams at once, they stay until
+    /// one returns.
+    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamKey) -> bool, now: Millis) {
+        for (key, upstream) in &mut self.upstreams {
+            upstream.set_listed(is_listed(key));
+        }
+        let keep = |upstream: &Upstream| upstream.is_present(now);
         let remaining: BTreeSet<String> = self
             .upstreams
-            .iter()
-            .filter(|(key, upstream)| keep(key) && upstream.is_live())
-            .map(|(_, upstream)| upstream.record.service.clone())
+            .values()
+            .filter(|upstream| keep(upstream) && upstream.is_live())
+            .map(|upstream| upstream.record.service.clone())
             .collect();
-        self.upstreams.retain(|key, upstream| {
+        self.upstreams.retain(|_, upstream| {
             let last = upstream.is_live() && !remaining.contains(&upstream.record.service);
-            keep(key) || last
+            keep(upstream) || last
         });
     }
 
--- /dev/null
+++ b/crates/placement/tests/view.rs
@@ -0,0 +1,110 @@
+//! Which upstreams are there, and which one is taken.
+
+use mesh::{HopOutcome, HopReply, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
+use placement::{PlacementView, Request};
+use std::net::Ipv4Addr;
+
+const SERVICE: &str = "fares";
+
+fn address(host: u8) -> NodeAddress {
+    NodeAddress { ip: Ipv4Addr::new(10, 0, 0, host), port: 8_300 }
+}
+
+fn record(host: u8, zone: &str, state: InstanceState) -> NodeRecord {
+    NodeRecord {
+        address: address(host),
+        life: 1,
+        sequence: u64::from(state == InstanceState::Draining) + 1,
+        zone: zone.to_owned(),
+        service: SERVICE.to_owned(),
+        stopping: false,
+        instance: Some(InstanceRecord {
+            id: format!("i-{host}"),
+            state,
+            slots: 2,
+            cold_remaining_ms: 0,
+        }),
+    }
+}
+
+fn reply(running: u32, queued: u32) -> HopReply {
+    HopReply {
+        outcome: HopOutcome::Answered,
+        running,
+        queued,
+        limit: 2,
+        service_ms: 100,
+        spent_ms: 100,
+        retry_after_ms: 0,
+        state: InstanceState::Ready,
+    }
+}
+
+fn view(hosts: &[(u8, &str)]) -> PlacementView {
+    let mut view = PlacementView::new("a");
+    for (host, zone) in hosts {
+        view.update(record(*host, zone, InstanceState::Ready), 0);
+    }
+    view
+}
+
+fn choose(view: &PlacementView, tried: &[NodeAddress], now: u64) -> Option<u8> {
+    let request = Request { service: SERVICE, usual_ms: 100.0, target_ms: 400.0, tried };
+    let chosen = view.choose(&request, now, &mut fastrand::Rng::with_seed(now));
+    chosen.map(|key| key.ip.octets()[3])
+}
+
+#[test]
+fn the_own_zone_is_taken_while_it_has_room() {
+    let mut view = view(&[(1, "b"), (2, "a"), (3, "c")]);
+    for now in 0..50 {
+        assert_eq!(choose(&view, &[], now), Some(2));
+    }
+    // Eight wait in front of two slots: 400 ms and more, the whole time there is.
+    view.get_mut(&address(2)).expect("there").note_reply(reply(2, 8), 50);
+    assert_ne!(choose(&view, &[], 50), Some(2));
+    // Its figures are believed for a second.
+    assert_eq!(choose(&view, &[], 1_100), Some(2));
+}
+
+#[test]
+fn what_was_tried_or_leaves_is_not_taken() {
+    let mut view = view(&[(1, "a"), (2, "a")]);
+    assert_eq!(choose(&view, &[address(1)], 0), Some(2));
+    assert_eq!(choose(&view, &[address(1), address(2)], 0), None);
+    view.update(record(2, "a", InstanceState::Draining), 10);
+    assert_eq!(choose(&view, &[address(1)], 10), None);
+    assert!(view.has_live(SERVICE));
+}
+
+#[test]
+fn one_that_rests_after_a_failure_is_taken_only_if_there_is_no_other() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.get_mut(&address(1)).expect("there").note_failure(0);
+    assert_eq!(choose(&view, &[], 1), Some(2));
+    assert_eq!(choose(&view, &[address(2)], 1), Some(1));
+    assert_eq!(choose(&view, &[], 400), Some(1), "its rest is over");
+}
+
+#[test]
+fn a_node_cut_off_from_the_coordinators_is_kept_while_it_answers() {
+    let mut view = view(&[(1, "a"), (2, "a"), (3, "a")]);
+    view.get_mut(&address(1)).expect("there").note_reply(reply(1, 0), 9_000);
+    view.retain(|key| *key == address(3), 10_000);
+    assert!(view.get(&address(1)).is_some(), "it answered a second ago");
+    assert!(view.get(&address(2)).is_none());
+    // It is dark, not only cut off.
+    view.get_mut(&address(1)).expect("there").note_failure(10_500);
+    view.retain(|key| *key == address(3), 10_600);
+    assert!(view.get(&address(1)).is_none());
+}
+
+#[test]
+fn a_service_never_loses_its_last_upstreams_by_departures_alone() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.retain(|_| false, 10_000);
+    assert!(view.has_live(SERVICE));
+    view.update(NodeRecord { life: 2, ..record(2, "b", InstanceState::Ready) }, 11_000);
+    view.retain(|key| *key == address(2), 11_000);
+    assert!(view.get(&address(1)).is_none(), "one returned, the other is gone");
+}
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -37,7 +37,9 @@
 /// Retry-After of calls that are held back because their like fail, milliseconds.
 const THROTTLED_RETRY_AFTER_MS: u64 = 250;
 /// Retry-After while no configuration is known, milliseconds.
-const UNREADY_RETRY_AFTER_MS: u64 = 300;
+const UNREADY_RETRY_AFTER_MS: u64 = 600;
+/// Longest wait of a call for the first configuration of a sidecar that just started, ms.
+const EARLY_WAIT_MS: u64 = 800;
 /// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
 const HOP_MARGIN_MS: u64 = 8;
 
@@ -117,6 +119,14 @@
     fallback: Option<Response>,
 }
 
+/// A call that came before the first configuration.
+#[derive(Debug)]
+struct EarlyCall {
+    origin: Origin,
+    request: Request,
+    since: Millis,
+}
+
 /// Counters of the outbound side.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallCounts {
@@ -151,6 +161,7 @@
     by_origin: BTreeMap<Origin, CallId>,
     deadlines: BTreeSet<(Millis, CallId)>,
     parked: BTreeSet<CallId>,
+    early: Vec<EarlyCall>,
     next_call: CallId,
     /// Totals since the start.
     pub counts: CallCounts,
@@ -178,6 +189,7 @@
             by_origin: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             parked: BTreeSet::new(),
+            early: Vec::new(),
             next_call: 1,
             counts: CallCounts::default(),
         }
@@ -185,7 +197,7 @@
 
     /// Calls without a final answer.
     pub fn in_flight(&self) -> usize {
-        self.calls.len()
+        self.calls.len() + self.early.len()
     }
 
     /// Takes in a call.
@@ -199,9 +211,8 @@
         self.counts.begun += 1;
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
         let Some(routing) = config.routing() else {
-            info!(id = %attempt_id, reason = "no_configuration", "call_refused");
-            self.counts.refused += 1;
-            return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
+            self.early.push(EarlyCall { origin, request, since: now });
+            return Vec::new();
         };
         let host = request.headers.text("host").unwrap_or_default().to_owned();
         let path = request.path().to_owned();
@@ -266,6 +277,27 @@
         refusal(origin, retry_after_ms)
     }
 
+    /// Goes on with the calls that came before the first configuration.
+    pub fn configured(&mut self, config: &Config, now: Millis) -> Vec<CallAction> {
+        let early = std::mem::take(&mut self.early);
+        let begun =
+            early.into_iter().map(|call| self.begin(call.origin, call.request, config, now));
+        begun.flatten().collect()
+    }
+
+    /// Refuses the calls that waited too long for a configuration.
+    fn refuse_early(&mut self, now: Millis) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        let waited = |call: &EarlyCall| now >= call.since + EARLY_WAIT_MS;
+        for call in self.early.extract_if(.., |call| waited(call)) {
+            let id = call.request.headers.text(self.names.attempt_id).unwrap_or("-");
+            info!(%id, reason = "no_configuration", verdict = "not-run", "call_refused");
+            self.counts.refused += 1;
+            actions.push(refusal(call.origin, UNREADY_RETRY_AFTER_MS));
+        }
+        actions
+    }
+
     fn draw_service(&mut self, route: &str, targets: &[bundle::Target]) -> Option<String> {
         if let [only] = targets {
             return Some(only.service.clone());
@@ -554,6 +586,7 @@
 
     /// A caller went away: whatever it waited for stops.
     pub fn connection_ended(&mut self, connection: ConnectionId) -> Vec<CallAction> {
+        self.early.retain(|call| call.origin.connection != connection);
         let first = Origin { connection, slot: 0 };
         let last = Origin { connection, slot: Slot::MAX };
         let ids: Vec<CallId> = self.by_origin.range(first..=last).map(|(_, id)| *id).collect();
@@ -598,6 +631,7 @@
             let response = call.fallback.unwrap_or_else(|| Response::empty(504));
             actions.push(CallAction::Answer { origin: call.origin, response });
         }
+        actions.extend(self.refuse_early(now));
         let parked: Vec<CallId> = self.parked.iter().copied().collect();
         for id in parked {
             actions.extend(self.place(id, now));
@@ -609,7 +643,8 @@
     pub fn next_tick(&self, now: Millis) -> Option<Millis> {
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         let parked = (!self.parked.is_empty()).then_some(now + PARKED_LOOK_MS);
-        deadline.into_iter().chain(parked).min()
+        let early = self.early.first().map(|call| call.since + EARLY_WAIT_MS);
+        deadline.into_iter().chain(parked).chain(early).min()
     }
 }
 
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -20,7 +20,7 @@
 const ALIVE_INTERVAL_MS: u64 = 1_000;
 /// A coordinator that says nothing for this long is left.
 const SILENCE_LIMIT_MS: u64 = 3_000;
-const OPEN_LIMIT_MS: u64 = 700;
+const OPEN_LIMIT_MS: u64 = 300;
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
 /// A coordinator that does not send what it was asked for is passed over after this time.
--- a/crates/sidecar/src/runtime.rs
+++ b/crates/sidecar/src/runtime.rs
@@ -467,7 +467,10 @@
                 self.take_waiting_registrations(now);
             }
             LinkEvent::Config { generation, update } => {
-                self.config.apply(generation, &update);
+                if self.config.apply(generation, &update) {
+                    let actions = self.calls.configured(&self.config, now);
+                    self.work.extend(actions.into_iter().map(Work::Call));
+                }
                 let (generation, digest) = (self.config.generation(), self.config.digest());
                 self.links.applied(&mut self.net, generation, digest, now);
             }
@@ -476,7 +479,9 @@
             }
             LinkEvent::Gone => {
                 let links = &self.links;
-                self.calls.view.retain(|node| links.is_listed(node, now));
+                let own = self.own;
+                let is_listed = |node: &NodeAddress| *node == own || links.is_listed(node, now);
+                self.calls.view.retain(is_listed, now);
             }
         }
         let (generation, digest) = (self.config.generation(), self.config.digest());
