Calls with short targets may wait 120 ms for a slot

Change: any call may wait 120 ms if its time allows; order keeps inner calls first. Ruled out: a wrong view (both upstreams had said that they leave), a slow upstream when full. Test first: calls.rs, a_call_with_a_short_target_waits_past_it_but_not_past_its_deadline.

--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -27,8 +27,10 @@
 /// Most part of the target latency that a call waits for a slot: one refused so early can still
 /// be in time when it comes back, and a longer queue makes all who wait late.
 const MOST_PATIENCE_PART: f64 = 0.25;
-/// Least part of the target latency that a call may wait for a slot.
-const LEAST_PATIENCE_PART: f64 = 0.15;
+/// A call may wait this long for a slot whatever its target, if its time allows, milliseconds.
+/// Those with short targets are mostly asked for within other calls, which would fail with a slot
+/// in their hands.
+const LEAST_PATIENCE_MS: f64 = 120.0;
 /// Longest wait for an upstream of a service that has none, milliseconds.
 const NO_UPSTREAM_WAIT_MS: u64 = 400;
 const PARKED_LOOK_MS: u64 = 20;
@@ -374,7 +376,8 @@
         let target = call.target_ms as f64;
         let elapsed = now.saturating_sub(call.arrived) as f64;
         let useful = (target - elapsed - planned).min(target * MOST_PATIENCE_PART);
-        let patience = useful.max(target * LEAST_PATIENCE_PART);
+        let possible = (left as f64 - planned).max(0.0);
+        let patience = useful.max(LEAST_PATIENCE_MS.min(possible));
         let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
         HopRequest {
             deadline_ms: left,
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -191,3 +191,22 @@
         matches!(&actions[..], [CallAction::Answer { response: found, .. }] if *found == response)
     );
 }
+
+#[test]
+fn a_call_with_a_short_target_waits_past_it_but_not_past_its_deadline() {
+    // An inner call: 100 ms are meant, 250 ms are left.
+    let mut world = World::with_upstreams(1);
+    let actions = world.begin_with_deadline("/inner/1", 250);
+    let patience = hop(&actions).expect("placed").patience_ms;
+    assert!((100..=210).contains(&patience), "{patience} ms");
+    let actions = world.begin_with_deadline("/inner/1", 60);
+    let patience = hop(&actions).expect("placed").patience_ms;
+    assert!(patience <= 52, "{patience} ms");
+}
+
+#[test]
+fn a_call_with_a_long_target_waits_a_part_of_it() {
+    let mut world = World::with_upstreams(1);
+    let patience = hop(&world.begin("GET", "/safe/1")).expect("placed").patience_ms;
+    assert!((120..=200).contains(&patience), "{patience} ms of {TARGET_MS}");
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -23,7 +23,8 @@
 pub const SERVICE: &str = "fares";
 pub const HOST: &str = "fares.example";
 pub const TIMEOUT_MS: u64 = 2_000;
-const TARGET_MS: u32 = 600;
+pub const TARGET_MS: u32 = 600;
+const INNER_TARGET_MS: u32 = 100;
 
 /// The outbound side with its configuration.
 pub struct World {
@@ -33,7 +34,7 @@
     next_slot: u64,
 }
 
-fn route(name: &str, prefix: &str, repeatable: bool) -> Object {
+fn route(name: &str, prefix: &str, repeatable: bool, target_latency_ms: u32) -> Object {
     Object::Route(Route {
         name: name.to_owned(),
         host: HOST.to_owned(),
@@ -47,7 +48,7 @@
         retry_budget_percent: 20,
         max_staleness_s: 0,
         attempts: 2,
-        target_latency_ms: TARGET_MS,
+        target_latency_ms,
         rank: 1,
         annotation: String::new(),
     })
@@ -60,7 +61,11 @@
         upstream_connections: 100,
         annotation: String::new(),
     };
-    let routes = [route("safe", "/safe/", true), route("unsafe", "/unsafe/", false)];
+    let routes = [
+        route("safe", "/safe/", true, TARGET_MS),
+        route("unsafe", "/unsafe/", false, TARGET_MS),
+        route("inner", "/inner/", true, INNER_TARGET_MS),
+    ];
     Bundle::from_objects(routes.into_iter().chain([Object::Service(service)]).collect())
 }
 
