--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -2,12 +2,14 @@
 
 pub mod bundle;
 pub mod control;
+pub mod coordinator;
 pub mod data;
 pub mod keys;
 pub mod members;
 pub mod proxy;
 pub mod relay;
 pub mod settings;
+pub mod sidecar;
 pub mod status;
 
 use crate::exit::Failure;
@@ -47,11 +49,19 @@
 
 /// Starts logging and returns the settings file with its overrides.
 pub fn start_role(matches: &Matches) -> Result<(PathBuf, Vec<String>), Failure> {
+    let (level, path, overrides) = role_settings_path(matches)?;
+    telemetry::init_logging(level);
+    Ok((path, overrides))
+}
+
+/// The log level, and the settings file with its overrides.
+pub fn role_settings_path(
+    matches: &Matches,
+) -> Result<(tracing::Level, PathBuf, Vec<String>), Failure> {
     let level = matches.opt_str("log-level").unwrap_or_else(|| "info".to_owned());
     let level = telemetry::parse_level(&level).map_err(Failure::usage)?;
-    telemetry::init_logging(level);
     let path = matches.opt_str("settings").unwrap_or_default();
-    Ok((PathBuf::from(path), matches.opt_strs("set")))
+    Ok((level, PathBuf::from(path), matches.opt_strs("set")))
 }
 
 /// Adds the options of an operator's connection.
--- a/crates/chutecove/src/cli/settings.rs
+++ b/crates/chutecove/src/cli/settings.rs
@@ -2,11 +2,17 @@
 
 use crate::cli::{free_argument, parse};
 use crate::exit::Failure;
-use ::settings::{load, to_toml, ControlSettings, ProxySettings, RelaySettings};
+use ::settings::{
+    load, to_toml, ControlSettings, CoordinatorSettings, ProxySettings, RelaySettings,
+    SidecarSettings, Validate,
+};
 use getopts::Options;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
 use std::path::Path;
 
-const BRIEF: &str = "Usage: chutecove settings check control|relay|proxy FILE";
+const BRIEF: &str =
+    "Usage: chutecove settings check ROLE FILE (control, relay, proxy, coordinator, sidecar)";
 
 /// Checks a settings file and prints it with its defaults.
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
@@ -22,11 +28,20 @@
     let path = Path::new(free_argument(&matches, 2, "FILE")?);
     let overrides = matches.opt_strs("set");
     let printed = match role {
-        "control" => to_toml(&load::<ControlSettings>(path, &overrides).map_err(Failure::usage)?),
-        "relay" => to_toml(&load::<RelaySettings>(path, &overrides).map_err(Failure::usage)?),
-        "proxy" => to_toml(&load::<ProxySettings>(path, &overrides).map_err(Failure::usage)?),
-        other => return Err(Failure::usage(format!("'{other}' is not control, relay or proxy"))),
+        "control" => checked::<ControlSettings>(path, &overrides)?,
+        "relay" => checked::<RelaySettings>(path, &overrides)?,
+        "proxy" => checked::<ProxySettings>(path, &overrides)?,
+        "coordinator" => checked::<CoordinatorSettings>(path, &overrides)?,
+        "sidecar" => checked::<SidecarSettings>(path, &overrides)?,
+        other => return Err(Failure::usage(format!("'{other}' is no role\n\n{BRIEF}"))),
     };
     print!("{printed}");
     Ok(())
 }
+
+fn checked<T>(path: &Path, overrides: &[String]) -> Result<String, Failure>
+where
+    T: DeserializeOwned + Serialize + Validate,
+{
+    Ok(to_toml(&load::<T>(path, overrides).map_err(Failure::usage)?))
+}
--- /dev/null
+++ b/crates/chutecove/src/cli/sidecar.rs
@@ -0,0 +1,22 @@
+//! `chutecove sidecar`
+
+use crate::cli::{parse, role_options, role_settings_path};
+use crate::dialect::{ProductRegistration, HEADERS};
+use crate::exit::Failure;
+use telemetry::{ReloadSignal, StopSignal};
+
+const BRIEF: &str = "Usage: chutecove sidecar --settings FILE";
+
+/// Runs a sidecar until it is asked to stop.
+pub fn run(arguments: &[String]) -> Result<(), Failure> {
+    let Some(matches) = parse(role_options(), BRIEF, arguments)? else {
+        return Ok(());
+    };
+    let (level, path, overrides) = role_settings_path(&matches)?;
+    let _logs = telemetry::init_logging_to_stdout(level);
+    let settings = settings::load(&path, &overrides).map_err(Failure::usage)?;
+    let stop = StopSignal::install().map_err(Failure::refused)?;
+    let reload = ReloadSignal::install().map_err(Failure::refused)?;
+    let dialect = Box::new(ProductRegistration);
+    sidecar::run(settings, Some(path), HEADERS, dialect, &stop, &reload).map_err(Failure::usage)
+}
--- /dev/null
+++ b/crates/chutecove/src/dialect.rs
@@ -0,0 +1,113 @@
+//! The product's own interface for sidecars and coordinators; docs/API.md describes it.
+
+use bundle::{Bundle, Object};
+use coordinator::{OperatorCall, OperatorDialect, Replacement};
+use mesh::{InstanceRecord, InstanceState};
+use serde::{Deserialize, Serialize};
+use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect};
+
+/// Header names between callers, sidecars and upstreams.
+pub const HEADERS: HeaderNames = HeaderNames {
+    attempt_id: "X-Chutecove-Attempt-Id",
+    deadline_ms: "X-Chutecove-Deadline-Ms",
+    seal: "X-Chutecove-Seal",
+    expect_instance: "X-Chutecove-Expect-Instance",
+    not_run: "X-Chutecove-Not-Run",
+    caller: "X-Chutecove-Caller",
+};
+
+const INSTANCES: &str = "/v1/instances/";
+const HEARTBEAT: &str = "/heartbeat";
+const LEAVE: &str = "/leave";
+const READY_PATH: &str = "/readyz";
+const CONFIGURATION: &str = "/v1/configuration";
+const PRECONDITION: &str = "If-Match";
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Heartbeat {
+    service: String,
+    slots: u32,
+    #[serde(default)]
+    draining: bool,
+    sequence: u64,
+    #[serde(default)]
+    cold_remaining_ms: u32,
+}
+
+/// Registration of upstreams: `POST /v1/instances/ID/heartbeat` and `.../leave`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProductRegistration;
+
+impl RegistrationDialect for ProductRegistration {
+    fn read(&self, method: &str, target: &str, body: &[u8]) -> Option<RegistrationCall> {
+        let rest = target.strip_prefix(INSTANCES).filter(|_| method == "POST")?;
+        if let Some(instance) = rest.strip_suffix(LEAVE) {
+            return Some(RegistrationCall::Leave { instance: instance.to_owned() });
+        }
+        let id = rest.strip_suffix(HEARTBEAT)?.to_owned();
+        Some(match serde_json::from_slice::<Heartbeat>(body) {
+            Err(error) => RegistrationCall::Unreadable { reason: error.to_string() },
+            Ok(told) => RegistrationCall::Heartbeat {
+                record: InstanceRecord {
+                    id,
+                    state: match told.draining {
+                        true => InstanceState::Draining,
+                        false => InstanceState::Ready,
+                    },
+                    slots: told.slots,
+                    cold_remaining_ms: told.cold_remaining_ms,
+                },
+                service: told.service,
+                sequence: told.sequence,
+            },
+        })
+    }
+
+    fn ready_path(&self) -> &'static str {
+        READY_PATH
+    }
+}
+
+/// A whole configuration as JSON.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Document {
+    version: u64,
+    objects: Vec<Object>,
+}
+
+/// Orders of operators: `PUT` and `GET /v1/configuration`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProductOperators;
+
+impl OperatorDialect for ProductOperators {
+    fn classify(&self, method: &str, url: &str) -> Option<OperatorCall> {
+        match (method, url) {
+            ("PUT", CONFIGURATION) => Some(OperatorCall::Replace),
+            ("GET", CONFIGURATION) => Some(OperatorCall::Read),
+            _ => None,
+        }
+    }
+
+    fn read_replacement(
+        &self,
+        precondition: Option<&str>,
+        body: &[u8],
+    ) -> Result<Replacement, String> {
+        let expected = precondition.and_then(|text| text.trim().parse().ok());
+        let expected_version = expected.ok_or("If-Match must hold the version it builds on")?;
+        let document: Document = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        let bundle = Bundle::from_objects(document.objects);
+        Ok(Replacement { expected_version, version: document.version, bundle })
+    }
+
+    fn precondition_header(&self) -> &'static str {
+        PRECONDITION
+    }
+
+    fn write_configuration(&self, version: u64, bundle: &Bundle) -> Vec<u8> {
+        let objects = bundle.objects().values().map(|hashed| hashed.object.clone()).collect();
+        serde_json::to_vec(&Document { version, objects }).unwrap_or_default()
+    }
+}
--- a/crates/chutecove/src/lib.rs
+++ b/crates/chutecove/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod cli;
+pub mod dialect;
 pub mod exit;
 pub mod operator;
 
@@ -16,9 +17,11 @@
 Usage: chutecove COMMAND [OPTIONS]
 
 Roles:
-  control    a replica of the control source
-  relay      serves the proxies of a zone
-  proxy      forwards calls
+  control      a replica of the control source
+  relay        serves the proxies of a zone
+  proxy        forwards calls
+  coordinator  control and relay in one process, for small fleets
+  sidecar      forwards calls beside one upstream, for small fleets
 
 Operators:
   bundle     check, submit, approve, roll, advance, pause, resume, withdraw, show, list, diff
@@ -59,6 +62,8 @@
         "control" => cli::control::run(rest),
         "relay" => cli::relay::run(rest),
         "proxy" => cli::proxy::run(rest),
+        "coordinator" => cli::coordinator::run(rest),
+        "sidecar" => cli::sidecar::run(rest),
         "bundle" => cli::bundle::run(rest),
         "status" => cli::status::run(rest),
         "members" => cli::members::run(rest),
