--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod coordinator;
 pub mod data;
+pub mod explain;
 pub mod keys;
 pub mod members;
 pub mod proxy;
--- a/crates/chutecove/src/lib.rs
+++ b/crates/chutecove/src/lib.rs
@@ -6,6 +6,7 @@
 mod cli;
 pub mod dialect;
 pub mod exit;
+pub mod explain;
 pub mod operator;
 
 use exit::Failure;
@@ -30,6 +31,7 @@
   keys       init, issue, operator, seal, rotate
   settings   check a settings file and print its defaults
   data       check, show, backup, restore a control replica's data folder
+  explain    one request's story from the logs of several nodes
 
 'chutecove COMMAND --help' tells more.
 
@@ -70,6 +72,7 @@
         "keys" => cli::keys::run(rest),
         "settings" => cli::settings::run(rest),
         "data" => cli::data::run(rest),
+        "explain" => cli::explain::run(rest),
         "--help" | "-h" | "help" => {
             print!("{USAGE}");
             Ok(())
