A stopping sidecar keeps its upstream in reach until its callers have gone

Change: peers' calls are served while callers are; then peers are told (report and in band), waiting calls are refused, running ones finished. Ruled out: a shorter stop (callers notice after two looks, 2 s).

--- a/crates/sidecar/src/jobs.rs
+++ b/crates/sidecar/src/jobs.rs
@@ -94,6 +94,7 @@
     jobs: BTreeMap<JobId, Job>,
     by_source: BTreeMap<Source, JobId>,
     next_job: JobId,
+    closed: bool,
 }
 
 impl Jobs {
@@ -108,6 +109,7 @@
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
             next_job: 1,
+            closed: false,
         }
     }
 
@@ -136,6 +138,7 @@
         now: Millis,
     ) -> HopReply {
         let state = match self.gate.state(now) {
+            _ if self.closed => InstanceState::Left,
             GateState::Open => InstanceState::Ready,
             GateState::Closing => InstanceState::Draining,
             GateState::Absent | GateState::Closed => InstanceState::Left,
@@ -198,7 +201,17 @@
         }
     }
 
+    /// Takes in no more calls, because the process stops; those that wait are refused.
+    pub fn close(&mut self, now: Millis) -> Vec<JobAction> {
+        self.closed = true;
+        let waiting = self.admission.clear();
+        waiting.into_iter().filter_map(|id| self.refuse_waiting(id, "stopping", now)).collect()
+    }
+
     fn mismatch(&self, hop: &HopRequest, now: Millis) -> Option<&'static str> {
+        if self.closed {
+            return Some("stopping");
+        }
         if hop.service != self.service {
             return Some("other_service");
         }
--- a/crates/sidecar/src/runtime.rs
+++ b/crates/sidecar/src/runtime.rs
@@ -581,6 +581,17 @@
         }
     }
 
+    /// The upstream beside is out of reach from now on, until the next life is there.
+    fn close_to_peers(&mut self, now: Millis) {
+        let (running, queued) = self.jobs.load();
+        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_closing");
+        self.links.report(&mut self.net, |record| record.stopping = true, now);
+        self.calls.view.update(self.links.record().clone(), now);
+        let actions = self.jobs.close(now);
+        self.work.extend(actions.into_iter().map(Work::Job));
+        self.do_work();
+    }
+
     fn keep_house(&mut self, now: Millis) {
         self.net.sweep(LINGER_LIMIT);
         for (attempt, end) in self.peers.tick(&mut self.net, now) {
@@ -632,7 +643,9 @@
         if stop.is_set() && self.stop.begin(now) {
             let (running, queued) = self.jobs.load();
             info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
-            self.links.report(&mut self.net, |record| record.stopping = true, now);
+        }
+        if self.stop.refuses(now) && !self.links.record().stopping {
+            self.close_to_peers(now);
         }
         let in_flight = self.calls.in_flight() + self.jobs.in_flight();
         let activity = Activity { in_flight, last_request: self.last_request };
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -1,13 +1,14 @@
 //! The planned stop, as a plan in time; pure.
 //!
 //! Callers notice a stop only after two looks at the readiness, and some have nowhere else to go.
-//! So for a while everything is served as before, then new calls are refused with a promise while
-//! those that run are finished, and the process ends as soon as none is left.
+//! So for a while everything is served as before, peers' calls to the upstream beside included;
+//! then peers are told, new calls are refused with a promise while those that run are finished,
+//! and the process ends as soon as none is left.
 
 use crate::Millis;
 
 /// How long new calls are still served: requests sent this early must not be cut off.
-const SERVING_MS: u64 = 2_600;
+const SERVING_MS: u64 = 2_300;
 /// Callers that look at the readiness go elsewhere within this time.
 const NOTICE_MS: u64 = 2_200;
 /// Without a request for this long, all callers have gone.
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -187,3 +187,23 @@
         }
     }
 }
+
+#[test]
+fn a_stopping_sidecar_finishes_what_runs_and_refuses_the_rest() {
+    let mut jobs = jobs();
+    let first = begin(&mut jobs, 1, 0);
+    begin(&mut jobs, 2, 0);
+    assert!(begin(&mut jobs, 3, 0).is_empty(), "it waits");
+    assert_eq!(outcomes(&jobs.close(10)), [HopOutcome::Refused], "the waiting one");
+    let refused = begin(&mut jobs, 4, 20);
+    assert_eq!(outcomes(&refused), [HopOutcome::Refused]);
+    let JobAction::Reply { reply, .. } = &refused[0] else { panic!("a reply") };
+    assert_eq!(reply.state, InstanceState::Left, "peers need no other word");
+    let (job, _) = started(&first).expect("runs");
+    let answer = Answer { response: sealed(200), reusable: true };
+    assert_eq!(
+        outcomes(&jobs.ended(job, UpstreamEnd::Answered(answer), 50)),
+        [HopOutcome::Answered]
+    );
+    assert_eq!(jobs.in_flight(), 1);
+}
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -31,9 +31,9 @@
         // after, in flight, last request after, phase
         (0, 0, 0, StopPhase::Serving),
         (2_000, 0, 0, StopPhase::Serving),
-        (2_300, 0, 2_200, StopPhase::Serving),
-        (2_300, 0, 1_000, StopPhase::Over),
-        (2_300, 3, 1_000, StopPhase::Serving),
+        (2_250, 0, 2_200, StopPhase::Serving),
+        (2_250, 0, 1_000, StopPhase::Over),
+        (2_250, 3, 1_000, StopPhase::Serving),
         (2_700, 3, 2_700, StopPhase::Refusing),
         // Callers that have nowhere else to go never become quiet.
         (2_700, 0, 2_700, StopPhase::Over),
