An upstream that refused a like call a moment ago is not asked

Change: a refusal is believed for its retry-after, 150 ms at most, for calls as urgent or less. Ruled out: believing it for all calls (inner calls pass those that wait). Test first: placement/tests/view.rs one_that_refused_a_like_call_a_moment_ago_is_not_asked.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,7 +12,7 @@
 pub use budget::{BudgetBounds, RetryBudget};
 pub use split::WeightedSplit;
 pub use throttle::Throttle;
-pub use upstream::{Upstream, UpstreamKey};
+pub use upstream::{Upstream, UpstreamKey, Urgency};
 pub use view::{ClassTimes, NodeChange, PlacementView, Request};
 
 /// Milliseconds of a monotonic clock.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -11,6 +11,8 @@
 /// First and longest time without calls after failures, milliseconds.
 const FIRST_REST_MS: u64 = 300;
 const LONGEST_REST_MS: u64 = 3_000;
+/// Longest time for which a refusal is believed, milliseconds: the queue moves on.
+const LONGEST_REFUSAL_MS: u64 = 150;
 /// Weight of a new observation of speed.
 const SPEED_WEIGHT: f64 = 0.08;
 /// How long an answer proves that an upstream can be reached though no coordinator lists it, ms.
@@ -33,11 +35,26 @@
     figures: Option<Figures>,
     rest_until: Millis,
     failures: u32,
-    refused_until: Millis,
+    refusal: Option<Refusal>,
     listed: bool,
     answered_at: Option<Millis>,
 }
 
+/// How urgent a call is among those that wait for an upstream; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Rank of its route.
+    pub rank: u32,
+    /// Target latency of its route, milliseconds.
+    pub target_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    urgency: Urgency,
+    until: Millis,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Figures {
     reply: HopReply,
@@ -56,7 +73,7 @@
             figures: None,
             rest_until: 0,
             failures: 0,
-            refused_until: 0,
+            refusal: None,
             listed: true,
             answered_at: None,
         };
@@ -71,7 +88,7 @@
         if other_instance || self.record.life != record.life {
             self.rest_until = 0;
             self.failures = 0;
-            self.refused_until = 0;
+            self.refusal = None;
             self.figures = None;
         }
         if other_instance {
@@ -108,14 +125,14 @@
         now < self.rest_until
     }
 
-    /// Whether it lately refused for want of room.
-    pub fn is_full(&self, now: Millis) -> bool {
-        now < self.refused_until
+    /// Whether it lately refused a call of this urgency, or a more urgent one, for want of room.
+    pub fn is_full(&self, urgency: Urgency, now: Millis) -> bool {
+        self.refusal.is_some_and(|refusal| now < refusal.until && urgency >= refusal.urgency)
     }
 
     /// When its refusal ends.
     pub fn full_until(&self) -> Millis {
-        self.refused_until
+        self.refusal.map_or(0, |refusal| refusal.until)
     }
 
     /// Most calls it works on at once.
@@ -172,9 +189,10 @@
         self.rest_until = 0;
     }
 
-    /// Notes that it refused for want of room.
-    pub fn note_full(&mut self, retry_after_ms: u64, now: Millis) {
-        self.refused_until = now + retry_after_ms;
+    /// Notes that it refused a call of this urgency for want of room.
+    pub fn note_full(&mut self, urgency: Urgency, retry_after_ms: u64, now: Millis) {
+        let until = now + retry_after_ms.min(LONGEST_REFUSAL_MS);
+        self.refusal = Some(Refusal { urgency, until });
     }
 
     /// Notes a failure; it rests for a growing time.
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -1,6 +1,6 @@
 //! All upstreams, and the choice among them.
 
-use crate::{Millis, Upstream, UpstreamKey};
+use crate::{Millis, Upstream, UpstreamKey, Urgency};
 use mesh::NodeRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,6 +23,8 @@
 pub struct Request<'a> {
     /// The service.
     pub service: &'a str,
+    /// How urgent it is.
+    pub urgency: Urgency,
     /// What the call takes at an upstream of average speed, milliseconds.
     pub usual_ms: f64,
     /// Time left until its answer is worth less, milliseconds.
@@ -118,8 +120,9 @@
         of_service.filter(|held| held.is_live()).map(Upstream::full_until).min()
     }
 
-    /// The upstream that should have a call; `None` if none is live and untried. One that rests
-    /// after failures, or lately refused, is taken only if there is no other.
+    /// The upstream that should have a call; `None` if none is live, untried and has room for all
+    /// that is known: to ask one that refused a like call a moment ago costs two messages and
+    /// brings the same answer. One that rests after failures is taken only if there is no other.
     pub fn choose(
         &self,
         request: &Request<'_>,
@@ -127,20 +130,23 @@
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
         let eligible = self.upstreams.iter().filter(|(key, held)| {
-            held.record.service == request.service && held.is_live() && !request.tried.contains(key)
+            held.record.service == request.service
+                && held.is_live()
+                && !held.is_full(request.urgency, now)
+                && !request.tried.contains(key)
         });
         let mut candidates: Vec<_> = eligible.collect();
         if candidates.len() > MOST_CANDIDATES {
             random.shuffle(&mut candidates);
             candidates.truncate(MOST_CANDIDATES);
         }
-        let mut best: Option<((bool, bool, f64), UpstreamKey)> = None;
+        let mut best: Option<((bool, f64), UpstreamKey)> = None;
         for (key, held) in candidates {
             let varied = 1.0 + VARIATION * random.f64();
             let expected = held.expected_ms(request.usual_ms, now) * varied;
             let far = held.record.zone != self.zone;
             let cost = cost_of(expected, request.target_ms, far);
-            let cost = (held.is_resting(now), held.is_full(now), cost);
+            let cost = (held.is_resting(now), cost);
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -1,7 +1,7 @@
 //! Which upstreams are there, and which one is taken.
 
 use mesh::{HopOutcome, HopReply, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
-use placement::{PlacementView, Request};
+use placement::{PlacementView, Request, Urgency};
 use std::net::Ipv4Addr;
 
 const SERVICE: &str = "fares";
@@ -48,8 +48,19 @@
     view
 }
 
+const URGENCY: Urgency = Urgency { rank: 1, target_ms: 400 };
+
 fn choose(view: &PlacementView, tried: &[NodeAddress], now: u64) -> Option<u8> {
-    let request = Request { service: SERVICE, usual_ms: 100.0, target_ms: 400.0, tried };
+    choose_for(view, URGENCY, tried, now)
+}
+
+fn choose_for(
+    view: &PlacementView,
+    urgency: Urgency,
+    tried: &[NodeAddress],
+    now: u64,
+) -> Option<u8> {
+    let request = Request { service: SERVICE, urgency, usual_ms: 100.0, target_ms: 400.0, tried };
     let chosen = view.choose(&request, now, &mut fastrand::Rng::with_seed(now));
     chosen.map(|key| key.ip.octets()[3])
 }
@@ -108,3 +119,21 @@
     view.retain(|key| *key == address(2), 11_000);
     assert!(view.get(&address(1)).is_none(), "one returned, the other is gone");
 }
+
+#[test]
+fn one_that_refused_a_like_call_a_moment_ago_is_not_asked() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.get_mut(&address(1)).expect("there").note_full(URGENCY, 100, 0);
+    assert_eq!(choose(&view, &[], 50), Some(2));
+    view.get_mut(&address(2)).expect("there").note_full(URGENCY, 60, 0);
+    assert_eq!(choose(&view, &[], 50), None, "both are full");
+    assert_eq!(view.room_at(SERVICE), Some(60));
+    // A more urgent call may pass those that wait; a less urgent one has no better chance.
+    let more = Urgency { rank: 1, target_ms: 100 };
+    let less = Urgency { rank: 2, target_ms: 100 };
+    assert_eq!(choose_for(&view, more, &[], 50), Some(1));
+    assert_eq!(choose_for(&view, less, &[], 50), None);
+    assert_eq!(choose(&view, &[], 70), Some(2), "its refusal is over");
+    view.get_mut(&address(1)).expect("there").note_full(URGENCY, 60_000, 100);
+    assert_eq!(choose(&view, &[address(2)], 260), Some(1), "no refusal is believed for long");
+}
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -7,7 +7,9 @@
 use crate::dialect::HeaderNames;
 use http1::{Request, Response, Slot};
 use mesh::{HopOutcome, HopReply, HopRequest, NodeAddress, HOP_HEADER};
-use placement::{BudgetBounds, ClassTimes, PlacementView, RetryBudget, Throttle, WeightedSplit};
+use placement::{
+    BudgetBounds, ClassTimes, PlacementView, RetryBudget, Throttle, Urgency, WeightedSplit,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::rc::Rc;
@@ -125,6 +127,12 @@
     fallback: Option<Response>,
 }
 
+impl Call {
+    fn urgency(&self) -> Urgency {
+        Urgency { rank: self.rank, target_ms: self.target_ms }
+    }
+}
+
 /// What one try came to.
 #[derive(Clone, Copy, Debug)]
 struct Step {
@@ -368,7 +376,9 @@
         let elapsed = now.saturating_sub(call.arrived);
         let target_ms = call.target_ms.saturating_sub(elapsed).max(1) as f64;
         let service = &call.service;
-        let wanted = placement::Request { service, usual_ms, target_ms, tried: &call.tried };
+        let urgency = call.urgency();
+        let tried = &call.tried;
+        let wanted = placement::Request { service, urgency, usual_ms, target_ms, tried };
         let Some(to) = self.view.choose(&wanted, now, &mut self.random) else {
             return self.without_upstream(id, now);
         };
@@ -549,6 +559,7 @@
             return Vec::new();
         };
         let usual_ms = self.usual_ms(call);
+        let urgency = call.urgency();
         let route = call.route.clone();
         if self.sample.takes(&call.attempt_id) {
             info!(
@@ -567,9 +578,9 @@
                 }
                 HopOutcome::Answered => upstream.note_success(),
                 HopOutcome::Refused => {
-                    upstream.note_full(u64::from(reply.retry_after_ms), now);
+                    upstream.note_full(urgency, u64::from(reply.retry_after_ms), now);
                 }
-                HopOutcome::Rejected => upstream.note_full(SHORTEST_RETRY_AFTER_MS, now),
+                HopOutcome::Rejected => upstream.note_full(urgency, SHORTEST_RETRY_AFTER_MS, now),
                 HopOutcome::Unknown => {}
             }
         }
