--- /dev/null
+++ b/crates/sidecar/src/calls/call.rs
@@ -0,0 +1,87 @@
+//! One call with what became of its tries.
+
+use super::{Attempt, Origin};
+use crate::Millis;
+use http1::{Request, Response};
+use mesh::{HopOutcome, NodeAddress};
+use placement::Urgency;
+use std::fmt;
+use std::rc::Rc;
+
+/// A call without a final answer.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub origin: Origin,
+    pub request: Rc<Request>,
+    pub attempt_id: String,
+    pub route: String,
+    pub repeatable: bool,
+    pub rank: u32,
+    pub most_arrivals: u32,
+    pub target_ms: u64,
+    pub service: String,
+    pub arrived: Millis,
+    pub deadline: Millis,
+    pub tries: u32,
+    pub arrivals: u32,
+    pub current: Option<(Attempt, NodeAddress)>,
+    pub tried: Vec<NodeAddress>,
+    /// What each try came to, for the log of a failure.
+    pub trail: Vec<Step>,
+    pub parked_until: Option<Millis>,
+    /// An upstream's own failure, passed on if nothing better comes.
+    pub fallback: Option<Response>,
+}
+
+impl Call {
+    /// Its place among those that wait for an upstream.
+    pub fn urgency(&self) -> Urgency {
+        Urgency { rank: self.rank, target_ms: self.target_ms }
+    }
+}
+
+/// What one try came to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Step {
+    pub to: NodeAddress,
+    pub ended_ms: u64,
+    pub outcome: &'static str,
+    pub status: u16,
+    pub running: u32,
+    pub queued: u32,
+    pub limit: u32,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Step { to, ended_ms, outcome, status, running, queued, limit } = self;
+        write!(formatter, "{to}@{ended_ms}ms:{outcome}/{status}:{running}+{queued}of{limit}")
+    }
+}
+
+/// A call that came before the first configuration.
+#[derive(Debug)]
+pub(super) struct EarlyCall {
+    pub origin: Origin,
+    pub request: Request,
+    pub since: Millis,
+}
+
+/// One word for a log.
+pub(super) fn outcome_word(outcome: HopOutcome) -> &'static str {
+    match outcome {
+        HopOutcome::Answered => "answered",
+        HopOutcome::Refused => "refused",
+        HopOutcome::Rejected => "rejected",
+        HopOutcome::Unknown => "unknown",
+    }
+}
+
+/// What each try came to, for a log.
+pub(super) fn trail(steps: &[Step]) -> String {
+    let steps: Vec<String> = steps.iter().map(ToString::to_string).collect();
+    if steps.is_empty() {
+        return "-".to_owned();
+    }
+    steps.join(",")
+}
--- /dev/null
+++ b/crates/sidecar/src/calls/endings.rs
@@ -0,0 +1,249 @@
+//! How tries end, and what follows: another try, or the final answer.
+
+use super::call::{outcome_word, trail, Step};
+use super::{
+    refusal, Attempt, AttemptEnd, CallAction, CallId, Calls, NO_UPSTREAM_WAIT_MS,
+    SHORTEST_RETRY_AFTER_MS,
+};
+use crate::Millis;
+use http1::Response;
+use mesh::{HopOutcome, HopReply, NodeAddress};
+use tracing::{info, warn};
+
+impl Calls {
+    pub(super) fn without_upstream(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        call.current = None;
+        let none_live = !self.view.has_live(&call.service);
+        if none_live && call.arrivals == 0 {
+            let wait = NO_UPSTREAM_WAIT_MS.min(call.target_ms / 2);
+            let until = *call.parked_until.get_or_insert(now + wait);
+            if now < until {
+                self.parked.insert(id);
+                return Vec::new();
+            }
+        }
+        let room_at = self.view.room_at(&call.service);
+        let wait = room_at.map_or(SHORTEST_RETRY_AFTER_MS * 4, |at| at.saturating_sub(now));
+        self.give_up(id, wait, now)
+    }
+
+    /// The final answer of a call that nothing more is tried for.
+    pub(super) fn give_up(
+        &mut self,
+        id: CallId,
+        retry_after_ms: u64,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        let Some(call) = self.remove(id) else {
+            return Vec::new();
+        };
+        if let Some(response) = call.fallback {
+            self.counts.answered += 1;
+            return vec![CallAction::Answer { origin: call.origin, response }];
+        }
+        let held_ms = now.saturating_sub(call.arrived);
+        if call.arrivals == 0 {
+            self.counts.refused += 1;
+            warn!(
+                id = %call.attempt_id, route = %call.route, service = %call.service,
+                tries = call.tries, retry_after_ms, held_ms, trail = %trail(&call.trail),
+                verdict = "not-run", "call_refused"
+            );
+            return vec![refusal(call.origin, retry_after_ms)];
+        }
+        self.counts.failed += 1;
+        warn!(
+            id = %call.attempt_id, route = %call.route, service = %call.service,
+            tries = call.tries, arrivals = call.arrivals, held_ms, trail = %trail(&call.trail),
+            verdict = "may-have-run",
+            "call_failed"
+        );
+        vec![CallAction::Answer { origin: call.origin, response: Response::empty(502) }]
+    }
+
+    /// Takes in how a try ended; late news of a try that was given up change nothing.
+    pub fn ended(&mut self, attempt: Attempt, end: AttemptEnd, now: Millis) -> Vec<CallAction> {
+        let current = self.calls.get(&attempt.call).and_then(|call| call.current);
+        let Some((_, to)) = current.filter(|(held, _)| *held == attempt) else {
+            return Vec::new();
+        };
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.outstanding = upstream.outstanding.saturating_sub(1);
+        }
+        if let Some(call) = self.calls.get_mut(&attempt.call) {
+            call.current = None;
+        }
+        self.note_step(attempt.call, to, &end, now);
+        match end {
+            AttemptEnd::NotSent => {
+                self.note_failure(&to, attempt, "not_sent", now);
+                self.place(attempt.call, now)
+            }
+            AttemptEnd::Lost => {
+                self.note_failure(&to, attempt, "lost", now);
+                self.note_arrival(attempt.call);
+                self.repeat_or_give_up(attempt.call, now)
+            }
+            AttemptEnd::Replied(reply, response) => self.replied(attempt, to, reply, response, now),
+        }
+    }
+
+    pub(super) fn note_step(&mut self, id: CallId, to: NodeAddress, end: &AttemptEnd, now: Millis) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let ended_ms = now.saturating_sub(call.arrived);
+        let step = Step { to, ended_ms, outcome: "", status: 0, running: 0, queued: 0, limit: 0 };
+        call.trail.push(match end {
+            AttemptEnd::NotSent => Step { outcome: "not-sent", ..step },
+            AttemptEnd::Lost => Step { outcome: "lost", ..step },
+            AttemptEnd::Replied(reply, response) => Step {
+                outcome: outcome_word(reply.outcome),
+                status: response.status,
+                running: reply.running,
+                queued: reply.queued,
+                limit: reply.limit,
+                ..step
+            },
+        });
+    }
+
+    pub(super) fn note_failure(
+        &mut self,
+        to: &NodeAddress,
+        attempt: Attempt,
+        kind: &str,
+        now: Millis,
+    ) {
+        let id = self.calls.get(&attempt.call).map_or("-", |call| &call.attempt_id);
+        info!(%id, %to, try_number = attempt.number, outcome = kind, "hop_failed");
+        if let Some(upstream) = self.view.get_mut(to) {
+            upstream.note_failure(now);
+        }
+    }
+
+    pub(super) fn note_arrival(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.arrivals += 1;
+        }
+    }
+
+    pub(super) fn replied(
+        &mut self,
+        attempt: Attempt,
+        to: NodeAddress,
+        reply: HopReply,
+        response: Response,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        let id = attempt.call;
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let usual_ms = self.usual_ms(call);
+        let urgency = call.urgency();
+        let route = call.route.clone();
+        if self.sample.takes(&call.attempt_id) {
+            info!(
+                id = %call.attempt_id, %to, try_number = attempt.number, outcome = ?reply.outcome,
+                status = response.status, running = reply.running, queued = reply.queued,
+                limit = reply.limit, spent_ms = reply.spent_ms, "hop_replied"
+            );
+        }
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.note_reply(reply, now);
+            match reply.outcome {
+                HopOutcome::Answered if response.status < 300 => {
+                    upstream.note_success();
+                    upstream.note_time(f64::from(reply.spent_ms), usual_ms);
+                    self.times.note(&route, f64::from(reply.spent_ms), upstream.speed);
+                }
+                HopOutcome::Answered => upstream.note_success(),
+                HopOutcome::Refused => {
+                    upstream.note_full(urgency, u64::from(reply.retry_after_ms), now);
+                }
+                HopOutcome::Rejected => upstream.note_full(urgency, SHORTEST_RETRY_AFTER_MS, now),
+                HopOutcome::Unknown => {}
+            }
+        }
+        match reply.outcome {
+            HopOutcome::Answered => {
+                self.note_arrival(id);
+                self.answered(id, response, now)
+            }
+            HopOutcome::Refused => self.place(id, now),
+            HopOutcome::Rejected if is_callers_fault(&response) => self.pass_on(id, response),
+            HopOutcome::Rejected => self.place_within_budget(id, now),
+            HopOutcome::Unknown => {
+                self.note_arrival(id);
+                self.repeat_or_give_up(id, now)
+            }
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        id: CallId,
+        response: Response,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        let failed = response.status >= 500;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        self.throttle.note_end(&call.route, !failed, now);
+        let worthwhile = failed && self.throttle.fails_rarely(&call.route, now);
+        match Some(call).filter(|call| worthwhile && call.repeatable) {
+            Some(call) => {
+                call.fallback = Some(response);
+                self.repeat_or_give_up(id, now)
+            }
+            None => self.pass_on(id, response),
+        }
+    }
+
+    pub(super) fn pass_on(&mut self, id: CallId, response: Response) -> Vec<CallAction> {
+        let Some(call) = self.remove(id) else {
+            return Vec::new();
+        };
+        self.counts.answered += 1;
+        vec![CallAction::Answer { origin: call.origin, response }]
+    }
+
+    /// Sends a call that may have run once more, if it may run twice and there is room for it.
+    pub(super) fn repeat_or_give_up(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let worthwhile = now + (self.usual_ms(call) as u64) < call.deadline;
+        let allowed = call.repeatable && call.arrivals < call.most_arrivals && worthwhile;
+        if !allowed {
+            return self.give_up(id, 0, now);
+        }
+        self.place_within_budget(id, now)
+    }
+
+    pub(super) fn place_within_budget(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let service = call.service.clone();
+        if !self.budget.allows(&service, self.view.nodes(), now) {
+            info!(id = %call.attempt_id, %service, "retry_budget_spent");
+            return self.give_up(id, SHORTEST_RETRY_AFTER_MS, now);
+        }
+        if call.arrivals == 0 {
+            // The rejected arrival counts at the service, though the call did not run there.
+            self.budget.note_repeat(&service, now);
+        }
+        self.place(id, now)
+    }
+}
+
+/// An upstream that rejects what the caller sent would be followed by all others.
+fn is_callers_fault(response: &Response) -> bool {
+    matches!(response.status, 400..=420 | 422..=428 | 430..=499)
+}
--- /dev/null
+++ b/crates/sidecar/src/calls/mod.rs
@@ -0,0 +1,357 @@
+//! The outbound side: what becomes of each call of a caller on this machine.
+//!
+//! Pure: events come in with the time, actions go out. A call has one final answer, given at once
+//! when it is decided; it has at most one attempt at a time.
+
+mod call;
+mod endings;
+mod time;
+
+use self::call::{Call, EarlyCall};
+use crate::config::Config;
+use crate::dialect::HeaderNames;
+use http1::{Request, Response, Slot};
+use mesh::{HopReply, HopRequest, NodeAddress, HOP_HEADER};
+use placement::{BudgetBounds, ClassTimes, PlacementView, RetryBudget, Throttle, WeightedSplit};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use tracing::info;
+
+use crate::net::ConnectionId;
+use crate::sample::LogSample;
+use crate::Millis;
+
+/// Names a call on this node.
+pub type CallId = u64;
+
+/// Usual time of a route without a target or an answer yet, milliseconds.
+const UNKNOWN_TIME_MS: f64 = 100.0;
+/// Part of a route's target latency taken for its usual time before the first answer.
+const USUAL_PART_OF_TARGET: f64 = 0.35;
+/// How much longer than usual an answer is planned to take.
+const PLANNED_TIME_FACTOR: f64 = 1.25;
+/// Most part of the target latency that a call waits for a slot: one refused so early can still
+/// be in time when it comes back, and a longer queue makes all who wait late.
+const MOST_PATIENCE_PART: f64 = 0.25;
+/// A call may wait this long for a slot whatever its target, if its time allows, milliseconds.
+/// Those with short targets are mostly asked for within other calls, which would fail with a slot
+/// in their hands.
+const LEAST_PATIENCE_MS: f64 = 120.0;
+/// Longest wait for an upstream of a service that has none, milliseconds.
+const NO_UPSTREAM_WAIT_MS: u64 = 400;
+const PARKED_LOOK_MS: u64 = 20;
+const SHORTEST_RETRY_AFTER_MS: u64 = 50;
+const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
+/// Retry-After of calls that are held back because their like fail, milliseconds.
+const THROTTLED_RETRY_AFTER_MS: u64 = 250;
+/// Retry-After while no configuration is known, milliseconds.
+const UNREADY_RETRY_AFTER_MS: u64 = 600;
+/// Longest wait of a call for the first configuration of a sidecar that just started, ms.
+const EARLY_WAIT_MS: u64 = 800;
+/// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
+const HOP_MARGIN_MS: u64 = 8;
+
+/// Where a call came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// Connection of the caller.
+    pub connection: ConnectionId,
+    /// Place on it.
+    pub slot: Slot,
+}
+
+/// One try of a call; the number tells late news of earlier tries apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt {
+    /// The call.
+    pub call: CallId,
+    /// Which try, from 1.
+    pub number: u32,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// No byte of it was sent.
+    NotSent,
+    /// The peer told what became of it.
+    Replied(HopReply, Response),
+    /// It was sent, and nothing certain came back.
+    Lost,
+}
+
+/// What the runtime must do.
+#[derive(Debug)]
+pub enum CallAction {
+    /// Send a try to the sidecar beside an upstream.
+    Send {
+        /// Which.
+        attempt: Attempt,
+        /// Where to.
+        to: NodeAddress,
+        /// What to send, without the hop's header.
+        request: Rc<Request>,
+        /// What goes in the hop's header.
+        hop: HopRequest,
+    },
+    /// Give a call its final answer.
+    Answer {
+        /// Where it came from.
+        origin: Origin,
+        /// The answer.
+        response: Response,
+    },
+    /// Stop a try; its end is not awaited.
+    Abort(Attempt),
+}
+
+/// Counters of the outbound side.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallCounts {
+    /// Calls begun.
+    pub begun: u64,
+    /// Answers of upstreams passed on.
+    pub answered: u64,
+    /// Refusals that promise that the call did not run.
+    pub refused: u64,
+    /// Failures without that promise.
+    pub failed: u64,
+    /// Calls whose time was over.
+    pub timed_out: u64,
+    /// Calls whose caller went away.
+    pub cancelled: u64,
+    /// Arrivals at upstreams past the first.
+    pub repeats: u64,
+}
+
+/// All calls of callers on this machine.
+pub struct Calls {
+    names: HeaderNames,
+    sample: LogSample,
+    service: String,
+    /// What is believed of the upstreams.
+    pub view: PlacementView,
+    splits: BTreeMap<String, WeightedSplit>,
+    budget: RetryBudget,
+    times: ClassTimes,
+    throttle: Throttle,
+    random: fastrand::Rng,
+    calls: BTreeMap<CallId, Call>,
+    by_origin: BTreeMap<Origin, CallId>,
+    deadlines: BTreeSet<(Millis, CallId)>,
+    parked: BTreeSet<CallId>,
+    early: Vec<EarlyCall>,
+    next_call: CallId,
+    /// Totals since the start.
+    pub counts: CallCounts,
+}
+
+impl Calls {
+    /// The outbound side of a sidecar whose upstream belongs to `service`.
+    pub fn new(
+        names: HeaderNames,
+        service: &str,
+        zone: &str,
+        bounds: BudgetBounds,
+        sample: LogSample,
+        seed: u64,
+    ) -> Self {
+        Calls {
+            names,
+            sample,
+            service: service.to_owned(),
+            view: PlacementView::new(zone),
+            splits: BTreeMap::new(),
+            budget: RetryBudget::new(bounds),
+            times: ClassTimes::default(),
+            throttle: Throttle::default(),
+            random: fastrand::Rng::with_seed(seed),
+            calls: BTreeMap::new(),
+            by_origin: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            parked: BTreeSet::new(),
+            early: Vec::new(),
+            next_call: 1,
+            counts: CallCounts::default(),
+        }
+    }
+
+    /// Calls without a final answer.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len() + self.early.len()
+    }
+
+    /// Takes in a call.
+    pub fn begin(
+        &mut self,
+        origin: Origin,
+        request: Request,
+        config: &Config,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        self.counts.begun += 1;
+        let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
+        let Some(routing) = config.routing() else {
+            self.early.push(EarlyCall { origin, request, since: now });
+            return Vec::new();
+        };
+        let host = request.headers.text("host").unwrap_or_default().to_owned();
+        let path = request.path().to_owned();
+        let Some(route) = routing.find(&host, &request.method, &path) else {
+            let generation = routing.generation;
+            info!(id = %attempt_id, %host, %path, generation, "call_without_route");
+            return vec![CallAction::Answer { origin, response: Response::empty(404) }];
+        };
+        let route = &route.route;
+        let draw = self.random.f64();
+        if !self.throttle.admits(&route.name, draw, now) {
+            info!(id = %attempt_id, route = %route.name, reason = "throttled", "call_refused");
+            self.counts.refused += 1;
+            return vec![refusal(origin, THROTTLED_RETRY_AFTER_MS)];
+        }
+        let timeout = u64::from(route.timeout_ms);
+        let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
+        let Some(service) = self.draw_service(&route.name, &route.targets) else {
+            return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
+        };
+        self.budget.note_request(&service, now);
+        let id = self.next_call;
+        self.next_call += 1;
+        let call = Call {
+            origin,
+            request: Rc::new(self.prepared(request)),
+            attempt_id,
+            route: route.name.clone(),
+            repeatable: route.repeatable,
+            rank: route.rank,
+            most_arrivals: route.attempts.max(1),
+            target_ms: match route.target_latency_ms {
+                0 => timeout,
+                target => u64::from(target),
+            },
+            service,
+            arrived: now,
+            deadline: now + told.min(timeout),
+            tries: 0,
+            arrivals: 0,
+            current: None,
+            tried: Vec::new(),
+            trail: Vec::new(),
+            parked_until: None,
+            fallback: None,
+        };
+        self.deadlines.insert((call.deadline, id));
+        self.by_origin.insert(origin, id);
+        self.calls.insert(id, call);
+        self.place(id, now)
+    }
+
+    fn draw_service(&mut self, route: &str, targets: &[bundle::Target]) -> Option<String> {
+        if let [only] = targets {
+            return Some(only.service.clone());
+        }
+        let current = self.splits.get(route).is_some_and(|split| split.is_for(targets));
+        if !current {
+            let split = WeightedSplit::new(targets, &mut self.random);
+            self.splits.insert(route.to_owned(), split);
+        }
+        self.splits.get_mut(route)?.draw().map(str::to_owned)
+    }
+
+    /// The request as it goes to the peer: without what only the caller's connection concerns,
+    /// and without what only sidecars may say.
+    fn prepared(&self, mut request: Request) -> Request {
+        let headers = &mut request.headers;
+        headers.remove_connection_headers();
+        for name in [self.names.expect_instance, self.names.deadline_ms, HOP_HEADER] {
+            headers.remove(name);
+        }
+        headers.set(self.names.caller, self.service.as_bytes());
+        request
+    }
+
+    fn usual_ms(&self, call: &Call) -> f64 {
+        let guessed = match call.target_ms {
+            0 => UNKNOWN_TIME_MS,
+            target => target as f64 * USUAL_PART_OF_TARGET,
+        };
+        self.times.usual_ms(&call.route).unwrap_or(guessed)
+    }
+
+    /// Chooses an upstream for a call that has no try, or gives it up.
+    fn place(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        let usual_ms = self.usual_ms(call);
+        let elapsed = now.saturating_sub(call.arrived);
+        let target_ms = call.target_ms.saturating_sub(elapsed).max(1) as f64;
+        let service = &call.service;
+        let urgency = call.urgency();
+        let tried = &call.tried;
+        let wanted = placement::Request { service, urgency, usual_ms, target_ms, tried };
+        let Some(to) = self.view.choose(&wanted, now, &mut self.random) else {
+            return self.without_upstream(id, now);
+        };
+        let hop = self.hop_request(call, &to, usual_ms, now);
+        let call = self.calls.get_mut(&id).expect("looked up above");
+        call.tries += 1;
+        let attempt = Attempt { call: id, number: call.tries };
+        call.current = Some((attempt, to));
+        call.parked_until = None;
+        call.tried.push(to);
+        self.parked.remove(&id);
+        let request = call.request.clone();
+        if call.arrivals > 0 {
+            self.budget.note_repeat(&call.service, now);
+            self.counts.repeats += 1;
+        }
+        if self.sample.takes(&call.attempt_id) {
+            info!(
+                id = %call.attempt_id, route = %call.route, service = %call.service,
+                rank = call.rank, target_ms = call.target_ms, try_number = call.tries,
+                %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms, "call_placed"
+            );
+        }
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.outstanding += 1;
+        }
+        vec![CallAction::Send { attempt, to, request, hop }]
+    }
+
+    fn hop_request(&self, call: &Call, to: &NodeAddress, usual_ms: f64, now: Millis) -> HopRequest {
+        let left = call.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN_MS).max(1);
+        let speed = self.view.get(to).map_or(1.0, |upstream| upstream.speed);
+        let planned = usual_ms * speed * PLANNED_TIME_FACTOR;
+        let target = call.target_ms as f64;
+        let elapsed = now.saturating_sub(call.arrived) as f64;
+        let useful = (target - elapsed - planned).min(target * MOST_PATIENCE_PART);
+        let possible = (left as f64 - planned).max(0.0);
+        let patience = useful.max(LEAST_PATIENCE_MS.min(possible));
+        let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
+        HopRequest {
+            deadline_ms: left,
+            patience_ms: (patience as u64).min(left),
+            rank: call.rank,
+            target_ms: call.target_ms,
+            repeatable: call.repeatable,
+            service: call.service.clone(),
+            instance: record.map(|instance| instance.id.clone()),
+        }
+    }
+
+    fn remove(&mut self, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.deadlines.remove(&(call.deadline, id));
+        self.by_origin.remove(&call.origin);
+        self.parked.remove(&id);
+        Some(call)
+    }
+}
+
+fn refusal(origin: Origin, retry_after_ms: u64) -> CallAction {
+    let bounded = retry_after_ms.clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS);
+    let seconds = format!("{:.3}", bounded as f64 / 1_000.0);
+    let response = Response::empty(503).with_header("Retry-After", seconds);
+    CallAction::Answer { origin, response }
+}
--- /dev/null
+++ b/crates/sidecar/src/calls/time.rs
@@ -0,0 +1,112 @@
+//! What ends calls from outside: time, callers that leave, the start and the stop of the process.
+
+use super::call::{trail, Call, EarlyCall};
+use super::{
+    refusal, CallAction, CallId, Calls, Origin, EARLY_WAIT_MS, PARKED_LOOK_MS,
+    UNREADY_RETRY_AFTER_MS,
+};
+use crate::config::Config;
+use crate::net::ConnectionId;
+use crate::Millis;
+use http1::{Request, Response, Slot};
+use tracing::{info, warn};
+
+impl Calls {
+    /// Goes on with the calls that came before the first configuration.
+    pub fn configured(&mut self, config: &Config, now: Millis) -> Vec<CallAction> {
+        let early = std::mem::take(&mut self.early);
+        let begun =
+            early.into_iter().map(|call| self.begin(call.origin, call.request, config, now));
+        begun.flatten().collect()
+    }
+
+    /// Refuses the calls that waited too long for a configuration.
+    pub(super) fn refuse_early(&mut self, now: Millis) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        let waited = |call: &EarlyCall| now >= call.since + EARLY_WAIT_MS;
+        for call in self.early.extract_if(.., |call| waited(call)) {
+            let id = call.request.headers.text(self.names.attempt_id).unwrap_or("-");
+            info!(%id, reason = "no_configuration", verdict = "not-run", "call_refused");
+            self.counts.refused += 1;
+            actions.push(refusal(call.origin, UNREADY_RETRY_AFTER_MS));
+        }
+        actions
+    }
+
+    /// Refuses a call because the process stops.
+    pub fn refuse_stopping(
+        &mut self,
+        origin: Origin,
+        request: &Request,
+        retry_after_ms: u64,
+    ) -> CallAction {
+        self.counts.refused += 1;
+        let id = request.headers.text(self.names.attempt_id).unwrap_or("-");
+        info!(%id, reason = "stopping", retry_after_ms, verdict = "not-run", "call_refused");
+        refusal(origin, retry_after_ms)
+    }
+
+    /// A caller went away: whatever it waited for stops.
+    pub fn connection_ended(&mut self, connection: ConnectionId) -> Vec<CallAction> {
+        self.early.retain(|call| call.origin.connection != connection);
+        let first = Origin { connection, slot: 0 };
+        let last = Origin { connection, slot: Slot::MAX };
+        let ids: Vec<CallId> = self.by_origin.range(first..=last).map(|(_, id)| *id).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            if let Some(call) = self.remove(id) {
+                self.counts.cancelled += 1;
+                info!(id = %call.attempt_id, tries = call.tries, "call_cancelled");
+                actions.extend(self.abort(&call));
+            }
+        }
+        actions
+    }
+
+    pub(super) fn abort(&mut self, call: &Call) -> Option<CallAction> {
+        let (attempt, to) = call.current?;
+        if let Some(upstream) = self.view.get_mut(&to) {
+            upstream.outstanding = upstream.outstanding.saturating_sub(1);
+        }
+        Some(CallAction::Abort(attempt))
+    }
+
+    /// Ends the calls whose time is over, and looks again for the parked ones.
+    pub fn tick(&mut self, now: Millis) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        while let Some((deadline, id)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            let Some(call) = self.remove(id) else {
+                self.deadlines.remove(&(deadline, id));
+                continue;
+            };
+            self.counts.timed_out += 1;
+            let held_ms = now.saturating_sub(call.arrived);
+            warn!(
+                id = %call.attempt_id, route = %call.route, service = %call.service,
+                tries = call.tries, held_ms, trail = %trail(&call.trail),
+                at = ?call.current.map(|(_, to)| to.to_string()),
+                verdict = "may-have-run", "call_timed_out"
+            );
+            actions.extend(self.abort(&call));
+            let response = call.fallback.unwrap_or_else(|| Response::empty(504));
+            actions.push(CallAction::Answer { origin: call.origin, response });
+        }
+        actions.extend(self.refuse_early(now));
+        let parked: Vec<CallId> = self.parked.iter().copied().collect();
+        for id in parked {
+            actions.extend(self.place(id, now));
+        }
+        actions
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
+        let parked = (!self.parked.is_empty()).then_some(now + PARKED_LOOK_MS);
+        let early = self.early.first().map(|call| call.since + EARLY_WAIT_MS);
+        deadline.into_iter().chain(parked).chain(early).min()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -0,0 +1,227 @@
+//! From sockets to cores, and from the cores' actions to sockets.
+
+use super::{Sidecar, Work, OWN_BODY_BYTES, OWN_HEADER_BYTES};
+use crate::calls::{AttemptEnd, CallAction, Origin};
+use crate::jobs::{JobAction, Source, UpstreamEnd};
+use crate::net::{ConnectionId, NetEvent};
+use crate::pool::{Asked, PoolEnd};
+use crate::servers::ServerKind;
+use crate::{Attempt, Millis};
+use admission::JobId;
+use http1::{write_request, ExpectedId, Headers, Request, Response, ServerLimits, Slot};
+use mesh::{HopReply, HopRequest, HOP_HEADER};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+impl Sidecar {
+    pub(super) fn on_event(&mut self, event: NetEvent) {
+        let now = self.now();
+        let id = match &event {
+            NetEvent::Accepted { listener, connection } => {
+                self.servers.accepted(*connection, self.listeners[*listener], now);
+                return;
+            }
+            NetEvent::Opened(id) | NetEvent::NotOpened(id) | NetEvent::Received(id) => *id,
+            NetEvent::Ended(id, _) => *id,
+        };
+        if let Some(kind) = self.servers.kind(id) {
+            self.on_server_event(kind, id, &event, now);
+        } else if self.peers.holds(id) {
+            if let Some((attempt, end)) = self.peers.on_event(&mut self.net, &event, now) {
+                self.peer_ended(attempt, end, now);
+            }
+        } else if self.upstream.holds(id) {
+            if let Some((job, end)) = self.upstream.on_event(&mut self.net, &event, now) {
+                self.upstream_ended(job, end, now);
+            }
+        } else if self.links.holds(id) {
+            let news = self.links.on_event(&mut self.net, &event, now);
+            for news in news {
+                self.on_news(news, now);
+            }
+        } else if matches!(event, NetEvent::Ended(..)) {
+            self.net.close(id);
+        }
+    }
+
+    pub(super) fn on_server_event(
+        &mut self,
+        kind: ServerKind,
+        id: ConnectionId,
+        event: &NetEvent,
+        now: Millis,
+    ) {
+        if let NetEvent::Ended(..) = event {
+            self.servers.ended(&mut self.net, id);
+            match kind {
+                ServerKind::Caller => {
+                    let actions = self.calls.connection_ended(id);
+                    self.work.extend(actions.into_iter().map(Work::Call));
+                }
+                ServerKind::Peer => {
+                    let actions = self.jobs.connection_ended(id, now);
+                    self.work.extend(actions.into_iter().map(Work::Job));
+                }
+                _ => {}
+            }
+            return;
+        }
+        self.take_requests(kind, id, now);
+    }
+
+    pub(super) fn take_requests(&mut self, kind: ServerKind, id: ConnectionId, now: Millis) {
+        let limits = self.server_limits(kind);
+        let requests = self.servers.received(&mut self.net, id, limits, now);
+        for (slot, request) in requests {
+            match kind {
+                ServerKind::Caller => {
+                    self.last_request = now;
+                    let origin = Origin { connection: id, slot };
+                    if self.stop.refuses(now) {
+                        let after_ms = self.stop.retry_after_ms();
+                        let action = self.calls.refuse_stopping(origin, &request, after_ms);
+                        self.work.push_back(Work::Call(action));
+                        continue;
+                    }
+                    let actions = self.calls.begin(origin, request, &self.config, now);
+                    self.work.extend(actions.into_iter().map(Work::Call));
+                }
+                ServerKind::Peer => self.on_peer_request(id, slot, request, now),
+                ServerKind::Registration => self.on_registration(id, slot, &request, now),
+                ServerKind::Ready => {
+                    let ready = request.path() == self.dialect.ready_path() && self.is_ready();
+                    let status = if ready { 200 } else { 503 };
+                    self.answer(id, slot, Response::empty(status), now);
+                }
+                ServerKind::Metrics => {
+                    let response = self.metrics_response(request.path());
+                    self.answer(id, slot, response, now);
+                }
+            }
+        }
+    }
+
+    pub(super) fn server_limits(&self, kind: ServerKind) -> ServerLimits {
+        match kind {
+            ServerKind::Caller => ServerLimits {
+                header_bytes: self.config.limits().header_bytes as usize,
+                body_bytes: u64::from(self.config.limits().body_bytes),
+            },
+            _ => ServerLimits { header_bytes: OWN_HEADER_BYTES, body_bytes: OWN_BODY_BYTES },
+        }
+    }
+
+    pub(super) fn on_peer_request(
+        &mut self,
+        id: ConnectionId,
+        slot: Slot,
+        request: Request,
+        now: Millis,
+    ) {
+        self.last_request = now;
+        let hop = request.headers.text(HOP_HEADER).and_then(HopRequest::decode);
+        let Some(hop) = hop else {
+            self.answer(id, slot, Response::empty(421), now);
+            return;
+        };
+        let source = Source::Peer { connection: id, slot };
+        let actions = self.jobs.begin(source, Rc::new(request), &hop, now);
+        self.work.extend(actions.into_iter().map(Work::Job));
+    }
+
+    pub(super) fn do_work(&mut self) {
+        while let Some(work) = self.work.pop_front() {
+            let now = self.now();
+            match work {
+                Work::Call(action) => self.do_call_action(action, now),
+                Work::Job(action) => self.do_job_action(action, now),
+            }
+        }
+    }
+
+    pub(super) fn do_call_action(&mut self, action: CallAction, now: Millis) {
+        match action {
+            CallAction::Send { attempt, to, request, hop } if to == self.own => {
+                let source = Source::Local(attempt);
+                let actions = self.jobs.begin(source, request, &hop, now);
+                self.work.extend(actions.into_iter().map(Work::Job));
+            }
+            CallAction::Send { attempt, to, request, hop } => {
+                let mut headers = request.headers.clone();
+                headers.push(HOP_HEADER, hop.encode());
+                let asked = self.asked(&request, &headers);
+                let address = SocketAddr::from(to);
+                if let Some(end) = self.peers.ask(&mut self.net, address, attempt, asked, now) {
+                    self.peer_ended(attempt, end, now);
+                }
+            }
+            CallAction::Answer { origin, response } => {
+                self.answer(origin.connection, origin.slot, response, now);
+                // Requests may have been held back behind this one.
+                self.take_requests(ServerKind::Caller, origin.connection, now);
+            }
+            CallAction::Abort(attempt) => {
+                self.peers.abort(&mut self.net, attempt);
+                let actions = self.jobs.cancel(Source::Local(attempt), now);
+                self.work.extend(actions.into_iter().map(Work::Job));
+            }
+        }
+    }
+
+    pub(super) fn asked(&self, request: &Request, headers: &Headers) -> Asked {
+        let mut bytes = Vec::with_capacity(request.body.len() + 512);
+        write_request(&mut bytes, &request.method, &request.target, headers, &request.body);
+        let id = request.headers.get(self.names.attempt_id);
+        let header = self.names.attempt_id.to_owned();
+        let expected = id.map(|value| ExpectedId { header, value: value.to_vec() });
+        Asked { method: request.method.clone(), bytes, expected }
+    }
+
+    pub(super) fn do_job_action(&mut self, action: JobAction, now: Millis) {
+        match action {
+            JobAction::Run { job, mut request } => {
+                request.headers.remove_connection_headers();
+                let asked = self.asked(&request, &request.headers);
+                let address = SocketAddr::from(self.settings.upstream);
+                if let Some(end) = self.upstream.ask(&mut self.net, address, job, asked, now) {
+                    self.upstream_ended(job, end, now);
+                }
+            }
+            JobAction::Abort(job) => self.upstream.abort(&mut self.net, job),
+            JobAction::Reply { source: Source::Local(attempt), reply, response } => {
+                let end = AttemptEnd::Replied(reply, response);
+                let actions = self.calls.ended(attempt, end, now);
+                self.work.extend(actions.into_iter().map(Work::Call));
+            }
+            JobAction::Reply { source: Source::Peer { connection, slot }, reply, response } => {
+                let response = response.with_header(HOP_HEADER, reply.encode());
+                self.answer(connection, slot, response, now);
+            }
+        }
+    }
+
+    pub(super) fn peer_ended(&mut self, attempt: Attempt, end: PoolEnd, now: Millis) {
+        let end = match end {
+            PoolEnd::NotSent => AttemptEnd::NotSent,
+            PoolEnd::Failed(_) => AttemptEnd::Lost,
+            PoolEnd::Answered(answer) => {
+                let mut response = answer.response;
+                let reply = response.headers.text(HOP_HEADER).and_then(HopReply::decode);
+                response.headers.remove(HOP_HEADER);
+                reply.map_or(AttemptEnd::Lost, |reply| AttemptEnd::Replied(reply, response))
+            }
+        };
+        let actions = self.calls.ended(attempt, end, now);
+        self.work.extend(actions.into_iter().map(Work::Call));
+    }
+
+    pub(super) fn upstream_ended(&mut self, job: JobId, end: PoolEnd, now: Millis) {
+        let end = match end {
+            PoolEnd::NotSent => UpstreamEnd::NotSent,
+            PoolEnd::Answered(answer) => UpstreamEnd::Answered(answer),
+            PoolEnd::Failed(error) => UpstreamEnd::Failed(error),
+        };
+        let actions = self.jobs.ended(job, end, now);
+        self.work.extend(actions.into_iter().map(Work::Job));
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -0,0 +1,366 @@
+//! The loop of a sidecar: sockets to cores and back.
+
+mod dispatch;
+mod registration;
+
+use crate::calls::{CallAction, Calls};
+use crate::config::Config;
+use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
+use crate::jobs::{JobAction, Jobs};
+use crate::links::{LinkEvent, Links};
+use crate::metrics::{Metrics, Snapshot};
+use crate::net::{ConnectionId, Net};
+use crate::pool::Pool;
+use crate::registrar::Registrar;
+use crate::sample::LogSample;
+use crate::servers::{ServerKind, ServerTimes, Servers};
+use crate::stop::{Activity, StopPhase, StopPlan};
+use crate::{Attempt, Millis};
+use admission::JobId;
+use http1::{Response, Slot};
+use mesh::{NodeAddress, NodeRecord};
+use placement::BudgetBounds;
+use settings::SidecarSettings;
+use snafu::{ResultExt, Snafu};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
+use telemetry::{Clock, ReloadSignal, StopSignal};
+use tracing::{info, warn};
+
+const HOUSEKEEPING_MS: u64 = 50;
+const RELOAD_LOOK_MS: u64 = 1_000;
+const LINGER_LIMIT: Duration = Duration::from_secs(1);
+/// Peers' connections rest this long before they are closed.
+const PEER_IDLE_MS: u64 = 20_000;
+/// Connections to the upstream rest this long; upstreams close them after some seconds.
+const UPSTREAM_IDLE_MS: u64 = 4_000;
+const OWN_HEADER_BYTES: usize = 64 * 1024;
+const OWN_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const OWN_HEADER_MS: u64 = 10_000;
+const OWN_IDLE_MS: u64 = 60_000;
+/// How long the upstream's messages wait for what coordinators know of an earlier life, ms.
+const RESTORE_WAIT_MS: u64 = 800;
+
+/// A sidecar could not start.
+#[derive(Debug, Snafu)]
+pub enum SidecarError {
+    /// The poll could not be made.
+    #[snafu(display("cannot make a poll: {source}"))]
+    Poll {
+        /// Cause.
+        source: io::Error,
+    },
+    /// An address cannot be used.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Which.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+enum Work {
+    Call(CallAction),
+    Job(JobAction),
+}
+
+struct WaitingRegistration {
+    connection: ConnectionId,
+    slot: Slot,
+    call: RegistrationCall,
+}
+
+struct Sidecar {
+    settings: SidecarSettings,
+    settings_path: Option<PathBuf>,
+    settings_modified: Option<SystemTime>,
+    names: HeaderNames,
+    dialect: Box<dyn RegistrationDialect>,
+    own: NodeAddress,
+    clock: Clock,
+    net: Net,
+    listeners: Vec<ServerKind>,
+    servers: Servers,
+    peers: Pool<Attempt>,
+    upstream: Pool<JobId>,
+    links: Links,
+    registrar: Registrar,
+    waiting_registrations: Vec<WaitingRegistration>,
+    config: Config,
+    calls: Calls,
+    jobs: Jobs,
+    work: VecDeque<Work>,
+    metrics: Metrics,
+    stop: StopPlan,
+    last_request: Millis,
+    next_housekeeping: Millis,
+    next_reload_look: Millis,
+}
+
+/// Runs a sidecar until it is asked to stop. `settings_path` is read again when it changes.
+pub fn run(
+    settings: SidecarSettings,
+    settings_path: Option<PathBuf>,
+    names: HeaderNames,
+    dialect: Box<dyn RegistrationDialect>,
+    stop: &StopSignal,
+    reload: &ReloadSignal,
+) -> Result<(), SidecarError> {
+    let mut sidecar = Sidecar::start(settings, settings_path, names, dialect)?;
+    while !sidecar.is_over(stop) {
+        sidecar.turn(reload);
+    }
+    info!("sidecar_stopped");
+    Ok(())
+}
+
+impl Sidecar {
+    fn start(
+        settings: SidecarSettings,
+        settings_path: Option<PathBuf>,
+        names: HeaderNames,
+        dialect: Box<dyn RegistrationDialect>,
+    ) -> Result<Self, SidecarError> {
+        let mut net = Net::new().context(PollSnafu)?;
+        let listen = [
+            (settings.outbound_listen, ServerKind::Caller),
+            (settings.inbound_listen, ServerKind::Peer),
+            (settings.registration_listen, ServerKind::Registration),
+            (settings.ready_listen, ServerKind::Ready),
+            (settings.metrics_listen, ServerKind::Metrics),
+        ];
+        let mut listeners = Vec::new();
+        for (address, kind) in listen {
+            let address = SocketAddr::from(address);
+            net.listen(address).context(ListenSnafu { address })?;
+            listeners.push(kind);
+        }
+        let own = NodeAddress::from(settings.inbound_listen);
+        let record = NodeRecord {
+            address: own,
+            life: fastrand::u64(..),
+            sequence: 0,
+            zone: settings.zone.clone(),
+            service: settings.service.clone(),
+            stopping: false,
+            instance: None,
+        };
+        let seeds = seed_addresses(&settings);
+        let seed = fastrand::u64(..);
+        let links = Links::new(&settings.fleet, settings.mesh_port, seeds, record, seed);
+        let bounds = BudgetBounds {
+            ratio: settings.retry_budget.ratio,
+            slack: settings.retry_budget.slack,
+            window_ms: settings.retry_budget.window_s * 1_000,
+        };
+        let sample = LogSample::new(settings.log_sample);
+        let calls = Calls::new(names, &settings.service, &settings.zone, bounds, sample, seed);
+        let jobs = Jobs::new(names, &settings.service, settings.drain_ms, sample);
+        info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
+        warn!("connections between processes are plain: settings say plain_transport");
+        Ok(Sidecar {
+            stop: StopPlan::new(settings.stop_ms),
+            settings_modified: modified(settings_path.as_ref()),
+            settings,
+            settings_path,
+            names,
+            dialect,
+            own,
+            clock: Clock::default(),
+            net,
+            listeners,
+            servers: Servers::default(),
+            peers: Pool::new(PEER_IDLE_MS / 2),
+            upstream: Pool::new(UPSTREAM_IDLE_MS),
+            links,
+            registrar: Registrar::default(),
+            waiting_registrations: Vec::new(),
+            config: Config::default(),
+            calls,
+            jobs,
+            work: VecDeque::new(),
+            metrics: Metrics::new(),
+            last_request: 0,
+            next_housekeeping: 0,
+            next_reload_look: RELOAD_LOOK_MS,
+        })
+    }
+
+    fn now(&self) -> Millis {
+        self.clock.now_ms()
+    }
+
+    /// One turn of the loop: waits for events, handles them, and does what is due.
+    fn turn(&mut self, reload: &ReloadSignal) {
+        let wait = self.next_due().saturating_sub(self.now());
+        let events = self.net.poll(Duration::from_millis(wait));
+        for event in events {
+            self.on_event(event);
+            self.do_work();
+        }
+        let now = self.now();
+        let ended = self.calls.tick(now);
+        self.work.extend(ended.into_iter().map(Work::Call));
+        let ended = self.jobs.tick(now);
+        self.work.extend(ended.into_iter().map(Work::Job));
+        self.do_work();
+        self.acknowledge();
+        if now >= self.next_housekeeping {
+            self.next_housekeeping = now + HOUSEKEEPING_MS;
+            self.keep_house(now);
+        }
+        if reload.take() || now >= self.next_reload_look {
+            self.next_reload_look = now + RELOAD_LOOK_MS;
+            self.reload_settings();
+        }
+    }
+
+    fn next_due(&self) -> Millis {
+        let now = self.now();
+        let dues = [
+            self.calls.next_tick(now),
+            self.jobs.next_tick(),
+            self.registrar.next_tick(),
+            Some(self.next_housekeeping),
+        ];
+        dues.into_iter().flatten().min().unwrap_or(now)
+    }
+
+    fn answer(&mut self, id: ConnectionId, slot: Slot, response: Response, now: Millis) {
+        let close = self.stop.has_begun();
+        self.servers.answer(&mut self.net, id, slot, response, close, now);
+    }
+
+    fn is_ready(&self) -> bool {
+        let configured = self.config.routing().is_some();
+        configured && self.links.is_welcomed() && !self.stop.has_begun()
+    }
+
+    fn metrics_response(&self, path: &str) -> Response {
+        if path != "/metrics" {
+            return Response::empty(404);
+        }
+        let (running, queued) = self.jobs.load();
+        let snapshot = Snapshot {
+            calls: self.calls.counts,
+            in_flight: self.calls.in_flight(),
+            running,
+            queued,
+            generation: self.config.generation(),
+            nodes: self.calls.view.nodes(),
+            connections: self.net.connections(),
+        };
+        Response::text(200, &self.metrics.encode(&snapshot))
+    }
+
+    fn on_news(&mut self, news: LinkEvent, now: Millis) {
+        match news {
+            LinkEvent::Welcome(last) => {
+                self.restore(last, now);
+                self.take_waiting_registrations(now);
+            }
+            LinkEvent::Config { generation, update } => {
+                if self.config.apply(generation, &update) {
+                    let actions = self.calls.configured(&self.config, now);
+                    self.work.extend(actions.into_iter().map(Work::Call));
+                }
+                let (generation, digest) = (self.config.generation(), self.config.digest());
+                self.links.applied(&mut self.net, generation, digest, now);
+            }
+            LinkEvent::Node(record) => {
+                self.calls.view.update(record, now);
+            }
+            LinkEvent::Gone => {
+                let links = &self.links;
+                let own = self.own;
+                let is_listed = |node: &NodeAddress| *node == own || links.is_listed(node, now);
+                self.calls.view.retain(is_listed, now);
+            }
+        }
+        let (generation, digest) = (self.config.generation(), self.config.digest());
+        self.links.want_config(&mut self.net, generation, digest, now);
+    }
+
+    /// The upstream beside is out of reach from now on, until the next life is there.
+    fn close_to_peers(&mut self, now: Millis) {
+        let (running, queued) = self.jobs.load();
+        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_closing");
+        self.links.report(&mut self.net, |record| record.stopping = true, now);
+        self.calls.view.update(self.links.record().clone(), now);
+        let actions = self.jobs.close(now);
+        self.work.extend(actions.into_iter().map(Work::Job));
+        self.do_work();
+    }
+
+    fn keep_house(&mut self, now: Millis) {
+        self.net.sweep(LINGER_LIMIT);
+        for (attempt, end) in self.peers.tick(&mut self.net, now) {
+            self.peer_ended(attempt, end, now);
+        }
+        for (job, end) in self.upstream.tick(&mut self.net, now) {
+            self.upstream_ended(job, end, now);
+        }
+        self.do_work();
+        self.links.tick(&mut self.net, now);
+        let (generation, digest) = (self.config.generation(), self.config.digest());
+        self.links.want_config(&mut self.net, generation, digest, now);
+        if now >= RESTORE_WAIT_MS {
+            self.take_waiting_registrations(now);
+        }
+        let limits = self.config.limits().clone();
+        let times = |kind: ServerKind| match kind {
+            ServerKind::Caller => ServerTimes {
+                header_ms: u64::from(limits.header_timeout_ms),
+                idle_ms: u64::from(limits.idle_timeout_ms),
+            },
+            ServerKind::Peer => ServerTimes { header_ms: OWN_HEADER_MS, idle_ms: PEER_IDLE_MS * 2 },
+            _ => ServerTimes { header_ms: OWN_HEADER_MS, idle_ms: OWN_IDLE_MS },
+        };
+        self.servers.tick(&mut self.net, times, now);
+    }
+
+    fn reload_settings(&mut self) {
+        let Some(path) = &self.settings_path else {
+            return;
+        };
+        let found = modified(Some(path));
+        if found == self.settings_modified {
+            return;
+        }
+        self.settings_modified = found;
+        match settings::load::<SidecarSettings>(path, &[]) {
+            Ok(settings) => {
+                info!(seeds = ?settings.seeds, "settings_reloaded");
+                self.links.set_seeds(seed_addresses(&settings));
+            }
+            Err(error) => warn!(%error, "settings_not_reloaded"),
+        }
+    }
+
+    /// Whether the process may end: it was asked to, and what it had to finish is finished.
+    fn is_over(&mut self, stop: &StopSignal) -> bool {
+        let now = self.now();
+        if stop.is_set() && self.stop.begin(now) {
+            let (running, queued) = self.jobs.load();
+            info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
+        }
+        if self.stop.refuses(now) && !self.links.record().stopping {
+            self.close_to_peers(now);
+        }
+        let in_flight = self.calls.in_flight() + self.jobs.in_flight();
+        let activity = Activity { in_flight, last_request: self.last_request };
+        self.stop.phase(activity, now) == StopPhase::Over
+    }
+}
+
+fn seed_addresses(settings: &SidecarSettings) -> Vec<Ipv4Addr> {
+    settings.seeds.iter().map(|seed| *seed.ip()).collect()
+}
+
+fn modified(path: Option<&PathBuf>) -> Option<SystemTime> {
+    path.and_then(|path| path.metadata().ok()).and_then(|metadata| metadata.modified().ok())
+}
--- /dev/null
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -0,0 +1,125 @@
+//! The upstream beside this sidecar: its messages, and what is remembered of it.
+
+use super::{Sidecar, WaitingRegistration, RESTORE_WAIT_MS};
+use crate::dialect::RegistrationCall;
+use crate::net::ConnectionId;
+use crate::Millis;
+use http1::{Headers, Request, Response, Slot};
+use mesh::{InstanceRecord, InstanceState, NodeRecord};
+use tracing::{info, warn};
+
+impl Sidecar {
+    /// Takes over what an earlier life of this sidecar knew of its upstream.
+    pub(super) fn restore(&mut self, last: Option<NodeRecord>, now: Millis) {
+        let own_service = last.filter(|last| last.service == self.settings.service);
+        let Some(instance) = own_service.and_then(|last| last.instance) else {
+            return;
+        };
+        self.jobs.gate.restore(&instance, now);
+        self.jobs.refresh_limit();
+        info!(instance = %instance.id, state = instance.state.as_str(), "instance_restored");
+        self.report_instance(now);
+    }
+
+    pub(super) fn report_instance(&mut self, now: Millis) -> u64 {
+        let instance = self.jobs.gate.record(now);
+        let sequence = self.links.report(&mut self.net, |record| record.instance = instance, now);
+        let record = self.links.record().clone();
+        self.calls.view.update(record, now);
+        sequence
+    }
+
+    pub(super) fn on_registration(
+        &mut self,
+        id: ConnectionId,
+        slot: Slot,
+        request: &Request,
+        now: Millis,
+    ) {
+        let call = self.dialect.read(&request.method, &request.target, &request.body);
+        match call {
+            None => self.answer(id, slot, Response::empty(404), now),
+            Some(RegistrationCall::Unreadable { reason }) => {
+                warn!(%reason, "registration_unreadable");
+                self.answer(id, slot, Response::text(400, &reason), now);
+            }
+            Some(call) if !self.links.is_welcomed() && now < RESTORE_WAIT_MS => {
+                let waiting = WaitingRegistration { connection: id, slot, call };
+                self.waiting_registrations.push(waiting);
+            }
+            Some(call) => self.register(id, slot, call, now),
+        }
+    }
+
+    pub(super) fn take_waiting_registrations(&mut self, now: Millis) {
+        for waiting in std::mem::take(&mut self.waiting_registrations) {
+            self.register(waiting.connection, waiting.slot, waiting.call, now);
+        }
+    }
+
+    pub(super) fn register(
+        &mut self,
+        id: ConnectionId,
+        slot: Slot,
+        call: RegistrationCall,
+        now: Millis,
+    ) {
+        let leaving = match call {
+            RegistrationCall::Heartbeat { record, service, sequence } => {
+                if service != self.settings.service {
+                    warn!(%service, instance = %record.id, "registration_of_other_service");
+                    self.answer(id, slot, registered(), now);
+                    return;
+                }
+                self.heartbeat(&record, sequence, now)
+            }
+            RegistrationCall::Leave { instance } => {
+                if self.jobs.gate.left(&instance, now) {
+                    info!(%instance, state = "left", "endpoint_state");
+                    self.report_instance(now);
+                }
+                true
+            }
+            RegistrationCall::Unreadable { .. } => false,
+        };
+        if leaving {
+            let sequence = self.links.record().sequence;
+            self.registrar.wait(id, slot, sequence, now);
+        } else {
+            self.answer(id, slot, registered(), now);
+        }
+    }
+
+    /// Returns whether the upstream says that it leaves.
+    pub(super) fn heartbeat(
+        &mut self,
+        record: &InstanceRecord,
+        sequence: u64,
+        now: Millis,
+    ) -> bool {
+        if self.jobs.gate.told(record, sequence, now) {
+            let state = record.state.as_str();
+            info!(instance = %record.id, state, sequence, slots = record.slots, "endpoint_state");
+            self.jobs.refresh_limit();
+            self.report_instance(now);
+        }
+        record.state != InstanceState::Ready
+    }
+
+    pub(super) fn acknowledge(&mut self) {
+        let now = self.now();
+        let links = &self.links;
+        let ready = self.registrar.ready(|sequence| links.taken_by(sequence), now);
+        for pending in ready {
+            let (holders, linked) = self.links.taken_by(pending.sequence);
+            info!(sequence = pending.sequence, holders, linked, "end_acknowledged");
+            self.answer(pending.connection, pending.slot, registered(), now);
+        }
+    }
+}
+
+fn registered() -> Response {
+    let mut headers = Headers::default();
+    headers.push("Content-Type", "application/json");
+    Response { status: 200, headers, body: b"{}".to_vec() }
+}
