The folder of a store lasts: its parent is synced

Cause, read in the code: a store's folder was made without a sync of the folder it is in, so a loss of power could take the folder with everything synced within. Change: the parent is synced when a store is opened.

--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -125,6 +125,10 @@
     /// Opens or creates the store of one group. `initial` is used only when nothing is stored.
     pub fn open(folder: &Path, initial: Snapshot) -> Result<(DiskStore, Recovered), StorageError> {
         fs::create_dir_all(folder).context(IoSnafu { action: "create", path: folder })?;
+        if let Some(parent) = folder.parent() {
+            // A folder lasts only once the one it is in was synced, whatever was synced within.
+            sync_folder(parent)?;
+        }
         let Some(sequence) = latest_checkpoint(folder)? else {
             return Self::create(folder, initial);
         };
