Who is refused is told to come back behind those refused before

Change: refusals of late, fading with a half-life of 0.7 s, count as calls in front. Ruled out: a fixed longer time (wrong where a slot is free in a moment). Test first: admission/tests/queue.rs.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -9,6 +9,9 @@
 const SERVICE_WEIGHT: f64 = 0.05;
 const INITIAL_SERVICE_MS: f64 = 100.0;
 const SHORTEST_RETRY_MS: u64 = 50;
+/// Time in which the memory of refusals loses half of its weight, milliseconds: about as long as
+/// those refused stay away.
+const REFUSALS_HALF_LIFE_MS: f64 = 700.0;
 
 /// What is known of a call that wants a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +58,9 @@
     waiting: BTreeMap<(u32, u64, u64), Waiting>,
     arrivals: u64,
     service_ms: f64,
+    /// Calls refused of late that will come back.
+    refused: f64,
+    refused_at: Millis,
 }
 
 impl Admission {
@@ -66,6 +72,8 @@
             waiting: BTreeMap::new(),
             arrivals: 0,
             service_ms: INITIAL_SERVICE_MS,
+            refused: 0.0,
+            refused_at: 0,
         }
     }
 
@@ -105,7 +113,9 @@
         let ahead = self.waiting.range(..key).count();
         let wait_ms = self.wait_behind(ahead);
         if wait_ms > ticket.patience_ms {
-            return Decision::Refuse { retry_after_ms: self.retry_after_ms(ticket.patience_ms) };
+            let retry_after_ms = self.retry_after_ms(ticket.patience_ms, now);
+            self.note_refusal(now);
+            return Decision::Refuse { retry_after_ms };
         }
         self.arrivals += 1;
         self.waiting.insert(key, Waiting { job: ticket.job, latest_start });
@@ -118,12 +128,24 @@
         (turns * self.service_ms) as u64
     }
 
-    /// When a call of this patience would be let in, by the rate at which slots become free.
-    pub fn retry_after_ms(&self, patience_ms: u64) -> u64 {
-        let all = self.wait_behind(self.waiting.len());
+    /// When a call of this patience would be let in, by the rate at which slots become free:
+    /// behind those that wait, and behind those that were refused before it and come back.
+    pub fn retry_after_ms(&self, patience_ms: u64, now: Millis) -> u64 {
+        let returning = self.refused * self.refusals_kept(now);
+        let all = self.wait_behind(self.waiting.len() + returning as usize);
         all.saturating_sub(patience_ms).max(SHORTEST_RETRY_MS)
     }
 
+    fn refusals_kept(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.refused_at) as f64;
+        0.5_f64.powf(age / REFUSALS_HALF_LIFE_MS)
+    }
+
+    fn note_refusal(&mut self, now: Millis) {
+        self.refused = self.refused * self.refusals_kept(now) + 1.0;
+        self.refused_at = now;
+    }
+
     /// Takes back the slot of a call; `occupied_ms` is how long it had it, if that tells anything.
     pub fn release(&mut self, occupied_ms: Option<u64>) {
         self.running = self.running.saturating_sub(1);
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -83,3 +83,21 @@
     assert!(admission.cancel(10));
     assert!(!admission.cancel(10));
 }
+
+#[test]
+fn who_is_refused_is_told_to_come_back_behind_those_refused_before() {
+    let mut admission = full();
+    for job in 10..16 {
+        admission.submit(ticket(job, 1, 300), 0);
+    }
+    let mut refuse = |job, now| match admission.submit(ticket(job, 1, 300), now) {
+        Decision::Refuse { retry_after_ms } => retry_after_ms,
+        other => panic!("no room: {other:?}"),
+    };
+    let first = refuse(20, 0);
+    let tenth = (21..30).map(|job| refuse(job, 0)).last().expect("nine more");
+    // Two slots of 100 ms: nine more before it take 450 ms.
+    assert!((400..=500).contains(&(tenth - first)), "{first} and {tenth} ms");
+    // They have come back by then, or never will.
+    assert!(refuse(40, 8_000) < first + 100);
+}
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -52,7 +52,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     urgency: Urgency,
+    /// Until when it is believed.
     until: Millis,
+    /// When there may be room, as it told.
+    room_at: Millis,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -130,9 +133,9 @@
         self.refusal.is_some_and(|refusal| now < refusal.until && urgency >= refusal.urgency)
     }
 
-    /// When its refusal ends.
-    pub fn full_until(&self) -> Millis {
-        self.refusal.map_or(0, |refusal| refusal.until)
+    /// When it may have room for a call like the one it refused, as it told.
+    pub fn room_at(&self) -> Millis {
+        self.refusal.map_or(0, |refusal| refusal.room_at)
     }
 
     /// Most calls it works on at once.
@@ -192,7 +195,7 @@
     /// Notes that it refused a call of this urgency for want of room.
     pub fn note_full(&mut self, urgency: Urgency, retry_after_ms: u64, now: Millis) {
         let until = now + retry_after_ms.min(LONGEST_REFUSAL_MS);
-        self.refusal = Some(Refusal { urgency, until });
+        self.refusal = Some(Refusal { urgency, until, room_at: now + retry_after_ms });
     }
 
     /// Notes a failure; it rests for a growing time.
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -117,7 +117,7 @@
     /// When the first upstream of a service that lately refused is expected to have room.
     pub fn room_at(&self, service: &str) -> Option<Millis> {
         let of_service = self.upstreams.values().filter(|held| held.record.service == service);
-        of_service.filter(|held| held.is_live()).map(Upstream::full_until).min()
+        of_service.filter(|held| held.is_live()).map(Upstream::room_at).min()
     }
 
     /// The upstream that should have a call; `None` if none is live, untried and has room for all
--- a/crates/sidecar/src/jobs.rs
+++ b/crates/sidecar/src/jobs.rs
@@ -264,7 +264,7 @@
             );
         }
         let retry_after_ms = match outcome {
-            HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0),
+            HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0, now),
             HopOutcome::Answered | HopOutcome::Unknown => 0,
         };
         let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
@@ -319,7 +319,7 @@
 
     fn refuse_waiting(&mut self, id: JobId, reason: &str, now: Millis) -> Option<JobAction> {
         let job = self.remove(id)?;
-        let retry_after_ms = self.admission.retry_after_ms(0);
+        let retry_after_ms = self.admission.retry_after_ms(0, now);
         Some(self.refuse(job.source, &job.attempt_id, reason, retry_after_ms, now))
     }
 
