The time to return comes from upstreams that refused, not from those never asked

Change: only refusals that still hold are looked at. Test first: placement/tests/view.rs. Ruled out: nothing.

--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -133,9 +133,10 @@
         self.refusal.is_some_and(|refusal| now < refusal.until && urgency >= refusal.urgency)
     }
 
-    /// When it may have room for a call like the one it refused, as it told.
-    pub fn room_at(&self) -> Millis {
-        self.refusal.map_or(0, |refusal| refusal.room_at)
+    /// When it may have room for a call like the one it refused, as it told; `None` if that is
+    /// over, or it refused none.
+    pub fn room_at(&self, now: Millis) -> Option<Millis> {
+        self.refusal.map(|refusal| refusal.room_at).filter(|at| *at > now)
     }
 
     /// Most calls it works on at once.
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -114,10 +114,10 @@
         self.upstreams.values().any(|held| held.record.service == service && held.is_live())
     }
 
-    /// When the first upstream of a service that lately refused is expected to have room.
-    pub fn room_at(&self, service: &str) -> Option<Millis> {
+    /// When the first of the upstreams of a service that lately refused is expected to have room.
+    pub fn room_at(&self, service: &str, now: Millis) -> Option<Millis> {
         let of_service = self.upstreams.values().filter(|held| held.record.service == service);
-        of_service.filter(|held| held.is_live()).map(Upstream::room_at).min()
+        of_service.filter(|held| held.is_live()).filter_map(|held| held.room_at(now)).min()
     }
 
     /// The upstream that should have a call; `None` if none is live, untried and has room for all
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -25,7 +25,7 @@
                 return Vec::new();
             }
         }
-        let room_at = self.view.room_at(&call.service);
+        let room_at = self.view.room_at(&call.service, now);
         let wait = room_at.map_or(SHORTEST_RETRY_AFTER_MS * 4, |at| at.saturating_sub(now));
         self.give_up(id, wait, now)
     }
