--- a/crates/chutecove/tests/small_fleet.rs
+++ b/crates/chutecove/tests/small_fleet.rs
@@ -3,8 +3,8 @@
 
 use serde_json::{json, Value};
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, TcpListener};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -214,6 +214,19 @@
     }
 }
 
+fn send_random_bytes(address: Ipv4Addr, port: u16) {
+    let mut random = fastrand::Rng::with_seed(u64::from(port));
+    for length in [1, 4, 100, 20_000] {
+        let bytes: Vec<u8> = (0..length).map(|_| random.u8(..)).collect();
+        let mut stream = TcpStream::connect((address, port)).expect("it listens");
+        // It may close before all was written.
+        let _ = stream.write_all(&bytes);
+        let _ = stream.shutdown(Shutdown::Write);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+        let _ = stream.read_to_end(&mut Vec::new());
+    }
+}
+
 #[derive(Default)]
 struct Upstream {
     runs: AtomicU64,
@@ -271,6 +284,22 @@
     assert!(callers.iter().all(|caller| caller == "callers"), "{callers:?}");
     assert_eq!(fleet.call(11, "/nowhere/").map(|(status, _)| status), Some(404));
 
+    // Random bytes on every port disturb nothing.
+    let ports = &fleet.ports;
+    for (host, port) in [
+        (1, ports.mesh),
+        (1, ports.api),
+        (1, ports.metrics),
+        (11, ports.outbound),
+        (12, ports.inbound),
+        (12, ports.registration),
+        (12, ports.ready),
+        (12, ports.metrics),
+    ] {
+        send_random_bytes(fleet.ip(host), port);
+    }
+    assert_eq!(fleet.call(11, "/one/y").map(|(status, _)| status), Some(200));
+
     // Orders: a lost race, an old version, a resend, an invalid one.
     assert_eq!(fleet.order(1, 4, 6, "two"), Some(412));
     assert_eq!(fleet.order(1, 5, 5, "two"), Some(400));
--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -271,3 +271,25 @@
     network.tick(4);
     assert!(network.delivered - before < 200, "{} messages", network.delivered - before);
 }
+
+#[test]
+fn members_that_start_together_elect_early() {
+    for seed_member in 3..6 {
+        let mut network = Network::of(seed_member);
+        // Half of the shortest election timeout, and the messages of two votes.
+        network.tick(ELECTION_TICKS / 2 + 1);
+        assert!(network.current_leader().is_some(), "{seed_member} members");
+    }
+}
+
+#[test]
+fn a_member_that_starts_does_not_disturb_a_live_leader() {
+    let (mut network, leader) = Network::with_leader(3);
+    let term = network.member(leader).term();
+    let restarted = (1..=3).find(|id| *id != leader).expect("another member");
+    let membership = network.member(leader).membership().clone();
+    network.members.insert(restarted, empty_member(restarted, &membership));
+    network.tick(4 * ELECTION_TICKS);
+    assert_eq!(network.current_leader(), Some(leader));
+    assert_eq!(network.member(leader).term(), term);
+}
