Control: no struct that ties its modules in a circle

Cause: runtime::Shared was made by the runtime and read by api and serve, which the runtime uses. Change: api and serve name what they need (OperatorApi, RelayService); SpreadRecord is shared by value. No behaviour; the tests are the same. Ruled out: nothing.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -1,12 +1,14 @@
 //! The operators' HTTP interface; docs/API.md describes it.
 
+use crate::address_book::AddressBook;
+use crate::authentication::OperatorDirectory;
 use crate::authentication::{
     AuthenticationError, IncomingRequest, OPERATOR_HEADER, REQUEST_ID_HEADER, SIGNATURE_HEADER,
     TIME_HEADER,
 };
-use crate::members::{change_group, MemberChange as Change};
+use crate::members::{change_group, Groups, MemberChange as Change};
 use crate::replica::RequestError;
-use crate::runtime::Shared;
+use crate::spread::SpreadRecord;
 use bundle::{Approval, Digest, LIMITS};
 use consensus::Membership;
 use rollout::{Command, GenerationRecord, Refusal, Request, SpreadSummary, VersionSummary};
@@ -16,6 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use telemetry::Clock;
 use tracing::info;
 use verdict::{Verdict, VERDICT_HEADER};
 
@@ -73,21 +76,32 @@
     pub behind: Vec<(u64, u64)>,
 }
 
+/// What the interface needs.
+pub(crate) struct OperatorApi {
+    pub member_id: u64,
+    pub listen: SocketAddr,
+    pub groups: Groups,
+    pub operators: OperatorDirectory,
+    pub addresses: Arc<AddressBook>,
+    pub spread: SpreadRecord,
+    pub clock: Clock,
+}
+
 type ApiResult = Result<Response, (u16, ApiError)>;
 
 /// Starts the interface; returns the address in use.
 pub(crate) fn spawn(
-    shared: Arc<Shared>,
+    api: Arc<OperatorApi>,
 ) -> Result<SocketAddr, Box<dyn std::error::Error + Send + Sync>> {
-    let address = shared.settings.api_listen;
-    let server = rouille::Server::new(address, move |request| handle(&shared, request))?;
+    let address = api.listen;
+    let server = rouille::Server::new(address, move |request| handle(&api, request))?;
     let bound = server.server_addr();
     std::thread::spawn(move || server.run());
     Ok(bound)
 }
 
-fn handle(shared: &Shared, request: &rouille::Request) -> Response {
-    let result = read_body(request).and_then(|body| route(shared, request, &body));
+fn handle(api: &OperatorApi, request: &rouille::Request) -> Response {
+    let result = read_body(request).and_then(|body| route(api, request, &body));
     result.unwrap_or_else(|(status, error)| {
         let verdict = error.verdict.as_str();
         Response::json(&error).with_status_code(status).with_unique_header(VERDICT_HEADER, verdict)
@@ -113,32 +127,32 @@
     Ok(body)
 }
 
-fn route(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
+fn route(api: &OperatorApi, request: &rouille::Request, body: &[u8]) -> ApiResult {
     let path = request.url();
     match (request.method(), path.as_str()) {
         ("POST", "/v1/submit") => {
-            authenticate(shared, request, body, Some("submit"))?;
+            authenticate(api, request, body, Some("submit"))?;
             let version = request.get_param("version").and_then(|text| text.parse().ok());
             let version = version
                 .ok_or_else(|| error(400, "bad_version", "?version= must be a whole number"))?;
-            execute(shared, request, Command::Submit { version, compressed: body.to_vec() })
+            execute(api, request, Command::Submit { version, compressed: body.to_vec() })
         }
-        ("POST", "/v1/commands") => command(shared, request, body),
-        ("POST", "/v1/members") => change_members(shared, request, body),
-        ("GET", "/v1/status") => read(shared, request, body, status),
-        ("GET", "/v1/bundles") => read(shared, request, body, list_bundles),
-        ("GET", "/v1/history") => read(shared, request, body, list_history),
-        ("GET", "/v1/members") => read(shared, request, body, list_members),
+        ("POST", "/v1/commands") => command(api, request, body),
+        ("POST", "/v1/members") => change_members(api, request, body),
+        ("GET", "/v1/status") => read(api, request, body, status),
+        ("GET", "/v1/bundles") => read(api, request, body, list_bundles),
+        ("GET", "/v1/history") => read(api, request, body, list_history),
+        ("GET", "/v1/members") => read(api, request, body, list_members),
         ("GET", path) if path.starts_with("/v1/bundles/") => {
             let digest = path.trim_start_matches("/v1/bundles/").to_owned();
-            read(shared, request, body, move |shared| show_bundle(shared, &digest))
+            read(api, request, body, move |api| show_bundle(api, &digest))
         }
         _ => Err(error(404, "no_such_path", "see docs/API.md")),
     }
 }
 
 fn authenticate(
-    shared: &Shared,
+    api: &OperatorApi,
     request: &rouille::Request,
     body: &[u8],
     role: Option<&'static str>,
@@ -153,14 +167,14 @@
         signature: request.header(SIGNATURE_HEADER),
         body,
     };
-    shared.operators.authenticate(&incoming, role).map_err(|cause| match cause {
+    api.operators.authenticate(&incoming, role).map_err(|cause| match cause {
         AuthenticationError::Forbidden { .. } => error(403, "forbidden", cause),
         AuthenticationError::Operators { .. } => error(500, "operators_unreadable", cause),
         _ => error(401, "not_authenticated", cause),
     })
 }
 
-fn command(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
+fn command(api: &OperatorApi, request: &rouille::Request, body: &[u8]) -> ApiResult {
     let command: Command =
         serde_json::from_slice(body).map_err(|cause| error(400, "bad_command", cause))?;
     let role = match &command {
@@ -168,25 +182,25 @@
         Command::Approve { .. } => "approve",
         _ => "roll",
     };
-    authenticate(shared, request, body, Some(role))?;
+    authenticate(api, request, body, Some(role))?;
     if let Command::Approve { digest, signature } = &command {
         let operator = request.header(OPERATOR_HEADER).unwrap_or_default().to_owned();
         let approval = Approval { operator, signature: signature.clone() };
-        let verified = shared.operators.verify_approval(digest, &approval);
+        let verified = api.operators.verify_approval(digest, &approval);
         verified.map_err(|cause| error(401, "bad_approval", cause))?;
     }
-    execute(shared, request, command)
+    execute(api, request, command)
 }
 
-fn execute(shared: &Shared, request: &rouille::Request, command: Command) -> ApiResult {
+fn execute(api: &OperatorApi, request: &rouille::Request, command: Command) -> ApiResult {
     let proposal = Request {
         operator: request.header(OPERATOR_HEADER).unwrap_or_default().to_owned(),
         request_id: request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned(),
         command,
     };
     let operator = proposal.operator.clone();
-    let answer = shared.groups.config.propose(proposal, PROPOSE_TIMEOUT);
-    match answer.map_err(|cause| request_error(shared, &cause))? {
+    let answer = api.groups.config.propose(proposal, PROPOSE_TIMEOUT);
+    match answer.map_err(|cause| request_error(api, &cause))? {
         Ok(accepted) => {
             info!(%operator, accepted = ?accepted, "command_accepted");
             Ok(Response::json(&accepted))
@@ -206,7 +220,7 @@
     (status, body)
 }
 
-fn request_error(shared: &Shared, cause: &RequestError) -> (u16, ApiError) {
+fn request_error(api: &OperatorApi, cause: &RequestError) -> (u16, ApiError) {
     let (status, kind) = match cause {
         RequestError::NotLeader { .. } => (421, "not_leader"),
         RequestError::Refused { .. } => (409, "refused"),
@@ -215,31 +229,31 @@
     let (status, mut body) = error(status, kind, cause);
     body.verdict = cause.verdict();
     if let RequestError::NotLeader { leader: Some(leader) } = cause {
-        body.leader_api = shared.addresses.get(*leader).map(|peer| peer.api_address);
+        body.leader_api = api.addresses.get(*leader).map(|peer| peer.api_address);
     }
     (status, body)
 }
 
 /// Answers a read from the leader, after a quorum confirmed that it is current.
 fn read(
-    shared: &Shared,
+    api: &OperatorApi,
     request: &rouille::Request,
     body: &[u8],
-    answer: impl FnOnce(&Shared) -> ApiResult,
+    answer: impl FnOnce(&OperatorApi) -> ApiResult,
 ) -> ApiResult {
-    authenticate(shared, request, body, None)?;
-    let confirmed = shared.groups.config.read(READ_TIMEOUT);
-    confirmed.map_err(|cause| request_error(shared, &cause))?;
-    answer(shared)
+    authenticate(api, request, body, None)?;
+    let confirmed = api.groups.config.read(READ_TIMEOUT);
+    confirmed.map_err(|cause| request_error(api, &cause))?;
+    answer(api)
 }
 
-fn status(shared: &Shared) -> ApiResult {
-    let spread = shared.lock_spread().summary(shared.clock.now_ms());
-    let published = shared.groups.config.lock();
+fn status(api: &OperatorApi) -> ApiResult {
+    let spread = api.spread.lock().summary(api.clock.now_ms());
+    let published = api.groups.config.lock();
     let machine = &published.machine.0;
     let view = machine.view();
     Ok(Response::json(&StatusView {
-        member: shared.settings.member_id,
+        member: api.member_id,
         term: published.status.term,
         newest_generation: machine.newest_generation(),
         base_generation: view.base.generation,
@@ -250,13 +264,13 @@
     }))
 }
 
-fn list_bundles(shared: &Shared) -> ApiResult {
-    let versions: Vec<VersionSummary> = shared.groups.config.lock().machine.0.versions();
+fn list_bundles(api: &OperatorApi) -> ApiResult {
+    let versions: Vec<VersionSummary> = api.groups.config.lock().machine.0.versions();
     Ok(Response::json(&versions))
 }
 
-fn list_history(shared: &Shared) -> ApiResult {
-    let published = shared.groups.config.lock();
+fn list_history(api: &OperatorApi) -> ApiResult {
+    let published = api.groups.config.lock();
     let history: Vec<GenerationRecord> = published.machine.0.history().cloned().collect();
     Ok(Response::json(&history))
 }
@@ -271,9 +285,9 @@
     Limits(&'a bundle::CallLimits),
 }
 
-fn show_bundle(shared: &Shared, digest: &str) -> ApiResult {
+fn show_bundle(api: &OperatorApi, digest: &str) -> ApiResult {
     let digest: Digest = digest.parse().map_err(|cause| error(400, "bad_digest", cause))?;
-    let published = shared.groups.config.lock();
+    let published = api.groups.config.lock();
     let stored = published.machine.0.bundle(&digest);
     let stored = stored.ok_or_else(|| error(404, "unknown_bundle", "no such bundle"))?;
     let objects = stored.bundle.objects().values().map(|hashed| shown(&hashed.object));
@@ -291,8 +305,8 @@
     }
 }
 
-fn list_members(shared: &Shared) -> ApiResult {
-    let published = shared.groups.config.lock();
+fn list_members(api: &OperatorApi) -> ApiResult {
+    let published = api.groups.config.lock();
     let status = &published.status;
     let last = status.applied;
     let behind = status.matched.iter().map(|(id, at)| (*id, last.saturating_sub(*at))).collect();
@@ -312,8 +326,8 @@
     }
 }
 
-fn change_members(shared: &Shared, request: &rouille::Request, body: &[u8]) -> ApiResult {
-    authenticate(shared, request, body, Some("members"))?;
+fn change_members(api: &OperatorApi, request: &rouille::Request, body: &[u8]) -> ApiResult {
+    authenticate(api, request, body, Some("members"))?;
     #[derive(Deserialize)]
     #[serde(deny_unknown_fields)]
     struct Body {
@@ -324,23 +338,23 @@
         serde_json::from_slice(body).map_err(|cause| error(400, "bad_change", cause))?;
     if let Change::AddLearner(id) | Change::Promote(id) = body.change {
         // The operator has just listed the newcomer; do not wait for the next look at the file.
-        let reloaded = shared.addresses.reload_if_changed();
+        let reloaded = api.addresses.reload_if_changed();
         reloaded.map_err(|cause| error(500, "settings_unreadable", cause))?;
-        if shared.addresses.get(id).is_none() {
+        if api.addresses.get(id).is_none() {
             let message = format!("member {id} is not in the settings of this replica");
             return Err(error(409, "unknown_member", message));
         }
     }
     // Each group has its own leader; the operator's tool goes from group to group.
     let changed = match body.group {
-        0 => change_group(&shared.groups.config, body.change),
-        group => match shared.groups.claims.get(group as usize - 1) {
+        0 => change_group(&api.groups.config, body.change),
+        group => match api.groups.claims.get(group as usize - 1) {
             Some(replica) => change_group(replica, body.change),
             None => return Err(error(404, "no_such_group", "no such group")),
         },
     };
-    changed.map_err(|cause| request_error(shared, &cause))?;
-    let published = shared.groups.config.lock();
+    changed.map_err(|cause| request_error(api, &cause))?;
+    let published = api.groups.config.lock();
     let status = &published.status;
     Ok(Response::json(&members_view(&status.membership, status.leader, Vec::new())))
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod replica;
 mod runtime;
 mod serve;
+mod spread;
 mod transport;
 
 pub use api::{ApiError, MemberChange, MembersView, StatusView};
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -1,24 +1,26 @@
 //! Starting and stopping a control process.
 
 use crate::address_book::AddressBook;
+use crate::api::{self, OperatorApi};
 use crate::authentication::OperatorDirectory;
 use crate::machine::StateMachine;
 use crate::members::Groups;
 use crate::replica::{Replica, ReplicaParameters};
+use crate::serve::{self, RelayService, ServiceLimits, ServiceMetrics};
+use crate::spread::SpreadRecord;
 use crate::transport::Transport;
-use crate::{api, serve};
 use consensus::{Config, Membership};
-use rollout::{Advancer, FleetSpread, Request, CONTROL_OPERATOR};
+use rollout::{Advancer, Request, CONTROL_OPERATOR};
 use settings::{ControlSettings, SettingsError};
 use snafu::{ensure, ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicUsize;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use storage::{open_data_folder, DataFolder, FolderIdentity, StorageError};
-use telemetry::{Clock, Counter, Gauge, MetricsServer, MetricsServerError, Registry, StopSignal};
+use telemetry::{Clock, MetricsServer, MetricsServerError, Registry, StopSignal};
 use tracing::{info, warn};
 use wire::TlsIdentity;
 use wire::{GroupMessage, Identity, Purpose, Role, Server, ServerError, TlsError, TlsFiles};
@@ -97,35 +99,9 @@
     },
 }
 
-/// Metrics of a control process.
-pub(crate) struct ControlMetrics {
-    pub relay_sent_bytes: Counter,
-    pub relay_received_bytes: Counter,
-    pub readers: Gauge,
-    pub readers_turned_away: Counter,
-}
-
-/// Everything the threads of one control process share.
-pub(crate) struct Shared {
-    pub settings: ControlSettings,
-    pub groups: Groups,
-    pub operators: OperatorDirectory,
-    pub addresses: Arc<AddressBook>,
-    pub clock: Clock,
-    pub metrics: ControlMetrics,
-    pub readers: AtomicUsize,
-    spread: Mutex<FleetSpread>,
-}
-
-impl Shared {
-    pub fn lock_spread(&self) -> MutexGuard<'_, FleetSpread> {
-        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// A control process that runs in threads of its own.
 pub struct RunningControl {
-    shared: Arc<Shared>,
+    groups: Groups,
     stop: StopSignal,
     _folder: DataFolder,
     /// Address in use for our own processes.
@@ -159,33 +135,45 @@
     let transport = Arc::new(Transport::new(tls.clone(), addresses.clone()));
     let groups = start_groups(&settings, mode, &transport, &addresses).context(StorageSnafu)?;
     let registry = Registry::default();
-    let shared = Arc::new(Shared {
-        groups,
-        operators,
-        addresses,
-        clock: Clock::default(),
-        metrics: metrics(&registry),
+    let clock = Clock::default();
+    let spread = SpreadRecord::default();
+    let service = RelayService {
+        groups: groups.clone(),
+        spread: spread.clone(),
+        clock,
+        limits: ServiceLimits {
+            hold_ms: settings.hold_ms,
+            election_ms: settings.election_ms,
+            max_readers: settings.max_readers,
+        },
+        metrics: ServiceMetrics::new(&registry),
         readers: AtomicUsize::new(0),
-        spread: Mutex::default(),
-        settings,
-    });
-    serve_metrics(&shared, registry)?;
-    let for_handler = shared.clone();
+    };
+    serve_metrics(&settings, &groups, registry)?;
     server.run(
         tls.clone(),
         stop.flag(),
         Arc::new(is_allowed),
         Arc::new(|error| warn!(%error, "connection_refused")),
-        Arc::new(move |connection| serve::serve(&for_handler, connection)),
+        Arc::new(move |connection| serve::serve(&service, connection)),
     );
-    let api_listen = shared.settings.api_listen;
-    let api_address = api::spawn(shared.clone())
+    let api_listen = settings.api_listen;
+    let api = OperatorApi {
+        member_id: settings.member_id,
+        listen: api_listen,
+        groups: groups.clone(),
+        operators,
+        addresses: addresses.clone(),
+        spread: spread.clone(),
+        clock,
+    };
+    let api_address = api::spawn(Arc::new(api))
         .map_err(|cause| ControlError::Api { address: api_listen, reason: cause.to_string() })?;
     tls.watch_files();
-    spawn_address_reloads(&shared);
-    spawn_advancer(&shared);
-    info!(member = shared.settings.member_id, %address, %api_address, "control_started");
-    Ok(RunningControl { shared, stop, _folder: folder, address, api_address })
+    spawn_address_reloads(addresses);
+    spawn_advancer(groups.clone(), spread, clock);
+    info!(member = settings.member_id, %address, %api_address, "control_started");
+    Ok(RunningControl { groups, stop, _folder: folder, address, api_address })
 }
 
 fn check_certificate(tls: &TlsIdentity, settings: &ControlSettings) -> Result<(), ControlError> {
@@ -243,36 +231,30 @@
     Replica::start(parameters, move |message| transport.send(GroupMessage { group, message }))
 }
 
-fn metrics(registry: &Registry) -> ControlMetrics {
-    ControlMetrics {
-        relay_sent_bytes: registry.counter("control_relay_sent_bytes", "Frames sent to relays"),
-        relay_received_bytes: registry
-            .counter("control_relay_received_bytes", "Frames received from relays"),
-        readers: registry.gauge("control_readers", "Relays served"),
-        readers_turned_away: registry
-            .counter("control_readers_turned_away", "Relays told to come back"),
-    }
-}
-
-fn serve_metrics(shared: &Arc<Shared>, registry: Registry) -> Result<(), ControlError> {
-    let for_ready = shared.clone();
-    let for_status = shared.clone();
+fn serve_metrics(
+    settings: &ControlSettings,
+    groups: &Groups,
+    registry: Registry,
+) -> Result<(), ControlError> {
+    let for_ready = groups.clone();
+    let for_status = groups.clone();
+    let member = settings.member_id;
     let server = MetricsServer {
         registry,
-        ready: Box::new(move || match for_ready.groups.config.lock().status.leader {
+        ready: Box::new(move || match for_ready.config.lock().status.leader {
             Some(_) => Ok(()),
             None => Err("no leader is known".to_owned()),
         }),
-        status: Box::new(move || own_status(&for_status)),
+        status: Box::new(move || own_status(member, &for_status)),
     };
-    server.run(shared.settings.metrics_listen).context(MetricsSnafu).map(|_| ())
+    server.run(settings.metrics_listen).context(MetricsSnafu).map(|_| ())
 }
 
-fn own_status(shared: &Shared) -> String {
-    let published = shared.groups.config.lock();
+fn own_status(member: u64, groups: &Groups) -> String {
+    let published = groups.config.lock();
     let status = &published.status;
     serde_json::json!({
-        "member": shared.settings.member_id,
+        "member": member,
         "leader": status.leader,
         "term": status.term,
         "applied": status.applied,
@@ -290,11 +272,10 @@
 }
 
 /// Reads the addresses of other replicas again when the settings file changes.
-fn spawn_address_reloads(shared: &Arc<Shared>) {
-    let shared = shared.clone();
+fn spawn_address_reloads(addresses: Arc<AddressBook>) {
     thread::spawn(move || loop {
         thread::sleep(RELOAD_INTERVAL);
-        match shared.addresses.reload_if_changed() {
+        match addresses.reload_if_changed() {
             Ok(true) => info!("addresses_reloaded"),
             Ok(false) => {}
             Err(error) => warn!(%error, "addresses_not_reloaded"),
@@ -303,25 +284,24 @@
 }
 
 /// Advances rollouts by themselves while this replica leads.
-fn spawn_advancer(shared: &Arc<Shared>) {
-    let shared = shared.clone();
+fn spawn_advancer(groups: Groups, spread: SpreadRecord, clock: Clock) {
     thread::spawn(move || {
         let mut advancer = Advancer::default();
         loop {
             thread::sleep(ADVANCE_INTERVAL);
-            if !shared.groups.config.lock().status.is_leader {
-                shared.lock_spread().clear();
+            if !groups.config.lock().status.is_leader {
+                spread.lock().clear();
                 advancer = Advancer::default();
                 continue;
             }
-            let now_ms = shared.clock.now_ms();
-            let summary = shared.lock_spread().summary(now_ms);
-            let command = advancer.tick(now_ms, &shared.groups.config.lock().machine.0, &summary);
+            let now_ms = clock.now_ms();
+            let summary = spread.lock().summary(now_ms);
+            let command = advancer.tick(now_ms, &groups.config.lock().machine.0, &summary);
             let Some(command) = command else { continue };
             let request_id = format!("advance-{now_ms}-{}", fastrand::u64(..));
             let operator = CONTROL_OPERATOR.to_owned();
             let request = Request { operator, request_id, command };
-            match shared.groups.config.propose(request, ADVANCE_TIMEOUT) {
+            match groups.config.propose(request, ADVANCE_TIMEOUT) {
                 Ok(answer) => info!(answer = ?answer, "rollout_advanced"),
                 Err(error) => warn!(%error, "rollout_not_advanced"),
             }
@@ -334,8 +314,8 @@
     pub fn wait(&self) {
         self.stop.wait();
         info!("control_stopping");
-        self.shared.groups.config.transfer_leadership(TRANSFER_TIMEOUT);
-        for replica in &self.shared.groups.claims {
+        self.groups.config.transfer_leadership(TRANSFER_TIMEOUT);
+        for replica in &self.groups.claims {
             replica.transfer_leadership(TRANSFER_TIMEOUT);
         }
         info!("control_stopped");
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,12 +1,14 @@
 //! Answering our own processes: peers, relays, and claims.
 
 use crate::machine::ConfigState;
+use crate::members::Groups;
 use crate::replica::{Published, RequestError};
-use crate::runtime::Shared;
+use crate::spread::SpreadRecord;
 use bundle::{best_update, Bundle, BundleUpdate};
 use claims::{group_of, ClaimCommand};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use telemetry::{Clock, Counter, Gauge, Registry};
 use tracing::debug;
 use wire::{
     ClaimReply, ClaimRequest, GroupMessage, Purpose, ReportReply, ReportRequest, ServerConnection,
@@ -20,13 +22,54 @@
 /// When a relay beyond the limit on readers comes back, milliseconds.
 const READER_RETRY_AFTER_MS: std::ops::RangeInclusive<u32> = 200..=1_000;
 
+/// What answering needs.
+pub(crate) struct RelayService {
+    pub groups: Groups,
+    pub spread: SpreadRecord,
+    pub clock: Clock,
+    pub limits: ServiceLimits,
+    pub metrics: ServiceMetrics,
+    pub readers: AtomicUsize,
+}
+
+/// Bounds from the settings.
+pub(crate) struct ServiceLimits {
+    /// Longest time a request is held without news, milliseconds.
+    pub hold_ms: u64,
+    /// Shortest time without a leader before an election, milliseconds.
+    pub election_ms: u64,
+    /// Relays served at once.
+    pub max_readers: u64,
+}
+
+/// Figures of the service.
+pub(crate) struct ServiceMetrics {
+    pub relay_sent_bytes: Counter,
+    pub relay_received_bytes: Counter,
+    pub readers: Gauge,
+    pub readers_turned_away: Counter,
+}
+
+impl ServiceMetrics {
+    pub fn new(registry: &Registry) -> Self {
+        ServiceMetrics {
+            relay_sent_bytes: registry.counter("control_relay_sent_bytes", "Frames sent to relays"),
+            relay_received_bytes: registry
+                .counter("control_relay_received_bytes", "Frames received from relays"),
+            readers: registry.gauge("control_readers", "Relays served"),
+            readers_turned_away: registry
+                .counter("control_readers_turned_away", "Relays told to come back"),
+        }
+    }
+}
+
 /// Serves one connection to its end.
-pub(crate) fn serve(shared: &Shared, mut connection: ServerConnection) {
+pub(crate) fn serve(service: &RelayService, mut connection: ServerConnection) {
     let result = match connection.purpose() {
-        Purpose::Consensus => serve_peer(shared, &mut connection),
-        Purpose::RelayWatch => serve_watch(shared, &mut connection),
-        Purpose::RelayReport => serve_reports(shared, &mut connection),
-        Purpose::Claims => serve_claims(shared, &mut connection),
+        Purpose::Consensus => serve_peer(service, &mut connection),
+        Purpose::RelayWatch => serve_watch(service, &mut connection),
+        Purpose::RelayReport => serve_reports(service, &mut connection),
+        Purpose::Claims => serve_claims(service, &mut connection),
         _ => Ok(()),
     };
     if let Err(error) = result {
@@ -34,16 +77,16 @@
     }
 }
 
-fn serve_peer(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
+fn serve_peer(service: &RelayService, connection: &mut ServerConnection) -> Result<(), WireError> {
     loop {
         let message: GroupMessage = connection.receive(REQUEST_TIMEOUT)?;
         if connection.peer().name != format!("control-{}", message.message.from) {
             return Ok(());
         }
         match message.group {
-            0 => shared.groups.config.step(message.message),
+            0 => service.groups.config.step(message.message),
             group => {
-                if let Some(replica) = shared.groups.claims.get(group as usize - 1) {
+                if let Some(replica) = service.groups.claims.get(group as usize - 1) {
                     replica.step(message.message);
                 }
             }
@@ -51,17 +94,17 @@
     }
 }
 
-fn serve_watch(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
-    let readers = shared.readers.fetch_add(1, Ordering::SeqCst);
-    let result = if readers >= shared.settings.max_readers as usize {
-        shared.metrics.readers_turned_away.inc();
+fn serve_watch(service: &RelayService, connection: &mut ServerConnection) -> Result<(), WireError> {
+    let readers = service.readers.fetch_add(1, Ordering::SeqCst);
+    let result = if readers >= service.limits.max_readers as usize {
+        service.metrics.readers_turned_away.inc();
         turn_away(connection)
     } else {
-        shared.metrics.readers.set(readers as i64 + 1);
-        answer_watches(shared, connection)
+        service.metrics.readers.set(readers as i64 + 1);
+        answer_watches(service, connection)
     };
-    let left = shared.readers.fetch_sub(1, Ordering::SeqCst);
-    shared.metrics.readers.set(left as i64 - 1);
+    let left = service.readers.fetch_sub(1, Ordering::SeqCst);
+    service.metrics.readers.set(left as i64 - 1);
     result
 }
 
@@ -70,20 +113,23 @@
     connection.send(&WatchReply::Busy { retry_after_ms: fastrand::u32(READER_RETRY_AFTER_MS) })
 }
 
-fn answer_watches(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
+fn answer_watches(
+    service: &RelayService,
+    connection: &mut ServerConnection,
+) -> Result<(), WireError> {
     loop {
         let request: WatchRequest = connection.receive(REQUEST_TIMEOUT)?;
-        let reply = wait_for_view(shared, &request);
+        let reply = wait_for_view(service, &request);
         connection.send(&reply)?;
         let (sent, received) = connection.take_byte_counts();
-        shared.metrics.relay_sent_bytes.inc_by(sent);
-        shared.metrics.relay_received_bytes.inc_by(received);
+        service.metrics.relay_sent_bytes.inc_by(sent);
+        service.metrics.relay_received_bytes.inc_by(received);
     }
 }
 
-fn wait_for_view(shared: &Shared, request: &WatchRequest) -> WatchReply {
-    let deadline = Instant::now() + Duration::from_millis(shared.settings.hold_ms);
-    let replica = &shared.groups.config;
+fn wait_for_view(service: &RelayService, request: &WatchRequest) -> WatchReply {
+    let deadline = Instant::now() + Duration::from_millis(service.limits.hold_ms);
+    let replica = &service.groups.config;
     let mut published = replica.lock();
     loop {
         if !published.status.is_leader {
@@ -98,14 +144,14 @@
     }
     // A leader that was frozen or cut off still believes it leads; what it would say is only
     // passed on if a quorum answered it a moment ago.
-    if !quorum_is_recent(shared, &published) {
+    if !quorum_is_recent(service, &published) {
         return WatchReply::NotLeader { leader: None };
     }
     changed_since(&published, request)
 }
 
-fn quorum_is_recent(shared: &Shared, published: &Published<ConfigState>) -> bool {
-    let longest = Duration::from_millis(shared.settings.election_ms);
+fn quorum_is_recent(service: &RelayService, published: &Published<ConfigState>) -> bool {
+    let longest = Duration::from_millis(service.limits.election_ms);
     published.status.quorum_contact.is_some_and(|contact| contact.elapsed() < longest)
 }
 
@@ -124,19 +170,22 @@
     WatchReply::Changed { view, updates }
 }
 
-fn serve_reports(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
+fn serve_reports(
+    service: &RelayService,
+    connection: &mut ServerConnection,
+) -> Result<(), WireError> {
     loop {
         let request: ReportRequest = connection.receive(REQUEST_TIMEOUT)?;
-        let reply = take_report(shared, request);
+        let reply = take_report(service, request);
         connection.send(&reply)?;
         let (sent, received) = connection.take_byte_counts();
-        shared.metrics.relay_sent_bytes.inc_by(sent);
-        shared.metrics.relay_received_bytes.inc_by(received);
+        service.metrics.relay_sent_bytes.inc_by(sent);
+        service.metrics.relay_received_bytes.inc_by(received);
     }
 }
 
-fn take_report(shared: &Shared, request: ReportRequest) -> ReportReply {
-    let replica = &shared.groups.config;
+fn take_report(service: &RelayService, request: ReportRequest) -> ReportReply {
+    let replica = &service.groups.config;
     let confirmed = match request.confirm {
         true => replica.read(CONFIRM_TIMEOUT).map(Some),
         false => Ok(None),
@@ -148,22 +197,25 @@
     }
     let confirmed_revision = confirmed.ok().flatten().map(|_| published.machine.0.view().revision);
     drop(published);
-    shared.lock_spread().record(shared.clock.now_ms(), request.report);
+    service.spread.lock().record(service.clock.now_ms(), request.report);
     ReportReply::Done { confirmed_revision }
 }
 
-fn serve_claims(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
+fn serve_claims(
+    service: &RelayService,
+    connection: &mut ServerConnection,
+) -> Result<(), WireError> {
     loop {
         let request: ClaimRequest = connection.receive(REQUEST_TIMEOUT)?;
-        let reply = decide_claim(shared, request);
+        let reply = decide_claim(service, request);
         connection.send(&reply)?;
     }
 }
 
-fn decide_claim(shared: &Shared, request: ClaimRequest) -> ClaimReply {
-    let groups = shared.groups.claims.len() as u32;
+fn decide_claim(service: &RelayService, request: ClaimRequest) -> ClaimReply {
+    let groups = service.groups.claims.len() as u32;
     let group = group_of(request.command.key(), groups);
-    let Some(replica) = shared.groups.claims.get(group as usize) else {
+    let Some(replica) = service.groups.claims.get(group as usize) else {
         return ClaimReply::Unavailable { verdict: verdict::Verdict::NotRun };
     };
     let command = stamp(request.command);
