--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -40,10 +40,6 @@
 /// Most upstreams one call is offered to: in a large service that is short of room, asking all
 /// of them fills the links that answers need.
 const MOST_TRIES: u32 = 5;
-/// Tries left to a call whose body is long, since each offer carries it.
-const LEAST_TRIES: u32 = 3;
-/// Bytes of bodies that the offers of one call may send in all, beyond the least tries.
-const OFFERED_BYTES: usize = 8 * 1024;
 /// Longest wait for an upstream of a service that has none, milliseconds.
 const NO_UPSTREAM_WAIT_MS: u64 = 400;
 const PARKED_LOOK_MS: u64 = 20;
@@ -297,7 +293,7 @@
         let urgency = call.urgency();
         let tried = &call.tried;
         let wanted = placement::Request { service, urgency, usual_ms, target_ms, tried };
-        let chosen = match call.tries < most_tries(call.request.body.len()) {
+        let chosen = match call.tries < MOST_TRIES {
             true => self.view.choose(&wanted, now, &mut self.random),
             false => None,
         };
@@ -360,12 +356,6 @@
     }
 }
 
-/// Upstreams that a call with a body of so many bytes is offered to at most.
-fn most_tries(body_bytes: usize) -> u32 {
-    let offers = OFFERED_BYTES / body_bytes.max(1);
-    (offers as u32).clamp(LEAST_TRIES, MOST_TRIES)
-}
-
 fn refusal(origin: Origin, retry_after_ms: u64) -> CallAction {
     let bounded = retry_after_ms.clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS);
     let seconds = format!("{:.3}", bounded as f64 / 1_000.0);
