--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,9 +4,11 @@
 #![forbid(unsafe_code)]
 
 mod gate;
+mod health;
 mod queue;
 
 pub use gate::{DrainGate, GateState};
+pub use health::FailureShare;
 pub use queue::{Admission, Decision, JobId, Ticket};
 
 /// Milliseconds of a monotonic clock.
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -69,7 +69,7 @@
 }
 
 /// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
-/// and seven numbers or words separated by blanks.
+/// and nine numbers or words separated by blanks; the last two may be missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// What became of the call.
@@ -88,6 +88,10 @@
     pub retry_after_ms: u32,
     /// State of the upstream; `Left` also when there is none.
     pub state: InstanceState,
+    /// Share of recent calls that the upstream failed, percent.
+    pub failing_percent: u32,
+    /// Part of its machine's link that is in use, percent; 0 if that is not known.
+    pub link_percent: u32,
 }
 
 impl HopReply {
@@ -105,13 +109,15 @@
             InstanceState::Left => 'l',
         };
         format!(
-            "{outcome} {} {} {} {} {} {} {state}",
+            "{outcome} {} {} {} {} {} {} {state} {} {}",
             self.running,
             self.queued,
             self.limit,
             self.service_ms,
             self.spent_ms,
-            self.retry_after_ms
+            self.retry_after_ms,
+            self.failing_percent,
+            self.link_percent
         )
     }
 
@@ -134,6 +140,9 @@
             "l" => InstanceState::Left,
             _ => return None,
         };
+        // Sidecars of an earlier version do not tell these.
+        let failing_percent = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+        let link_percent = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
         Some(HopReply {
             outcome,
             running,
@@ -143,6 +152,8 @@
             spent_ms,
             retry_after_ms,
             state,
+            failing_percent,
+            link_percent,
         })
     }
 }
--- /dev/null
+++ b/crates/mesh/tests/hop.rs
@@ -0,0 +1,40 @@
+//! The header between two sidecars, as text.
+
+use expect_test::expect;
+use mesh::{HopOutcome, HopReply, InstanceState};
+
+fn reply() -> HopReply {
+    HopReply {
+        outcome: HopOutcome::Answered,
+        running: 3,
+        queued: 1,
+        limit: 9,
+        service_ms: 120,
+        spent_ms: 97,
+        retry_after_ms: 0,
+        state: InstanceState::Draining,
+        failing_percent: 12,
+        link_percent: 40,
+    }
+}
+
+#[test]
+fn a_reply_is_read_as_it_was_written() {
+    expect!["a 3 1 9 120 97 0 d 12 40"].assert_eq(&reply().encode());
+    assert_eq!(HopReply::decode(&reply().encode()), Some(reply()));
+}
+
+#[test]
+fn a_reply_of_an_earlier_version_is_read_too() {
+    let former = HopReply { failing_percent: 0, link_percent: 0, ..reply() };
+    assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d"), Some(former));
+}
+
+#[test]
+fn what_is_no_reply_is_not_read() {
+    for text in
+        ["", "x 3 1 9 120 97 0 d", "a 3 1 9 120 97 d", "a 3 1 9 120 97 0 z", "a -1 1 9 1 1 0 r"]
+    {
+        assert_eq!(HopReply::decode(text), None, "{text}");
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,12 +4,16 @@
 #![forbid(unsafe_code)]
 
 mod budget;
+mod locality;
+mod pressure;
 mod split;
 mod throttle;
 mod upstream;
 mod view;
 
 pub use budget::{BudgetBounds, RetryBudget};
+pub use locality::{Distance, Locality};
+pub use pressure::{CallEnd, Pressure};
 pub use split::WeightedSplit;
 pub use throttle::Throttle;
 pub use upstream::{Upstream, UpstreamKey, Urgency};
--- /dev/null
+++ b/crates/placement/src/locality.rs
@@ -0,0 +1,71 @@
+//! How far an upstream is, and what it costs to go there.
+
+use mesh::{NodeAddress, NodeRecord};
+use std::rc::Rc;
+
+/// Part of a link in use from which on messages wait for it.
+const FREE_PART_OF_LINK: f64 = 0.6;
+/// What a link that is wholly in use costs, as a part of the worth of a call that is in time.
+const FULL_LINK_COST: f64 = 0.5;
+
+/// Where a node is among the others.
+#[derive(Clone, Debug)]
+pub struct Locality {
+    own: NodeAddress,
+    zone: Rc<str>,
+}
+
+/// How far an upstream is from a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// Beside this node.
+    Own,
+    /// In its zone.
+    Zone,
+    /// In another zone.
+    Far,
+}
+
+impl Locality {
+    /// The place of the node that is reached at `own`.
+    pub fn new(own: NodeAddress, zone: &str) -> Self {
+        Self { own, zone: zone.into() }
+    }
+
+    /// How far a node is.
+    pub fn distance(&self, record: &NodeRecord) -> Distance {
+        match record.address == self.own {
+            true => Distance::Own,
+            false if *record.zone == *self.zone => Distance::Zone,
+            false => Distance::Far,
+        }
+    }
+}
+
+impl Distance {
+    /// Time to it and back over links that are not busy, milliseconds.
+    pub fn usual_ms(self) -> f64 {
+        match self {
+            Self::Own => 0.0,
+            Self::Zone => 0.5,
+            Self::Far => 3.0,
+        }
+    }
+
+    /// Cost of the bytes on the way, as a part of the worth of a call that is in time. To another
+    /// node of the zone they cost nothing by themselves, but they fill two links.
+    pub fn cost(self) -> f64 {
+        match self {
+            Self::Own => 0.0,
+            Self::Zone => 0.02,
+            Self::Far => 0.08,
+        }
+    }
+}
+
+/// Cost of going to a machine of whose link this part is in use, 0 to 1: answers and requests wait
+/// there for each other, which no queue of the sidecar shows.
+pub fn link_cost(part_in_use: f64) -> f64 {
+    let beyond = (part_in_use - FREE_PART_OF_LINK).max(0.0) / (1.0 - FREE_PART_OF_LINK);
+    beyond.powi(2) * FULL_LINK_COST
+}
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -13,6 +13,10 @@
 const LONGEST_REST_MS: u64 = 3_000;
 /// Longest time for which a refusal is believed, milliseconds: the queue moves on.
 const LONGEST_REFUSAL_MS: u64 = 150;
+/// Time in which the share of failures that it told loses half of its weight, milliseconds.
+const FAILING_HALF_LIFE_MS: f64 = 2_500.0;
+/// Time in which the word of calls without an answer loses half of its weight, milliseconds.
+const SILENCE_HALF_LIFE_MS: f64 = 1_500.0;
 /// Weight of a new observation of speed.
 const SPEED_WEIGHT: f64 = 0.08;
 /// How long an answer proves that an upstream can be reached though no coordinator lists it, ms.
@@ -38,6 +42,7 @@
     refusal: Option<Refusal>,
     listed: bool,
     answered_at: Option<Millis>,
+    silence: Silence,
 }
 
 /// How urgent a call is among those that wait for an upstream; the least goes first.
@@ -65,6 +70,21 @@
     outstanding_then: u32,
 }
 
+impl Figures {
+    /// How far they are believed, 0 to 1.
+    fn belief(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.at);
+        1.0 - (age as f64 / FIGURES_AGE_MS as f64).min(1.0)
+    }
+}
+
+/// The longest wait beyond the usual of calls that were given up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silence {
+    ms: f64,
+    at: Millis,
+}
+
 impl Upstream {
     /// An upstream heard of for the first time.
     pub fn new(record: NodeRecord, now: Millis) -> Self {
@@ -79,6 +99,7 @@
             refusal: None,
             listed: true,
             answered_at: None,
+            silence: Silence::default(),
         };
         upstream.update(record, now);
         upstream
@@ -93,6 +114,7 @@
             self.failures = 0;
             self.refusal = None;
             self.figures = None;
+            self.silence = Silence::default();
         }
         if other_instance {
             self.speed = 1.0;
@@ -152,11 +174,9 @@
         let Some(figures) = self.figures else {
             return own;
         };
-        let age = now.saturating_sub(figures.at);
-        let belief = 1.0 - (age as f64 / FIGURES_AGE_MS as f64).min(1.0);
         let others = f64::from(figures.reply.running + figures.reply.queued)
             - f64::from(figures.outstanding_then);
-        own + others.max(0.0) * belief
+        own + others.max(0.0) * figures.belief(now)
     }
 
     /// Expected time from sending a call now to its answer, milliseconds; `usual_ms` is what the
@@ -172,9 +192,43 @@
         work + wait
     }
 
+    /// Notes that a call was given up after it had waited for so much longer than usual,
+    /// milliseconds.
+    pub fn note_unanswered(&mut self, beyond_ms: f64, now: Millis) {
+        let held = self.silence_ms(now);
+        self.silence = Silence { ms: held.max(beyond_ms), at: now };
+    }
+
+    /// How much longer than usual an answer may take, as calls that were given up tell; an old word
+    /// weighs less, so that it is tried again.
+    pub fn silence_ms(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.silence.at) as f64;
+        self.silence.ms * 0.5_f64.powf(age / SILENCE_HALF_LIFE_MS)
+    }
+
+    /// Part of its machine's link that is in use, as it told, 0 to 1.
+    pub fn link_in_use(&self, now: Millis) -> f64 {
+        let Some(figures) = self.figures else {
+            return 0.0;
+        };
+        f64::from(figures.reply.link_percent) / 100.0 * figures.belief(now)
+    }
+
+    /// Share of its recent calls that it failed, as it told, 0 to 1; an old word weighs less, so
+    /// that it is tried again.
+    pub fn failing(&self, now: Millis) -> f64 {
+        let Some(figures) = self.figures else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(figures.at) as f64;
+        let told = f64::from(figures.reply.failing_percent) / 100.0;
+        told * 0.5_f64.powf(age / FAILING_HALF_LIFE_MS)
+    }
+
     /// Takes in what it said with an answer.
     pub fn note_reply(&mut self, reply: HopReply, now: Millis) {
         self.figures = Some(Figures { reply, at: now, outstanding_then: self.outstanding });
+        self.silence = Silence::default();
         self.answered_at = Some(now);
     }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -1,15 +1,17 @@
 //! All upstreams, and the choice among them.
 
-use crate::{Millis, Upstream, UpstreamKey, Urgency};
+use crate::locality::link_cost;
+use crate::{Distance, Locality, Millis, Upstream, UpstreamKey, Urgency};
 use mesh::NodeRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Cost of a call to another zone, as a part of the worth of a call that is in time.
-const OTHER_ZONE_COST: f64 = 0.08;
-/// Time to another zone and back that is not part of what an upstream takes, milliseconds.
-const OTHER_ZONE_MS: f64 = 3.0;
 /// How steeply the risk of being late rises with the expected part of the time left.
 const LATENESS_EXPONENT: i32 = 6;
+/// Share of failures that may be chance, or the fault of others that all need.
+const FAILING_BORNE: f64 = 0.15;
+/// What a failed call costs, where one is an answer that is certainly late. All upstreams of a
+/// service that fails alike pay the same, so only those that fail more than others are avoided.
+const FAILURE_COST: f64 = 1.0;
 /// Weight of the expected time itself, so that of equal risks the faster is taken.
 const TIME_COST: f64 = 0.03;
 /// Part of the expected time by which choices are varied, so that nodes do not choose alike.
@@ -45,14 +47,14 @@
 /// Every upstream this node knows.
 #[derive(Clone, Debug)]
 pub struct PlacementView {
-    zone: String,
+    locality: Locality,
     upstreams: BTreeMap<UpstreamKey, Upstream>,
 }
 
 impl PlacementView {
-    /// An empty view of a node in `zone`.
-    pub fn new(zone: &str) -> Self {
-        PlacementView { zone: zone.to_owned(), upstreams: BTreeMap::new() }
+    /// An empty view of the node at `locality`.
+    pub fn new(locality: Locality) -> Self {
+        PlacementView { locality, upstreams: BTreeMap::new() }
     }
 
     /// Takes in a record; an older one of the same life changes nothing.
@@ -135,33 +137,63 @@
                 && !held.is_full(request.urgency, now)
                 && !request.tried.contains(key)
         });
-        let mut candidates: Vec<_> = eligible.collect();
-        if candidates.len() > MOST_CANDIDATES {
-            random.shuffle(&mut candidates);
-            candidates.truncate(MOST_CANDIDATES);
-        }
+        let mut candidates: Vec<Candidate<'_>> = eligible
+            .map(|(key, held)| (*key, held, self.locality.distance(&held.record)))
+            .collect();
+        thin_out(&mut candidates, random);
         let mut best: Option<((bool, f64), UpstreamKey)> = None;
-        for (key, held) in candidates {
+        for (key, held, distance) in candidates {
             let varied = 1.0 + VARIATION * random.f64();
-            let expected = held.expected_ms(request.usual_ms, now) * varied;
-            let far = held.record.zone != self.zone;
-            let cost = cost_of(expected, request.target_ms, far);
-            let cost = (held.is_resting(now), cost);
+            let expected_ms = held.expected_ms(request.usual_ms, now) * varied;
+            let cost = (held.is_resting(now), cost(held, distance, expected_ms, request, now));
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
-                best = Some((cost, *key));
+                best = Some((cost, key));
             }
         }
         best.map(|(_, key)| key)
     }
 }
 
-/// The risk that the answer is late, and what it costs to go to another zone.
-fn cost_of(expected_ms: f64, target_ms: f64, other_zone: bool) -> f64 {
-    let (way_ms, way_cost) = if other_zone { (OTHER_ZONE_MS, OTHER_ZONE_COST) } else { (0.0, 0.0) };
-    let part = (expected_ms + way_ms) / target_ms.max(1.0);
-    part.powi(LATENESS_EXPONENT) + part * TIME_COST + way_cost
+/// What it costs to go to an upstream, as a part of the worth of a call that is in time.
+fn cost(
+    held: &Upstream,
+    distance: Distance,
+    expected_ms: f64,
+    request: &Request<'_>,
+    now: Millis,
+) -> f64 {
+    let time_ms = expected_ms + distance.usual_ms() + held.silence_ms(now);
+    let late = lateness_cost(time_ms / request.target_ms.max(1.0));
+    let failing = (held.failing(now) - FAILING_BORNE).max(0.0) * FAILURE_COST;
+    // The upstream beside this node needs no link.
+    let link = match distance {
+        Distance::Own => 0.0,
+        _ => link_cost(held.link_in_use(now)),
+    };
+    late + failing + link + distance.cost()
+}
+
+/// An upstream that may be taken.
+type Candidate<'a> = (UpstreamKey, &'a Upstream, Distance);
+
+/// Leaves a sample of a large service; the upstream beside this node stays.
+fn thin_out(candidates: &mut Vec<Candidate<'_>>, random: &mut fastrand::Rng) {
+    if candidates.len() <= MOST_CANDIDATES {
+        return;
+    }
+    random.shuffle(candidates);
+    let own = candidates.iter().position(|(_, _, distance)| *distance == Distance::Own);
+    if let Some(own) = own {
+        candidates.swap(0, own);
+    }
+    candidates.truncate(MOST_CANDIDATES);
+}
+
+/// The risk that an answer is late that takes this part of the time left.
+fn lateness_cost(part: f64) -> f64 {
+    part.powi(LATENESS_EXPONENT) + part * TIME_COST
 }
 
 /// How long the calls of each route take at an upstream of average speed.
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -1,7 +1,7 @@
 //! Which upstreams are there, and which one is taken.
 
 use mesh::{HopOutcome, HopReply, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
-use placement::{PlacementView, Request, Urgency};
+use placement::{Locality, PlacementView, Request, Urgency};
 use std::net::Ipv4Addr;
 
 const SERVICE: &str = "fares";
@@ -37,11 +37,13 @@
         spent_ms: 100,
         retry_after_ms: 0,
         state: InstanceState::Ready,
+        failing_percent: 0,
+        link_percent: 0,
     }
 }
 
 fn view(hosts: &[(u8, &str)]) -> PlacementView {
-    let mut view = PlacementView::new("a");
+    let mut view = PlacementView::new(Locality::new(address(200), "a"));
     for (host, zone) in hosts {
         view.update(record(*host, zone, InstanceState::Ready), 0);
     }
@@ -139,3 +141,67 @@
     view.get_mut(&address(1)).expect("there").note_full(URGENCY, 60_000, 100);
     assert_eq!(choose(&view, &[address(2)], 260), Some(1), "no refusal is believed for long");
 }
+
+#[test]
+fn one_that_fails_more_than_others_is_avoided_until_its_word_is_old() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    let failing = |percent| HopReply { failing_percent: percent, ..reply(0, 0) };
+    let mut tell = |host, percent, now| {
+        view.get_mut(&address(host)).expect("there").note_reply(failing(percent), now);
+        choose(&view, &[], now)
+    };
+    assert_eq!(tell(1, 40, 0), Some(2), "the own zone is worth less than the calls it fails");
+    assert_eq!(tell(2, 40, 0), Some(1), "both fail alike");
+    assert_eq!(tell(2, 0, 0), Some(2));
+    assert_eq!(choose(&view, &[], 20_000), Some(1), "it is tried again");
+}
+
+#[test]
+fn the_upstream_beside_is_taken_while_it_has_room() {
+    let mut view = view(&[(1, "a"), (2, "a"), (200, "a")]);
+    for now in 0..50 {
+        assert_eq!(choose(&view, &[], now), Some(200), "its calls fill no link");
+    }
+    view.get_mut(&address(200)).expect("there").note_reply(reply(2, 4), 50);
+    assert_ne!(choose(&view, &[], 50), Some(200));
+}
+
+#[test]
+fn the_upstream_beside_is_looked_at_however_large_the_service_is() {
+    let hosts: Vec<(u8, &str)> = (1..=199).chain([200]).map(|host| (host, "a")).collect();
+    let view = view(&hosts);
+    for now in 0..50 {
+        assert_eq!(choose(&view, &[], now), Some(200));
+    }
+}
+
+#[test]
+fn one_behind_a_busy_link_is_avoided_until_that_is_old() {
+    let busy = |percent| HopReply { link_percent: percent, ..reply(0, 0) };
+    let mut beside = view(&[(1, "a"), (200, "a")]);
+    beside.get_mut(&address(200)).expect("there").note_reply(busy(100), 0);
+    assert_eq!(choose(&beside, &[], 0), Some(200), "the one beside needs no link");
+
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    let mut tell = |host, percent, now| {
+        view.get_mut(&address(host)).expect("there").note_reply(busy(percent), now);
+        choose(&view, &[], now)
+    };
+    assert_eq!(tell(1, 60, 0), Some(1));
+    assert_eq!(tell(1, 90, 0), Some(2));
+    assert_eq!(tell(2, 95, 0), Some(1), "both are");
+    assert_eq!(tell(2, 0, 0), Some(2));
+    assert_eq!(choose(&view, &[], 1_000), Some(1));
+}
+
+#[test]
+fn one_that_let_a_call_wait_without_an_answer_is_avoided_until_it_answers_or_that_is_old() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.get_mut(&address(1)).expect("there").note_unanswered(400.0, 0);
+    assert_eq!(choose(&view, &[], 10), Some(2));
+    assert_eq!(choose(&view, &[], 10_000), Some(1));
+    view.get_mut(&address(1)).expect("there").note_unanswered(400.0, 10_000);
+    assert_eq!(choose(&view, &[], 10_010), Some(2));
+    view.get_mut(&address(1)).expect("there").note_reply(reply(0, 0), 10_020);
+    assert_eq!(choose(&view, &[], 10_020), Some(1));
+}
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -55,6 +55,10 @@
     pub drain_ms: u64,
     /// Longest time for a planned stop, milliseconds.
     pub stop_ms: u64,
+    /// Speed of this machine's link, megabits a second; peers send less over one that is nearly
+    /// full. 0 if it is not known.
+    #[serde(default)]
+    pub link_mbps: f64,
     /// One of so many calls has every step logged, the same ones on all nodes; refusals and
     /// failures are always logged.
     #[serde(default = "default_log_sample")]
@@ -75,6 +79,7 @@
         checks.range("stop_ms", self.stop_ms, 500, 600_000);
         checks.range("log_sample", self.log_sample, 1, 1_000_000);
         checks.range("retry_budget.window_s", self.retry_budget.window_s, 1, 3_600);
+        checks.require("link_mbps", self.link_mbps >= 0.0, "must not be below 0");
         let ratio = (0.0..=1.0).contains(&self.retry_budget.ratio);
         checks.require("retry_budget.ratio", ratio, "must be 0 to 1");
         let slack = self.retry_budget.slack >= 0.0;
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -24,7 +24,7 @@
     pub deadline: Millis,
     pub tries: u32,
     pub arrivals: u32,
-    pub current: Option<(Attempt, NodeAddress)>,
+    pub current: Option<Try>,
     pub tried: Vec<NodeAddress>,
     /// What each try came to, for the log of a failure.
     pub trail: Vec<Step>,
@@ -40,6 +40,14 @@
     }
 }
 
+/// A try without an end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Try {
+    pub attempt: Attempt,
+    pub to: NodeAddress,
+    pub since: Millis,
+}
+
 /// What one try came to.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Step {
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -1,6 +1,6 @@
 //! How tries end, and what follows: another try, or the final answer.
 
-use super::call::{outcome_word, trail, Step};
+use super::call::{outcome_word, trail, Step, Try};
 use super::{
     refusal, Attempt, AttemptEnd, CallAction, CallId, Calls, NO_UPSTREAM_WAIT_MS,
     SHORTEST_RETRY_AFTER_MS,
@@ -8,6 +8,7 @@
 use crate::Millis;
 use http1::Response;
 use mesh::{HopOutcome, HopReply, NodeAddress};
+use placement::CallEnd;
 use tracing::{info, warn};
 
 impl Calls {
@@ -47,6 +48,7 @@
         let held_ms = now.saturating_sub(call.arrived);
         if call.arrivals == 0 {
             self.counts.refused += 1;
+            self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
             warn!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
                 tries = call.tries, retry_after_ms, held_ms, trail = %trail(&call.trail),
@@ -67,7 +69,7 @@
     /// Takes in how a try ended; late news of a try that was given up change nothing.
     pub fn ended(&mut self, attempt: Attempt, end: AttemptEnd, now: Millis) -> Vec<CallAction> {
         let current = self.calls.get(&attempt.call).and_then(|call| call.current);
-        let Some((_, to)) = current.filter(|(held, _)| *held == attempt) else {
+        let Some(Try { to, .. }) = current.filter(|held| held.attempt == attempt) else {
             return Vec::new();
         };
         if let Some(upstream) = self.view.get_mut(&to) {
@@ -201,7 +203,19 @@
                 call.fallback = Some(response);
                 self.repeat_or_give_up(id, now)
             }
-            None => self.pass_on(id, response),
+            None => {
+                self.note_in_time(id, failed, now);
+                self.pass_on(id, response)
+            }
+        }
+    }
+
+    /// Takes in whether an upstream's answer helps the caller.
+    fn note_in_time(&mut self, id: CallId, failed: bool, now: Millis) {
+        if let Some(call) = self.calls.get(&id) {
+            let in_time = !failed && now <= call.arrived + call.target_ms;
+            let end = if in_time { CallEnd::InTime } else { CallEnd::Missed };
+            self.pressure.note(&call.service, call.urgency(), end, now);
         }
     }
 
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -7,12 +7,15 @@
 mod endings;
 mod time;
 
-use self::call::{Call, EarlyCall};
+use self::call::{Call, EarlyCall, Try};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress, HOP_HEADER};
-use placement::{BudgetBounds, ClassTimes, PlacementView, RetryBudget, Throttle, WeightedSplit};
+use placement::{
+    BudgetBounds, CallEnd, ClassTimes, Locality, PlacementView, Pressure, RetryBudget, Throttle,
+    Urgency, WeightedSplit,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::info;
@@ -37,9 +40,6 @@
 /// Those with short targets are mostly asked for within other calls, which would fail with a slot
 /// in their hands.
 const LEAST_PATIENCE_MS: f64 = 120.0;
-/// Most upstreams one call is offered to: in a large service that is short of room, asking all
-/// of them fills the links that answers need.
-const MOST_TRIES: u32 = 5;
 /// Longest wait for an upstream of a service that has none, milliseconds.
 const NO_UPSTREAM_WAIT_MS: u64 = 400;
 const PARKED_LOOK_MS: u64 = 20;
@@ -47,6 +47,9 @@
 const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
 /// Retry-After of calls that are held back because their like fail, milliseconds.
 const THROTTLED_RETRY_AFTER_MS: u64 = 250;
+/// Shortest and longest Retry-After of calls that are held back because their like are late,
+/// milliseconds.
+const PRESSED_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_250;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
 /// Longest wait of a call for the first configuration of a sidecar that just started, ms.
@@ -108,6 +111,12 @@
     Abort(Attempt),
 }
 
+/// A call that is refused before it is offered to any upstream.
+struct HeldBack {
+    reason: &'static str,
+    retry_after_ms: u64,
+}
+
 /// Counters of the outbound side.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallCounts {
@@ -138,6 +147,7 @@
     budget: RetryBudget,
     times: ClassTimes,
     throttle: Throttle,
+    pressure: Pressure,
     random: fastrand::Rng,
     calls: BTreeMap<CallId, Call>,
     by_origin: BTreeMap<Origin, CallId>,
@@ -154,7 +164,7 @@
     pub fn new(
         names: HeaderNames,
         service: &str,
-        zone: &str,
+        locality: Locality,
         bounds: BudgetBounds,
         sample: LogSample,
         seed: u64,
@@ -163,11 +173,12 @@
             names,
             sample,
             service: service.to_owned(),
-            view: PlacementView::new(zone),
+            view: PlacementView::new(locality),
             splits: BTreeMap::new(),
             budget: RetryBudget::new(bounds),
             times: ClassTimes::default(),
             throttle: Throttle::default(),
+            pressure: Pressure::default(),
             random: fastrand::Rng::with_seed(seed),
             calls: BTreeMap::new(),
             by_origin: BTreeMap::new(),
@@ -206,17 +217,25 @@
             return vec![CallAction::Answer { origin, response: Response::empty(404) }];
         };
         let route = &route.route;
-        let draw = self.random.f64();
-        if !self.throttle.admits(&route.name, draw, now) {
-            info!(id = %attempt_id, route = %route.name, reason = "throttled", "call_refused");
-            self.counts.refused += 1;
-            return vec![refusal(origin, THROTTLED_RETRY_AFTER_MS)];
-        }
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
+        let target_ms = match route.target_latency_ms {
+            0 => timeout,
+            target => u64::from(target),
+        };
+        let urgency = Urgency { rank: route.rank, target_ms };
         let Some(service) = self.draw_service(&route.name, &route.targets) else {
             return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
         };
+        if let Some(held_back) = self.hold_back(&route.name, &service, urgency, now) {
+            let HeldBack { reason, retry_after_ms } = held_back;
+            info!(
+                id = %attempt_id, route = %route.name, %service, reason, retry_after_ms,
+                verdict = "not-run", "call_refused"
+            );
+            self.counts.refused += 1;
+            return vec![refusal(origin, retry_after_ms)];
+        }
         self.budget.note_request(&service, now);
         let id = self.next_call;
         self.next_call += 1;
@@ -228,10 +247,7 @@
             repeatable: route.repeatable,
             rank: route.rank,
             most_arrivals: route.attempts.max(1),
-            target_ms: match route.target_latency_ms {
-                0 => timeout,
-                target => u64::from(target),
-            },
+            target_ms,
             service,
             arrived: now,
             deadline: now + told.min(timeout),
@@ -249,6 +265,26 @@
         self.place(id, now)
     }
 
+    /// Whether a new call is refused here, because its like fail or are not answered in time.
+    fn hold_back(
+        &mut self,
+        route: &str,
+        service: &str,
+        urgency: Urgency,
+        now: Millis,
+    ) -> Option<HeldBack> {
+        if !self.throttle.admits(route, self.random.f64(), now) {
+            let retry_after_ms = THROTTLED_RETRY_AFTER_MS;
+            return Some(HeldBack { reason: "like_calls_fail", retry_after_ms });
+        }
+        if self.random.f64() < self.pressure.held_back(service, urgency, now) {
+            self.pressure.note(service, urgency, CallEnd::HeldBack, now);
+            let retry_after_ms = self.random.u64(PRESSED_RETRY_AFTER_MS);
+            return Some(HeldBack { reason: "like_calls_are_late", retry_after_ms });
+        }
+        None
+    }
+
     fn draw_service(&mut self, route: &str, targets: &[bundle::Target]) -> Option<String> {
         if let [only] = targets {
             return Some(only.service.clone());
@@ -293,7 +329,8 @@
         let urgency = call.urgency();
         let tried = &call.tried;
         let wanted = placement::Request { service, urgency, usual_ms, target_ms, tried };
-        let chosen = match call.tries < MOST_TRIES {
+        let most_offers = self.pressure.most_offers(&call.service, now);
+        let chosen = match call.tries < most_offers {
             true => self.view.choose(&wanted, now, &mut self.random),
             false => None,
         };
@@ -304,7 +341,7 @@
         let call = self.calls.get_mut(&id).expect("looked up above");
         call.tries += 1;
         let attempt = Attempt { call: id, number: call.tries };
-        call.current = Some((attempt, to));
+        call.current = Some(Try { attempt, to, since: now });
         call.parked_until = None;
         call.tried.push(to);
         self.parked.remove(&id);
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -1,6 +1,6 @@
 //! What ends calls from outside: time, callers that leave, the start and the stop of the process.
 
-use super::call::{trail, Call, EarlyCall};
+use super::call::{trail, Call, EarlyCall, Try};
 use super::{
     refusal, CallAction, CallId, Calls, Origin, EARLY_WAIT_MS, PARKED_LOOK_MS,
     UNREADY_RETRY_AFTER_MS,
@@ -9,6 +9,7 @@
 use crate::net::ConnectionId;
 use crate::Millis;
 use http1::{Request, Response, Slot};
+use placement::CallEnd;
 use tracing::{info, warn};
 
 impl Calls {
@@ -47,7 +48,7 @@
     }
 
     /// A caller went away: whatever it waited for stops.
-    pub fn connection_ended(&mut self, connection: ConnectionId) -> Vec<CallAction> {
+    pub fn connection_ended(&mut self, connection: ConnectionId, now: Millis) -> Vec<CallAction> {
         self.early.retain(|call| call.origin.connection != connection);
         let first = Origin { connection, slot: 0 };
         let last = Origin { connection, slot: Slot::MAX };
@@ -57,14 +58,31 @@
             if let Some(call) = self.remove(id) {
                 self.counts.cancelled += 1;
                 info!(id = %call.attempt_id, tries = call.tries, "call_cancelled");
+                self.note_unanswered(&call, now);
                 actions.extend(self.abort(&call));
             }
         }
         actions
     }
 
+    /// A try that is given up after more than the call usually takes says that the upstream, its
+    /// sidecar or the way to it is slow.
+    fn note_unanswered(&mut self, call: &Call, now: Millis) {
+        let Some(Try { to, since, .. }) = call.current else {
+            return;
+        };
+        let usual_ms = self.usual_ms(call);
+        let elapsed = now.saturating_sub(since) as f64;
+        if let Some(upstream) = self.view.get_mut(&to) {
+            let beyond_ms = elapsed - usual_ms * upstream.speed;
+            if beyond_ms > 0.0 {
+                upstream.note_unanswered(beyond_ms, now);
+            }
+        }
+    }
+
     pub(super) fn abort(&mut self, call: &Call) -> Option<CallAction> {
-        let (attempt, to) = call.current?;
+        let Try { attempt, to, .. } = call.current?;
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.outstanding = upstream.outstanding.saturating_sub(1);
         }
@@ -83,13 +101,15 @@
                 continue;
             };
             self.counts.timed_out += 1;
+            self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
             let held_ms = now.saturating_sub(call.arrived);
             warn!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
                 tries = call.tries, held_ms, trail = %trail(&call.trail),
-                at = ?call.current.map(|(_, to)| to.to_string()),
+                at = ?call.current.map(|held| held.to.to_string()),
                 verdict = "may-have-run", "call_timed_out"
             );
+            self.note_unanswered(&call, now);
             actions.extend(self.abort(&call));
             let response = call.fallback.unwrap_or_else(|| Response::empty(504));
             actions.push(CallAction::Answer { origin: call.origin, response });
--- a/crates/sidecar/src/jobs.rs
+++ b/crates/sidecar/src/jobs.rs
@@ -8,7 +8,7 @@
 use crate::net::ConnectionId;
 use crate::sample::LogSample;
 use crate::Millis;
-use admission::{Admission, Decision, DrainGate, GateState, JobId, Ticket};
+use admission::{Admission, Decision, DrainGate, FailureShare, GateState, JobId, Ticket};
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{HopOutcome, HopReply, HopRequest, InstanceState, HOP_HEADER};
 use std::collections::BTreeMap;
@@ -24,6 +24,8 @@
 const REFUSED_STATUS: u16 = 503;
 const UNKNOWN_STATUS: u16 = 502;
 const FIRST_FAILURE_STATUS: u16 = 300;
+const TOO_MANY_REQUESTS: u16 = 429;
+const FIRST_SERVER_ERROR: u16 = 500;
 
 /// Who waits for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,6 +75,17 @@
     },
 }
 
+/// Why a call is not given to the upstream.
+#[derive(Clone, Copy, Debug)]
+struct Refusal<'a> {
+    /// Id of the call.
+    id: &'a str,
+    reason: &'a str,
+    /// How long it was held before, milliseconds.
+    held_ms: u64,
+    retry_after_ms: u64,
+}
+
 #[derive(Debug)]
 struct Job {
     source: Source,
@@ -83,6 +96,12 @@
     started: Option<Millis>,
 }
 
+impl Job {
+    fn spent_ms(&self, now: Millis) -> u64 {
+        now.saturating_sub(self.started.unwrap_or(now))
+    }
+}
+
 /// All calls for the upstream beside this sidecar.
 pub struct Jobs {
     names: HeaderNames,
@@ -91,6 +110,10 @@
     /// The upstream and whether calls pass.
     pub gate: DrainGate,
     admission: Admission,
+    failures: FailureShare,
+    failures_of: Option<String>,
+    /// Part of this machine's link that is in use, percent.
+    pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
     by_source: BTreeMap<Source, JobId>,
     next_job: JobId,
@@ -106,6 +129,9 @@
             service: service.to_owned(),
             gate: DrainGate::new(drain_ms),
             admission: Admission::new(UNKNOWN_SLOTS),
+            failures: FailureShare::default(),
+            failures_of: None,
+            link_percent: 0,
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
             next_job: 1,
@@ -128,6 +154,10 @@
         let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
         let used = (f64::from(slots) * USED_PART_OF_SLOTS).floor() as u32;
         self.admission.set_limit(used.max(1));
+        if self.failures_of.as_deref() != self.gate.id() {
+            self.failures_of = self.gate.id().map(str::to_owned);
+            self.failures.clear();
+        }
     }
 
     fn reply(
@@ -152,21 +182,17 @@
             spent_ms: spent_ms as u32,
             retry_after_ms: retry_after_ms as u32,
             state,
+            failing_percent: self.failures.percent(now),
+            link_percent: self.link_percent,
         }
     }
 
-    fn refuse(
-        &self,
-        source: Source,
-        id: &str,
-        reason: &str,
-        retry_after_ms: u64,
-        now: Millis,
-    ) -> JobAction {
+    fn refuse(&self, source: Source, refusal: Refusal<'_>, now: Millis) -> JobAction {
+        let Refusal { id, reason, held_ms, retry_after_ms } = refusal;
         let reply = self.reply(HopOutcome::Refused, 0, retry_after_ms, now);
         info!(
             %id, reason, running = reply.running, queued = reply.queued, limit = reply.limit,
-            retry_after_ms, verdict = "not-run", "job_refused"
+            held_ms, retry_after_ms, verdict = "not-run", "job_refused"
         );
         JobAction::Reply { source, reply, response: Response::empty(REFUSED_STATUS) }
     }
@@ -181,7 +207,8 @@
     ) -> Vec<JobAction> {
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
         if let Some(reason) = self.mismatch(hop, now) {
-            return vec![self.refuse(source, &attempt_id, reason, 0, now)];
+            let refusal = Refusal { id: &attempt_id, reason, held_ms: 0, retry_after_ms: 0 };
+            return vec![self.refuse(source, refusal, now)];
         }
         let job = self.next_job;
         self.next_job += 1;
@@ -190,7 +217,9 @@
         let ticket = Ticket { job, rank, target_ms, patience_ms, deadline };
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
-            return vec![self.refuse(source, &attempt_id, "no_room", retry_after_ms, now)];
+            let id = &attempt_id;
+            let refusal = Refusal { id, reason: "no_room", held_ms: 0, retry_after_ms };
+            return vec![self.refuse(source, refusal, now)];
         }
         let entry = Job { source, request, attempt_id, deadline, arrived: now, started: None };
         self.jobs.insert(job, entry);
@@ -252,8 +281,11 @@
         let Some(job) = self.remove(id) else {
             return Vec::new();
         };
-        let spent_ms = now.saturating_sub(job.started.unwrap_or(now));
+        let spent_ms = job.spent_ms(now);
         let (outcome, response) = self.judge(end);
+        if job.started.is_some() {
+            self.failures.note(is_upstreams_fault(outcome, response.status), now);
+        }
         let telling = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
         self.admission.release(telling.then_some(spent_ms));
         let ordinary = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
@@ -320,7 +352,9 @@
     fn refuse_waiting(&mut self, id: JobId, reason: &str, now: Millis) -> Option<JobAction> {
         let job = self.remove(id)?;
         let retry_after_ms = self.admission.retry_after_ms(0, now);
-        Some(self.refuse(job.source, &job.attempt_id, reason, retry_after_ms, now))
+        let held_ms = now.saturating_sub(job.arrived);
+        let refusal = Refusal { id: &job.attempt_id, reason, held_ms, retry_after_ms };
+        Some(self.refuse(job.source, refusal, now))
     }
 
     /// Nobody waits for a job any more.
@@ -336,6 +370,7 @@
             return Vec::new();
         }
         self.admission.release(None);
+        self.failures.note_cancelled(job.spent_ms(now), self.admission.service_ms(), now);
         let mut actions = vec![JobAction::Abort(id)];
         actions.extend(self.start_waiting(now));
         actions
@@ -374,3 +409,14 @@
         overdue.into_iter().chain(self.admission.next_expiry()).min()
     }
 }
+
+/// Whether an end tells against the upstream. A rejection does, too: it is never given more than it
+/// has slots for.
+fn is_upstreams_fault(outcome: HopOutcome, status: u16) -> bool {
+    match outcome {
+        HopOutcome::Answered => status >= FIRST_SERVER_ERROR,
+        HopOutcome::Rejected => status == TOO_MANY_REQUESTS || status >= FIRST_SERVER_ERROR,
+        HopOutcome::Unknown => true,
+        HopOutcome::Refused => false,
+    }
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 mod dialect;
 mod jobs;
+mod link_meter;
 mod links;
 mod metrics;
 mod net;
@@ -23,6 +24,7 @@
 pub use config::Config;
 pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
+pub use link_meter::LinkMeter;
 pub use net::ConnectionId;
 pub use registrar::{PendingAcknowledgement, Registrar};
 pub use runtime::{run, SidecarError};
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -7,7 +7,7 @@
 use slab::Slab;
 use socket2::{SockRef, TcpKeepalive};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr};
+use std::net::{IpAddr, Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
 /// Names a connection; never used for another one, even after its place in the table is.
@@ -65,6 +65,17 @@
     ended: bool,
     /// Since when this side waits for the other to end; what still comes is dropped.
     lingering: Option<Instant>,
+    /// Whether the other side is on another machine.
+    remote: bool,
+}
+
+/// Bytes that passed between this machine and others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Passed {
+    /// From others.
+    pub received: usize,
+    /// To others.
+    pub sent: usize,
 }
 
 /// All sockets of one process.
@@ -74,18 +85,22 @@
     listeners: Vec<TcpListener>,
     connections: Slab<Connection>,
     opened: u64,
+    own: IpAddr,
+    passed: Passed,
     scratch: Vec<u8>,
 }
 
 impl Net {
-    /// No sockets yet.
-    pub fn new() -> io::Result<Self> {
+    /// No sockets yet, on the machine with this address.
+    pub fn new(own: IpAddr) -> io::Result<Self> {
         Ok(Net {
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS_CAPACITY),
             listeners: Vec::new(),
             connections: Slab::new(),
             opened: 0,
+            own,
+            passed: Passed::default(),
             scratch: vec![0; SCRATCH_BYTES],
         })
     }
@@ -103,11 +118,17 @@
     /// Begins to open a connection; [`NetEvent::Opened`] or [`NetEvent::NotOpened`] follows.
     pub fn connect(&mut self, address: SocketAddr) -> io::Result<ConnectionId> {
         let stream = TcpStream::connect(address)?;
-        self.add(stream, true)
+        self.add(stream, address.ip(), true)
     }
 
-    fn add(&mut self, mut stream: TcpStream, opening: bool) -> io::Result<ConnectionId> {
+    fn add(
+        &mut self,
+        mut stream: TcpStream,
+        other: IpAddr,
+        opening: bool,
+    ) -> io::Result<ConnectionId> {
         prepare(&stream);
+        let remote = other != self.own && !other.is_loopback();
         let entry = self.connections.vacant_entry();
         let place = entry.key();
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -123,6 +144,7 @@
             opening,
             ended: false,
             lingering: None,
+            remote,
         });
         Ok(ConnectionId { place, generation })
     }
@@ -146,6 +168,11 @@
         }
     }
 
+    /// Takes what passed between this machine and others since the last time.
+    pub fn take_passed(&mut self) -> Passed {
+        std::mem::take(&mut self.passed)
+    }
+
     /// Number of connections.
     pub fn connections(&self) -> usize {
         self.connections.len()
@@ -158,6 +185,9 @@
         };
         connection.output.extend_from_slice(bytes);
         flush(connection);
+        if connection.remote {
+            self.passed.sent += bytes.len();
+        }
     }
 
     /// Closes a connection at once.
@@ -239,8 +269,8 @@
     fn accept(&mut self, listener: usize, happened: &mut Vec<NetEvent>) {
         for _ in 0..BACKLOG_ACCEPTS {
             match self.listeners[listener].accept() {
-                Ok((stream, _)) => {
-                    if let Ok(connection) = self.add(stream, false) {
+                Ok((stream, other)) => {
+                    if let Ok(connection) = self.add(stream, other.ip(), false) {
                         happened.push(NetEvent::Accepted { listener, connection });
                     }
                 }
@@ -301,6 +331,9 @@
             match connection.stream.read(&mut self.scratch) {
                 Ok(0) => break Some(StreamEnd::Clean),
                 Ok(count) => {
+                    if connection.remote {
+                        self.passed.received += count;
+                    }
                     if connection.lingering.is_none() {
                         connection.input.extend_from_slice(&self.scratch[..count]);
                         received = true;
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -55,7 +55,7 @@
             self.servers.ended(&mut self.net, id);
             match kind {
                 ServerKind::Caller => {
-                    let actions = self.calls.connection_ended(id);
+                    let actions = self.calls.connection_ended(id, now);
                     self.work.extend(actions.into_iter().map(Work::Call));
                 }
                 ServerKind::Peer => {
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -7,6 +7,7 @@
 use crate::config::Config;
 use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
 use crate::jobs::{JobAction, Jobs};
+use crate::link_meter::LinkMeter;
 use crate::links::{LinkEvent, Links};
 use crate::metrics::{Metrics, Snapshot};
 use crate::net::{ConnectionId, Net};
@@ -19,12 +20,12 @@
 use admission::JobId;
 use http1::{Response, Slot};
 use mesh::{NodeAddress, NodeRecord};
-use placement::BudgetBounds;
+use placement::{BudgetBounds, Locality};
 use settings::SidecarSettings;
 use snafu::{ResultExt, Snafu};
 use std::collections::VecDeque;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
 use telemetry::{Clock, ReloadSignal, StopSignal};
@@ -97,6 +98,7 @@
     metrics: Metrics,
     stop: StopPlan,
     last_request: Millis,
+    link: LinkMeter,
     next_housekeeping: Millis,
     next_reload_look: Millis,
 }
@@ -125,7 +127,7 @@
         names: HeaderNames,
         dialect: Box<dyn RegistrationDialect>,
     ) -> Result<Self, SidecarError> {
-        let mut net = Net::new().context(PollSnafu)?;
+        let mut net = Net::new(IpAddr::V4(settings.ip)).context(PollSnafu)?;
         let listen = [
             (settings.outbound_listen, ServerKind::Caller),
             (settings.inbound_listen, ServerKind::Peer),
@@ -158,10 +160,12 @@
             window_ms: settings.retry_budget.window_s * 1_000,
         };
         let sample = LogSample::new(settings.log_sample);
-        let calls = Calls::new(names, &settings.service, &settings.zone, bounds, sample, seed);
+        let locality = Locality::new(own, &settings.zone);
+        let calls = Calls::new(names, &settings.service, locality, bounds, sample, seed);
         let jobs = Jobs::new(names, &settings.service, settings.drain_ms, sample);
         info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
         warn!("connections between processes are plain: settings say plain_transport");
+        let link = LinkMeter::new(settings.link_mbps);
         Ok(Sidecar {
             stop: StopPlan::new(settings.stop_ms),
             settings_modified: modified(settings_path.as_ref()),
@@ -185,6 +189,7 @@
             work: VecDeque::new(),
             metrics: Metrics::new(),
             last_request: 0,
+            link,
             next_housekeeping: 0,
             next_reload_look: RELOAD_LOOK_MS,
         })
@@ -198,6 +203,7 @@
     fn turn(&mut self, reload: &ReloadSignal) {
         let wait = self.next_due().saturating_sub(self.now());
         let events = self.net.poll(Duration::from_millis(wait));
+        self.measure_link();
         for event in events {
             self.on_event(event);
             self.do_work();
@@ -219,6 +225,14 @@
         }
     }
 
+    fn measure_link(&mut self) {
+        let now = self.now();
+        let passed = self.net.take_passed();
+        self.link.received(passed.received, now);
+        self.link.sent(passed.sent, now);
+        self.jobs.link_percent = self.link.percent(now);
+    }
+
     fn next_due(&self) -> Millis {
         let now = self.now();
         let dues = [
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -143,7 +143,7 @@
     let mut world = World::with_upstreams(1);
     let (attempt, _) = sent(&world.begin("GET", "/safe/1")).expect("placed");
     let connection = world.connection();
-    let actions = world.calls.connection_ended(connection);
+    let actions = world.calls.connection_ended(connection, world.now);
     assert!(matches!(actions[..], [CallAction::Abort(found)] if found == attempt));
     assert_eq!(world.calls.in_flight(), 0);
     assert!(world.calls.tick(world.now + 100_000).is_empty());
@@ -224,3 +224,15 @@
     assert_eq!(status(&actions), Some(503));
     assert!(retry_after_ms(&actions).is_some());
 }
+
+#[test]
+fn an_upstream_that_leaves_a_call_without_an_answer_is_avoided() {
+    let mut world = World::with_upstreams(2);
+    let (_, silent) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+    let actions = world.calls.tick(world.now + TIMEOUT_MS);
+    assert_eq!(status(&actions), Some(504));
+    for _ in 0..20 {
+        let (_, to) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+        assert_ne!(to, silent);
+    }
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use mesh::{
     HopOutcome, HopReply, HopRequest, InstanceRecord, InstanceState, NodeAddress, NodeRecord,
 };
-use placement::BudgetBounds;
+use placement::{BudgetBounds, Locality};
 use sidecar::{
     Attempt, AttemptEnd, CallAction, Calls, Config, ConnectionId, HeaderNames, LogSample, Origin,
 };
@@ -74,7 +74,9 @@
 impl World {
     pub fn unconfigured() -> Self {
         let bounds = BudgetBounds { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
-        let calls = Calls::new(NAMES, OWN_SERVICE, "zone-a", bounds, LogSample::new(1), 1);
+        let own = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 200), port: 8_300 };
+        let locality = Locality::new(own, "zone-a");
+        let calls = Calls::new(NAMES, OWN_SERVICE, locality, bounds, LogSample::new(1), 1);
         World { calls, config: Config::default(), now: 10_000, next_slot: 0 }
     }
 
@@ -196,6 +198,8 @@
         spent_ms: 100,
         retry_after_ms: 80,
         state: InstanceState::Ready,
+        failing_percent: 0,
+        link_percent: 0,
     }
 }
 
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{NAMES, SERVICE};
+use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
 use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
 use sidecar::{ConnectionId, JobAction, Jobs, LogSample, Source, UpstreamEnd};
@@ -207,3 +208,40 @@
     );
     assert_eq!(jobs.in_flight(), 1);
 }
+
+#[test]
+fn peers_are_told_how_often_the_upstream_fails_until_another_takes_its_place() {
+    let mut jobs = jobs();
+    let failing = |actions: &[JobAction]| {
+        actions.iter().find_map(|action| match action {
+            JobAction::Reply { reply, .. } => Some(reply.failing_percent),
+            _ => None,
+        })
+    };
+    let mut told = Vec::new();
+    for slot in 0..10 {
+        let (job, _) = started(&begin(&mut jobs, slot, 0)).expect("it runs");
+        let status = if slot % 2 == 0 { 500 } else { 200 };
+        let answer = Answer { response: sealed(status), reusable: true };
+        told.extend(failing(&jobs.ended(job, UpstreamEnd::Answered(answer), 50)));
+    }
+    expect![[r#"
+        [
+            8,
+            7,
+            15,
+            14,
+            21,
+            19,
+            25,
+            23,
+            29,
+            27,
+        ]
+    "#]]
+    .assert_debug_eq(&told);
+    jobs.gate.told(&record("i-2", InstanceState::Ready), 1, 60);
+    jobs.refresh_limit();
+    let refused = jobs.begin(source(99), request(), &hop("another", None), 60);
+    assert_eq!(failing(&refused), Some(0));
+}
--- /dev/null
+++ b/crates/sidecar/tests/link_meter.rs
@@ -0,0 +1,53 @@
+//! How much of a machine's link is in use.
+
+use expect_test::expect;
+use sidecar::LinkMeter;
+use std::fmt::Write;
+
+/// A second of so many bytes each ten milliseconds, then half a second of rest, on a link of 3.2
+/// megabits a second (4,000 bytes in ten milliseconds).
+fn story(received: usize, sent: usize) -> String {
+    let mut meter = LinkMeter::new(3.2);
+    let mut text = String::new();
+    for now in (0..=1_500).step_by(10) {
+        if now < 1_000 {
+            meter.received(received, now);
+            meter.sent(sent, now);
+        }
+        if now % 250 == 0 {
+            writeln!(text, "{now} ms: {}%", meter.percent(now)).expect("text");
+        }
+    }
+    text
+}
+
+#[test]
+fn the_busier_direction_counts() {
+    expect![[r#"
+        0 ms: 2%
+        250 ms: 36%
+        500 ms: 55%
+        750 ms: 65%
+        1000 ms: 68%
+        1250 ms: 36%
+        1500 ms: 19%
+    "#]]
+    .assert_eq(&story(1_000, 3_000));
+    expect![[r#"
+        0 ms: 4%
+        250 ms: 73%
+        500 ms: 100%
+        750 ms: 100%
+        1000 ms: 100%
+        1250 ms: 73%
+        1500 ms: 39%
+    "#]]
+    .assert_eq(&story(6_000, 3_000));
+}
+
+#[test]
+fn of_an_unknown_link_nothing_is_told() {
+    let mut meter = LinkMeter::new(0.0);
+    meter.received(1_000_000, 10);
+    assert_eq!(meter.percent(10), 0);
+}
