A sidecar answers 404 only while its configuration is confirmed as the newest

Change: pings to coordinators (once a second, in place of the sign of life) are answered with the newest generation; an answer counts from the moment it was asked for, for 1.8 s (sidecar::Currency). Without such evidence an unknown route is refused with 503 and a time to return; known routes are served all the same. The links' protocol version is 2. Test: sidecar/tests/calls.rs (fails without it: 404 throughout); small_fleet.rs waits until a sidecar is sure before it asks for the 404, and is as strict then. Conclusion: no answer that denies a route without evidence of currency.

--- a/crates/chutecove/tests/small_fleet.rs
+++ b/crates/chutecove/tests/small_fleet.rs
@@ -221,6 +221,19 @@
         Some((answer.status().as_u16(), body))
     }
 
+    /// The status of a call once a sidecar is sure of its configuration: until then it refuses calls
+    /// whose route it does not know with 503.
+    fn sure_status(&self, host: u8, path: &str) -> u16 {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match self.call(host, path) {
+                Some((status, _)) if status != 503 => return status,
+                _ => assert!(Instant::now() < end, "no clear answer to {path}"),
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    }
+
     fn is_ready(&self, host: u8) -> bool {
         let url = format!("http://{}:{}/readyz", self.ip(host), self.ports.ready);
         agent().get(&url).call().is_ok_and(|answer| answer.status() == 200)
@@ -295,7 +308,7 @@
     });
     let callers = upstream.callers.lock().expect("not poisoned").clone();
     assert!(callers.iter().all(|caller| caller == "callers"), "{callers:?}");
-    assert_eq!(fleet.call(11, "/nowhere/").map(|(status, _)| status), Some(404));
+    assert_eq!(fleet.sure_status(11, "/nowhere/"), 404);
 
     // Random bytes on every port disturb nothing.
     let ports = &fleet.ports;
@@ -319,7 +332,7 @@
     assert_eq!(fleet.settled_order(3, 0, 5, "one"), 200, "a resend is acknowledged again");
     wait("the next order is taken", || fleet.order(1, 5, 6, "two") == Some(200));
     wait("it is in force", || fleet.call(11, "/two/x").is_some_and(|(status, _)| status == 200));
-    assert_eq!(fleet.call(11, "/one/x").map(|(status, _)| status), Some(404));
+    assert_eq!(fleet.sure_status(11, "/one/x"), 404);
 
     // One coordinator loses its disk and returns as a new member.
     drop(coordinators[0].take());
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -99,7 +99,10 @@
                 ToCoordinator::Applied { generation } => {
                     info!(%node, generation, "generation_applied");
                 }
-                ToCoordinator::Alive => {}
+                ToCoordinator::Ping { asked_at } => {
+                    let generation = self.group.announced_generation();
+                    writer.send(&ToSidecar::Pong { asked_at, generation })?;
+                }
             }
             self.hub.lock().registry.alive(&node, life, self.clock.now_ms());
         }
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 
 /// Version of all frames; two processes of different versions refuse each other.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// What a connection to a coordinator is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
@@ -64,8 +64,11 @@
         /// Which.
         generation: u64,
     },
-    /// Nothing new; the sidecar lives.
-    Alive,
+    /// The sidecar lives, and asks for the newest generation; answered at once.
+    Ping {
+        /// When it was sent, milliseconds of the sidecar's clock.
+        asked_at: u64,
+    },
 }
 
 /// Frames to a sidecar.
@@ -110,4 +113,11 @@
     },
     /// Nothing new; the coordinator lives.
     Alive,
+    /// Answer to a ping.
+    Pong {
+        /// As in the ping.
+        asked_at: u64,
+        /// The newest generation known here; 0 while this coordinator hears of no leader.
+        generation: u64,
+    },
 }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -212,9 +212,20 @@
         let host = request.headers.text("host").unwrap_or_default().to_owned();
         let path = request.path().to_owned();
         let Some(route) = routing.find(&host, &request.method, &path) else {
-            let generation = routing.generation;
-            info!(id = %attempt_id, %host, %path, generation, "call_without_route");
-            return vec![CallAction::Answer { origin, response: Response::empty(404) }];
+            let (generation, confirmed_ms_ago) = (routing.generation, config.currency.age_ms(now));
+            let current = config.is_current(now);
+            info!(
+                id = %attempt_id, %host, %path, generation, current, ?confirmed_ms_ago,
+                "call_without_route"
+            );
+            return match current {
+                true => vec![CallAction::Answer { origin, response: Response::empty(404) }],
+                // A newer generation may have the route.
+                false => {
+                    self.counts.refused += 1;
+                    vec![refusal(origin, UNREADY_RETRY_AFTER_MS)]
+                }
+            };
         };
         let route = &route.route;
         let timeout = u64::from(route.timeout_ms);
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -1,5 +1,7 @@
 //! The configuration in force on this node.
 
+use crate::currency::Currency;
+use crate::Millis;
 use bundle::{Bundle, BundleUpdate, CallLimits, Digest, SealKeys};
 use forward::RoutingTable;
 use tracing::{info, warn};
@@ -10,6 +12,8 @@
     bundle: Bundle,
     routing: Option<RoutingTable>,
     limits: CallLimits,
+    /// What coordinators say of the newest generation.
+    pub currency: Currency,
 }
 
 impl Config {
@@ -33,6 +37,11 @@
         self.routing.as_ref().map_or(0, |routing| routing.generation)
     }
 
+    /// Whether what is held is known to be the newest, or was a moment ago.
+    pub fn is_current(&self, now: Millis) -> bool {
+        self.currency.confirms(self.generation(), now)
+    }
+
     /// Applies a generation; true if it is in force now.
     pub fn apply(&mut self, generation: u64, update: &BundleUpdate) -> bool {
         if generation <= self.generation() {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod calls;
 mod config;
+mod currency;
 mod dialect;
 mod jobs;
 mod link_meter;
@@ -22,6 +23,7 @@
 
 pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Origin};
 pub use config::Config;
+pub use currency::Currency;
 pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
 pub use link_meter::LinkMeter;
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -17,7 +17,7 @@
 
 /// Most coordinators linked at once.
 const MAX_LINKS: usize = 5;
-const ALIVE_INTERVAL_MS: u64 = 1_000;
+const PING_INTERVAL_MS: u64 = 1_000;
 /// A coordinator that says nothing for this long is left.
 const SILENCE_LIMIT_MS: u64 = 3_000;
 const OPEN_LIMIT_MS: u64 = 300;
@@ -40,6 +40,13 @@
         /// Its content.
         update: BundleUpdate,
     },
+    /// The newest generation that a coordinator knew of after it was asked.
+    Newest {
+        /// When it was asked.
+        asked_at: Millis,
+        /// The generation; 0 if it heard of no leader.
+        generation: u64,
+    },
     /// News of a node.
     Node(NodeRecord),
     /// Nodes may have gone; see [`Links::is_listed`].
@@ -53,7 +60,7 @@
     welcomed: bool,
     since: Millis,
     heard_at: Millis,
-    sent_at: Millis,
+    pinged_at: Option<Millis>,
     retry_at: Millis,
     failures: u32,
     taken: u64,
@@ -119,17 +126,12 @@
     }
 
     /// Tells all coordinators what this sidecar is now; returns the sequence of this report.
-    pub fn report(
-        &mut self,
-        net: &mut Net,
-        change: impl FnOnce(&mut NodeRecord),
-        now: Millis,
-    ) -> u64 {
+    pub fn report(&mut self, net: &mut Net, change: impl FnOnce(&mut NodeRecord)) -> u64 {
         change(&mut self.record);
         self.record.sequence += 1;
         let message = ToCoordinator::Report(self.record.clone());
         for link in self.links.values_mut().filter(|link| link.open) {
-            send(net, link, &message, now);
+            send(net, link, &message);
         }
         self.record.sequence
     }
@@ -145,7 +147,7 @@
     pub fn applied(&mut self, net: &mut Net, generation: u64, held: Digest, now: Millis) {
         if let Some((from, _)) = self.config_asked.take() {
             if let Some(link) = self.links.get_mut(&from).filter(|link| link.open) {
-                send(net, link, &ToCoordinator::Applied { generation }, now);
+                send(net, link, &ToCoordinator::Applied { generation });
             }
         }
         self.want_config(net, generation, held, now);
@@ -166,7 +168,7 @@
             return;
         };
         if let Some(link) = self.links.get_mut(&address) {
-            send(net, link, &ToCoordinator::WantConfig { held }, now);
+            send(net, link, &ToCoordinator::WantConfig { held });
             self.config_asked = Some((address, now));
         }
     }
@@ -216,7 +218,7 @@
         if let Some(id) = link.connection {
             net.send(id, &bytes);
         }
-        send(net, link, &ToCoordinator::Report(self.record.clone()), now);
+        send(net, link, &ToCoordinator::Report(self.record.clone()));
     }
 
     fn received(&mut self, net: &mut Net, address: Ipv4Addr, now: Millis) -> Vec<LinkEvent> {
@@ -235,7 +237,7 @@
             match decode_frame::<ToSidecar>(input) {
                 Ok(Some((message, length))) => {
                     input.advance(length);
-                    self.take(address, message, &mut events, now);
+                    self.take(address, message, &mut events);
                 }
                 Ok(None) => {
                     net.trim(id);
@@ -250,13 +252,7 @@
         }
     }
 
-    fn take(
-        &mut self,
-        address: Ipv4Addr,
-        message: ToSidecar,
-        events: &mut Vec<LinkEvent>,
-        now: Millis,
-    ) {
+    fn take(&mut self, address: Ipv4Addr, message: ToSidecar, events: &mut Vec<LinkEvent>) {
         let Some(link) = self.links.get_mut(&address) else {
             return;
         };
@@ -292,8 +288,10 @@
                 }
             }
             ToSidecar::Alive => {}
+            ToSidecar::Pong { asked_at, generation } => {
+                events.push(LinkEvent::Newest { asked_at, generation });
+            }
         }
-        let _ = now;
     }
 
     fn lost(&mut self, net: &mut Net, address: Ipv4Addr, reason: &str, now: Millis) {
@@ -308,6 +306,7 @@
             link.lost_at = Some(now);
         }
         link.open = false;
+        link.pinged_at = None;
         link.welcomed = false;
         link.taken = 0;
         link.announced = 0;
@@ -352,9 +351,12 @@
                 net.close(id);
             }
         }
-        let due = |link: &&mut Link| link.open && link.sent_at + ALIVE_INTERVAL_MS <= now;
+        let due = |link: &&mut Link| {
+            link.open && link.pinged_at.is_none_or(|at| at + PING_INTERVAL_MS <= now)
+        };
         for link in self.links.values_mut().filter(due) {
-            send(net, link, &ToCoordinator::Alive, now);
+            link.pinged_at = Some(now);
+            send(net, link, &ToCoordinator::Ping { asked_at: now });
         }
     }
 
@@ -372,12 +374,11 @@
     }
 }
 
-fn send(net: &mut Net, link: &mut Link, message: &ToCoordinator, now: Millis) {
+fn send(net: &mut Net, link: &Link, message: &ToCoordinator) {
     let Some(id) = link.connection else {
         return;
     };
     let mut bytes = Vec::new();
     encode_frame(message, &mut bytes);
     net.send(id, &bytes);
-    link.sent_at = now;
 }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -285,6 +285,9 @@
                 let (generation, digest) = (self.config.generation(), self.config.digest());
                 self.links.applied(&mut self.net, generation, digest, now);
             }
+            LinkEvent::Newest { asked_at, generation } => {
+                self.config.currency.note(asked_at, generation);
+            }
             LinkEvent::Node(record) => {
                 self.calls.view.update(record, now);
             }
@@ -303,7 +306,7 @@
     fn close_to_peers(&mut self, now: Millis) {
         let (running, queued) = self.jobs.load();
         info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_closing");
-        self.links.report(&mut self.net, |record| record.stopping = true, now);
+        self.links.report(&mut self.net, |record| record.stopping = true);
         self.calls.view.update(self.links.record().clone(), now);
         let actions = self.jobs.close(now);
         self.work.extend(actions.into_iter().map(Work::Job));
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -23,7 +23,7 @@
 
     pub(super) fn report_instance(&mut self, now: Millis) -> u64 {
         let instance = self.jobs.gate.record(now);
-        let sequence = self.links.report(&mut self.net, |record| record.instance = instance, now);
+        let sequence = self.links.report(&mut self.net, |record| record.instance = instance);
         let record = self.links.record().clone();
         self.calls.view.update(record, now);
         sequence
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use common::*;
+use expect_test::expect;
 use http1::Response;
 use mesh::HopOutcome;
 use sidecar::{AttemptEnd, CallAction};
+use std::fmt::Write;
 
 #[test]
 fn without_a_configuration_nothing_is_said_about_routes() {
@@ -236,3 +238,36 @@
         assert_ne!(to, silent);
     }
 }
+
+#[test]
+fn an_unknown_route_is_404_only_while_the_configuration_is_known_to_be_the_newest() {
+    let mut world = World::with_upstreams(1);
+    let mut text = String::new();
+    let mut look = |world: &mut World, what: &str| {
+        let status = status(&world.begin("GET", "/nowhere/")).expect("answered");
+        writeln!(text, "{what}: {status}").expect("text");
+    };
+    look(&mut world, "confirmed now");
+    world.now += 1_700;
+    look(&mut world, "1.7 s after it was asked for");
+    world.now += 100;
+    look(&mut world, "1.8 s");
+    world.confirm(0);
+    look(&mut world, "a coordinator that hears no leader says nothing");
+    world.confirm(2);
+    look(&mut world, "another generation is the newest");
+    world.confirm(1);
+    look(&mut world, "a coordinator that is behind says otherwise");
+    let known = sent(&world.begin("GET", "/safe/1")).is_some();
+    writeln!(text, "known routes are served all the same: {known}").expect("text");
+    expect![[r#"
+        confirmed now: 404
+        1.7 s after it was asked for: 404
+        1.8 s: 503
+        a coordinator that hears no leader says nothing: 503
+        another generation is the newest: 503
+        a coordinator that is behind says otherwise: 503
+        known routes are served all the same: true
+    "#]]
+    .assert_eq(&text);
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -91,6 +91,12 @@
 
     pub fn configure(&mut self) {
         assert!(self.config.apply(1, &best_update(None, &bundle())));
+        self.confirm(1);
+    }
+
+    /// A coordinator says which generation is the newest.
+    pub fn confirm(&mut self, generation: u64) {
+        self.config.currency.note(self.now, generation);
     }
 
     pub fn add_upstream(&mut self, host: u8) {
