Lab: a fault soak of a small fleet of real processes

Change: chutecove-lab soak. Three coordinators, six sidecars, upstreams, sixteen callers and an operator; 40 s of kills, freezes, planned stops, lost disks, all coordinators killed at once, leaving upstreams; then crate soak (pure) judges what callers, upstreams and the operator saw against nine promises. A failing round prints its seed and keeps its logs. Test: soak/tests/judge.rs spoils a good record in eleven ways, each found by its check, and five records that are allowed are not. Conclusion: links between processes, clocks and disks are not disturbed yet.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -9,5 +9,6 @@
 
 pub use bundles::{bundle_toml, ServiceShape};
 pub use layout::{FleetLayout, FleetSpec, ProxyPlace, ZoneSpec};
+pub use ports::PortRange;
 pub use process::ManagedProcess;
 pub use running::{send, RunningFleet};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod hollow;
 mod scale;
 mod sim;
+mod soak;
 mod stand_in;
 
 use std::process::ExitCode;
@@ -18,6 +19,7 @@
 
   demo               a whole fleet in separate processes, with calls, rollouts and a drain
   sim                the cores in virtual time, with seeded faults and checks
+  soak               a small fleet of real processes under seeded faults, checked while it runs
   scale              a large fleet with hollow proxies, measured through changes and faults
   experiment         one question, measured, compared and drawn
   report             all findings of a folder on one page
@@ -43,6 +45,7 @@
         "scale" => scale::run(rest),
         "hollow" => hollow::run(rest),
         "sim" => sim::run(rest),
+        "soak" => soak::run(rest),
         "backend" => stand_in::backend::run(rest),
         "--help" | "-h" | "help" => {
             print!("{USAGE}");
--- /dev/null
+++ b/crates/lab/src/soak/callers.rs
@@ -0,0 +1,126 @@
+//! Callers: each a thread that calls through one sidecar, on a connection of its own each time.
+
+use super::clock::{Clock, Shared};
+use super::machines::{Machines, CALLERS};
+use super::operator::{BASE_HOST, BASE_PATH};
+use super::upstream::{answer_to, ID_HEADER};
+use soak::{Call, End};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+const PAUSE_MS: std::ops::Range<u64> = 5..40;
+/// One of so many calls asks for the route of a version.
+const VERSIONED_ONE_OF: u64 = 6;
+/// One of so many calls must not be repeated.
+const CHARGE_ONE_OF: u64 = 3;
+
+/// What the callers of a soak share.
+pub struct Callers {
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// One caller.
+struct Caller {
+    host: u8,
+    base: String,
+    next_id: Arc<AtomicU64>,
+    version: Arc<AtomicU64>,
+    clock: Clock,
+    calls: Shared<Call>,
+}
+
+impl Callers {
+    /// Starts `per_machine` callers at each machine of [`CALLERS`]; those of a machine whose bit is
+    /// set in `away` have gone elsewhere. `version` is the newest one sent.
+    pub fn start(
+        machines: &Machines,
+        away: &Arc<AtomicU64>,
+        per_machine: usize,
+        version: &Arc<AtomicU64>,
+        clock: Clock,
+        calls: &Shared<Call>,
+    ) -> Self {
+        let ended = Arc::new(AtomicBool::new(false));
+        let next_id = Arc::new(AtomicU64::new(1));
+        let mut threads = Vec::new();
+        for (place, host) in CALLERS.into_iter().enumerate() {
+            for _ in 0..per_machine {
+                let caller = Caller {
+                    host,
+                    base: format!("http://{}:{}", machines.ip(host), machines.ports.outbound),
+                    next_id: next_id.clone(),
+                    version: version.clone(),
+                    clock,
+                    calls: calls.clone(),
+                };
+                let (ended, away) = (ended.clone(), away.clone());
+                threads.push(thread::spawn(move || {
+                    while !ended.load(Ordering::Relaxed) {
+                        if away.load(Ordering::SeqCst) & (1 << place) == 0 {
+                            caller.call();
+                        }
+                        thread::sleep(Duration::from_millis(fastrand::u64(PAUSE_MS)));
+                    }
+                }));
+            }
+        }
+        Callers { ended, threads }
+    }
+
+    /// Lets every caller finish its call.
+    pub fn finish(self) {
+        self.ended.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Caller {
+    fn call(&self) {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let repeatable = !id.is_multiple_of(CHARGE_ONE_OF);
+        let newest = self.version.load(Ordering::SeqCst);
+        let versioned = id.is_multiple_of(VERSIONED_ONE_OF) && newest > 1;
+        let version = versioned.then(|| newest - fastrand::u64(0..=1));
+        let path = match version {
+            Some(version) => format!("/v{version}/{id}"),
+            None if repeatable => format!("{BASE_PATH}{id}"),
+            None => format!("/charge/{id}"),
+        };
+        let sent = self.clock.now();
+        let end = self.ask(id, &path);
+        let ended = self.clock.now();
+        let repeatable = repeatable || version.is_some();
+        self.calls.push(Call { id, machine: self.host, repeatable, version, sent, ended, end });
+    }
+
+    fn ask(&self, id: u64, path: &str) -> End {
+        let req = super::agent()
+            .get(format!("{}{path}", self.base))
+            .header("Host", BASE_HOST)
+            .header(ID_HEADER, id.to_string());
+        match req.call() {
+            Err(ureq::Error::ConnectionFailed | ureq::Error::HostNotFound) => End::NotConnected,
+            Err(ureq::Error::Io(error)) if is_refused(&error) => End::NotConnected,
+            Err(_) => End::Cut,
+            Ok(mut resp) => {
+                let status = resp.status().as_u16();
+                match resp.body_mut().read_to_string() {
+                    Ok(body) => End::Answered { status, whole: body == answer_to(id, path) },
+                    Err(_) => End::Cut,
+                }
+            }
+        }
+    }
+}
+
+fn is_refused(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        std::io::ErrorKind::ConnectionRefused | std::io::ErrorKind::AddrNotAvailable
+    )
+}
--- /dev/null
+++ b/crates/lab/src/soak/mod.rs
@@ -0,0 +1,162 @@
+//! `chutecove-lab soak`: the real programs of a small fleet under seeded faults, checked while they
+//! run from what callers, upstreams and the operator see.
+
+mod callers;
+mod clock;
+mod faults;
+mod machines;
+mod operator;
+mod upstream;
+
+use self::callers::Callers;
+use self::clock::{Clock, Shared};
+use self::faults::Faults;
+use self::machines::{Machines, CALLERS, COORDINATORS, DRAIN_MS, UPSTREAMS};
+use self::operator::Operator;
+use self::upstream::Upstream;
+use getopts::Options;
+use soak::{judge, Bounds, Breach, Call, Record, Run};
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const BRIEF: &str = "Usage: chutecove-lab soak [--minutes N] [--seed S]";
+const FAULTS_TIME: Duration = Duration::from_secs(40);
+const CALM_TIME: Duration = Duration::from_secs(6);
+const START_LIMIT: Duration = Duration::from_secs(20);
+const READ_LIMIT: Duration = Duration::from_secs(10);
+const CALLERS_PER_MACHINE: usize = 8;
+const BOUNDS: Bounds = Bounds { apply: 2_000, drain: DRAIN_MS + 300, settle: 3_500 };
+const MOST_PRINTED: usize = 8;
+const SECONDS_PER_MINUTE: f64 = 60.0;
+
+/// Runs rounds until the time is over; an error means that a promise did not hold.
+pub fn run(arguments: &[String]) -> Result<(), crate::Failure> {
+    let mut options = Options::new();
+    options.optopt("", "minutes", "how long (1)", "N");
+    options.optopt("", "seed", "only the round of this seed", "S");
+    options.optflag("h", "help", "print this text");
+    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(BRIEF));
+        return Ok(());
+    }
+    let minutes: f64 = matches
+        .opt_get_default("minutes", 1.0)
+        .map_err(|error: std::num::ParseFloatError| error.to_string())?;
+    let seed: Option<u64> =
+        matches.opt_get("seed").map_err(|error: std::num::ParseIntError| error.to_string())?;
+    if let Some(seed) = seed {
+        return round(seed, 1);
+    }
+    let end = Instant::now() + Duration::from_secs_f64(minutes * SECONDS_PER_MINUTE);
+    let mut failures = Vec::new();
+    let mut rounds = 0;
+    while Instant::now() < end {
+        rounds += 1;
+        let seed = fastrand::u64(..);
+        if let Err(failure) = round(seed, rounds as u8) {
+            println!("{failure}");
+            failures.push(seed);
+        }
+    }
+    println!("{rounds} rounds, {} with a promise broken: {failures:?}", failures.len());
+    match failures.is_empty() {
+        true => Ok(()),
+        false => Err(format!("replay one with --seed {}", failures[0])),
+    }
+}
+
+/// One fleet from its first start to its end.
+fn round(seed: u64, network: u8) -> Result<(), crate::Failure> {
+    let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let clock = Clock::start();
+    let mut machines = Machines::new(folder.path(), network);
+    let (calls, runs) = (Shared::<Call>::default(), Shared::<Run>::default());
+    for host in COORDINATORS.into_iter().chain(UPSTREAMS).chain(CALLERS) {
+        machines.start(host, true).map_err(|error| error.to_string())?;
+    }
+    let mut upstreams = BTreeMap::new();
+    for host in UPSTREAMS {
+        upstreams.insert(host, Upstream::start(&machines, host, clock, runs.clone())?);
+    }
+    let mut operator = Operator::new(&machines, clock);
+    if !operator.send_next(START_LIMIT) {
+        return Err(format!("seed {seed}: the first version was not taken"));
+    }
+    let away = Arc::new(AtomicU64::new(0));
+    let version = operator.version.clone();
+    wait_served(&machines)?;
+    let callers = Callers::start(&machines, &away, CALLERS_PER_MACHINE, &version, clock, &calls);
+    let mut faults = Faults::new(&mut machines, &upstreams, &mut operator, &away, clock, seed);
+    faults.run(FAULTS_TIME).map_err(|error| error.to_string())?;
+    let faults = std::mem::take(&mut faults.done);
+    let calm_from = clock.now();
+    thread::sleep(CALM_TIME);
+    callers.finish();
+    let record = Record {
+        calls: calls.take(),
+        runs: runs.take(),
+        orders: operator.orders.clone(),
+        faults,
+        calm_from,
+        read_back: operator.read_back(READ_LIMIT),
+    };
+    let breaches = judge(&record, &BOUNDS);
+    println!("{}", summary(seed, &record, &breaches));
+    if breaches.is_empty() {
+        return Ok(());
+    }
+    let kept = folder.keep();
+    let shown: Vec<String> = breaches.iter().take(MOST_PRINTED).map(Breach::to_string).collect();
+    Err(format!("seed {seed}: logs in {}\n  {}", kept.display(), shown.join("\n  ")))
+}
+
+fn wait_served(machines: &Machines) -> Result<(), crate::Failure> {
+    let end = Instant::now() + START_LIMIT;
+    while !UPSTREAMS.into_iter().chain(CALLERS).all(|host| machines.is_ready(host)) {
+        if Instant::now() >= end {
+            return Err("sidecars are not ready".to_owned());
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    // Upstreams register every 0.3 s.
+    thread::sleep(Duration::from_millis(700));
+    Ok(())
+}
+
+fn summary(seed: u64, record: &Record, breaches: &[Breach]) -> String {
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    for call in &record.calls {
+        let word = match call.end {
+            soak::End::Answered { status, .. } => status.to_string(),
+            soak::End::Cut => "cut".to_owned(),
+            soak::End::NotConnected => "not_connected".to_owned(),
+        };
+        *ends.entry(word).or_default() += 1;
+    }
+    let acknowledged = record.orders.iter().filter(|order| order.acknowledged.is_some()).count();
+    format!(
+        "seed {seed}: {} calls {ends:?}, {} runs, {} faults, {acknowledged} of {} versions \
+         acknowledged, {} promises broken",
+        record.calls.len(),
+        record.runs.len(),
+        record.faults.len(),
+        record.orders.len(),
+        breaches.len()
+    )
+}
+
+/// A client of its own for each call: no connection is kept, so each end belongs to its call.
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(4)))
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .max_idle_connections(0)
+        .build()
+        .into()
+}
--- /dev/null
+++ b/crates/lab/src/soak/operator.rs
@@ -0,0 +1,121 @@
+//! The operator: sends versions, and reads back what is in force.
+
+use super::clock::Clock;
+use super::machines::{Machines, COORDINATORS, SERVICE};
+use serde_json::{json, Value};
+use soak::Order;
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Host of all routes.
+pub const BASE_HOST: &str = "fares.example";
+/// Path of the route that every version has.
+pub const BASE_PATH: &str = "/base/";
+const PAUSE: Duration = Duration::from_millis(50);
+const MOST_REDIRECTS: u32 = 3;
+
+/// The operator of a soak.
+pub struct Operator {
+    coordinators: Vec<Ipv4Addr>,
+    port: u16,
+    clock: Clock,
+    /// The newest version sent.
+    pub version: Arc<AtomicU64>,
+    /// All orders so far.
+    pub orders: Vec<Order>,
+}
+
+impl Operator {
+    /// Has sent nothing yet.
+    pub fn new(machines: &Machines, clock: Clock) -> Self {
+        Operator {
+            coordinators: COORDINATORS.map(|host| machines.ip(host)).to_vec(),
+            port: machines.ports.api,
+            clock,
+            version: Arc::new(AtomicU64::new(0)),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Sends the next version until it is acknowledged, at most for `longest`; whether it was. The
+    /// same version is sent again if an earlier call had no clear answer.
+    pub fn send_next(&mut self, longest: Duration) -> bool {
+        let unclear = self.orders.last().is_some_and(|order| order.acknowledged.is_none());
+        if !unclear {
+            let version = self.orders.last().map_or(1, |order| order.version + 1);
+            self.orders.push(Order { version, acknowledged: None });
+        }
+        let version = self.orders.last().map_or(1, |order| order.version);
+        self.version.store(version, Ordering::SeqCst);
+        let end = Instant::now() + longest;
+        for turn in 0.. {
+            let ip = self.coordinators[turn % self.coordinators.len()];
+            if self.order(ip, version) == Some(200) {
+                let now = self.clock.now();
+                self.orders.last_mut().expect("pushed above").acknowledged = Some(now);
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(PAUSE);
+        }
+        false
+    }
+
+    fn order(&self, ip: Ipv4Addr, version: u64) -> Option<u16> {
+        let mut url = format!("http://{ip}:{}/v1/configuration", self.port);
+        let body = configuration(version).to_string();
+        for _ in 0..MOST_REDIRECTS {
+            let req = super::agent().put(&url).header("If-Match", (version - 1).to_string());
+            let resp = req.send(&body).ok()?;
+            if resp.status() != 307 {
+                return Some(resp.status().as_u16());
+            }
+            url = resp.headers().get("location")?.to_str().ok()?.to_owned();
+        }
+        None
+    }
+
+    /// The version in force, from whichever coordinator is sure within `longest`.
+    pub fn read_back(&self, longest: Duration) -> Option<u64> {
+        let end = Instant::now() + longest;
+        loop {
+            if let Some(version) = self.coordinators.iter().find_map(|ip| self.read(*ip)) {
+                return Some(version);
+            }
+            if Instant::now() >= end {
+                return None;
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn read(&self, ip: Ipv4Addr) -> Option<u64> {
+        let url = format!("http://{ip}:{}/v1/configuration", self.port);
+        let resp = super::agent().get(&url).call().ok();
+        let text = resp.filter(|resp| resp.status() == 200)?.body_mut().read_to_string().ok()?;
+        serde_json::from_str::<Value>(&text).ok()?["version"].as_u64()
+    }
+}
+
+fn configuration(version: u64) -> Value {
+    let route = |name: &str, path: &str, repeatable: bool| {
+        json!({ "Route": {
+            "name": name, "host": BASE_HOST, "path_prefix": path, "methods": [],
+            "targets": [{ "service": SERVICE, "weight": 1 }], "secret": null,
+            "timeout_ms": 2_000, "repeatable": repeatable, "priority": "normal",
+            "retry_budget_percent": 20, "max_staleness_s": 0, "attempts": 2,
+            "target_latency_ms": 500, "rank": 0, "annotation": "",
+        } })
+    };
+    json!({ "version": version, "objects": [
+        { "Service": { "name": SERVICE, "upstream_slots": 8, "upstream_connections": 50 } },
+        route("base", BASE_PATH, true),
+        route("charge", "/charge/", false),
+        route(&format!("v{version}"), &format!("/v{version}/"), true),
+    ] })
+}
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,189 @@
+//! The promises, each as a check over a record.
+
+use crate::{Bounds, Call, End, Fault, FaultKind, Millis, Order, Record};
+use std::collections::BTreeMap;
+use std::fmt;
+
+const NOT_FOUND: u16 = 404;
+/// Statuses that promise that a call did not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Part of the calls after the last fault that must be served.
+const SERVED_WHEN_CALM: f64 = 0.95;
+
+/// What must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// A success carries the whole answer to its own call.
+    OwnAnswer,
+    /// A call that may not be repeated runs at most once.
+    AtMostOnce,
+    /// A call that was refused did not run.
+    TrueRefusal,
+    /// A route of every version is never denied.
+    NotDenied,
+    /// A version is in force in time.
+    InForce,
+    /// A planned stop cuts no call.
+    StopCutsNothing,
+    /// An upstream that leaves gets no new work.
+    Drained,
+    /// What was acknowledged is not lost.
+    Kept,
+    /// Calls are served again after the last fault.
+    Recovered,
+}
+
+/// A promise that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Which.
+    pub promise: Promise,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.promise, self.what)
+    }
+}
+
+/// All breaches of a record.
+pub fn judge(record: &Record, bounds: &Bounds) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let mut note = |promise, what| breaches.push(Breach { promise, what });
+    let runs = runs_by_call(record);
+    for call in &record.calls {
+        let ran = runs.get(&call.id).copied().unwrap_or(0);
+        check_call(call, ran, &mut note);
+        check_version(call, record, bounds, &mut note);
+        check_cut(call, record, bounds, &mut note);
+    }
+    check_drains(record, bounds, &mut note);
+    check_read_back(record, &mut note);
+    check_recovery(record, bounds, &mut note);
+    breaches
+}
+
+fn runs_by_call(record: &Record) -> BTreeMap<u64, u32> {
+    let mut runs = BTreeMap::new();
+    for run in &record.runs {
+        *runs.entry(run.call).or_default() += 1;
+    }
+    runs
+}
+
+fn check_call(call: &Call, ran: u32, note: &mut impl FnMut(Promise, String)) {
+    if !call.repeatable && ran > 1 {
+        note(Promise::AtMostOnce, format!("call {} ran {ran} times", call.id));
+    }
+    let End::Answered { status, whole } = call.end else {
+        return;
+    };
+    if status == 200 && !whole {
+        note(Promise::OwnAnswer, format!("call {} got another answer", call.id));
+    }
+    if !call.repeatable && PROMISES.contains(&status) && ran > 0 {
+        note(Promise::TrueRefusal, format!("call {} got {status} and ran", call.id));
+    }
+    if call.version.is_none() && status == NOT_FOUND {
+        let Call { id, machine, sent, .. } = call;
+        note(Promise::NotDenied, format!("call {id} at {sent} ms on machine {machine}"));
+    }
+}
+
+/// Whether a machine, or any coordinator, was disturbed shortly before a moment.
+fn disturbed(record: &Record, bounds: &Bounds, from: Millis, to: Millis) -> bool {
+    let near = |fault: &&Fault| fault.from <= to && from <= fault.to + bounds.settle;
+    record.faults.iter().any(|fault| near(&fault) && fault.kind != FaultKind::Drain)
+}
+
+fn check_version(
+    call: &Call,
+    record: &Record,
+    bounds: &Bounds,
+    note: &mut impl FnMut(Promise, String),
+) {
+    let (Some(version), End::Answered { status, .. }) = (call.version, call.end) else {
+        return;
+    };
+    let due = |order: &Order| order.acknowledged.is_some_and(|at| at + bounds.apply < call.sent);
+    let newest_due = record.orders.iter().filter(|order| due(order)).map(|order| order.version);
+    let Some(newest_due) = newest_due.max() else {
+        return;
+    };
+    // A version that was sent later may be in force already.
+    let only_this_far = record.orders.iter().all(|order| order.version <= newest_due);
+    let old = version < newest_due && status == 200;
+    let missing = version == newest_due && status == NOT_FOUND && only_this_far;
+    if (old || missing)
+        && !disturbed(record, bounds, call.sent.saturating_sub(bounds.apply), call.sent)
+    {
+        let Call { id, machine, sent, .. } = call;
+        let what = format!(
+            "call {id} at {sent} ms on machine {machine} used version {version}, got {status}; \
+             version {newest_due} was due"
+        );
+        note(Promise::InForce, what);
+    }
+}
+
+/// A call that was cut although nothing but planned stops disturbed its time.
+fn check_cut(
+    call: &Call,
+    record: &Record,
+    bounds: &Bounds,
+    note: &mut impl FnMut(Promise, String),
+) {
+    if call.end != End::Cut {
+        return;
+    }
+    let unplanned = |fault: &&Fault| {
+        matches!(fault.kind, FaultKind::Kill | FaultKind::Freeze | FaultKind::Wipe)
+            && fault.from <= call.ended
+            && call.sent <= fault.to + bounds.settle
+    };
+    if !record.faults.iter().any(|fault| unplanned(&fault)) {
+        let Call { id, machine, sent, ended, .. } = call;
+        note(
+            Promise::StopCutsNothing,
+            format!("call {id} on machine {machine}, {sent} to {ended} ms"),
+        );
+    }
+}
+
+fn check_drains(record: &Record, bounds: &Bounds, note: &mut impl FnMut(Promise, String)) {
+    let drains = record.faults.iter().filter(|fault| fault.kind == FaultKind::Drain);
+    for drain in drains {
+        let late = record.runs.iter().find(|run| {
+            let after = run.at > drain.from + bounds.drain && run.at < drain.to;
+            run.machine == drain.machine && after
+        });
+        if let Some(run) = late {
+            let (call, machine) = (run.call, run.machine);
+            let after = run.at - drain.from;
+            let what =
+                format!("call {call} on machine {machine} {after} ms after the acknowledgement");
+            note(Promise::Drained, what);
+        }
+    }
+}
+
+fn check_read_back(record: &Record, note: &mut impl FnMut(Promise, String)) {
+    let acknowledged = record.orders.iter().filter(|order| order.acknowledged.is_some());
+    let newest = acknowledged.map(|order| order.version).max();
+    if record.read_back < newest {
+        note(Promise::Kept, format!("read back {:?}, acknowledged {newest:?}", record.read_back));
+    }
+}
+
+fn check_recovery(record: &Record, bounds: &Bounds, note: &mut impl FnMut(Promise, String)) {
+    let calm =
+        |call: &&Call| call.sent > record.calm_from + bounds.settle && call.version.is_none();
+    let calls: Vec<&Call> = record.calls.iter().filter(calm).collect();
+    let served = |call: &&&Call| matches!(call.end, End::Answered { status: 200, .. });
+    let served = calls.iter().filter(served).count();
+    if calls.is_empty() || (served as f64) < calls.len() as f64 * SERVED_WHEN_CALM {
+        note(Promise::Recovered, format!("{served} of {} calls served", calls.len()));
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/judge.rs
@@ -0,0 +1,111 @@
+//! Each check finds the breach it is for, and nothing in a record without any.
+
+use expect_test::expect;
+use soak::{judge, Bounds, Call, End, Fault, FaultKind, Order, Record, Run};
+use std::fmt::Write;
+
+const BOUNDS: Bounds = Bounds { apply: 2_000, drain: 1_000, settle: 3_000 };
+const OK: End = End::Answered { status: 200, whole: true };
+
+fn call(id: u64, sent: u64, end: End) -> Call {
+    Call { id, machine: 11, repeatable: false, version: None, sent, ended: sent + 20, end }
+}
+
+/// Nine seconds without a breach: a stop, a drain, two versions.
+fn record() -> Record {
+    Record {
+        calls: (0..90).map(|id| call(id, id * 100, OK)).collect(),
+        runs: (0..90).map(|id| Run { call: id, machine: 12, at: id * 100 + 5 }).collect(),
+        orders: vec![
+            Order { version: 1, acknowledged: Some(0) },
+            Order { version: 2, acknowledged: Some(500) },
+        ],
+        faults: vec![
+            Fault { kind: FaultKind::Stop, machine: 11, from: 1_000, to: 2_000 },
+            Fault { kind: FaultKind::Drain, machine: 13, from: 2_500, to: 5_000 },
+        ],
+        calm_from: 5_000,
+        read_back: Some(2),
+    }
+}
+
+fn versioned(id: u64, sent: u64, version: u64, status: u16) -> Call {
+    let end = End::Answered { status, whole: true };
+    Call { version: Some(version), repeatable: true, ..call(id, sent, end) }
+}
+
+#[test]
+fn a_good_record_has_no_breach() {
+    assert_eq!(judge(&record(), &BOUNDS), []);
+}
+
+#[test]
+fn each_breach_is_found() {
+    type Spoil = fn(&mut Record);
+    let rows: Vec<(&str, Spoil)> = vec![
+        ("another's answer", |r| r.calls[3].end = End::Answered { status: 200, whole: false }),
+        ("run twice", |r| r.runs.push(Run { call: 3, machine: 13, at: 400 })),
+        ("refused and run", |r| r.calls[3].end = End::Answered { status: 503, whole: true }),
+        ("denied", |r| r.calls[3].end = End::Answered { status: 404, whole: true }),
+        ("the old version serves", |r| r.calls.push(versioned(900, 8_000, 1, 200))),
+        ("the new version is missing", |r| r.calls.push(versioned(900, 8_000, 2, 404))),
+        ("cut by a planned stop", |r| r.calls[12].end = End::Cut),
+        ("work after the drain", |r| r.runs.push(Run { call: 900, machine: 13, at: 3_600 })),
+        ("an older version read back", |r| r.read_back = Some(1)),
+        ("none read back", |r| r.read_back = None),
+        ("not served when calm", |r| {
+            r.calls.iter_mut().skip(80).for_each(|c| c.end = End::NotConnected);
+        }),
+    ];
+    let mut text = String::new();
+    for (name, spoil) in rows {
+        let mut record = record();
+        spoil(&mut record);
+        for breach in judge(&record, &BOUNDS) {
+            writeln!(text, "{name}: {breach}").expect("text");
+        }
+    }
+    expect![[r#"
+        another's answer: OwnAnswer: call 3 got another answer
+        run twice: AtMostOnce: call 3 ran 2 times
+        refused and run: TrueRefusal: call 3 got 503 and ran
+        denied: NotDenied: call 3 at 300 ms on machine 11
+        the old version serves: InForce: call 900 at 8000 ms on machine 11 used version 1, got 200; version 2 was due
+        the new version is missing: InForce: call 900 at 8000 ms on machine 11 used version 2, got 404; version 2 was due
+        cut by a planned stop: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
+        work after the drain: Drained: call 900 on machine 13 1100 ms after the acknowledgement
+        an older version read back: Kept: read back Some(1), acknowledged Some(2)
+        none read back: Kept: read back None, acknowledged Some(2)
+        not served when calm: Recovered: 0 of 9 calls served
+    "#]].assert_eq(&text);
+}
+
+#[test]
+fn what_may_happen_is_no_breach() {
+    type Allow = fn(&mut Record);
+    let rows: Vec<(&str, Allow)> = vec![
+        ("a kill cuts", |r| {
+            r.faults.push(Fault { kind: FaultKind::Kill, machine: 12, from: 1_150, to: 1_900 });
+            r.calls[12].end = End::Cut;
+        }),
+        ("the old version within its time", |r| r.calls.push(versioned(900, 2_400, 1, 200))),
+        ("the old version after a freeze", |r| {
+            r.faults.push(Fault { kind: FaultKind::Freeze, machine: 1, from: 1_000, to: 2_500 });
+            r.calls.push(versioned(900, 2_600, 1, 200));
+        }),
+        ("a version without a clear answer is in force", |r| {
+            r.orders.push(Order { version: 3, acknowledged: None });
+            r.calls.push(versioned(900, 8_000, 2, 404));
+            r.read_back = Some(3);
+        }),
+        ("refused without a run", |r| {
+            r.calls[3].end = End::Answered { status: 503, whole: true };
+            r.runs.retain(|run| run.call != 3);
+        }),
+    ];
+    for (name, allow) in rows {
+        let mut record = record();
+        allow(&mut record);
+        assert_eq!(judge(&record, &BOUNDS), [], "{name}");
+    }
+}
