Coordinators log ended leases and departures

Change: node_lease_ended with how long it was silent, node_left. Conclusion: a node that callers no longer see is explained by its coordinators.

--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -3,6 +3,7 @@
 use crate::Millis;
 use mesh::{InstanceState, NodeAddress, NodeRecord};
 use std::collections::{BTreeMap, VecDeque};
+use tracing::info;
 
 /// Ends of incarnations remembered.
 const MARKS_KEPT: usize = 4_096;
@@ -103,6 +104,7 @@
         held.connected = false;
         let stopping = held.record.stopping;
         if stopping {
+            info!(node = %address, "node_left");
             self.remove(*address);
         }
         stopping
@@ -114,6 +116,8 @@
         let late: Vec<NodeAddress> =
             self.nodes.iter().filter(|(_, held)| ended(held)).map(|(key, _)| *key).collect();
         for address in &late {
+            let silent_ms = self.nodes.get(address).map(|held| now.saturating_sub(held.heard_at));
+            info!(node = %address, ?silent_ms, lease_ms = self.lease_ms, "node_lease_ended");
             self.remove(*address);
         }
         self.last.retain(|_, (_, kept)| now < *kept + LAST_RECORD_MS);
