Sidecars count calls by route and outcome, and where their time goes

The registration's dialect is a type parameter, no dyn on the way of a request (house rule); the runtime is otherwise as it was.

--- a/crates/chutecove/src/cli/sidecar.rs
+++ b/crates/chutecove/src/cli/sidecar.rs
@@ -17,6 +17,6 @@
     let settings = settings::load(&path, &overrides).map_err(Failure::usage)?;
     let stop = StopSignal::install().map_err(Failure::refused)?;
     let reload = ReloadSignal::install().map_err(Failure::refused)?;
-    let dialect = Box::new(ProductRegistration);
+    let dialect = ProductRegistration;
     sidecar::run(settings, Some(path), HEADERS, dialect, &stop, &reload).map_err(Failure::usage)
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -101,6 +101,12 @@
         self.upstreams.len()
     }
 
+    /// Upstreams that may be given calls, and the others.
+    pub fn live_and_others(&self) -> (usize, usize) {
+        let live = self.upstreams.values().filter(|held| held.is_live()).count();
+        (live, self.upstreams.len() - live)
+    }
+
     /// One upstream.
     pub fn get(&self, key: &UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -5,12 +5,15 @@
     refusal, Attempt, AttemptEnd, CallAction, CallId, Calls, NO_UPSTREAM_WAIT_MS,
     SHORTEST_RETRY_AFTER_MS,
 };
+use crate::call_metrics::CallOutcome;
 use crate::Millis;
 use http1::Response;
 use mesh::{HopOutcome, HopReply, NodeAddress};
 use placement::CallEnd;
 use tracing::{info, warn};
 
+const FIRST_SERVER_ERROR: u16 = 500;
+
 impl Calls {
     pub(super) fn without_upstream(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
         let Some(call) = self.calls.get_mut(&id) else {
@@ -41,13 +44,15 @@
         let Some(call) = self.remove(id) else {
             return Vec::new();
         };
-        if let Some(response) = call.fallback {
+        if let Some(response) = call.fallback.clone() {
             self.counts.answered += 1;
+            self.note_outcome(&call, CallOutcome::UpstreamFailed, now);
             return vec![CallAction::Answer { origin: call.origin, response }];
         }
         let held_ms = now.saturating_sub(call.arrived);
         if call.arrivals == 0 {
             self.counts.refused += 1;
+            self.note_outcome(&call, CallOutcome::Refused, now);
             self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
             warn!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
@@ -57,6 +62,7 @@
             return vec![refusal(call.origin, retry_after_ms)];
         }
         self.counts.failed += 1;
+        self.note_outcome(&call, CallOutcome::Failed, now);
         warn!(
             id = %call.attempt_id, route = %call.route, service = %call.service,
             tries = call.tries, arrivals = call.arrivals, held_ms, trail = %trail(&call.trail),
@@ -148,6 +154,7 @@
         let usual_ms = self.usual_ms(call);
         let urgency = call.urgency();
         let route = call.route.clone();
+        let arrived = call.arrived;
         if self.sample.takes(&call.attempt_id) {
             info!(
                 id = %call.attempt_id, %to, try_number = attempt.number, outcome = ?reply.outcome,
@@ -159,6 +166,8 @@
             upstream.note_reply(reply, now);
             match reply.outcome {
                 HopOutcome::Answered if response.status < 300 => {
+                    let elapsed = now.saturating_sub(arrived);
+                    self.metrics.note_added(elapsed.saturating_sub(u64::from(reply.spent_ms)));
                     upstream.note_success();
                     upstream.note_time(f64::from(reply.spent_ms), usual_ms);
                     self.times.note(&route, f64::from(reply.spent_ms), upstream.speed);
@@ -177,7 +186,7 @@
                 self.answered(id, response, now)
             }
             HopOutcome::Refused => self.place(id, now),
-            HopOutcome::Rejected if is_callers_fault(&response) => self.pass_on(id, response),
+            HopOutcome::Rejected if is_callers_fault(&response) => self.pass_on(id, response, now),
             HopOutcome::Rejected => self.place_within_budget(id, now),
             HopOutcome::Unknown => {
                 self.note_arrival(id);
@@ -192,7 +201,7 @@
         response: Response,
         now: Millis,
     ) -> Vec<CallAction> {
-        let failed = response.status >= 500;
+        let failed = response.status >= FIRST_SERVER_ERROR;
         let Some(call) = self.calls.get_mut(&id) else {
             return Vec::new();
         };
@@ -205,7 +214,7 @@
             }
             None => {
                 self.note_in_time(id, failed, now);
-                self.pass_on(id, response)
+                self.pass_on(id, response, now)
             }
         }
     }
@@ -219,11 +228,21 @@
         }
     }
 
-    pub(super) fn pass_on(&mut self, id: CallId, response: Response) -> Vec<CallAction> {
+    pub(super) fn pass_on(
+        &mut self,
+        id: CallId,
+        response: Response,
+        now: Millis,
+    ) -> Vec<CallAction> {
         let Some(call) = self.remove(id) else {
             return Vec::new();
         };
         self.counts.answered += 1;
+        let outcome = match response.status < FIRST_SERVER_ERROR {
+            true => CallOutcome::Answered,
+            false => CallOutcome::UpstreamFailed,
+        };
+        self.note_outcome(&call, outcome, now);
         vec![CallAction::Answer { origin: call.origin, response }]
     }
 
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -8,6 +8,7 @@
 mod time;
 
 use self::call::{Call, EarlyCall, Try};
+use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
 use http1::{Request, Response, Slot};
@@ -140,6 +141,7 @@
 pub struct Calls {
     names: HeaderNames,
     sample: LogSample,
+    metrics: CallMetrics,
     service: String,
     /// What is believed of the upstreams.
     pub view: PlacementView,
@@ -167,11 +169,13 @@
         locality: Locality,
         bounds: BudgetBounds,
         sample: LogSample,
+        metrics: CallMetrics,
         seed: u64,
     ) -> Self {
         Calls {
             names,
             sample,
+            metrics,
             service: service.to_owned(),
             view: PlacementView::new(locality),
             splits: BTreeMap::new(),
@@ -245,6 +249,7 @@
                 verdict = "not-run", "call_refused"
             );
             self.counts.refused += 1;
+            self.metrics.note_end(&route.name, CallOutcome::HeldBack, 0);
             return vec![refusal(origin, retry_after_ms)];
         }
         self.budget.note_request(&service, now);
@@ -395,6 +400,11 @@
         }
     }
 
+    /// Takes down how a call ended.
+    fn note_outcome(&mut self, call: &Call, outcome: CallOutcome, now: Millis) {
+        self.metrics.note_end(&call.route, outcome, now.saturating_sub(call.arrived));
+    }
+
     fn remove(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -5,6 +5,7 @@
     refusal, CallAction, CallId, Calls, Origin, EARLY_WAIT_MS, PARKED_LOOK_MS,
     UNREADY_RETRY_AFTER_MS,
 };
+use crate::call_metrics::CallOutcome;
 use crate::config::Config;
 use crate::net::ConnectionId;
 use crate::Millis;
@@ -58,6 +59,7 @@
             if let Some(call) = self.remove(id) {
                 self.counts.cancelled += 1;
                 info!(id = %call.attempt_id, tries = call.tries, "call_cancelled");
+                self.note_outcome(&call, CallOutcome::Cancelled, now);
                 self.note_unanswered(&call, now);
                 actions.extend(self.abort(&call));
             }
@@ -101,6 +103,7 @@
                 continue;
             };
             self.counts.timed_out += 1;
+            self.note_outcome(&call, CallOutcome::TimedOut, now);
             self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
             let held_ms = now.saturating_sub(call.arrived);
             warn!(
--- a/crates/sidecar/src/jobs.rs
+++ b/crates/sidecar/src/jobs.rs
@@ -3,6 +3,7 @@
 //! Pure: events come in with the time, actions go out. Only this side knows for certain whether a
 //! call was given to the upstream, so it alone says that one was not.
 
+use crate::call_metrics::JobMetrics;
 use crate::calls::Attempt;
 use crate::dialect::HeaderNames;
 use crate::net::ConnectionId;
@@ -106,6 +107,7 @@
 pub struct Jobs {
     names: HeaderNames,
     sample: LogSample,
+    metrics: JobMetrics,
     service: String,
     /// The upstream and whether calls pass.
     pub gate: DrainGate,
@@ -122,10 +124,17 @@
 
 impl Jobs {
     /// The inbound side of a sidecar whose upstream belongs to `service`.
-    pub fn new(names: HeaderNames, service: &str, drain_ms: u64, sample: LogSample) -> Self {
+    pub fn new(
+        names: HeaderNames,
+        service: &str,
+        drain_ms: u64,
+        sample: LogSample,
+        metrics: JobMetrics,
+    ) -> Self {
         Jobs {
             names,
             sample,
+            metrics,
             service: service.to_owned(),
             gate: DrainGate::new(drain_ms),
             admission: Admission::new(UNKNOWN_SLOTS),
@@ -144,6 +153,11 @@
         self.jobs.len()
     }
 
+    /// Share of recent calls that the upstream failed, percent.
+    pub fn failing_percent(&self, now: Millis) -> u32 {
+        self.failures.percent(now)
+    }
+
     /// Calls the upstream works on, and calls that wait.
     pub fn load(&self) -> (u32, u32) {
         (self.admission.running(), self.admission.queued())
@@ -267,6 +281,7 @@
             request.headers.set(self.names.expect_instance, instance);
         }
         let waited_ms = now.saturating_sub(job.arrived);
+        self.metrics.note_start(waited_ms);
         if self.sample.takes(&job.attempt_id) {
             info!(
                 id = %job.attempt_id, instance = ?self.gate.id(), waited_ms, left_ms = left,
@@ -282,7 +297,8 @@
             return Vec::new();
         };
         let spent_ms = job.spent_ms(now);
-        let (outcome, response) = self.judge(end);
+        self.metrics.note_end(spent_ms);
+        let (outcome, response) = self.judge(&job.attempt_id, end);
         if job.started.is_some() {
             self.failures.note(is_upstreams_fault(outcome, response.status), now);
         }
@@ -306,11 +322,11 @@
     }
 
     /// What the upstream's answer says of the request.
-    fn judge(&self, end: UpstreamEnd) -> (HopOutcome, Response) {
+    fn judge(&self, id: &str, end: UpstreamEnd) -> (HopOutcome, Response) {
         let answer = match end {
             UpstreamEnd::NotSent => return (HopOutcome::Refused, Response::empty(REFUSED_STATUS)),
             UpstreamEnd::Failed(error) => {
-                info!(%error, "upstream_failed");
+                info!(%id, %error, "upstream_failed");
                 return (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS));
             }
             UpstreamEnd::Answered(answer) => answer,
@@ -323,7 +339,7 @@
         if sealed || response.status >= FIRST_FAILURE_STATUS {
             return (HopOutcome::Answered, response);
         }
-        info!(status = response.status, "answer_without_seal");
+        info!(%id, status = response.status, "answer_without_seal");
         (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS))
     }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Jobs`] (inbound), and the crates `placement`, `admission` and `http1`.
 #![forbid(unsafe_code)]
 
+mod call_metrics;
 mod calls;
 mod config;
 mod currency;
@@ -21,6 +22,7 @@
 mod servers;
 mod stop;
 
+pub use call_metrics::{CallMetrics, JobMetrics};
 pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Origin};
 pub use config::Config;
 pub use currency::Currency;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -20,6 +20,14 @@
     pub nodes: usize,
     /// Open connections.
     pub connections: usize,
+    /// Part of this machine's link in use, percent.
+    pub link_percent: u32,
+    /// Share of recent calls that the upstream failed, percent.
+    pub failing_percent: u32,
+    /// Since when the generation in force is known to be the newest, milliseconds ago.
+    pub confirmed_ms: Option<u64>,
+    /// Upstreams that may be given calls, and the others known.
+    pub upstreams: (usize, usize),
 }
 
 /// Reads one figure.
@@ -36,9 +44,8 @@
 
 impl Metrics {
     /// Registers all figures.
-    pub fn new() -> Self {
-        let registry = Registry::default();
-        let figures: [Figure; 13] = [
+    pub fn new(registry: Registry) -> Self {
+        let figures: [Figure; 18] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -52,6 +59,15 @@
             ("config_generation", "Generation in force", |s| s.generation as i64),
             ("nodes", "Nodes known", |s| s.nodes as i64),
             ("connections", "Open connections", |s| s.connections as i64),
+            ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
+            ("upstream_failing_percent", "Calls it fails", |s| i64::from(s.failing_percent)),
+            (
+                "config_confirmed_ms",
+                "Age of the last word that it is the newest; -1 if none",
+                |s| s.confirmed_ms.map_or(-1, |age| age as i64),
+            ),
+            ("upstreams_live", "Upstreams that may be given calls", |s| s.upstreams.0 as i64),
+            ("upstreams_leaving", "Other upstreams known", |s| s.upstreams.1 as i64),
         ];
         let gauges = figures
             .into_iter()
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::{Sidecar, Work, OWN_BODY_BYTES, OWN_HEADER_BYTES};
 use crate::calls::{AttemptEnd, CallAction, Origin};
+use crate::dialect::RegistrationDialect;
 use crate::jobs::{JobAction, Source, UpstreamEnd};
 use crate::net::{ConnectionId, NetEvent};
 use crate::pool::{Asked, PoolEnd};
@@ -13,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-impl Sidecar {
+impl<D: RegistrationDialect> Sidecar<D> {
     pub(super) fn on_event(&mut self, event: NetEvent) {
         let now = self.now();
         let id = match &event {
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod registration;
 
+use crate::call_metrics::{CallMetrics, JobMetrics};
 use crate::calls::{CallAction, Calls};
 use crate::config::Config;
 use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
@@ -28,7 +29,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
-use telemetry::{Clock, ReloadSignal, StopSignal};
+use telemetry::{Clock, Registry, ReloadSignal, StopSignal};
 use tracing::{info, warn};
 
 const HOUSEKEEPING_MS: u64 = 50;
@@ -75,12 +76,12 @@
     call: RegistrationCall,
 }
 
-struct Sidecar {
+struct Sidecar<D> {
     settings: SidecarSettings,
     settings_path: Option<PathBuf>,
     settings_modified: Option<SystemTime>,
     names: HeaderNames,
-    dialect: Box<dyn RegistrationDialect>,
+    dialect: D,
     own: NodeAddress,
     clock: Clock,
     net: Net,
@@ -104,11 +105,11 @@
 }
 
 /// Runs a sidecar until it is asked to stop. `settings_path` is read again when it changes.
-pub fn run(
+pub fn run<D: RegistrationDialect>(
     settings: SidecarSettings,
     settings_path: Option<PathBuf>,
     names: HeaderNames,
-    dialect: Box<dyn RegistrationDialect>,
+    dialect: D,
     stop: &StopSignal,
     reload: &ReloadSignal,
 ) -> Result<(), SidecarError> {
@@ -120,12 +121,12 @@
     Ok(())
 }
 
-impl Sidecar {
+impl<D: RegistrationDialect> Sidecar<D> {
     fn start(
         settings: SidecarSettings,
         settings_path: Option<PathBuf>,
         names: HeaderNames,
-        dialect: Box<dyn RegistrationDialect>,
+        dialect: D,
     ) -> Result<Self, SidecarError> {
         let mut net = Net::new(IpAddr::V4(settings.ip)).context(PollSnafu)?;
         let listen = [
@@ -160,9 +161,19 @@
             window_ms: settings.retry_budget.window_s * 1_000,
         };
         let sample = LogSample::new(settings.log_sample);
+        let registry = Registry::default();
         let locality = Locality::new(own, &settings.zone);
-        let calls = Calls::new(names, &settings.service, locality, bounds, sample, seed);
-        let jobs = Jobs::new(names, &settings.service, settings.drain_ms, sample);
+        let calls = Calls::new(
+            names,
+            &settings.service,
+            locality,
+            bounds,
+            sample,
+            CallMetrics::new(&registry),
+            seed,
+        );
+        let job_metrics = JobMetrics::new(&registry);
+        let jobs = Jobs::new(names, &settings.service, settings.drain_ms, sample, job_metrics);
         info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
         warn!("connections between processes are plain: settings say plain_transport");
         let link = LinkMeter::new(settings.link_mbps);
@@ -187,7 +198,7 @@
             calls,
             jobs,
             work: VecDeque::new(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(registry),
             last_request: 0,
             link,
             next_housekeeping: 0,
@@ -267,6 +278,10 @@
             generation: self.config.generation(),
             nodes: self.calls.view.nodes(),
             connections: self.net.connections(),
+            link_percent: self.jobs.link_percent,
+            failing_percent: self.jobs.failing_percent(self.now()),
+            confirmed_ms: self.config.currency.age_ms(self.now()),
+            upstreams: self.calls.view.live_and_others(),
         };
         Response::text(200, &self.metrics.encode(&snapshot))
     }
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -1,14 +1,14 @@
 //! The upstream beside this sidecar: its messages, and what is remembered of it.
 
 use super::{Sidecar, WaitingRegistration, RESTORE_WAIT_MS};
-use crate::dialect::RegistrationCall;
+use crate::dialect::{RegistrationCall, RegistrationDialect};
 use crate::net::ConnectionId;
 use crate::Millis;
 use http1::{Headers, Request, Response, Slot};
 use mesh::{InstanceRecord, InstanceState, NodeRecord};
 use tracing::{info, warn};
 
-impl Sidecar {
+impl<D: RegistrationDialect> Sidecar<D> {
     /// Takes over what an earlier life of this sidecar knew of its upstream.
     pub(super) fn restore(&mut self, last: Option<NodeRecord>, now: Millis) {
         let own_service = last.filter(|last| last.service == self.settings.service);
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -271,3 +271,39 @@
     "#]]
     .assert_eq(&text);
 }
+
+#[test]
+fn every_end_of_a_call_is_counted_by_route_and_outcome() {
+    let mut world = World::with_upstreams(2);
+    let mut end = |path: &str, end: AttemptEnd| {
+        let (attempt, _) = sent(&world.begin("GET", path)).expect("placed");
+        world.calls.ended(attempt, end, world.now + 30);
+    };
+    end("/safe/1", replied(HopOutcome::Answered, 200));
+    end("/unsafe/1", replied(HopOutcome::Answered, 500));
+    end("/unsafe/1", AttemptEnd::Lost);
+    world.begin("GET", "/safe/1");
+    let connection = world.connection();
+    world.calls.connection_ended(connection, world.now + 10);
+    world.begin("GET", "/inner/1");
+    world.calls.tick(world.now + TIMEOUT_MS);
+    for _ in 0..40 {
+        let mut actions = world.begin("GET", "/unsafe/1");
+        while let Some((attempt, _)) = sent(&actions) {
+            actions = world.calls.ended(attempt, replied(HopOutcome::Refused, 503), world.now);
+        }
+        world.now += 100;
+    }
+    let text = world.registry.encode();
+    let mut lines: Vec<&str> = text.lines().filter(|line| line.contains("route=")).collect();
+    lines.sort_unstable();
+    expect![[r#"
+        chutecove_sidecar_calls_ended_total{route="inner",outcome="timed_out"} 1
+        chutecove_sidecar_calls_ended_total{route="safe",outcome="answered"} 1
+        chutecove_sidecar_calls_ended_total{route="safe",outcome="cancelled"} 1
+        chutecove_sidecar_calls_ended_total{route="unsafe",outcome="failed"} 1
+        chutecove_sidecar_calls_ended_total{route="unsafe",outcome="held_back"} 23
+        chutecove_sidecar_calls_ended_total{route="unsafe",outcome="refused"} 17
+        chutecove_sidecar_calls_ended_total{route="unsafe",outcome="upstream_failed"} 1"#]]
+    .assert_eq(&lines.join("\n"));
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -9,9 +9,11 @@
 };
 use placement::{BudgetBounds, Locality};
 use sidecar::{
-    Attempt, AttemptEnd, CallAction, Calls, Config, ConnectionId, HeaderNames, LogSample, Origin,
+    Attempt, AttemptEnd, CallAction, CallMetrics, Calls, Config, ConnectionId, HeaderNames,
+    LogSample, Origin,
 };
 use std::net::Ipv4Addr;
+use telemetry::Registry;
 
 pub const NAMES: HeaderNames = HeaderNames {
     attempt_id: "x-attempt",
@@ -32,6 +34,7 @@
 pub struct World {
     pub calls: Calls,
     pub config: Config,
+    pub registry: Registry,
     pub now: u64,
     next_slot: u64,
 }
@@ -76,8 +79,11 @@
         let bounds = BudgetBounds { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
         let own = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 200), port: 8_300 };
         let locality = Locality::new(own, "zone-a");
-        let calls = Calls::new(NAMES, OWN_SERVICE, locality, bounds, LogSample::new(1), 1);
-        World { calls, config: Config::default(), now: 10_000, next_slot: 0 }
+        let registry = Registry::default();
+        let metrics = CallMetrics::new(&registry);
+        let sample = LogSample::new(1);
+        let calls = Calls::new(NAMES, OWN_SERVICE, locality, bounds, sample, metrics, 1);
+        World { calls, config: Config::default(), registry, now: 10_000, next_slot: 0 }
     }
 
     pub fn with_upstreams(count: u8) -> Self {
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -6,8 +6,9 @@
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
 use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
-use sidecar::{ConnectionId, JobAction, Jobs, LogSample, Source, UpstreamEnd};
+use sidecar::{ConnectionId, JobAction, JobMetrics, Jobs, LogSample, Source, UpstreamEnd};
 use std::rc::Rc;
+use telemetry::Registry;
 
 const DRAIN_MS: u64 = 2_000;
 const SLOTS: u32 = 2;
@@ -17,7 +18,13 @@
 }
 
 fn jobs() -> Jobs {
-    let mut jobs = Jobs::new(NAMES, SERVICE, DRAIN_MS, LogSample::new(1));
+    let mut jobs = Jobs::new(
+        NAMES,
+        SERVICE,
+        DRAIN_MS,
+        LogSample::new(1),
+        JobMetrics::new(&Registry::default()),
+    );
     jobs.gate.told(&record("i-1", InstanceState::Ready), 1, 0);
     jobs.refresh_limit();
     jobs
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -12,5 +12,8 @@
 pub use logging::{
     init_logging, init_logging_to_stdout, parse_level, UnknownLevel, LINES_PER_SECOND,
 };
-pub use metrics::{Counter, Gauge, MetricsServer, MetricsServerError, Registry};
+pub use metrics::{
+    CallCounters, CallLabels, Counter, Gauge, Histogram, MetricsServer, MetricsServerError,
+    Registry,
+};
 pub use signal::{ReloadSignal, StopSignal, StopSignalError};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Counters and gauges, served as text together with health, readiness and status.
 
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter as PrometheusCounter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge as PrometheusGauge;
+use prometheus_client::metrics::histogram::Histogram as PrometheusHistogram;
 use snafu::Snafu;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -13,6 +16,23 @@
 /// A number that rises and falls. Clones share the value.
 pub type Gauge = PrometheusGauge;
 
+/// Times in seconds, counted by how long they were. Clones share the values.
+pub type Histogram = PrometheusHistogram;
+/// Calls counted by route and outcome. Clones share the values.
+pub type CallCounters = Family<CallLabels, Counter>;
+
+/// Upper bounds of a histogram's buckets, seconds.
+const BUCKETS_S: [f64; 12] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+/// What calls are counted by.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// Name of the route.
+    pub route: String,
+    /// How the call ended, one word.
+    pub outcome: &'static str,
+}
+
 /// The metrics of one process.
 #[derive(Clone, Default)]
 pub struct Registry {
@@ -34,6 +54,20 @@
         gauge
     }
 
+    /// Registers a histogram of times.
+    pub fn seconds(&self, name: &str, help: &str) -> Histogram {
+        let histogram = Histogram::new(BUCKETS_S);
+        self.lock().register(format!("chutecove_{name}_seconds"), help, histogram.clone());
+        histogram
+    }
+
+    /// Registers counters of calls.
+    pub fn calls(&self, name: &str, help: &str) -> CallCounters {
+        let counters = CallCounters::default();
+        self.lock().register(format!("chutecove_{name}"), help, counters.clone());
+        counters
+    }
+
     /// The text exposition.
     pub fn encode(&self) -> String {
         let mut text = String::new();
