Calls: begin in steps; a call held back tells how many of its like are; a test for each line

Cause: begin had grown to eighty lines, and a held-back call's line did not hold what decided it. Change: without_route, add and urgency_of are functions of their own; Throttle tells its part and Calls draws; the line has part=.

--- a/crates/placement/src/throttle.rs
+++ b/crates/placement/src/throttle.rs
@@ -48,9 +48,9 @@
         self.routes.get_mut(route).expect("inserted above")
     }
 
-    /// Whether a new call of a route is sent; `draw` is uniform in 0 to 1.
-    pub fn admits(&mut self, route: &str, draw: f64, now: Millis) -> bool {
-        draw < self.route(route, now).admitted
+    /// Part of a route's new calls that is sent, 0 to 1.
+    pub fn admitted(&mut self, route: &str, now: Millis) -> f64 {
+        self.route(route, now).admitted
     }
 
     /// Notes how an upstream ended a call.
--- a/crates/placement/tests/throttle.rs
+++ b/crates/placement/tests/throttle.rs
@@ -11,7 +11,7 @@
     let mut admitted = 0;
     for call in 0..seconds * 100 {
         let now = call * 10;
-        let sent = throttle.admits(ROUTE, random.f64(), now);
+        let sent = random.f64() < throttle.admitted(ROUTE, now);
         if sent {
             throttle.note_end(ROUTE, succeeds(call), now);
         }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -115,6 +115,8 @@
 /// A call that is refused before it is offered to any upstream.
 struct HeldBack {
     reason: &'static str,
+    /// Part of such calls that is held back now, 0 to 1.
+    part: f64,
     retry_after_ms: u64,
 }
 
@@ -215,55 +217,36 @@
         };
         let host = request.headers.text("host").unwrap_or_default().to_owned();
         let path = request.path().to_owned();
-        let Some(route) = routing.find(&host, &request.method, &path) else {
-            let (generation, confirmed_ms_ago) = (routing.generation, config.currency.age_ms(now));
-            let current = config.is_current(now);
-            info!(
-                id = %attempt_id, %host, %path, generation, current, ?confirmed_ms_ago,
-                "call_without_route"
-            );
-            return match current {
-                true => vec![CallAction::Answer { origin, response: Response::empty(404) }],
-                // A newer generation may have the route.
-                false => {
-                    self.counts.refused += 1;
-                    vec![refusal(origin, UNREADY_RETRY_AFTER_MS)]
-                }
-            };
-        };
-        let route = &route.route;
-        let timeout = u64::from(route.timeout_ms);
-        let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
-        let target_ms = match route.target_latency_ms {
-            0 => timeout,
-            target => u64::from(target),
+        let Some(found) = routing.find(&host, &request.method, &path) else {
+            return vec![self.without_route(origin, &attempt_id, &request, config, now)];
         };
-        let urgency = Urgency { rank: route.rank, target_ms };
+        let route = &found.route;
         let Some(service) = self.draw_service(&route.name, &route.targets) else {
             return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
         };
+        let urgency = urgency_of(route);
         if let Some(held_back) = self.hold_back(&route.name, &service, urgency, now) {
-            let HeldBack { reason, retry_after_ms } = held_back;
+            let HeldBack { reason, part, retry_after_ms } = held_back;
             info!(
-                id = %attempt_id, route = %route.name, %service, reason, retry_after_ms,
-                verdict = "not-run", "call_refused"
+                id = %attempt_id, route = %route.name, %service, reason, part = %format_args!("{part:.2}"),
+                retry_after_ms, verdict = "not-run", "call_refused"
             );
             self.counts.refused += 1;
             self.metrics.note_end(&route.name, CallOutcome::HeldBack, 0);
             return vec![refusal(origin, retry_after_ms)];
         }
         self.budget.note_request(&service, now);
-        let id = self.next_call;
-        self.next_call += 1;
+        let timeout = u64::from(route.timeout_ms);
+        let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
         let call = Call {
             origin,
             request: Rc::new(self.prepared(request)),
             attempt_id,
             route: route.name.clone(),
             repeatable: route.repeatable,
-            rank: route.rank,
+            rank: urgency.rank,
             most_arrivals: route.attempts.max(1),
-            target_ms,
+            target_ms: urgency.target_ms,
             service,
             arrived: now,
             deadline: now + told.min(timeout),
@@ -275,10 +258,38 @@
             parked_until: None,
             fallback: None,
         };
+        let id = self.add(call);
+        self.place(id, now)
+    }
+
+    fn add(&mut self, call: Call) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
         self.deadlines.insert((call.deadline, id));
-        self.by_origin.insert(origin, id);
+        self.by_origin.insert(call.origin, id);
         self.calls.insert(id, call);
-        self.place(id, now)
+        id
+    }
+
+    /// The answer to a call whose route is not known: that there is none, if what is held is known
+    /// to be the newest; a newer generation may have it otherwise.
+    fn without_route(
+        &mut self,
+        origin: Origin,
+        id: &str,
+        request: &Request,
+        config: &Config,
+        now: Millis,
+    ) -> CallAction {
+        let host = request.headers.text("host").unwrap_or_default();
+        let (path, generation) = (request.path(), config.generation());
+        let (current, confirmed_ms_ago) = (config.is_current(now), config.currency.age_ms(now));
+        info!(%id, %host, %path, generation, current, ?confirmed_ms_ago, "call_without_route");
+        if current {
+            return CallAction::Answer { origin, response: Response::empty(404) };
+        }
+        self.counts.refused += 1;
+        refusal(origin, UNREADY_RETRY_AFTER_MS)
     }
 
     /// Whether a new call is refused here, because its like fail or are not answered in time.
@@ -289,14 +300,16 @@
         urgency: Urgency,
         now: Millis,
     ) -> Option<HeldBack> {
-        if !self.throttle.admits(route, self.random.f64(), now) {
+        let part = 1.0 - self.throttle.admitted(route, now);
+        if self.random.f64() < part {
             let retry_after_ms = THROTTLED_RETRY_AFTER_MS;
-            return Some(HeldBack { reason: "like_calls_fail", retry_after_ms });
+            return Some(HeldBack { reason: "like_calls_fail", part, retry_after_ms });
         }
-        if self.random.f64() < self.pressure.held_back(service, urgency, now) {
+        let part = self.pressure.held_back(service, urgency, now);
+        if self.random.f64() < part {
             self.pressure.note(service, urgency, CallEnd::HeldBack, now);
             let retry_after_ms = self.random.u64(PRESSED_RETRY_AFTER_MS);
-            return Some(HeldBack { reason: "like_calls_are_late", retry_after_ms });
+            return Some(HeldBack { reason: "like_calls_are_late", part, retry_after_ms });
         }
         None
     }
@@ -414,6 +427,15 @@
     }
 }
 
+/// The place of a route's calls among those that wait for an upstream.
+fn urgency_of(route: &bundle::Route) -> Urgency {
+    let target_ms = match route.target_latency_ms {
+        0 => route.timeout_ms,
+        target => target,
+    };
+    Urgency { rank: route.rank, target_ms: u64::from(target_ms) }
+}
+
 fn refusal(origin: Origin, retry_after_ms: u64) -> CallAction {
     let bounded = retry_after_ms.clamp(SHORTEST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS);
     let seconds = format!("{:.3}", bounded as f64 / 1_000.0);
--- /dev/null
+++ b/crates/sidecar/tests/decision_log.rs
@@ -0,0 +1,218 @@
+//! Every decision on a call leaves a line with what decided it; bodies and other headers do not.
+
+mod common;
+
+use common::*;
+use expect_test::expect;
+use http1::{Answer, ExchangeError, Headers, Request, Response};
+use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
+use sidecar::{
+    AttemptEnd, ConnectionId, JobAction, JobMetrics, Jobs, LogSample, Source, UpstreamEnd,
+};
+use std::fmt::{self, Write};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use telemetry::Registry;
+use tracing::field::{Field, Visit};
+use tracing::span::{Attributes, Id, Record};
+use tracing::{Event, Metadata, Subscriber};
+
+const SECRET: &str = "card-4711";
+
+/// Keeps each event as one line.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Lines {
+    fn take(&self) -> Vec<String> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+#[derive(Default)]
+struct Line {
+    event: String,
+    fields: String,
+}
+
+impl Visit for Line {
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        match field.name() {
+            "message" => self.event = format!("{value:?}"),
+            name => write!(self.fields, " {name}={value:?}").expect("text"),
+        }
+    }
+}
+
+impl Subscriber for Lines {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+
+    fn event(&self, event: &Event<'_>) {
+        let mut line = Line::default();
+        event.record(&mut line);
+        let line = format!("{}{}", line.event, line.fields);
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+    }
+
+    fn enter(&self, _: &Id) {}
+
+    fn exit(&self, _: &Id) {}
+}
+
+/// The lines that a story leaves.
+fn lines_of(story: impl FnOnce()) -> Vec<String> {
+    let lines = Lines::default();
+    tracing::subscriber::with_default(lines.clone(), story);
+    lines.take()
+}
+
+fn outbound(story: impl FnOnce(&mut World)) -> String {
+    let mut world = World::with_upstreams(1);
+    lines_of(|| story(&mut world)).join("\n")
+}
+
+fn end(world: &mut World, path: &str, end: AttemptEnd) {
+    let (attempt, _) = sent(&world.begin("GET", path)).expect("placed");
+    world.calls.ended(attempt, end, world.now + 40);
+}
+
+#[test]
+fn the_outbound_side_tells_how_each_call_was_placed_and_how_it_ended() {
+    let answered = outbound(|world| end(world, "/safe/1", replied(HopOutcome::Answered, 200)));
+    expect![[r#"
+        call_placed id=id-1 route=safe service=fares rank=1 target_ms=600 try_number=1 to=10.0.0.1:8300 patience_ms=150 left_ms=1992
+        hop_replied id=id-1 to=10.0.0.1:8300 try_number=1 outcome=Answered status=200 running=1 queued=0 limit=9 spent_ms=100"#]].assert_eq(&answered);
+    let refused = outbound(|world| end(world, "/unsafe/1", replied(HopOutcome::Refused, 503)));
+    expect![[r#"
+        call_placed id=id-1 route=unsafe service=fares rank=1 target_ms=600 try_number=1 to=10.0.0.1:8300 patience_ms=150 left_ms=1992
+        hop_replied id=id-1 to=10.0.0.1:8300 try_number=1 outcome=Refused status=503 running=1 queued=0 limit=9 spent_ms=100
+        call_refused id=id-1 route=unsafe service=fares tries=1 retry_after_ms=80 held_ms=40 trail=10.0.0.1:8300@40ms:refused/503:1+0of9 verdict="not-run""#]].assert_eq(&refused);
+    let lost = outbound(|world| end(world, "/unsafe/1", AttemptEnd::Lost));
+    expect![[r#"
+        call_placed id=id-1 route=unsafe service=fares rank=1 target_ms=600 try_number=1 to=10.0.0.1:8300 patience_ms=150 left_ms=1992
+        hop_failed id=id-1 to=10.0.0.1:8300 try_number=1 outcome="lost"
+        call_failed id=id-1 route=unsafe service=fares tries=1 arrivals=1 held_ms=40 trail=10.0.0.1:8300@40ms:lost/0:0+0of0 verdict="may-have-run""#]].assert_eq(&lost);
+    let timed_out = outbound(|world| {
+        world.begin("GET", "/safe/1");
+        world.calls.tick(world.now + TIMEOUT_MS);
+    });
+    expect![[r#"
+        call_placed id=id-1 route=safe service=fares rank=1 target_ms=600 try_number=1 to=10.0.0.1:8300 patience_ms=150 left_ms=1992
+        call_timed_out id=id-1 route=safe service=fares tries=1 held_ms=2000 trail=- at=Some("10.0.0.1:8300") verdict="may-have-run""#]].assert_eq(&timed_out);
+    let cancelled = outbound(|world| {
+        world.begin("GET", "/safe/1");
+        let connection = world.connection();
+        world.calls.connection_ended(connection, world.now + 5);
+    });
+    expect![[r#"
+        call_placed id=id-1 route=safe service=fares rank=1 target_ms=600 try_number=1 to=10.0.0.1:8300 patience_ms=150 left_ms=1992
+        call_cancelled id=id-1 tries=1"#]].assert_eq(&cancelled);
+    let without_route = outbound(|world| drop(world.begin("GET", "/nowhere/")));
+    expect!["call_without_route id=id-1 host=fares.example path=/nowhere/ generation=1 current=true confirmed_ms_ago=Some(0)"].assert_eq(&without_route);
+}
+
+#[test]
+fn a_call_that_is_held_back_tells_why() {
+    let text = outbound(|world| {
+        for _ in 0..30 {
+            let actions = world.begin("GET", "/unsafe/1");
+            if let Some((attempt, _)) = sent(&actions) {
+                world.calls.ended(attempt, replied(HopOutcome::Refused, 503), world.now);
+            }
+        }
+    });
+    let held_back = text.lines().find(|line| line.contains("like_calls_are_late"));
+    expect![[r#"call_refused id=id-5 route=unsafe service=fares reason="like_calls_are_late" part=0.40 retry_after_ms=409 verdict="not-run""#]].assert_eq(held_back.expect("some are held back"));
+}
+
+fn inbound(story: impl FnOnce(&mut Jobs)) -> String {
+    let metrics = JobMetrics::new(&Registry::default());
+    let mut jobs = Jobs::new(NAMES, SERVICE, 2_000, LogSample::new(1), metrics);
+    let id = "i-1".to_owned();
+    let state = InstanceState::Ready;
+    let record = InstanceRecord { id, state, slots: 1, cold_remaining_ms: 0 };
+    jobs.gate.told(&record, 1, 0);
+    jobs.refresh_limit();
+    lines_of(|| story(&mut jobs)).join("\n")
+}
+
+fn begin(jobs: &mut Jobs, slot: u64, service: &str) -> Vec<JobAction> {
+    let mut headers = Headers::default();
+    headers.push(NAMES.attempt_id, format!("id-{slot}"));
+    headers.push("Authorization", SECRET);
+    let body = SECRET.as_bytes().to_vec();
+    let request = Request { method: "POST".to_owned(), target: "/".to_owned(), headers, body };
+    let hop = HopRequest {
+        deadline_ms: 1_000,
+        patience_ms: 50,
+        rank: 1,
+        target_ms: 600,
+        repeatable: false,
+        service: service.to_owned(),
+        instance: None,
+    };
+    let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
+    jobs.begin(source, Rc::new(request), &hop, 10)
+}
+
+fn end_first(jobs: &mut Jobs, end: UpstreamEnd) {
+    let actions = begin(jobs, 1, SERVICE);
+    let JobAction::Run { job, .. } = &actions[0] else { panic!("it runs") };
+    jobs.ended(*job, end, 70);
+}
+
+fn answered(response: Response) -> UpstreamEnd {
+    UpstreamEnd::Answered(Answer { response, reusable: true })
+}
+
+#[test]
+fn the_inbound_side_tells_who_was_let_to_the_upstream_and_what_came_of_it() {
+    let sealed = Response::empty(200).with_header(NAMES.seal, "s");
+    let served = inbound(|jobs| end_first(jobs, answered(sealed)));
+    expect![[r#"
+        job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
+        job_ended id=id-1 outcome=Answered status=200 spent_ms=60 running=0 queued=0"#]]
+    .assert_eq(&served);
+    let unsealed = inbound(|jobs| end_first(jobs, answered(Response::empty(200))));
+    expect![[r#"
+        job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
+        answer_without_seal id=id-1 status=200
+        job_ended id=id-1 outcome=Unknown status=502 spent_ms=60 running=0 queued=0"#]]
+    .assert_eq(&unsealed);
+    let broken = inbound(|jobs| end_first(jobs, UpstreamEnd::Failed(ExchangeError::CutShort)));
+    expect![[r#"
+        job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
+        upstream_failed id=id-1 error=the answer was cut short
+        job_ended id=id-1 outcome=Unknown status=502 spent_ms=60 running=0 queued=0"#]]
+    .assert_eq(&broken);
+    let refused = inbound(|jobs| {
+        begin(jobs, 1, "another");
+        begin(jobs, 2, SERVICE);
+        begin(jobs, 3, SERVICE);
+    });
+    expect![[r#"
+        job_refused id=id-1 reason="other_service" running=0 queued=0 limit=1 held_ms=0 retry_after_ms=0 verdict="not-run"
+        job_started id=id-2 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
+        job_refused id=id-3 reason="no_room" running=1 queued=0 limit=1 held_ms=0 retry_after_ms=50 verdict="not-run""#]].assert_eq(&refused);
+    let left = inbound(|jobs| {
+        begin(jobs, 1, SERVICE);
+        jobs.connection_ended(ConnectionId::for_tests(1), 30);
+    });
+    expect![[r#"
+        job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
+        job_cancelled id=id-1 started=true"#]]
+    .assert_eq(&left);
+    for text in [served, unsealed, broken, refused, left] {
+        assert!(!text.contains(SECRET), "{text}");
+    }
+}
