Soak: what a fault excuses is bound to what it can reach

Change: a coordinator's fault excuses no cut, another sidecar's fault no late version. Test: judge.rs, two spoiled records more; both were found by no check before.

--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -87,7 +87,8 @@
 
     fn note(&mut self, kind: FaultKind, machine: u8, from: Millis) {
         let to = self.clock.now();
-        self.done.push(Fault { kind, machine, from, to });
+        let coordinators = COORDINATORS.contains(&machine);
+        self.done.push(Fault { kind, machine, coordinators, from, to });
     }
 
     fn kill_sidecar(&mut self) -> std::io::Result<()> {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -92,10 +92,16 @@
     }
 }
 
-/// Whether a machine, or any coordinator, was disturbed shortly before a moment.
-fn disturbed(record: &Record, bounds: &Bounds, from: Millis, to: Millis) -> bool {
+/// Whether something that may delay a version at a machine disturbed it, or its coordinators,
+/// shortly before a moment.
+fn disturbed(record: &Record, bounds: &Bounds, machine: u8, from: Millis, to: Millis) -> bool {
     let near = |fault: &&Fault| fault.from <= to && from <= fault.to + bounds.settle;
-    record.faults.iter().any(|fault| near(&fault) && fault.kind != FaultKind::Drain)
+    let concerns = |fault: &&Fault| fault.machine == machine || fault.coordinators;
+    record
+        .faults
+        .iter()
+        .filter(concerns)
+        .any(|fault| near(&fault) && fault.kind != FaultKind::Drain)
 }
 
 fn check_version(
@@ -117,7 +123,13 @@
     let old = version < newest_due && status == 200;
     let missing = version == newest_due && status == NOT_FOUND && only_this_far;
     if (old || missing)
-        && !disturbed(record, bounds, call.sent.saturating_sub(bounds.apply), call.sent)
+        && !disturbed(
+            record,
+            bounds,
+            call.machine,
+            call.sent.saturating_sub(bounds.apply),
+            call.sent,
+        )
     {
         let Call { id, machine, sent, .. } = call;
         let what = format!(
@@ -140,6 +152,7 @@
     }
     let unplanned = |fault: &&Fault| {
         matches!(fault.kind, FaultKind::Kill | FaultKind::Freeze | FaultKind::Wipe)
+            && !fault.coordinators
             && fault.from <= call.ended
             && call.sent <= fault.to + bounds.settle
     };
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -79,6 +79,8 @@
     pub kind: FaultKind,
     /// Where.
     pub machine: u8,
+    /// Whether it struck coordinators: they delay versions, and carry no call.
+    pub coordinators: bool,
     /// From when.
     pub from: Millis,
     /// Until when.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -21,8 +21,20 @@
             Order { version: 2, acknowledged: Some(500) },
         ],
         faults: vec![
-            Fault { kind: FaultKind::Stop, machine: 11, from: 1_000, to: 2_000 },
-            Fault { kind: FaultKind::Drain, machine: 13, from: 2_500, to: 5_000 },
+            Fault {
+                kind: FaultKind::Stop,
+                machine: 11,
+                coordinators: false,
+                from: 1_000,
+                to: 2_000,
+            },
+            Fault {
+                kind: FaultKind::Drain,
+                machine: 13,
+                coordinators: false,
+                from: 2_500,
+                to: 5_000,
+            },
         ],
         calm_from: 5_000,
         read_back: Some(2),
@@ -50,6 +62,26 @@
         ("the old version serves", |r| r.calls.push(versioned(900, 8_000, 1, 200))),
         ("the new version is missing", |r| r.calls.push(versioned(900, 8_000, 2, 404))),
         ("cut by a planned stop", |r| r.calls[12].end = End::Cut),
+        ("cut beside a coordinator's fault", |r| {
+            r.faults.push(Fault {
+                kind: FaultKind::Kill,
+                machine: 1,
+                coordinators: true,
+                from: 1_150,
+                to: 1_900,
+            });
+            r.calls[12].end = End::Cut;
+        }),
+        ("the old version beside another sidecar's fault", |r| {
+            r.faults.push(Fault {
+                kind: FaultKind::Kill,
+                machine: 13,
+                coordinators: false,
+                from: 7_000,
+                to: 7_900,
+            });
+            r.calls.push(versioned(900, 8_000, 1, 200));
+        }),
         ("work after the drain", |r| r.runs.push(Run { call: 900, machine: 13, at: 3_600 })),
         ("an older version read back", |r| r.read_back = Some(1)),
         ("none read back", |r| r.read_back = None),
@@ -73,6 +105,8 @@
         the old version serves: InForce: call 900 at 8000 ms on machine 11 used version 1, got 200; version 2 was due
         the new version is missing: InForce: call 900 at 8000 ms on machine 11 used version 2, got 404; version 2 was due
         cut by a planned stop: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
+        cut beside a coordinator's fault: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
+        the old version beside another sidecar's fault: InForce: call 900 at 8000 ms on machine 11 used version 1, got 200; version 2 was due
         work after the drain: Drained: call 900 on machine 13 1100 ms after the acknowledgement
         an older version read back: Kept: read back Some(1), acknowledged Some(2)
         none read back: Kept: read back None, acknowledged Some(2)
@@ -85,12 +119,24 @@
     type Allow = fn(&mut Record);
     let rows: Vec<(&str, Allow)> = vec![
         ("a kill cuts", |r| {
-            r.faults.push(Fault { kind: FaultKind::Kill, machine: 12, from: 1_150, to: 1_900 });
+            r.faults.push(Fault {
+                kind: FaultKind::Kill,
+                machine: 12,
+                coordinators: false,
+                from: 1_150,
+                to: 1_900,
+            });
             r.calls[12].end = End::Cut;
         }),
         ("the old version within its time", |r| r.calls.push(versioned(900, 2_400, 1, 200))),
         ("the old version after a freeze", |r| {
-            r.faults.push(Fault { kind: FaultKind::Freeze, machine: 1, from: 1_000, to: 2_500 });
+            r.faults.push(Fault {
+                kind: FaultKind::Freeze,
+                machine: 1,
+                coordinators: true,
+                from: 1_000,
+                to: 2_500,
+            });
             r.calls.push(versioned(900, 2_600, 1, 200));
         }),
         ("a version without a clear answer is in force", |r| {
