--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,10 +6,12 @@
 mod gate;
 mod health;
 mod queue;
+mod transfers;
 
 pub use gate::{DrainGate, GateState};
 pub use health::FailureShare;
 pub use queue::{Admission, Decision, JobId, Ticket};
+pub use transfers::{Grant, Transfer, TransferId, Transfers};
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -108,20 +108,31 @@
             self.running += 1;
             return Decision::Run;
         }
-        let latest_start = ticket.deadline.min(now + ticket.patience_ms);
-        let key = (ticket.rank, ticket.target_ms, self.arrivals);
-        let ahead = self.waiting.range(..key).count();
-        let wait_ms = self.wait_behind(ahead);
-        if wait_ms > ticket.patience_ms {
-            let retry_after_ms = self.retry_after_ms(ticket.patience_ms, now);
-            self.note_refusal(now);
+        if let Err(retry_after_ms) = self.check_room(ticket, now) {
             return Decision::Refuse { retry_after_ms };
         }
+        let latest_start = ticket.deadline.min(now + ticket.patience_ms);
+        let key = (ticket.rank, ticket.target_ms, self.arrivals);
         self.arrivals += 1;
         self.waiting.insert(key, Waiting { job: ticket.job, latest_start });
         Decision::Wait
     }
 
+    /// Whether a call would be taken in now; if not, when there may be room, milliseconds.
+    pub fn check_room(&mut self, ticket: Ticket, now: Millis) -> Result<(), u64> {
+        if self.running < self.limit && self.waiting.is_empty() {
+            return Ok(());
+        }
+        let key = (ticket.rank, ticket.target_ms, self.arrivals);
+        let ahead = self.waiting.range(..key).count();
+        if self.wait_behind(ahead) <= ticket.patience_ms {
+            return Ok(());
+        }
+        let retry_after_ms = self.retry_after_ms(ticket.patience_ms, now);
+        self.note_refusal(now);
+        Err(retry_after_ms)
+    }
+
     /// Expected wait of a call with this many in front of it, milliseconds.
     fn wait_behind(&self, ahead: usize) -> u64 {
         let turns = (ahead + 1) as f64 / f64::from(self.limit);
--- a/crates/chutecove/tests/small_fleet.rs
+++ b/crates/chutecove/tests/small_fleet.rs
@@ -147,7 +147,15 @@
             let header = |name| request.header(name).unwrap_or_default().to_owned();
             let caller = header("X-Chutecove-Caller");
             counted.callers.lock().expect("not poisoned").push(caller);
-            rouille::Response::text(format!("{} from {host}", request.url()))
+            let mut body = Vec::new();
+            if let Some(mut data) = request.data() {
+                data.read_to_end(&mut body).expect("a whole body");
+            }
+            let text = match body.is_empty() {
+                true => format!("{} from {host}", request.url()),
+                false => format!("{} bytes, {}", body.len(), check_sum(&body)),
+            };
+            rouille::Response::text(text)
                 .with_additional_header("X-Chutecove-Seal", format!("seal-{host}"))
                 .with_additional_header("X-Chutecove-Attempt-Id", header("X-Chutecove-Attempt-Id"))
         });
@@ -221,6 +229,18 @@
         Some((answer.status().as_u16(), body))
     }
 
+    /// Uploads a body through a sidecar: status and answer.
+    fn upload(&self, host: u8, path: &str, body: &[u8]) -> Option<(u16, String)> {
+        let url = format!("http://{}:{}{path}", self.ip(host), self.ports.outbound);
+        let request = agent()
+            .post(&url)
+            .header("Host", "fares.example")
+            .header("X-Chutecove-Attempt-Id", format!("upload-{}", body.len()));
+        let mut answer = request.send(body).ok()?;
+        let text = answer.body_mut().read_to_string().ok()?;
+        Some((answer.status().as_u16(), text))
+    }
+
     /// The status of a call once a sidecar is sure of its configuration: until then it refuses calls
     /// whose route it does not know with 503.
     fn sure_status(&self, host: u8, path: &str) -> u16 {
@@ -253,6 +273,11 @@
     }
 }
 
+/// A sum that notices pieces in another order.
+fn check_sum(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |sum, byte| (sum * 31 + u64::from(*byte)) % 1_000_000_007)
+}
+
 #[derive(Default)]
 struct Upstream {
     runs: AtomicU64,
@@ -326,6 +351,15 @@
     }
     wait("calls are served", || fleet.call(11, "/one/y").is_some_and(|(status, _)| status == 200));
 
+    // Bodies short, as long as is sent unasked, and in many grants arrive as they are.
+    for bytes in [1, 8 * 1024, 8 * 1024 + 1, 300_000] {
+        let body: Vec<u8> = (0..bytes).map(|place: u32| (place % 251) as u8).collect();
+        let expected = format!("{bytes} bytes, {}", check_sum(&body));
+        wait("a body arrives whole", || {
+            fleet.upload(11, "/one/upload", &body) == Some((200, expected.clone()))
+        });
+    }
+
     // Orders: a lost race, an old version, a resend, an invalid one.
     assert_eq!(fleet.settled_order(1, 4, 6, "two"), 412);
     assert_eq!(fleet.settled_order(1, 5, 5, "two"), 400);
--- a/crates/http1/src/exchange.rs
+++ b/crates/http1/src/exchange.rs
@@ -1,12 +1,15 @@
 //! The calling side of a connection: one request at a time, and its answer.
 
-use crate::{parse_response, BodyDecoder, BodyError, HeadError, Response, ResponseHead};
+use crate::{parse_response, BodyDecoder, BodyError, HeadError, Headers, Response, ResponseHead};
 use bytes::BytesMut;
 use snafu::Snafu;
 
 /// Answers to other requests that are passed over before the connection is given up.
 const MAX_FOREIGN_ANSWERS: u32 = 4;
+const CONTINUE: u16 = 100;
 const CONTINUE_LIMIT: u16 = 200;
+/// Interim answers kept until they are taken.
+const MAX_INTERIM: usize = 64;
 
 /// How the other side ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +72,7 @@
     foreign_answers: u32,
     phase: Phase,
     started: bool,
+    interim: Vec<Headers>,
 }
 
 impl Exchange {
@@ -87,6 +91,7 @@
             foreign_answers: 0,
             phase: Phase::Head,
             started: false,
+            interim: Vec::new(),
         }
     }
 
@@ -120,6 +125,11 @@
         }
     }
 
+    /// Takes the fields of the `100 Continue` answers that came since the last time.
+    pub fn take_interim(&mut self) -> Vec<Headers> {
+        std::mem::take(&mut self.interim)
+    }
+
     /// Tells that the connection ended; an answer without a length may be whole then.
     pub fn end_of_stream(&mut self, end: StreamEnd) -> Result<Answer, ExchangeError> {
         match std::mem::replace(&mut self.phase, Phase::Finished) {
@@ -136,6 +146,10 @@
 
     fn after_head(&mut self, head: ResponseHead) -> Result<Phase, ExchangeError> {
         if head.status < CONTINUE_LIMIT {
+            // A sender without end of interim answers fills no memory.
+            if head.status == CONTINUE && self.interim.len() < MAX_INTERIM {
+                self.interim.push(head.headers);
+            }
             return Ok(Phase::Head);
         }
         let foreign = self.is_foreign(&head);
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,5 +17,7 @@
 pub use head::{parse_request, parse_response, HeadError, RequestHead, ResponseHead};
 pub use headers::{is_connection_header, Headers};
 pub use message::{Request, Response};
-pub use server::{ServerConnection, ServerLimits, Slot};
-pub use write::{reason_phrase, write_request, write_response, ConnectionPersistence};
+pub use server::{Offer, ServerConnection, ServerLimits, Slot};
+pub use write::{
+    reason_phrase, write_request, write_request_head, write_response, ConnectionPersistence,
+};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -17,11 +17,29 @@
     pub header_bytes: usize,
     /// Longest body, bytes.
     pub body_bytes: u64,
+    /// Whether a body that is offered (`Expect: 100-continue`) waits for [`ServerConnection::allow`].
+    pub holds_offers: bool,
 }
 
 /// Place of a request among those of its connection.
 pub type Slot = u64;
 
+/// A request whose head came, and whose body waits to be allowed.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer<'a> {
+    /// Its place.
+    pub slot: Slot,
+    /// Its head.
+    pub head: &'a RequestHead,
+}
+
+/// How far the body of an offered request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Offered {
+    slot: Slot,
+    allowed: bool,
+}
+
 #[derive(Debug)]
 enum Phase {
     Head,
@@ -29,6 +47,8 @@
         head: RequestHead,
         decoder: BodyDecoder,
         body: Vec<u8>,
+        /// Its place, if it was offered; others get theirs once they are whole.
+        offered: Option<Offered>,
     },
     /// Nothing more is read.
     Refused,
@@ -41,6 +61,14 @@
     answer: Option<Vec<u8>>,
 }
 
+/// A request that has been read.
+struct Whole {
+    request: Request,
+    keep_alive: bool,
+    /// Its place, if it has one already.
+    slot: Option<Slot>,
+}
+
 /// State of one connection with a caller.
 #[derive(Debug)]
 pub struct ServerConnection {
@@ -75,8 +103,8 @@
         let mut requests = Vec::new();
         while self.waiting.len() < MAX_PIPELINED && !self.closing {
             match self.next_request(input, limits, output) {
-                Ok(Some((request, keep_alive))) => {
-                    let slot = self.enqueue(keep_alive);
+                Ok(Some(Whole { request, keep_alive, slot })) => {
+                    let slot = slot.unwrap_or_else(|| self.enqueue(keep_alive));
                     requests.push((slot, request));
                     // What follows a request that asked to close is not read.
                     self.closing |= !keep_alive;
@@ -105,7 +133,7 @@
         input: &mut BytesMut,
         limits: ServerLimits,
         output: &mut Vec<u8>,
-    ) -> Result<Option<(Request, bool)>, u16> {
+    ) -> Result<Option<Whole>, u16> {
         if matches!(self.phase, Phase::Head) {
             let parsed = parse_request(input, limits.header_bytes).map_err(head_status)?;
             let Some((head, length)) = parsed else {
@@ -114,10 +142,15 @@
             let _ = input.split_to(length);
             let decoder = BodyDecoder::new(head.length, limits.body_bytes).map_err(body_status)?;
             let awaited = head.length != BodyLength::Known(0) && input.is_empty();
-            if awaited && head.headers.has_token("expect", "100-continue") {
+            let expects = awaited && head.headers.has_token("expect", "100-continue");
+            // Interim answers must not overtake those to earlier requests.
+            let holds = expects && limits.holds_offers && self.waiting.is_empty();
+            let offered =
+                holds.then(|| Offered { slot: self.enqueue(head.keep_alive), allowed: false });
+            if expects && !holds {
                 output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             }
-            self.phase = Phase::Body { head, decoder, body: Vec::new() };
+            self.phase = Phase::Body { head, decoder, body: Vec::new(), offered };
         }
         let Phase::Body { decoder, body, .. } = &mut self.phase else {
             return Ok(None);
@@ -125,11 +158,59 @@
         if !decoder.take(input, body).map_err(body_status)? {
             return Ok(None);
         }
-        let Phase::Body { head, body, .. } = std::mem::replace(&mut self.phase, Phase::Head) else {
+        let former = std::mem::replace(&mut self.phase, Phase::Head);
+        let Phase::Body { head, body, offered, .. } = former else {
             return Ok(None);
         };
         let RequestHead { method, target, keep_alive, headers, .. } = head;
-        Ok(Some((Request { method, target, headers, body }, keep_alive)))
+        let request = Request { method, target, headers, body };
+        Ok(Some(Whole { request, keep_alive, slot: offered.map(|held| held.slot) }))
+    }
+
+    /// The request whose body waits to be allowed; `None` once a part of it was.
+    pub fn offer(&self) -> Option<Offer<'_>> {
+        match &self.phase {
+            Phase::Body { head, offered: Some(Offered { slot, allowed: false }), .. } => {
+                Some(Offer { slot: *slot, head })
+            }
+            _ => None,
+        }
+    }
+
+    /// Allows so many bytes more of an offered body, told in an interim answer's `header`.
+    pub fn allow(&mut self, slot: Slot, header: &str, bytes: u64, output: &mut Vec<u8>) {
+        let Phase::Body { offered: Some(held), .. } = &mut self.phase else {
+            return;
+        };
+        if held.slot == slot {
+            held.allowed = true;
+            let interim = format!("HTTP/1.1 100 Continue\r\n{header}: {bytes}\r\n\r\n");
+            output.extend_from_slice(interim.as_bytes());
+        }
+    }
+
+    /// Bytes of the body that is being read.
+    pub fn body_bytes(&self) -> u64 {
+        match &self.phase {
+            Phase::Body { body, .. } => body.len() as u64,
+            _ => 0,
+        }
+    }
+
+    /// An offered request gets its answer before its body: the body is not sent if no part of it
+    /// was allowed, and else the connection cannot go on.
+    fn end_offer(&mut self, slot: Slot) {
+        let Phase::Body { offered: Some(held), .. } = &self.phase else {
+            return;
+        };
+        if held.slot != slot {
+            return;
+        }
+        let allowed = held.allowed;
+        self.phase = if allowed { Phase::Refused } else { Phase::Head };
+        if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.slot == slot) {
+            waiting.keep_alive &= !allowed;
+        }
     }
 
     /// Answers a request; `close` ends the connection after this answer. Returns true once the
@@ -141,6 +222,7 @@
         close: bool,
         output: &mut Vec<u8>,
     ) -> bool {
+        self.end_offer(slot);
         let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.slot == slot) else {
             return self.last_answer_written;
         };
@@ -191,9 +273,13 @@
 
     /// Answers a request that is not whole with 408 and stops reading.
     pub fn time_out(&mut self, output: &mut Vec<u8>) -> bool {
+        let offered = match &self.phase {
+            Phase::Body { offered, .. } => offered.map(|held| held.slot),
+            _ => None,
+        };
         self.phase = Phase::Refused;
         self.closing = true;
-        let slot = self.enqueue(false);
+        let slot = offered.unwrap_or_else(|| self.enqueue(false));
         self.answer(slot, Response::empty(408), true, output)
     }
 }
--- a/crates/http1/src/write.rs
+++ b/crates/http1/src/write.rs
@@ -19,15 +19,26 @@
     target: &str,
     headers: &Headers,
     body: &[u8],
+) {
+    write_request_head(output, method, target, headers, body.len());
+    output.extend_from_slice(body);
+}
+
+/// Appends the head of a request whose body of so many bytes follows.
+pub fn write_request_head(
+    output: &mut Vec<u8>,
+    method: &str,
+    target: &str,
+    headers: &Headers,
+    body_bytes: usize,
 ) {
     let _ = write!(output, "{method} {target} HTTP/1.1\r\n");
     write_fields(output, headers);
-    let bodiless = body.is_empty() && matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS");
+    let bodiless = body_bytes == 0 && matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS");
     if !bodiless {
-        let _ = write!(output, "Content-Length: {}\r\n", body.len());
+        let _ = write!(output, "Content-Length: {body_bytes}\r\n");
     }
     output.extend_from_slice(b"\r\n");
-    output.extend_from_slice(body);
 }
 
 /// Appends a response with a whole body.
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -6,7 +6,8 @@
     StreamEnd,
 };
 
-const LIMITS: ServerLimits = ServerLimits { header_bytes: 1_024, body_bytes: 64 };
+const LIMITS: ServerLimits =
+    ServerLimits { header_bytes: 1_024, body_bytes: 64, holds_offers: false };
 
 fn receive(bytes: &[u8]) -> (Vec<Request>, String) {
     let mut connection = ServerConnection::default();
--- /dev/null
+++ b/crates/http1/tests/offers.rs
@@ -0,0 +1,132 @@
+//! Bodies that are offered: nothing of them is sent before it is allowed.
+
+use bytes::BytesMut;
+use expect_test::{expect, Expect};
+use http1::{Exchange, Response, ServerConnection, ServerLimits, Slot, StreamEnd};
+
+const LIMITS: ServerLimits =
+    ServerLimits { header_bytes: 1_024, body_bytes: 64, holds_offers: true };
+const HEADER: &str = "x-grant";
+const OFFER: &str = "POST /a HTTP/1.1\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n";
+
+/// A receiving connection with all that it wrote.
+#[derive(Default)]
+struct Receiver {
+    connection: ServerConnection,
+    input: BytesMut,
+    output: Vec<u8>,
+    taken: Vec<(Slot, usize)>,
+}
+
+impl Receiver {
+    fn receive(&mut self, bytes: &str) {
+        self.input.extend_from_slice(bytes.as_bytes());
+        let requests = self.connection.receive(&mut self.input, LIMITS, &mut self.output);
+        self.taken.extend(requests.into_iter().map(|(slot, req)| (slot, req.body.len())));
+    }
+
+    fn offered(&self) -> Option<Slot> {
+        self.connection.offer().map(|offer| offer.slot)
+    }
+
+    fn allow(&mut self, bytes: u64) {
+        let slot = self.offered().unwrap_or(0);
+        self.connection.allow(slot, HEADER, bytes, &mut self.output);
+    }
+
+    fn answer(&mut self, slot: Slot, status: u16) -> bool {
+        self.connection.answer(slot, Response::empty(status), false, &mut self.output)
+    }
+
+    fn check(&self, expected: Expect) {
+        let wrote = String::from_utf8_lossy(&self.output).replace("\r\n", "|");
+        expected.assert_eq(&format!("took {:?}, wrote {wrote}", self.taken));
+    }
+}
+
+#[test]
+fn a_body_comes_as_it_is_allowed() {
+    let mut receiver = Receiver::default();
+    receiver.receive(OFFER);
+    assert_eq!(receiver.offered(), Some(0));
+    receiver.allow(4);
+    assert_eq!(receiver.offered(), None, "it is decided on once");
+    receiver.receive("0123");
+    assert_eq!(receiver.connection.body_bytes(), 4);
+    receiver.allow(6);
+    receiver.receive("456789");
+    assert!(!receiver.answer(0, 200));
+    receiver.check(expect!["took [(0, 10)], wrote HTTP/1.1 100 Continue|x-grant: 4||HTTP/1.1 100 Continue|x-grant: 6||HTTP/1.1 200 OK|Content-Length: 0||"]);
+}
+
+#[test]
+fn a_refused_offer_leaves_the_connection_as_it_was() {
+    let mut receiver = Receiver::default();
+    receiver.receive(OFFER);
+    assert!(!receiver.answer(0, 503));
+    receiver.receive("GET /b HTTP/1.1\r\n\r\n");
+    assert!(!receiver.answer(1, 200));
+    receiver.check(expect!["took [(1, 0)], wrote HTTP/1.1 503 Service Unavailable|Content-Length: 0||HTTP/1.1 200 OK|Content-Length: 0||"]);
+}
+
+#[test]
+fn an_answer_in_the_middle_of_a_body_ends_the_connection() {
+    let mut receiver = Receiver::default();
+    receiver.receive(OFFER);
+    receiver.allow(4);
+    receiver.receive("01");
+    assert!(receiver.answer(0, 503), "the rest of the body would be taken for a request");
+    receiver.receive("23GET /b HTTP/1.1\r\n\r\n");
+    receiver.check(expect!["took [], wrote HTTP/1.1 100 Continue|x-grant: 4||HTTP/1.1 503 Service Unavailable|Content-Length: 0|Connection: close||"]);
+}
+
+#[test]
+fn an_offer_that_is_read_too_slowly_gets_its_answer() {
+    let mut receiver = Receiver::default();
+    receiver.receive(OFFER);
+    receiver.allow(4);
+    assert!(receiver.connection.time_out(&mut receiver.output));
+    receiver.check(expect!["took [], wrote HTTP/1.1 100 Continue|x-grant: 4||HTTP/1.1 408 Request Timeout|Content-Length: 0|Connection: close||"]);
+}
+
+#[test]
+fn a_body_that_came_along_is_no_offer() {
+    let mut receiver = Receiver::default();
+    receiver.receive(&format!("{OFFER}0123456789"));
+    assert_eq!(receiver.offered(), None);
+    receiver.check(expect!["took [(0, 10)], wrote "]);
+}
+
+#[test]
+fn an_offer_behind_an_unanswered_request_is_let_through() {
+    let mut receiver = Receiver::default();
+    receiver.receive("GET /b HTTP/1.1\r\n\r\n");
+    receiver.receive(OFFER);
+    assert_eq!(receiver.offered(), None, "an interim answer must not overtake the first answer");
+}
+
+#[test]
+fn interim_answers_are_told_apart_from_the_final_one() {
+    let mut exchange = Exchange::new("POST", None, 1_024, 64);
+    let mut input =
+        BytesMut::from("HTTP/1.1 100 Continue\r\nx-grant: 4\r\n\r\nHTTP/1.1 100 Contin");
+    assert_eq!(exchange.receive(&mut input), Ok(None));
+    let grants: Vec<_> =
+        exchange.take_interim().iter().map(|headers| headers.number(HEADER)).collect();
+    assert_eq!(grants, [Some(4)]);
+    assert!(exchange.take_interim().is_empty());
+    input.extend_from_slice(b"ue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    let answer = exchange.receive(&mut input).expect("readable").expect("whole");
+    assert_eq!((answer.response.status, answer.reusable), (200, true));
+    assert!(exchange.end_of_stream(StreamEnd::Clean).is_err(), "there is one final answer");
+}
+
+#[test]
+fn interim_answers_without_end_fill_no_memory() {
+    let mut exchange = Exchange::new("POST", None, 1_024, 64);
+    for _ in 0..1_000 {
+        let mut input = BytesMut::from("HTTP/1.1 100 Continue\r\n\r\n");
+        assert_eq!(exchange.receive(&mut input), Ok(None));
+    }
+    assert!(exchange.take_interim().len() <= 64);
+}
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -4,6 +4,12 @@
 
 /// Name of the header, on requests and on answers.
 pub const HOP_HEADER: &str = "x-chutecove-hop";
+/// Name of the header on a `100 Continue` that says how many bytes more of an offered body may be
+/// sent. Without it, as sidecars of an earlier version answer, the whole body may.
+pub const GRANT_HEADER: &str = "x-chutecove-grant";
+/// Longest body that is sent without having been offered, bytes: it takes a slow link some
+/// milliseconds, about as long as asking.
+pub const MOST_UNASKED_BYTES: usize = 8 * 1024;
 
 /// What the calling sidecar tells the one beside the upstream. As a header value: seven words
 /// separated by blanks, the last one `-` for any instance.
@@ -69,7 +75,7 @@
 }
 
 /// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
-/// and nine numbers or words separated by blanks; the last two may be missing.
+/// and eleven numbers or words separated by blanks; the last four may be missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// What became of the call.
@@ -92,6 +98,10 @@
     pub failing_percent: u32,
     /// Part of its machine's link that is in use, percent; 0 if that is not known.
     pub link_percent: u32,
+    /// How long a body offered now would wait for its machine's link, milliseconds.
+    pub transfer_wait_ms: u32,
+    /// What its machine's link brings of bodies, bytes a millisecond; 0 if that is not known.
+    pub transfer_bytes_per_ms: u32,
 }
 
 impl HopReply {
@@ -109,7 +119,7 @@
             InstanceState::Left => 'l',
         };
         format!(
-            "{outcome} {} {} {} {} {} {} {state} {} {}",
+            "{outcome} {} {} {} {} {} {} {state} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -117,7 +127,9 @@
             self.spent_ms,
             self.retry_after_ms,
             self.failing_percent,
-            self.link_percent
+            self.link_percent,
+            self.transfer_wait_ms,
+            self.transfer_bytes_per_ms
         )
     }
 
@@ -141,8 +153,9 @@
             _ => return None,
         };
         // Sidecars of an earlier version do not tell these.
-        let failing_percent = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
-        let link_percent = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+        let mut later = || words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+        let (failing_percent, link_percent) = (later(), later());
+        let (transfer_wait_ms, transfer_bytes_per_ms) = (later(), later());
         Some(HopReply {
             outcome,
             running,
@@ -154,6 +167,8 @@
             state,
             failing_percent,
             link_percent,
+            transfer_wait_ms,
+            transfer_bytes_per_ms,
         })
     }
 }
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -15,19 +15,23 @@
         state: InstanceState::Draining,
         failing_percent: 12,
         link_percent: 40,
+        transfer_wait_ms: 75,
+        transfer_bytes_per_ms: 800,
     }
 }
 
 #[test]
 fn a_reply_is_read_as_it_was_written() {
-    expect!["a 3 1 9 120 97 0 d 12 40"].assert_eq(&reply().encode());
+    expect!["a 3 1 9 120 97 0 d 12 40 75 800"].assert_eq(&reply().encode());
     assert_eq!(HopReply::decode(&reply().encode()), Some(reply()));
 }
 
 #[test]
 fn a_reply_of_an_earlier_version_is_read_too() {
-    let former = HopReply { failing_percent: 0, link_percent: 0, ..reply() };
-    assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d"), Some(former));
+    let former = HopReply { transfer_wait_ms: 0, transfer_bytes_per_ms: 0, ..reply() };
+    assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d 12 40"), Some(former));
+    let first = HopReply { failing_percent: 0, link_percent: 0, ..former };
+    assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d"), Some(first));
 }
 
 #[test]
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -1,7 +1,7 @@
 //! What a node believes of one upstream.
 
 use crate::Millis;
-use mesh::{HopReply, InstanceState, NodeAddress, NodeRecord};
+use mesh::{HopReply, InstanceState, NodeAddress, NodeRecord, MOST_UNASKED_BYTES};
 
 /// Names an upstream by the sidecar beside it.
 pub type UpstreamKey = NodeAddress;
@@ -214,6 +214,20 @@
         f64::from(figures.reply.link_percent) / 100.0 * figures.belief(now)
     }
 
+    /// Time that a body of this length takes over its machine's link, the wait for the link
+    /// included, milliseconds; 0 for one that is sent unasked.
+    pub fn transfer_ms(&self, body_bytes: usize, now: Millis) -> f64 {
+        let Some(figures) = self.figures.filter(|_| body_bytes > MOST_UNASKED_BYTES) else {
+            return 0.0;
+        };
+        let reply = figures.reply;
+        if reply.transfer_bytes_per_ms == 0 {
+            return 0.0;
+        }
+        let wait_ms = f64::from(reply.transfer_wait_ms) * figures.belief(now);
+        wait_ms + body_bytes as f64 / f64::from(reply.transfer_bytes_per_ms)
+    }
+
     /// Share of its recent calls that it failed, as it told, 0 to 1; an old word weighs less, so
     /// that it is tried again.
     pub fn failing(&self, now: Millis) -> f64 {
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -31,6 +31,8 @@
     pub usual_ms: f64,
     /// Time left until its answer is worth less, milliseconds.
     pub target_ms: f64,
+    /// Length of its body, bytes.
+    pub body_bytes: usize,
     /// Upstreams that had it or refused it.
     pub tried: &'a [UpstreamKey],
 }
@@ -170,7 +172,11 @@
     request: &Request<'_>,
     now: Millis,
 ) -> f64 {
-    let time_ms = expected_ms + distance.usual_ms() + held.silence_ms(now);
+    let transfer_ms = match distance {
+        Distance::Own => 0.0,
+        _ => held.transfer_ms(request.body_bytes, now),
+    };
+    let time_ms = expected_ms + distance.usual_ms() + transfer_ms + held.silence_ms(now);
     let late = lateness_cost(time_ms / request.target_ms.max(1.0));
     let failing = (held.failing(now) - FAILING_BORNE).max(0.0) * FAILURE_COST;
     // The upstream beside this node needs no link.
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -39,6 +39,8 @@
         state: InstanceState::Ready,
         failing_percent: 0,
         link_percent: 0,
+        transfer_wait_ms: 0,
+        transfer_bytes_per_ms: 0,
     }
 }
 
@@ -62,7 +64,14 @@
     tried: &[NodeAddress],
     now: u64,
 ) -> Option<u8> {
-    let request = Request { service: SERVICE, urgency, usual_ms: 100.0, target_ms: 400.0, tried };
+    let request = Request {
+        service: SERVICE,
+        urgency,
+        usual_ms: 100.0,
+        target_ms: 400.0,
+        body_bytes: 0,
+        tried,
+    };
     let chosen = view.choose(&request, now, &mut fastrand::Rng::with_seed(now));
     chosen.map(|key| key.ip.octets()[3])
 }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -331,7 +331,7 @@
     fn prepared(&self, mut request: Request) -> Request {
         let headers = &mut request.headers;
         headers.remove_connection_headers();
-        for name in [self.names.expect_instance, self.names.deadline_ms, HOP_HEADER] {
+        for name in [self.names.expect_instance, self.names.deadline_ms, HOP_HEADER, "expect"] {
             headers.remove(name);
         }
         headers.set(self.names.caller, self.service.as_bytes());
@@ -357,7 +357,9 @@
         let service = &call.service;
         let urgency = call.urgency();
         let tried = &call.tried;
-        let wanted = placement::Request { service, urgency, usual_ms, target_ms, tried };
+        let body_bytes = call.request.body.len();
+        let wanted =
+            placement::Request { service, urgency, usual_ms, target_ms, body_bytes, tried };
         let most_offers = self.pressure.most_offers(&call.service, now);
         let chosen = match call.tries < most_offers {
             true => self.view.choose(&wanted, now, &mut self.random),
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -2,7 +2,7 @@
 
 use super::call::{trail, Call, EarlyCall, Try};
 use super::{
-    refusal, CallAction, CallId, Calls, Origin, EARLY_WAIT_MS, PARKED_LOOK_MS,
+    refusal, Attempt, CallAction, CallId, Calls, Origin, EARLY_WAIT_MS, PARKED_LOOK_MS,
     UNREADY_RETRY_AFTER_MS,
 };
 use crate::call_metrics::CallOutcome;
@@ -91,6 +91,34 @@
         Some(CallAction::Abort(attempt))
     }
 
+    /// Gives every call its final answer, because the process ends. `was_sent` tells whether a try
+    /// left this process whole; one that did not cannot have run.
+    pub fn end_all(
+        &mut self,
+        was_sent: impl Fn(Attempt) -> bool,
+        retry_after_ms: u64,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        let mut actions = Vec::new();
+        for call in std::mem::take(&mut self.early) {
+            actions.push(self.refuse_stopping(call.origin, &call.request, retry_after_ms));
+        }
+        let ids: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in ids {
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            if call.current.is_some_and(|held| was_sent(held.attempt)) {
+                call.arrivals += 1;
+            }
+            if let Some(aborted) = self.calls.get(&id).and_then(|call| call.current) {
+                actions.push(CallAction::Abort(aborted.attempt));
+            }
+            actions.extend(self.give_up(id, retry_after_ms, now));
+        }
+        actions
+    }
+
     /// Ends the calls whose time is over, and looks again for the parked ones.
     pub fn tick(&mut self, now: Millis) -> Vec<CallAction> {
         let mut actions = Vec::new();
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -3,6 +3,9 @@
 //! Pure: events come in with the time, actions go out. Only this side knows for certain whether a
 //! call was given to the upstream, so it alone says that one was not.
 
+mod offers;
+
+use self::offers::Offers;
 use crate::call_metrics::JobMetrics;
 use crate::calls::Attempt;
 use crate::dialect::HeaderNames;
@@ -65,6 +68,13 @@
     },
     /// Stop what the upstream does for a job.
     Abort(JobId),
+    /// Let a peer send more of the body that it offered.
+    Grant {
+        /// Who offered it.
+        source: Source,
+        /// How many bytes more.
+        bytes: u64,
+    },
     /// Tell what became of a job.
     Reply {
         /// Who waits for it.
@@ -112,6 +122,7 @@
     /// The upstream and whether calls pass.
     pub gate: DrainGate,
     admission: Admission,
+    offers: Offers,
     failures: FailureShare,
     failures_of: Option<String>,
     /// Part of this machine's link that is in use, percent.
@@ -128,6 +139,7 @@
         names: HeaderNames,
         service: &str,
         drain_ms: u64,
+        link_bytes_per_ms: Option<f64>,
         sample: LogSample,
         metrics: JobMetrics,
     ) -> Self {
@@ -138,6 +150,7 @@
             service: service.to_owned(),
             gate: DrainGate::new(drain_ms),
             admission: Admission::new(UNKNOWN_SLOTS),
+            offers: Offers::new(link_bytes_per_ms),
             failures: FailureShare::default(),
             failures_of: None,
             link_percent: 0,
@@ -148,9 +161,15 @@
         }
     }
 
-    /// Jobs without an end.
+    /// Jobs without an end, bodies on their way included.
     pub fn in_flight(&self) -> usize {
-        self.jobs.len()
+        self.jobs.len() + self.offers.len()
+    }
+
+    /// Whether a call was given to the upstream, and has no end yet.
+    pub fn has_started(&self, source: Source) -> bool {
+        let job = self.by_source.get(&source).and_then(|id| self.jobs.get(id));
+        job.is_some_and(|job| job.started.is_some())
     }
 
     /// Share of recent calls that the upstream failed, percent.
@@ -198,6 +217,8 @@
             state,
             failing_percent: self.failures.percent(now),
             link_percent: self.link_percent,
+            transfer_wait_ms: self.offers.wait_ms() as u32,
+            transfer_bytes_per_ms: self.offers.bytes_per_ms() as u32,
         }
     }
 
@@ -218,21 +239,38 @@
         request: Rc<Request>,
         hop: &HopRequest,
         now: Millis,
+    ) -> Vec<JobAction> {
+        let offered_ms = self.offers.end(source, now).unwrap_or(0);
+        let mut actions = self.admit(source, request, hop, offered_ms, now);
+        actions.extend(self.grant(now));
+        actions
+    }
+
+    /// Takes in a call whose head came `offered_ms` ago.
+    fn admit(
+        &mut self,
+        source: Source,
+        request: Rc<Request>,
+        hop: &HopRequest,
+        offered_ms: u64,
+        now: Millis,
     ) -> Vec<JobAction> {
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
         if let Some(reason) = self.mismatch(hop, now) {
-            let refusal = Refusal { id: &attempt_id, reason, held_ms: 0, retry_after_ms: 0 };
+            let id = &attempt_id;
+            let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms: 0 };
             return vec![self.refuse(source, refusal, now)];
         }
         let job = self.next_job;
         self.next_job += 1;
-        let deadline = now + hop.deadline_ms;
+        let deadline = now + hop.deadline_ms.saturating_sub(offered_ms);
         let (rank, target_ms, patience_ms) = (hop.rank, hop.target_ms, hop.patience_ms);
         let ticket = Ticket { job, rank, target_ms, patience_ms, deadline };
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
             let id = &attempt_id;
-            let refusal = Refusal { id, reason: "no_room", held_ms: 0, retry_after_ms };
+            let reason = "no_room";
+            let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms };
             return vec![self.refuse(source, refusal, now)];
         }
         let entry = Job { source, request, attempt_id, deadline, arrived: now, started: None };
@@ -248,7 +286,10 @@
     pub fn close(&mut self, now: Millis) -> Vec<JobAction> {
         self.closed = true;
         let waiting = self.admission.clear();
-        waiting.into_iter().filter_map(|id| self.refuse_waiting(id, "stopping", now)).collect()
+        let mut actions: Vec<JobAction> =
+            waiting.into_iter().filter_map(|id| self.refuse_waiting(id, "stopping", now)).collect();
+        actions.extend(self.refuse_offers("stopping", now));
+        actions
     }
 
     fn mismatch(&self, hop: &HopRequest, now: Millis) -> Option<&'static str> {
@@ -276,6 +317,8 @@
         let left = job.deadline.saturating_sub(now).max(1);
         let mut request = (*job.request).clone();
         request.headers.remove(HOP_HEADER);
+        // What it asks for was answered between the two sidecars.
+        request.headers.remove("expect");
         request.headers.set(self.names.deadline_ms, left.to_string());
         if let Some(instance) = instance {
             request.headers.set(self.names.expect_instance, instance);
@@ -375,6 +418,9 @@
 
     /// Nobody waits for a job any more.
     pub fn cancel(&mut self, source: Source, now: Millis) -> Vec<JobAction> {
+        if self.offers.end(source, now).is_some() {
+            return self.grant(now);
+        }
         let Some(id) = self.by_source.get(&source).copied() else {
             return Vec::new();
         };
@@ -396,8 +442,8 @@
     pub fn connection_ended(&mut self, connection: ConnectionId, now: Millis) -> Vec<JobAction> {
         let first = Source::Peer { connection, slot: 0 };
         let last = Source::Peer { connection, slot: Slot::MAX };
-        let sources: Vec<Source> =
-            self.by_source.range(first..=last).map(|(source, _)| *source).collect();
+        let begun = self.by_source.range(first..=last).map(|(source, _)| *source);
+        let sources: Vec<Source> = begun.chain(self.offers.of(connection)).collect();
         sources.into_iter().flat_map(|source| self.cancel(source, now)).collect()
     }
 
@@ -415,14 +461,17 @@
             actions.extend(self.ended(id, UpstreamEnd::Failed(ExchangeError::NoAnswer), now));
         }
         actions.extend(self.start_waiting(now));
+        actions.extend(self.expire_offers(now));
+        actions.extend(self.grant(now));
         actions
     }
 
     /// When `tick` has something to do.
-    pub fn next_tick(&self) -> Option<Millis> {
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let overdue = running.map(|job| job.deadline + OVERTIME_MS).min();
-        overdue.into_iter().chain(self.admission.next_expiry()).min()
+        let offers = self.offers.next_expiry(now);
+        overdue.into_iter().chain(self.admission.next_expiry()).chain(offers).min()
     }
 }
 
--- a/crates/sidecar/src/link_meter.rs
+++ b/crates/sidecar/src/link_meter.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// What the link carries each way, as told; `None` if that is not known.
+    pub fn bytes_per_ms(&self) -> Option<f64> {
+        self.bytes_per_ms
+    }
+
     /// Notes bytes that came from other machines.
     pub fn received(&mut self, bytes: usize, now: Millis) {
         self.received.note(bytes, now);
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Whether anything waits for a socket to take it.
+    pub fn has_unsent(&self) -> bool {
+        self.connections.iter().any(|(_, connection)| !connection.output.is_empty())
+    }
+
     /// Closes a connection at once.
     pub fn close(&mut self, id: ConnectionId) {
         if self.get_mut(id).is_none() {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -2,9 +2,11 @@
 
 use crate::net::{ConnectionId, Net, NetEvent};
 use crate::Millis;
-use http1::{Answer, Exchange, ExchangeError, ExpectedId, StreamEnd};
+use http1::{Answer, Exchange, ExchangeError, ExpectedId, Request, StreamEnd};
+use mesh::GRANT_HEADER;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Longest time for opening a connection, milliseconds.
 const OPEN_LIMIT_MS: u64 = 350;
@@ -14,7 +16,7 @@
 /// How an asked request ended.
 #[derive(Debug)]
 pub enum PoolEnd {
-    /// No byte of it was sent.
+    /// It was not sent whole, so it cannot have run.
     NotSent,
     /// A whole answer.
     Answered(Answer),
@@ -27,8 +29,10 @@
 pub struct Asked {
     /// Method, which decides how the answer is framed.
     pub method: String,
-    /// The whole request as bytes.
+    /// The whole request as bytes, or its head if its body is offered.
     pub bytes: Vec<u8>,
+    /// The request whose body is offered: sent as the other side grants it.
+    pub offered: Option<Rc<Request>>,
     /// Id that its answer carries.
     pub expected: Option<ExpectedId>,
 }
@@ -36,10 +40,17 @@
 #[derive(Debug)]
 enum State {
     Opening { asked: Asked, since: Millis },
-    Busy { exchange: Exchange },
+    Busy { exchange: Exchange, unsent: Option<Unsent> },
     Idle { since: Millis },
 }
 
+/// A body that is offered and not sent whole.
+#[derive(Debug)]
+struct Unsent {
+    request: Rc<Request>,
+    sent: usize,
+}
+
 #[derive(Debug)]
 struct Held<K> {
     address: SocketAddr,
@@ -77,8 +88,7 @@
         now: Millis,
     ) -> Option<PoolEnd> {
         if let Some(id) = self.take_idle(net, address) {
-            let exchange = send(net, id, asked);
-            let state = State::Busy { exchange };
+            let state = send(net, id, asked);
             self.connections.insert(id, Held { address, key: Some(key), state });
             self.by_key.insert(key, id);
             return None;
@@ -119,6 +129,12 @@
         }
     }
 
+    /// Whether a request was sent whole, so that it may have run.
+    pub fn was_sent(&self, key: K) -> bool {
+        let held = self.by_key.get(&key).and_then(|id| self.connections.get(id));
+        held.is_some_and(|held| matches!(held.state, State::Busy { unsent: None, .. }))
+    }
+
     /// Takes in an event of one of its connections.
     pub fn on_event(
         &mut self,
@@ -149,24 +165,29 @@
         };
         let former = std::mem::replace(&mut held.state, State::Idle { since: 0 });
         if let State::Opening { asked, .. } = former {
-            held.state = State::Busy { exchange: send(net, id, asked) };
+            held.state = send(net, id, asked);
         }
     }
 
     fn received(&mut self, net: &mut Net, id: ConnectionId, now: Millis) -> Option<(K, PoolEnd)> {
         let held = self.connections.get_mut(&id)?;
-        let State::Busy { exchange } = &mut held.state else {
+        let State::Busy { exchange, unsent } = &mut held.state else {
             // Nothing was asked.
             self.drop_connection(net, id);
             return None;
         };
         let input = net.input(id)?;
         match exchange.receive(input) {
-            Ok(None) => None,
+            Ok(None) => {
+                send_granted(net, id, exchange, unsent);
+                None
+            }
             Ok(Some(answer)) => {
+                // Of a body that was not wanted, nothing may have been sent.
+                let framed = unsent.as_ref().is_none_or(|body| body.sent == 0);
                 let key = held.key.take()?;
                 self.by_key.remove(&key);
-                if answer.reusable {
+                if answer.reusable && framed {
                     held.state = State::Idle { since: now };
                     self.idle.entry(held.address).or_default().push(id);
                     net.trim(id);
@@ -197,7 +218,7 @@
                 self.drop_connection(net, id);
                 Some((key, PoolEnd::NotSent))
             }
-            State::Busy { exchange } => match exchange.end_of_stream(end) {
+            State::Busy { exchange, .. } => match exchange.end_of_stream(end) {
                 Ok(answer) => {
                     let key = held.key.take()?;
                     self.by_key.remove(&key);
@@ -215,10 +236,12 @@
         id: ConnectionId,
         error: ExchangeError,
     ) -> Option<(K, PoolEnd)> {
-        let key = self.connections.get_mut(&id)?.key.take()?;
+        let held = self.connections.get_mut(&id)?;
+        let key = held.key.take()?;
+        let whole = !matches!(held.state, State::Busy { unsent: Some(_), .. });
         self.by_key.remove(&key);
         self.drop_connection(net, id);
-        Some((key, PoolEnd::Failed(error)))
+        Some((key, if whole { PoolEnd::Failed(error) } else { PoolEnd::NotSent }))
     }
 
     fn drop_connection(&mut self, net: &mut Net, id: ConnectionId) {
@@ -252,7 +275,34 @@
     }
 }
 
-fn send(net: &mut Net, id: ConnectionId, asked: Asked) -> Exchange {
+/// Sends what is asked, but for a body that is only offered.
+fn send(net: &mut Net, id: ConnectionId, asked: Asked) -> State {
     net.send(id, &asked.bytes);
-    Exchange::new(&asked.method, asked.expected, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES)
+    let Asked { method, expected, offered, .. } = asked;
+    let exchange = Exchange::new(&method, expected, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES);
+    let unsent = offered.map(|request| Unsent { request, sent: 0 });
+    State::Busy { exchange, unsent }
+}
+
+/// Sends as much of an offered body as the other side granted meanwhile.
+fn send_granted(
+    net: &mut Net,
+    id: ConnectionId,
+    exchange: &mut Exchange,
+    unsent: &mut Option<Unsent>,
+) {
+    for interim in exchange.take_interim() {
+        let Some(Unsent { request, sent }) = unsent else {
+            return;
+        };
+        let left = &request.body[*sent..];
+        // Sidecars of an earlier version want the whole body.
+        let granted = interim.number(GRANT_HEADER).map_or(left.len(), |bytes| bytes as usize);
+        let piece = &left[..granted.min(left.len())];
+        net.send(id, piece);
+        *sent += piece.len();
+        if *sent == request.body.len() {
+            *unsent = None;
+        }
+    }
 }
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -9,8 +9,11 @@
 use crate::servers::ServerKind;
 use crate::{Attempt, Millis};
 use admission::JobId;
-use http1::{write_request, ExpectedId, Headers, Request, Response, ServerLimits, Slot};
-use mesh::{HopReply, HopRequest, HOP_HEADER};
+use http1::{
+    write_request, write_request_head, BodyLength, ExpectedId, Headers, Offer, Request, Response,
+    ServerLimits, Slot,
+};
+use mesh::{HopReply, HopRequest, HOP_HEADER, MOST_UNASKED_BYTES};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -73,6 +76,9 @@
     pub(super) fn take_requests(&mut self, kind: ServerKind, id: ConnectionId, now: Millis) {
         let limits = self.server_limits(kind);
         let requests = self.servers.received(&mut self.net, id, limits, now);
+        if kind == ServerKind::Peer {
+            self.on_offer(id, now);
+        }
         for (slot, request) in requests {
             match kind {
                 ServerKind::Caller => {
@@ -102,13 +108,36 @@
         }
     }
 
+    /// Takes in the offer of a peer, or what came of the body.
+    fn on_offer(&mut self, id: ConnectionId, now: Millis) {
+        let bytes = self.servers.body_bytes(id);
+        let mut actions = self.jobs.body_arrived(id, bytes, now);
+        if let Some(Offer { slot, head }) = self.servers.offer(id) {
+            let hop = head.headers.text(HOP_HEADER).and_then(HopRequest::decode);
+            let BodyLength::Known(bytes) = head.length else {
+                return;
+            };
+            if let Some(hop) = hop {
+                let attempt_id = head.headers.text(self.names.attempt_id).unwrap_or("-");
+                let source = Source::Peer { connection: id, slot };
+                actions.extend(self.jobs.offer(source, attempt_id, &hop, bytes, now));
+            }
+        }
+        self.work.extend(actions.into_iter().map(Work::Job));
+    }
+
     pub(super) fn server_limits(&self, kind: ServerKind) -> ServerLimits {
         match kind {
             ServerKind::Caller => ServerLimits {
                 header_bytes: self.config.limits().header_bytes as usize,
                 body_bytes: u64::from(self.config.limits().body_bytes),
+                holds_offers: false,
+            },
+            _ => ServerLimits {
+                header_bytes: OWN_HEADER_BYTES,
+                body_bytes: OWN_BODY_BYTES,
+                holds_offers: kind == ServerKind::Peer,
             },
-            _ => ServerLimits { header_bytes: OWN_HEADER_BYTES, body_bytes: OWN_BODY_BYTES },
         }
     }
 
@@ -150,7 +179,10 @@
             CallAction::Send { attempt, to, request, hop } => {
                 let mut headers = request.headers.clone();
                 headers.push(HOP_HEADER, hop.encode());
-                let asked = self.asked(&request, &headers);
+                let asked = match request.body.len() > MOST_UNASKED_BYTES {
+                    true => self.offered(request, headers),
+                    false => self.asked(&request, &headers),
+                };
                 let address = SocketAddr::from(to);
                 if let Some(end) = self.peers.ask(&mut self.net, address, attempt, asked, now) {
                     self.peer_ended(attempt, end, now);
@@ -172,10 +204,23 @@
     pub(super) fn asked(&self, request: &Request, headers: &Headers) -> Asked {
         let mut bytes = Vec::with_capacity(request.body.len() + 512);
         write_request(&mut bytes, &request.method, &request.target, headers, &request.body);
-        let id = request.headers.get(self.names.attempt_id);
-        let header = self.names.attempt_id.to_owned();
-        let expected = id.map(|value| ExpectedId { header, value: value.to_vec() });
-        Asked { method: request.method.clone(), bytes, expected }
+        let expected = self.expected_id(request);
+        Asked { method: request.method.clone(), bytes, offered: None, expected }
+    }
+
+    /// A request whose body is sent as the other side grants it.
+    fn offered(&self, request: Rc<Request>, mut headers: Headers) -> Asked {
+        headers.set("expect", "100-continue");
+        let Request { method, target, body, .. } = &*request;
+        let mut bytes = Vec::new();
+        write_request_head(&mut bytes, method, target, &headers, body.len());
+        let expected = self.expected_id(&request);
+        Asked { method: method.clone(), bytes, expected, offered: Some(request) }
+    }
+
+    fn expected_id(&self, request: &Request) -> Option<ExpectedId> {
+        let id = request.headers.get(self.names.attempt_id)?;
+        Some(ExpectedId { header: self.names.attempt_id.to_owned(), value: id.to_vec() })
     }
 
     pub(super) fn do_job_action(&mut self, action: JobAction, now: Millis) {
@@ -189,6 +234,11 @@
                 }
             }
             JobAction::Abort(job) => self.upstream.abort(&mut self.net, job),
+            JobAction::Grant { source: Source::Peer { connection, slot }, bytes } => {
+                self.servers.allow(&mut self.net, connection, slot, bytes);
+            }
+            // A call of this machine has its body here.
+            JobAction::Grant { source: Source::Local(_), .. } => {}
             JobAction::Reply { source: Source::Local(attempt), reply, response } => {
                 let end = AttemptEnd::Replied(reply, response);
                 let actions = self.calls.ended(attempt, end, now);
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -7,7 +7,7 @@
 use crate::calls::{CallAction, Calls};
 use crate::config::Config;
 use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
-use crate::jobs::{JobAction, Jobs};
+use crate::jobs::{JobAction, Jobs, Source};
 use crate::link_meter::LinkMeter;
 use crate::links::{LinkEvent, Links};
 use crate::metrics::{Metrics, Snapshot};
@@ -173,10 +173,17 @@
             seed,
         );
         let job_metrics = JobMetrics::new(&registry);
-        let jobs = Jobs::new(names, &settings.service, settings.drain_ms, sample, job_metrics);
+        let link = LinkMeter::new(settings.link_mbps);
+        let jobs = Jobs::new(
+            names,
+            &settings.service,
+            settings.drain_ms,
+            link.bytes_per_ms(),
+            sample,
+            job_metrics,
+        );
         info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
         warn!("connections between processes are plain: settings say plain_transport");
-        let link = LinkMeter::new(settings.link_mbps);
         Ok(Sidecar {
             stop: StopPlan::new(settings.stop_ms),
             settings_modified: modified(settings_path.as_ref()),
@@ -248,7 +255,7 @@
         let now = self.now();
         let dues = [
             self.calls.next_tick(now),
-            self.jobs.next_tick(),
+            self.jobs.next_tick(now),
             self.registrar.next_tick(),
             Some(self.next_housekeeping),
         ];
@@ -384,8 +391,32 @@
             self.close_to_peers(now);
         }
         let in_flight = self.calls.in_flight() + self.jobs.in_flight();
-        let activity = Activity { in_flight, last_request: self.last_request };
-        self.stop.phase(activity, now) == StopPhase::Over
+        let unsent = self.net.has_unsent();
+        let activity = Activity { in_flight, last_request: self.last_request, unsent };
+        match self.stop.phase(activity, now) {
+            StopPhase::Running | StopPhase::Serving | StopPhase::Refusing => false,
+            StopPhase::Ending => {
+                self.end_calls(now);
+                false
+            }
+            StopPhase::Over => true,
+        }
+    }
+
+    /// Gives what is left its final answer, shortly before the process ends.
+    fn end_calls(&mut self, now: Millis) {
+        if self.calls.in_flight() == 0 {
+            return;
+        }
+        let (running, queued) = self.jobs.load();
+        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_ends_calls");
+        let (peers, jobs) = (&self.peers, &self.jobs);
+        let was_sent =
+            |attempt| peers.was_sent(attempt) || jobs.has_started(Source::Local(attempt));
+        let actions = self.calls.end_all(was_sent, self.stop.retry_after_ms(), now);
+        self.work.extend(actions.into_iter().map(Work::Call));
+        self.servers.end_reading(&mut self.net);
+        self.do_work();
     }
 }
 
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -3,7 +3,8 @@
 
 use crate::net::{ConnectionId, Net};
 use crate::Millis;
-use http1::{Request, Response, ServerConnection, ServerLimits, Slot};
+use http1::{Offer, Request, Response, ServerConnection, ServerLimits, Slot};
+use mesh::GRANT_HEADER;
 use std::collections::BTreeMap;
 
 /// Whose connection it is.
@@ -100,6 +101,26 @@
         }
     }
 
+    /// The request on a connection whose body is offered and not granted yet.
+    pub fn offer(&self, id: ConnectionId) -> Option<Offer<'_>> {
+        self.connections.get(&id)?.core.offer()
+    }
+
+    /// Bytes of the body that is being read on a connection.
+    pub fn body_bytes(&self, id: ConnectionId) -> u64 {
+        self.connections.get(&id).map_or(0, |held| held.core.body_bytes())
+    }
+
+    /// Lets the other side send so many bytes more of the body that it offered.
+    pub fn allow(&mut self, net: &mut Net, id: ConnectionId, slot: Slot, bytes: u64) {
+        let Some(held) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let mut output = Vec::new();
+        held.core.allow(slot, GRANT_HEADER, bytes, &mut output);
+        net.send(id, &output);
+    }
+
     /// Answers a request; `close` ends the connection after it. Requests that were held back
     /// behind it are returned.
     pub fn answer(
@@ -150,19 +171,36 @@
             }
         }
         for id in slow {
-            let Some(held) = self.connections.get_mut(&id) else { continue };
-            held.reading_since = None;
-            let mut output = Vec::new();
-            let over = held.core.time_out(&mut output);
-            net.send(id, &output);
-            if over {
-                self.connections.remove(&id);
-                net.finish(id);
-            }
+            self.time_out(net, id);
         }
         for id in idle {
             self.connections.remove(&id);
             net.finish(id);
         }
     }
+
+    /// Answers the requests of callers that are not here whole.
+    pub fn end_reading(&mut self, net: &mut Net) {
+        let reading = |held: &Held| held.kind == ServerKind::Caller && held.reading_since.is_some();
+        let found = self.connections.iter().filter(|(_, held)| reading(held));
+        let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.time_out(net, id);
+        }
+    }
+
+    /// Answers a request that is not here whole with 408; nothing more is read.
+    fn time_out(&mut self, net: &mut Net, id: ConnectionId) {
+        let Some(held) = self.connections.get_mut(&id) else {
+            return;
+        };
+        held.reading_since = None;
+        let mut output = Vec::new();
+        let over = held.core.time_out(&mut output);
+        net.send(id, &output);
+        if over {
+            self.connections.remove(&id);
+            net.finish(id);
+        }
+    }
 }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -3,7 +3,8 @@
 //! Callers notice a stop only after two looks at the readiness, and some have nowhere else to go.
 //! So for a while everything is served as before, peers' calls to the upstream beside included;
 //! then peers are told, new calls are refused with a promise while those that run are finished,
-//! and the process ends as soon as none is left.
+//! and the process ends as soon as none is left. Shortly before its limit it gives every call that
+//! is left its final answer: none is cut without one.
 
 use crate::Millis;
 
@@ -13,8 +14,13 @@
 const NOTICE_MS: u64 = 2_200;
 /// Without a request for this long, all callers have gone.
 const QUIET_MS: u64 = 400;
-/// A planned stop ends this much before its limit.
-const MARGIN_MS: u64 = 500;
+/// Part of the limit, at its end, in which calls that are left get their final answer: upstreams
+/// that are still at work then would not be done in time.
+const ENDING_PART: u64 = 12;
+/// Longest and shortest such time, milliseconds: answers must still go out in it.
+const ENDING_MS: std::ops::RangeInclusive<u64> = 100..=500;
+/// Part of that time that is left for the process to end.
+const LEAVING_PART: u64 = 2;
 /// When a caller that was refused should come back: about when the next life is ready, ms.
 const RETURN_MS: u64 = 1_500;
 
@@ -27,6 +33,8 @@
     Serving,
     /// New calls are refused; those that run are finished.
     Refusing,
+    /// Calls that are left get their final answer, which goes out.
+    Ending,
     /// The process ends.
     Over,
 }
@@ -38,6 +46,8 @@
     pub in_flight: usize,
     /// When the last request came.
     pub last_request: Millis,
+    /// Whether answers are not out yet.
+    pub unsent: bool,
 }
 
 /// The plan of one process.
@@ -80,12 +90,18 @@
         let Some(since) = self.since else {
             return StopPhase::Running;
         };
-        if now + MARGIN_MS >= since + self.limit_ms {
+        let limit = since + self.limit_ms;
+        let ending_ms = (self.limit_ms / ENDING_PART).clamp(*ENDING_MS.start(), *ENDING_MS.end());
+        if now + ending_ms / LEAVING_PART >= limit {
             return StopPhase::Over;
         }
+        if now + ending_ms >= limit {
+            let answered = activity.in_flight == 0 && !activity.unsent;
+            return if answered { StopPhase::Over } else { StopPhase::Ending };
+        }
         let refuses = self.refuses(now);
         let quiet = now >= activity.last_request + QUIET_MS && now >= since + NOTICE_MS;
-        if activity.in_flight == 0 && (quiet || refuses) {
+        if activity.in_flight == 0 && !activity.unsent && (quiet || refuses) {
             return StopPhase::Over;
         }
         if refuses {
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -307,3 +307,30 @@
         chutecove_sidecar_calls_ended_total{route="unsafe",outcome="upstream_failed"} 1"#]]
     .assert_eq(&lines.join("\n"));
 }
+
+#[test]
+fn a_process_that_ends_gives_every_call_its_answer() {
+    // What became of the try, and what the caller gets.
+    type Row = (&'static str, &'static str, bool, u16);
+    let rows: [Row; 4] = [
+        ("sent whole, unsafe", "/unsafe/1", true, 502),
+        ("sent whole, safe", "/safe/1", true, 502),
+        ("its body waits for a grant", "/unsafe/1", false, 503),
+        ("being opened", "/safe/1", false, 503),
+    ];
+    for (name, path, was_sent, expected) in rows {
+        let mut world = World::with_upstreams(2);
+        let (attempt, _) = sent(&world.begin("POST", path)).expect("placed");
+        let actions = world.calls.end_all(|other| was_sent && other == attempt, 1_500, world.now);
+        assert_eq!(status(&actions), Some(expected), "{name}");
+        assert_eq!(retry_after_ms(&actions).is_some(), expected == 503, "{name}");
+        assert!(actions.iter().any(|action| matches!(action, CallAction::Abort(_))), "{name}");
+        assert_eq!(world.calls.in_flight(), 0, "{name}");
+        assert!(world.calls.ended(attempt, AttemptEnd::Lost, world.now).is_empty(), "{name}");
+    }
+    let mut world = World::unconfigured();
+    world.begin("GET", "/safe/1");
+    let actions = world.calls.end_all(|_| false, 1_500, world.now);
+    assert_eq!(status(&actions), Some(503), "it came before the first configuration");
+    assert_eq!(world.calls.in_flight(), 0);
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -212,6 +212,8 @@
         state: InstanceState::Ready,
         failing_percent: 0,
         link_percent: 0,
+        transfer_wait_ms: 0,
+        transfer_bytes_per_ms: 0,
     }
 }
 
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -137,7 +137,7 @@
 
 fn inbound(story: impl FnOnce(&mut Jobs)) -> String {
     let metrics = JobMetrics::new(&Registry::default());
-    let mut jobs = Jobs::new(NAMES, SERVICE, 2_000, LogSample::new(1), metrics);
+    let mut jobs = Jobs::new(NAMES, SERVICE, 2_000, None, LogSample::new(1), metrics);
     let id = "i-1".to_owned();
     let state = InstanceState::Ready;
     let record = InstanceRecord { id, state, slots: 1, cold_remaining_ms: 0 };
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -22,6 +22,7 @@
         NAMES,
         SERVICE,
         DRAIN_MS,
+        None,
         LogSample::new(1),
         JobMetrics::new(&Registry::default()),
     );
@@ -187,7 +188,7 @@
                 match action {
                     JobAction::Run { job, .. } => running.push(*job),
                     JobAction::Abort(job) => running.retain(|held| held != job),
-                    JobAction::Reply { .. } => {}
+                    JobAction::Reply { .. } | JobAction::Grant { .. } => {}
                 }
             }
             assert!(running.len() as u32 <= SLOTS, "seed {seed}");
