A replica without room on its disk stands still in place of ending; logs are written out at an end

The line that says why was lost: the process ended while it waited in the log's buffer.

Change: a write without room is no end. The store cuts off what it wrote of the record, and the replica stands still as one that was frozen: it sends, promises and leads nothing, refuses orders and reads at once, and saves the same again until there is room; sidecars linked to it are served on. Gauge `storage_full`, lines `storage_full` and `storage_has_room`. A failed sync, and any other error, ends the process as before: what is on the disk is not known then.

Ruled out: memory, a damaged log, the stop (no SIGTERM there).

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
-use storage::{DiskStore, StorageError};
+use storage::{DiskStore, LogStore, Recovered, StorageError};
 use verdict::Verdict;
 
 /// Fixed parameters of one replica of one group.
@@ -82,6 +82,8 @@
     pub quorum_contact: Option<Instant>,
     /// How far each peer's log is known to match, when leading.
     pub matched: BTreeMap<u64, u64>,
+    /// Whether its store has no room: it takes part in nothing until there is some.
+    pub storage_full: bool,
 }
 
 /// The state machine with the group's status.
@@ -135,6 +137,16 @@
             data: Vec::new(),
         };
         let (store, recovered) = DiskStore::open(&parameters.folder, initial)?;
+        Self::start_on(store, recovered, parameters, send)
+    }
+
+    /// Starts the replica's thread on a store that was recovered.
+    pub fn start_on<S: LogStore + Send + 'static>(
+        store: S,
+        recovered: Recovered,
+        parameters: ReplicaParameters,
+        send: impl Fn(Message) + Send + 'static,
+    ) -> Result<Self, StorageError> {
         let machine = decode_machine::<M>(&recovered.snapshot, &parameters)?;
         let raft = Raft::new(
             parameters.consensus.clone(),
@@ -150,6 +162,7 @@
             membership: raft.membership().clone(),
             quorum_contact: None,
             matched: BTreeMap::new(),
+            storage_full: false,
         };
         let published = Arc::new(Mutex::new(Published { machine, status }));
         let changed = Arc::new(Condvar::new());
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Instant;
-use storage::{DiskStore, LogStore, StorageError};
+use storage::{LogStore, StorageError};
 use tracing::{error, info};
 use verdict::Verdict;
 
@@ -18,9 +18,12 @@
 const EXIT_DISK_FAILED: i32 = 74;
 
 /// One replica's thread: the core, its store, and who waits for what.
-pub(super) struct Driver<M: StateMachine> {
+pub(super) struct Driver<M: StateMachine, S: LogStore> {
     raft: Raft,
-    store: DiskStore,
+    store: S,
+    /// What the store had no room for; while there is any, this replica stands still.
+    unsaved: Option<Ready>,
+    full_since: Option<Instant>,
     parameters: ReplicaParameters,
     published: Arc<Mutex<Published<M>>>,
     changed: Arc<Condvar>,
@@ -40,11 +43,11 @@
     Membership(Reply<u64>),
 }
 
-impl<M: StateMachine> Driver<M> {
+impl<M: StateMachine, S: LogStore> Driver<M, S> {
     /// A driver that has not begun yet.
     pub fn new(
         raft: Raft,
-        store: DiskStore,
+        store: S,
         parameters: ReplicaParameters,
         published: Arc<Mutex<Published<M>>>,
         changed: Arc<Condvar>,
@@ -53,6 +56,8 @@
         Driver {
             raft,
             store,
+            unsaved: None,
+            full_since: None,
             parameters,
             published,
             changed,
@@ -82,19 +87,29 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             if Instant::now() >= next_tick {
-                self.raft.tick();
+                if self.unsaved.is_none() {
+                    self.raft.tick();
+                }
                 // After a pause of the process one tick passes, not all that were missed: an
                 // election must wait for messages that are already in the socket buffers.
                 next_tick = Instant::now() + self.parameters.tick;
             }
-            if let Err(failure) = self.work() {
-                error!(group = %self.parameters.group, error = %failure, "storage_failed");
-                std::process::exit(EXIT_DISK_FAILED);
+            match self.work() {
+                Ok(()) => {}
+                Err(failure) if failure.is_full() => continue,
+                Err(failure) => {
+                    error!(group = %self.parameters.group, error = %failure, "storage_failed");
+                    telemetry::exit_after_logs(EXIT_DISK_FAILED);
+                }
             }
         }
     }
 
     fn take(&mut self, input: Input<M>) {
+        if self.unsaved.is_some() {
+            refuse_input(input);
+            return;
+        }
         match input {
             Input::Message(message) => self.raft.step(message),
             Input::Propose(command, reply) => self.propose(&command, reply),
@@ -160,9 +175,12 @@
 
     /// Saves, sends and applies until the core has nothing more to hand over.
     fn work(&mut self) -> Result<(), StorageError> {
-        while self.raft.has_ready() {
-            let ready = self.raft.ready();
-            self.save(&ready)?;
+        while let Some(ready) = self.next_ready() {
+            if let Err(failure) = self.save(&ready) {
+                self.stand_still(ready, &failure);
+                return Err(failure);
+            }
+            self.go_on();
             for message in &ready.messages {
                 (self.send)(message.clone());
             }
@@ -176,6 +194,43 @@
         Ok(())
     }
 
+    /// What the core hands over next; what could not be saved comes first.
+    fn next_ready(&mut self) -> Option<Ready> {
+        if let Some(ready) = self.unsaved.take() {
+            return Some(ready);
+        }
+        self.raft.has_ready().then(|| self.raft.ready())
+    }
+
+    /// Without room for what the core handed over, nothing may be sent or promised: to the others
+    /// this replica is one that was frozen.
+    fn stand_still(&mut self, ready: Ready, failure: &StorageError) {
+        self.unsaved = Some(ready);
+        if self.full_since.is_some() {
+            return;
+        }
+        self.full_since = Some(Instant::now());
+        error!(group = %self.parameters.group, error = %failure, "storage_full");
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+        published.status.storage_full = true;
+        published.status.is_leader = false;
+        published.status.leader = None;
+        published.status.quorum_contact = None;
+        drop(published);
+        self.changed.notify_all();
+    }
+
+    /// Notes that what the core handed over was saved.
+    fn go_on(&mut self) {
+        let Some(since) = self.full_since.take() else {
+            return;
+        };
+        let paused_ms = since.elapsed().as_millis() as u64;
+        info!(group = %self.parameters.group, paused_ms, "storage_has_room");
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+        published.status.storage_full = false;
+    }
+
     fn save(&mut self, ready: &Ready) -> Result<(), StorageError> {
         if !ready.must_save() {
             return Ok(());
@@ -324,6 +379,24 @@
     }
 }
 
+/// Answers what is asked of a replica that stands still. Messages of peers are dropped, as by one
+/// that is frozen.
+fn refuse_input<M: StateMachine>(input: Input<M>) {
+    let refusal = RequestError::NotLeader { leader: None };
+    match input {
+        Input::Message(_) => {}
+        Input::Propose(_, reply) => {
+            let _ = reply.try_send(Err(refusal));
+        }
+        Input::Read(reply) | Input::ChangeMembership(_, reply) => {
+            let _ = reply.try_send(Err(refusal));
+        }
+        Input::TransferLeadership(done) => {
+            let _ = done.try_send(());
+        }
+    }
+}
+
 fn refuse<M: StateMachine>(proposal: Proposal<M>, error: RequestError) {
     match proposal {
         Proposal::Command(reply) => {
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -150,6 +150,7 @@
         leads: registry.gauge("consensus_leads", "Whether this member leads, 0 or 1"),
         members: registry.gauge("consensus_members", "Members of the group"),
         generation: registry.gauge("config_generation", "Newest generation accepted"),
+        storage_full: registry.gauge("storage_full", "Whether the disk has no room, 0 or 1"),
         nodes: registry.gauge("registry_nodes", "Sidecars whose lease holds"),
     };
     let (for_ready, for_loop, hub) = (group.clone(), group.clone(), hub.clone());
@@ -173,6 +174,7 @@
     leads: Gauge,
     members: Gauge,
     generation: Gauge,
+    storage_full: Gauge,
     nodes: Gauge,
 }
 
@@ -181,6 +183,7 @@
         let published = group.replica.lock();
         self.term.set(published.status.term as i64);
         self.leads.set(i64::from(published.status.is_leader));
+        self.storage_full.set(i64::from(published.status.storage_full));
         self.members.set(published.status.membership.members().count() as i64);
         self.generation.set(published.machine.0.newest_generation() as i64);
         drop(published);
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -264,7 +264,12 @@
         let record = Record { hard_state, entries: entries.to_vec() };
         let bytes = encode_record(&record);
         let path = self.folder.join(format!("{LOG_PREFIX}{}", self.sequence));
-        self.log.write_all(&bytes).context(IoSnafu { action: "write", path: &path })?;
+        if let Err(source) = self.log.write_all(&bytes) {
+            // What was written of the record must not stand in front of the next one.
+            let cut = self.log.set_len(self.log_bytes);
+            cut.context(IoSnafu { action: "truncate", path: &path })?;
+            return Err(source).context(IoSnafu { action: "write", path: &path });
+        }
         self.log.sync_data().context(IoSnafu { action: "sync", path: &path })?;
         self.log_bytes += bytes.len() as u64;
         Ok(())
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -16,6 +16,7 @@
 
 use consensus::{Entry, HardState, Snapshot};
 use snafu::Snafu;
+use std::io::ErrorKind;
 use std::path::PathBuf;
 
 /// What recovery found.
@@ -29,7 +30,7 @@
     pub entries: Vec<Entry>,
 }
 
-/// Errors of the store; all are fatal to the member that meets them.
+/// Errors of the store; all but [`StorageError::is_full`] are fatal to the member that meets them.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StorageError {
@@ -84,9 +85,22 @@
     },
 }
 
+impl StorageError {
+    /// Whether there was no room for a write. Nothing of it is kept, and it may be tried again;
+    /// every other error leaves open what is on the disk.
+    pub fn is_full(&self) -> bool {
+        match self {
+            Self::Io { action: "write", source, .. } => {
+                matches!(source.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// Durable storage of one member.
 pub trait LogStore {
-    /// Saves and syncs; entries at or below the stored last index replace the stored tail.
+    /// Saves and syncs, or keeps nothing of it when the store is full; entries at or below the stored last index replace the stored tail.
     fn save(
         &mut self,
         hard_state: Option<HardState>,
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -10,7 +10,8 @@
 pub use bounded::BoundedWriter;
 pub use clock::Clock;
 pub use logging::{
-    init_logging, init_logging_to_stdout, parse_level, UnknownLevel, LINES_PER_SECOND,
+    exit_after_logs, init_logging, init_logging_to_stdout, parse_level, LogGuard, UnknownLevel,
+    LINES_PER_SECOND,
 };
 pub use metrics::{
     CallCounters, CallLabels, Counter, Gauge, Histogram, MetricsServer, MetricsServerError,
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -2,6 +2,7 @@
 
 use crate::BoundedWriter;
 use std::fmt;
+use std::sync::{Mutex, PoisonError};
 use tracing::field::{Field, Visit};
 use tracing::{Event, Level, Subscriber};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -15,6 +16,9 @@
 /// Lines that wait for the writer; more are dropped.
 const BUFFERED_LINES: usize = 2_048;
 
+/// What writes the lines that wait, while the process lives.
+static WORKER: Mutex<Option<WorkerGuard>> = Mutex::new(None);
+
 /// The text names no log level.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnknownLevel(pub String);
@@ -46,7 +50,7 @@
 /// Sends events at or above `level` to standard output, through a bounded buffer with a writer of
 /// its own: a reader that stops reading costs lines, never time. Keep the guard until the end; it
 /// writes out what is left. At most [`LINES_PER_SECOND`] are written.
-pub fn init_logging_to_stdout(level: Level) -> WorkerGuard {
+pub fn init_logging_to_stdout(level: Level) -> LogGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(BUFFERED_LINES)
@@ -57,7 +61,29 @@
         .event_format(KeyValueFormat)
         .finish();
     let _ = tracing::subscriber::set_global_default(subscriber);
-    guard
+    *WORKER.lock().unwrap_or_else(PoisonError::into_inner) = Some(guard);
+    LogGuard(())
+}
+
+/// Writes out the lines that wait when it is dropped.
+#[derive(Debug)]
+pub struct LogGuard(());
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        write_out();
+    }
+}
+
+fn write_out() {
+    let worker = WORKER.lock().unwrap_or_else(PoisonError::into_inner).take();
+    drop(worker);
+}
+
+/// Ends the process from any thread, after the lines that wait are written out: they say why.
+pub fn exit_after_logs(code: i32) -> ! {
+    write_out();
+    std::process::exit(code)
 }
 
 struct KeyValueFormat;
