--- a/crates/bundle/src/object.rs
+++ b/crates/bundle/src/object.rs
@@ -2,11 +2,14 @@
 
 use crate::Digest;
 use serde::{Deserialize, Serialize};
-use speedy::{Readable, Writable};
+use speedy::{LittleEndian, Readable, Writable};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
+/// Bytes that tell how many objects follow.
+const LENGTH_PREFIX_BYTES: usize = 4;
+
 /// A group of interchangeable back ends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
 pub struct Service {
@@ -347,6 +350,14 @@
         objects.write_to_vec().expect("encoding to memory cannot fail")
     }
 
+    /// Length of what [`Bundle::encode`] writes, bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        let size = |object: &Object| Writable::<LittleEndian>::bytes_needed(object);
+        let objects =
+            self.objects.values().map(|hashed| size(&hashed.object).unwrap_or(usize::MAX));
+        objects.fold(LENGTH_PREFIX_BYTES, usize::saturating_add)
+    }
+
     /// Decodes what [`Bundle::encode`] wrote.
     pub fn decode(bytes: &[u8]) -> Result<Self, speedy::Error> {
         Vec::<Object>::read_from_buffer(bytes).map(Bundle::from_objects)
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -1,6 +1,7 @@
 //! What makes a bundle acceptable; run at submission and again before a proxy applies it.
 
 use crate::{Bundle, ObjectId, ObjectKind, Route};
+use std::collections::BTreeSet;
 use std::fmt;
 
 /// Largest sizes and counts a bundle may have.
@@ -58,6 +59,7 @@
         for id in self.objects().keys() {
             check_name(id, &mut problems);
         }
+        let names = ReferenceNames::of(self);
         for service in self.services() {
             let id = ObjectId { kind: ObjectKind::Service, name: service.name.clone() };
             check_range(&id, "upstream_slots", service.upstream_slots, 1, 100_000, &mut problems);
@@ -65,13 +67,13 @@
             check_range(&id, "upstream_connections", connections, 1, 100_000, &mut problems);
         }
         for route in self.routes() {
-            self.check_route(route, &mut problems);
+            check_route(route, &names, &mut problems);
         }
         problems
     }
 
     fn check_sizes(&self, problems: &mut Vec<Problem>) {
-        let bytes = self.encode().len();
+        let bytes = self.encoded_bytes();
         if bytes > LIMITS.bundle_bytes {
             let reason = format!("{bytes} bytes, at most {} are allowed", LIMITS.bundle_bytes);
             problems.push(Problem { object: None, field: "size", reason });
@@ -82,43 +84,58 @@
             problems.push(Problem { object: None, field: "objects", reason });
         }
     }
+}
 
-    fn check_route(&self, route: &Route, problems: &mut Vec<Problem>) {
-        let id = ObjectId { kind: ObjectKind::Route, name: route.name.clone() };
-        if !route.path_prefix.starts_with('/') {
-            push(problems, &id, "path_prefix", "must begin with '/'".to_owned());
-        }
-        if route.host.is_empty() {
-            push(problems, &id, "host", "must be a host name or '*'".to_owned());
-        }
-        if route.targets.is_empty() {
-            push(problems, &id, "service", "a route needs at least one service".to_owned());
-        }
-        for target in &route.targets {
-            if !self.contains(ObjectKind::Service, &target.service) {
-                let reason = format!("no service '{}' in this bundle", target.service);
-                push(problems, &id, "service", reason);
-            }
-            check_range(&id, "weight", target.weight, 0, 1_000_000, problems);
-        }
-        let weights: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
-        if weights == 0 && !route.targets.is_empty() {
-            push(problems, &id, "weight", "the weights of a route must not add up to 0".to_owned());
+/// What routes may refer to.
+struct ReferenceNames<'a> {
+    services: BTreeSet<&'a str>,
+    secrets: BTreeSet<&'a str>,
+}
+
+impl<'a> ReferenceNames<'a> {
+    fn of(bundle: &'a Bundle) -> Self {
+        ReferenceNames {
+            services: bundle.services().map(|service| service.name.as_str()).collect(),
+            secrets: bundle.secrets().map(|secret| secret.name.as_str()).collect(),
         }
-        if let Some(secret) = &route.secret {
-            if !self.contains(ObjectKind::Secret, secret) {
-                let reason = format!("no secret '{secret}' in this bundle");
-                push(problems, &id, "secret", reason);
-            }
+    }
+}
+
+fn check_route(route: &Route, names: &ReferenceNames<'_>, problems: &mut Vec<Problem>) {
+    let id = ObjectId { kind: ObjectKind::Route, name: route.name.clone() };
+    if !route.path_prefix.starts_with('/') {
+        push(problems, &id, "path_prefix", "must begin with '/'".to_owned());
+    }
+    if route.host.is_empty() {
+        push(problems, &id, "host", "must be a host name or '*'".to_owned());
+    }
+    if route.targets.is_empty() {
+        push(problems, &id, "service", "a route needs at least one service".to_owned());
+    }
+    for target in &route.targets {
+        if !names.services.contains(target.service.as_str()) {
+            let reason = format!("no service '{}' in this bundle", target.service);
+            push(problems, &id, "service", reason);
         }
-        check_range(&id, "timeout_ms", route.timeout_ms, 1, LIMITS.timeout_ms, problems);
-        if route.target_latency_ms >= route.timeout_ms.saturating_add(TARGET_LATENCY_SLACK_MS) {
-            let reason = format!("{} is far beyond timeout_ms", route.target_latency_ms);
-            push(problems, &id, "target_latency_ms", reason);
+        check_range(&id, "weight", target.weight, 0, 1_000_000, problems);
+    }
+    let weights: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    if weights == 0 && !route.targets.is_empty() {
+        push(problems, &id, "weight", "the weights of a route must not add up to 0".to_owned());
+    }
+    if let Some(secret) = &route.secret {
+        if !names.secrets.contains(secret.as_str()) {
+            let reason = format!("no secret '{secret}' in this bundle");
+            push(problems, &id, "secret", reason);
         }
-        let budget = route.retry_budget_percent;
-        check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
     }
+    check_range(&id, "timeout_ms", route.timeout_ms, 1, LIMITS.timeout_ms, problems);
+    if route.target_latency_ms >= route.timeout_ms.saturating_add(TARGET_LATENCY_SLACK_MS) {
+        let reason = format!("{} is far beyond timeout_ms", route.target_latency_ms);
+        push(problems, &id, "target_latency_ms", reason);
+    }
+    let budget = route.retry_budget_percent;
+    check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
 }
 
 fn check_name(id: &ObjectId, problems: &mut Vec<Problem>) {
--- a/crates/bundle/tests/bad_bundles.rs
+++ b/crates/bundle/tests/bad_bundles.rs
@@ -1,6 +1,6 @@
 //! What operators hand in by mistake, and what they are told.
 
-use bundle::{source, SealKey};
+use bundle::{source, Bundle, Object, SealKey, Service};
 use expect_test::expect;
 
 const SERVICE: &str = "[[service]]\nname = \"fares\"\n";
@@ -77,3 +77,21 @@
     let told = source::load(&path, None).unwrap_err().to_string();
     assert!(told.contains("sealing key") && !told.contains("hidden"), "{told}");
 }
+
+#[test]
+fn the_length_is_known_without_encoding() {
+    for services in [0, 1, 7] {
+        let service = |number: u32| {
+            let name = "a".repeat(number as usize * 30);
+            let annotation = "\u{e9}".repeat(number as usize);
+            Object::Service(Service {
+                name,
+                upstream_slots: 1,
+                upstream_connections: 1,
+                annotation,
+            })
+        };
+        let bundle = Bundle::from_objects((0..services).map(service).collect());
+        assert_eq!(bundle.encoded_bytes(), bundle.encode().len(), "{services} services");
+    }
+}
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -14,6 +14,8 @@
 
 /// Inputs taken in before the next save, so that one sync serves many of them.
 const MAX_BATCH: usize = 512;
+/// Entries that take this long to apply are told in the log, milliseconds.
+const LONG_APPLY_MS: u64 = 20;
 /// Exit code of a process whose disk failed.
 const EXIT_DISK_FAILED: i32 = 74;
 
@@ -254,12 +256,17 @@
             info!(group = %self.parameters.group, index = snapshot.meta.index, "snapshot_installed");
         }
         let changed = !ready.committed.is_empty() || ready.snapshot.is_some();
+        let (entries, began) = (ready.committed.len(), Instant::now());
         for entry in ready.committed {
             self.apply_entry(&mut published, &entry);
             published.status.applied = entry.index;
         }
         let applied = published.status.applied;
         drop(published);
+        let apply_ms = began.elapsed().as_millis() as u64;
+        if apply_ms >= LONG_APPLY_MS {
+            info!(group = %self.parameters.group, entries, applied, apply_ms, "entries_applied");
+        }
         if changed {
             self.changed.notify_all();
         }
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -209,8 +209,9 @@
         let weak = self.is_weak(RolloutWeakness::IgnoresExpectedVersion);
         ensure!(expected == current || weak, VersionChangedSnafu { expected, current });
         ensure!(version > current, VersionNotAboveSnafu { version, current });
-        let base = self.content(&self.base.digest).unwrap_or_default();
-        let bundle = apply_replacement(&base, update, digest)?;
+        let nothing = Bundle::default();
+        let base = self.bundles.get(&self.base.digest).map_or(&nothing, |held| &held.bundle);
+        let bundle = apply_replacement(base, update, digest)?;
         let approval = Approval { operator: operator.to_owned(), signature: Vec::new() };
         let generation = self.next_generation(index, operator, digest, GenerationKind::Replaced);
         let submitter = operator.to_owned();
@@ -466,7 +467,11 @@
     let bundle = update.apply(base).map_err(invalid)?;
     let matches = bundle.digest() == digest;
     ensure!(matches, InvalidBundleSnafu { problem: "the content does not have its digest" });
-    Ok(bundle.sharing_with(base))
+    match update {
+        // A delta's result shares what it did not change.
+        BundleUpdate::Delta(_) => Ok(bundle),
+        _ => Ok(bundle.sharing_with(base)),
+    }
 }
 
 fn decode_submission(compressed: &[u8]) -> Result<Bundle, crate::Refusal> {
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -249,6 +249,7 @@
             target_ms: urgency.target_ms,
             service,
             arrived: now,
+            told_ms: told,
             deadline: now + told.min(timeout),
             tries: 0,
             arrivals: 0,
@@ -385,7 +386,8 @@
             info!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
                 rank = call.rank, target_ms = call.target_ms, try_number = call.tries,
-                %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms, "call_placed"
+                %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms,
+                told_ms = call.told_ms, "call_placed"
             );
         }
         if let Some(upstream) = self.view.get_mut(&to) {
