Placement: the risk of being late is learned from the spread of times; zones are priced by bytes

The risk was (expected/target)^6: 0.008 at 180 of 400 ms, where 6 in 100 were late; another zone cost a fixed 0.08.

Change: each node keeps, by route, a histogram of the ratio of times to the usual (quarter octaves, about 500 remembered); the risk at an upstream is the part of it beyond the time left after queue, way and transfer, mixed with the former curve as 20 assumed times. A zone costs 0.015 and 0.03 a kilobyte that such calls and their answers move (learned by route), the bytes 0.4 at most. Beyond the target each part of it costs 1, so that of late ones the soonest is taken.

Tests: placement/tests/spread.rs, view.rs (a table of zones by speed, spread and bytes).

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,7 +7,9 @@
 mod locality;
 mod pressure;
 mod split;
+mod spread;
 mod throttle;
+mod times;
 mod upstream;
 mod view;
 
@@ -15,9 +17,11 @@
 pub use locality::{Distance, Locality};
 pub use pressure::{CallEnd, Pressure};
 pub use split::WeightedSplit;
+pub use spread::TimeSpread;
 pub use throttle::Throttle;
+pub use times::{ClassTimes, Seen};
 pub use upstream::{Upstream, UpstreamKey, Urgency};
-pub use view::{ClassTimes, NodeChange, PlacementView, Request};
+pub use view::{NodeChange, PlacementView, Request};
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/placement/src/locality.rs
+++ b/crates/placement/src/locality.rs
@@ -8,6 +8,16 @@
 /// What a link that is wholly in use costs, as a part of the worth of a call that is in time.
 const FULL_LINK_COST: f64 = 0.5;
 
+/// What another node costs whatever is moved, as a part of the worth of a call that is in time.
+const MESSAGE_COST: f64 = 0.015;
+/// What a kilobyte between zones costs, as such a part.
+const COST_PER_KB: f64 = 0.03;
+const BYTES_PER_KB: f64 = 1_000.0;
+/// Heads of a request and its answer, bytes.
+const HEAD_BYTES: f64 = 700.0;
+/// Another zone never costs more than this for its bytes: a call that would be late goes there.
+const MOST_BYTES_COST: f64 = 0.4;
+
 /// Where a node is among the others.
 #[derive(Clone, Debug)]
 pub struct Locality {
@@ -52,13 +62,17 @@
         }
     }
 
-    /// Cost of the bytes on the way, as a part of the worth of a call that is in time. To another
-    /// node of the zone they cost nothing by themselves, but they fill two links.
-    pub fn cost(self) -> f64 {
+    /// Cost of the bytes that a call and its answer move, as a part of the worth of a call that is
+    /// in time. To another node of the zone they cost nothing by themselves, but they fill two
+    /// links.
+    pub fn cost(self, moved_bytes: f64) -> f64 {
         match self {
             Self::Own => 0.0,
-            Self::Zone => 0.02,
-            Self::Far => 0.08,
+            Self::Zone => MESSAGE_COST,
+            Self::Far => {
+                let bytes = (moved_bytes + HEAD_BYTES) / BYTES_PER_KB;
+                MESSAGE_COST + (bytes * COST_PER_KB).min(MOST_BYTES_COST)
+            }
         }
     }
 }
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -78,6 +78,15 @@
     }
 }
 
+/// What a call would take at an upstream, milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Expected {
+    /// Until it has a slot.
+    pub wait_ms: f64,
+    /// From then on, on average.
+    pub work_ms: f64,
+}
+
 /// The longest wait beyond the usual of calls that were given up.
 #[derive(Clone, Copy, Debug, Default)]
 struct Silence {
@@ -179,17 +188,17 @@
         own + others.max(0.0) * figures.belief(now)
     }
 
-    /// Expected time from sending a call now to its answer, milliseconds; `usual_ms` is what the
-    /// call takes at an upstream of average speed.
-    pub fn expected_ms(&self, usual_ms: f64, now: Millis) -> f64 {
+    /// What a call sent now would take here; `usual_ms` is what it takes at an upstream of average
+    /// speed.
+    pub(crate) fn expected(&self, usual_ms: f64, now: Millis) -> Expected {
         let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
-        let work = usual_ms * self.speed * cold;
+        let work_ms = usual_ms * self.speed * cold;
         let limit = f64::from(self.limit());
         let ahead = self.load(now) - limit + 1.0;
         let figures = self.figures.map(|figures| f64::from(figures.reply.service_ms));
-        let each = figures.filter(|told| *told > 0.0).unwrap_or(work);
-        let wait = if ahead > 0.0 { ahead * each / limit } else { 0.0 };
-        work + wait
+        let each = figures.filter(|told| *told > 0.0).unwrap_or(work_ms);
+        let wait_ms = if ahead > 0.0 { ahead * each / limit } else { 0.0 };
+        Expected { wait_ms, work_ms }
     }
 
     /// Notes that a call was given up after it had waited for so much longer than usual,
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -1,12 +1,11 @@
 //! All upstreams, and the choice among them.
 
 use crate::locality::link_cost;
-use crate::{Distance, Locality, Millis, Upstream, UpstreamKey, Urgency};
+use crate::upstream::Expected;
+use crate::{Distance, Locality, Millis, TimeSpread, Upstream, UpstreamKey, Urgency};
 use mesh::NodeRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How steeply the risk of being late rises with the expected part of the time left.
-const LATENESS_EXPONENT: i32 = 6;
 /// Share of failures that may be chance, or the fault of others that all need.
 const FAILING_BORNE: f64 = 0.15;
 /// What a failed call costs, where one is an answer that is certainly late. All upstreams of a
@@ -14,9 +13,11 @@
 const FAILURE_COST: f64 = 1.0;
 /// Weight of the expected time itself, so that of equal risks the faster is taken.
 const TIME_COST: f64 = 0.03;
+/// What each part of the time left costs by which an answer is expected to come too late: where all
+/// are late, a call goes where it is over soonest.
+const OVERDUE_COST: f64 = 1.0;
 /// Part of the expected time by which choices are varied, so that nodes do not choose alike.
 const VARIATION: f64 = 0.15;
-const TIME_WEIGHT: f64 = 0.05;
 /// Upstreams looked at for one call; a sample beyond.
 const MOST_CANDIDATES: usize = 24;
 
@@ -29,6 +30,10 @@
     pub urgency: Urgency,
     /// What the call takes at an upstream of average speed, milliseconds.
     pub usual_ms: f64,
+    /// How the times of its like are spread around that.
+    pub spread: &'a TimeSpread,
+    /// What such a call and its answer move over links, bytes.
+    pub moved_bytes: f64,
     /// Time left until its answer is worth less, milliseconds.
     pub target_ms: f64,
     /// Length of its body, bytes.
@@ -152,8 +157,8 @@
         let mut best: Option<((bool, f64), UpstreamKey)> = None;
         for (key, held, distance) in candidates {
             let varied = 1.0 + VARIATION * random.f64();
-            let expected_ms = held.expected_ms(request.usual_ms, now) * varied;
-            let cost = (held.is_resting(now), cost(held, distance, expected_ms, request, now));
+            let expected = held.expected(request.usual_ms * varied, now);
+            let cost = (held.is_resting(now), cost(held, distance, expected, request, now));
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
@@ -168,7 +173,7 @@
 fn cost(
     held: &Upstream,
     distance: Distance,
-    expected_ms: f64,
+    expected: Expected,
     request: &Request<'_>,
     now: Millis,
 ) -> f64 {
@@ -176,15 +181,18 @@
         Distance::Own => 0.0,
         _ => held.transfer_ms(request.body_bytes, now),
     };
-    let time_ms = expected_ms + distance.usual_ms() + transfer_ms + held.silence_ms(now);
-    let late = lateness_cost(time_ms / request.target_ms.max(1.0));
+    let before_ms = expected.wait_ms + distance.usual_ms() + transfer_ms + held.silence_ms(now);
+    let left_ms = request.target_ms - before_ms;
+    let part = (before_ms + expected.work_ms) / request.target_ms.max(1.0);
+    let late = request.spread.beyond(left_ms / expected.work_ms.max(1.0));
+    let time = part * TIME_COST + (part - 1.0).max(0.0) * OVERDUE_COST;
     let failing = (held.failing(now) - FAILING_BORNE).max(0.0) * FAILURE_COST;
     // The upstream beside this node needs no link.
     let link = match distance {
         Distance::Own => 0.0,
         _ => link_cost(held.link_in_use(now)),
     };
-    late + failing + link + distance.cost()
+    late + time + failing + link + distance.cost(request.moved_bytes)
 }
 
 /// An upstream that may be taken.
@@ -202,32 +210,3 @@
     }
     candidates.truncate(MOST_CANDIDATES);
 }
-
-/// The risk that an answer is late that takes this part of the time left.
-fn lateness_cost(part: f64) -> f64 {
-    part.powi(LATENESS_EXPONENT) + part * TIME_COST
-}
-
-/// How long the calls of each route take at an upstream of average speed.
-#[derive(Clone, Debug, Default)]
-pub struct ClassTimes {
-    times: BTreeMap<String, f64>,
-}
-
-impl ClassTimes {
-    /// The usual time of a route's calls, milliseconds; `None` before the first answer.
-    pub fn usual_ms(&self, route: &str) -> Option<f64> {
-        self.times.get(route).copied()
-    }
-
-    /// Takes in the time a call spent with an upstream of the given speed.
-    pub fn note(&mut self, route: &str, spent_ms: f64, speed: f64) {
-        let seen = spent_ms / speed.max(0.05);
-        match self.times.get_mut(route) {
-            Some(held) => *held += (seen - *held) * TIME_WEIGHT,
-            None => {
-                self.times.insert(route.to_owned(), seen);
-            }
-        }
-    }
-}
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -1,7 +1,9 @@
 //! Which upstreams are there, and which one is taken.
 
+use expect_test::expect;
 use mesh::{HopOutcome, HopReply, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
-use placement::{Locality, PlacementView, Request, Urgency};
+use placement::{Locality, PlacementView, Request, TimeSpread, Urgency};
+use std::fmt::Write;
 use std::net::Ipv4Addr;
 
 const SERVICE: &str = "fares";
@@ -68,6 +70,8 @@
         service: SERVICE,
         urgency,
         usual_ms: 100.0,
+        spread: &TimeSpread::default(),
+        moved_bytes: 1_500.0,
         target_ms: 400.0,
         body_bytes: 0,
         tried,
@@ -214,3 +218,47 @@
     view.get_mut(&address(1)).expect("there").note_reply(reply(0, 0), 10_020);
     assert_eq!(choose(&view, &[], 10_020), Some(1));
 }
+
+/// The upstream that calls of a kind go to, of one in the zone at the given speed and one elsewhere.
+fn chosen_at_speed(speed: f64, spread: &TimeSpread, moved_bytes: f64) -> u8 {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.get_mut(&address(1)).expect("there").speed = speed;
+    let request = Request {
+        service: SERVICE,
+        urgency: URGENCY,
+        usual_ms: 100.0,
+        spread,
+        moved_bytes,
+        target_ms: 400.0,
+        body_bytes: 0,
+        tried: &[],
+    };
+    let chosen = view.choose(&request, 0, &mut fastrand::Rng::with_seed(1));
+    chosen.expect("two are live").ip.octets()[3]
+}
+
+#[test]
+fn another_zone_is_worth_its_bytes_only_where_the_risk_is_greater() {
+    let mut tailed = TimeSpread::default();
+    for number in 0..2_000 {
+        tailed.note(if number % 10 == 0 { 2.8 } else { 0.8 });
+    }
+    let mut even = TimeSpread::default();
+    for _ in 0..2_000 {
+        even.note(1.0);
+    }
+    let mut seen = String::new();
+    for (kind, spread) in [("tailed", &tailed), ("even", &even)] {
+        for moved_bytes in [1_500.0, 60_000.0] {
+            let speeds = [1.0, 1.5, 2.0, 3.0, 6.0];
+            let chosen = speeds.map(|speed| chosen_at_speed(speed, spread, moved_bytes));
+            let _ = writeln!(seen, "{kind}, {moved_bytes} bytes: {chosen:?}");
+        }
+    }
+    expect![[r#"
+        tailed, 1500 bytes: [1, 2, 2, 2, 2]
+        tailed, 60000 bytes: [1, 1, 1, 1, 2]
+        even, 1500 bytes: [1, 1, 1, 1, 2]
+        even, 60000 bytes: [1, 1, 1, 1, 2]
+    "#]].assert_eq(&seen);
+}
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -9,7 +9,7 @@
 use crate::Millis;
 use http1::Response;
 use mesh::{HopOutcome, HopReply, NodeAddress};
-use placement::CallEnd;
+use placement::{CallEnd, Seen};
 use tracing::{info, warn};
 
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -155,6 +155,7 @@
         let urgency = call.urgency();
         let route = call.route.clone();
         let arrived = call.arrived;
+        let moved_bytes = (call.request.body.len() + response.body.len()) as f64;
         if self.sample.takes(&call.attempt_id) {
             info!(
                 id = %call.attempt_id, %to, try_number = attempt.number, outcome = ?reply.outcome,
@@ -170,7 +171,8 @@
                     self.metrics.note_added(elapsed.saturating_sub(u64::from(reply.spent_ms)));
                     upstream.note_success();
                     upstream.note_time(f64::from(reply.spent_ms), usual_ms);
-                    self.times.note(&route, f64::from(reply.spent_ms), upstream.speed);
+                    let (spent_ms, speed) = (f64::from(reply.spent_ms), upstream.speed);
+                    self.times.note(&route, Seen { spent_ms, speed, moved_bytes });
                 }
                 HopOutcome::Answered => upstream.note_success(),
                 HopOutcome::Refused => {
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -359,8 +359,16 @@
         let urgency = call.urgency();
         let tried = &call.tried;
         let body_bytes = call.request.body.len();
-        let wanted =
-            placement::Request { service, urgency, usual_ms, target_ms, body_bytes, tried };
+        let wanted = placement::Request {
+            service,
+            urgency,
+            usual_ms,
+            spread: self.times.spread(&call.route),
+            moved_bytes: self.times.moved_bytes(&call.route).unwrap_or(body_bytes as f64),
+            target_ms,
+            body_bytes,
+            tried,
+        };
         let most_offers = self.pressure.most_offers(&call.service, now);
         let chosen = match call.tries < most_offers {
             true => self.view.choose(&wanted, now, &mut self.random),
