--- a/crates/placement/tests/spread.rs
+++ b/crates/placement/tests/spread.rs
@@ -25,12 +25,14 @@
 
 #[test]
 fn before_anything_was_seen_the_risk_falls_steeply() {
-    expect!["0.25: 1.000 0.5: 1.000 1: 1.000 1.5: 0.088 2: 0.016 4: 0.000 8: 0.000 "].assert_eq(&risks(&TimeSpread::default()));
+    expect!["0.25: 1.000 0.5: 1.000 1: 1.000 1.5: 0.088 2: 0.016 4: 0.000 8: 0.000 "]
+        .assert_eq(&risks(&TimeSpread::default()));
 }
 
 #[test]
 fn a_long_tail_is_a_risk_at_twice_the_usual_time() {
-    expect!["0.25: 1.000 0.5: 1.000 1: 0.086 1.5: 0.051 2: 0.048 4: 0.047 8: 0.000 "].assert_eq(&risks(&tailed()));
+    expect!["0.25: 1.000 0.5: 1.000 1: 0.086 1.5: 0.051 2: 0.048 4: 0.047 8: 0.000 "]
+        .assert_eq(&risks(&tailed()));
 }
 
 #[test]
@@ -39,7 +41,8 @@
     for _ in 0..4_000 {
         spread.note(1.0);
     }
-    expect!["0.25: 1.000 0.5: 1.000 1: 1.000 1.5: 0.003 2: 0.001 4: 0.000 8: 0.000 "].assert_eq(&risks(&spread));
+    expect!["0.25: 1.000 0.5: 1.000 1: 1.000 1.5: 0.003 2: 0.001 4: 0.000 8: 0.000 "]
+        .assert_eq(&risks(&spread));
 }
 
 #[test]
@@ -81,5 +84,9 @@
     }
     times.note("uploads", Seen { spent_ms: 300.0, speed: 1.5, moved_bytes: 60_000.0 });
     let known = |route| (times.usual_ms(route), times.moved_bytes(route));
-    expect!["(Some(59.2625), Some(1500.0)) (Some(200.0), Some(60000.0))"].assert_eq(&format!("{:?} {:?}", known("quotes"), known("uploads")));
+    expect!["(Some(59.2625), Some(1500.0)) (Some(200.0), Some(60000.0))"].assert_eq(&format!(
+        "{:?} {:?}",
+        known("quotes"),
+        known("uploads")
+    ));
 }
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -260,5 +260,6 @@
         tailed, 60000 bytes: [1, 1, 1, 1, 2]
         even, 1500 bytes: [1, 1, 1, 1, 2]
         even, 60000 bytes: [1, 1, 1, 1, 2]
-    "#]].assert_eq(&seen);
+    "#]]
+    .assert_eq(&seen);
 }
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -17,9 +17,7 @@
     /// Goes on with the calls that came before the first configuration.
     pub fn configured(&mut self, config: &Config, now: Millis) -> Vec<CallAction> {
         let early = std::mem::take(&mut self.early);
-        let begun =
-            early.into_iter().map(|call| self.begin(call.origin, call.request, config, now));
-        begun.flatten().collect()
+        early.into_iter().flat_map(|call| self.admit(call, config, now)).collect()
     }
 
     /// Refuses the calls that waited too long for a configuration.
