--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod budget;
 mod locality;
-mod patience;
 mod pressure;
 mod split;
 mod spread;
@@ -16,7 +15,6 @@
 
 pub use budget::{BudgetBounds, RetryBudget};
 pub use locality::{Distance, Locality};
-pub use patience::CallerPatience;
 pub use pressure::{CallEnd, Pressure};
 pub use split::WeightedSplit;
 pub use spread::TimeSpread;
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -54,17 +54,6 @@
     pub target_ms: u64,
 }
 
-/// Added to the rank of calls that go behind all others.
-const BEHIND_ALL: u32 = 1_000_000;
-
-impl Urgency {
-    /// The place of such a call behind all others: it helps its caller little whenever it is
-    /// answered, so it has the slots that nobody else wants.
-    pub fn behind_all(self) -> Self {
-        Urgency { rank: self.rank.saturating_add(BEHIND_ALL), ..self }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     urgency: Urgency,
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -21,8 +21,6 @@
     pub target_ms: u64,
     pub service: String,
     pub arrived: Millis,
-    /// Whether it could not be in time when it came.
-    pub is_late: bool,
     /// How long its caller waits, as it told; its route's timeout if it did not.
     pub told_ms: u64,
     pub deadline: Millis,
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -224,7 +224,7 @@
     /// Takes in whether an upstream's answer helps the caller.
     fn note_in_time(&mut self, id: CallId, failed: bool, now: Millis) {
         if let Some(call) = self.calls.get(&id) {
-            let in_time = !failed && (call.is_late || now <= call.arrived + call.target_ms);
+            let in_time = !failed && now <= call.arrived + call.target_ms;
             let end = if in_time { CallEnd::InTime } else { CallEnd::Missed };
             self.pressure.note(&call.service, call.urgency(), end, now);
         }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -14,8 +14,8 @@
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress, HOP_HEADER};
 use placement::{
-    BudgetBounds, CallEnd, CallerPatience, ClassTimes, Locality, PlacementView, Pressure,
-    RetryBudget, Throttle, Urgency, WeightedSplit,
+    BudgetBounds, CallEnd, ClassTimes, Locality, PlacementView, Pressure, RetryBudget, Throttle,
+    Urgency, WeightedSplit,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -150,7 +150,6 @@
     splits: BTreeMap<String, WeightedSplit>,
     budget: RetryBudget,
     times: ClassTimes,
-    patience: CallerPatience,
     throttle: Throttle,
     pressure: Pressure,
     random: fastrand::Rng,
@@ -184,7 +183,6 @@
             splits: BTreeMap::new(),
             budget: RetryBudget::new(bounds),
             times: ClassTimes::default(),
-            patience: CallerPatience::default(),
             throttle: Throttle::default(),
             pressure: Pressure::default(),
             random: fastrand::Rng::with_seed(seed),
@@ -234,14 +232,7 @@
         };
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
-        let waited_ms = now.saturating_sub(since);
-        let begun_ms_ago = self.patience.note(&route.name, told) + waited_ms;
         let urgency = urgency_of(route);
-        let before_start = begun_ms_ago >= now;
-        let lost_ms = if before_start { begun_ms_ago } else { waited_ms };
-        // One that came back after a refusal is another thing: its time begins anew.
-        let is_late = lost_ms >= urgency.target_ms;
-        let urgency = if is_late { urgency.behind_all() } else { urgency };
         if let Some(held_back) = self.hold_back(&route.name, &service, urgency, now) {
             let HeldBack { reason, part, retry_after_ms } = held_back;
             info!(
@@ -264,7 +255,6 @@
             target_ms: urgency.target_ms,
             service,
             arrived: since,
-            is_late,
             told_ms: told,
             deadline: since + told.min(timeout),
             tries: 0,
@@ -411,7 +401,7 @@
                 id = %call.attempt_id, route = %call.route, service = %call.service,
                 rank = call.rank, target_ms = call.target_ms, try_number = call.tries,
                 %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms,
-                told_ms = call.told_ms, late_already = call.is_late, "call_placed"
+                told_ms = call.told_ms, "call_placed"
             );
         }
         if let Some(upstream) = self.view.get_mut(&to) {
