Soak: long bodies beside small calls, over links told as slow

One charge in four carries 9 to 200 kB, which go from sidecar to sidecar in grants; the answer carries a sum of the body, so that a body with a byte missing, changed or moved is noticed (OwnAnswer).

--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -15,6 +15,9 @@
 const VERSIONED_ONE_OF: u64 = 6;
 /// One of so many calls must not be repeated.
 const CHARGE_ONE_OF: u64 = 3;
+/// One of so many of those has a body that goes from sidecar to sidecar as it is granted.
+const UPLOAD_ONE_OF: u64 = 4;
+const UPLOAD_BYTES: std::ops::Range<usize> = 9_000..200_000;
 
 /// What the callers of a soak share.
 pub struct Callers {
@@ -91,26 +94,34 @@
             None if repeatable => format!("{BASE_PATH}{id}"),
             None => format!("/charge/{id}"),
         };
+        let upload =
+            !repeatable && version.is_none() && (id / CHARGE_ONE_OF).is_multiple_of(UPLOAD_ONE_OF);
+        let bytes = if upload { fastrand::usize(UPLOAD_BYTES) } else { 0 };
+        let body: Vec<u8> = (0..bytes).map(|place| (place as u64 * 7 + id) as u8).collect();
         let sent = self.clock.now();
-        let end = self.ask(id, &path);
+        let end = self.ask(id, &path, &body);
         let ended = self.clock.now();
         let repeatable = repeatable || version.is_some();
         self.calls.push(Call { id, machine: self.host, repeatable, version, sent, ended, end });
     }
 
-    fn ask(&self, id: u64, path: &str) -> End {
-        let req = super::agent()
-            .get(format!("{}{path}", self.base))
-            .header("Host", BASE_HOST)
-            .header(ID_HEADER, id.to_string());
-        match req.call() {
+    fn ask(&self, id: u64, path: &str, body: &[u8]) -> End {
+        let url = format!("{}{path}", self.base);
+        let (agent, id_text) = (super::agent(), id.to_string());
+        let answered = match body.is_empty() {
+            true => agent.get(url).header("Host", BASE_HOST).header(ID_HEADER, id_text).call(),
+            false => {
+                agent.post(url).header("Host", BASE_HOST).header(ID_HEADER, id_text).send(body)
+            }
+        };
+        match answered {
             Err(ureq::Error::ConnectionFailed | ureq::Error::HostNotFound) => End::NotConnected,
             Err(ureq::Error::Io(error)) if is_refused(&error) => End::NotConnected,
             Err(_) => End::Cut,
             Ok(mut resp) => {
                 let status = resp.status().as_u16();
                 match resp.body_mut().read_to_string() {
-                    Ok(body) => End::Answered { status, whole: body == answer_to(id, path) },
+                    Ok(text) => End::Answered { status, whole: text == answer_to(id, path, body) },
                     Err(_) => End::Cut,
                 }
             }
--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -17,6 +17,8 @@
 pub const SERVICE: &str = "fares";
 /// Time after which an upstream that leaves is given nothing, milliseconds.
 pub const DRAIN_MS: u64 = 1_000;
+/// What the sidecars are told of their links: so little that long bodies come in many grants.
+const LINK_MBPS: f64 = 6.4;
 /// Longest planned stop, milliseconds.
 pub const STOP_MS: u64 = 5_000;
 
@@ -141,6 +143,7 @@
              ready_listen = \"{ip}:{}\"\nregistration_listen = \"{ip}:{}\"\n\
              metrics_listen = \"{ip}:{}\"\nupstream = \"{ip}:{}\"\nservice = \"{service}\"\n\
              seeds = [{}]\nplain_transport = true\ndrain_ms = {DRAIN_MS}\nstop_ms = {STOP_MS}\n\
+             link_mbps = {LINK_MBPS}\n\
              [retry_budget]\nratio = 0.2\nslack = 50\nwindow_s = 10\n",
             host % 2,
             ports.mesh,
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -4,6 +4,7 @@
 use super::machines::{Machines, SERVICE};
 use serde_json::json;
 use soak::Run;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -26,9 +27,15 @@
     ended: AtomicBool,
 }
 
-/// The whole answer to a call.
-pub fn answer_to(id: u64, path: &str) -> String {
-    format!("{id} {path} {}", "x".repeat((id % 3_000) as usize))
+/// The whole answer to a call with this body.
+pub fn answer_to(id: u64, path: &str, body: &[u8]) -> String {
+    let sum = check_sum(body);
+    format!("{id} {path} {} {sum} {}", body.len(), "x".repeat((id % 3_000) as usize))
+}
+
+/// A sum that notices bytes that are missing, changed or in another order.
+fn check_sum(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |sum, byte| (sum * 31 + u64::from(*byte)) % 1_000_000_007)
 }
 
 impl Upstream {
@@ -51,8 +58,13 @@
         let server = rouille::Server::new(address, move |request| {
             let id = request.header(ID_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0);
             runs.push(Run { call: id, machine: host, at: clock.now() });
+            let mut body = Vec::new();
+            let read = request.data().map(|mut data| data.read_to_end(&mut body));
+            if !matches!(read, None | Some(Ok(_))) {
+                return rouille::Response::empty_400();
+            }
             thread::sleep(Duration::from_millis(fastrand::u64(SHORTEST_WORK_MS..LONGEST_WORK_MS)));
-            rouille::Response::text(answer_to(id, &request.url()))
+            rouille::Response::text(answer_to(id, &request.url(), &body))
                 .with_additional_header("X-Chutecove-Seal", format!("seal-{host}"))
                 .with_additional_header(ID_HEADER, id.to_string())
         });
