A request refused before its body leaves no time to the next one on its connection

The time since which a request is read was kept when an offer was refused, went on for the next one on that connection, and ended it with 408 after 10 s; a 408 without the hop's header is "lost" to the caller's side.

Change: the time belongs to one request, told apart by its place on the connection. Ruled out: idle connections closed by the receiver (20 and 40 s), answers crossing grants (one thread).

Test: http1/tests/offers.rs.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -77,6 +77,8 @@
     next_slot: Slot,
     closing: bool,
     last_answer_written: bool,
+    /// Requests of which no more is read.
+    read: u64,
 }
 
 impl Default for ServerConnection {
@@ -87,6 +89,7 @@
             next_slot: 0,
             closing: false,
             last_answer_written: false,
+            read: 0,
         }
     }
 }
@@ -162,6 +165,7 @@
         let Phase::Body { head, body, offered, .. } = former else {
             return Ok(None);
         };
+        self.read += 1;
         let RequestHead { method, target, keep_alive, headers, .. } = head;
         let request = Request { method, target, headers, body };
         Ok(Some(Whole { request, keep_alive, slot: offered.map(|held| held.slot) }))
@@ -207,6 +211,7 @@
             return;
         }
         let allowed = held.allowed;
+        self.read += 1;
         self.phase = if allowed { Phase::Refused } else { Phase::Head };
         if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.slot == slot) {
             waiting.keep_alive &= !allowed;
@@ -262,13 +267,15 @@
         self.waiting.len()
     }
 
-    /// Whether part of a request has been read, or its head is still expected to be whole.
-    pub fn is_reading(&self, input: &BytesMut) -> bool {
-        match self.phase {
+    /// Which request is being read, counted from 0; `None` if no part of one has come that is not
+    /// whole.
+    pub fn reading(&self, input: &BytesMut) -> Option<u64> {
+        let reads = match self.phase {
             Phase::Head => !input.is_empty(),
             Phase::Body { .. } => true,
             Phase::Refused => false,
-        }
+        };
+        reads.then_some(self.read)
     }
 
     /// Answers a request that is not whole with 408 and stops reading.
--- a/crates/http1/tests/offers.rs
+++ b/crates/http1/tests/offers.rs
@@ -130,3 +130,19 @@
     }
     assert!(exchange.take_interim().len() <= 64);
 }
+
+#[test]
+fn a_request_that_was_refused_leaves_no_time_to_the_next() {
+    let mut receiver = Receiver::default();
+    let reading = |receiver: &Receiver| receiver.connection.reading(&receiver.input);
+    assert_eq!(reading(&receiver), None);
+    receiver.receive(OFFER);
+    assert_eq!(reading(&receiver), Some(0));
+    receiver.answer(0, 503);
+    assert_eq!(reading(&receiver), None, "nothing of it is awaited any more");
+    receiver.receive(OFFER);
+    assert_eq!(reading(&receiver), Some(1), "its time begins anew");
+    receiver.allow(10);
+    receiver.receive("0123456789GET /b");
+    assert_eq!(reading(&receiver), Some(2));
+}
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -35,12 +35,29 @@
 struct Held {
     kind: ServerKind,
     core: ServerConnection,
-    /// Since when a request is being read.
-    reading_since: Option<Millis>,
+    /// The request that is being read.
+    reading: Option<Reading>,
     /// Since when nothing was asked.
     resting_since: Millis,
 }
 
+/// A request that is not here whole.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    /// Its place among those read on its connection.
+    request: u64,
+    since: Millis,
+}
+
+impl Held {
+    /// Takes in which request is being read now. Its time begins anew with each: one that was
+    /// answered before it was whole leaves nothing of its own to the next.
+    fn note_reading(&mut self, request: Option<u64>, now: Millis) {
+        let same = self.reading.filter(|held| Some(held.request) == request);
+        self.reading = same.or(request.map(|request| Reading { request, since: now }));
+    }
+}
+
 /// All such connections.
 #[derive(Debug, Default)]
 pub struct Servers {
@@ -51,7 +68,7 @@
     /// Takes in a new connection.
     pub fn accepted(&mut self, id: ConnectionId, kind: ServerKind, now: Millis) {
         let core = ServerConnection::default();
-        let held = Held { kind, core, reading_since: None, resting_since: now };
+        let held = Held { kind, core, reading: None, resting_since: now };
         self.connections.insert(id, held);
     }
 
@@ -76,11 +93,8 @@
         };
         let mut output = Vec::new();
         let requests = held.core.receive(input, limits, &mut output);
-        let reading = held.core.is_reading(input);
-        held.reading_since = match reading {
-            true => held.reading_since.filter(|_| requests.is_empty()).or(Some(now)),
-            false => None,
-        };
+        let reading = held.core.reading(input);
+        held.note_reading(reading, now);
         held.resting_since = now;
         net.trim(id);
         if !output.is_empty() {
@@ -158,13 +172,15 @@
     pub fn tick(&mut self, net: &mut Net, times: impl Fn(ServerKind) -> ServerTimes, now: Millis) {
         let mut slow = Vec::new();
         let mut idle = Vec::new();
-        for (id, held) in &self.connections {
+        for (id, held) in &mut self.connections {
             let limits = times(held.kind);
             let unanswered = held.core.unanswered();
-            if held.reading_since.is_some_and(|since| since + limits.header_ms <= now) {
+            let reading = net.input(*id).and_then(|input| held.core.reading(input));
+            held.note_reading(reading, now);
+            if held.reading.is_some_and(|reading| reading.since + limits.header_ms <= now) {
                 slow.push(*id);
             } else if unanswered == 0
-                && held.reading_since.is_none()
+                && held.reading.is_none()
                 && held.resting_since + limits.idle_ms <= now
             {
                 idle.push(*id);
@@ -181,7 +197,7 @@
 
     /// Answers the requests of callers that are not here whole.
     pub fn end_reading(&mut self, net: &mut Net) {
-        let reading = |held: &Held| held.kind == ServerKind::Caller && held.reading_since.is_some();
+        let reading = |held: &Held| held.kind == ServerKind::Caller && held.reading.is_some();
         let found = self.connections.iter().filter(|(_, held)| reading(held));
         let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
         for id in ids {
@@ -194,7 +210,7 @@
         let Some(held) = self.connections.get_mut(&id) else {
             return;
         };
-        held.reading_since = None;
+        held.reading = None;
         let mut output = Vec::new();
         let over = held.core.time_out(&mut output);
         net.send(id, &output);
