A call waits 150 ms for the first configuration, not 800

Calls that reach a sidecar before its configuration waited for it up to 0.8 s: most were late then, whatever was done, and took the first slots from those that could be in time. One refused early comes back by its Retry-After, and its time begins anew.

--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -53,8 +53,10 @@
 const PRESSED_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_250;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
-/// Longest wait of a call for the first configuration of a sidecar that just started, ms.
-const EARLY_WAIT_MS: u64 = 800;
+/// Longest wait of a call for the first configuration of a sidecar that just started, ms. One that
+/// is refused so early comes back when there is one, and can still be in time then; one that waits
+/// is late, and has a slot that another needs.
+const EARLY_WAIT_MS: u64 = 150;
 /// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
 const HOP_MARGIN_MS: u64 = 8;
 
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -13,8 +13,8 @@
 fn without_a_configuration_nothing_is_said_about_routes() {
     let mut world = World::unconfigured();
     assert!(world.begin("GET", "/nowhere/").is_empty(), "the configuration may come at any moment");
-    assert!(world.calls.tick(world.now + 700).is_empty());
-    let actions = world.calls.tick(world.now + 900);
+    assert!(world.calls.tick(world.now + 140).is_empty());
+    let actions = world.calls.tick(world.now + 160);
     assert_eq!(status(&actions), Some(503));
     assert!(retry_after_ms(&actions).is_some());
     assert_eq!(world.calls.in_flight(), 0);
