A call that comes before the first configuration is refused at once

So the wait, its queue, its constant and its tests go; the call is refused with the time to return, as it was after the wait.

--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -69,14 +69,6 @@
     }
 }
 
-/// A call that came before the first configuration.
-#[derive(Debug)]
-pub(super) struct EarlyCall {
-    pub origin: Origin,
-    pub request: Request,
-    pub since: Millis,
-}
-
 /// One word for a log.
 pub(super) fn outcome_word(outcome: HopOutcome) -> &'static str {
     match outcome {
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -7,7 +7,7 @@
 mod endings;
 mod time;
 
-use self::call::{Call, EarlyCall, Try};
+use self::call::{Call, Try};
 use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
@@ -53,10 +53,6 @@
 const PRESSED_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_250;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
-/// Longest wait of a call for the first configuration of a sidecar that just started, ms. One that
-/// is refused so early comes back when there is one, and can still be in time then; one that waits
-/// is late, and has a slot that another needs.
-const EARLY_WAIT_MS: u64 = 150;
 /// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
 const HOP_MARGIN_MS: u64 = 8;
 
@@ -159,7 +155,6 @@
     by_origin: BTreeMap<Origin, CallId>,
     deadlines: BTreeSet<(Millis, CallId)>,
     parked: BTreeSet<CallId>,
-    early: Vec<EarlyCall>,
     next_call: CallId,
     /// Totals since the start.
     pub counts: CallCounts,
@@ -192,7 +187,6 @@
             by_origin: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             parked: BTreeSet::new(),
-            early: Vec::new(),
             next_call: 1,
             counts: CallCounts::default(),
         }
@@ -200,7 +194,7 @@
 
     /// Calls without a final answer.
     pub fn in_flight(&self) -> usize {
-        self.calls.len() + self.early.len()
+        self.calls.len()
     }
 
     /// Takes in a call.
@@ -212,16 +206,13 @@
         now: Millis,
     ) -> Vec<CallAction> {
         self.counts.begun += 1;
-        self.admit(EarlyCall { origin, request, since: now }, config, now)
-    }
-
-    /// Takes in a call that came at `early.since`.
-    fn admit(&mut self, early: EarlyCall, config: &Config, now: Millis) -> Vec<CallAction> {
-        let EarlyCall { origin, request, since } = early;
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
         let Some(routing) = config.routing() else {
-            self.early.push(EarlyCall { origin, request, since });
-            return Vec::new();
+            // It comes back when there is a configuration, and can still be in time then; one that
+            // waited would be late, with a slot in its hands that another needs.
+            info!(id = %attempt_id, reason = "no_configuration", verdict = "not-run", "call_refused");
+            self.counts.refused += 1;
+            return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
         };
         let host = request.headers.text("host").unwrap_or_default().to_owned();
         let path = request.path().to_owned();
@@ -256,9 +247,9 @@
             most_arrivals: route.attempts.max(1),
             target_ms: urgency.target_ms,
             service,
-            arrived: since,
+            arrived: now,
             told_ms: told,
-            deadline: since + told.min(timeout),
+            deadline: now + told.min(timeout),
             tries: 0,
             arrivals: 0,
             current: None,
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -1,12 +1,8 @@
 //! What ends calls from outside: time, callers that leave, the start and the stop of the process.
 
-use super::call::{trail, Call, EarlyCall, Try};
-use super::{
-    refusal, Attempt, CallAction, CallId, Calls, Origin, EARLY_WAIT_MS, PARKED_LOOK_MS,
-    UNREADY_RETRY_AFTER_MS,
-};
+use super::call::{trail, Call, Try};
+use super::{refusal, Attempt, CallAction, CallId, Calls, Origin, PARKED_LOOK_MS};
 use crate::call_metrics::CallOutcome;
-use crate::config::Config;
 use crate::net::ConnectionId;
 use crate::Millis;
 use http1::{Request, Response, Slot};
@@ -14,25 +10,6 @@
 use tracing::{info, warn};
 
 impl Calls {
-    /// Goes on with the calls that came before the first configuration.
-    pub fn configured(&mut self, config: &Config, now: Millis) -> Vec<CallAction> {
-        let early = std::mem::take(&mut self.early);
-        early.into_iter().flat_map(|call| self.admit(call, config, now)).collect()
-    }
-
-    /// Refuses the calls that waited too long for a configuration.
-    pub(super) fn refuse_early(&mut self, now: Millis) -> Vec<CallAction> {
-        let mut actions = Vec::new();
-        let waited = |call: &EarlyCall| now >= call.since + EARLY_WAIT_MS;
-        for call in self.early.extract_if(.., |call| waited(call)) {
-            let id = call.request.headers.text(self.names.attempt_id).unwrap_or("-");
-            info!(%id, reason = "no_configuration", verdict = "not-run", "call_refused");
-            self.counts.refused += 1;
-            actions.push(refusal(call.origin, UNREADY_RETRY_AFTER_MS));
-        }
-        actions
-    }
-
     /// Refuses a call because the process stops.
     pub fn refuse_stopping(
         &mut self,
@@ -48,7 +25,6 @@
 
     /// A caller went away: whatever it waited for stops.
     pub fn connection_ended(&mut self, connection: ConnectionId, now: Millis) -> Vec<CallAction> {
-        self.early.retain(|call| call.origin.connection != connection);
         let first = Origin { connection, slot: 0 };
         let last = Origin { connection, slot: Slot::MAX };
         let ids: Vec<CallId> = self.by_origin.range(first..=last).map(|(_, id)| *id).collect();
@@ -98,9 +74,6 @@
         now: Millis,
     ) -> Vec<CallAction> {
         let mut actions = Vec::new();
-        for call in std::mem::take(&mut self.early) {
-            actions.push(self.refuse_stopping(call.origin, &call.request, retry_after_ms));
-        }
         let ids: Vec<CallId> = self.calls.keys().copied().collect();
         for id in ids {
             let Some(call) = self.calls.get_mut(&id) else {
@@ -143,7 +116,6 @@
             let response = call.fallback.unwrap_or_else(|| Response::empty(504));
             actions.push(CallAction::Answer { origin: call.origin, response });
         }
-        actions.extend(self.refuse_early(now));
         let parked: Vec<CallId> = self.parked.iter().copied().collect();
         for id in parked {
             actions.extend(self.place(id, now));
@@ -155,7 +127,6 @@
     pub fn next_tick(&self, now: Millis) -> Option<Millis> {
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         let parked = (!self.parked.is_empty()).then_some(now + PARKED_LOOK_MS);
-        let early = self.early.first().map(|call| call.since + EARLY_WAIT_MS);
-        deadline.into_iter().chain(parked).chain(early).min()
+        deadline.into_iter().chain(parked).min()
     }
 }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -300,10 +300,7 @@
                 self.take_waiting_registrations(now);
             }
             LinkEvent::Config { generation, update } => {
-                if self.config.apply(generation, &update) {
-                    let actions = self.calls.configured(&self.config, now);
-                    self.work.extend(actions.into_iter().map(Work::Call));
-                }
+                self.config.apply(generation, &update);
                 let (generation, digest) = (self.config.generation(), self.config.digest());
                 self.links.applied(&mut self.net, generation, digest, now);
             }
