--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -5,14 +5,15 @@
 
 mod call;
 mod endings;
+mod placing;
 mod time;
 
-use self::call::{Call, Try};
+use self::call::Call;
 use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
 use http1::{Request, Response, Slot};
-use mesh::{HopReply, HopRequest, NodeAddress, HOP_HEADER};
+use mesh::{HopReply, HopRequest, NodeAddress};
 use placement::{
     BudgetBounds, CallEnd, ClassTimes, Locality, PlacementView, Pressure, RetryBudget, Throttle,
     Urgency, WeightedSplit,
@@ -28,19 +29,6 @@
 /// Names a call on this node.
 pub type CallId = u64;
 
-/// Usual time of a route without a target or an answer yet, milliseconds.
-const UNKNOWN_TIME_MS: f64 = 100.0;
-/// Part of a route's target latency taken for its usual time before the first answer.
-const USUAL_PART_OF_TARGET: f64 = 0.35;
-/// How much longer than usual an answer is planned to take.
-const PLANNED_TIME_FACTOR: f64 = 1.25;
-/// Most part of the target latency that a call waits for a slot: one refused so early can still
-/// be in time when it comes back, and a longer queue makes all who wait late.
-const MOST_PATIENCE_PART: f64 = 0.25;
-/// A call may wait this long for a slot whatever its target, if its time allows, milliseconds.
-/// Those with short targets are mostly asked for within other calls, which would fail with a slot
-/// in their hands.
-const LEAST_PATIENCE_MS: f64 = 120.0;
 /// Longest wait for an upstream of a service that has none, milliseconds.
 const NO_UPSTREAM_WAIT_MS: u64 = 400;
 const PARKED_LOOK_MS: u64 = 20;
@@ -53,9 +41,6 @@
 const PRESSED_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_250;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
-/// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
-const HOP_MARGIN_MS: u64 = 8;
-
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Origin {
@@ -314,116 +299,6 @@
         None
     }
 
-    fn draw_service(&mut self, route: &str, targets: &[bundle::Target]) -> Option<String> {
-        if let [only] = targets {
-            return Some(only.service.clone());
-        }
-        let current = self.splits.get(route).is_some_and(|split| split.is_for(targets));
-        if !current {
-            let split = WeightedSplit::new(targets, &mut self.random);
-            self.splits.insert(route.to_owned(), split);
-        }
-        self.splits.get_mut(route)?.draw().map(str::to_owned)
-    }
-
-    /// The request as it goes to the peer: without what only the caller's connection concerns,
-    /// and without what only sidecars may say.
-    fn prepared(&self, mut request: Request) -> Request {
-        let headers = &mut request.headers;
-        headers.remove_connection_headers();
-        for name in [self.names.expect_instance, self.names.deadline_ms, HOP_HEADER, "expect"] {
-            headers.remove(name);
-        }
-        headers.set(self.names.caller, self.service.as_bytes());
-        request
-    }
-
-    fn usual_ms(&self, call: &Call) -> f64 {
-        let guessed = match call.target_ms {
-            0 => UNKNOWN_TIME_MS,
-            target => target as f64 * USUAL_PART_OF_TARGET,
-        };
-        self.times.usual_ms(&call.route).unwrap_or(guessed)
-    }
-
-    /// Chooses an upstream for a call that has no try, or gives it up.
-    fn place(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
-        let Some(call) = self.calls.get(&id) else {
-            return Vec::new();
-        };
-        let usual_ms = self.usual_ms(call);
-        let elapsed = now.saturating_sub(call.arrived);
-        let target_ms = call.target_ms.saturating_sub(elapsed).max(1) as f64;
-        let service = &call.service;
-        let urgency = call.urgency();
-        let tried = &call.tried;
-        let body_bytes = call.request.body.len();
-        let wanted = placement::Request {
-            service,
-            urgency,
-            usual_ms,
-            spread: self.times.spread(&call.route),
-            moved_bytes: self.times.moved_bytes(&call.route).unwrap_or(body_bytes as f64),
-            target_ms,
-            body_bytes,
-            tried,
-        };
-        let most_offers = self.pressure.most_offers(&call.service, now);
-        let chosen = match call.tries < most_offers {
-            true => self.view.choose(&wanted, now, &mut self.random),
-            false => None,
-        };
-        let Some(to) = chosen else {
-            return self.without_upstream(id, now);
-        };
-        let hop = self.hop_request(call, &to, usual_ms, now);
-        let call = self.calls.get_mut(&id).expect("looked up above");
-        call.tries += 1;
-        let attempt = Attempt { call: id, number: call.tries };
-        call.current = Some(Try { attempt, to, since: now });
-        call.parked_until = None;
-        call.tried.push(to);
-        self.parked.remove(&id);
-        let request = call.request.clone();
-        if call.arrivals > 0 {
-            self.budget.note_repeat(&call.service, now);
-            self.counts.repeats += 1;
-        }
-        if self.sample.takes(&call.attempt_id) {
-            info!(
-                id = %call.attempt_id, route = %call.route, service = %call.service,
-                rank = call.rank, target_ms = call.target_ms, try_number = call.tries,
-                %to, patience_ms = hop.patience_ms, left_ms = hop.deadline_ms,
-                told_ms = call.told_ms, "call_placed"
-            );
-        }
-        if let Some(upstream) = self.view.get_mut(&to) {
-            upstream.outstanding += 1;
-        }
-        vec![CallAction::Send { attempt, to, request, hop }]
-    }
-
-    fn hop_request(&self, call: &Call, to: &NodeAddress, usual_ms: f64, now: Millis) -> HopRequest {
-        let left = call.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN_MS).max(1);
-        let speed = self.view.get(to).map_or(1.0, |upstream| upstream.speed);
-        let planned = usual_ms * speed * PLANNED_TIME_FACTOR;
-        let target = call.target_ms as f64;
-        let elapsed = now.saturating_sub(call.arrived) as f64;
-        let useful = (target - elapsed - planned).min(target * MOST_PATIENCE_PART);
-        let possible = (left as f64 - planned).max(0.0);
-        let patience = useful.max(LEAST_PATIENCE_MS.min(possible));
-        let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
-        HopRequest {
-            deadline_ms: left,
-            patience_ms: (patience as u64).min(left),
-            rank: call.rank,
-            target_ms: call.target_ms,
-            repeatable: call.repeatable,
-            service: call.service.clone(),
-            instance: record.map(|instance| instance.id.clone()),
-        }
-    }
-
     /// Takes down how a call ended.
     fn note_outcome(&mut self, call: &Call, outcome: CallOutcome, now: Millis) {
         self.metrics.note_end(&call.route, outcome, now.saturating_sub(call.arrived));
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! Pure: events come in with the time, actions go out. Only this side knows for certain whether a
 //! call was given to the upstream, so it alone says that one was not.
 
+mod endings;
 mod offers;
 
 use self::offers::Offers;
@@ -21,15 +22,9 @@
 
 /// Slots of an upstream that did not tell any.
 const UNKNOWN_SLOTS: u32 = 4;
-/// A call whose deadline passed this long ago is taken from its upstream, milliseconds.
-const OVERTIME_MS: u64 = 150;
 /// Part of the slots that is used: some upstreams slow down or reset when they are full.
 const USED_PART_OF_SLOTS: f64 = 1.0;
 const REFUSED_STATUS: u16 = 503;
-const UNKNOWN_STATUS: u16 = 502;
-const FIRST_FAILURE_STATUS: u16 = 300;
-const TOO_MANY_REQUESTS: u16 = 429;
-const FIRST_SERVER_ERROR: u16 = 500;
 
 /// Who waits for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -334,154 +329,9 @@
         Some(JobAction::Run { job: id, request })
     }
 
-    /// Takes in how the upstream ended a job.
-    pub fn ended(&mut self, id: JobId, end: UpstreamEnd, now: Millis) -> Vec<JobAction> {
-        let Some(job) = self.remove(id) else {
-            return Vec::new();
-        };
-        let spent_ms = job.spent_ms(now);
-        self.metrics.note_end(spent_ms);
-        let (outcome, response) = self.judge(&job.attempt_id, end);
-        if job.started.is_some() {
-            self.failures.note(is_upstreams_fault(outcome, response.status), now);
-        }
-        let telling = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
-        self.admission.release(telling.then_some(spent_ms));
-        let ordinary = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
-        if !ordinary || self.sample.takes(&job.attempt_id) {
-            info!(
-                id = %job.attempt_id, ?outcome, status = response.status, spent_ms,
-                running = self.admission.running(), queued = self.admission.queued(), "job_ended"
-            );
-        }
-        let retry_after_ms = match outcome {
-            HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0, now),
-            HopOutcome::Answered | HopOutcome::Unknown => 0,
-        };
-        let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
-        let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
-        actions.extend(self.start_waiting(now));
-        actions
-    }
-
-    /// What the upstream's answer says of the request.
-    fn judge(&self, id: &str, end: UpstreamEnd) -> (HopOutcome, Response) {
-        let answer = match end {
-            UpstreamEnd::NotSent => return (HopOutcome::Refused, Response::empty(REFUSED_STATUS)),
-            UpstreamEnd::Failed(error) => {
-                info!(%id, %error, "upstream_failed");
-                return (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS));
-            }
-            UpstreamEnd::Answered(answer) => answer,
-        };
-        let response = answer.response;
-        if response.headers.get(self.names.not_run).is_some() || response.status == 421 {
-            return (HopOutcome::Rejected, response);
-        }
-        let sealed = response.headers.get(self.names.seal).is_some();
-        if sealed || response.status >= FIRST_FAILURE_STATUS {
-            return (HopOutcome::Answered, response);
-        }
-        info!(%id, status = response.status, "answer_without_seal");
-        (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS))
-    }
-
     fn remove(&mut self, id: JobId) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
         self.by_source.remove(&job.source);
         Some(job)
     }
-
-    fn start_waiting(&mut self, now: Millis) -> Vec<JobAction> {
-        let mut actions = Vec::new();
-        if self.gate.state(now) == GateState::Closed {
-            for id in self.admission.clear() {
-                actions.extend(self.refuse_waiting(id, "upstream_leaves", now));
-            }
-        }
-        while let Some(id) = self.admission.start_next() {
-            match self.start(id, now) {
-                Some(action) => actions.push(action),
-                None => self.admission.release(None),
-            }
-        }
-        actions
-    }
-
-    fn refuse_waiting(&mut self, id: JobId, reason: &str, now: Millis) -> Option<JobAction> {
-        let job = self.remove(id)?;
-        let retry_after_ms = self.admission.retry_after_ms(0, now);
-        let held_ms = now.saturating_sub(job.arrived);
-        let refusal = Refusal { id: &job.attempt_id, reason, held_ms, retry_after_ms };
-        Some(self.refuse(job.source, refusal, now))
-    }
-
-    /// Nobody waits for a job any more.
-    pub fn cancel(&mut self, source: Source, now: Millis) -> Vec<JobAction> {
-        if self.offers.end(source, now).is_some() {
-            return self.grant(now);
-        }
-        let Some(id) = self.by_source.get(&source).copied() else {
-            return Vec::new();
-        };
-        let Some(job) = self.remove(id) else {
-            return Vec::new();
-        };
-        info!(id = %job.attempt_id, started = job.started.is_some(), "job_cancelled");
-        if self.admission.cancel(id) {
-            return Vec::new();
-        }
-        self.admission.release(None);
-        self.failures.note_cancelled(job.spent_ms(now), self.admission.service_ms(), now);
-        let mut actions = vec![JobAction::Abort(id)];
-        actions.extend(self.start_waiting(now));
-        actions
-    }
-
-    /// A peer's connection ended: nobody waits for its jobs.
-    pub fn connection_ended(&mut self, connection: ConnectionId, now: Millis) -> Vec<JobAction> {
-        let first = Source::Peer { connection, slot: 0 };
-        let last = Source::Peer { connection, slot: Slot::MAX };
-        let begun = self.by_source.range(first..=last).map(|(source, _)| *source);
-        let sources: Vec<Source> = begun.chain(self.offers.of(connection)).collect();
-        sources.into_iter().flat_map(|source| self.cancel(source, now)).collect()
-    }
-
-    /// Ends what waited or ran too long.
-    pub fn tick(&mut self, now: Millis) -> Vec<JobAction> {
-        let mut actions = Vec::new();
-        for id in self.admission.expire(now) {
-            actions.extend(self.refuse_waiting(id, "waited_too_long", now));
-        }
-        let late = |job: &Job| job.started.is_some() && job.deadline + OVERTIME_MS <= now;
-        let overdue: Vec<JobId> =
-            self.jobs.iter().filter(|(_, job)| late(job)).map(|(id, _)| *id).collect();
-        for id in overdue {
-            actions.push(JobAction::Abort(id));
-            actions.extend(self.ended(id, UpstreamEnd::Failed(ExchangeError::NoAnswer), now));
-        }
-        actions.extend(self.start_waiting(now));
-        actions.extend(self.expire_offers(now));
-        actions.extend(self.grant(now));
-        actions
-    }
-
-    /// When `tick` has something to do.
-    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
-        let running = self.jobs.values().filter(|job| job.started.is_some());
-        let overdue = running.map(|job| job.deadline + OVERTIME_MS).min();
-        let offers = self.offers.next_expiry(now);
-        overdue.into_iter().chain(self.admission.next_expiry()).chain(offers).min()
-    }
-}
-
-/// Whether an end tells against the upstream. A rejection does, too: it is never given more than it
-/// has slots for.
-fn is_upstreams_fault(outcome: HopOutcome, status: u16) -> bool {
-    match outcome {
-        HopOutcome::Answered => status >= FIRST_SERVER_ERROR,
-        HopOutcome::Rejected => status == TOO_MANY_REQUESTS || status >= FIRST_SERVER_ERROR,
-        HopOutcome::Unknown => true,
-        HopOutcome::Refused => false,
-    }
 }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -2,12 +2,13 @@
 
 mod dispatch;
 mod registration;
+mod stopping;
 
 use crate::call_metrics::{CallMetrics, JobMetrics};
 use crate::calls::{CallAction, Calls};
 use crate::config::Config;
 use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
-use crate::jobs::{JobAction, Jobs, Source};
+use crate::jobs::{JobAction, Jobs};
 use crate::link_meter::LinkMeter;
 use crate::links::{LinkEvent, Links};
 use crate::metrics::{Metrics, Snapshot};
@@ -16,7 +17,7 @@
 use crate::registrar::Registrar;
 use crate::sample::LogSample;
 use crate::servers::{ServerKind, ServerTimes, Servers};
-use crate::stop::{Activity, StopPhase, StopPlan};
+use crate::stop::StopPlan;
 use crate::{Attempt, Millis};
 use admission::JobId;
 use http1::{Response, Slot};
@@ -321,17 +322,6 @@
         self.links.want_config(&mut self.net, generation, digest, now);
     }
 
-    /// The upstream beside is out of reach from now on, until the next life is there.
-    fn close_to_peers(&mut self, now: Millis) {
-        let (running, queued) = self.jobs.load();
-        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_closing");
-        self.links.report(&mut self.net, |record| record.stopping = true);
-        self.calls.view.update(self.links.record().clone(), now);
-        let actions = self.jobs.close(now);
-        self.work.extend(actions.into_iter().map(Work::Job));
-        self.do_work();
-    }
-
     fn keep_house(&mut self, now: Millis) {
         self.net.sweep(LINGER_LIMIT);
         for (attempt, end) in self.peers.tick(&mut self.net, now) {
@@ -376,45 +366,6 @@
             Err(error) => warn!(%error, "settings_not_reloaded"),
         }
     }
-
-    /// Whether the process may end: it was asked to, and what it had to finish is finished.
-    fn is_over(&mut self, stop: &StopSignal) -> bool {
-        let now = self.now();
-        if stop.is_set() && self.stop.begin(now) {
-            let (running, queued) = self.jobs.load();
-            info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
-        }
-        if self.stop.refuses(now) && !self.links.record().stopping {
-            self.close_to_peers(now);
-        }
-        let in_flight = self.calls.in_flight() + self.jobs.in_flight();
-        let unsent = self.net.has_unsent();
-        let activity = Activity { in_flight, last_request: self.last_request, unsent };
-        match self.stop.phase(activity, now) {
-            StopPhase::Running | StopPhase::Serving | StopPhase::Refusing => false,
-            StopPhase::Ending => {
-                self.end_calls(now);
-                false
-            }
-            StopPhase::Over => true,
-        }
-    }
-
-    /// Gives what is left its final answer, shortly before the process ends.
-    fn end_calls(&mut self, now: Millis) {
-        if self.calls.in_flight() == 0 {
-            return;
-        }
-        let (running, queued) = self.jobs.load();
-        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_ends_calls");
-        let (peers, jobs) = (&self.peers, &self.jobs);
-        let was_sent =
-            |attempt| peers.was_sent(attempt) || jobs.has_started(Source::Local(attempt));
-        let actions = self.calls.end_all(was_sent, self.stop.retry_after_ms(), now);
-        self.work.extend(actions.into_iter().map(Work::Call));
-        self.servers.end_reading(&mut self.net);
-        self.do_work();
-    }
 }
 
 fn seed_addresses(settings: &SidecarSettings) -> Vec<Ipv4Addr> {
--- /dev/null
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -0,0 +1,61 @@
+//! What the loop does while the process stops.
+
+use super::{Sidecar, Work};
+use crate::dialect::RegistrationDialect;
+use crate::jobs::Source;
+use crate::stop::{Activity, StopPhase};
+use crate::Millis;
+use telemetry::StopSignal;
+use tracing::info;
+
+impl<D: RegistrationDialect> Sidecar<D> {
+    /// Whether the process may end: it was asked to, and what it had to finish is finished.
+    pub(super) fn is_over(&mut self, stop: &StopSignal) -> bool {
+        let now = self.now();
+        if stop.is_set() && self.stop.begin(now) {
+            let (running, queued) = self.jobs.load();
+            info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
+        }
+        if self.stop.refuses(now) && !self.links.record().stopping {
+            self.close_to_peers(now);
+        }
+        let in_flight = self.calls.in_flight() + self.jobs.in_flight();
+        let unsent = self.net.has_unsent();
+        let activity = Activity { in_flight, last_request: self.last_request, unsent };
+        match self.stop.phase(activity, now) {
+            StopPhase::Running | StopPhase::Serving | StopPhase::Refusing => false,
+            StopPhase::Ending => {
+                self.end_calls(now);
+                false
+            }
+            StopPhase::Over => true,
+        }
+    }
+
+    /// Gives what is left its final answer, shortly before the process ends.
+    fn end_calls(&mut self, now: Millis) {
+        if self.calls.in_flight() == 0 {
+            return;
+        }
+        let (running, queued) = self.jobs.load();
+        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_ends_calls");
+        let (peers, jobs) = (&self.peers, &self.jobs);
+        let was_sent =
+            |attempt| peers.was_sent(attempt) || jobs.has_started(Source::Local(attempt));
+        let actions = self.calls.end_all(was_sent, self.stop.retry_after_ms(), now);
+        self.work.extend(actions.into_iter().map(Work::Call));
+        self.servers.end_reading(&mut self.net);
+        self.do_work();
+    }
+
+    /// The upstream beside is out of reach from now on, until the next life is there.
+    fn close_to_peers(&mut self, now: Millis) {
+        let (running, queued) = self.jobs.load();
+        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_closing");
+        self.links.report(&mut self.net, |record| record.stopping = true);
+        self.calls.view.update(self.links.record().clone(), now);
+        let actions = self.jobs.close(now);
+        self.work.extend(actions.into_iter().map(Work::Job));
+        self.do_work();
+    }
+}
