--- a/crates/placement/src/locality.rs
+++ b/crates/placement/src/locality.rs
@@ -11,7 +11,7 @@
 /// What another node costs whatever is moved, as a part of the worth of a call that is in time.
 const MESSAGE_COST: f64 = 0.015;
 /// What a kilobyte between zones costs, as such a part.
-const COST_PER_KB: f64 = 0.03;
+const COST_PER_KB: f64 = 0.06;
 const BYTES_PER_KB: f64 = 1_000.0;
 /// Heads of a request and its answer, bytes.
 const HEAD_BYTES: f64 = 700.0;
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -256,7 +256,7 @@
         }
     }
     expect![[r#"
-        tailed, 1500 bytes: [1, 2, 2, 2, 2]
+        tailed, 1500 bytes: [1, 1, 1, 1, 2]
         tailed, 60000 bytes: [1, 1, 1, 1, 2]
         even, 1500 bytes: [1, 1, 1, 1, 2]
         even, 60000 bytes: [1, 1, 1, 1, 2]
