Calls before the first configuration: what the removed tests held is checked again

Why, test by test:

- a_call_that_came_early_goes_on_once_the_configuration_is_there: tested only the queue of early calls (`Calls::configured`), which is gone: no call can wait for a configuration any more.
What it held besides, that a known route is sent and an unknown one is 404 once there is a configuration, was lost with it, and stands again in without_a_configuration_nothing_is_said_about_routes.
- the ticks at 700 and 900 ms in that test: they checked when the wait ends.
The refusal is now checked at once, for a known and an unknown path, with its time to return and nothing in flight; and, new, that no tick brings a refused call back after the configuration came, which would break the promise of its 503.
- the early call in a_process_that_ends_gives_every_call_its_answer: there is none to end.

Nothing was eased: each condition that can still occur is checked as strictly as before.

--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -18,9 +18,12 @@
         assert!(retry_after_ms(&actions).is_some(), "{path}");
         assert_eq!(world.calls.in_flight(), 0, "{path}");
     }
+    // Nothing of a refused call is left to run when the configuration comes.
     world.configure();
     world.add_upstream(1);
+    assert!(world.calls.tick(world.now + 1_000).is_empty());
     assert!(sent(&world.begin("GET", "/safe/1")).is_some());
+    assert_eq!(status(&world.begin("GET", "/nowhere/")), Some(404));
 }
 
 #[test]
