--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -62,7 +62,7 @@
 /// How a try ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
-    /// No byte of it was sent.
+    /// It was not sent whole, so it cannot have run.
     NotSent,
     /// The peer told what became of it.
     Replied(HopReply, Response),
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -43,7 +43,7 @@
 /// How a try at the upstream ended.
 #[derive(Debug)]
 pub enum UpstreamEnd {
-    /// No byte of the request was sent.
+    /// The request was not sent whole, so it cannot have run.
     NotSent,
     /// A whole answer came.
     Answered(Answer),
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -32,7 +32,8 @@
         }
     }
 
-    /// Gives what is left its final answer, shortly before the process ends.
+    /// Gives what is left its final answer, shortly before the process ends. No call waits for the
+    /// upstream beside any more (`Jobs::close` refused those), so ending one starts no other.
     fn end_calls(&mut self, now: Millis) {
         if self.calls.in_flight() == 0 {
             return;
