--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -1,4 +1,7 @@
 //! What wakes the links: the registry, and that something changed.
+//!
+//! Only links that subscribed to the registry wake for its changes; with a thread a link, waking
+//! all for each sidecar's change would cost a coordinator the square of the fleet.
 
 use crate::{Millis, Registry};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -7,7 +10,8 @@
 /// The registry with its readers.
 pub(crate) struct Hub {
     state: Mutex<HubState>,
-    changed: Condvar,
+    registry_changed: Condvar,
+    revised: Condvar,
 }
 
 /// What links look at.
@@ -20,32 +24,37 @@
 impl Hub {
     pub fn new(lease_ms: u64) -> Self {
         let state = HubState { registry: Registry::new(lease_ms), revision: 0 };
-        Hub { state: Mutex::new(state), changed: Condvar::new() }
+        let (registry_changed, revised) = (Condvar::new(), Condvar::new());
+        Hub { state: Mutex::new(state), registry_changed, revised }
     }
 
     pub fn lock(&self) -> MutexGuard<'_, HubState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Wakes every link.
+    /// Wakes the subscribers of the registry.
     pub fn notify(&self) {
-        self.changed.notify_all();
+        self.registry_changed.notify_all();
     }
 
     /// Notes that the configuration or the members may have changed.
     pub fn bump(&self) {
         self.lock().revision += 1;
-        self.notify();
+        self.revised.notify_all();
     }
 
-    /// Waits until the registry or the revision is not as given any more.
-    pub fn wait(&self, position: u64, revision: u64, longest: Duration) {
-        let state = self.lock();
-        let same = |state: &mut HubState| {
-            state.registry.position() == position && state.revision == revision
-        };
-        let waited = self.changed.wait_timeout_while(state, longest, same);
-        drop(waited);
+    /// Waits until the revision is not as given any more.
+    pub fn wait_revised(&self, revision: u64, longest: Duration) {
+        let same = |state: &mut HubState| state.revision == revision;
+        drop(self.revised.wait_timeout_while(self.lock(), longest, same));
+    }
+
+    /// Waits until the registry has moved on from a position; false if it did not.
+    pub fn wait_registry(&self, position: u64, longest: Duration) -> bool {
+        let same = |state: &mut HubState| state.registry.position() == position;
+        let waited = self.registry_changed.wait_timeout_while(self.lock(), longest, same);
+        let (_state, result) = waited.unwrap_or_else(PoisonError::into_inner);
+        !result.timed_out()
     }
 
     /// Removes the sidecars whose lease ended.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -6,17 +6,20 @@
 mod api;
 mod autopilot;
 mod dialect;
+mod exchange;
 mod hub;
 mod identity;
 mod link;
 mod listener;
 mod membership;
 mod registry;
+mod registry_loop;
 mod runtime;
 mod transport;
 
 pub use autopilot::{Autopilot, Change, Facts, MemberFacts};
 pub use dialect::{OperatorCall, OperatorDialect, Replacement};
+pub use exchange::{Outgoing, RegistryExchange};
 pub use identity::{choose_member, IdentityError};
 pub use registry::{Registry, RegistryChanges};
 pub use runtime::{run, CoordinatorError, RunningCoordinator};
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -1,13 +1,15 @@
-//! One sidecar's connection: reports in, news out.
+//! One sidecar's connection: reports in, news out. News of other sidecars goes only to those that
+//! subscribe; each one subscribes to one coordinator, one of its own zone where there is one.
 
 use crate::hub::Hub;
 use crate::listener::FrameReader;
 use crate::membership::Group;
+use crate::Millis;
 use bundle::{best_update, Bundle, BundleUpdate, Digest};
 use mesh::{encode_frame, MemberId, NodeAddress, NodeRecord, ToCoordinator, ToSidecar};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, Shutdown, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -16,12 +18,23 @@
 
 /// A sidecar that says nothing for this long is taken for gone.
 const SILENCE_LIMIT: Duration = Duration::from_millis(3_500);
-const ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The threads that send notice the end of a connection or a subscription within this time.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// Changes of the registry are collected for this long, so that sidecars which start or leave
+/// together are told of in one frame. Short against the time in which a leaving upstream is served.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
+/// A coordinator that started has its list filled by the sidecars' own links, which pause for
+/// 0.8 s at most between tries, and by other coordinators. Until then its list is no proof that a
+/// sidecar is gone, milliseconds.
+const COMPLETE_AFTER_MS: u64 = 2_000;
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const STACK_BYTES: usize = 128 * 1024;
+const NOT_SUBSCRIBED: u64 = 0;
 
 /// What all links need.
 pub(crate) struct SidecarLink {
+    zone: String,
+    started_at: Millis,
     hub: Arc<Hub>,
     group: Arc<Group>,
     clock: Clock,
@@ -39,6 +52,8 @@
 /// The writing half, shared by the reader's answers and the news.
 struct Writer {
     stream: Mutex<TcpStream>,
+    /// Number of the subscription that holds; 0 is none. A thread of an earlier one ends.
+    subscription: AtomicU64,
     ended: AtomicBool,
 }
 
@@ -56,8 +71,9 @@
 }
 
 impl SidecarLink {
-    pub fn new(hub: Arc<Hub>, group: Arc<Group>, clock: Clock) -> Self {
-        SidecarLink { hub, group, clock, made: Mutex::new(None) }
+    pub fn new(zone: &str, hub: Arc<Hub>, group: Arc<Group>, clock: Clock) -> Self {
+        let (zone, started_at) = (zone.to_owned(), clock.now_ms());
+        SidecarLink { zone, started_at, hub, group, clock, made: Mutex::new(None) }
     }
 
     /// Serves one sidecar until its connection ends.
@@ -67,15 +83,20 @@
         let ToCoordinator::Report(record) = reader.next()? else {
             return Err(io::ErrorKind::InvalidData.into());
         };
-        let writer = Arc::new(Writer { stream: Mutex::new(stream), ended: AtomicBool::new(false) });
+        let writer = Arc::new(Writer {
+            stream: Mutex::new(stream),
+            subscription: AtomicU64::new(NOT_SUBSCRIBED),
+            ended: AtomicBool::new(false),
+        });
         let (address, life) = (record.address, record.life);
         let last = self.hub.lock().registry.last_record(&address);
         let last = last.filter(|last| last.life != life);
         info!(node = %address, life, restored = last.is_some(), "sidecar_connected");
-        writer.send(&ToSidecar::Welcome { last })?;
+        let zone = self.zone.clone();
+        writer.send(&ToSidecar::Welcome { zone, last })?;
         self.take_report(&writer, record)?;
-        let news = (self.clone(), writer.clone());
-        thread::Builder::new().stack_size(STACK_BYTES).spawn(move || news.0.send_news(&news.1))?;
+        let (link, of_group) = (self.clone(), writer.clone());
+        spawn_thread(move || link.send_announcements(&of_group))?;
         let ended = self.receive_all(&writer, &mut reader, address, life);
         writer.ended.store(true, Ordering::Relaxed);
         if self.hub.lock().registry.disconnected(&address, life) {
@@ -86,16 +107,27 @@
     }
 
     fn receive_all(
-        &self,
-        writer: &Writer,
+        self: &Arc<Self>,
+        writer: &Arc<Writer>,
         reader: &mut FrameReader,
         node: NodeAddress,
         life: u64,
     ) -> io::Result<()> {
+        let mut subscriptions = NOT_SUBSCRIBED;
         loop {
             match reader.next()? {
                 ToCoordinator::Report(record) => self.take_report(writer, record)?,
                 ToCoordinator::WantConfig { held } => self.send_config(writer, held)?,
+                ToCoordinator::Subscribe { nodes } => {
+                    subscriptions += 1;
+                    let subscription = if nodes { subscriptions } else { NOT_SUBSCRIBED };
+                    info!(%node, nodes, "sidecar_subscribed");
+                    writer.subscription.store(subscription, Ordering::Relaxed);
+                    if nodes {
+                        let (link, writer) = (self.clone(), writer.clone());
+                        spawn_thread(move || link.send_nodes(&writer, subscription))?;
+                    }
+                }
                 ToCoordinator::Applied { generation } => {
                     info!(%node, generation, "generation_applied");
                 }
@@ -145,16 +177,12 @@
         update
     }
 
-    /// Sends what changed, and a sign of life when nothing did.
-    fn send_news(&self, writer: &Writer) {
-        let mut position = None;
+    /// Tells of generations and members for as long as the connection stands.
+    fn send_announcements(&self, writer: &Writer) {
         let mut announced = 0;
         let mut members: Vec<Ipv4Addr> = Vec::new();
         while !writer.ended.load(Ordering::Relaxed) {
-            let (changes, revision) = {
-                let state = self.hub.lock();
-                (state.registry.changes_since(position), state.revision)
-            };
+            let revision = self.hub.lock().revision;
             let mut messages = Vec::new();
             let generation = self.group.announced_generation();
             if generation > announced {
@@ -166,19 +194,51 @@
                 members = addresses;
                 messages.push(ToSidecar::Members { addresses: members.clone() });
             }
-            let new_position = changes.position;
-            if changes.whole || !changes.changed.is_empty() || !changes.gone.is_empty() {
-                let (whole, changed, gone) = (changes.whole, changes.changed, changes.gone);
-                messages.push(ToSidecar::Nodes { whole, changed, gone });
-            }
-            position = Some(new_position);
-            if messages.is_empty() {
-                messages.push(ToSidecar::Alive);
-            }
             if messages.iter().any(|message| writer.send(message).is_err()) {
                 return;
             }
-            self.hub.wait(new_position, revision, ALIVE_INTERVAL);
+            self.hub.wait_revised(revision, LONGEST_WAIT);
         }
     }
+
+    /// Tells of other sidecars for as long as a subscription holds. Until the list is complete, it
+    /// adds to what the sidecar knows of others and replaces nothing.
+    fn send_nodes(&self, writer: &Writer, subscription: u64) {
+        let mut position = None;
+        let mut told_whole = false;
+        let holds = || {
+            let ended = writer.ended.load(Ordering::Relaxed);
+            !ended && writer.subscription.load(Ordering::Relaxed) == subscription
+        };
+        while holds() {
+            let complete = self.incomplete_for().is_zero();
+            let from = position.filter(|_| told_whole || !complete);
+            let changes = self.hub.lock().registry.changes_since(from);
+            position = Some(changes.position);
+            told_whole |= complete;
+            let whole = changes.whole && complete;
+            let (changed, gone) = (changes.changed, changes.gone);
+            let any = whole || !changed.is_empty() || !gone.is_empty();
+            if any && writer.send(&ToSidecar::Nodes { whole, changed, gone }).is_err() {
+                return;
+            }
+            let longest = match told_whole {
+                true => LONGEST_WAIT,
+                false => self.incomplete_for(),
+            };
+            if self.hub.wait_registry(changes.position, longest) {
+                thread::sleep(COLLECT_TIME);
+            }
+        }
+    }
+
+    /// How long the list is still no proof that a sidecar which it lacks is gone.
+    fn incomplete_for(&self) -> Duration {
+        let complete_at = self.started_at + COMPLETE_AFTER_MS;
+        Duration::from_millis(complete_at.saturating_sub(self.clock.now_ms()))
+    }
+}
+
+fn spawn_thread(work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().stack_size(STACK_BYTES).spawn(work).map(|_| ())
 }
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -2,8 +2,11 @@
 
 use crate::link::SidecarLink;
 use crate::membership::Group;
+use crate::registry_loop::RegistryLoop;
 use crate::transport::prepare;
-use mesh::{decode_frame, ConsensusFrame, Greeting, Purpose, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+use mesh::{
+    decode_frame, CoordinatorFrame, Greeting, MemberId, Purpose, MAX_FRAME_BYTES, PROTOCOL_VERSION,
+};
 use speedy::{LittleEndian, Readable};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -58,13 +61,16 @@
     }
 }
 
+/// What connections are served with.
+pub(crate) struct Service {
+    pub fleet: String,
+    pub group: Arc<Group>,
+    pub registry_loop: Arc<RegistryLoop>,
+    pub link: Arc<SidecarLink>,
+}
+
 /// Accepts connections for as long as the process runs.
-pub(crate) fn spawn(
-    listener: TcpListener,
-    fleet: String,
-    group: Arc<Group>,
-    link: Arc<SidecarLink>,
-) {
+pub(crate) fn spawn(listener: TcpListener, service: Arc<Service>) {
     let open = Arc::new(AtomicUsize::new(0));
     thread::spawn(move || {
         for accepted in listener.incoming() {
@@ -76,12 +82,12 @@
                 warn!(limit = MAX_CONNECTIONS, "connection_turned_away");
                 continue;
             }
-            let (fleet, group, link) = (fleet.clone(), group.clone(), link.clone());
+            let service = service.clone();
             let counted = open.clone();
             counted.fetch_add(1, Ordering::Relaxed);
             let serve = move || {
                 let peer = stream.peer_addr().ok();
-                if let Err(error) = serve(stream, &fleet, &group, &link) {
+                if let Err(error) = service.serve(stream) {
                     info!(?peer, %error, "connection_ended");
                 }
                 counted.fetch_sub(1, Ordering::Relaxed);
@@ -95,31 +101,38 @@
     });
 }
 
-fn serve(stream: TcpStream, fleet: &str, group: &Group, link: &Arc<SidecarLink>) -> io::Result<()> {
-    prepare(&stream)?;
-    stream.set_read_timeout(Some(GREETING_TIMEOUT))?;
-    let peer = stream.peer_addr()?;
-    let mut reader = FrameReader::new(stream.try_clone()?);
-    let greeting: Greeting = reader.next()?;
-    if greeting.protocol != PROTOCOL_VERSION || greeting.fleet != fleet {
-        warn!(%peer, protocol = greeting.protocol, fleet = %greeting.fleet, "greeting_refused");
-        return Ok(());
-    }
-    match greeting.purpose {
-        Purpose::Consensus => {
-            stream.set_read_timeout(None)?;
-            serve_member(&mut reader, peer, group)
+impl Service {
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        prepare(&stream)?;
+        stream.set_read_timeout(Some(GREETING_TIMEOUT))?;
+        let peer = stream.peer_addr()?;
+        let mut reader = FrameReader::new(stream.try_clone()?);
+        let greeting: Greeting = reader.next()?;
+        let Greeting { protocol, fleet, purpose } = greeting;
+        if protocol != PROTOCOL_VERSION || fleet != self.fleet {
+            warn!(%peer, protocol, %fleet, "greeting_refused");
+            return Ok(());
+        }
+        match purpose {
+            Purpose::Coordinator => {
+                stream.set_read_timeout(None)?;
+                self.serve_coordinator(&mut reader, peer)
+            }
+            Purpose::Sidecar => self.link.serve(stream, reader),
         }
-        Purpose::Sidecar => link.serve(stream, reader),
     }
-}
 
-fn serve_member(reader: &mut FrameReader, peer: SocketAddr, group: &Group) -> io::Result<()> {
-    loop {
-        match reader.next()? {
-            ConsensusFrame::Message(message) => group.receive(message),
-            ConsensusFrame::Join { member } => group.join(mesh::MemberId(member)),
-            ConsensusFrame::Removed { member } => info!(%peer, member, "removed_from_group"),
+    fn serve_coordinator(&self, reader: &mut FrameReader, peer: SocketAddr) -> io::Result<()> {
+        loop {
+            match reader.next()? {
+                CoordinatorFrame::Message(message) => self.group.receive(message),
+                CoordinatorFrame::Join { member } => self.group.join(MemberId(member)),
+                CoordinatorFrame::Removed { member } => info!(%peer, member, "removed_from_group"),
+                frame @ (CoordinatorFrame::RegistryDigest { .. }
+                | CoordinatorFrame::RegistryEntries { .. }
+                | CoordinatorFrame::Unheard { .. }
+                | CoordinatorFrame::Heard { .. }) => self.registry_loop.receive(frame),
+            }
         }
     }
 }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -8,7 +8,7 @@
 use bundle::{Bundle, Digest};
 use consensus::{Membership, Message};
 use control::{ConfigState, Replica};
-use mesh::{ConsensusFrame, MemberId};
+use mesh::{CoordinatorFrame, MemberId};
 use rollout::{ApprovalPolicy, Command, Request, CONTROL_OPERATOR};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -82,7 +82,7 @@
             let now = self.clock.now_ms();
             self.lock_autopilot().wants_to_join(member, now);
         } else if let Some(leader) = leader.map(MemberId).filter(|leader| *leader != self.own) {
-            self.transport.send(leader, ConsensusFrame::Join { member: member.0 });
+            self.transport.send(leader, CoordinatorFrame::Join { member: member.0 });
         }
     }
 
@@ -163,7 +163,7 @@
     }
 
     fn ask_to_join(&self) {
-        let join = ConsensusFrame::Join { member: self.own.0 };
+        let join = CoordinatorFrame::Join { member: self.own.0 };
         let others = self.seeds.iter().filter(|seed| **seed != self.own.address());
         for seed in others {
             self.transport.send_to_address(*seed, join.clone());
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -1,7 +1,12 @@
 //! Sidecars and their upstreams, as reported under a lease; soft state, pure.
+//!
+//! A sidecar counts as heard directly while its own link brings signs of life. One that is only
+//! cut off from this coordinator stays listed for as long as another coordinator vouches for it.
 
 use crate::Millis;
-use mesh::{InstanceState, NodeAddress, NodeRecord};
+use bundle::Digest;
+use mesh::{HeardNode, InstanceState, NodeAddress, NodeRecord, RegistryEntry};
+use speedy::Writable;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::info;
 
@@ -15,11 +20,19 @@
 #[derive(Clone, Debug)]
 struct Held {
     record: NodeRecord,
+    /// Last sign of life, its own or one that another coordinator vouched for.
     heard_at: Millis,
-    connected: bool,
+    /// Last sign of life on a link of its own.
+    heard_directly_at: Option<Millis>,
     changed_at: u64,
 }
 
+impl Held {
+    fn is_heard_directly(&self, limit_ms: u64, now: Millis) -> bool {
+        self.heard_directly_at.is_some_and(|at| now < at + limit_ms)
+    }
+}
+
 /// What changed since a reader's position.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegistryChanges {
@@ -75,24 +88,109 @@
         }
         if let Some(held) = self.nodes.get_mut(&record.address) {
             held.heard_at = now;
-            held.connected = true;
+            held.heard_directly_at = Some(now);
             let older = held.record.life == record.life && held.record.sequence >= record.sequence;
             if older {
                 return false;
             }
         }
+        self.hold(record, now, Some(now));
+        true
+    }
+
+    fn hold(&mut self, record: NodeRecord, heard_at: Millis, heard_directly_at: Option<Millis>) {
         self.position += 1;
         let address = record.address;
-        let held = Held { record, heard_at: now, connected: true, changed_at: self.position };
-        self.nodes.insert(address, held);
+        let changed_at = self.position;
+        self.nodes.insert(address, Held { record, heard_at, heard_directly_at, changed_at });
         self.gone.retain(|(_, gone)| *gone != address);
+    }
+
+    /// Takes in what another coordinator hears; true if it changed what readers should know. A
+    /// record that is heard directly here, or was heard later here, is never replaced by another
+    /// life's: lives have no order of their own.
+    pub fn vouch(&mut self, heard: HeardNode, now: Millis) -> bool {
+        let heard_at = now.saturating_sub(u64::from(heard.silent_ms));
+        if heard_at + self.lease_ms < now {
+            return false;
+        }
+        let mut record = heard.record;
+        self.apply_marks(&mut record);
+        let unheard_ms = self.unheard_ms();
+        let mut heard_directly_at = None;
+        if let Some(held) = self.nodes.get_mut(&record.address) {
+            let same_life = held.record.life == record.life;
+            let later_here = held.heard_at >= heard_at;
+            if !same_life && (later_here || held.is_heard_directly(unheard_ms, now)) {
+                return false;
+            }
+            held.heard_at = held.heard_at.max(heard_at);
+            if same_life {
+                heard_directly_at = held.heard_directly_at;
+                if held.record.sequence >= record.sequence {
+                    return false;
+                }
+            }
+        }
+        self.keep_mark(&record);
+        if record.instance.is_some() {
+            self.last.insert(record.address, (record.clone(), now));
+        }
+        self.hold(record, heard_at, heard_directly_at);
         true
     }
 
+    /// Time without a sign of life of its own after which others are asked for a sidecar.
+    fn unheard_ms(&self) -> u64 {
+        self.lease_ms / 2
+    }
+
+    /// Listed sidecars that are not heard directly: others must vouch for them.
+    pub fn unheard(&self, now: Millis) -> Vec<NodeAddress> {
+        let limit_ms = self.unheard_ms();
+        let unheard = self.nodes.iter().filter(|(_, held)| !held.is_heard_directly(limit_ms, now));
+        unheard.map(|(address, _)| *address).collect()
+    }
+
+    /// Those of some sidecars that are heard directly here.
+    pub fn heard(&self, nodes: &[NodeAddress], now: Millis) -> Vec<HeardNode> {
+        nodes.iter().filter_map(|address| self.heard_directly(address, now)).collect()
+    }
+
+    fn heard_directly(&self, address: &NodeAddress, now: Millis) -> Option<HeardNode> {
+        let held = self.nodes.get(address)?;
+        let at = held.heard_directly_at.filter(|at| now < at + self.unheard_ms())?;
+        let silent_ms = now.saturating_sub(at) as u32;
+        Some(HeardNode { record: held.record.clone(), silent_ms })
+    }
+
+    /// What is listed, as versions.
+    pub fn entries(&self) -> Vec<RegistryEntry> {
+        self.nodes.values().map(|held| RegistryEntry::of(&held.record)).collect()
+    }
+
+    /// A digest of [`Self::entries`], whatever their order.
+    pub fn digest(&self) -> u64 {
+        self.entries().iter().map(digest_of).fold(0, u64::wrapping_add)
+    }
+
+    /// What is heard directly here and missing, or of another version, among another
+    /// coordinator's entries.
+    pub fn lacking(&self, entries: &[RegistryEntry], now: Millis) -> Vec<HeardNode> {
+        let theirs: BTreeMap<NodeAddress, RegistryEntry> =
+            entries.iter().map(|entry| (entry.address, *entry)).collect();
+        let differs = |held: &&Held| {
+            theirs.get(&held.record.address) != Some(&RegistryEntry::of(&held.record))
+        };
+        let differing = self.nodes.values().filter(differs);
+        differing.filter_map(|held| self.heard_directly(&held.record.address, now)).collect()
+    }
+
     /// Notes a sign of life.
     pub fn alive(&mut self, address: &NodeAddress, life: u64, now: Millis) {
         if let Some(held) = self.nodes.get_mut(address).filter(|held| held.record.life == life) {
             held.heard_at = now;
+            held.heard_directly_at = Some(now);
         }
     }
 
@@ -101,7 +199,7 @@
         let Some(held) = self.nodes.get_mut(address).filter(|held| held.record.life == life) else {
             return false;
         };
-        held.connected = false;
+        held.heard_directly_at = None;
         let stopping = held.record.stopping;
         if stopping {
             info!(node = %address, "node_left");
@@ -184,3 +282,10 @@
         }
     }
 }
+
+fn digest_of(entry: &RegistryEntry) -> u64 {
+    let encoded = entry.write_to_vec().expect("encoding to memory cannot fail");
+    let digest = Digest::of(&encoded);
+    let first = digest.0.first_chunk().expect("a digest is longer than eight bytes");
+    u64::from_le_bytes(*first)
+}
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -8,10 +8,11 @@
 use crate::link::SidecarLink;
 use crate::listener;
 use crate::membership::Group;
+use crate::registry_loop::RegistryLoop;
 use crate::transport::Transport;
 use consensus::{Config, Membership};
 use control::{ConfigState, Replica, ReplicaParameters, CONFIG_GROUP};
-use mesh::{ConsensusFrame, MemberId};
+use mesh::{CoordinatorFrame, MemberId};
 use settings::CoordinatorSettings;
 use snafu::{ResultExt, Snafu};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
@@ -23,7 +24,6 @@
 use tracing::info;
 
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_000);
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A coordinator could not start.
 #[derive(Debug, Snafu)]
@@ -76,15 +76,23 @@
     let voters = settings.voters as usize;
     let autopilot = Autopilot::new(voters, settings.silence_ms);
     let seeds: Vec<Ipv4Addr> = settings.seeds.iter().map(|seed| *seed.ip()).collect();
-    let group = Arc::new(Group::new(own, replica, transport, clock, autopilot, seeds));
+    let group = Arc::new(Group::new(own, replica, transport.clone(), clock, autopilot, seeds));
     let hub = Arc::new(Hub::new(settings.lease_ms));
-    let link = Arc::new(SidecarLink::new(hub.clone(), group.clone(), clock));
+    let link = SidecarLink::new(&settings.zone, hub.clone(), group.clone(), clock);
+    let registry_loop = RegistryLoop::new(hub.clone(), group.clone(), transport, clock);
+    let registry_loop = Arc::new(registry_loop);
     let address = SocketAddrV4::new(settings.ip, settings.mesh_port);
     let listen = TcpListener::bind(address);
     let listen = listen.map_err(|cause| listen_error(address, cause))?;
-    listener::spawn(listen, settings.fleet.clone(), group.clone(), link);
+    let service = listener::Service {
+        fleet: settings.fleet.clone(),
+        group: group.clone(),
+        registry_loop: registry_loop.clone(),
+        link: Arc::new(link),
+    };
+    listener::spawn(listen, Arc::new(service));
     group.spawn(settings.trusted_source.clone(), hub.clone());
-    spawn_expiry(hub.clone(), clock);
+    registry_loop.spawn();
     serve_metrics(settings, &group, &hub).context(MetricsSnafu)?;
     let trusted_source = settings.trusted_source.clone();
     let listen = settings.api_listen;
@@ -128,17 +136,10 @@
     };
     let transport = transport.clone();
     Replica::start(parameters, move |message| {
-        transport.send(MemberId(message.to), ConsensusFrame::Message(message));
+        transport.send(MemberId(message.to), CoordinatorFrame::Message(message));
     })
 }
 
-fn spawn_expiry(hub: Arc<Hub>, clock: Clock) {
-    thread::spawn(move || loop {
-        thread::sleep(EXPIRY_INTERVAL);
-        hub.expire(clock.now_ms());
-    });
-}
-
 fn serve_metrics(
     settings: &CoordinatorSettings,
     group: &Arc<Group>,
--- a/crates/coordinator/src/transport.rs
+++ b/crates/coordinator/src/transport.rs
@@ -1,6 +1,6 @@
 //! Sending frames to other coordinators: one thread and one connection each, never blocking.
 
-use mesh::{encode_frame, ConsensusFrame, Greeting, MemberId, Purpose, PROTOCOL_VERSION};
+use mesh::{encode_frame, CoordinatorFrame, Greeting, MemberId, Purpose, PROTOCOL_VERSION};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::BTreeMap;
 use std::io::{self, Write};
@@ -29,7 +29,7 @@
 pub(crate) struct Transport {
     fleet: String,
     port: u16,
-    queues: Mutex<BTreeMap<Ipv4Addr, SyncSender<ConsensusFrame>>>,
+    queues: Mutex<BTreeMap<Ipv4Addr, SyncSender<CoordinatorFrame>>>,
 }
 
 impl Transport {
@@ -39,12 +39,12 @@
     }
 
     /// Queues a frame for a member, or drops it.
-    pub fn send(&self, to: MemberId, frame: ConsensusFrame) {
+    pub fn send(&self, to: MemberId, frame: CoordinatorFrame) {
         self.send_to_address(to.address(), frame);
     }
 
     /// Queues a frame for whoever is at an address, or drops it.
-    pub fn send_to_address(&self, address: Ipv4Addr, frame: ConsensusFrame) {
+    pub fn send_to_address(&self, address: Ipv4Addr, frame: CoordinatorFrame) {
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
         let queue = queues.entry(address).or_insert_with(|| self.start_sender(address));
         if let Err(TrySendError::Disconnected(frame)) = queue.try_send(frame) {
@@ -54,13 +54,13 @@
         }
     }
 
-    fn start_sender(&self, address: Ipv4Addr) -> SyncSender<ConsensusFrame> {
+    fn start_sender(&self, address: Ipv4Addr) -> SyncSender<CoordinatorFrame> {
         let (queue, frames) = sync_channel(QUEUE_LENGTH);
         let target = SocketAddr::from((address, self.port));
         let greeting = Greeting {
             protocol: PROTOCOL_VERSION,
             fleet: self.fleet.clone(),
-            purpose: Purpose::Consensus,
+            purpose: Purpose::Coordinator,
         };
         let builder = thread::Builder::new().stack_size(STACK_BYTES);
         // Without a thread the frames are dropped; consensus repeats what matters.
@@ -69,7 +69,7 @@
     }
 }
 
-fn send_all(target: SocketAddr, greeting: &Greeting, frames: &Receiver<ConsensusFrame>) {
+fn send_all(target: SocketAddr, greeting: &Greeting, frames: &Receiver<CoordinatorFrame>) {
     let mut connection: Option<TcpStream> = None;
     let mut retry_at = Instant::now();
     let mut buffer = Vec::new();
--- /dev/null
+++ b/crates/coordinator/tests/exchange.rs
@@ -0,0 +1,227 @@
+//! Coordinators that hear different sidecars come to list the same ones.
+
+use coordinator::{Registry, RegistryExchange};
+use mesh::{CoordinatorFrame, InstanceRecord, InstanceState, MemberId, NodeAddress, NodeRecord};
+use std::net::Ipv4Addr;
+
+const LEASE_MS: u64 = 3_000;
+const STEP_MS: u64 = 250;
+const PING_MS: u64 = 1_000;
+
+fn member(host: u8) -> MemberId {
+    MemberId::first_at(Ipv4Addr::new(10, 0, 1, host))
+}
+
+fn address(host: u8) -> NodeAddress {
+    NodeAddress { ip: Ipv4Addr::new(10, 0, 0, host), port: 8_300 }
+}
+
+fn record(host: u8, life: u64, sequence: u64, state: InstanceState) -> NodeRecord {
+    let id = format!("i-{host}-{life}");
+    NodeRecord {
+        address: address(host),
+        life,
+        sequence,
+        zone: "a".to_owned(),
+        service: "s".to_owned(),
+        stopping: false,
+        instance: Some(InstanceRecord { id, state, slots: 9, cold_remaining_ms: 0 }),
+    }
+}
+
+struct Coordinator {
+    id: MemberId,
+    registry: Registry,
+    exchange: RegistryExchange,
+}
+
+/// Coordinators and sidecars in virtual time; a frame arrives at once or, over a cut, never.
+struct Fleet {
+    now: u64,
+    coordinators: Vec<Coordinator>,
+    sidecars: Vec<NodeRecord>,
+    /// Links that are cut: number of the coordinator, host of the sidecar.
+    cut: Vec<(usize, u8)>,
+    frames: Vec<&'static str>,
+}
+
+impl Fleet {
+    fn new(coordinators: u8) -> Self {
+        let new = |host| Coordinator {
+            id: member(host),
+            registry: Registry::new(LEASE_MS),
+            exchange: RegistryExchange::new(member(host)),
+        };
+        Fleet {
+            now: 0,
+            coordinators: (0..coordinators).map(new).collect(),
+            sidecars: Vec::new(),
+            cut: Vec::new(),
+            frames: Vec::new(),
+        }
+    }
+
+    fn report(&mut self, record: NodeRecord) {
+        self.sidecars.retain(|held| held.address != record.address);
+        self.sidecars.push(record);
+        self.beat(true);
+    }
+
+    fn beat(&mut self, reports: bool) {
+        for (number, coordinator) in self.coordinators.iter_mut().enumerate() {
+            let reached = |record: &&NodeRecord| {
+                !self.cut.iter().any(|(at, host)| *at == number && address(*host) == record.address)
+            };
+            for record in self.sidecars.iter().filter(reached) {
+                match reports {
+                    true => drop(coordinator.registry.report(record.clone(), self.now)),
+                    false => coordinator.registry.alive(&record.address, record.life, self.now),
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, time_ms: u64) {
+        let end = self.now + time_ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            if self.now.is_multiple_of(PING_MS) {
+                self.beat(false);
+            }
+            self.exchange();
+        }
+    }
+
+    fn exchange(&mut self) {
+        let ids: Vec<MemberId> = self.coordinators.iter().map(|held| held.id).collect();
+        let mut on_the_way = Vec::new();
+        for coordinator in &mut self.coordinators {
+            coordinator.registry.expire(self.now);
+            let peers: Vec<MemberId> =
+                ids.iter().copied().filter(|id| *id != coordinator.id).collect();
+            on_the_way.extend(coordinator.exchange.tick(&coordinator.registry, &peers, self.now));
+        }
+        while let Some((to, frame)) = on_the_way.pop() {
+            self.frames.push(name_of(&frame));
+            let receiver = self.coordinators.iter_mut().find(|held| held.id == to);
+            let Coordinator { registry, exchange, .. } = receiver.expect("a known coordinator");
+            on_the_way.extend(exchange.receive(registry, frame, self.now).0);
+        }
+    }
+
+    fn listed(&self, number: usize) -> Vec<(u8, u64, InstanceState)> {
+        let nodes = self.coordinators[number].registry.changes_since(None).changed;
+        let row = |node: &NodeRecord| {
+            let state = node.instance.as_ref().expect("each has one").state;
+            (node.address.ip.octets()[3], node.sequence, state)
+        };
+        nodes.iter().map(row).collect()
+    }
+}
+
+fn name_of(frame: &CoordinatorFrame) -> &'static str {
+    match frame {
+        CoordinatorFrame::RegistryDigest { .. } => "digest",
+        CoordinatorFrame::RegistryEntries { .. } => "entries",
+        CoordinatorFrame::Unheard { .. } => "unheard",
+        CoordinatorFrame::Heard { .. } => "heard",
+        _ => "other",
+    }
+}
+
+#[test]
+fn a_sidecar_that_one_coordinator_does_not_hear_stays_listed_there() {
+    let mut fleet = Fleet::new(3);
+    fleet.report(record(1, 7, 1, InstanceState::Ready));
+    fleet.report(record(2, 7, 1, InstanceState::Ready));
+    fleet.run(2_000);
+    fleet.cut.push((0, 1));
+    fleet.run(20_000);
+    let ready = InstanceState::Ready;
+    assert_eq!(fleet.listed(0), [(1, 1, ready), (2, 1, ready)]);
+    // The sidecar dies: a lease after it was last heard by anybody, it is gone everywhere.
+    fleet.sidecars.retain(|held| held.address != address(1));
+    fleet.run(LEASE_MS + PING_MS);
+    for number in 0..3 {
+        assert_eq!(fleet.listed(number), [(2, 1, ready)], "coordinator {number}");
+    }
+}
+
+#[test]
+fn changes_behind_a_cut_are_told_by_others() {
+    let mut fleet = Fleet::new(3);
+    fleet.report(record(1, 7, 1, InstanceState::Ready));
+    fleet.cut.extend([(0, 1), (0, 2)]);
+    fleet.run(2_000);
+    fleet.report(record(1, 7, 2, InstanceState::Draining));
+    fleet.report(record(2, 9, 1, InstanceState::Ready));
+    fleet.run(3_000);
+    let expected = [(1, 2, InstanceState::Draining), (2, 1, InstanceState::Ready)];
+    assert_eq!(fleet.listed(0), expected);
+}
+
+#[test]
+fn a_coordinator_that_restarts_asks_for_all_at_once() {
+    let mut fleet = Fleet::new(3);
+    fleet.report(record(1, 7, 1, InstanceState::Ready));
+    fleet.run(2_000);
+    fleet.coordinators[0].registry = Registry::new(LEASE_MS);
+    fleet.coordinators[0].exchange = RegistryExchange::new(member(0));
+    fleet.exchange();
+    assert_eq!(fleet.listed(0), [(1, 1, InstanceState::Ready)]);
+}
+
+#[test]
+fn coordinators_that_agree_send_each_other_digests_only() {
+    let mut fleet = Fleet::new(3);
+    for host in 1..=40 {
+        fleet.report(record(host, 7, 1, InstanceState::Ready));
+    }
+    fleet.run(1_000);
+    fleet.frames.clear();
+    fleet.run(10_000);
+    assert_eq!(fleet.frames, ["digest"; 60]);
+}
+
+/// Whatever is cut, killed and started, a while after it ends all list the same, and nothing that
+/// is gone.
+#[test]
+fn all_agree_a_while_after_faults_end() {
+    for seed in 0..2_000 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut fleet = Fleet::new(random.u8(2..7) as _);
+        let count = fleet.coordinators.len();
+        for step in 1..40_u64 {
+            let host = random.u8(1..10);
+            match random.u8(0..10) {
+                0..2 => fleet.report(record(host, step, step, InstanceState::Ready)),
+                2..4 => {
+                    let held = fleet.sidecars.iter().find(|held| held.address == address(host));
+                    if let Some(life) = held.map(|held| held.life) {
+                        fleet.report(record(host, life, step, InstanceState::Draining));
+                    }
+                }
+                4 => fleet.sidecars.retain(|held| held.address != address(host)),
+                5..7 => fleet.cut.push((random.usize(0..count), host)),
+                7 => fleet.cut.clear(),
+                8 => {
+                    let restarted = &mut fleet.coordinators[random.usize(0..count)];
+                    restarted.registry = Registry::new(LEASE_MS);
+                    restarted.exchange = RegistryExchange::new(restarted.id);
+                }
+                _ => fleet.run(random.u64(1..8) * STEP_MS),
+            }
+        }
+        fleet.cut.clear();
+        fleet.beat(true);
+        fleet.run(LEASE_MS + 2 * PING_MS);
+        let mut expected: Vec<u8> =
+            fleet.sidecars.iter().map(|held| held.address.ip.octets()[3]).collect();
+        expected.sort_unstable();
+        for number in 0..count {
+            let listed: Vec<u8> = fleet.listed(number).iter().map(|row| row.0).collect();
+            assert_eq!(listed, expected, "seed {seed}, coordinator {number}");
+            assert_eq!(fleet.listed(number), fleet.listed(0), "seed {seed}, {number}");
+        }
+    }
+}
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -1,7 +1,7 @@
 //! The registry of sidecars: leases, lives, marks that stick, and what readers are told.
 
 use coordinator::Registry;
-use mesh::{InstanceRecord, InstanceState, NodeAddress, NodeRecord};
+use mesh::{HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
 use std::net::Ipv4Addr;
 
 const LEASE_MS: u64 = 3_000;
@@ -145,3 +145,119 @@
         assert_eq!(follower.nodes, fresh.nodes, "seed {seed}");
     }
 }
+
+fn heard(host: u8, life: u64, sequence: u64, silent_ms: u32) -> HeardNode {
+    let instance = Some(("i", InstanceState::Ready));
+    HeardNode { record: record(host, life, sequence, instance), silent_ms }
+}
+
+fn version_of(registry: &Registry, host: u8) -> Option<(u64, u64)> {
+    let found = registry.entries().into_iter().find(|entry| entry.address == address(host));
+    found.map(|entry| (entry.life, entry.sequence))
+}
+
+/// One row: what is known here, what another coordinator vouches for, what is listed after it.
+struct VouchCase {
+    name: &'static str,
+    /// Life, sequence, and when it was reported here.
+    known: Option<(u64, u64, u64)>,
+    connected: bool,
+    vouched: HeardNode,
+    listed: Option<(u64, u64)>,
+}
+
+#[test]
+fn another_coordinator_vouches_for_what_is_not_heard_here() {
+    const NOW: u64 = 10_000;
+    let cases = [
+        VouchCase {
+            name: "an unknown sidecar",
+            known: None,
+            connected: false,
+            vouched: heard(1, 7, 3, 100),
+            listed: Some((7, 3)),
+        },
+        VouchCase {
+            name: "an unknown sidecar that nobody heard for a lease",
+            known: None,
+            connected: false,
+            vouched: heard(1, 7, 3, 3_001),
+            listed: None,
+        },
+        VouchCase {
+            name: "a newer record of the same life",
+            known: Some((7, 3, 9_000)),
+            connected: true,
+            vouched: heard(1, 7, 4, 100),
+            listed: Some((7, 4)),
+        },
+        VouchCase {
+            name: "an older record of the same life",
+            known: Some((7, 3, 9_000)),
+            connected: false,
+            vouched: heard(1, 7, 2, 100),
+            listed: Some((7, 3)),
+        },
+        VouchCase {
+            name: "another life of a sidecar that is heard directly",
+            known: Some((7, 3, 9_500)),
+            connected: true,
+            vouched: heard(1, 6, 90, 0),
+            listed: Some((7, 3)),
+        },
+        VouchCase {
+            name: "a later life of a sidecar that is not heard any more",
+            known: Some((7, 3, 9_000)),
+            connected: false,
+            vouched: heard(1, 8, 1, 100),
+            listed: Some((8, 1)),
+        },
+        VouchCase {
+            name: "an earlier life of a sidecar that is not heard any more",
+            known: Some((7, 3, 9_000)),
+            connected: false,
+            vouched: heard(1, 6, 90, 1_400),
+            listed: Some((7, 3)),
+        },
+    ];
+    for case in cases {
+        let mut registry = Registry::new(LEASE_MS);
+        if let Some((life, sequence, at)) = case.known {
+            let instance = Some(("i", InstanceState::Ready));
+            registry.report(record(1, life, sequence, instance), at);
+            if !case.connected {
+                registry.disconnected(&address(1), life);
+            }
+        }
+        let before = version_of(&registry, 1);
+        let changed = registry.vouch(case.vouched, NOW);
+        assert_eq!(version_of(&registry, 1), case.listed, "{}", case.name);
+        assert_eq!(changed, before != case.listed, "{}: readers are told of changes", case.name);
+    }
+}
+
+#[test]
+fn vouching_lasts_as_long_as_somebody_hears_the_sidecar() {
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(record(1, 7, 1, None), 0);
+    assert!(registry.unheard(1_000).is_empty());
+    assert_eq!(registry.unheard(1_500), [address(1)]);
+    for at in [1_500, 2_500, 3_500, 4_500] {
+        registry.vouch(HeardNode { record: record(1, 7, 1, None), silent_ms: 400 }, at);
+        registry.expire(at + 500);
+        assert_eq!(registry.nodes(), 1);
+        assert!(registry.heard(&[address(1)], at).is_empty(), "what others hear is not told on");
+    }
+    assert!(!registry.expire(7_100), "a lease from when it was last heard");
+    assert!(registry.expire(7_101));
+}
+
+#[test]
+fn a_mark_that_another_coordinator_vouches_for_sticks() {
+    let mut registry = Registry::new(LEASE_MS);
+    let leaving = record(1, 7, 4, Some(("i-1", InstanceState::Draining)));
+    registry.vouch(HeardNode { record: leaving, silent_ms: 0 }, 0);
+    // Its sidecar was killed, forgot, and hears a late heartbeat.
+    registry.report(record(1, 8, 1, Some(("i-1", InstanceState::Ready))), 500);
+    assert_eq!(state_of(&registry, 1), Some(InstanceState::Draining));
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,8 @@
 
 pub use frame::{decode_frame, encode_frame, FrameError, MAX_FRAME_BYTES};
 pub use hop::{HopOutcome, HopReply, HopRequest, GRANT_HEADER, HOP_HEADER, MOST_UNASKED_BYTES};
-pub use link::{ConsensusFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
+pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
-pub use record::{InstanceRecord, InstanceState, NodeAddress, NodeRecord};
+pub use record::{
+    HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeRecord, RegistryEntry,
+};
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,20 +1,20 @@
 //! Frames between coordinators and sidecars.
 
-use crate::{NodeAddress, NodeRecord};
+use crate::{HeardNode, NodeAddress, NodeRecord, RegistryEntry};
 use bundle::{BundleUpdate, Digest};
 use consensus::Message;
 use speedy::{Readable, Writable};
 use std::net::Ipv4Addr;
 
 /// Version of all frames; two processes of different versions refuse each other.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// What a connection to a coordinator is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 #[speedy(tag_type = u8)]
 pub enum Purpose {
-    /// Messages of the consensus group, one way.
-    Consensus,
+    /// Frames from one coordinator to another, one way.
+    Coordinator,
     /// A sidecar's link.
     Sidecar,
 }
@@ -33,8 +33,8 @@
 /// Frames from one coordinator to another.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 #[speedy(tag_type = u8)]
-pub enum ConsensusFrame {
-    /// A message of the group.
+pub enum CoordinatorFrame {
+    /// A message of the consensus group.
     Message(Message),
     /// A member that is not part of the group asks to be added; repeated until it is.
     Join {
@@ -46,6 +46,32 @@
         /// The id that was removed.
         member: u64,
     },
+    /// What the sender's registry holds, in a few bytes; sent again and again.
+    RegistryDigest {
+        /// Sender.
+        member: u64,
+        /// Sum over all of its entries.
+        digest: u64,
+    },
+    /// All that the sender's registry holds; answered with what it lacks.
+    RegistryEntries {
+        /// Sender.
+        member: u64,
+        /// One for each sidecar that it lists.
+        entries: Vec<RegistryEntry>,
+    },
+    /// Sidecars that the sender lists but does not hear; answered for those the receiver hears.
+    Unheard {
+        /// Sender.
+        member: u64,
+        /// Which.
+        nodes: Vec<NodeAddress>,
+    },
+    /// Sidecars that the sender hears itself.
+    Heard {
+        /// Which, and when.
+        nodes: Vec<HeardNode>,
+    },
 }
 
 /// Frames from a sidecar.
@@ -59,6 +85,11 @@
         /// Digest of the content held.
         held: Digest,
     },
+    /// Whether this coordinator should tell of the other sidecars; until asked, it does not.
+    Subscribe {
+        /// True to be told, false to be told no more.
+        nodes: bool,
+    },
     /// A generation was put in force.
     Applied {
         /// Which.
@@ -77,6 +108,8 @@
 pub enum ToSidecar {
     /// First answer to the first report.
     Welcome {
+        /// Zone of the coordinator; empty if its settings name none.
+        zone: String,
         /// What was last known of a sidecar at this address, from before this connection.
         last: Option<NodeRecord>,
     },
@@ -102,7 +135,7 @@
         /// Its content, from what the sidecar said it holds.
         update: BundleUpdate,
     },
-    /// News of sidecars; `whole` replaces what this coordinator said before.
+    /// News of sidecars, for subscribers; `whole` replaces what this coordinator said before.
     Nodes {
         /// Whether nodes not listed are gone.
         whole: bool,
@@ -111,8 +144,6 @@
         /// Gone.
         gone: Vec<NodeAddress>,
     },
-    /// Nothing new; the coordinator lives.
-    Alive,
     /// Answer to a ping.
     Pong {
         /// As in the ping.
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -85,3 +85,30 @@
     /// Its upstream, once it has one.
     pub instance: Option<InstanceRecord>,
 }
+
+/// Which version of a sidecar's record a coordinator lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct RegistryEntry {
+    /// The sidecar.
+    pub address: NodeAddress,
+    /// Its life.
+    pub life: u64,
+    /// Sequence of the record within that life.
+    pub sequence: u64,
+}
+
+impl RegistryEntry {
+    /// The version of this record.
+    pub fn of(record: &NodeRecord) -> Self {
+        RegistryEntry { address: record.address, life: record.life, sequence: record.sequence }
+    }
+}
+
+/// A sidecar that a coordinator hears on a link of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct HeardNode {
+    /// Its newest record.
+    pub record: NodeRecord,
+    /// Time since it was last heard, milliseconds when this was sent.
+    pub silent_ms: u32,
+}
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -13,6 +13,9 @@
     pub fleet: String,
     /// Name of this process in logs.
     pub name: String,
+    /// Its zone; sidecars prefer a coordinator of their own. Empty: none is nearer.
+    #[serde(default)]
+    pub zone: String,
     /// Its own address.
     pub ip: Ipv4Addr,
     /// Port on which coordinators and sidecars reach coordinators, alike on all machines.
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -1,7 +1,8 @@
 //! Links to the coordinators: what this sidecar is goes out, configuration and endpoints come in.
 //!
-//! A sidecar keeps a link to several coordinators, so that a cut among them loses nothing. Only
-//! one is asked for the content of a new generation.
+//! A sidecar keeps a link to several coordinators, so that a cut among them loses nothing. All are
+//! told what it is; only one, of its own zone where there is one, tells it of the other sidecars
+//! and is asked for the content of a new generation.
 
 use crate::net::{ConnectionId, Net, NetEvent};
 use crate::Millis;
@@ -20,6 +21,9 @@
 const PING_INTERVAL_MS: u64 = 1_000;
 /// A coordinator that says nothing for this long is left.
 const SILENCE_LIMIT_MS: u64 = 3_000;
+/// A coordinator that answers no ping for this long does not stay the only one that tells of other
+/// sidecars, milliseconds: one ping and half of the next interval.
+const SUSPECT_LIMIT_MS: u64 = 1_500;
 const OPEN_LIMIT_MS: u64 = 300;
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
@@ -65,10 +69,22 @@
     failures: u32,
     taken: u64,
     announced: u64,
+    /// Whether it is in the zone of this sidecar.
+    same_zone: bool,
+    /// Whether it was asked to tell of other sidecars.
+    subscribed: bool,
+    /// Whether it told all of them since.
+    whole: bool,
     nodes: BTreeSet<NodeAddress>,
     lost_at: Option<Millis>,
 }
 
+impl Link {
+    fn is_healthy(&self, now: Millis) -> bool {
+        self.open && self.welcomed && now < self.heard_at + SUSPECT_LIMIT_MS
+    }
+}
+
 /// All links.
 pub struct Links {
     fleet: String,
@@ -162,8 +178,9 @@
         let passed_over = self.config_asked.map(|(from, _)| from);
         let newer = |link: &Link| link.open && link.announced > applied;
         let found = self.links.iter().filter(|(_, link)| newer(link));
-        let best =
-            found.max_by_key(|(address, link)| (Some(**address) != passed_over, link.announced));
+        let best = found.max_by_key(|(address, link)| {
+            (Some(**address) != passed_over, link.announced, link.same_zone)
+        });
         let Some(address) = best.map(|(address, _)| *address) else {
             return;
         };
@@ -237,7 +254,7 @@
             match decode_frame::<ToSidecar>(input) {
                 Ok(Some((message, length))) => {
                     input.advance(length);
-                    self.take(address, message, &mut events);
+                    self.take(net, address, message, now, &mut events);
                 }
                 Ok(None) => {
                     net.trim(id);
@@ -252,18 +269,28 @@
         }
     }
 
-    fn take(&mut self, address: Ipv4Addr, message: ToSidecar, events: &mut Vec<LinkEvent>) {
+    fn take(
+        &mut self,
+        net: &mut Net,
+        address: Ipv4Addr,
+        message: ToSidecar,
+        now: Millis,
+        events: &mut Vec<LinkEvent>,
+    ) {
         let Some(link) = self.links.get_mut(&address) else {
             return;
         };
         match message {
-            ToSidecar::Welcome { last } => {
+            ToSidecar::Welcome { zone, last } => {
                 link.welcomed = true;
                 link.failures = 0;
                 link.lost_at = None;
+                link.same_zone = zone == self.record.zone;
                 self.welcomed = true;
-                info!(coordinator = %address, restored = last.is_some(), "coordinator_linked");
+                let restored = last.is_some();
+                info!(coordinator = %address, %zone, restored, "coordinator_linked");
                 events.push(LinkEvent::Welcome(last));
+                self.subscribe(net, now);
             }
             ToSidecar::ReportTaken { sequence } => link.taken = link.taken.max(sequence),
             ToSidecar::Members { addresses } => {
@@ -277,6 +304,7 @@
             ToSidecar::Nodes { whole, changed, gone } => {
                 if whole {
                     link.nodes.clear();
+                    link.whole = true;
                 }
                 for node in &gone {
                     link.nodes.remove(node);
@@ -286,8 +314,10 @@
                 if whole || !gone.is_empty() {
                     events.push(LinkEvent::Gone);
                 }
+                if whole {
+                    self.subscribe(net, now);
+                }
             }
-            ToSidecar::Alive => {}
             ToSidecar::Pong { asked_at, generation } => {
                 events.push(LinkEvent::Newest { asked_at, generation });
             }
@@ -308,6 +338,8 @@
         link.open = false;
         link.pinged_at = None;
         link.welcomed = false;
+        link.subscribed = false;
+        link.whole = false;
         link.taken = 0;
         link.announced = 0;
         let longest = (FIRST_PAUSE_MS << link.failures.min(6)).min(LONGEST_PAUSE_MS);
@@ -316,6 +348,36 @@
         if self.config_asked.is_some_and(|(from, _)| from == address) {
             self.config_asked = None;
         }
+        self.subscribe(net, now);
+    }
+
+    /// Has one coordinator tell of the other sidecars, the nearest that answers. The one before is
+    /// told to stop once the new one has told all it lists, so nothing is missed between.
+    fn subscribe(&mut self, net: &mut Net, now: Millis) {
+        let healthy = self.links.iter().filter(|(_, link)| link.is_healthy(now));
+        let best = healthy.max_by_key(|(_, link)| (link.same_zone, link.subscribed));
+        let Some(best) = best.map(|(address, _)| *address) else {
+            return;
+        };
+        let mut told_whole = false;
+        if let Some(link) = self.links.get_mut(&best) {
+            if !link.subscribed {
+                link.subscribed = true;
+                send(net, link, &ToCoordinator::Subscribe { nodes: true });
+            }
+            told_whole = link.whole;
+        }
+        if !told_whole {
+            return;
+        }
+        for (_, link) in self.links.iter_mut().filter(|(address, _)| **address != best) {
+            if link.subscribed {
+                link.subscribed = false;
+                link.whole = false;
+                send(net, link, &ToCoordinator::Subscribe { nodes: false });
+            }
+            link.nodes.clear();
+        }
     }
 
     /// Opens links that are missing, and leaves coordinators that are silent.
@@ -331,6 +393,7 @@
         for address in lost {
             self.lost(net, address, "silent", now);
         }
+        self.subscribe(net, now);
         for address in &wanted {
             let link = self.links.entry(*address).or_default();
             if link.connection.is_none() && link.retry_at <= now {
