Sidecars tell how busy their upstreams are, through coordinators

Change: a sidecar tells its coordinator the calls its upstream has, 150 ms after the last telling at the soonest and only when they changed or 0.8 s went by; coordinators pass on what their own subscribers told, and tell their subscribers of all, each 0.2 s (LoadBoard, pure). Placement believes that for 1.2 s; an answer of the upstream itself counts more for 0.3 s.

--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -91,6 +91,7 @@
                 (None, changed)
             }
             CoordinatorFrame::Message(_)
+            | CoordinatorFrame::Loads { .. }
             | CoordinatorFrame::Join { .. }
             | CoordinatorFrame::Removed { .. } => (None, false),
         }
--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -3,7 +3,7 @@
 //! Only links that subscribed to the registry wake for its changes; with a thread a link, waking
 //! all for each sidecar's change would cost a coordinator the square of the fleet.
 
-use crate::{Millis, Registry};
+use crate::{LoadBoard, Millis, Registry};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,13 +17,15 @@
 /// What links look at.
 pub(crate) struct HubState {
     pub registry: Registry,
+    pub loads: LoadBoard,
     /// Rises with each change of the configuration or the members.
     pub revision: u64,
 }
 
 impl Hub {
     pub fn new(lease_ms: u64) -> Self {
-        let state = HubState { registry: Registry::new(lease_ms), revision: 0 };
+        let registry = Registry::new(lease_ms);
+        let state = HubState { registry, loads: LoadBoard::default(), revision: 0 };
         let (registry_changed, revised) = (Condvar::new(), Condvar::new());
         Hub { state: Mutex::new(state), registry_changed, revised }
     }
@@ -59,8 +61,13 @@
 
     /// Removes the sidecars whose lease ended.
     pub fn expire(&self, now: Millis) {
-        if self.lock().registry.expire(now) {
-            self.notify();
+        let mut state = self.lock();
+        if !state.registry.expire(now) {
+            return;
         }
+        let HubState { registry, loads, .. } = &mut *state;
+        loads.retain(|address| registry.lists(address));
+        drop(state);
+        self.notify();
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,6 +11,7 @@
 mod identity;
 mod link;
 mod listener;
+mod loads;
 mod membership;
 mod registry;
 mod registry_loop;
@@ -21,6 +22,7 @@
 pub use dialect::{OperatorCall, OperatorDialect, Replacement};
 pub use exchange::{Outgoing, RegistryExchange};
 pub use identity::{choose_member, IdentityError};
+pub use loads::LoadBoard;
 pub use registry::{Registry, RegistryChanges};
 pub use runtime::{run, CoordinatorError, RunningCoordinator};
 
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -23,6 +23,9 @@
 /// Changes of the registry are collected for this long, so that sidecars which start or leave
 /// together are told of in one frame. Short against the time in which a leaving upstream is served.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
+/// Time between two tellings of loads. A sidecar's share of calls is some in this time, and a call
+/// holds its slot for longer, so what was told still holds for most of them.
+const LOADS_INTERVAL: Duration = Duration::from_millis(200);
 /// A coordinator that started has its list filled by the sidecars' own links, which pause for
 /// 0.8 s at most between tries, and by other coordinators. Until then its list is no proof that a
 /// sidecar is gone, milliseconds.
@@ -128,6 +131,7 @@
                         spawn_thread(move || link.send_nodes(&writer, subscription))?;
                     }
                 }
+                ToCoordinator::Load(load) => self.hub.lock().loads.told(node, load),
                 ToCoordinator::Applied { generation } => {
                     info!(%node, generation, "generation_applied");
                 }
@@ -206,6 +210,7 @@
     fn send_nodes(&self, writer: &Writer, subscription: u64) {
         let mut position = None;
         let mut told_whole = false;
+        let mut loads_position = self.hub.lock().loads.position();
         let holds = || {
             let ended = writer.ended.load(Ordering::Relaxed);
             !ended && writer.subscription.load(Ordering::Relaxed) == subscription
@@ -222,11 +227,16 @@
             if any && writer.send(&ToSidecar::Nodes { whole, changed, gone }).is_err() {
                 return;
             }
-            let longest = match told_whole {
-                true => LONGEST_WAIT,
-                false => self.incomplete_for(),
+            let loads = {
+                let board = &self.hub.lock().loads;
+                let loads = board.since(loads_position);
+                loads_position = board.position();
+                loads
             };
-            if self.hub.wait_registry(changes.position, longest) {
+            if !loads.is_empty() && writer.send(&ToSidecar::Loads { loads }).is_err() {
+                return;
+            }
+            if self.hub.wait_registry(changes.position, LOADS_INTERVAL) {
                 thread::sleep(COLLECT_TIME);
             }
         }
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -131,7 +131,8 @@
                 frame @ (CoordinatorFrame::RegistryDigest { .. }
                 | CoordinatorFrame::RegistryEntries { .. }
                 | CoordinatorFrame::Unheard { .. }
-                | CoordinatorFrame::Heard { .. }) => self.registry_loop.receive(frame),
+                | CoordinatorFrame::Heard { .. }
+                | CoordinatorFrame::Loads { .. }) => self.registry_loop.receive(frame),
             }
         }
     }
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -261,6 +261,11 @@
         self.position
     }
 
+    /// Whether a node is listed.
+    pub fn lists(&self, address: &NodeAddress) -> bool {
+        self.nodes.contains_key(address)
+    }
+
     /// Number of nodes known.
     pub fn nodes(&self) -> usize {
         self.nodes.len()
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -1,4 +1,4 @@
-//! Keeps the registry: ends leases and exchanges it with the other coordinators.
+//! Keeps the registry and the loads: ends leases, and exchanges both with the other coordinators.
 
 use crate::exchange::{Outgoing, RegistryExchange};
 use crate::hub::Hub;
@@ -11,7 +11,7 @@
 use telemetry::Clock;
 
 /// Time between two looks at leases and at what is due for the other coordinators.
-const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The registry's loop and what it needs.
 pub(crate) struct RegistryLoop {
@@ -31,26 +31,42 @@
     /// Starts the loop.
     pub fn spawn(self: &Arc<Self>) {
         let registry_loop = self.clone();
-        thread::spawn(move || loop {
-            registry_loop.look();
-            thread::sleep(LOOK_INTERVAL);
+        thread::spawn(move || {
+            let mut loads_position = 0;
+            loop {
+                loads_position = registry_loop.look(loads_position);
+                thread::sleep(LOOK_INTERVAL);
+            }
         });
     }
 
-    fn look(&self) {
+    /// Does what is due; returns up to where loads were passed on.
+    fn look(&self, loads_position: u64) -> u64 {
         let now = self.clock.now_ms();
         self.hub.expire(now);
         let members = self.group.members();
         let peers: Vec<MemberId> =
             members.into_iter().filter(|member| *member != self.group.own).collect();
         let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
-        let due = exchange.tick(&self.hub.lock().registry, &peers, now);
+        let state = self.hub.lock();
+        let due = exchange.tick(&state.registry, &peers, now);
+        let (loads, position) = (state.loads.told_since(loads_position), state.loads.position());
+        drop(state);
         drop(exchange);
         self.send(due);
+        if !loads.is_empty() {
+            let frame = CoordinatorFrame::Loads { loads };
+            self.send(peers.into_iter().map(|peer| (peer, frame.clone())));
+        }
+        position
     }
 
     /// Takes in a frame of another coordinator.
     pub fn receive(&self, frame: CoordinatorFrame) {
+        if let CoordinatorFrame::Loads { loads } = &frame {
+            self.hub.lock().loads.passed_on(loads);
+            return;
+        }
         let now = self.clock.now_ms();
         let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
         let (answer, changed) = exchange.receive(&mut self.hub.lock().registry, frame, now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,5 +15,6 @@
 pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
 pub use record::{
-    HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeRecord, RegistryEntry,
+    HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
+    UpstreamLoad,
 };
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,6 +1,6 @@
 //! Frames between coordinators and sidecars.
 
-use crate::{HeardNode, NodeAddress, NodeRecord, RegistryEntry};
+use crate::{HeardNode, NodeAddress, NodeLoad, NodeRecord, RegistryEntry, UpstreamLoad};
 use bundle::{BundleUpdate, Digest};
 use consensus::Message;
 use speedy::{Readable, Writable};
@@ -72,6 +72,11 @@
         /// Which, and when.
         nodes: Vec<HeardNode>,
     },
+    /// Loads that the sender's own subscribers told and that changed of late.
+    Loads {
+        /// One for each upstream.
+        loads: Vec<NodeLoad>,
+    },
 }
 
 /// Frames from a sidecar.
@@ -90,6 +95,8 @@
         /// True to be told, false to be told no more.
         nodes: bool,
     },
+    /// How busy the upstream beside the sidecar is; told to the coordinator subscribed to.
+    Load(UpstreamLoad),
     /// A generation was put in force.
     Applied {
         /// Which.
@@ -144,6 +151,11 @@
         /// Gone.
         gone: Vec<NodeAddress>,
     },
+    /// Loads that changed of late, for subscribers.
+    Loads {
+        /// One for each upstream.
+        loads: Vec<NodeLoad>,
+    },
     /// Answer to a ping.
     Pong {
         /// As in the ping.
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -112,3 +112,34 @@
     /// Time since it was last heard, milliseconds when this was sent.
     pub silent_ms: u32,
 }
+
+/// How busy an upstream is, as the sidecar beside it counts; the only one that sends to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct UpstreamLoad {
+    /// Calls it works on, at most 255.
+    pub running: u8,
+    /// Calls that wait for it, at most 255.
+    pub queued: u8,
+}
+
+impl UpstreamLoad {
+    /// A load; counts beyond what fits are cut.
+    pub fn new(running: u32, queued: u32) -> Self {
+        let cut = |count: u32| u8::try_from(count).unwrap_or(u8::MAX);
+        UpstreamLoad { running: cut(running), queued: cut(queued) }
+    }
+
+    /// Calls with it, those that wait included.
+    pub fn all(self) -> u32 {
+        u32::from(self.running) + u32::from(self.queued)
+    }
+}
+
+/// How busy the upstream beside one sidecar is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct NodeLoad {
+    /// The sidecar.
+    pub address: NodeAddress,
+    /// Its upstream's load.
+    pub load: UpstreamLoad,
+}
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -1,13 +1,21 @@
 //! What a node believes of one upstream.
 
 use crate::Millis;
-use mesh::{HopReply, InstanceState, NodeAddress, NodeRecord, MOST_UNASKED_BYTES};
+use mesh::{HopReply, InstanceState, NodeAddress, NodeRecord, UpstreamLoad, MOST_UNASKED_BYTES};
 
 /// Names an upstream by the sidecar beside it.
 pub type UpstreamKey = NodeAddress;
 
 /// Longest that an upstream's own figures are believed, milliseconds.
 const FIGURES_AGE_MS: u64 = 1_000;
+/// How long a load that came through coordinators is believed whole, and how long it takes from
+/// then on to count for nothing, milliseconds. One that does not change is told about once a
+/// second.
+const LOAD_FRESH_MS: u64 = 1_200;
+const LOAD_FADING_MS: u64 = 1_000;
+/// A load told with an answer is not replaced within this time, milliseconds: what coordinators
+/// bring is older than that.
+const ANSWER_FIRST_MS: u64 = 300;
 /// First and longest time without calls after failures, milliseconds.
 const FIRST_REST_MS: u64 = 300;
 const LONGEST_REST_MS: u64 = 3_000;
@@ -37,6 +45,7 @@
     pub speed: f64,
     cold_until: Millis,
     figures: Option<Figures>,
+    load_seen: Option<LoadSeen>,
     rest_until: Millis,
     failures: u32,
     refusal: Option<Refusal>,
@@ -67,7 +76,6 @@
 struct Figures {
     reply: HopReply,
     at: Millis,
-    outstanding_then: u32,
 }
 
 impl Figures {
@@ -78,6 +86,29 @@
     }
 }
 
+/// How busy an upstream was.
+#[derive(Clone, Copy, Debug)]
+struct LoadSeen {
+    /// Calls with it that were not this node's.
+    others: f64,
+    at: Millis,
+    /// Whether an answer brought it.
+    answered: bool,
+}
+
+impl LoadSeen {
+    /// How far it is believed, 0 to 1. Coordinators bring the next one soon, answers may not.
+    fn belief(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.at);
+        let (fresh_ms, fading_ms) = match self.answered {
+            true => (0, FIGURES_AGE_MS),
+            false => (LOAD_FRESH_MS, LOAD_FADING_MS),
+        };
+        let beyond = age.saturating_sub(fresh_ms);
+        1.0 - (beyond as f64 / fading_ms as f64).min(1.0)
+    }
+}
+
 /// What a call would take at an upstream, milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Expected {
@@ -103,6 +134,7 @@
             speed: 1.0,
             cold_until: 0,
             figures: None,
+            load_seen: None,
             rest_until: 0,
             failures: 0,
             refusal: None,
@@ -123,6 +155,7 @@
             self.failures = 0;
             self.refusal = None;
             self.figures = None;
+            self.load_seen = None;
             self.silence = Silence::default();
         }
         if other_instance {
@@ -179,13 +212,28 @@
 
     /// Calls with it, its own figures corrected by what was sent since.
     pub fn load(&self, now: Millis) -> f64 {
-        let own = f64::from(self.outstanding);
-        let Some(figures) = self.figures else {
-            return own;
-        };
-        let others = f64::from(figures.reply.running + figures.reply.queued)
-            - f64::from(figures.outstanding_then);
-        own + others.max(0.0) * figures.belief(now)
+        let others = self.load_seen.map_or(0.0, |seen| seen.others * seen.belief(now));
+        f64::from(self.outstanding) + others
+    }
+
+    /// Slots that are free for all this node knows; `None` if it heard nothing of late.
+    pub fn free_slots(&self, now: Millis) -> Option<f64> {
+        let seen = self.load_seen.filter(|seen| seen.belief(now) > 0.0)?;
+        let load = f64::from(self.outstanding) + seen.others;
+        Some((f64::from(self.limit()) - load).max(0.0))
+    }
+
+    /// Takes in how busy it was a moment ago, as the sidecar beside it told through coordinators.
+    pub fn note_load(&mut self, load: UpstreamLoad, now: Millis) {
+        let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
+        if !self.load_seen.is_some_and(newer) {
+            self.see_load(load.all(), false, now);
+        }
+    }
+
+    fn see_load(&mut self, all: u32, answered: bool, now: Millis) {
+        let others = f64::from(all.saturating_sub(self.outstanding));
+        self.load_seen = Some(LoadSeen { others, at: now, answered });
     }
 
     /// What a call sent now would take here; `usual_ms` is what it takes at an upstream of average
@@ -250,7 +298,8 @@
 
     /// Takes in what it said with an answer.
     pub fn note_reply(&mut self, reply: HopReply, now: Millis) {
-        self.figures = Some(Figures { reply, at: now, outstanding_then: self.outstanding });
+        self.figures = Some(Figures { reply, at: now });
+        self.see_load(reply.running + reply.queued, true, now);
         self.silence = Silence::default();
         self.answered_at = Some(now);
     }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -3,7 +3,7 @@
 use crate::locality::link_cost;
 use crate::upstream::Expected;
 use crate::{Distance, Locality, Millis, TimeSpread, Upstream, UpstreamKey, Urgency};
-use mesh::NodeRecord;
+use mesh::{NodeRecord, UpstreamLoad};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Share of failures that may be chance, or the fault of others that all need.
@@ -124,6 +124,13 @@
         self.upstreams.get_mut(key)
     }
 
+    /// Takes in how busy an upstream was a moment ago; one that is not known is passed over.
+    pub fn note_load(&mut self, key: &UpstreamKey, load: UpstreamLoad, now: Millis) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.note_load(load, now);
+        }
+    }
+
     /// Whether a service has an upstream that may be given calls.
     pub fn has_live(&self, service: &str) -> bool {
         self.upstreams.values().any(|held| held.record.service == service && held.is_live())
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -9,8 +9,8 @@
 use bundle::{BundleUpdate, Digest};
 use bytes::Buf;
 use mesh::{
-    decode_frame, encode_frame, Greeting, NodeAddress, NodeRecord, Purpose, ToCoordinator,
-    ToSidecar, PROTOCOL_VERSION,
+    decode_frame, encode_frame, Greeting, NodeAddress, NodeLoad, NodeRecord, Purpose,
+    ToCoordinator, ToSidecar, UpstreamLoad, PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -24,6 +24,11 @@
 /// A coordinator that answers no ping for this long does not stay the only one that tells of other
 /// sidecars, milliseconds: one ping and half of the next interval.
 const SUSPECT_LIMIT_MS: u64 = 1_500;
+/// Time between two tellings of this upstream's load, milliseconds: about as long as a call with a
+/// short target, so that a slot taken or given back is told while that still helps.
+const LOAD_INTERVAL_MS: u64 = 150;
+/// A load that stays as it is is told again after this time, milliseconds; readers let it age.
+const LOAD_REPEAT_MS: u64 = 800;
 const OPEN_LIMIT_MS: u64 = 300;
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
@@ -53,6 +58,8 @@
     },
     /// News of a node.
     Node(NodeRecord),
+    /// How busy upstreams are, as their sidecars told a moment ago.
+    Loads(Vec<NodeLoad>),
     /// Nodes may have gone; see [`Links::is_listed`].
     Gone,
 }
@@ -96,6 +103,8 @@
     random: fastrand::Rng,
     config_asked: Option<(Ipv4Addr, Millis)>,
     welcomed: bool,
+    load_told: Option<UpstreamLoad>,
+    load_told_at: Millis,
 }
 
 impl Links {
@@ -117,6 +126,8 @@
             random: fastrand::Rng::with_seed(seed),
             config_asked: None,
             welcomed: false,
+            load_told: None,
+            load_told_at: 0,
         }
     }
 
@@ -152,6 +163,22 @@
         self.record.sequence
     }
 
+    /// Tells how busy the upstream beside this sidecar is, if that changed and was not told a moment
+    /// ago. One that stays as it is is told again now and then, so that readers trust it.
+    pub fn tell_load(&mut self, net: &mut Net, load: UpstreamLoad, now: Millis) {
+        let age_ms = now.saturating_sub(self.load_told_at);
+        let changed = self.load_told != Some(load);
+        let due_ms = if changed { LOAD_INTERVAL_MS } else { LOAD_REPEAT_MS };
+        if age_ms < due_ms {
+            return;
+        }
+        self.load_told = Some(load);
+        self.load_told_at = now;
+        for link in self.links.values().filter(|link| link.open && link.subscribed) {
+            send(net, link, &ToCoordinator::Load(load));
+        }
+    }
+
     /// How many coordinators know a report, and how many are linked.
     pub fn taken_by(&self, sequence: u64) -> (usize, usize) {
         let open = self.links.values().filter(|link| link.welcomed);
@@ -318,6 +345,7 @@
                     self.subscribe(net, now);
                 }
             }
+            ToSidecar::Loads { loads } => events.push(LinkEvent::Loads(loads)),
             ToSidecar::Pong { asked_at, generation } => {
                 events.push(LinkEvent::Newest { asked_at, generation });
             }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -21,7 +21,7 @@
 use crate::{Attempt, Millis};
 use admission::JobId;
 use http1::{Response, Slot};
-use mesh::{NodeAddress, NodeRecord};
+use mesh::{NodeAddress, NodeLoad, NodeRecord, UpstreamLoad};
 use placement::{BudgetBounds, Locality};
 use settings::SidecarSettings;
 use snafu::{ResultExt, Snafu};
@@ -311,6 +311,11 @@
             LinkEvent::Node(record) => {
                 self.calls.view.update(record, now);
             }
+            LinkEvent::Loads(loads) => {
+                for NodeLoad { address, load } in loads {
+                    self.calls.view.note_load(&address, load, now);
+                }
+            }
             LinkEvent::Gone => {
                 let links = &self.links;
                 let own = self.own;
@@ -332,6 +337,8 @@
         }
         self.do_work();
         self.links.tick(&mut self.net, now);
+        let (running, queued) = self.jobs.load();
+        self.links.tell_load(&mut self.net, UpstreamLoad::new(running, queued), now);
         let (generation, digest) = (self.config.generation(), self.config.digest());
         self.links.want_config(&mut self.net, generation, digest, now);
         if now >= RESTORE_WAIT_MS {
