Calls are not held back while their service has room; a choice looks only at its service

Change: a call is not held back while a tenth of its service's slots are free for all that coordinators brought of late (PlacementView::free_part). Upstreams are indexed by service: choose, has_live and room_at walk over no other nodes and allocate nothing; a sample begins at 64. Coordinators log the services of which calls wait, with the slots that are free all the same (calls_wait).

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -22,7 +22,7 @@
 pub use dialect::{OperatorCall, OperatorDialect, Replacement};
 pub use exchange::{Outgoing, RegistryExchange};
 pub use identity::{choose_member, IdentityError};
-pub use loads::LoadBoard;
+pub use loads::{LoadBoard, ServiceLoad};
 pub use registry::{Registry, RegistryChanges};
 pub use runtime::{run, CoordinatorError, RunningCoordinator};
 
--- a/crates/coordinator/src/loads.rs
+++ b/crates/coordinator/src/loads.rs
@@ -5,7 +5,7 @@
 //! told, and each tells its subscribers of all. A load is only a hint: it is not repeated when it
 //! is lost, and readers let it age.
 
-use mesh::{NodeAddress, NodeLoad, UpstreamLoad};
+use mesh::{InstanceState, NodeAddress, NodeLoad, NodeRecord, UpstreamLoad};
 use std::collections::BTreeMap;
 
 /// A load with where it came from.
@@ -17,6 +17,23 @@
     changed_at: u64,
 }
 
+/// How busy the upstreams of a service are together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// Upstreams that take calls.
+    pub upstreams: u32,
+    /// Calls they work on at once, at most.
+    pub slots: u32,
+    /// Slots that are free.
+    pub free: u32,
+    /// Upstreams that use less than half of their slots.
+    pub idle: u32,
+    /// Calls that wait for an upstream.
+    pub queued: u32,
+    /// Upstreams for which calls wait.
+    pub with_queue: u32,
+}
+
 /// The newest load of each upstream.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBoard {
@@ -62,6 +79,31 @@
         self.newer(position, |told| told.here)
     }
 
+    /// The upstreams that take calls, summed up by service.
+    pub fn by_service<'a>(
+        &self,
+        nodes: impl Iterator<Item = &'a NodeRecord>,
+    ) -> BTreeMap<&'a str, ServiceLoad> {
+        let mut services: BTreeMap<&str, ServiceLoad> = BTreeMap::new();
+        for node in nodes.filter(|node| !node.stopping) {
+            let instance = node.instance.as_ref();
+            let Some(instance) = instance.filter(|held| held.state == InstanceState::Ready) else {
+                continue;
+            };
+            let told = self.loads.get(&node.address);
+            let load = told.map_or(UpstreamLoad::default(), |told| told.load);
+            let sum = services.entry(&node.service).or_default();
+            let (running, queued) = (u32::from(load.running), u32::from(load.queued));
+            sum.upstreams += 1;
+            sum.slots += instance.slots;
+            sum.free += instance.slots.saturating_sub(running);
+            sum.idle += u32::from(running * 2 < instance.slots);
+            sum.queued += queued;
+            sum.with_queue += u32::from(queued > 0);
+        }
+        services
+    }
+
     fn newer(&self, position: u64, wanted: impl Fn(&Told) -> bool) -> Vec<NodeLoad> {
         let newer = |told: &Told| told.changed_at > position && wanted(told);
         let found = self.loads.iter().filter(|(_, told)| newer(told));
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -261,6 +261,11 @@
         self.position
     }
 
+    /// The records of all nodes that are listed.
+    pub fn records(&self) -> impl Iterator<Item = &NodeRecord> {
+        self.nodes.values().map(|held| &held.record)
+    }
+
     /// Whether a node is listed.
     pub fn lists(&self, address: &NodeAddress) -> bool {
         self.nodes.contains_key(address)
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -2,17 +2,22 @@
 
 use crate::exchange::{Outgoing, RegistryExchange};
 use crate::hub::Hub;
+use crate::loads::ServiceLoad;
 use crate::membership::Group;
 use crate::transport::Transport;
 use mesh::{CoordinatorFrame, MemberId};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use telemetry::Clock;
+use tracing::info;
 
 /// Time between two looks at leases and at what is due for the other coordinators.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two looks at how busy services are.
+const SUM_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The registry's loop and what it needs.
 pub(crate) struct RegistryLoop {
     hub: Arc<Hub>,
@@ -33,8 +38,13 @@
         let registry_loop = self.clone();
         thread::spawn(move || {
             let mut loads_position = 0;
+            let mut summed_at = Instant::now();
             loop {
                 loads_position = registry_loop.look(loads_position);
+                if summed_at.elapsed() >= SUM_INTERVAL {
+                    summed_at = Instant::now();
+                    registry_loop.log_waiting();
+                }
                 thread::sleep(LOOK_INTERVAL);
             }
         });
@@ -61,6 +71,16 @@
         position
     }
 
+    /// Logs the services of which calls wait, with the slots that are free all the same.
+    fn log_waiting(&self) {
+        let state = self.hub.lock();
+        let services = state.loads.by_service(state.registry.records());
+        for (service, load) in services.into_iter().filter(|(_, load)| load.queued > 0) {
+            let ServiceLoad { upstreams, slots, free, idle, queued, with_queue } = load;
+            info!(%service, upstreams, slots, free, idle, queued, with_queue, "calls_wait");
+        }
+    }
+
     /// Takes in a frame of another coordinator.
     pub fn receive(&self, frame: CoordinatorFrame) {
         if let CoordinatorFrame::Loads { loads } = &frame {
--- /dev/null
+++ b/crates/coordinator/tests/loads.rs
@@ -0,0 +1,60 @@
+//! What subscribers and other coordinators are told of loads.
+
+use coordinator::LoadBoard;
+use expect_test::expect;
+use mesh::{NodeAddress, NodeLoad, UpstreamLoad};
+use std::net::Ipv4Addr;
+
+fn address(host: u8) -> NodeAddress {
+    NodeAddress { ip: Ipv4Addr::new(10, 0, 0, host), port: 8_300 }
+}
+
+fn load(host: u8, running: u32, queued: u32) -> NodeLoad {
+    NodeLoad { address: address(host), load: UpstreamLoad::new(running, queued) }
+}
+
+fn shown(loads: &[NodeLoad]) -> String {
+    let row =
+        |node: &NodeLoad| format!("{} {}+{}", node.address.ip, node.load.running, node.load.queued);
+    loads.iter().map(row).collect::<Vec<_>>().join(", ")
+}
+
+#[test]
+fn each_load_is_told_once_and_only_by_the_coordinator_that_heard_it() {
+    let mut board = LoadBoard::default();
+    board.told(address(1), UpstreamLoad::new(3, 0));
+    board.passed_on(&[load(2, 9, 4)]);
+    let position = board.position();
+    board.told(address(3), UpstreamLoad::new(1, 0));
+    board.told(address(3), UpstreamLoad::new(2, 0));
+    let told = [board.since(0), board.told_since(0), board.since(position)];
+    expect![[r#"
+        10.0.0.1 3+0, 10.0.0.2 9+4, 10.0.0.3 2+0
+        10.0.0.1 3+0, 10.0.0.3 2+0
+        10.0.0.3 2+0"#]]
+    .assert_eq(&told.map(|loads| shown(&loads)).join("\n"));
+    assert!(board.since(board.position()).is_empty());
+}
+
+#[test]
+fn an_upstream_that_another_coordinator_hears_now_is_not_passed_on_any_more() {
+    let mut board = LoadBoard::default();
+    board.told(address(1), UpstreamLoad::new(3, 0));
+    board.passed_on(&[load(1, 4, 0)]);
+    assert!(board.told_since(0).is_empty());
+    assert_eq!(shown(&board.since(0)), "10.0.0.1 4+0");
+}
+
+#[test]
+fn what_is_not_listed_is_forgotten() {
+    let mut board = LoadBoard::default();
+    board.passed_on(&[load(1, 4, 0), load(2, 5, 0)]);
+    board.retain(|listed| *listed == address(2));
+    assert_eq!(shown(&board.since(0)), "10.0.0.2 5+0");
+}
+
+#[test]
+fn counts_that_do_not_fit_are_cut() {
+    assert_eq!(UpstreamLoad::new(70_000, 256), UpstreamLoad { running: 255, queued: 255 });
+    assert_eq!(UpstreamLoad::new(70_000, 256).all(), 510);
+}
--- a/crates/placement/src/locality.rs
+++ b/crates/placement/src/locality.rs
@@ -42,6 +42,11 @@
         Self { own, zone: zone.into() }
     }
 
+    /// The node itself.
+    pub fn own(&self) -> &NodeAddress {
+        &self.own
+    }
+
     /// How far a node is.
     pub fn distance(&self, record: &NodeRecord) -> Distance {
         match record.address == self.own {
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -5,6 +5,7 @@
 use crate::{Distance, Locality, Millis, TimeSpread, Upstream, UpstreamKey, Urgency};
 use mesh::{NodeRecord, UpstreamLoad};
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// Share of failures that may be chance, or the fault of others that all need.
 const FAILING_BORNE: f64 = 0.15;
@@ -18,8 +19,9 @@
 const OVERDUE_COST: f64 = 1.0;
 /// Part of the expected time by which choices are varied, so that nodes do not choose alike.
 const VARIATION: f64 = 0.15;
-/// Upstreams looked at for one call; a sample beyond.
-const MOST_CANDIDATES: usize = 24;
+/// Upstreams looked at for one call; a sample beyond. Services of some thousand nodes have about
+/// forty each, so all of one are looked at, and the time a choice takes is bounded all the same.
+const MOST_CANDIDATES: usize = 64;
 
 /// What a choice depends on.
 #[derive(Clone, Copy, Debug)]
@@ -56,18 +58,21 @@
 pub struct PlacementView {
     locality: Locality,
     upstreams: BTreeMap<UpstreamKey, Upstream>,
+    /// Which of them run each service; a choice looks at no others.
+    by_service: BTreeMap<Rc<str>, Vec<UpstreamKey>>,
 }
 
 impl PlacementView {
     /// An empty view of the node at `locality`.
     pub fn new(locality: Locality) -> Self {
-        PlacementView { locality, upstreams: BTreeMap::new() }
+        PlacementView { locality, upstreams: BTreeMap::new(), by_service: BTreeMap::new() }
     }
 
     /// Takes in a record; an older one of the same life changes nothing.
     pub fn update(&mut self, record: NodeRecord, now: Millis) -> NodeChange {
         match self.upstreams.get_mut(&record.address) {
             None => {
+                self.index(&record);
                 self.upstreams.insert(record.address, Upstream::new(record, now));
                 NodeChange::Changed
             }
@@ -77,12 +82,34 @@
                 if older {
                     return NodeChange::None;
                 }
-                held.update(record, now);
+                if held.record.service != record.service {
+                    let (former, address) = (held.record.service.clone(), record.address);
+                    remove_from_index(&mut self.by_service, &former, &address);
+                    self.index(&record);
+                }
+                if let Some(held) = self.upstreams.get_mut(&record.address) {
+                    held.update(record, now);
+                }
                 NodeChange::Changed
             }
         }
     }
 
+    fn index(&mut self, record: &NodeRecord) {
+        match self.by_service.get_mut(record.service.as_str()) {
+            Some(keys) => keys.push(record.address),
+            None => {
+                let service: Rc<str> = record.service.as_str().into();
+                self.by_service.insert(service, vec![record.address]);
+            }
+        }
+    }
+
+    fn of_service(&self, service: &str) -> impl Iterator<Item = (&UpstreamKey, &Upstream)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|key| self.upstreams.get_key_value(key))
+    }
+
     /// Removes the nodes that no coordinator lists any more, but for those that answer this node
     /// all the same. If a service would lose all of its live upstreams at once, they stay until
     /// one returns.
@@ -97,9 +124,15 @@
             .filter(|upstream| keep(upstream) && upstream.is_live())
             .map(|upstream| upstream.record.service.clone())
             .collect();
-        self.upstreams.retain(|_, upstream| {
-            let last = upstream.is_live() && !remaining.contains(&upstream.record.service);
-            keep(upstream) || last
+        let by_service = &mut self.by_service;
+        self.upstreams.retain(|key, upstream| {
+            let service = &upstream.record.service;
+            let last = upstream.is_live() && !remaining.contains(service);
+            let kept = keep(upstream) || last;
+            if !kept {
+                remove_from_index(by_service, service, key);
+            }
+            kept
         });
     }
 
@@ -133,13 +166,29 @@
 
     /// Whether a service has an upstream that may be given calls.
     pub fn has_live(&self, service: &str) -> bool {
-        self.upstreams.values().any(|held| held.record.service == service && held.is_live())
+        self.of_service(service).any(|(_, held)| held.is_live())
+    }
+
+    /// Part of the slots of a service that is free for all that was heard of late, 0 to 1; `None` if
+    /// too little was heard to tell.
+    pub fn free_part(&self, service: &str, now: Millis) -> Option<f64> {
+        let (mut live, mut heard, mut slots, mut free) = (0, 0, 0.0, 0.0);
+        for (_, held) in self.of_service(service).filter(|(_, held)| held.is_live()) {
+            live += 1;
+            if let Some(free_slots) = held.free_slots(now) {
+                heard += 1;
+                slots += f64::from(held.limit());
+                free += free_slots;
+            }
+        }
+        let enough = heard * 2 > live;
+        enough.then(|| free / slots)
     }
 
     /// When the first of the upstreams of a service that lately refused is expected to have room.
     pub fn room_at(&self, service: &str, now: Millis) -> Option<Millis> {
-        let of_service = self.upstreams.values().filter(|held| held.record.service == service);
-        of_service.filter(|held| held.is_live()).filter_map(|held| held.room_at(now)).min()
+        let live = self.of_service(service).filter(|(_, held)| held.is_live());
+        live.filter_map(|(_, held)| held.room_at(now)).min()
     }
 
     /// The upstream that should have a call; `None` if none is live, untried and has room for all
@@ -151,29 +200,53 @@
         now: Millis,
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
-        let eligible = self.upstreams.iter().filter(|(key, held)| {
-            held.record.service == request.service
-                && held.is_live()
-                && !held.is_full(request.urgency, now)
-                && !request.tried.contains(key)
-        });
-        let mut candidates: Vec<Candidate<'_>> = eligible
-            .map(|(key, held)| (*key, held, self.locality.distance(&held.record)))
-            .collect();
-        thin_out(&mut candidates, random);
         let mut best: Option<((bool, f64), UpstreamKey)> = None;
-        for (key, held, distance) in candidates {
+        for (key, held) in self.candidates(request.service, random) {
+            let tried = request.tried.contains(key);
+            if tried || !held.is_live() || held.is_full(request.urgency, now) {
+                continue;
+            }
+            let distance = self.locality.distance(&held.record);
             let varied = 1.0 + VARIATION * random.f64();
             let expected = held.expected(request.usual_ms * varied, now);
             let cost = (held.is_resting(now), cost(held, distance, expected, request, now));
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
-                best = Some((cost, key));
+                best = Some((cost, *key));
             }
         }
         best.map(|(_, key)| key)
     }
+
+    /// The upstreams of a service; of a large one a sample, with the upstream beside this node.
+    fn candidates(
+        &self,
+        service: &str,
+        random: &mut fastrand::Rng,
+    ) -> impl Iterator<Item = (&UpstreamKey, &Upstream)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let sampled = keys.len() > MOST_CANDIDATES;
+        let beside = self.upstreams.get_key_value(self.locality.own());
+        let beside = beside.filter(|(_, held)| sampled && held.record.service == service);
+        let start = if sampled { random.usize(0..keys.len()) } else { 0 };
+        let (later, earlier) = keys.split_at(start);
+        let drawn = earlier.iter().chain(later).take(MOST_CANDIDATES);
+        beside.into_iter().chain(drawn.filter_map(|key| self.upstreams.get_key_value(key)))
+    }
+}
+
+fn remove_from_index(
+    by_service: &mut BTreeMap<Rc<str>, Vec<UpstreamKey>>,
+    service: &str,
+    key: &UpstreamKey,
+) {
+    if let Some(keys) = by_service.get_mut(service) {
+        keys.retain(|held| held != key);
+        if keys.is_empty() {
+            by_service.remove(service);
+        }
+    }
 }
 
 /// What it costs to go to an upstream, as a part of the worth of a call that is in time.
@@ -201,19 +274,3 @@
     };
     late + time + failing + link + distance.cost(request.moved_bytes)
 }
-
-/// An upstream that may be taken.
-type Candidate<'a> = (UpstreamKey, &'a Upstream, Distance);
-
-/// Leaves a sample of a large service; the upstream beside this node stays.
-fn thin_out(candidates: &mut Vec<Candidate<'_>>, random: &mut fastrand::Rng) {
-    if candidates.len() <= MOST_CANDIDATES {
-        return;
-    }
-    random.shuffle(candidates);
-    let own = candidates.iter().position(|(_, _, distance)| *distance == Distance::Own);
-    if let Some(own) = own {
-        candidates.swap(0, own);
-    }
-    candidates.truncate(MOST_CANDIDATES);
-}
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -1,7 +1,9 @@
 //! Which upstreams are there, and which one is taken.
 
 use expect_test::expect;
-use mesh::{HopOutcome, HopReply, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
+use mesh::{
+    HopOutcome, HopReply, InstanceRecord, InstanceState, NodeAddress, NodeRecord, UpstreamLoad,
+};
 use placement::{Locality, PlacementView, Request, TimeSpread, Urgency};
 use std::fmt::Write;
 use std::net::Ipv4Addr;
@@ -263,3 +265,48 @@
     "#]]
     .assert_eq(&seen);
 }
+
+#[test]
+fn loads_that_coordinators_bring_are_believed_until_the_next_is_overdue() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    let busy = UpstreamLoad::new(2, 8);
+    view.note_load(&address(1), busy, 0);
+    view.note_load(&address(77), busy, 0);
+    assert_eq!(choose(&view, &[], 10), Some(2), "eight wait there");
+    assert_eq!(choose(&view, &[], 1_100), Some(2), "it may not have changed");
+    assert_eq!(choose(&view, &[], 2_300), Some(1), "no coordinator is heard any more");
+}
+
+#[test]
+fn an_answer_is_newer_than_what_coordinators_bring_a_moment_later() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.get_mut(&address(1)).expect("there").note_reply(reply(0, 0), 100);
+    view.note_load(&address(1), UpstreamLoad::new(2, 8), 200);
+    assert_eq!(choose(&view, &[], 210), Some(1));
+    view.note_load(&address(1), UpstreamLoad::new(2, 8), 500);
+    assert_eq!(choose(&view, &[], 510), Some(2));
+}
+
+#[test]
+fn another_incarnation_has_no_load_of_the_one_before() {
+    let mut view = view(&[(1, "a"), (2, "b")]);
+    view.note_load(&address(1), UpstreamLoad::new(2, 8), 0);
+    let mut other = record(1, "a", InstanceState::Ready);
+    other.sequence = 9;
+    other.instance.as_mut().expect("there").id = "i-other".to_owned();
+    view.update(other, 10);
+    assert_eq!(choose(&view, &[], 20), Some(1));
+}
+
+#[test]
+fn own_calls_are_not_counted_twice() {
+    let mut view = view(&[(1, "a")]);
+    let upstream = view.get_mut(&address(1)).expect("there");
+    upstream.outstanding = 2;
+    upstream.note_load(UpstreamLoad::new(2, 0), 0);
+    assert_eq!(upstream.load(10), 2.0);
+    assert_eq!(upstream.free_slots(10), Some(0.0));
+    upstream.outstanding = 0;
+    assert_eq!(upstream.free_slots(10), Some(2.0));
+    assert_eq!(upstream.free_slots(5_000), None, "nothing was heard of late");
+}
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -39,6 +39,9 @@
 /// Shortest and longest Retry-After of calls that are held back because their like are late,
 /// milliseconds.
 const PRESSED_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_250;
+/// Part of a service's slots that must be free for its calls to be sent whatever became of their
+/// like: more than change hands between two tellings of loads.
+const ROOM_PART: f64 = 0.1;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
 /// Where a call came from.
@@ -291,6 +294,9 @@
             return Some(HeldBack { reason: "like_calls_fail", part, retry_after_ms });
         }
         let part = self.pressure.held_back(service, urgency, now);
+        if part > 0.0 && self.has_room(service, now) {
+            return None;
+        }
         if self.random.f64() < part {
             self.pressure.note(service, urgency, CallEnd::HeldBack, now);
             let retry_after_ms = self.random.u64(PRESSED_RETRY_AFTER_MS);
@@ -299,6 +305,12 @@
         None
     }
 
+    /// Whether upstreams of a service are known to have room. What few calls of this node became
+    /// tells less than what all of its upstreams tell of themselves.
+    fn has_room(&self, service: &str, now: Millis) -> bool {
+        self.view.free_part(service, now).is_some_and(|free| free >= ROOM_PART)
+    }
+
     /// Takes down how a call ended.
     fn note_outcome(&mut self, call: &Call, outcome: CallOutcome, now: Millis) {
         self.metrics.note_end(&call.route, outcome, now.saturating_sub(call.arrived));
