A stopping sidecar serves peers until the calls it had taken in are finished

Change: after 2.3 s new calls are taken in only if their own deadline ends them before the time in which what is left is ended; peers are served. They are told once the calls of the first 2.3 s are done, after 0.55 of the limit at the latest; for 1.3 s more, calls with so short a deadline, which running jobs ask for, are still taken in. The tests of the former phases stand, with one more phase; the test that nothing taken in late is cut now also covers deadlines, as strictly.

Also: coordinators that start ask the others for what they lack for 2 s, not once, so that lists are whole sooner when all start apart; free slots count only where coordinators told the load.

--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -15,6 +15,11 @@
 /// Time between two digests, milliseconds. Reports reach all coordinators within far less, so what
 /// differs in two rounds alike is not on its way.
 const DIGEST_INTERVAL_MS: u64 = 1_000;
+/// For so long after its start a coordinator asks the others again and again for what it lacks,
+/// milliseconds: after a loss of all power they start apart, and each sidecar links to some first.
+const YOUNG_MS: u64 = 2_000;
+/// Time between two such questions, milliseconds.
+const YOUNG_INTERVAL_MS: u64 = 250;
 
 /// A frame for another coordinator.
 pub type Outgoing = (MemberId, CoordinatorFrame);
@@ -23,7 +28,8 @@
 #[derive(Debug)]
 pub struct RegistryExchange {
     own: MemberId,
-    started: bool,
+    started_at: Option<Millis>,
+    asked_at: Option<Millis>,
     unheard_at: Millis,
     digest_at: Millis,
     /// Difference of digests seen last, by coordinator; none while they agree.
@@ -35,19 +41,20 @@
     pub fn new(own: MemberId) -> Self {
         RegistryExchange {
             own,
-            started: false,
+            started_at: None,
+            asked_at: None,
             unheard_at: 0,
             digest_at: 0,
             differences: BTreeMap::new(),
         }
     }
 
-    /// What is due now. The first time, others are asked for all that they hear.
+    /// What is due now. After the start others are asked for all that they hear.
     pub fn tick(&mut self, registry: &Registry, peers: &[MemberId], now: Millis) -> Vec<Outgoing> {
         let mut frames = Vec::new();
         self.differences.retain(|peer, _| peers.contains(peer));
-        if !self.started && !peers.is_empty() {
-            self.started = true;
+        if self.asks_as_young(now) && !peers.is_empty() {
+            self.asked_at = Some(now);
             frames.push(self.entries(registry));
         }
         if now >= self.unheard_at + UNHEARD_INTERVAL_MS {
@@ -66,6 +73,12 @@
         frames.into_iter().flat_map(to_all).collect()
     }
 
+    fn asks_as_young(&mut self, now: Millis) -> bool {
+        let started_at = *self.started_at.get_or_insert(now);
+        let due = self.asked_at.is_none_or(|at| now >= at + YOUNG_INTERVAL_MS);
+        due && now < started_at + YOUNG_MS
+    }
+
     /// Takes in a frame of another coordinator; an answer, and whether the registry changed.
     pub fn receive(
         &mut self,
--- a/crates/coordinator/tests/exchange.rs
+++ b/crates/coordinator/tests/exchange.rs
@@ -177,12 +177,25 @@
     for host in 1..=40 {
         fleet.report(record(host, 7, 1, InstanceState::Ready));
     }
-    fleet.run(1_000);
+    fleet.run(3_000);
     fleet.frames.clear();
     fleet.run(10_000);
     assert_eq!(fleet.frames, ["digest"; 60]);
 }
 
+#[test]
+fn coordinators_that_start_together_list_what_any_of_them_hears() {
+    let mut fleet = Fleet::new(2);
+    fleet.cut.extend([(0, 1), (1, 2)]);
+    fleet.run(500);
+    fleet.report(record(1, 7, 1, InstanceState::Ready));
+    fleet.report(record(2, 7, 1, InstanceState::Ready));
+    fleet.run(STEP_MS);
+    for number in 0..2 {
+        assert_eq!(fleet.listed(number).len(), 2, "coordinator {number}");
+    }
+}
+
 /// Whatever is cut, killed and started, a while after it ends all list the same, and nothing that
 /// is gone.
 #[test]
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -46,6 +46,8 @@
     cold_until: Millis,
     figures: Option<Figures>,
     load_seen: Option<LoadSeen>,
+    /// When coordinators last brought its load.
+    load_told_at: Option<Millis>,
     rest_until: Millis,
     failures: u32,
     refusal: Option<Refusal>,
@@ -135,6 +137,7 @@
             cold_until: 0,
             figures: None,
             load_seen: None,
+            load_told_at: None,
             rest_until: 0,
             failures: 0,
             refusal: None,
@@ -156,6 +159,7 @@
             self.refusal = None;
             self.figures = None;
             self.load_seen = None;
+            self.load_told_at = None;
             self.silence = Silence::default();
         }
         if other_instance {
@@ -216,15 +220,18 @@
         f64::from(self.outstanding) + others
     }
 
-    /// Slots that are free for all this node knows; `None` if it heard nothing of late.
+    /// Slots that are free for all this node knows; `None` unless it told its load of late. One that
+    /// refused a call a moment ago has none, whatever it told.
     pub fn free_slots(&self, now: Millis) -> Option<f64> {
-        let seen = self.load_seen.filter(|seen| seen.belief(now) > 0.0)?;
-        let load = f64::from(self.outstanding) + seen.others;
-        Some((f64::from(self.limit()) - load).max(0.0))
+        let told = self.load_told_at.is_some_and(|at| now < at + LOAD_FRESH_MS);
+        let refused = self.refusal.is_some_and(|refusal| now < refusal.until);
+        let free = (f64::from(self.limit()) - self.load(now)).max(0.0);
+        told.then_some(if refused { 0.0 } else { free })
     }
 
     /// Takes in how busy it was a moment ago, as the sidecar beside it told through coordinators.
     pub fn note_load(&mut self, load: UpstreamLoad, now: Millis) {
+        self.load_told_at = Some(now);
         let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
         if !self.load_seen.is_some_and(newer) {
             self.see_load(load.all(), false, now);
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -185,6 +185,11 @@
         self.calls.len()
     }
 
+    /// When the oldest call without a final answer came.
+    pub fn oldest_arrival(&self) -> Option<Millis> {
+        self.calls.first_key_value().map(|(_, call)| call.arrived)
+    }
+
     /// Takes in a call.
     pub fn begin(
         &mut self,
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -84,7 +84,8 @@
                 ServerKind::Caller => {
                     self.last_request = now;
                     let origin = Origin { connection: id, slot };
-                    if self.stop.refuses(now) {
+                    let left_ms = request.headers.number(self.names.deadline_ms);
+                    if !self.stop.accepts(left_ms.unwrap_or(u64::MAX / 2), now) {
                         let after_ms = self.stop.retry_after_ms();
                         let action = self.calls.refuse_stopping(origin, &request, after_ms);
                         self.work.push_back(Work::Call(action));
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -16,14 +16,16 @@
             let (running, queued) = self.jobs.load();
             info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
         }
-        if self.stop.refuses(now) && !self.links.record().stopping {
+        if self.stop.close(self.calls.oldest_arrival(), now) {
             self.close_to_peers(now);
         }
         let in_flight = self.calls.in_flight() + self.jobs.in_flight();
         let unsent = self.net.has_unsent();
         let activity = Activity { in_flight, last_request: self.last_request, unsent };
         match self.stop.phase(activity, now) {
-            StopPhase::Running | StopPhase::Serving | StopPhase::Refusing => false,
+            StopPhase::Running | StopPhase::Serving | StopPhase::Finishing | StopPhase::Closed => {
+                false
+            }
             StopPhase::Ending => {
                 self.end_calls(now);
                 false
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -5,9 +5,10 @@
 use common::*;
 use expect_test::expect;
 use http1::Response;
-use mesh::HopOutcome;
+use mesh::{HopOutcome, NodeAddress, UpstreamLoad};
 use sidecar::{AttemptEnd, CallAction};
 use std::fmt::Write;
+use std::net::Ipv4Addr;
 
 #[test]
 fn without_a_configuration_nothing_is_said_about_routes() {
@@ -322,3 +323,45 @@
         assert!(world.calls.ended(attempt, AttemptEnd::Lost, world.now).is_empty(), "{name}");
     }
 }
+
+#[test]
+fn calls_are_sent_while_their_service_tells_of_room() {
+    // All calls are late, so most of them would be held back.
+    let refused_of_forty = |load: Option<UpstreamLoad>| {
+        let mut world = World::with_upstreams(2);
+        let mut refused = 0;
+        for _ in 0..10 {
+            // Long enough for what coordinators bring to count more than the answers before.
+            world.now += 400;
+            for host in 1..=2 {
+                let key = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, host), port: 8_300 };
+                if let Some(load) = load {
+                    world.calls.view.note_load(&key, load, world.now);
+                }
+            }
+            let begun: Vec<_> = (0..4).map(|_| sent(&world.begin("GET", "/unsafe/1"))).collect();
+            world.now += u64::from(TARGET_MS) + 10;
+            for attempt in begun {
+                match attempt {
+                    Some((attempt, _)) => {
+                        let late = replied(HopOutcome::Answered, 200);
+                        world.calls.ended(attempt, late, world.now);
+                    }
+                    None => refused += 1,
+                }
+            }
+        }
+        refused
+    };
+    expect![[r#"
+        nothing told: 10
+        all slots taken: 10
+        most slots free: 0
+    "#]]
+    .assert_eq(&format!(
+        "nothing told: {}\nall slots taken: {}\nmost slots free: {}\n",
+        refused_of_forty(None),
+        refused_of_forty(Some(UpstreamLoad::new(9, 4))),
+        refused_of_forty(Some(UpstreamLoad::new(2, 0))),
+    ));
+}
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -4,6 +4,10 @@
 
 const LIMIT_MS: u64 = 6_000;
 const BEGUN: u64 = 10_000;
+/// How long all calls are served after the signal.
+const SERVED_MS: u64 = 2_300;
+/// The time at the end in which what is left is ended.
+const ENDING_MS: u64 = 500;
 
 fn plan() -> StopPlan {
     let mut plan = StopPlan::new(LIMIT_MS);
@@ -12,57 +16,108 @@
     plan
 }
 
-fn phase(after_ms: u64, in_flight: usize, last_request_after_ms: u64) -> StopPhase {
+/// The phase of a process whose peers were told, or not.
+fn phase(closed: bool, after_ms: u64, in_flight: usize, last_request_after_ms: u64) -> StopPhase {
+    let mut plan = plan();
+    if closed {
+        assert!(plan.close(None, BEGUN + SERVED_MS));
+    }
     let last_request = BEGUN + last_request_after_ms;
-    plan().phase(Activity { in_flight, last_request, unsent: false }, BEGUN + after_ms)
+    plan.phase(Activity { in_flight, last_request, unsent: false }, BEGUN + after_ms)
 }
 
 #[test]
 fn nothing_changes_before_the_signal() {
-    let plan = StopPlan::new(LIMIT_MS);
+    let mut plan = StopPlan::new(LIMIT_MS);
     let activity = Activity { in_flight: 0, last_request: 0, unsent: false };
     assert_eq!(plan.phase(activity, 1_000_000), StopPhase::Running);
-    assert!(!plan.refuses(1_000_000));
+    assert!(plan.accepts(u64::MAX, 1_000_000));
+    assert!(!plan.close(None, 1_000_000));
 }
 
 #[test]
 fn phases_follow_time_and_activity() {
     let rows = [
-        // after, in flight, last request after, phase
-        (0, 0, 0, StopPhase::Serving),
-        (2_000, 0, 0, StopPhase::Serving),
-        (2_250, 0, 2_200, StopPhase::Serving),
-        (2_250, 0, 1_000, StopPhase::Over),
-        (2_250, 3, 1_000, StopPhase::Serving),
-        (2_700, 3, 2_700, StopPhase::Refusing),
+        // peers told, after, in flight, last request after, phase
+        (false, 0, 0, 0, StopPhase::Serving),
+        (false, 2_000, 0, 0, StopPhase::Serving),
+        (false, 2_250, 0, 2_200, StopPhase::Serving),
+        (false, 2_250, 0, 1_000, StopPhase::Over),
+        (false, 2_250, 3, 1_000, StopPhase::Serving),
+        (false, 2_700, 3, 2_700, StopPhase::Finishing),
+        (true, 2_700, 3, 2_700, StopPhase::Closed),
         // Callers that have nowhere else to go never become quiet.
-        (2_700, 0, 2_700, StopPhase::Over),
-        (5_000, 1, 5_000, StopPhase::Refusing),
+        (true, 2_700, 0, 2_700, StopPhase::Over),
+        (true, 5_000, 1, 5_000, StopPhase::Closed),
         // Nothing is cut: what is left gets its answer first.
-        (5_500, 1, 5_500, StopPhase::Ending),
-        (5_500, 0, 5_500, StopPhase::Over),
-        (5_900, 1, 5_500, StopPhase::Over),
+        (true, 5_500, 1, 5_500, StopPhase::Ending),
+        (false, 5_500, 1, 5_500, StopPhase::Ending),
+        (true, 5_500, 0, 5_500, StopPhase::Over),
+        (true, 5_900, 1, 5_500, StopPhase::Over),
+    ];
+    for (closed, after, in_flight, last, expected) in rows {
+        let found = phase(closed, after, in_flight, last);
+        assert_eq!(found, expected, "{after} ms, {in_flight} in flight");
+    }
+}
+
+#[test]
+fn peers_are_told_once_the_calls_of_the_time_before_are_finished() {
+    let rows = [
+        // oldest call after, first time at which peers are told
+        (None, 2_300),
+        (Some(100), 3_300),
+        (Some(2_299), 3_300),
+        (Some(2_300), 2_300),
     ];
-    for (after, in_flight, last, expected) in rows {
-        assert_eq!(phase(after, in_flight, last), expected, "{after} ms, {in_flight} in flight");
+    for (oldest, expected) in rows {
+        let mut plan = plan();
+        let oldest = oldest.map(|after| BEGUN + after);
+        let told = (0..LIMIT_MS).find(|after| plan.close(oldest, BEGUN + after));
+        assert_eq!(told, Some(expected), "oldest call {oldest:?}");
+        assert!(!plan.close(oldest, BEGUN + LIMIT_MS), "they are told once");
     }
 }
 
 #[test]
 fn nothing_taken_in_late_is_cut_off_at_the_end() {
-    // What is accepted must have more than half of the time to finish.
-    let plan = plan();
-    let last_accepted = (0..LIMIT_MS).rev().find(|after| !plan.refuses(BEGUN + after));
-    assert!(last_accepted.is_some_and(|after| after <= LIMIT_MS / 2));
+    // What is accepted must have more than half of the time to finish, or a deadline before the
+    // time in which what is left is ended.
+    for closed in [false, true] {
+        let mut plan = plan();
+        for after in 0..LIMIT_MS {
+            if closed {
+                plan.close(None, BEGUN + after);
+            }
+            for left in [1, 600, 1_300, 1_301, 3_000, 6_000, u64::MAX] {
+                let accepted = plan.accepts(left, BEGUN + after);
+                let in_time = after.saturating_add(left) <= LIMIT_MS - ENDING_MS;
+                assert!(!accepted || after <= LIMIT_MS / 2 || in_time, "{after} ms, {left} ms");
+            }
+        }
+    }
+}
+
+#[test]
+fn calls_within_running_jobs_are_taken_in_for_a_while_after_peers_were_told() {
+    let mut plan = plan();
+    assert!(plan.accepts(3_000, BEGUN + SERVED_MS));
+    assert!(!plan.accepts(6_000, BEGUN + SERVED_MS));
+    plan.close(None, BEGUN + SERVED_MS);
+    assert!(plan.accepts(600, BEGUN + SERVED_MS + 1_000));
+    assert!(!plan.accepts(3_000, BEGUN + SERVED_MS), "a caller's own call");
+    assert!(!plan.accepts(600, BEGUN + SERVED_MS + 1_300), "else the process never ends");
 }
 
 #[test]
 fn the_process_does_not_end_before_its_answers_are_out() {
+    let mut plan = plan();
+    plan.close(None, BEGUN + SERVED_MS);
     let unsent = Activity { in_flight: 0, last_request: BEGUN, unsent: true };
-    assert_eq!(plan().phase(unsent, BEGUN + 2_700), StopPhase::Refusing);
-    assert_eq!(plan().phase(unsent, BEGUN + 5_550), StopPhase::Ending);
+    assert_eq!(plan.phase(unsent, BEGUN + 2_700), StopPhase::Closed);
+    assert_eq!(plan.phase(unsent, BEGUN + 5_550), StopPhase::Ending);
     let out = Activity { unsent: false, ..unsent };
-    assert_eq!(plan().phase(out, BEGUN + 5_550), StopPhase::Over);
+    assert_eq!(plan.phase(out, BEGUN + 5_550), StopPhase::Over);
 }
 
 #[test]
