--- a/crates/coordinator/tests/exchange.rs
+++ b/crates/coordinator/tests/exchange.rs
@@ -43,6 +43,8 @@
     /// Links that are cut: number of the coordinator, host of the sidecar.
     cut: Vec<(usize, u8)>,
     frames: Vec<&'static str>,
+    /// Kind of frames that are lost, for broken variants.
+    lost: &'static str,
 }
 
 impl Fleet {
@@ -58,6 +60,7 @@
             sidecars: Vec::new(),
             cut: Vec::new(),
             frames: Vec::new(),
+            lost: "",
         }
     }
 
@@ -103,6 +106,9 @@
         }
         while let Some((to, frame)) = on_the_way.pop() {
             self.frames.push(name_of(&frame));
+            if name_of(&frame) == self.lost {
+                continue;
+            }
             let receiver = self.coordinators.iter_mut().find(|held| held.id == to);
             let Coordinator { registry, exchange, .. } = receiver.expect("a known coordinator");
             on_the_way.extend(exchange.receive(registry, frame, self.now).0);
@@ -196,45 +202,81 @@
     }
 }
 
-/// Whatever is cut, killed and started, a while after it ends all list the same, and nothing that
-/// is gone.
-#[test]
-fn all_agree_a_while_after_faults_end() {
-    for seed in 0..2_000 {
-        let mut random = fastrand::Rng::with_seed(seed);
-        let mut fleet = Fleet::new(random.u8(2..7) as _);
-        let count = fleet.coordinators.len();
-        for step in 1..40_u64 {
-            let host = random.u8(1..10);
-            match random.u8(0..10) {
-                0..2 => fleet.report(record(host, step, step, InstanceState::Ready)),
-                2..4 => {
-                    let held = fleet.sidecars.iter().find(|held| held.address == address(host));
-                    if let Some(life) = held.map(|held| held.life) {
-                        fleet.report(record(host, life, step, InstanceState::Draining));
-                    }
-                }
-                4 => fleet.sidecars.retain(|held| held.address != address(host)),
-                5..7 => fleet.cut.push((random.usize(0..count), host)),
-                7 => fleet.cut.clear(),
-                8 => {
-                    let restarted = &mut fleet.coordinators[random.usize(0..count)];
-                    restarted.registry = Registry::new(LEASE_MS);
-                    restarted.exchange = RegistryExchange::new(restarted.id);
+/// Cuts, kills and starts at random, and then a lease without any; what the coordinators list and
+/// should list.
+struct Outcome {
+    listed: Vec<Vec<(u8, u64, InstanceState)>>,
+    expected: Vec<u8>,
+}
+
+impl Outcome {
+    /// Whether all list the same, and just the sidecars that are there.
+    fn holds(&self) -> bool {
+        let hosts = |listed: &Vec<(u8, u64, InstanceState)>| -> Vec<u8> {
+            listed.iter().map(|row| row.0).collect()
+        };
+        let first = self.listed.first().expect("a coordinator");
+        self.listed.iter().all(|listed| listed == first && hosts(listed) == self.expected)
+    }
+}
+
+/// `heals`: whether cuts end at last, or one coordinator stays cut off from some sidecars.
+fn after_faults(seed: u64, lost: &'static str, heals: bool) -> Outcome {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut fleet = Fleet::new(random.u8(2..7));
+    fleet.lost = lost;
+    let count = fleet.coordinators.len();
+    for step in 1..40_u64 {
+        let host = random.u8(1..10);
+        match random.u8(0..10) {
+            0..2 => fleet.report(record(host, step, step, InstanceState::Ready)),
+            2..4 => {
+                let held = fleet.sidecars.iter().find(|held| held.address == address(host));
+                if let Some(life) = held.map(|held| held.life) {
+                    fleet.report(record(host, life, step, InstanceState::Draining));
                 }
-                _ => fleet.run(random.u64(1..8) * STEP_MS),
             }
+            4 => fleet.sidecars.retain(|held| held.address != address(host)),
+            5..7 => fleet.cut.push((random.usize(0..count), host)),
+            7 => fleet.cut.clear(),
+            8 => {
+                let restarted = &mut fleet.coordinators[random.usize(0..count)];
+                restarted.registry = Registry::new(LEASE_MS);
+                restarted.exchange = RegistryExchange::new(restarted.id);
+            }
+            _ => fleet.run(random.u64(1..8) * STEP_MS),
         }
-        fleet.cut.clear();
-        fleet.beat(true);
-        fleet.run(LEASE_MS + 2 * PING_MS);
-        let mut expected: Vec<u8> =
-            fleet.sidecars.iter().map(|held| held.address.ip.octets()[3]).collect();
-        expected.sort_unstable();
-        for number in 0..count {
-            let listed: Vec<u8> = fleet.listed(number).iter().map(|row| row.0).collect();
-            assert_eq!(listed, expected, "seed {seed}, coordinator {number}");
-            assert_eq!(fleet.listed(number), fleet.listed(0), "seed {seed}, {number}");
-        }
+    }
+    match heals {
+        true => fleet.cut.clear(),
+        false => fleet.cut = vec![(0, 1), (0, 2), (0, 3)],
+    }
+    fleet.beat(true);
+    fleet.run(LEASE_MS + 2 * PING_MS);
+    let mut expected: Vec<u8> =
+        fleet.sidecars.iter().map(|held| held.address.ip.octets()[3]).collect();
+    expected.sort_unstable();
+    Outcome { listed: (0..count).map(|number| fleet.listed(number)).collect(), expected }
+}
+
+#[test]
+fn all_agree_a_while_after_faults_end() {
+    for seed in 0..2_000 {
+        assert!(after_faults(seed, "", true).holds(), "seed {seed}");
+    }
+}
+
+#[test]
+fn all_agree_while_one_coordinator_stays_cut_off_from_some() {
+    for seed in 0..2_000 {
+        assert!(after_faults(seed, "", false).holds(), "seed {seed}");
+    }
+}
+
+#[test]
+fn broken_variants_are_noticed() {
+    for lost in ["heard", "unheard", "entries", "digest"] {
+        let noticed = (0..200).find(|seed| !after_faults(*seed, lost, false).holds());
+        assert!(noticed.is_some(), "frames `{lost}` are lost, and no seed shows it");
     }
 }
--- a/crates/coordinator/tests/loads.rs
+++ b/crates/coordinator/tests/loads.rs
@@ -10,7 +10,7 @@
 }
 
 fn load(host: u8, running: u32, queued: u32) -> NodeLoad {
-    NodeLoad { address: address(host), load: UpstreamLoad::new(running, queued) }
+    NodeLoad { address: address(host), load: UpstreamLoad::new(running, queued, 100) }
 }
 
 fn shown(loads: &[NodeLoad]) -> String {
@@ -22,11 +22,11 @@
 #[test]
 fn each_load_is_told_once_and_only_by_the_coordinator_that_heard_it() {
     let mut board = LoadBoard::default();
-    board.told(address(1), UpstreamLoad::new(3, 0));
+    board.told(address(1), UpstreamLoad::new(3, 0, 100));
     board.passed_on(&[load(2, 9, 4)]);
     let position = board.position();
-    board.told(address(3), UpstreamLoad::new(1, 0));
-    board.told(address(3), UpstreamLoad::new(2, 0));
+    board.told(address(3), UpstreamLoad::new(1, 0, 100));
+    board.told(address(3), UpstreamLoad::new(2, 0, 100));
     let told = [board.since(0), board.told_since(0), board.since(position)];
     expect![[r#"
         10.0.0.1 3+0, 10.0.0.2 9+4, 10.0.0.3 2+0
@@ -39,7 +39,7 @@
 #[test]
 fn an_upstream_that_another_coordinator_hears_now_is_not_passed_on_any_more() {
     let mut board = LoadBoard::default();
-    board.told(address(1), UpstreamLoad::new(3, 0));
+    board.told(address(1), UpstreamLoad::new(3, 0, 100));
     board.passed_on(&[load(1, 4, 0)]);
     assert!(board.told_since(0).is_empty());
     assert_eq!(shown(&board.since(0)), "10.0.0.1 4+0");
@@ -55,6 +55,9 @@
 
 #[test]
 fn counts_that_do_not_fit_are_cut() {
-    assert_eq!(UpstreamLoad::new(70_000, 256), UpstreamLoad { running: 255, queued: 255 });
-    assert_eq!(UpstreamLoad::new(70_000, 256).all(), 510);
+    assert_eq!(
+        UpstreamLoad::new(70_000, 256, 100),
+        UpstreamLoad { running: 255, queued: 255, service_ms: 100 }
+    );
+    assert_eq!(UpstreamLoad::new(70_000, 256, 100).all(), 510);
 }
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -120,13 +120,16 @@
     pub running: u8,
     /// Calls that wait for it, at most 255.
     pub queued: u8,
+    /// Recent time that a call occupies a slot, milliseconds, at most 65,535.
+    pub service_ms: u16,
 }
 
 impl UpstreamLoad {
-    /// A load; counts beyond what fits are cut.
-    pub fn new(running: u32, queued: u32) -> Self {
+    /// A load; what does not fit is cut.
+    pub fn new(running: u32, queued: u32, service_ms: u32) -> Self {
         let cut = |count: u32| u8::try_from(count).unwrap_or(u8::MAX);
-        UpstreamLoad { running: cut(running), queued: cut(queued) }
+        let service_ms = u16::try_from(service_ms).unwrap_or(u16::MAX);
+        UpstreamLoad { running: cut(running), queued: cut(queued), service_ms }
     }
 
     /// Calls with it, those that wait included.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -93,6 +93,8 @@
 struct LoadSeen {
     /// Calls with it that were not this node's.
     others: f64,
+    /// Time that its calls occupied a slot, milliseconds; 0 if it had none.
+    service_ms: f64,
     at: Millis,
     /// Whether an answer brought it.
     answered: bool,
@@ -234,13 +236,13 @@
         self.load_told_at = Some(now);
         let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
         if !self.load_seen.is_some_and(newer) {
-            self.see_load(load.all(), false, now);
+            self.see_load(load.all(), f64::from(load.service_ms), false, now);
         }
     }
 
-    fn see_load(&mut self, all: u32, answered: bool, now: Millis) {
+    fn see_load(&mut self, all: u32, service_ms: f64, answered: bool, now: Millis) {
         let others = f64::from(all.saturating_sub(self.outstanding));
-        self.load_seen = Some(LoadSeen { others, at: now, answered });
+        self.load_seen = Some(LoadSeen { others, service_ms, at: now, answered });
     }
 
     /// What a call sent now would take here; `usual_ms` is what it takes at an upstream of average
@@ -250,8 +252,8 @@
         let work_ms = usual_ms * self.speed * cold;
         let limit = f64::from(self.limit());
         let ahead = self.load(now) - limit + 1.0;
-        let figures = self.figures.map(|figures| f64::from(figures.reply.service_ms));
-        let each = figures.filter(|told| *told > 0.0).unwrap_or(work_ms);
+        let told = self.load_seen.map(|seen| seen.service_ms);
+        let each = told.filter(|told| *told > 0.0).unwrap_or(work_ms);
         let wait_ms = if ahead > 0.0 { ahead * each / limit } else { 0.0 };
         Expected { wait_ms, work_ms }
     }
@@ -306,7 +308,8 @@
     /// Takes in what it said with an answer.
     pub fn note_reply(&mut self, reply: HopReply, now: Millis) {
         self.figures = Some(Figures { reply, at: now });
-        self.see_load(reply.running + reply.queued, true, now);
+        let service_ms = f64::from(reply.service_ms);
+        self.see_load(reply.running + reply.queued, service_ms, true, now);
         self.silence = Silence::default();
         self.answered_at = Some(now);
     }
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -269,7 +269,7 @@
 #[test]
 fn loads_that_coordinators_bring_are_believed_until_the_next_is_overdue() {
     let mut view = view(&[(1, "a"), (2, "b")]);
-    let busy = UpstreamLoad::new(2, 8);
+    let busy = UpstreamLoad::new(2, 8, 100);
     view.note_load(&address(1), busy, 0);
     view.note_load(&address(77), busy, 0);
     assert_eq!(choose(&view, &[], 10), Some(2), "eight wait there");
@@ -281,16 +281,16 @@
 fn an_answer_is_newer_than_what_coordinators_bring_a_moment_later() {
     let mut view = view(&[(1, "a"), (2, "b")]);
     view.get_mut(&address(1)).expect("there").note_reply(reply(0, 0), 100);
-    view.note_load(&address(1), UpstreamLoad::new(2, 8), 200);
+    view.note_load(&address(1), UpstreamLoad::new(2, 8, 100), 200);
     assert_eq!(choose(&view, &[], 210), Some(1));
-    view.note_load(&address(1), UpstreamLoad::new(2, 8), 500);
+    view.note_load(&address(1), UpstreamLoad::new(2, 8, 100), 500);
     assert_eq!(choose(&view, &[], 510), Some(2));
 }
 
 #[test]
 fn another_incarnation_has_no_load_of_the_one_before() {
     let mut view = view(&[(1, "a"), (2, "b")]);
-    view.note_load(&address(1), UpstreamLoad::new(2, 8), 0);
+    view.note_load(&address(1), UpstreamLoad::new(2, 8, 100), 0);
     let mut other = record(1, "a", InstanceState::Ready);
     other.sequence = 9;
     other.instance.as_mut().expect("there").id = "i-other".to_owned();
@@ -303,7 +303,7 @@
     let mut view = view(&[(1, "a")]);
     let upstream = view.get_mut(&address(1)).expect("there");
     upstream.outstanding = 2;
-    upstream.note_load(UpstreamLoad::new(2, 0), 0);
+    upstream.note_load(UpstreamLoad::new(2, 0, 100), 0);
     assert_eq!(upstream.load(10), 2.0);
     assert_eq!(upstream.free_slots(10), Some(0.0));
     upstream.outstanding = 0;
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -15,7 +15,7 @@
 use crate::Millis;
 use admission::{Admission, Decision, DrainGate, FailureShare, GateState, JobId, Ticket};
 use http1::{Answer, ExchangeError, Request, Response, Slot};
-use mesh::{HopOutcome, HopReply, HopRequest, InstanceState, HOP_HEADER};
+use mesh::{HopOutcome, HopReply, HopRequest, InstanceState, UpstreamLoad, HOP_HEADER};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tracing::info;
@@ -177,6 +177,12 @@
         (self.admission.running(), self.admission.queued())
     }
 
+    /// What others are told of that.
+    pub fn told_load(&self) -> UpstreamLoad {
+        let (running, queued) = self.load();
+        UpstreamLoad::new(running, queued, self.admission.service_ms() as u32)
+    }
+
     /// Takes over what the upstream told of its slots.
     pub fn refresh_limit(&mut self) {
         let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -167,7 +167,8 @@
     /// ago. One that stays as it is is told again now and then, so that readers trust it.
     pub fn tell_load(&mut self, net: &mut Net, load: UpstreamLoad, now: Millis) {
         let age_ms = now.saturating_sub(self.load_told_at);
-        let changed = self.load_told != Some(load);
+        let counts = |load: UpstreamLoad| (load.running, load.queued);
+        let changed = self.load_told.map(counts) != Some(counts(load));
         let due_ms = if changed { LOAD_INTERVAL_MS } else { LOAD_REPEAT_MS };
         if age_ms < due_ms {
             return;
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -21,7 +21,7 @@
 use crate::{Attempt, Millis};
 use admission::JobId;
 use http1::{Response, Slot};
-use mesh::{NodeAddress, NodeLoad, NodeRecord, UpstreamLoad};
+use mesh::{NodeAddress, NodeLoad, NodeRecord};
 use placement::{BudgetBounds, Locality};
 use settings::SidecarSettings;
 use snafu::{ResultExt, Snafu};
@@ -337,8 +337,7 @@
         }
         self.do_work();
         self.links.tick(&mut self.net, now);
-        let (running, queued) = self.jobs.load();
-        self.links.tell_load(&mut self.net, UpstreamLoad::new(running, queued), now);
+        self.links.tell_load(&mut self.net, self.jobs.told_load(), now);
         let (generation, digest) = (self.config.generation(), self.config.digest());
         self.links.want_config(&mut self.net, generation, digest, now);
         if now >= RESTORE_WAIT_MS {
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -361,7 +361,7 @@
     .assert_eq(&format!(
         "nothing told: {}\nall slots taken: {}\nmost slots free: {}\n",
         refused_of_forty(None),
-        refused_of_forty(Some(UpstreamLoad::new(9, 4))),
-        refused_of_forty(Some(UpstreamLoad::new(2, 0))),
+        refused_of_forty(Some(UpstreamLoad::new(9, 4, 100))),
+        refused_of_forty(Some(UpstreamLoad::new(2, 0, 100))),
     ));
 }
