A member that starts asks for votes again and again until it knows a leader

Cause: after a loss of all power members start up to half a second apart.

Change: until it knows a leader, a member repeats its pre-vote after 50 to 150 ms, not 50 to 300 ms once. A pre-vote binds nobody; real votes keep the long timeout, so slow disks start no race. Ruled out: serving what a coordinator holds without a leader (docs/design/0002, never back).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -57,11 +57,12 @@
         self.election_deadline = least + self.random.u32(0..least.max(1));
     }
 
-    /// A member that just started asks for votes early: if all were down there is no leader to
-    /// wait for, and if there is one its followers refuse the pre-vote (section 9.6).
-    pub(crate) fn shorten_first_election(&mut self) {
+    /// A member that just started asks for votes early, again and again until it knows a leader: if
+    /// all were down there is none to wait for, but the others may start later than this one. If
+    /// there is a leader its followers refuse the pre-vote (section 9.6), which binds nobody.
+    pub(crate) fn shorten_election(&mut self) {
         self.reset_election_timer();
-        let most = (self.config.election_ticks / 2).max(2);
+        let most = (self.config.election_ticks / 4).max(2);
         self.election_deadline = self.random.u32(1..=most);
     }
 
@@ -78,6 +79,9 @@
         }
         let votes = BTreeSet::from([self.config.id]);
         let campaign_term = self.term + 1;
+        if pre && self.is_new {
+            self.shorten_election();
+        }
         if pre {
             self.role = Role::PreCandidate { votes };
         } else {
@@ -122,6 +126,7 @@
             .map(|member| (member, Progress::new(next)))
             .collect();
         self.role = Role::Leader { peers };
+        self.is_new = false;
         self.ticks_since_quorum_check = 0;
         self.ticks_since_heartbeat = 0;
         self.transfer_to = None;
@@ -135,6 +140,7 @@
             self.vote = None;
             self.incoming = None;
         }
+        self.is_new &= leader.is_none();
         self.role = Role::Follower { leader };
         self.transfer_to = None;
         self.reset_election_timer();
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -132,6 +132,8 @@
     pub(crate) ticks_since_heartbeat: u32,
     pub(crate) ticks_since_quorum_check: u32,
     pub(crate) election_deadline: u32,
+    /// Whether no leader was known since the start.
+    pub(crate) is_new: bool,
     pub(crate) random: fastrand::Rng,
     pub(crate) round: u64,
     pub(crate) pending_reads: Vec<PendingRead>,
@@ -159,6 +161,7 @@
             ticks_since_heartbeat: 0,
             ticks_since_quorum_check: 0,
             election_deadline: 0,
+            is_new: true,
             random,
             round: 0,
             pending_reads: Vec::new(),
@@ -167,7 +170,7 @@
             out: Ready::default(),
             saved_hard_state: hard,
         };
-        raft.shorten_first_election();
+        raft.shorten_election();
         raft
     }
 
--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -1,8 +1,8 @@
 //! A network of members in one thread: elections, replication, membership and reads.
 
 use consensus::{
-    Config, HardState, Membership, MembershipError, Message, NodeId, Payload, ProposeError, Raft,
-    Snapshot, SnapshotMeta,
+    Config, Entry, HardState, Membership, MembershipError, Message, NodeId, Payload, ProposeError,
+    Raft, Snapshot, SnapshotMeta,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -293,3 +293,28 @@
     assert_eq!(network.current_leader(), Some(leader));
     assert_eq!(network.member(leader).term(), term);
 }
+
+#[test]
+fn members_that_start_apart_elect_soon_after_most_are_there() {
+    let membership = Membership::of_voters(1..=3);
+    for alone_ticks in [ELECTION_TICKS / 2, ELECTION_TICKS, 4 * ELECTION_TICKS] {
+        // Only the first has the newest entry, so none but it can win; it asks in vain for a while.
+        let config = Config {
+            id: 1,
+            election_ticks: ELECTION_TICKS,
+            heartbeat_ticks: 2,
+            seed: 1,
+            weakness: None,
+        };
+        let meta = SnapshotMeta { index: 0, term: 0, membership: membership.clone() };
+        let hard = HardState { term: 1, ..HardState::default() };
+        let newest = vec![Entry { index: 1, term: 1, payload: Payload::Noop }];
+        let first = Raft::new(config, hard, Snapshot { meta, data: Vec::new() }, newest);
+        let mut network = Network::of(3);
+        network.members = BTreeMap::from([(1, first)]);
+        network.tick(alone_ticks);
+        network.members.insert(2, empty_member(2, &membership));
+        network.tick(ELECTION_TICKS / 2 + 1);
+        assert_eq!(network.current_leader(), Some(1), "alone for {alone_ticks} ticks");
+    }
+}
