A sidecar waits a moment for its zone's coordinator, and fetches content before it is announced

And content was asked for only once a leader was known, then took 0.1 to 0.2 s over a link of 2 Mbit/s.

Change: lists and content are asked of another zone's coordinator only if none of the own zone is linked within 150 ms, or within 1 s after all were lost while what they told still counts. The first content is asked for at the first link; a coordinator without a leader answers unconfirmed, and the sidecar prepares it and puts it in force once just that generation is announced (never before, never back: sidecar/tests/config.rs). A newer generation comes as what differs from what is prepared.

--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -3,7 +3,7 @@
 
 use crate::hub::Hub;
 use crate::listener::FrameReader;
-use crate::membership::Group;
+use crate::membership::{Group, KnownConfiguration};
 use crate::Millis;
 use bundle::{best_update, Bundle, BundleUpdate, Digest};
 use mesh::{encode_frame, MemberId, NodeAddress, NodeRecord, ToCoordinator, ToSidecar};
@@ -157,11 +157,10 @@
     }
 
     fn send_config(&self, writer: &Writer, held: Digest) -> io::Result<()> {
-        let Some((generation, held_bundle, bundle)) = self.group.configuration(held) else {
-            return Ok(());
-        };
-        let update = self.update_for(held, generation, held_bundle.as_ref(), &bundle);
-        writer.send(&ToSidecar::Config { generation, update })
+        let known = self.group.configuration(held);
+        let KnownConfiguration { generation, confirmed, .. } = known;
+        let update = self.update_for(held, generation, known.held.as_ref(), &known.bundle);
+        writer.send(&ToSidecar::Config { generation, confirmed, update })
     }
 
     fn update_for(
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -33,6 +33,18 @@
     seeds: Vec<Ipv4Addr>,
 }
 
+/// The newest configuration that a coordinator knows.
+pub(crate) struct KnownConfiguration {
+    /// Its generation; 0 if there is none.
+    pub generation: u64,
+    /// Whether a leader is known; without one this coordinator may be behind.
+    pub confirmed: bool,
+    /// The content that the sidecar which asks holds, if that is known here.
+    pub held: Option<Bundle>,
+    /// Its content.
+    pub bundle: Bundle,
+}
+
 impl Group {
     pub fn new(
         own: MemberId,
@@ -104,13 +116,17 @@
         }
     }
 
-    /// The generation in force with the content a sidecar holds, if known, and its own.
-    pub fn configuration(&self, held: Digest) -> Option<(u64, Option<Bundle>, Bundle)> {
+    /// The newest configuration known here, and the content that a sidecar holds, if known.
+    pub fn configuration(&self, held: Digest) -> KnownConfiguration {
         let published = self.replica.lock();
-        published.status.leader?;
         let machine = &published.machine.0;
         let (target, bundle) = machine.in_force();
-        Some((target.generation, machine.content(&held), bundle))
+        KnownConfiguration {
+            generation: target.generation,
+            confirmed: published.status.leader.is_some(),
+            held: machine.content(&held),
+            bundle,
+        }
     }
 
     fn is_member(&self) -> bool {
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -85,7 +85,7 @@
 pub enum ToCoordinator {
     /// What the sidecar is; the first frame, and again after every change.
     Report(NodeRecord),
-    /// Asks for the configuration in force.
+    /// Asks for the newest configuration that the coordinator knows.
     WantConfig {
         /// Digest of the content held.
         held: Digest,
@@ -135,10 +135,13 @@
         /// Which.
         generation: u64,
     },
-    /// The configuration in force.
+    /// The newest configuration that the coordinator knows.
     Config {
-        /// Its generation.
+        /// Its generation; 0 if there is none yet.
         generation: u64,
+        /// Whether the coordinator hears of a leader. Without one it may be behind: the content is
+        /// put in force only once that generation is announced.
+        confirmed: bool,
         /// Its content, from what the sidecar said it holds.
         update: BundleUpdate,
     },
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -6,11 +6,19 @@
 use forward::RoutingTable;
 use tracing::{info, warn};
 
-/// The newest configuration applied; it is replaced whole and never goes back.
+/// A configuration that is ready to be put in force.
+struct Prepared {
+    bundle: Bundle,
+    routing: RoutingTable,
+}
+
+/// The newest configuration applied; it is replaced whole and never goes back. One that a
+/// coordinator without a leader told is only prepared: it is put in force once it is announced.
 #[derive(Default)]
 pub struct Config {
     bundle: Bundle,
     routing: Option<RoutingTable>,
+    prepared: Option<Prepared>,
     limits: CallLimits,
     /// What coordinators say of the newest generation.
     pub currency: Currency,
@@ -27,9 +35,13 @@
         &self.limits
     }
 
-    /// Digest of the content held.
+    /// Digest of the newest content held, in force or prepared.
     pub fn digest(&self) -> Digest {
-        self.bundle.digest()
+        self.newest_held().digest()
+    }
+
+    fn newest_held(&self) -> &Bundle {
+        self.prepared.as_ref().map_or(&self.bundle, |prepared| &prepared.bundle)
     }
 
     /// Generation applied; 0 before the first.
@@ -44,11 +56,20 @@
 
     /// Applies a generation; true if it is in force now.
     pub fn apply(&mut self, generation: u64, update: &BundleUpdate) -> bool {
+        if !self.prepare(generation, update) {
+            return false;
+        }
+        self.put_in_force(generation)
+    }
+
+    /// Makes a generation ready without putting it in force; true if it is ready.
+    pub fn prepare(&mut self, generation: u64, update: &BundleUpdate) -> bool {
         if generation <= self.generation() {
             return false;
         }
-        let bundle = match update.apply(&self.bundle) {
-            Ok(bundle) => bundle.sharing_with(&self.bundle),
+        let held = self.newest_held();
+        let bundle = match update.apply(held) {
+            Ok(bundle) => bundle.sharing_with(held),
             Err(error) => {
                 warn!(generation, %error, "generation_not_applied");
                 return false;
@@ -61,6 +82,19 @@
                 return false;
             }
         };
+        self.prepared = Some(Prepared { bundle, routing });
+        true
+    }
+
+    /// Puts the generation that was made ready in force, if it is this one and newer than what is
+    /// in force.
+    pub fn put_in_force(&mut self, generation: u64) -> bool {
+        let fits = |prepared: &mut Prepared| prepared.routing.generation == generation;
+        let newer = generation > self.generation();
+        let Some(Prepared { bundle, routing }) = self.prepared.take_if(|held| newer && fits(held))
+        else {
+            return false;
+        };
         let routes = bundle.routes().count();
         info!(generation, digest = ?bundle.digest(), routes, "generation_in_force");
         self.limits = bundle.limits();
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -29,6 +29,13 @@
 const LOAD_INTERVAL_MS: u64 = 150;
 /// A load that stays as it is is told again after this time, milliseconds; readers let it age.
 const LOAD_REPEAT_MS: u64 = 800;
+/// Time for which a coordinator of the own zone is waited for before another one is asked for what
+/// is long (a list, content), milliseconds: a link to it opens within a look at the links and a way
+/// there and back, and hears of a generation some milliseconds after the others.
+const NEAR_WAIT_MS: u64 = 150;
+/// The same after all coordinators were lost at once, while what they told of others still counts:
+/// they start within some tenths of a second of each other, and a list between zones is dear, ms.
+const RETURN_WAIT_MS: u64 = 1_000;
 const OPEN_LIMIT_MS: u64 = 300;
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
@@ -46,6 +53,8 @@
     Config {
         /// Its generation.
         generation: u64,
+        /// Whether the coordinator that sent it hears of a leader.
+        confirmed: bool,
         /// Its content.
         update: BundleUpdate,
     },
@@ -103,6 +112,11 @@
     random: fastrand::Rng,
     config_asked: Option<(Ipv4Addr, Millis)>,
     welcomed: bool,
+    /// When a coordinator was linked though none was before.
+    linked_at: Millis,
+    /// The newest generation that was announced, and when it first was.
+    newest: u64,
+    announced_at: Millis,
     load_told: Option<UpstreamLoad>,
     load_told_at: Millis,
 }
@@ -126,6 +140,9 @@
             random: fastrand::Rng::with_seed(seed),
             config_asked: None,
             welcomed: false,
+            linked_at: 0,
+            newest: 0,
+            announced_at: 0,
             load_told: None,
             load_told_at: 0,
         }
@@ -209,13 +226,40 @@
         let best = found.max_by_key(|(address, link)| {
             (Some(**address) != passed_over, link.announced, link.same_zone)
         });
-        let Some(address) = best.map(|(address, _)| *address) else {
+        let Some((address, link)) = best else {
             return;
         };
-        if let Some(link) = self.links.get_mut(&address) {
-            send(net, link, &ToCoordinator::WantConfig { held });
-            self.config_asked = Some((address, now));
+        let near = self.links.values().any(|link| link.same_zone && link.is_healthy(now));
+        let waits = self.waits_for_near(now) || near && now < self.announced_at + NEAR_WAIT_MS;
+        if waits && !link.same_zone && passed_over.is_none() {
+            return;
+        }
+        send(net, link, &ToCoordinator::WantConfig { held });
+        self.config_asked = Some((*address, now));
+    }
+
+    /// Asks a coordinator for what it knows, without waiting for a leader to be known: when all
+    /// start together, the content is here by the time it is confirmed. True once one was asked, or
+    /// a generation was announced, so that this is not needed.
+    pub fn want_first_config(&mut self, net: &mut Net, held: Digest, now: Millis) -> bool {
+        if self.config_asked.is_some() || self.announced() > 0 {
+            return true;
         }
+        let welcomed = self.links.iter().filter(|(_, link)| link.open && link.welcomed);
+        let nearest = welcomed.max_by_key(|(_, link)| link.same_zone);
+        let waits = self.waits_for_near(now);
+        let Some((address, link)) = nearest.filter(|(_, link)| link.same_zone || !waits) else {
+            return false;
+        };
+        send(net, link, &ToCoordinator::WantConfig { held });
+        self.config_asked = Some((*address, now));
+        true
+    }
+
+    /// The newest generation that a linked coordinator announced; 0 if there is none.
+    pub fn announced(&self) -> u64 {
+        let open = self.links.values().filter(|link| link.open);
+        open.map(|link| link.announced).max().unwrap_or(0)
     }
 
     /// The link a connection belongs to.
@@ -310,6 +354,12 @@
         };
         match message {
             ToSidecar::Welcome { zone, last } => {
+                if !self.links.values().any(|link| link.welcomed) {
+                    self.linked_at = now;
+                }
+                let Some(link) = self.links.get_mut(&address) else {
+                    return;
+                };
                 link.welcomed = true;
                 link.failures = 0;
                 link.lost_at = None;
@@ -325,9 +375,18 @@
                 info!(coordinator = %address, members = ?addresses, "members_learned");
                 self.members = addresses;
             }
-            ToSidecar::Announce { generation } => link.announced = generation,
-            ToSidecar::Config { generation, update } => {
-                events.push(LinkEvent::Config { generation, update });
+            ToSidecar::Announce { generation } => {
+                link.announced = generation;
+                if generation > self.newest {
+                    self.newest = generation;
+                    self.announced_at = now;
+                }
+            }
+            ToSidecar::Config { generation, confirmed, update } => {
+                if !confirmed {
+                    self.config_asked = None;
+                }
+                events.push(LinkEvent::Config { generation, confirmed, update });
             }
             ToSidecar::Nodes { whole, changed, gone } => {
                 if whole {
@@ -380,11 +439,20 @@
         self.subscribe(net, now);
     }
 
+    /// Whether a coordinator of the own zone may be linked in a moment.
+    fn waits_for_near(&self, now: Millis) -> bool {
+        now < self.linked_at + NEAR_WAIT_MS
+    }
+
     /// Has one coordinator tell of the other sidecars, the nearest that answers. The one before is
     /// told to stop once the new one has told all it lists, so nothing is missed between.
     fn subscribe(&mut self, net: &mut Net, now: Millis) {
         let healthy = self.links.iter().filter(|(_, link)| link.is_healthy(now));
         let best = healthy.max_by_key(|(_, link)| (link.same_zone, link.subscribed));
+        let knows_others = self.links.values().any(|link| !link.nodes.is_empty());
+        let wait_ms = if knows_others { RETURN_WAIT_MS } else { NEAR_WAIT_MS };
+        let waits = now < self.linked_at + wait_ms;
+        let best = best.filter(|(_, link)| link.same_zone || link.subscribed || !waits);
         let Some(best) = best.map(|(address, _)| *address) else {
             return;
         };
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -103,6 +103,8 @@
     link: LinkMeter,
     next_housekeeping: Millis,
     next_reload_look: Millis,
+    /// Whether a coordinator was asked for a configuration before one was announced.
+    asked_first_config: bool,
 }
 
 /// Runs a sidecar until it is asked to stop. `settings_path` is read again when it changes.
@@ -211,6 +213,7 @@
             link,
             next_housekeeping: 0,
             next_reload_look: RELOAD_LOOK_MS,
+            asked_first_config: false,
         })
     }
 
@@ -300,7 +303,10 @@
                 self.restore(last, now);
                 self.take_waiting_registrations(now);
             }
-            LinkEvent::Config { generation, update } => {
+            LinkEvent::Config { generation, confirmed: false, update } => {
+                self.config.prepare(generation, &update);
+            }
+            LinkEvent::Config { generation, confirmed: true, update } => {
                 self.config.apply(generation, &update);
                 let (generation, digest) = (self.config.generation(), self.config.digest());
                 self.links.applied(&mut self.net, generation, digest, now);
@@ -323,6 +329,17 @@
                 self.calls.view.retain(is_listed, now);
             }
         }
+        self.config.put_in_force(self.links.announced());
+        self.want_config(now);
+    }
+
+    /// Asks for a newer configuration, or at the start for the one that coordinators know before
+    /// any of them has announced it.
+    fn want_config(&mut self, now: Millis) {
+        if !self.asked_first_config {
+            let digest = self.config.digest();
+            self.asked_first_config = self.links.want_first_config(&mut self.net, digest, now);
+        }
         let (generation, digest) = (self.config.generation(), self.config.digest());
         self.links.want_config(&mut self.net, generation, digest, now);
     }
@@ -338,8 +355,7 @@
         self.do_work();
         self.links.tick(&mut self.net, now);
         self.links.tell_load(&mut self.net, self.jobs.told_load(), now);
-        let (generation, digest) = (self.config.generation(), self.config.digest());
-        self.links.want_config(&mut self.net, generation, digest, now);
+        self.want_config(now);
         if now >= RESTORE_WAIT_MS {
             self.take_waiting_registrations(now);
         }
--- /dev/null
+++ b/crates/sidecar/tests/config.rs
@@ -0,0 +1,67 @@
+//! Which configuration is in force: what is only prepared is not, and nothing goes back.
+
+mod common;
+
+use bundle::{best_update, Bundle, BundleUpdate, Object};
+use common::bundle;
+use sidecar::Config;
+
+fn update(from: &Bundle, to: &Bundle) -> BundleUpdate {
+    best_update(Some(from), to)
+}
+
+/// The configuration of the tests without one of its routes.
+fn smaller() -> Bundle {
+    let kept = |object: &Object| !matches!(object, Object::Route(route) if route.name == "inner");
+    let whole = bundle();
+    let objects = whole.objects().values().map(|held| held.object.clone());
+    Bundle::from_objects(objects.filter(kept).collect())
+}
+
+#[test]
+fn what_a_coordinator_without_a_leader_told_waits_for_its_announcement() {
+    let mut config = Config::default();
+    assert!(config.prepare(5, &best_update(None, &bundle())));
+    assert_eq!(config.generation(), 0);
+    assert!(config.routing().is_none(), "nothing is in force");
+    assert!(!config.put_in_force(0), "none was announced");
+    assert!(!config.put_in_force(4), "an older one was announced");
+    assert!(!config.put_in_force(6), "a newer one is in force elsewhere");
+    assert!(config.put_in_force(5));
+    assert_eq!(config.generation(), 5);
+    assert!(!config.put_in_force(5), "once");
+}
+
+#[test]
+fn a_newer_generation_starts_from_what_is_prepared() {
+    let mut config = Config::default();
+    assert!(config.prepare(5, &best_update(None, &smaller())));
+    assert_eq!(config.digest(), smaller().digest(), "the coordinator sends what differs from it");
+    assert!(config.apply(6, &update(&smaller(), &bundle())));
+    assert_eq!(config.generation(), 6);
+    assert_eq!(config.digest(), bundle().digest());
+    assert!(!config.put_in_force(5), "what was prepared is gone");
+}
+
+#[test]
+fn nothing_goes_back() {
+    let mut config = Config::default();
+    assert!(config.apply(6, &best_update(None, &bundle())));
+    for generation in [0, 5, 6] {
+        assert!(!config.prepare(generation, &best_update(None, &smaller())));
+        assert!(!config.apply(generation, &best_update(None, &smaller())));
+        assert!(!config.put_in_force(generation));
+    }
+    assert_eq!(config.digest(), bundle().digest());
+}
+
+#[test]
+fn what_cannot_be_read_leaves_what_is_held() {
+    let mut config = Config::default();
+    assert!(config.prepare(5, &best_update(None, &smaller())));
+    let lie = BundleUpdate::Snapshot { target: bundle().digest(), compressed: vec![1, 2, 3] };
+    assert!(!config.prepare(7, &lie));
+    assert!(!config.apply(7, &lie));
+    assert_eq!(config.digest(), smaller().digest());
+    assert!(config.put_in_force(5));
+}
