--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use telemetry::Clock;
 use tracing::info;
 
@@ -26,6 +26,11 @@
 /// Time between two tellings of loads. A sidecar's share of calls is some in this time, and a call
 /// holds its slot for longer, so what was told still holds for most of them.
 const LOADS_INTERVAL: Duration = Duration::from_millis(200);
+/// What loads may take of a subscriber's link, bytes a second: 3 in 100 of the slowest link that
+/// sidecars were seen with (2 Mbit/s). A large fleet is told of less often.
+const MOST_LOAD_BYTES_PER_S: f64 = 8_000.0;
+/// Length of one load in a frame, bytes.
+const LOAD_BYTES: usize = 10;
 /// A coordinator that started has its list filled by the sidecars' own links, which pause for
 /// 0.8 s at most between tries, and by other coordinators. Until then its list is no proof that a
 /// sidecar is gone, milliseconds.
@@ -209,7 +214,7 @@
     fn send_nodes(&self, writer: &Writer, subscription: u64) {
         let mut position = None;
         let mut told_whole = false;
-        let mut loads_position = self.hub.lock().loads.position();
+        let mut loads = LoadTeller::new(&self.hub);
         let holds = || {
             let ended = writer.ended.load(Ordering::Relaxed);
             !ended && writer.subscription.load(Ordering::Relaxed) == subscription
@@ -226,16 +231,10 @@
             if any && writer.send(&ToSidecar::Nodes { whole, changed, gone }).is_err() {
                 return;
             }
-            let loads = {
-                let board = &self.hub.lock().loads;
-                let loads = board.since(loads_position);
-                loads_position = board.position();
-                loads
-            };
-            if !loads.is_empty() && writer.send(&ToSidecar::Loads { loads }).is_err() {
+            if loads.tell_due(&self.hub, writer).is_err() {
                 return;
             }
-            if self.hub.wait_registry(changes.position, LOADS_INTERVAL) {
+            if self.hub.wait_registry(changes.position, loads.until_due()) {
                 thread::sleep(COLLECT_TIME);
             }
         }
@@ -248,6 +247,43 @@
     }
 }
 
+/// Tells one subscriber of loads, at a bounded rate.
+struct LoadTeller {
+    position: u64,
+    due: Instant,
+}
+
+impl LoadTeller {
+    /// Begins with loads that are told from now on.
+    fn new(hub: &Hub) -> Self {
+        LoadTeller { position: hub.lock().loads.position(), due: Instant::now() }
+    }
+
+    fn until_due(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    /// Tells what changed since the last time, if it is time to.
+    fn tell_due(&mut self, hub: &Hub, writer: &Writer) -> io::Result<()> {
+        if !self.until_due().is_zero() {
+            return Ok(());
+        }
+        let loads = {
+            let board = &hub.lock().loads;
+            let loads = board.since(self.position);
+            self.position = board.position();
+            loads
+        };
+        let bytes = (loads.len() * LOAD_BYTES) as f64;
+        let pause = Duration::from_secs_f64(bytes / MOST_LOAD_BYTES_PER_S);
+        self.due = Instant::now() + pause.max(LOADS_INTERVAL);
+        match loads.is_empty() {
+            true => Ok(()),
+            false => writer.send(&ToSidecar::Loads { loads }),
+        }
+    }
+}
+
 fn spawn_thread(work: impl FnOnce() + Send + 'static) -> io::Result<()> {
     thread::Builder::new().stack_size(STACK_BYTES).spawn(work).map(|_| ())
 }
