Split first votes are asked for again early; opening packets to dark machines are given up sooner

Cause: after a loss of all power the election sometimes takes over half a second.

Change: the first three split votes are asked for again after 50 to 300 ms, later ones after the whole timeout (slow disks make votes late, and must not be outrun); first pre-votes are spread over 300 ms again, not 150. Connections between coordinators are given up after 150 ms, of sidecars to coordinators too. Test: split_votes_are_asked_for_again_early_a_few_times, fails without the change. The time to open has no test: a dark machine cannot be had on loopback.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -5,6 +5,11 @@
 use crate::{Body, Message, NodeId, Payload, Term};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Votes that a member which has just started asks for in vain before it waits as long as others:
+/// members that start at the same moment split their votes, which passes; slow disks, which make
+/// votes late, do not.
+const MOST_EARLY_CAMPAIGNS: u32 = 3;
+
 impl Raft {
     /// Advances time by one tick.
     pub fn tick(&mut self) {
@@ -59,10 +64,11 @@
 
     /// A member that just started asks for votes early, again and again until it knows a leader: if
     /// all were down there is none to wait for, but the others may start later than this one. If
-    /// there is a leader its followers refuse the pre-vote (section 9.6), which binds nobody.
+    /// there is a leader its followers refuse the pre-vote (section 9.6), which binds nobody. Real
+    /// votes that were split are asked for again as early, a few times.
     pub(crate) fn shorten_election(&mut self) {
         self.reset_election_timer();
-        let most = (self.config.election_ticks / 4).max(2);
+        let most = (self.config.election_ticks / 2).max(2);
         self.election_deadline = self.random.u32(1..=most);
     }
 
@@ -79,8 +85,9 @@
         }
         let votes = BTreeSet::from([self.config.id]);
         let campaign_term = self.term + 1;
-        if pre && self.is_new {
+        if self.is_new && (pre || self.early_campaigns < MOST_EARLY_CAMPAIGNS) {
             self.shorten_election();
+            self.early_campaigns += u32::from(!pre);
         }
         if pre {
             self.role = Role::PreCandidate { votes };
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -134,6 +134,8 @@
     pub(crate) election_deadline: u32,
     /// Whether no leader was known since the start.
     pub(crate) is_new: bool,
+    /// Votes asked for in that time.
+    pub(crate) early_campaigns: u32,
     pub(crate) random: fastrand::Rng,
     pub(crate) round: u64,
     pub(crate) pending_reads: Vec<PendingRead>,
@@ -162,6 +164,7 @@
             ticks_since_quorum_check: 0,
             election_deadline: 0,
             is_new: true,
+            early_campaigns: 0,
             random,
             round: 0,
             pending_reads: Vec::new(),
--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -1,8 +1,8 @@
 //! A network of members in one thread: elections, replication, membership and reads.
 
 use consensus::{
-    Config, Entry, HardState, Membership, MembershipError, Message, NodeId, Payload, ProposeError,
-    Raft, Snapshot, SnapshotMeta,
+    Body, Config, Entry, HardState, Membership, MembershipError, Message, NodeId, Payload,
+    ProposeError, Raft, Snapshot, SnapshotMeta,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -318,3 +318,38 @@
         assert_eq!(network.current_leader(), Some(1), "alone for {alone_ticks} ticks");
     }
 }
+
+/// Ticks until a member that just asked for votes in vain asks again, for each of its first ones.
+fn ticks_between_split_votes(times: usize) -> Vec<u32> {
+    let mut member = empty_member(1, &Membership::of_voters(1..=3));
+    let mut ticks = Vec::new();
+    let mut waited = 0;
+    while ticks.len() < times {
+        member.tick();
+        waited += 1;
+        while member.has_ready() {
+            let ready = member.ready();
+            let asked = ready.messages.iter().find(|message| message.to == 2);
+            let Some(Message { term, body: Body::RequestVote { pre, .. }, .. }) = asked else {
+                continue;
+            };
+            if *pre {
+                // The other grants the pre-vote, and then votes for itself.
+                let body = Body::VoteReply { pre: true, granted: true };
+                member.step(Message { from: 2, to: 1, term: *term, body });
+            } else {
+                ticks.push(waited);
+                waited = 0;
+            }
+        }
+    }
+    ticks
+}
+
+#[test]
+fn split_votes_are_asked_for_again_early_a_few_times() {
+    let ticks = ticks_between_split_votes(8);
+    let (early, late) = ticks.split_at(4);
+    assert!(early.iter().all(|waited| *waited <= ELECTION_TICKS / 2), "{ticks:?}");
+    assert!(late.iter().all(|waited| *waited >= ELECTION_TICKS), "{ticks:?}");
+}
--- a/crates/coordinator/src/transport.rs
+++ b/crates/coordinator/src/transport.rs
@@ -13,9 +13,14 @@
 
 /// Frames waiting for one peer; beyond, they are dropped, as a network would.
 const QUEUE_LENGTH: usize = 1_024;
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A machine that is dark answers no opening packet, also once it is back: the packet is gone, and
+/// the frames behind it wait. So it is given up after about the longest way there and back between
+/// regions, and sent anew.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Frames for a peer that does not listen are dropped for this long; a process that starts is there
+/// some tens of milliseconds later.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// A peer without traffic for this long gives its thread back.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// Small: the threads only copy frames.
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links.rs
@@ -36,7 +36,9 @@
 /// The same after all coordinators were lost at once, while what they told of others still counts:
 /// they start within some tenths of a second of each other, and a list between zones is dear, ms.
 const RETURN_WAIT_MS: u64 = 1_000;
-const OPEN_LIMIT_MS: u64 = 300;
+/// An opening packet to a machine that was dark is gone; it is sent anew after about the longest way
+/// there and back between regions, milliseconds.
+const OPEN_LIMIT_MS: u64 = 150;
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
 /// A coordinator that does not send what it was asked for is passed over after this time.
