Bodies are offered by the time they take on the narrower link

Cause: with links of 1 Mbit/s a body of 4 kB takes 32 ms of each link; bodies of up to 8 KiB were sent unasked, also to those that refuse them, and links stood full with queues of seconds. Change: a body is offered if it takes more than 8 ms of the slower of the two links (own as told by the settings, the peer's as it tells); grants and their window shrink with the link.

--- a/crates/admission/src/transfers.rs
+++ b/crates/admission/src/transfers.rs
@@ -12,11 +12,13 @@
 /// Names a transfer.
 pub type TransferId = u64;
 
-/// Bytes granted at once.
-const GRANT_BYTES: u64 = 8 * 1024;
-/// Fewest bytes granted and not here yet before no more are granted: enough for the way there and
-/// back on a slow link.
-const LEAST_WINDOW_BYTES: u64 = 3 * GRANT_BYTES;
+/// Most and fewest bytes granted at once: a packet's worth, so that grants stay few.
+const MOST_GRANT_BYTES: u64 = 8 * 1024;
+const LEAST_GRANT_BYTES: u64 = 1_400;
+/// Time on the link that one grant takes, milliseconds, within those bounds.
+const GRANT_MS: f64 = 16.0;
+/// Fewest grants on their way before no more are granted: one is sent while the next is asked for.
+const LEAST_WINDOW_GRANTS: u64 = 2;
 /// So much of the link's time may be granted and not here yet, milliseconds.
 const WINDOW_MS: f64 = 30.0;
 /// A sender that sends nothing of its grant for this long does not hold up the others, ms.
@@ -170,11 +172,17 @@
         Ok(())
     }
 
+    fn grant_bytes(&self) -> u64 {
+        let carried = (self.bytes_per_ms * GRANT_MS) as u64;
+        carried.clamp(LEAST_GRANT_BYTES, MOST_GRANT_BYTES)
+    }
+
     /// Grants what fits on the link now. Bodies that have begun are finished first: one that is
     /// whole helps its caller, two halves help nobody.
     pub fn grant(&mut self, now: Millis) -> Vec<Grant> {
         let mut grants: Vec<Grant> = Vec::new();
-        let window = LEAST_WINDOW_BYTES.max((self.bytes_per_ms * WINDOW_MS) as u64);
+        let most = self.grant_bytes();
+        let window = (most * LEAST_WINDOW_GRANTS).max((self.bytes_per_ms * WINDOW_MS) as u64);
         let mut outstanding: u64 = self.held.values().map(|held| held.outstanding(now)).sum();
         while outstanding < window {
             let Some(id) = self.next(now) else {
@@ -183,7 +191,7 @@
             let Some(held) = self.held.get_mut(&id) else {
                 break;
             };
-            let bytes = GRANT_BYTES.min(held.bytes - held.granted);
+            let bytes = most.min(held.bytes - held.granted);
             held.granted += bytes;
             held.moved_at = now;
             outstanding += bytes;
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -7,12 +7,30 @@
 /// Name of the header on a `100 Continue` that says how many bytes more of an offered body may be
 /// sent. Without it, as sidecars of an earlier version answer, the whole body may.
 pub const GRANT_HEADER: &str = "x-chutecove-grant";
-/// Longest body that is sent without having been offered, bytes: it takes a slow link some
-/// milliseconds, about as long as asking.
-pub const MOST_UNASKED_BYTES: usize = 8 * 1024;
+/// Longest body that is sent without having been offered over any link, bytes.
+const MOST_UNASKED_BYTES: f64 = 8.0 * 1024.0;
+/// Longest time for which a body that was not offered occupies a link, milliseconds: about as long
+/// as asking takes on a machine that is busy.
+const MOST_UNASKED_MS: f64 = 8.0;
 
-/// What the calling sidecar tells the one beside the upstream. As a header value: seven words
-/// separated by blanks, the last one `-` for any instance.
+/// Longest body that is sent without having been offered over a link that carries so many bytes a
+/// millisecond, bytes; `None` if its speed is not known.
+pub fn most_unasked_bytes(link_bytes_per_ms: Option<f64>) -> usize {
+    let carried = link_bytes_per_ms.map_or(MOST_UNASKED_BYTES, |rate| rate * MOST_UNASKED_MS);
+    carried.clamp(0.0, MOST_UNASKED_BYTES) as usize
+}
+
+/// When a call left its sender, by the sender's own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Drawn by each sender at its start; tells clocks apart.
+    pub clock: u32,
+    /// Milliseconds of that clock.
+    pub at_ms: u64,
+}
+
+/// What the calling sidecar tells the one beside the upstream. As a header value: nine words
+/// separated by blanks; the seventh is `-` for any instance, the last two may be missing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
     /// Time left for the whole call, milliseconds.
@@ -29,13 +47,18 @@
     pub service: String,
     /// Incarnation that should run it.
     pub instance: Option<String>,
+    /// When it left; not told by sidecars of an earlier version.
+    pub departure: Option<Departure>,
 }
 
 impl HopRequest {
     /// The header value.
     pub fn encode(&self) -> String {
+        let departure = self.departure.map_or_else(String::new, |departure| {
+            format!(" {:x} {}", departure.clock, departure.at_ms)
+        });
         format!(
-            "{} {} {} {} {} {} {}",
+            "{} {} {} {} {} {} {}{departure}",
             self.deadline_ms,
             self.patience_ms,
             self.rank,
@@ -57,10 +80,17 @@
             repeatable: words.next()? == "1",
             service: words.next()?.to_owned(),
             instance: words.next().filter(|id| *id != "-").map(str::to_owned),
+            departure: decode_departure(words),
         })
     }
 }
 
+fn decode_departure<'a>(mut words: impl Iterator<Item = &'a str>) -> Option<Departure> {
+    let clock = u32::from_str_radix(words.next()?, 16).ok()?;
+    let at_ms = words.next()?.parse().ok()?;
+    Some(Departure { clock, at_ms })
+}
+
 /// What became of a call at the sidecar beside the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HopOutcome {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,7 +11,9 @@
 mod record;
 
 pub use frame::{decode_frame, encode_frame, FrameError, MAX_FRAME_BYTES};
-pub use hop::{HopOutcome, HopReply, HopRequest, GRANT_HEADER, HOP_HEADER, MOST_UNASKED_BYTES};
+pub use hop::{
+    most_unasked_bytes, Departure, HopOutcome, HopReply, HopRequest, GRANT_HEADER, HOP_HEADER,
+};
 pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
 pub use record::{
--- a/crates/placement/src/locality.rs
+++ b/crates/placement/src/locality.rs
@@ -23,6 +23,7 @@
 pub struct Locality {
     own: NodeAddress,
     zone: Rc<str>,
+    link_bytes_per_ms: Option<f64>,
 }
 
 /// How far an upstream is from a node.
@@ -39,7 +40,17 @@
 impl Locality {
     /// The place of the node that is reached at `own`.
     pub fn new(own: NodeAddress, zone: &str) -> Self {
-        Self { own, zone: zone.into() }
+        Self { own, zone: zone.into(), link_bytes_per_ms: None }
+    }
+
+    /// The same, on a machine whose link carries so much each way; `None` if that is not known.
+    pub fn with_link(self, bytes_per_ms: Option<f64>) -> Self {
+        Self { link_bytes_per_ms: bytes_per_ms, ..self }
+    }
+
+    /// What this machine's link carries each way, bytes a millisecond.
+    pub fn link_bytes_per_ms(&self) -> Option<f64> {
+        self.link_bytes_per_ms
     }
 
     /// The node itself.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -1,7 +1,7 @@
 //! What a node believes of one upstream.
 
 use crate::Millis;
-use mesh::{HopReply, InstanceState, NodeAddress, NodeRecord, UpstreamLoad, MOST_UNASKED_BYTES};
+use mesh::{most_unasked_bytes, HopReply, InstanceState, NodeAddress, NodeRecord, UpstreamLoad};
 
 /// Names an upstream by the sidecar beside it.
 pub type UpstreamKey = NodeAddress;
@@ -280,18 +280,27 @@
         f64::from(figures.reply.link_percent) / 100.0 * figures.belief(now)
     }
 
-    /// Time that a body of this length takes over its machine's link, the wait for the link
-    /// included, milliseconds; 0 for one that is sent unasked.
+    /// What its machine's link brings of bodies, as it told, bytes a millisecond.
+    fn transfer_bytes_per_ms(&self) -> Option<f64> {
+        let told = self.figures.map(|figures| figures.reply.transfer_bytes_per_ms);
+        told.filter(|rate| *rate > 0).map(f64::from)
+    }
+
+    /// Whether a body of this length is offered to it, over a link of this node that carries
+    /// `own_bytes_per_ms`: the slower of the two links decides.
+    pub fn is_offered(&self, body_bytes: usize, own_bytes_per_ms: Option<f64>) -> bool {
+        let rates = own_bytes_per_ms.into_iter().chain(self.transfer_bytes_per_ms());
+        body_bytes > most_unasked_bytes(rates.reduce(f64::min))
+    }
+
+    /// Time that an offered body of this length takes over its machine's link, the wait for the
+    /// link included, milliseconds; 0 if nothing is known of that link.
     pub fn transfer_ms(&self, body_bytes: usize, now: Millis) -> f64 {
-        let Some(figures) = self.figures.filter(|_| body_bytes > MOST_UNASKED_BYTES) else {
+        let (Some(figures), Some(rate)) = (self.figures, self.transfer_bytes_per_ms()) else {
             return 0.0;
         };
-        let reply = figures.reply;
-        if reply.transfer_bytes_per_ms == 0 {
-            return 0.0;
-        }
-        let wait_ms = f64::from(reply.transfer_wait_ms) * figures.belief(now);
-        wait_ms + body_bytes as f64 / f64::from(reply.transfer_bytes_per_ms)
+        let wait_ms = f64::from(figures.reply.transfer_wait_ms) * figures.belief(now);
+        wait_ms + body_bytes as f64 / rate
     }
 
     /// Share of its recent calls that it failed, as it told, 0 to 1; an old word weighs less, so
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -209,7 +209,13 @@
             let distance = self.locality.distance(&held.record);
             let varied = 1.0 + VARIATION * random.f64();
             let expected = held.expected(request.usual_ms * varied, now);
-            let cost = (held.is_resting(now), cost(held, distance, expected, request, now));
+            let transfer_ms =
+                match distance != Distance::Own && self.offers(held, request.body_bytes) {
+                    true => held.transfer_ms(request.body_bytes, now),
+                    false => 0.0,
+                };
+            let cost = cost(held, distance, expected, transfer_ms, request, now);
+            let cost = (held.is_resting(now), cost);
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
@@ -219,6 +225,17 @@
         best.map(|(_, key)| key)
     }
 
+    fn offers(&self, upstream: &Upstream, body_bytes: usize) -> bool {
+        upstream.is_offered(body_bytes, self.locality.link_bytes_per_ms())
+    }
+
+    /// Whether a body of this length is only offered to an upstream at first, since it would occupy
+    /// one of the two links for long; the sidecar there grants it when its link has room.
+    pub fn is_offered(&self, key: &UpstreamKey, body_bytes: usize) -> bool {
+        let elsewhere = key != self.locality.own();
+        elsewhere && self.get(key).is_some_and(|upstream| self.offers(upstream, body_bytes))
+    }
+
     /// The upstreams of a service; of a large one a sample, with the upstream beside this node.
     fn candidates(
         &self,
@@ -254,13 +271,10 @@
     held: &Upstream,
     distance: Distance,
     expected: Expected,
+    transfer_ms: f64,
     request: &Request<'_>,
     now: Millis,
 ) -> f64 {
-    let transfer_ms = match distance {
-        Distance::Own => 0.0,
-        _ => held.transfer_ms(request.body_bytes, now),
-    };
     let before_ms = expected.wait_ms + distance.usual_ms() + transfer_ms + held.silence_ms(now);
     let left_ms = request.target_ms - before_ms;
     let part = (before_ms + expected.work_ms) / request.target_ms.max(1.0);
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -86,6 +86,8 @@
         request: Rc<Request>,
         /// What goes in the hop's header.
         hop: HopRequest,
+        /// Whether the body is only offered, and sent as the other side grants it.
+        offered: bool,
     },
     /// Give a call its final answer.
     Answer {
@@ -139,6 +141,8 @@
     throttle: Throttle,
     pressure: Pressure,
     random: fastrand::Rng,
+    /// Names this process' clock to peers.
+    clock: u32,
     calls: BTreeMap<CallId, Call>,
     by_origin: BTreeMap<Origin, CallId>,
     deadlines: BTreeSet<(Millis, CallId)>,
@@ -170,6 +174,8 @@
             times: ClassTimes::default(),
             throttle: Throttle::default(),
             pressure: Pressure::default(),
+            // Both are drawn at the start; nothing is secret about either.
+            clock: seed as u32,
             random: fastrand::Rng::with_seed(seed),
             calls: BTreeMap::new(),
             by_origin: BTreeMap::new(),
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -4,7 +4,7 @@
 use super::{Attempt, CallAction, CallId, Calls};
 use crate::Millis;
 use http1::Request;
-use mesh::{HopRequest, NodeAddress, HOP_HEADER};
+use mesh::{Departure, HopRequest, NodeAddress, HOP_HEADER};
 use placement::WeightedSplit;
 use tracing::info;
 
@@ -100,6 +100,7 @@
         call.tried.push(to);
         self.parked.remove(&id);
         let request = call.request.clone();
+        let offered = self.view.is_offered(&to, request.body.len());
         if call.arrivals > 0 {
             self.budget.note_repeat(&call.service, now);
             self.counts.repeats += 1;
@@ -115,7 +116,7 @@
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.outstanding += 1;
         }
-        vec![CallAction::Send { attempt, to, request, hop }]
+        vec![CallAction::Send { attempt, to, request, hop, offered }]
     }
 
     pub(super) fn hop_request(
@@ -142,6 +143,7 @@
             repeatable: call.repeatable,
             service: call.service.clone(),
             instance: record.map(|instance| instance.id.clone()),
+            departure: Some(Departure { clock: self.clock, at_ms: now }),
         }
     }
 }
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -13,7 +13,7 @@
     write_request, write_request_head, BodyLength, ExpectedId, Headers, Offer, Request, Response,
     ServerLimits, Slot,
 };
-use mesh::{HopReply, HopRequest, HOP_HEADER, MOST_UNASKED_BYTES};
+use mesh::{HopReply, HopRequest, HOP_HEADER};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -172,15 +172,15 @@
 
     pub(super) fn do_call_action(&mut self, action: CallAction, now: Millis) {
         match action {
-            CallAction::Send { attempt, to, request, hop } if to == self.own => {
+            CallAction::Send { attempt, to, request, hop, .. } if to == self.own => {
                 let source = Source::Local(attempt);
                 let actions = self.jobs.begin(source, request, &hop, now);
                 self.work.extend(actions.into_iter().map(Work::Job));
             }
-            CallAction::Send { attempt, to, request, hop } => {
+            CallAction::Send { attempt, to, request, hop, offered } => {
                 let mut headers = request.headers.clone();
                 headers.push(HOP_HEADER, hop.encode());
-                let asked = match request.body.len() > MOST_UNASKED_BYTES {
+                let asked = match offered {
                     true => self.offered(request, headers),
                     false => self.asked(&request, &headers),
                 };
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -165,7 +165,8 @@
         };
         let sample = LogSample::new(settings.log_sample);
         let registry = Registry::default();
-        let locality = Locality::new(own, &settings.zone);
+        let link = LinkMeter::new(settings.link_mbps);
+        let locality = Locality::new(own, &settings.zone).with_link(link.bytes_per_ms());
         let calls = Calls::new(
             names,
             &settings.service,
@@ -176,7 +177,6 @@
             seed,
         );
         let job_metrics = JobMetrics::new(&registry);
-        let link = LinkMeter::new(settings.link_mbps);
         let jobs = Jobs::new(
             names,
             &settings.service,
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -160,6 +160,7 @@
         repeatable: false,
         service: service.to_owned(),
         instance: None,
+        departure: None,
     };
     let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
     jobs.begin(source, Rc::new(request), &hop, 10)
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -44,6 +44,7 @@
         repeatable: true,
         service: service.to_owned(),
         instance: instance.map(str::to_owned),
+        departure: None,
     }
 }
 
