Calls that waited on the way lose that time, and are refused once it is over

Change: the sender stamps a call with its own clock; the receiver takes the least difference seen of late for clocks and bare way (LEDBAT's base delay), charges the rest against deadline and patience, and refuses what is past its deadline or waited over 400 ms: the caller may have left.

--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 use crate::dialect::HeaderNames;
 use crate::net::ConnectionId;
 use crate::sample::LogSample;
+use crate::transit::TransitTimes;
 use crate::Millis;
 use admission::{Admission, Decision, DrainGate, FailureShare, GateState, JobId, Ticket};
 use http1::{Answer, ExchangeError, Request, Response, Slot};
@@ -25,6 +26,10 @@
 /// Part of the slots that is used: some upstreams slow down or reset when they are full.
 const USED_PART_OF_SLOTS: f64 = 1.0;
 const REFUSED_STATUS: u16 = 503;
+/// A call that waited longer than this on its way is not run, milliseconds: its caller may have left
+/// meanwhile, and word of that waits in the same queues. A caller's leave takes effect within 500 ms;
+/// the rest is for the way to the upstream.
+const LONGEST_WAY_MS: u64 = 400;
 
 /// Who waits for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -92,6 +97,25 @@
     retry_after_ms: u64,
 }
 
+/// Where a call's time went before it was here whole, milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Way {
+    /// In queues of links.
+    waited_ms: u64,
+    /// From its offer, until its body was here.
+    offered_ms: u64,
+}
+
+impl Way {
+    /// Why nobody may wait for the call any more.
+    fn too_late(self, hop: &HopRequest) -> Option<&'static str> {
+        if self.waited_ms + self.offered_ms >= hop.deadline_ms {
+            return Some("deadline_passed");
+        }
+        (self.waited_ms > LONGEST_WAY_MS).then_some("late_on_the_way")
+    }
+}
+
 #[derive(Debug)]
 struct Job {
     source: Source,
@@ -118,6 +142,7 @@
     pub gate: DrainGate,
     admission: Admission,
     offers: Offers,
+    transits: TransitTimes,
     failures: FailureShare,
     failures_of: Option<String>,
     /// Part of this machine's link that is in use, percent.
@@ -146,6 +171,7 @@
             gate: DrainGate::new(drain_ms),
             admission: Admission::new(UNKNOWN_SLOTS),
             offers: Offers::new(link_bytes_per_ms),
+            transits: TransitTimes::default(),
             failures: FailureShare::default(),
             failures_of: None,
             link_percent: 0,
@@ -242,30 +268,39 @@
         now: Millis,
     ) -> Vec<JobAction> {
         let offered_ms = self.offers.end(source, now).unwrap_or(0);
-        let mut actions = self.admit(source, request, hop, offered_ms, now);
+        let since_departure_ms = self.since_departure_ms(hop, now).max(offered_ms);
+        let way = Way { waited_ms: since_departure_ms - offered_ms, offered_ms };
+        let mut actions = self.admit(source, request, hop, way, now);
         actions.extend(self.grant(now));
         actions
     }
 
-    /// Takes in a call whose head came `offered_ms` ago.
+    /// How long a call waited since it left its sender, as far as clocks tell, milliseconds.
+    fn since_departure_ms(&mut self, hop: &HopRequest, now: Millis) -> u64 {
+        hop.departure.map_or(0, |departure| self.transits.waited_ms(departure, now))
+    }
+
+    /// Takes in a call that is here whole.
     fn admit(
         &mut self,
         source: Source,
         request: Rc<Request>,
         hop: &HopRequest,
-        offered_ms: u64,
+        way: Way,
         now: Millis,
     ) -> Vec<JobAction> {
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
-        if let Some(reason) = self.mismatch(hop, now) {
+        let Way { waited_ms, offered_ms } = way;
+        if let Some(reason) = self.mismatch(hop, now).or(way.too_late(hop)) {
             let id = &attempt_id;
-            let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms: 0 };
+            let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms: waited_ms };
             return vec![self.refuse(source, refusal, now)];
         }
         let job = self.next_job;
         self.next_job += 1;
-        let deadline = now + hop.deadline_ms.saturating_sub(offered_ms);
-        let (rank, target_ms, patience_ms) = (hop.rank, hop.target_ms, hop.patience_ms);
+        let deadline = now + hop.deadline_ms.saturating_sub(waited_ms + offered_ms);
+        let (rank, target_ms) = (hop.rank, hop.target_ms);
+        let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
         let ticket = Ticket { job, rank, target_ms, patience_ms, deadline };
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -3,7 +3,7 @@
 //! Nothing of an offer has reached the upstream, so each of them can be refused with certainty, and
 //! one whose sender is gone leaves nothing behind.
 
-use super::{JobAction, Jobs, Refusal, Source};
+use super::{JobAction, Jobs, Refusal, Source, Way};
 use crate::net::ConnectionId;
 use crate::Millis;
 use admission::{Grant, Ticket, Transfer, TransferId, Transfers};
@@ -103,11 +103,14 @@
         bytes: u64,
         now: Millis,
     ) -> Option<(&'static str, u64)> {
-        if let Some(reason) = self.mismatch(hop, now) {
-            return Some((reason, 0));
+        let waited_ms = self.since_departure_ms(hop, now);
+        let way = Way { waited_ms, offered_ms: 0 };
+        if let Some(reason) = self.mismatch(hop, now).or(way.too_late(hop)) {
+            return Some((reason, waited_ms));
         }
-        let HopRequest { rank, target_ms, patience_ms, deadline_ms, .. } = *hop;
-        let deadline = now + deadline_ms;
+        let HopRequest { rank, target_ms, .. } = *hop;
+        let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
+        let deadline = now + hop.deadline_ms.saturating_sub(waited_ms);
         let ticket = Ticket { job: 0, rank, target_ms, patience_ms, deadline };
         if let Err(retry_after_ms) = self.admission.check_room(ticket, now) {
             return Some(("no_room", retry_after_ms));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,6 +21,7 @@
 mod sample;
 mod servers;
 mod stop;
+mod transit;
 
 pub use call_metrics::{CallMetrics, JobMetrics};
 pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Origin};
@@ -35,6 +36,7 @@
 pub use runtime::{run, SidecarError};
 pub use sample::LogSample;
 pub use stop::{Activity, StopPhase, StopPlan};
+pub use transit::TransitTimes;
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
