--- a/crates/placement/src/pressure.rs
+++ b/crates/placement/src/pressure.rs
@@ -15,9 +15,11 @@
 /// Part of the calls sent that are answered in time, from which on more are sent for each; about so
 /// many are in time while some are held back.
 const FEW_MISS: f64 = 0.7;
-/// How steeply what is sent grows when nearly all sent are answered in time.
+/// How steeply what is sent grows when nearly all sent are answered in time: if all are, 2.4 calls are
+/// sent for each. Twice that showed no gain (docs/DECISIONS.md).
 const GROWTH: f64 = 4.0;
-/// So many calls may miss their time before any is held back.
+/// So many calls may miss their time before any is held back: a node remembers some twenty, and one
+/// or two of them are late by the spread of work alone. An estimate, not measured.
 const BORNE: f64 = 2.0;
 /// Some calls are always sent: they tell when a service is there again.
 const MOST_HELD_BACK: f64 = 0.85;
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -29,8 +29,10 @@
 /// Names a call on this node.
 pub type CallId = u64;
 
-/// Longest wait for an upstream of a service that has none, milliseconds.
+/// Longest wait for an upstream of a service that has none, milliseconds: restarted upstreams are told
+/// of within some tenths of a second, and a target of a second still has room for the call after it.
 const NO_UPSTREAM_WAIT_MS: u64 = 400;
+/// Time between two looks for an upstream meanwhile, milliseconds: small against that wait.
 const PARKED_LOOK_MS: u64 = 20;
 const SHORTEST_RETRY_AFTER_MS: u64 = 50;
 const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
