--- /dev/null
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -0,0 +1,363 @@
+//! A small fleet of real processes: three coordinators, sidecars with stand-in upstreams, an
+//! operator. Each machine is a loopback address of its own, since ports are alike on all machines.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use serde_json::{json, Value};
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
+/// Longest wait for anything; only a broken fleet comes near it.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+pub const SERVICE: &str = "fares";
+
+pub struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Ports that are free on every machine of a fleet.
+pub struct Ports {
+    pub mesh: u16,
+    pub api: u16,
+    pub metrics: u16,
+    pub outbound: u16,
+    pub inbound: u16,
+    pub ready: u16,
+    pub registration: u16,
+    pub upstream: u16,
+}
+
+pub struct Fleet {
+    pub folder: tempfile::TempDir,
+    pub network: u8,
+    pub ports: Ports,
+}
+
+pub fn free_port(taken: &mut Vec<u16>, address: Ipv4Addr) -> u16 {
+    loop {
+        let listener = TcpListener::bind((address, 0)).expect("a port");
+        let port = listener.local_addr().expect("an address").port();
+        if !taken.contains(&port) {
+            taken.push(port);
+            return port;
+        }
+    }
+}
+
+impl Fleet {
+    pub fn new(network: u8) -> Self {
+        let address = Ipv4Addr::new(127, 77, network, 1);
+        let mut taken = Vec::new();
+        let mut port = || free_port(&mut taken, address);
+        let ports = Ports {
+            mesh: port(),
+            api: port(),
+            metrics: port(),
+            outbound: port(),
+            inbound: port(),
+            ready: port(),
+            registration: port(),
+            upstream: port(),
+        };
+        let folder = tempfile::tempdir().expect("a folder");
+        Fleet { folder, network, ports }
+    }
+
+    pub fn ip(&self, host: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, 77, self.network, host)
+    }
+
+    pub fn seeds(&self) -> String {
+        let seed = |host| format!("\"{}:{}\"", self.ip(host), self.ports.api);
+        (1..=3).map(seed).collect::<Vec<_>>().join(", ")
+    }
+
+    pub fn data_dir(&self, host: u8) -> PathBuf {
+        self.folder.path().join(format!("data-{host}"))
+    }
+
+    pub fn start(&self, role: &str, host: u8, settings: &str) -> Running {
+        let path = self.folder.path().join(format!("{role}-{host}.toml"));
+        fs::write(&path, settings).expect("written");
+        let mut child = Command::new(PROGRAM)
+            .args([role, "--settings", path.to_str().expect("a path")])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("started");
+        let output = child.stdout.take().expect("piped");
+        std::thread::spawn(move || BufReader::new(output).lines().for_each(drop));
+        Running(child)
+    }
+
+    pub fn start_coordinator(&self, host: u8, bootstrap: bool) -> Running {
+        let (ip, ports) = (self.ip(host), &self.ports);
+        let settings = format!(
+            "fleet = \"small\"\nname = \"coordinator-{host}\"\nip = \"{ip}\"\nmesh_port = {}\n\
+             api_listen = \"{ip}:{}\"\nmetrics_listen = \"{ip}:{}\"\ndata_dir = {:?}\n\
+             seeds = [{}]\nbootstrap = {bootstrap}\nplain_transport = true\n\
+             trusted_source = \"test\"\ncanary_exposed_part = 1.0\n",
+            ports.mesh,
+            ports.api,
+            ports.metrics,
+            self.data_dir(host),
+            self.seeds(),
+        );
+        self.start("coordinator", host, &settings)
+    }
+
+    pub fn start_sidecar(&self, host: u8, service: &str) -> Running {
+        let (ip, ports) = (self.ip(host), &self.ports);
+        let settings = format!(
+            "fleet = \"small\"\nname = \"sidecar-{host}\"\nzone = \"a\"\nip = \"{ip}\"\n\
+             mesh_port = {}\noutbound_listen = \"{ip}:{}\"\ninbound_listen = \"{ip}:{}\"\n\
+             ready_listen = \"{ip}:{}\"\nregistration_listen = \"{ip}:{}\"\n\
+             metrics_listen = \"{ip}:{}\"\nupstream = \"{ip}:{}\"\nservice = \"{service}\"\n\
+             seeds = [{}]\nplain_transport = true\ndrain_ms = 1000\nstop_ms = 5000\n\
+             [retry_budget]\nratio = 0.2\nslack = 50\nwindow_s = 10\n",
+            ports.mesh,
+            ports.outbound,
+            ports.inbound,
+            ports.ready,
+            ports.registration,
+            ports.metrics,
+            ports.upstream,
+            self.seeds(),
+        );
+        self.start("sidecar", host, &settings)
+    }
+
+    /// An upstream that counts its runs and answers with its seal.
+    pub fn start_upstream(&self, host: u8) -> Arc<Upstream> {
+        let upstream = Arc::new(Upstream::default());
+        let counted = upstream.clone();
+        let address = (self.ip(host), self.ports.upstream);
+        let server = rouille::Server::new(address, move |request| {
+            counted.runs.fetch_add(1, Ordering::SeqCst);
+            let header = |name| request.header(name).unwrap_or_default().to_owned();
+            let caller = header("X-Chutecove-Caller");
+            counted.callers.lock().expect("not poisoned").push(caller);
+            let mut body = Vec::new();
+            if let Some(mut data) = request.data() {
+                data.read_to_end(&mut body).expect("a whole body");
+            }
+            let text = match body.is_empty() {
+                true => format!("{} from {host}", request.url()),
+                false => format!("{} bytes, {}", body.len(), check_sum(&body)),
+            };
+            let fails = counted.fails.load(Ordering::SeqCst);
+            rouille::Response::text(text)
+                .with_status_code(if fails { 500 } else { 200 })
+                .with_additional_header("X-Chutecove-Seal", format!("seal-{host}"))
+                .with_additional_header("X-Chutecove-Attempt-Id", header("X-Chutecove-Attempt-Id"))
+        });
+        let server = server.expect("an upstream").pool_size(4);
+        std::thread::spawn(move || server.run());
+        upstream
+    }
+
+    pub fn register(&self, host: u8, id: &str, sequence: u64, draining: bool) -> bool {
+        self.register_version(host, id, "v1", sequence, draining)
+    }
+
+    pub fn register_version(
+        &self,
+        host: u8,
+        id: &str,
+        version: &str,
+        sequence: u64,
+        draining: bool,
+    ) -> bool {
+        let url = format!(
+            "http://{}:{}/v1/instances/{id}/heartbeat",
+            self.ip(host),
+            self.ports.registration
+        );
+        let body = json!({
+            "service": SERVICE, "version": version, "slots": 4, "draining": draining,
+            "sequence": sequence,
+        });
+        agent().post(&url).send(body.to_string()).is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Sends an order to a coordinator, which may send it on; the status that came back.
+    pub fn order(&self, host: u8, expected: u64, version: u64, marker: &str) -> Option<u16> {
+        let mut url = format!("http://{}:{}/v1/configuration", self.ip(host), self.ports.api);
+        let body = configuration(version, marker).to_string();
+        for _ in 0..3 {
+            let request = agent().put(&url).header("If-Match", expected.to_string());
+            let answer = request.send(&body).ok()?;
+            if answer.status() != 307 {
+                return Some(answer.status().as_u16());
+            }
+            url = answer.headers().get("location")?.to_str().ok()?.to_owned();
+        }
+        None
+    }
+
+    /// The clear answer to an order: one that is not clear, as while a leader is elected, is sent
+    /// again as it is.
+    pub fn settled_order(&self, host: u8, expected: u64, version: u64, marker: &str) -> u16 {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match self.order(host, expected, version, marker) {
+                Some(status) if status != 503 => return status,
+                _ => assert!(Instant::now() < end, "no clear answer to version {version}"),
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    }
+
+    /// Orders a canary of the service, at whichever coordinator takes it.
+    pub fn order_canary(&self, version: &str, duration_ms: u64) -> u16 {
+        let body = json!({ "service": SERVICE, "version": version, "duration_ms": duration_ms });
+        let end = Instant::now() + PATIENCE;
+        loop {
+            for host in 1..=3 {
+                let url = format!("http://{}:{}/v1/canaries", self.ip(host), self.ports.api);
+                let answer = agent().post(&url).send(body.to_string());
+                match answer.map(|answer| answer.status().as_u16()) {
+                    Ok(status) if ![307, 503].contains(&status) => return status,
+                    _ => assert!(Instant::now() < end, "no clear answer to a canary"),
+                }
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    }
+
+    /// The phase of the newest canary, from whichever coordinator is sure.
+    pub fn canary_phase(&self) -> Option<String> {
+        (1..=3).find_map(|host| {
+            let url = format!("http://{}:{}/v1/canaries/{SERVICE}", self.ip(host), self.ports.api);
+            let mut answer = agent().get(&url).call().ok().filter(|found| found.status() == 200)?;
+            let text = answer.body_mut().read_to_string().ok()?;
+            let canary: Value = serde_json::from_str(&text).ok()?;
+            Some(canary["phase"].as_str()?.to_owned())
+        })
+    }
+
+    /// The version and marker in force, from whichever coordinator is sure.
+    pub fn read(&self) -> Option<(u64, String)> {
+        (1..=3).find_map(|host| {
+            let url = format!("http://{}:{}/v1/configuration", self.ip(host), self.ports.api);
+            let mut answer = agent().get(&url).call().ok().filter(|found| found.status() == 200)?;
+            let text = answer.body_mut().read_to_string().ok()?;
+            let document: Value = serde_json::from_str(&text).ok()?;
+            let marker = document["objects"][1]["Route"]["annotation"].as_str()?.to_owned();
+            Some((document["version"].as_u64()?, marker))
+        })
+    }
+
+    /// Calls through a sidecar: status and body.
+    pub fn call(&self, host: u8, path: &str) -> Option<(u16, String)> {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let id = NEXT.fetch_add(1, Ordering::SeqCst);
+        let url = format!("http://{}:{}{path}", self.ip(host), self.ports.outbound);
+        let request = agent()
+            .get(&url)
+            .header("Host", "fares.example")
+            .header("X-Chutecove-Attempt-Id", format!("id-{id}"));
+        let mut answer = request.call().ok()?;
+        let body = answer.body_mut().read_to_string().ok()?;
+        Some((answer.status().as_u16(), body))
+    }
+
+    /// Uploads a body through a sidecar: status and answer.
+    pub fn upload(&self, host: u8, path: &str, body: &[u8]) -> Option<(u16, String)> {
+        let url = format!("http://{}:{}{path}", self.ip(host), self.ports.outbound);
+        let request = agent()
+            .post(&url)
+            .header("Host", "fares.example")
+            .header("X-Chutecove-Attempt-Id", format!("upload-{}", body.len()));
+        let mut answer = request.send(body).ok()?;
+        let text = answer.body_mut().read_to_string().ok()?;
+        Some((answer.status().as_u16(), text))
+    }
+
+    /// The status of a call once a sidecar is sure of its configuration: until then it refuses calls
+    /// whose route it does not know with 503.
+    pub fn sure_status(&self, host: u8, path: &str) -> u16 {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match self.call(host, path) {
+                Some((status, _)) if status != 503 => return status,
+                _ => assert!(Instant::now() < end, "no clear answer to {path}"),
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    }
+
+    pub fn is_ready(&self, host: u8) -> bool {
+        let url = format!("http://{}:{}/readyz", self.ip(host), self.ports.ready);
+        agent().get(&url).call().is_ok_and(|answer| answer.status() == 200)
+    }
+}
+
+pub fn send_random_bytes(address: Ipv4Addr, port: u16) {
+    let mut random = fastrand::Rng::with_seed(u64::from(port));
+    for length in [1, 4, 100, 20_000] {
+        let bytes: Vec<u8> = (0..length).map(|_| random.u8(..)).collect();
+        let mut stream = TcpStream::connect((address, port)).expect("it listens");
+        // It may close before all was written.
+        let _ = stream.write_all(&bytes);
+        let _ = stream.shutdown(Shutdown::Write);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+        let _ = stream.read_to_end(&mut Vec::new());
+    }
+}
+
+/// A sum that notices pieces in another order.
+pub fn check_sum(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |sum, byte| (sum * 31 + u64::from(*byte)) % 1_000_000_007)
+}
+
+#[derive(Default)]
+pub struct Upstream {
+    pub runs: AtomicU64,
+    pub callers: Mutex<Vec<String>>,
+    /// Whether it fails all that it is asked.
+    pub fails: AtomicBool,
+}
+
+pub fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(3)))
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .build()
+        .into()
+}
+
+pub fn configuration(version: u64, marker: &str) -> Value {
+    json!({ "version": version, "objects": [
+        { "Service": { "name": SERVICE, "upstream_slots": 4, "upstream_connections": 50 } },
+        { "Route": {
+            "name": "fares", "host": "fares.example", "path_prefix": format!("/{marker}/"),
+            "methods": [], "targets": [{ "service": SERVICE, "weight": 1 }], "secret": null,
+            "timeout_ms": 2000, "repeatable": true, "priority": "normal",
+            "retry_budget_percent": 20, "max_staleness_s": 0, "attempts": 2,
+            "target_latency_ms": 500, "rank": 0, "annotation": marker,
+        } },
+    ] })
+}
+
+pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(25));
+    }
+}
