--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,10 +3,8 @@
 //! Pure: time is passed in as milliseconds of a monotonic clock.
 #![forbid(unsafe_code)]
 
-mod ages;
 mod budget;
 mod canary_share;
-mod delay_control;
 mod locality;
 mod pressure;
 mod split;
@@ -16,10 +14,8 @@
 mod upstream;
 mod view;
 
-pub use ages::CallerAges;
 pub use budget::{BudgetBounds, RetryBudget};
 pub use canary_share::CanaryShares;
-pub use delay_control::{DelayControl, ServiceDelay};
 pub use locality::{Distance, Locality};
 pub use pressure::{CallEnd, Pressure};
 pub use split::WeightedSplit;
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -51,8 +51,6 @@
     cold_until: Millis,
     figures: Option<Figures>,
     load_seen: Option<LoadSeen>,
-    /// Its load as coordinators last brought it.
-    load_told: UpstreamLoad,
     /// When coordinators last brought its load.
     load_told_at: Option<Millis>,
     rest_until: Millis,
@@ -147,7 +145,6 @@
             cold_until: 0,
             figures: None,
             load_seen: None,
-            load_told: UpstreamLoad::default(),
             load_told_at: None,
             rest_until: 0,
             failures: 0,
@@ -243,12 +240,6 @@
         f64::from(self.outstanding) + others
     }
 
-    /// Its load as coordinators brought it, if that was of late.
-    pub fn fresh_load(&self, now: Millis) -> Option<UpstreamLoad> {
-        let told = self.load_told_at.is_some_and(|at| now < at + LOAD_FRESH_MS);
-        told.then_some(self.load_told)
-    }
-
     /// Slots that are free for all this node knows; `None` unless it told its load of late. One that
     /// refused a call a moment ago has none, whatever it told.
     pub fn free_slots(&self, now: Millis) -> Option<f64> {
@@ -261,7 +252,6 @@
     /// Takes in how busy it was a moment ago, as the sidecar beside it told through coordinators.
     pub fn note_load(&mut self, load: UpstreamLoad, now: Millis) {
         self.load_told_at = Some(now);
-        self.load_told = load;
         let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
         if !self.load_seen.is_some_and(newer) {
             self.see_load(load.all(), f64::from(load.service_ms), false, now);
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::locality::link_cost;
 use crate::upstream::Expected;
-use crate::{Distance, Locality, Millis, ServiceDelay, TimeSpread, Upstream, UpstreamKey, Urgency};
+use crate::{Distance, Locality, Millis, TimeSpread, Upstream, UpstreamKey, Urgency};
 use mesh::{NodeRecord, Track, UpstreamLoad, VersionPolicy};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -212,24 +212,6 @@
         enough.then(|| free / slots)
     }
 
-    /// How long calls wait for the upstreams of a service for all that was heard of late; `None` if
-    /// too little was heard to tell.
-    pub fn delay(&self, service: &str, now: Millis) -> Option<ServiceDelay> {
-        let (mut live, mut heard, mut slots, mut queued, mut busy_ms) = (0, 0, 0.0, 0.0, 0.0);
-        for (_, held) in self.of_service(service).filter(|(_, held)| held.is_stable()) {
-            live += 1;
-            if let Some(load) = held.fresh_load(now) {
-                heard += 1;
-                slots += f64::from(held.limit());
-                queued += f64::from(load.queued);
-                busy_ms += f64::from(load.service_ms);
-            }
-        }
-        let service_ms = busy_ms / f64::from(heard.max(1));
-        let enough = heard * 2 > live;
-        enough.then(|| ServiceDelay { wait_ms: queued / slots * service_ms, service_ms })
-    }
-
     /// When the first of the upstreams of a service that lately refused is expected to have room.
     pub fn room_at(&self, service: &str, now: Millis) -> Option<Millis> {
         let live = self.of_service(service).filter(|(_, held)| held.is_stable());
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -8,10 +8,6 @@
 use std::fmt;
 use std::rc::Rc;
 
-/// Calls that came back stand behind the others of their rank as if their target was so much longer,
-/// milliseconds.
-pub(super) const RETURNED_BEHIND_MS: u64 = 100_000;
-
 /// A call without a final answer.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -23,8 +19,6 @@
     pub rank: u32,
     pub most_arrivals: u32,
     pub target_ms: u64,
-    /// Whether its caller was refused before and came back.
-    pub returned: bool,
     pub service: String,
     /// Whether it belongs to the share of a canary.
     pub track: Track,
@@ -46,8 +40,7 @@
 impl Call {
     /// Its place among those that wait for an upstream.
     pub fn urgency(&self) -> Urgency {
-        let behind = if self.returned { RETURNED_BEHIND_MS } else { 0 };
-        Urgency { rank: self.rank, target_ms: self.target_ms + behind }
+        Urgency { rank: self.rank, target_ms: self.target_ms }
     }
 }
 
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -8,15 +8,15 @@
 mod placing;
 mod time;
 
-use self::call::{Call, RETURNED_BEHIND_MS};
+use self::call::Call;
 use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress};
 use placement::{
-    BudgetBounds, CallEnd, CallerAges, CanaryShares, ClassTimes, DelayControl, Locality,
-    PlacementView, Pressure, RetryBudget, Throttle, Urgency, WeightedSplit,
+    BudgetBounds, CallEnd, CanaryShares, ClassTimes, Locality, PlacementView, Pressure,
+    RetryBudget, Throttle, Urgency, WeightedSplit,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -46,9 +46,6 @@
 const ROOM_PART: f64 = 0.1;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
-/// A caller that waited for this long before came back after a refusal, milliseconds.
-const RETURNED_MS: u64 = 100;
-const SHORT_TARGET_MS: u64 = 250;
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Origin {
@@ -142,8 +139,6 @@
     pub view: PlacementView,
     splits: BTreeMap<String, WeightedSplit>,
     canaries: CanaryShares,
-    ages: CallerAges,
-    delays: DelayControl,
     budget: RetryBudget,
     times: ClassTimes,
     throttle: Throttle,
@@ -179,8 +174,6 @@
             view: PlacementView::new(locality),
             splits: BTreeMap::new(),
             canaries: CanaryShares::default(),
-            ages: CallerAges::default(),
-            delays: DelayControl::default(),
             budget: RetryBudget::new(bounds),
             times: ClassTimes::default(),
             throttle: Throttle::default(),
@@ -235,13 +228,7 @@
         };
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
-        let mut urgency = urgency_of(route);
-        let age_ms = self.ages.age_ms(&route.name, told, now);
-        // Calls within others tell what their callers have left.
-        let returned = urgency.target_ms > SHORT_TARGET_MS && age_ms >= RETURNED_MS;
-        if returned {
-            urgency.target_ms += RETURNED_BEHIND_MS;
-        }
+        let urgency = urgency_of(route);
         if let Some(held_back) = self.hold_back(&route.name, &service, urgency, now) {
             let HeldBack { reason, part, retry_after_ms } = held_back;
             info!(
@@ -262,8 +249,7 @@
             repeatable: route.repeatable,
             rank: urgency.rank,
             most_arrivals: route.attempts.max(1),
-            target_ms: urgency_of(route).target_ms,
-            returned,
+            target_ms: urgency.target_ms,
             service,
             track,
             arrived: now,
@@ -324,8 +310,7 @@
             let retry_after_ms = THROTTLED_RETRY_AFTER_MS;
             return Some(HeldBack { reason: "like_calls_fail", part, retry_after_ms });
         }
-        let view = &self.view;
-        let part = self.delays.refused(service, urgency, || view.delay(service, now), now);
+        let part = self.pressure.held_back(service, urgency, now);
         if part > 0.0 && self.has_room(service, now) {
             return None;
         }
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -150,7 +150,7 @@
             deadline_ms: left,
             patience_ms: (patience as u64).min(left),
             rank: call.rank,
-            target_ms: call.urgency().target_ms,
+            target_ms: call.target_ms,
             repeatable: call.repeatable,
             service: call.service.clone(),
             instance: record.map(|instance| instance.id.clone()),
