--- a/crates/admission/tests/transfers.rs
+++ b/crates/admission/tests/transfers.rs
@@ -147,3 +147,19 @@
         transfers.end(2);
     }
 }
+
+#[test]
+fn a_thin_link_has_some_hundredths_of_a_second_of_bodies_on_its_way() {
+    // 1 Mbit/s, as told.
+    let bodies: Vec<Transfer> = (1..=4).map(|id| body(id, 4_000, 1_200)).collect();
+    let mut transfers = Transfers::new(Some(125.0));
+    for body in &bodies {
+        assert_eq!(transfers.offer(*body, 0), Ok(()));
+    }
+    play(
+        &mut transfers,
+        &bodies,
+        125,
+        expect!["1@32 2@64 3@96 4@128 most on the way 5075, rate 109"],
+    );
+}
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -314,3 +314,41 @@
     assert_eq!(upstream.free_slots(10), Some(2.0));
     assert_eq!(upstream.free_slots(5_000), None, "nothing was heard of late");
 }
+
+#[test]
+fn a_body_is_offered_by_the_time_it_takes_on_the_slower_link() {
+    let mut seen = String::new();
+    for (own, told) in [
+        (None, 0),
+        (Some(125.0), 0),
+        (Some(125.0), 1_000),
+        (Some(12_500.0), 0),
+        (Some(12_500.0), 106),
+        (None, 106),
+    ] {
+        let locality = Locality::new(address(200), "a").with_link(own);
+        let mut view = PlacementView::new(locality);
+        view.update(record(1, "a", InstanceState::Ready), 0);
+        let upstream = view.get_mut(&address(1)).expect("known");
+        upstream.note_reply(HopReply { transfer_bytes_per_ms: told, ..reply(0, 0) }, 0);
+        let longest = (0..20_000).take_while(|bytes| !view.is_offered(&address(1), *bytes)).last();
+        writeln!(seen, "own {own:?}, told {told}: {longest:?} bytes unasked").expect("text");
+    }
+    expect![[r#"
+        own None, told 0: Some(8192) bytes unasked
+        own Some(125.0), told 0: Some(1000) bytes unasked
+        own Some(125.0), told 1000: Some(1000) bytes unasked
+        own Some(12500.0), told 0: Some(8192) bytes unasked
+        own Some(12500.0), told 106: Some(848) bytes unasked
+        own None, told 106: Some(848) bytes unasked
+    "#]]
+    .assert_eq(&seen);
+}
+
+#[test]
+fn a_body_for_the_upstream_beside_is_never_offered() {
+    let mut view = PlacementView::new(Locality::new(address(1), "a").with_link(Some(125.0)));
+    view.update(record(1, "a", InstanceState::Ready), 0);
+    assert!(!view.is_offered(&address(1), 1_000_000));
+    assert!(!view.is_offered(&address(9), 1_000_000), "nor for one that is not known");
+}
--- a/crates/sidecar/tests/links.rs
+++ b/crates/sidecar/tests/links.rs
@@ -3,6 +3,7 @@
 use bundle::{best_update, Bundle, Digest};
 use mesh::{
     decode_frame, encode_frame, Greeting, NodeAddress, NodeRecord, ToCoordinator, ToSidecar,
+    VersionPolicy,
 };
 use sidecar::{LinkEvent, Links, Net};
 use std::io::{ErrorKind, Read, Write};
@@ -329,3 +330,31 @@
     world.coordinators[0].send(&ToSidecar::Pong { asked_at: 0, generation: 0 });
     world.until(|world| world.coordinators[0].subscribed() == Some(true));
 }
+
+fn versions(revision: u64, barred: &str) -> ToSidecar {
+    let service = "s".to_owned();
+    let policy = VersionPolicy { service, candidate: None, barred: vec![barred.to_owned()] };
+    ToSidecar::Versions { revision, policies: vec![policy] }
+}
+
+/// What was barred by each word of versions that was taken.
+fn barred(world: &World) -> Vec<String> {
+    let told = world.events.iter().filter_map(|event| match event {
+        LinkEvent::Versions(policies) => Some(policies[0].barred.join(",")),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn which_versions_get_calls_never_goes_back() {
+    let mut world = World::linked(&[2, 3]);
+    world.coordinators[0].send(&versions(7, "v2"));
+    world.until(|world| !barred(world).is_empty());
+    // A coordinator that is behind, one that repeats, and the next change.
+    world.coordinators[1].send(&versions(5, "v1"));
+    world.coordinators[1].send(&versions(7, "v9"));
+    world.coordinators[1].send(&versions(8, "v3"));
+    world.until(|world| barred(world).len() > 1);
+    assert_eq!(barred(&world), ["v2", "v3"]);
+}
