Links of a sidecar by job; one bound for names of versions; whence four constants come

Cause (read as a newcomer): links.rs had 566 lines and three jobs beside keeping connections; the bound on a version's name stood twice, once unused; MOST_UNASKED_MS claimed a time that nobody had measured. Change: links/content.rs (who is asked for content), links/telling.rs (what coordinators are told), links/subscription.rs (who tells of other sidecars), links/mod.rs (connections). Methods moved as they stood; no behaviour changes. GRANT_MS, LEFT_OUT and the bound say whence they come.

--- a/crates/admission/src/transfers.rs
+++ b/crates/admission/src/transfers.rs
@@ -15,7 +15,7 @@
 /// Most and fewest bytes granted at once: a packet's worth, so that grants stay few.
 const MOST_GRANT_BYTES: u64 = 8 * 1024;
 const LEAST_GRANT_BYTES: u64 = 1_400;
-/// Time on the link that one grant takes, milliseconds, within those bounds.
+/// Time on the link that one grant takes, milliseconds, within those bounds: about half of the window.
 const GRANT_MS: f64 = 16.0;
 /// Fewest grants on their way before no more are granted: one is sent while the next is asked for.
 const LEAST_WINDOW_GRANTS: u64 = 2;
--- a/crates/canary/src/analysis.rs
+++ b/crates/canary/src/analysis.rs
@@ -19,7 +19,8 @@
 /// The same, as a multiple of what chance makes of so few calls; exceeded once in about two
 /// thousand looks.
 const LEAST_DEVIATIONS: f64 = 3.3;
-/// Part of the candidate's upstreams, the worst ones, that is left out: faults hit up to a fifth.
+/// Part of the candidate's upstreams, the worst ones, that is left out: faults were drawn for up to a
+/// fifth in the model. What hits more, hits those in use as well, which are what it is compared with.
 const LEFT_OUT: f64 = 0.25;
 /// Fewest upstreams with bad answers among those that are left, if there are so many.
 const LEAST_UPSTREAMS: usize = 3;
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -9,8 +9,8 @@
 pub const GRANT_HEADER: &str = "x-chutecove-grant";
 /// Longest body that is sent without having been offered over any link, bytes.
 const MOST_UNASKED_BYTES: f64 = 8.0 * 1024.0;
-/// Longest time for which a body that was not offered occupies a link, milliseconds: about as long
-/// as asking takes on a machine that is busy.
+/// Longest time for which a body that was not offered occupies a link, milliseconds: that of the
+/// first kilobyte at 1 Mbit/s, where offers were first played (docs/design/0014).
 const MOST_UNASKED_MS: f64 = 8.0;
 
 /// Longest body that is sent without having been offered over a link that carries so many bytes a
--- a/crates/rollout/src/machine/canaries.rs
+++ b/crates/rollout/src/machine/canaries.rs
@@ -3,13 +3,12 @@
 use crate::command::{BadCanarySnafu, CanaryUnderWaySnafu, NoSuchCanarySnafu};
 use crate::{Accepted, Answer};
 use canary::Phase;
+use mesh::MOST_VERSION_BYTES;
 use serde::Serialize;
 use snafu::{ensure, OptionExt};
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
-/// Longest name of a version, bytes; the same as sidecars take.
-const MOST_VERSION_BYTES: usize = 128;
 /// Longest canary: a week, milliseconds.
 const MOST_DURATION_MS: u64 = 7 * 24 * 3_600 * 1_000;
 /// Barred versions remembered of a service.
--- a/crates/sidecar/src/links.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -4,13 +4,17 @@
 //! told what it is; only one, of its own zone where there is one, tells it of the other sidecars
 //! and is asked for the content of a new generation.
 
+mod content;
+mod subscription;
+mod telling;
+
 use crate::net::{ConnectionId, Net, NetEvent};
 use crate::Millis;
-use bundle::{BundleUpdate, Digest};
+use bundle::BundleUpdate;
 use bytes::Buf;
 use mesh::{
     decode_frame, encode_frame, Greeting, NodeAddress, NodeLoad, NodeRecord, Purpose,
-    ToCoordinator, ToSidecar, UpstreamLoad, VersionEvidence, VersionPolicy, PROTOCOL_VERSION,
+    ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy, PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -24,25 +28,11 @@
 /// A coordinator that answers no ping for this long does not stay the only one that tells of other
 /// sidecars, milliseconds: one ping and half of the next interval.
 const SUSPECT_LIMIT_MS: u64 = 1_500;
-/// Time between two tellings of this upstream's load, milliseconds: about as long as a call with a
-/// short target, so that a slot taken or given back is told while that still helps.
-const LOAD_INTERVAL_MS: u64 = 150;
-/// A load that stays as it is is told again after this time, milliseconds; readers let it age.
-const LOAD_REPEAT_MS: u64 = 800;
-/// Time for which a coordinator of the own zone is waited for before another one is asked for what
-/// is long (a list, content), milliseconds: a link to it opens within a look at the links and a way
-/// there and back, and hears of a generation some milliseconds after the others.
-const NEAR_WAIT_MS: u64 = 150;
-/// The same after all coordinators were lost at once, while what they told of others still counts:
-/// they start within some tenths of a second of each other, and a list between zones is dear, ms.
-const RETURN_WAIT_MS: u64 = 1_000;
 /// An opening packet to a machine that was dark is gone; it is sent anew after about the longest way
 /// there and back between regions, milliseconds.
 const OPEN_LIMIT_MS: u64 = 150;
 const FIRST_PAUSE_MS: u64 = 50;
 const LONGEST_PAUSE_MS: u64 = 800;
-/// A coordinator that does not send what it was asked for is passed over after this time.
-const CONFIG_WAIT_MS: u64 = 400;
 /// What a lost coordinator said of endpoints counts for this long.
 const STALE_LIMIT_MS: u64 = 15_000;
 
@@ -176,107 +166,6 @@
         &self.record
     }
 
-    /// Tells all coordinators what this sidecar is now; returns the sequence of this report.
-    pub fn report(&mut self, net: &mut Net, change: impl FnOnce(&mut NodeRecord)) -> u64 {
-        change(&mut self.record);
-        self.record.sequence += 1;
-        let message = ToCoordinator::Report(self.record.clone());
-        for link in self.links.values_mut().filter(|link| link.open) {
-            send(net, link, &message);
-        }
-        self.record.sequence
-    }
-
-    /// Tells how busy the upstream beside this sidecar is, if that changed and was not told a moment
-    /// ago. One that stays as it is is told again now and then, so that readers trust it.
-    pub fn tell_load(&mut self, net: &mut Net, load: UpstreamLoad, now: Millis) {
-        let age_ms = now.saturating_sub(self.load_told_at);
-        let counts = |load: UpstreamLoad| (load.running, load.queued);
-        let changed = self.load_told.map(counts) != Some(counts(load));
-        let due_ms = if changed { LOAD_INTERVAL_MS } else { LOAD_REPEAT_MS };
-        if age_ms < due_ms {
-            return;
-        }
-        self.load_told = Some(load);
-        self.load_told_at = now;
-        for link in self.links.values().filter(|link| link.open && link.subscribed) {
-            send(net, link, &ToCoordinator::Load(load));
-        }
-    }
-
-    /// Tells every coordinator what a canary is judged by: any of them may lead in a moment.
-    pub fn tell_evidence(&mut self, net: &mut Net, evidence: VersionEvidence) {
-        let message = ToCoordinator::Evidence(evidence);
-        for link in self.links.values().filter(|link| link.open) {
-            send(net, link, &message);
-        }
-    }
-
-    /// How many coordinators know a report, and how many are linked.
-    pub fn taken_by(&self, sequence: u64) -> (usize, usize) {
-        let open = self.links.values().filter(|link| link.welcomed);
-        let taken = open.clone().filter(|link| link.taken >= sequence);
-        (taken.count(), open.count())
-    }
-
-    /// Tells that a generation is in force here, and goes on to a newer one that was announced.
-    pub fn applied(&mut self, net: &mut Net, generation: u64, held: Digest, now: Millis) {
-        if let Some((from, _)) = self.config_asked.take() {
-            if let Some(link) = self.links.get_mut(&from).filter(|link| link.open) {
-                send(net, link, &ToCoordinator::Applied { generation });
-            }
-        }
-        self.want_config(net, generation, held, now);
-    }
-
-    /// Asks one coordinator for a newer configuration, if one was announced.
-    pub fn want_config(&mut self, net: &mut Net, applied: u64, held: Digest, now: Millis) {
-        let asked = self.config_asked.filter(|(_, at)| now < *at + CONFIG_WAIT_MS);
-        if asked.is_some() {
-            return;
-        }
-        let passed_over = self.config_asked.map(|(from, _)| from);
-        let newer = |link: &Link| link.open && link.announced > applied;
-        let found = self.links.iter().filter(|(_, link)| newer(link));
-        let best = found.max_by_key(|(address, link)| {
-            (Some(**address) != passed_over, link.announced, link.same_zone)
-        });
-        let Some((address, link)) = best else {
-            return;
-        };
-        let near = self.links.values().any(|link| link.same_zone && link.is_healthy(now));
-        let waits = self.waits_for_near(now) || near && now < self.announced_at + NEAR_WAIT_MS;
-        if waits && !link.same_zone && passed_over.is_none() {
-            return;
-        }
-        send(net, link, &ToCoordinator::WantConfig { held });
-        self.config_asked = Some((*address, now));
-    }
-
-    /// Asks a coordinator for what it knows, without waiting for a leader to be known: when all
-    /// start together, the content is here by the time it is confirmed. True once one was asked, or
-    /// a generation was announced, so that this is not needed.
-    pub fn want_first_config(&mut self, net: &mut Net, held: Digest, now: Millis) -> bool {
-        if self.config_asked.is_some() || self.announced() > 0 {
-            return true;
-        }
-        let welcomed = self.links.iter().filter(|(_, link)| link.open && link.welcomed);
-        let nearest = welcomed.max_by_key(|(_, link)| link.same_zone);
-        let waits = self.waits_for_near(now);
-        let Some((address, link)) = nearest.filter(|(_, link)| link.same_zone || !waits) else {
-            return false;
-        };
-        send(net, link, &ToCoordinator::WantConfig { held });
-        self.config_asked = Some((*address, now));
-        true
-    }
-
-    /// The newest generation that a linked coordinator announced; 0 if there is none.
-    pub fn announced(&self) -> u64 {
-        let open = self.links.values().filter(|link| link.open);
-        open.map(|link| link.announced).max().unwrap_or(0)
-    }
-
     /// The link a connection belongs to.
     pub fn holds(&self, id: ConnectionId) -> bool {
         self.links.values().any(|link| link.connection == Some(id))
@@ -461,44 +350,6 @@
         self.subscribe(net, now);
     }
 
-    /// Whether a coordinator of the own zone may be linked in a moment.
-    fn waits_for_near(&self, now: Millis) -> bool {
-        now < self.linked_at + NEAR_WAIT_MS
-    }
-
-    /// Has one coordinator tell of the other sidecars, the nearest that answers. The one before is
-    /// told to stop once the new one has told all it lists, so nothing is missed between.
-    fn subscribe(&mut self, net: &mut Net, now: Millis) {
-        let healthy = self.links.iter().filter(|(_, link)| link.is_healthy(now));
-        let best = healthy.max_by_key(|(_, link)| (link.same_zone, link.subscribed));
-        let knows_others = self.links.values().any(|link| !link.nodes.is_empty());
-        let wait_ms = if knows_others { RETURN_WAIT_MS } else { NEAR_WAIT_MS };
-        let waits = now < self.linked_at + wait_ms;
-        let best = best.filter(|(_, link)| link.same_zone || link.subscribed || !waits);
-        let Some(best) = best.map(|(address, _)| *address) else {
-            return;
-        };
-        let mut told_whole = false;
-        if let Some(link) = self.links.get_mut(&best) {
-            if !link.subscribed {
-                link.subscribed = true;
-                send(net, link, &ToCoordinator::Subscribe { nodes: true });
-            }
-            told_whole = link.whole;
-        }
-        if !told_whole {
-            return;
-        }
-        for (_, link) in self.links.iter_mut().filter(|(address, _)| **address != best) {
-            if link.subscribed {
-                link.subscribed = false;
-                link.whole = false;
-                send(net, link, &ToCoordinator::Subscribe { nodes: false });
-            }
-            link.nodes.clear();
-        }
-    }
-
     /// Opens links that are missing, and leaves coordinators that are silent.
     pub fn tick(&mut self, net: &mut Net, now: Millis) {
         let wanted = self.wanted();
