A version's name is cut where it is longer than any that can be ordered

Cause: a heartbeat's version was taken whole and told to every node; nothing bounded it but the body. Ruled out: refusing the heartbeat, which would leave the upstream without calls.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -4,7 +4,7 @@
 //! comes back, however late its messages arrive.
 
 use crate::Millis;
-use mesh::{InstanceRecord, InstanceState};
+use mesh::{InstanceRecord, InstanceState, MOST_VERSION_BYTES};
 use std::collections::VecDeque;
 
 /// Part of the drain time during which the gate stays open for calls already on their way.
@@ -101,7 +101,7 @@
         let leaving = record.state != InstanceState::Ready;
         self.current = Some(Current {
             id: record.id.clone(),
-            version: record.version.clone(),
+            version: bounded(&record.version),
             state: record.state,
             slots: record.slots,
             cold_until: now + u64::from(record.cold_remaining_ms),
@@ -172,3 +172,10 @@
         })
     }
 }
+
+/// A version's name, cut where it is longer than any that can be ordered: every node keeps it.
+fn bounded(version: &str) -> String {
+    let longest = version.len().min(MOST_VERSION_BYTES);
+    let end = (0..=longest).rev().find(|end| version.is_char_boundary(*end));
+    version[..end.unwrap_or(0)].to_owned()
+}
--- a/crates/mesh/src/version.rs
+++ b/crates/mesh/src/version.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Readable, Writable};
 
-/// Longest name of a version that is taken, bytes.
+/// Longest name of a version, bytes; in an order longer ones are refused, in a record they are cut.
 pub const MOST_VERSION_BYTES: usize = 128;
 /// All calls, in the unit of [`CandidateShare::permille`].
 pub const WHOLE_PERMILLE: u16 = 1_000;
