--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 mod hop;
 mod link;
 mod member;
+mod poison;
 mod record;
 mod version;
 
@@ -17,6 +18,7 @@
 };
 pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
+pub use poison::Fingerprint;
 pub use record::{
     HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
     UpstreamLoad,
--- /dev/null
+++ b/crates/quarantine/tests/identity.rs
@@ -0,0 +1,43 @@
+//! What makes two requests the same.
+
+use quarantine::RequestIdentity;
+
+const BASE: RequestIdentity<'static> = RequestIdentity {
+    service: "fares",
+    method: "GET",
+    target: "/fares/7?zone=2",
+    host: "fares.example",
+    body: b"",
+};
+
+#[test]
+fn whatever_an_upstream_sees_tells_requests_apart() {
+    let others = [
+        RequestIdentity { service: "cards", ..BASE },
+        RequestIdentity { method: "POST", ..BASE },
+        RequestIdentity { target: "/fares/7?zone=3", ..BASE },
+        RequestIdentity { host: "other.example", ..BASE },
+        RequestIdentity { body: b"x", ..BASE },
+        // The same bytes with another border between them.
+        RequestIdentity { method: "GET/", target: "fares/7?zone=2", ..BASE },
+    ];
+    assert_eq!(BASE.fingerprint(), BASE.fingerprint());
+    for other in others {
+        assert_ne!(other.fingerprint(), BASE.fingerprint(), "{other:?}");
+    }
+}
+
+#[test]
+fn long_bodies_are_told_apart_by_length_and_both_ends() {
+    let body = vec![7_u8; 100_000];
+    let named = |body: &[u8]| RequestIdentity { body, ..BASE }.fingerprint();
+    let changed = |place: usize| {
+        let mut other = body.clone();
+        other[place] = 8;
+        named(&other)
+    };
+    assert_ne!(named(&body[1..]), named(&body));
+    assert_ne!(changed(0), named(&body));
+    assert_ne!(changed(99_999), named(&body));
+    assert_eq!(changed(50_000), named(&body), "the middle of a long body is not looked at");
+}
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -23,6 +23,10 @@
         };
         let spent_ms = job.spent_ms(now);
         self.metrics.note_end(spent_ms);
+        if let UpstreamEnd::Failed(error) = &end {
+            let fingerprint = self.fingerprint(&job.request);
+            info!(id = %job.attempt_id, %fingerprint, %error, instance = ?self.gate.id(), "upstream_failed");
+        }
         let (outcome, response) = self.judge(&job.attempt_id, end);
         if job.started.is_some() {
             self.failures.note(is_upstreams_fault(outcome, response.status), now);
@@ -68,8 +72,7 @@
     fn judge(&self, id: &str, end: UpstreamEnd) -> (HopOutcome, Response) {
         let answer = match end {
             UpstreamEnd::NotSent => return (HopOutcome::Refused, Response::empty(REFUSED_STATUS)),
-            UpstreamEnd::Failed(error) => {
-                info!(%id, %error, "upstream_failed");
+            UpstreamEnd::Failed(_) => {
                 return (HopOutcome::Unknown, Response::empty(UNKNOWN_STATUS));
             }
             UpstreamEnd::Answered(answer) => answer,
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -19,9 +19,10 @@
 use admission::{Admission, Decision, DrainGate, FailureShare, GateState, JobId, Ticket};
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
-    CallClass, HopOutcome, HopReply, HopRequest, InstanceState, UpstreamLoad, VersionEvidence,
-    VersionPolicy, HOP_HEADER,
+    CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceState, UpstreamLoad,
+    VersionEvidence, VersionPolicy, HOP_HEADER,
 };
+use quarantine::RequestIdentity;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tracing::info;
@@ -395,6 +396,18 @@
         Some(JobAction::Run { job: id, request })
     }
 
+    /// Names a request for its repeats, here and on other nodes.
+    fn fingerprint(&self, request: &Request) -> Fingerprint {
+        let identity = RequestIdentity {
+            service: &self.service,
+            method: &request.method,
+            target: &request.target,
+            host: request.headers.text("host").unwrap_or_default(),
+            body: &request.body,
+        };
+        identity.fingerprint()
+    }
+
     fn remove(&mut self, id: JobId) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
         self.by_source.remove(&job.source);
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -194,7 +194,7 @@
     let broken = inbound(|jobs| end_first(jobs, UpstreamEnd::Failed(ExchangeError::CutShort)));
     expect![[r#"
         job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
-        upstream_failed id=id-1 error=the answer was cut short
+        upstream_failed id=id-1 fingerprint=d9541b5bf63471cb error=the answer was cut short instance=Some("i-1")
         job_ended id=id-1 outcome=Unknown status=502 spent_ms=60 running=0 queued=0"#]]
     .assert_eq(&broken);
     let refused = inbound(|jobs| {
