--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod crashing;
+
 use serde_json::{json, Value};
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
