--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -105,6 +105,7 @@
             }
             CoordinatorFrame::Message(_)
             | CoordinatorFrame::Loads { .. }
+            | CoordinatorFrame::Poison { .. }
             | CoordinatorFrame::Join { .. }
             | CoordinatorFrame::Removed { .. } => (None, false),
         }
--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -5,9 +5,12 @@
 
 use crate::{LoadBoard, Millis, Registry};
 use canary::Evidence;
+use mesh::{PoisonNotice, QuarantineEntry};
+use quarantine::{NoticeBoard, Verdict};
 use std::collections::BTreeMap;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tracing::info;
 
 /// The registry with its readers.
 pub(crate) struct Hub {
@@ -20,6 +23,8 @@
 pub(crate) struct HubState {
     pub registry: Registry,
     pub loads: LoadBoard,
+    /// What was told of requests that may crash upstreams.
+    pub poison: NoticeBoard,
     /// What was told of the canary of each service that has one under way.
     pub evidence: BTreeMap<String, Evidence>,
     /// Rises with each change of the configuration or the members.
@@ -30,7 +35,13 @@
     pub fn new(lease_ms: u64) -> Self {
         let registry = Registry::new(lease_ms);
         let loads = LoadBoard::default();
-        let state = HubState { registry, loads, evidence: BTreeMap::new(), revision: 0 };
+        let state = HubState {
+            registry,
+            loads,
+            poison: NoticeBoard::default(),
+            evidence: BTreeMap::new(),
+            revision: 0,
+        };
         let (registry_changed, revised) = (Condvar::new(), Condvar::new());
         Hub { state: Mutex::new(state), registry_changed, revised }
     }
@@ -64,6 +75,20 @@
         !result.timed_out()
     }
 
+    /// Takes in what was told of requests that may crash upstreams, by a sidecar here (`here`) or by
+    /// another coordinator.
+    pub fn take_poison(&self, notices: Vec<PoisonNotice>, here: bool, now: Millis) {
+        let mut state = self.lock();
+        for notice in notices {
+            let verdict = state.poison.take(notice, here, now);
+            if let Some(Verdict::Quarantined(entries)) = verdict {
+                for QuarantineEntry { fingerprint, crashes, left_ms } in entries {
+                    info!(%fingerprint, crashes, for_ms = left_ms, "request_quarantined");
+                }
+            }
+        }
+    }
+
     /// Removes the sidecars whose lease ended.
     pub fn expire(&self, now: Millis) {
         let mut state = self.lock();
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -154,6 +154,9 @@
                         evidence.told(node, life, &told);
                     }
                 }
+                ToCoordinator::Poison { notices } => {
+                    self.hub.take_poison(notices, true, self.clock.now_ms());
+                }
                 ToCoordinator::Applied { generation } => {
                     info!(%node, generation, "generation_applied");
                 }
@@ -246,6 +249,7 @@
         let mut position = None;
         let mut told_whole = false;
         let mut loads = LoadTeller::new(&self.hub);
+        let mut poison_position = 0;
         let holds = || {
             let ended = writer.ended.load(Ordering::Relaxed);
             !ended && writer.subscription.load(Ordering::Relaxed) == subscription
@@ -265,12 +269,30 @@
             if loads.tell_due(&self.hub, writer).is_err() {
                 return;
             }
+            if self.tell_poison(writer, &mut poison_position).is_err() {
+                return;
+            }
             if self.hub.wait_registry(changes.position, loads.until_due()) {
                 thread::sleep(COLLECT_TIME);
             }
         }
     }
 
+    /// Tells what came since a position of requests that may crash upstreams; it is looked for as
+    /// often as loads are told.
+    fn tell_poison(&self, writer: &Writer, position: &mut u64) -> io::Result<()> {
+        let notices = {
+            let board = &self.hub.lock().poison;
+            let notices = board.since(*position, self.clock.now_ms());
+            *position = board.position();
+            notices
+        };
+        match notices.is_empty() {
+            true => Ok(()),
+            false => writer.send(&ToSidecar::Poison { notices }),
+        }
+    }
+
     /// How long the list is still no proof that a sidecar which it lacks is gone.
     fn incomplete_for(&self) -> Duration {
         let complete_at = self.started_at + COMPLETE_AFTER_MS;
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -132,7 +132,8 @@
                 | CoordinatorFrame::RegistryEntries { .. }
                 | CoordinatorFrame::Unheard { .. }
                 | CoordinatorFrame::Heard { .. }
-                | CoordinatorFrame::Loads { .. }) => self.registry_loop.receive(frame),
+                | CoordinatorFrame::Loads { .. }
+                | CoordinatorFrame::Poison { .. }) => self.registry_loop.receive(frame),
             }
         }
     }
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -18,6 +18,13 @@
 /// Time between two looks at how busy services are.
 const SUM_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Positions up to which other coordinators were told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    loads: u64,
+    poison: u64,
+}
+
 /// The registry's loop and what it needs.
 pub(crate) struct RegistryLoop {
     hub: Arc<Hub>,
@@ -37,10 +44,10 @@
     pub fn spawn(self: &Arc<Self>) {
         let registry_loop = self.clone();
         thread::spawn(move || {
-            let mut loads_position = 0;
+            let mut told = Told::default();
             let mut summed_at = Instant::now();
             loop {
-                loads_position = registry_loop.look(loads_position);
+                told = registry_loop.look(told);
                 if summed_at.elapsed() >= SUM_INTERVAL {
                     summed_at = Instant::now();
                     registry_loop.log_waiting();
@@ -50,8 +57,8 @@
         });
     }
 
-    /// Does what is due; returns up to where loads were passed on.
-    fn look(&self, loads_position: u64) -> u64 {
+    /// Does what is due; returns up to where others were told.
+    fn look(&self, told: Told) -> Told {
         let now = self.clock.now_ms();
         self.hub.expire(now);
         let members = self.group.members();
@@ -60,15 +67,23 @@
         let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
         let state = self.hub.lock();
         let due = exchange.tick(&state.registry, &peers, now);
-        let (loads, position) = (state.loads.told_since(loads_position), state.loads.position());
+        let loads = state.loads.told_since(told.loads);
+        let notices = state.poison.told_since(told.poison, now);
+        let told = Told { loads: state.loads.position(), poison: state.poison.position() };
         drop(state);
         drop(exchange);
         self.send(due);
         if !loads.is_empty() {
-            let frame = CoordinatorFrame::Loads { loads };
-            self.send(peers.into_iter().map(|peer| (peer, frame.clone())));
+            self.send_all(&peers, CoordinatorFrame::Loads { loads });
+        }
+        if !notices.is_empty() {
+            self.send_all(&peers, CoordinatorFrame::Poison { notices });
         }
-        position
+        told
+    }
+
+    fn send_all(&self, peers: &[MemberId], frame: CoordinatorFrame) {
+        self.send(peers.iter().map(|peer| (*peer, frame.clone())));
     }
 
     /// Logs the services of which calls wait, with the slots that are free all the same.
@@ -88,6 +103,13 @@
             return;
         }
         let now = self.clock.now_ms();
+        let frame = match frame {
+            CoordinatorFrame::Poison { notices } => {
+                self.hub.take_poison(notices, false, now);
+                return;
+            }
+            frame => frame,
+        };
         let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
         let (answer, changed) = exchange.receive(&mut self.hub.lock().registry, frame, now);
         drop(exchange);
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -29,8 +29,8 @@
     pub at_ms: u64,
 }
 
-/// What the calling sidecar tells the one beside the upstream. As a header value: nine words
-/// separated by blanks; the seventh is `-` for any instance, the last two may be missing.
+/// What the calling sidecar tells the one beside the upstream. As a header value: ten words
+/// separated by blanks; the seventh is `-` for any instance, the last three may be missing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
     /// Time left for the whole call, milliseconds.
@@ -49,14 +49,22 @@
     pub instance: Option<String>,
     /// When it left; not told by sidecars of an earlier version.
     pub departure: Option<Departure>,
+    /// Whether an upstream ended while it ran this call or one like it, so that it may crash the
+    /// next one, too. Sidecars of an earlier version neither tell nor heed it.
+    pub suspect: bool,
 }
 
 impl HopRequest {
     /// The header value.
     pub fn encode(&self) -> String {
-        let departure = self.departure.map_or_else(String::new, |departure| {
-            format!(" {:x} {}", departure.clock, departure.at_ms)
-        });
+        let mut departure = match self.departure {
+            Some(departure) => format!(" {:x} {}", departure.clock, departure.at_ms),
+            None if self.suspect => " - -".to_owned(),
+            None => String::new(),
+        };
+        if self.suspect {
+            departure.push_str(" s");
+        }
         format!(
             "{} {} {} {} {} {} {}{departure}",
             self.deadline_ms,
@@ -80,14 +88,15 @@
             repeatable: words.next()? == "1",
             service: words.next()?.to_owned(),
             instance: words.next().filter(|id| *id != "-").map(str::to_owned),
-            departure: decode_departure(words),
+            departure: decode_departure(words.next(), words.next()),
+            suspect: words.next() == Some("s"),
         })
     }
 }
 
-fn decode_departure<'a>(mut words: impl Iterator<Item = &'a str>) -> Option<Departure> {
-    let clock = u32::from_str_radix(words.next()?, 16).ok()?;
-    let at_ms = words.next()?.parse().ok()?;
+fn decode_departure(clock: Option<&str>, at_ms: Option<&str>) -> Option<Departure> {
+    let clock = u32::from_str_radix(clock?, 16).ok()?;
+    let at_ms = at_ms?.parse().ok()?;
     Some(Departure { clock, at_ms })
 }
 
@@ -105,7 +114,7 @@
 }
 
 /// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
-/// and eleven numbers or words separated by blanks; the last four may be missing.
+/// and twelve numbers or words separated by blanks; the last five may be missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// What became of the call.
@@ -132,6 +141,8 @@
     pub transfer_wait_ms: u32,
     /// What its machine's link brings of bodies, bytes a millisecond; 0 if that is not known.
     pub transfer_bytes_per_ms: u32,
+    /// Whether the upstream ended while it ran the call.
+    pub upstream_ended: bool,
 }
 
 impl HopReply {
@@ -149,7 +160,7 @@
             InstanceState::Left => 'l',
         };
         format!(
-            "{outcome} {} {} {} {} {} {} {state} {} {} {} {}",
+            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -159,7 +170,8 @@
             self.failing_percent,
             self.link_percent,
             self.transfer_wait_ms,
-            self.transfer_bytes_per_ms
+            self.transfer_bytes_per_ms,
+            u8::from(self.upstream_ended)
         )
     }
 
@@ -186,6 +198,7 @@
         let mut later = || words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
         let (failing_percent, link_percent) = (later(), later());
         let (transfer_wait_ms, transfer_bytes_per_ms) = (later(), later());
+        let upstream_ended = later() == 1;
         Some(HopReply {
             outcome,
             running,
@@ -199,6 +212,7 @@
             link_percent,
             transfer_wait_ms,
             transfer_bytes_per_ms,
+            upstream_ended,
         })
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -18,7 +18,7 @@
 };
 pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
-pub use poison::Fingerprint;
+pub use poison::{CrashReport, Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
 pub use record::{
     HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
     UpstreamLoad,
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,8 +1,8 @@
 //! Frames between coordinators and sidecars.
 
 use crate::{
-    HeardNode, NodeAddress, NodeLoad, NodeRecord, RegistryEntry, UpstreamLoad, VersionEvidence,
-    VersionPolicy,
+    HeardNode, NodeAddress, NodeLoad, NodeRecord, PoisonNotice, RegistryEntry, UpstreamLoad,
+    VersionEvidence, VersionPolicy,
 };
 use bundle::{BundleUpdate, Digest};
 use consensus::Message;
@@ -10,7 +10,7 @@
 use std::net::Ipv4Addr;
 
 /// Version of all frames; two processes of different versions refuse each other.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// What a connection to a coordinator is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
@@ -80,6 +80,11 @@
         /// One for each upstream.
         loads: Vec<NodeLoad>,
     },
+    /// What the sender's own sidecars told of requests that may crash upstreams.
+    Poison {
+        /// In the order in which they came.
+        notices: Vec<PoisonNotice>,
+    },
 }
 
 /// Frames from a sidecar.
@@ -112,6 +117,11 @@
     },
     /// What became of the calls at the upstream since a canary of its service began.
     Evidence(VersionEvidence),
+    /// What the sidecar knows of requests that may crash upstreams; told to all coordinators.
+    Poison {
+        /// In the order in which it came.
+        notices: Vec<PoisonNotice>,
+    },
 }
 
 /// Frames to a sidecar.
@@ -179,4 +189,9 @@
         /// One for each service that ever had a canary; all others take any version.
         policies: Vec<VersionPolicy>,
     },
+    /// News of requests that may crash upstreams, for subscribers.
+    Poison {
+        /// In the order in which they came.
+        notices: Vec<PoisonNotice>,
+    },
 }
--- a/crates/mesh/src/poison.rs
+++ b/crates/mesh/src/poison.rs
@@ -12,3 +12,44 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+/// An upstream that ended without a word, with the requests that it worked on.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct CrashReport {
+    /// Incarnation that ended; a report of it that is told twice counts once.
+    pub instance: String,
+    /// What it worked on, without requests that upstreams ran well a moment before.
+    pub running: Vec<Fingerprint>,
+}
+
+/// A request that is kept from all upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct QuarantineEntry {
+    /// Which.
+    pub fingerprint: Fingerprint,
+    /// Upstreams that ended under it, as far as is known.
+    pub crashes: u32,
+    /// How much longer it is kept from them, milliseconds.
+    pub left_ms: u64,
+}
+
+/// What nodes tell each other of such requests. Each may be told twice, or late.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum PoisonNews {
+    /// An upstream ended.
+    Crash(CrashReport),
+    /// An upstream ran a suspect and did not end, or an operator cleared it.
+    Cleared(Fingerprint),
+    /// A request is in quarantine; told to a coordinator that may have forgotten.
+    Quarantined(QuarantineEntry),
+}
+
+/// Such news with its age.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct PoisonNotice {
+    /// How long ago it was first told, milliseconds.
+    pub age_ms: u64,
+    /// What it is.
+    pub news: PoisonNews,
+}
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -1,7 +1,7 @@
 //! The header between two sidecars, as text.
 
 use expect_test::expect;
-use mesh::{HopOutcome, HopReply, InstanceState};
+use mesh::{Departure, HopOutcome, HopReply, HopRequest, InstanceState};
 
 fn reply() -> HopReply {
     HopReply {
@@ -17,12 +17,13 @@
         link_percent: 40,
         transfer_wait_ms: 75,
         transfer_bytes_per_ms: 800,
+        upstream_ended: false,
     }
 }
 
 #[test]
 fn a_reply_is_read_as_it_was_written() {
-    expect!["a 3 1 9 120 97 0 d 12 40 75 800"].assert_eq(&reply().encode());
+    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0"].assert_eq(&reply().encode());
     assert_eq!(HopReply::decode(&reply().encode()), Some(reply()));
 }
 
@@ -42,3 +43,28 @@
         assert_eq!(HopReply::decode(text), None, "{text}");
     }
 }
+
+fn request() -> HopRequest {
+    HopRequest {
+        deadline_ms: 900,
+        patience_ms: 120,
+        rank: 2,
+        target_ms: 600,
+        repeatable: true,
+        service: "fares".to_owned(),
+        instance: None,
+        departure: Some(Departure { clock: 0xab, at_ms: 77 }),
+        suspect: false,
+    }
+}
+
+#[test]
+fn a_request_is_read_as_it_was_written() {
+    expect!["900 120 2 600 1 fares - ab 77"].assert_eq(&request().encode());
+    let suspect = HopRequest { suspect: true, ..request() };
+    expect!["900 120 2 600 1 fares - ab 77 s"].assert_eq(&suspect.encode());
+    let without_departure = HopRequest { departure: None, ..suspect.clone() };
+    for request in [request(), suspect, without_departure] {
+        assert_eq!(HopRequest::decode(&request.encode()), Some(request));
+    }
+}
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -47,6 +47,7 @@
         link_percent: 0,
         transfer_wait_ms: 0,
         transfer_bytes_per_ms: 0,
+        upstream_ended: false,
     }
 }
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,6 +1,20 @@
-//! Poison requests: those that crash whatever upstream runs them. Pure; time comes in with events.
+//! Poison requests: those that crash whatever upstream runs them (also: queries of death).
+//!
+//! Some twenty calls run at an upstream when it ends, and one of them may have ended it. All are
+//! suspects; one that runs well anywhere is none any more. A suspect that another upstream ends
+//! under is put in quarantine: no upstream is given it until its time is over or it is cleared.
+//! See docs/design/0015. Pure; time comes in with events.
 #![forbid(unsafe_code)]
 
+mod board;
 mod identity;
+mod quarantine;
+mod recent;
 
+pub use board::NoticeBoard;
 pub use identity::RequestIdentity;
+pub use quarantine::{Quarantine, Standing, Verdict};
+pub use recent::RecentRuns;
+
+/// Milliseconds of a monotonic clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/quarantine/tests/quarantine.rs
@@ -0,0 +1,245 @@
+//! Which request is blamed for the end of upstreams.
+
+use expect_test::expect;
+use mesh::{CrashReport, Fingerprint, QuarantineEntry};
+use quarantine::{Quarantine, RecentRuns, Standing, Verdict};
+
+const POISON: u64 = 999;
+const MINUTE: u64 = 60_000;
+
+fn report(instance: &str, running: impl IntoIterator<Item = u64>) -> CrashReport {
+    let running = running.into_iter().map(Fingerprint).collect();
+    CrashReport { instance: instance.to_owned(), running }
+}
+
+fn is_suspect(quarantine: &Quarantine, request: u64, now: u64) -> bool {
+    quarantine.standing(Fingerprint(request), now) == Standing::Suspect
+}
+
+fn is_kept_away(quarantine: &Quarantine, request: u64, now: u64) -> bool {
+    matches!(quarantine.standing(Fingerprint(request), now), Standing::Quarantined { .. })
+}
+
+fn shown(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Known => "known".to_owned(),
+        Verdict::Suspects(count) => format!("{count} suspects"),
+        Verdict::Explained(fingerprint) => format!("explained by {}", fingerprint.0),
+        Verdict::Quarantined(entries) => {
+            let shown = |entry: &QuarantineEntry| {
+                let QuarantineEntry { fingerprint, crashes, left_ms } = entry;
+                format!("{} after {crashes} crashes, for {left_ms} ms", fingerprint.0)
+            };
+            entries.iter().map(shown).collect::<Vec<_>>().join("; ")
+        }
+    }
+}
+
+/// What each crash came to, one line each.
+fn judged(crashes: &[(&str, &[u64])]) -> String {
+    let mut quarantine = Quarantine::default();
+    let judge = |(at, (instance, running)): (usize, &(&str, &[u64]))| {
+        let report = report(instance, running.iter().copied());
+        shown(&quarantine.note_crash(&report, at as u64 * 1_000))
+    };
+    crashes.iter().enumerate().map(judge).collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn the_one_that_ran_at_two_ends_is_blamed() {
+    expect![[r#"
+        4 suspects
+        999 after 2 crashes, for 60000 ms
+        explained by 999"#]]
+    .assert_eq(&judged(&[
+        ("i-1", &[1, 2, 3, POISON]),
+        ("i-2", &[4, 5, POISON]),
+        ("i-3", &[6, POISON]),
+    ]));
+}
+
+#[test]
+fn a_crash_told_twice_counts_once() {
+    expect![[r#"
+        2 suspects
+        known
+        known"#]]
+    .assert_eq(&judged(&[("i-1", &[1, POISON]), ("i-1", &[1, POISON]), ("i-1", &[POISON])]));
+}
+
+#[test]
+fn of_several_that_ran_at_two_ends_none_is_blamed_before_a_third() {
+    expect![[r#"
+        3 suspects
+        3 suspects
+        999 after 3 crashes, for 60000 ms"#]]
+    .assert_eq(&judged(&[
+        ("i-1", &[1, 2, POISON]),
+        ("i-2", &[1, 2, POISON]),
+        ("i-3", &[7, POISON]),
+    ]));
+    expect![[r#"
+        2 suspects
+        2 suspects
+        1 after 3 crashes, for 60000 ms; 999 after 3 crashes, for 60000 ms"#]]
+    .assert_eq(&judged(&[("i-1", &[1, POISON]), ("i-2", &[1, POISON]), ("i-3", &[1, POISON])]));
+}
+
+#[test]
+fn upstreams_that_end_with_nothing_in_common_blame_nobody() {
+    let mut quarantine = Quarantine::default();
+    for upstream in 0..40 {
+        let running = (upstream * 20)..(upstream * 20 + 18);
+        let verdict = quarantine.note_crash(&report(&format!("i-{upstream}"), running), upstream);
+        assert_eq!(verdict, Verdict::Suspects(18));
+    }
+    assert!(quarantine.entries(100).is_empty());
+}
+
+#[test]
+fn the_blamed_one_explains_its_crashes_and_the_others_are_free() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_crash(&report("i-1", [1, 2, POISON]), 0);
+    quarantine.note_crash(&report("i-9", [8, 9]), 0);
+    assert!(is_suspect(&quarantine, 1, 10));
+    quarantine.note_crash(&report("i-2", [3, POISON]), 20);
+    let suspects = (1..=9).filter(|request| is_suspect(&quarantine, *request, 30));
+    assert_eq!(suspects.collect::<Vec<u64>>(), [8, 9], "the crash of i-9 is not explained");
+    assert!(is_kept_away(&quarantine, POISON, 30));
+}
+
+#[test]
+fn should_the_wrong_one_be_blamed_the_right_one_is_known_by_its_next_crash() {
+    let mut quarantine = Quarantine::default();
+    // A machine lost power under 1; it runs again elsewhere, beside the poison.
+    quarantine.note_crash(&report("i-1", [1, 2]), 0);
+    quarantine.note_crash(&report("i-2", [1, POISON, 5]), 100);
+    assert!(is_kept_away(&quarantine, 1, 200) && !is_kept_away(&quarantine, POISON, 200));
+    quarantine.note_crash(&report("i-3", [POISON, 6]), 300);
+    assert!(is_kept_away(&quarantine, POISON, 400));
+}
+
+#[test]
+fn a_good_run_clears_a_suspect_and_one_in_quarantine() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_crash(&report("i-1", [1, 2]), 0);
+    assert!(quarantine.clear(Fingerprint(1)));
+    assert!(!quarantine.clear(Fingerprint(1)), "nothing is left against it");
+    assert_eq!(quarantine.note_crash(&report("i-2", [1, 3]), 10), Verdict::Suspects(2));
+    quarantine.note_crash(&report("i-3", [2, 4]), 20);
+    assert!(is_kept_away(&quarantine, 2, 30));
+    assert!(quarantine.clear(Fingerprint(2)));
+    assert_eq!(quarantine.standing(Fingerprint(2), 30), Standing::Clear);
+}
+
+#[test]
+fn after_its_time_it_is_a_suspect_and_one_more_crash_doubles_its_time() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_crash(&report("i-1", [POISON]), 0);
+    quarantine.note_crash(&report("i-2", [POISON]), 0);
+    assert!(is_kept_away(&quarantine, POISON, MINUTE - 1));
+    assert!(is_suspect(&quarantine, POISON, MINUTE), "one at a time");
+    let verdict = quarantine.note_crash(&report("i-3", [1, 2, POISON]), MINUTE + 5);
+    expect!["999 after 3 crashes, for 120000 ms"].assert_eq(&shown(&verdict));
+    let mut now = MINUTE + 5;
+    let mut crashes = 0;
+    while now < 24 * 60 * MINUTE {
+        let Standing::Quarantined { left_ms } = quarantine.standing(Fingerprint(POISON), now)
+        else {
+            crashes += 1;
+            quarantine.note_crash(&report(&format!("later-{crashes}"), [POISON]), now);
+            continue;
+        };
+        now += left_ms;
+    }
+    assert!(crashes <= 30, "a day of repeats costs {crashes} upstreams");
+}
+
+#[test]
+fn one_that_does_not_come_again_is_forgotten() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_crash(&report("i-1", [1, POISON]), 0);
+    quarantine.note_crash(&report("i-2", [2, POISON]), 0);
+    quarantine.expire(11 * MINUTE);
+    assert!(quarantine.is_empty());
+    quarantine.note_crash(&report("i-3", [3]), 12 * MINUTE);
+    quarantine.expire(23 * MINUTE);
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn thousands_at_once_take_bounded_memory() {
+    let mut quarantine = Quarantine::default();
+    for request in 0..5_000 {
+        for crash in 0..2 {
+            let running = [request, 100_000 + request * 2 + crash];
+            quarantine.note_crash(&report(&format!("i-{request}-{crash}"), running), request);
+        }
+    }
+    assert_eq!(quarantine.entries(5_000).len(), 1_024);
+    assert!(is_kept_away(&quarantine, 4_999, 5_000), "the newest stay");
+    assert!(quarantine.suspects(5_000) <= 512);
+    let flood = report("i-flood", 0..100_000);
+    quarantine.note_crash(&flood, 5_000);
+    assert!(quarantine.suspects(5_000) <= 1_024);
+}
+
+#[test]
+fn a_node_that_forgot_all_is_told_of_those_in_quarantine() {
+    let mut quarantine = Quarantine::default();
+    let told = QuarantineEntry { fingerprint: Fingerprint(POISON), crashes: 2, left_ms: 30_000 };
+    assert!(quarantine.note_quarantined(told, 100));
+    assert!(!quarantine.note_quarantined(told, 200), "it is known");
+    assert_eq!(quarantine.entries(10_100)[0].left_ms, 20_000);
+    let endless = QuarantineEntry { fingerprint: Fingerprint(5), crashes: 2, left_ms: u64::MAX };
+    quarantine.note_quarantined(endless, 100);
+    assert!(!is_kept_away(&quarantine, 5, 61 * MINUTE), "nobody can ask for more than an hour");
+}
+
+#[test]
+fn good_runs_speak_for_five_seconds() {
+    let mut recent = RecentRuns::default();
+    recent.note(Fingerprint(1), 100);
+    recent.note(Fingerprint(1), 3_000);
+    assert!(recent.speak_for(Fingerprint(1), 7_999));
+    assert!(!recent.speak_for(Fingerprint(1), 8_000));
+    assert!(!recent.speak_for(Fingerprint(2), 100));
+    for request in 10..2_000 {
+        recent.note(Fingerprint(request), 8_100);
+    }
+    assert!(!recent.speak_for(Fingerprint(10), 8_200), "the oldest go first");
+    assert!(recent.speak_for(Fingerprint(1_999), 8_200));
+}
+
+/// A fleet in virtual time: requests run at upstreams of a service, poison among them, machines
+/// lose power. Whatever the seed: no upstream ends for a poison after its second crash, but for what
+/// ran already; and what is blamed by chance is little.
+#[test]
+fn whatever_else_ends_poison_is_found_by_its_second_crash_and_few_others_are_blamed() {
+    let (mut others, mut late, mut losses) = (0, 0, 0);
+    for seed in 0..400 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut quarantine = Quarantine::default();
+        let mut poison_crashes = 0;
+        for step in 0..60_u64 {
+            let now = step * 500;
+            let by_poison = random.u8(..) < 128;
+            let innocent = (0..17).map(|_| random.u64(1_000..2_000_000));
+            let mut running: Vec<u64> = innocent.collect();
+            if by_poison {
+                if is_kept_away(&quarantine, POISON, now) {
+                    continue;
+                }
+                running.push(POISON);
+                poison_crashes += 1;
+            } else {
+                losses += 1;
+            }
+            quarantine.note_crash(&report(&format!("i-{step}"), running), now);
+        }
+        late += u32::from(poison_crashes > 2);
+        others += quarantine.entries(30_000).iter().filter(|it| it.fingerprint.0 != POISON).count();
+    }
+    assert_eq!(late, 0);
+    assert!(others * 50 <= losses, "{others} blamed by chance in {losses} losses of power");
+}
--- a/crates/sidecar/src/call_metrics.rs
+++ b/crates/sidecar/src/call_metrics.rs
@@ -21,6 +21,8 @@
     Refused,
     /// Refused without being offered, because its like are late or fail.
     HeldBack,
+    /// Refused without being offered, because its like crash upstreams.
+    Quarantined,
     /// No proper answer; it may have run.
     Failed,
     /// Its time was over.
@@ -36,6 +38,7 @@
             Self::UpstreamFailed => "upstream_failed",
             Self::Refused => "refused",
             Self::HeldBack => "held_back",
+            Self::Quarantined => "quarantined",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
             Self::Cancelled => "cancelled",
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -22,6 +22,8 @@
     pub service: String,
     /// Whether it belongs to the share of a canary.
     pub track: Track,
+    /// Whether an upstream ended while it ran this call or one like it.
+    pub suspect: bool,
     pub arrived: Millis,
     /// How long its caller waits, as it told; its route's timeout if it did not.
     pub told_ms: u64,
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -182,6 +182,9 @@
                 HopOutcome::Unknown => {}
             }
         }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.suspect |= reply.upstream_ended;
+        }
         match reply.outcome {
             HopOutcome::Answered => {
                 self.note_arrival(id);
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -12,12 +12,14 @@
 use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
+use crate::poison::PoisonWatch;
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress};
 use placement::{
     BudgetBounds, CallEnd, CanaryShares, ClassTimes, Locality, PlacementView, Pressure,
     RetryBudget, Throttle, Urgency, WeightedSplit,
 };
+use quarantine::Standing;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::info;
@@ -143,6 +145,7 @@
     times: ClassTimes,
     throttle: Throttle,
     pressure: Pressure,
+    poison: PoisonWatch,
     random: fastrand::Rng,
     /// Names this process' clock to peers.
     clock: u32,
@@ -178,6 +181,7 @@
             times: ClassTimes::default(),
             throttle: Throttle::default(),
             pressure: Pressure::default(),
+            poison: PoisonWatch::default(),
             // Both are drawn at the start; nothing is secret about either.
             clock: seed as u32,
             random: fastrand::Rng::with_seed(seed),
@@ -190,6 +194,11 @@
         }
     }
 
+    /// The same with what the inbound side knows of requests that may crash upstreams.
+    pub fn with_poison_watch(self, poison: PoisonWatch) -> Self {
+        Calls { poison, ..self }
+    }
+
     /// Calls without a final answer.
     pub fn in_flight(&self) -> usize {
         self.calls.len()
@@ -229,6 +238,10 @@
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
         let urgency = urgency_of(route);
+        let standing = self.poison.standing(&service, &request, now);
+        if let Standing::Quarantined { left_ms } = standing {
+            return vec![self.refuse_quarantined(origin, &attempt_id, &route.name, left_ms)];
+        }
         if let Some(held_back) = self.hold_back(&route.name, &service, urgency, now) {
             let HeldBack { reason, part, retry_after_ms } = held_back;
             info!(
@@ -252,6 +265,7 @@
             target_ms: urgency.target_ms,
             service,
             track,
+            suspect: standing == Standing::Suspect,
             arrived: now,
             told_ms: told,
             deadline: now + told.min(timeout),
@@ -267,6 +281,25 @@
         self.place(id, now)
     }
 
+    /// The answer to a call whose like crash their upstreams: it has not run. Its caller is told a
+    /// time beyond the quarantine, which invites nobody to repeat it now.
+    fn refuse_quarantined(
+        &mut self,
+        origin: Origin,
+        id: &str,
+        route: &str,
+        left_ms: u64,
+    ) -> CallAction {
+        if self.sample.takes(id) {
+            info!(%id, %route, reason = "quarantined", left_ms, verdict = "not-run", "call_refused");
+        }
+        self.counts.refused += 1;
+        self.metrics.note_end(route, CallOutcome::Quarantined, 0);
+        let seconds = left_ms.div_ceil(1_000).to_string();
+        let response = Response::empty(503).with_header("Retry-After", seconds);
+        CallAction::Answer { origin, response }
+    }
+
     fn add(&mut self, call: Call) -> CallId {
         let id = self.next_call;
         self.next_call += 1;
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -155,6 +155,7 @@
             service: call.service.clone(),
             instance: record.map(|instance| instance.id.clone()),
             departure: Some(Departure { clock: self.clock, at_ms: now }),
+            suspect: call.suspect,
         }
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/jobs/crash.rs
@@ -0,0 +1,83 @@
+//! Whether a run that ended without an answer is one lost answer, or the end of the upstream.
+//!
+//! An upstream that lost one answer still takes connections. So the job is held, its slot taken,
+//! until a connection was tried: some milliseconds on one machine. Senders that were told at once
+//! would carry what crashed this upstream to the next one before anybody knew.
+
+use super::{JobAction, Jobs, UpstreamEnd};
+use crate::Millis;
+use admission::JobId;
+use http1::ExchangeError;
+use mesh::Fingerprint;
+
+/// Longest wait for the connection that is tried, milliseconds. An upstream that ended refuses it
+/// at once; one that neither takes nor refuses it is not known to have ended.
+const LONGEST_PROBE_MS: u64 = 100;
+
+/// Runs that ended without an answer, and what is known of the upstream.
+#[derive(Debug, Default)]
+pub(super) struct CrashWatch {
+    held: Vec<(JobId, ExchangeError)>,
+    probing_since: Option<Millis>,
+    /// The incarnation that is known to have ended.
+    ended_instance: Option<String>,
+}
+
+impl Jobs {
+    /// Takes in that a run ended without a whole answer.
+    pub(super) fn ended_unanswered(
+        &mut self,
+        id: JobId,
+        error: ExchangeError,
+        now: Millis,
+    ) -> Vec<JobAction> {
+        if self.upstream_has_ended() {
+            return self.finish(id, UpstreamEnd::Failed(error), now);
+        }
+        self.crash.held.push((id, error));
+        if self.crash.probing_since.is_some() {
+            return Vec::new();
+        }
+        self.crash.probing_since = Some(now);
+        vec![JobAction::Probe]
+    }
+
+    /// Whether the incarnation that is registered is known to have ended.
+    pub(super) fn upstream_has_ended(&self) -> bool {
+        let ended = self.crash.ended_instance.as_deref();
+        ended.is_some() && ended == self.gate.id()
+    }
+
+    /// Takes in whether the upstream took a connection after runs had ended without an answer.
+    pub fn probed(&mut self, alive: bool, now: Millis) -> Vec<JobAction> {
+        self.crash.probing_since = None;
+        if !alive {
+            self.note_upstream_ended(now);
+        }
+        let held = std::mem::take(&mut self.crash.held);
+        let finish = |(id, error)| self.finish(id, UpstreamEnd::Failed(error), now);
+        held.into_iter().flat_map(finish).collect()
+    }
+
+    fn note_upstream_ended(&mut self, now: Millis) {
+        let Some(instance) = self.gate.id().map(str::to_owned) else {
+            return;
+        };
+        let running = self.jobs.values().filter(|job| job.started.is_some());
+        let running: Vec<Fingerprint> = running.map(|job| self.fingerprint(&job.request)).collect();
+        self.poison.upstream_ended(&instance, &running, now);
+        self.crash.ended_instance = Some(instance);
+    }
+
+    /// Gives up waiting for the connection that is tried.
+    pub(super) fn expire_probe(&mut self, now: Millis) -> Vec<JobAction> {
+        match self.probe_expiry() {
+            Some(at) if at <= now => self.probed(true, now),
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn probe_expiry(&self) -> Option<Millis> {
+        self.crash.probing_since.map(|since| since + LONGEST_PROBE_MS)
+    }
+}
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -5,7 +5,7 @@
 use crate::Millis;
 use admission::{GateState, JobId};
 use http1::{ExchangeError, Response, Slot};
-use mesh::{CallClass, HopOutcome};
+use mesh::{CallClass, HopOutcome, HopReply};
 use tracing::info;
 
 /// A call whose deadline passed this long ago is taken from its upstream, milliseconds.
@@ -18,6 +18,16 @@
 impl Jobs {
     /// Takes in how the upstream ended a job.
     pub fn ended(&mut self, id: JobId, end: UpstreamEnd, now: Millis) -> Vec<JobAction> {
+        match end {
+            UpstreamEnd::Failed(error @ (ExchangeError::NoAnswer | ExchangeError::CutShort)) => {
+                self.ended_unanswered(id, error, now)
+            }
+            end => self.finish(id, end, now),
+        }
+    }
+
+    /// Tells what became of a job, and starts others.
+    pub(super) fn finish(&mut self, id: JobId, end: UpstreamEnd, now: Millis) -> Vec<JobAction> {
         let Some(job) = self.remove(id) else {
             return Vec::new();
         };
@@ -45,7 +55,12 @@
             HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0, now),
             HopOutcome::Answered | HopOutcome::Unknown => 0,
         };
+        if outcome == HopOutcome::Answered {
+            self.poison.ran_well(self.fingerprint(&job.request), now);
+        }
+        let upstream_ended = outcome == HopOutcome::Unknown && self.upstream_has_ended();
         let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
+        let reply = HopReply { upstream_ended, ..reply };
         let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
         actions.extend(self.start_waiting(now));
         actions
@@ -160,8 +175,9 @@
             self.jobs.iter().filter(|(_, job)| late(job)).map(|(id, _)| *id).collect();
         for id in overdue {
             actions.push(JobAction::Abort(id));
-            actions.extend(self.ended(id, UpstreamEnd::Failed(ExchangeError::NoAnswer), now));
+            actions.extend(self.finish(id, UpstreamEnd::Failed(ExchangeError::NoAnswer), now));
         }
+        actions.extend(self.expire_probe(now));
         actions.extend(self.start_waiting(now));
         actions.extend(self.expire_offers(now));
         actions.extend(self.grant(now));
@@ -173,7 +189,8 @@
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let overdue = running.map(|job| job.deadline + OVERTIME_MS).min();
         let offers = self.offers.next_expiry(now);
-        overdue.into_iter().chain(self.admission.next_expiry()).chain(offers).min()
+        let dues = [overdue, self.admission.next_expiry(), offers, self.probe_expiry()];
+        dues.into_iter().flatten().min()
     }
 }
 
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -3,16 +3,19 @@
 //! Pure: events come in with the time, actions go out. Only this side knows for certain whether a
 //! call was given to the upstream, so it alone says that one was not.
 
+mod crash;
 mod endings;
 mod offers;
 mod trial;
 
+use self::crash::CrashWatch;
 use self::offers::Offers;
 use self::trial::Trial;
 use crate::call_metrics::JobMetrics;
 use crate::calls::Attempt;
 use crate::dialect::HeaderNames;
 use crate::net::ConnectionId;
+use crate::poison::{self, PoisonWatch};
 use crate::sample::LogSample;
 use crate::transit::TransitTimes;
 use crate::Millis;
@@ -22,7 +25,7 @@
     CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceState, UpstreamLoad,
     VersionEvidence, VersionPolicy, HOP_HEADER,
 };
-use quarantine::RequestIdentity;
+use quarantine::Standing;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tracing::info;
@@ -74,6 +77,8 @@
     },
     /// Stop what the upstream does for a job.
     Abort(JobId),
+    /// Try whether the upstream still takes connections.
+    Probe,
     /// Let a peer send more of the body that it offered.
     Grant {
         /// Who offered it.
@@ -128,6 +133,8 @@
     request: Rc<Request>,
     attempt_id: String,
     class: CallClass,
+    /// Whether an upstream may have ended because of a request like it.
+    suspect: bool,
     deadline: Millis,
     arrived: Millis,
     started: Option<Millis>,
@@ -151,6 +158,8 @@
     offers: Offers,
     transits: TransitTimes,
     trial: Trial,
+    crash: CrashWatch,
+    poison: PoisonWatch,
     failures: FailureShare,
     failures_of: Option<String>,
     /// Part of this machine's link that is in use, percent.
@@ -181,6 +190,8 @@
             offers: Offers::new(link_bytes_per_ms),
             transits: TransitTimes::default(),
             trial: Trial::default(),
+            crash: CrashWatch::default(),
+            poison: PoisonWatch::default(),
             failures: FailureShare::default(),
             failures_of: None,
             link_percent: 0,
@@ -191,6 +202,11 @@
         }
     }
 
+    /// The same with what the outbound side knows of requests that may crash upstreams.
+    pub fn with_poison_watch(self, poison: PoisonWatch) -> Self {
+        Jobs { poison, ..self }
+    }
+
     /// Jobs without an end, bodies on their way included.
     pub fn in_flight(&self) -> usize {
         self.jobs.len() + self.offers.len()
@@ -267,6 +283,7 @@
             link_percent: self.link_percent,
             transfer_wait_ms: self.offers.wait_ms() as u32,
             transfer_bytes_per_ms: self.offers.bytes_per_ms() as u32,
+            upstream_ended: false,
         }
     }
 
@@ -312,7 +329,10 @@
     ) -> Vec<JobAction> {
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
         let Way { waited_ms, offered_ms } = way;
-        if let Some(reason) = self.mismatch(hop, now).or(way.too_late(hop)) {
+        let standing = self.poison.standing(&self.service, &request, now);
+        let suspect = hop.suspect || standing == Standing::Suspect;
+        let barred = self.mismatch(hop, now).or(way.too_late(hop));
+        if let Some(reason) = barred.or_else(|| self.keeps_away(standing, suspect)) {
             let id = &attempt_id;
             let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms: waited_ms };
             return vec![self.refuse(source, refusal, now)];
@@ -331,8 +351,16 @@
             return vec![self.refuse(source, refusal, now)];
         }
         let class = CallClass { rank, target_ms: target_ms as u32 };
-        let entry =
-            Job { source, request, attempt_id, class, deadline, arrived: now, started: None };
+        let entry = Job {
+            source,
+            request,
+            attempt_id,
+            class,
+            suspect,
+            deadline,
+            arrived: now,
+            started: None,
+        };
         self.jobs.insert(job, entry);
         self.by_source.insert(source, job);
         match decision {
@@ -351,6 +379,16 @@
         actions
     }
 
+    /// Why a request is kept from the upstream for what it may do to it. Of suspects, one runs at a
+    /// time: should it end the upstream, it is known which did, and the others are not run in vain.
+    fn keeps_away(&self, standing: Standing, suspect: bool) -> Option<&'static str> {
+        if matches!(standing, Standing::Quarantined { .. }) {
+            return Some("quarantined");
+        }
+        let another = suspect && self.jobs.values().any(|job| job.suspect);
+        another.then_some("another_suspect_runs")
+    }
+
     fn mismatch(&self, hop: &HopRequest, now: Millis) -> Option<&'static str> {
         if self.closed {
             return Some("stopping");
@@ -396,16 +434,8 @@
         Some(JobAction::Run { job: id, request })
     }
 
-    /// Names a request for its repeats, here and on other nodes.
     fn fingerprint(&self, request: &Request) -> Fingerprint {
-        let identity = RequestIdentity {
-            service: &self.service,
-            method: &request.method,
-            target: &request.target,
-            host: request.headers.text("host").unwrap_or_default(),
-            body: &request.body,
-        };
-        identity.fingerprint()
+        poison::fingerprint(&self.service, request)
     }
 
     fn remove(&mut self, id: JobId) -> Option<Job> {
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -13,7 +13,7 @@
 use bundle::BundleUpdate;
 use bytes::Buf;
 use mesh::{
-    decode_frame, encode_frame, Greeting, NodeAddress, NodeLoad, NodeRecord, Purpose,
+    decode_frame, encode_frame, Greeting, NodeAddress, NodeLoad, NodeRecord, PoisonNotice, Purpose,
     ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy, PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -61,6 +61,8 @@
     Node(NodeRecord),
     /// How busy upstreams are, as their sidecars told a moment ago.
     Loads(Vec<NodeLoad>),
+    /// What others know of requests that may crash upstreams.
+    Poison(Vec<PoisonNotice>),
     /// Nodes may have gone; see [`Links::is_listed`].
     Gone,
     /// Which versions of upstreams may be given calls, newer than what was told before.
@@ -317,6 +319,7 @@
                 }
             }
             ToSidecar::Loads { loads } => events.push(LinkEvent::Loads(loads)),
+            ToSidecar::Poison { notices } => events.push(LinkEvent::Poison(notices)),
             ToSidecar::Pong { asked_at, generation } => {
                 events.push(LinkEvent::Newest { asked_at, generation });
             }
--- a/crates/sidecar/src/links/telling.rs
+++ b/crates/sidecar/src/links/telling.rs
@@ -3,7 +3,7 @@
 use super::{send, Links};
 use crate::net::Net;
 use crate::Millis;
-use mesh::{NodeRecord, ToCoordinator, UpstreamLoad, VersionEvidence};
+use mesh::{NodeRecord, PoisonNotice, ToCoordinator, UpstreamLoad, VersionEvidence};
 
 /// Time between two tellings of this upstream's load, milliseconds: about as long as a call with a
 /// short target, so that a slot taken or given back is told while that still helps.
@@ -48,6 +48,18 @@
         }
     }
 
+    /// Tells every coordinator what is known of requests that may crash upstreams: each passes it on
+    /// at once to those that subscribed to it.
+    pub fn tell_poison(&mut self, net: &mut Net, notices: Vec<PoisonNotice>) {
+        if notices.is_empty() {
+            return;
+        }
+        let message = ToCoordinator::Poison { notices };
+        for link in self.links.values().filter(|link| link.open) {
+            send(net, link, &message);
+        }
+    }
+
     /// How many coordinators know a report, and how many are linked.
     pub fn taken_by(&self, sequence: u64) -> (usize, usize) {
         let open = self.links.values().filter(|link| link.welcomed);
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -28,6 +28,10 @@
     pub confirmed_ms: Option<u64>,
     /// Upstreams that may be given calls, and the others known.
     pub upstreams: (usize, usize),
+    /// Requests that are kept from upstreams.
+    pub quarantined: usize,
+    /// Requests that ran when an upstream ended, and that nothing clears.
+    pub suspects: usize,
 }
 
 /// Reads one figure.
@@ -45,7 +49,7 @@
 impl Metrics {
     /// Registers all figures.
     pub fn new(registry: Registry) -> Self {
-        let figures: [Figure; 18] = [
+        let figures: [Figure; 20] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -68,6 +72,8 @@
             ),
             ("upstreams_live", "Upstreams that may be given calls", |s| s.upstreams.0 as i64),
             ("upstreams_leaving", "Other upstreams known", |s| s.upstreams.1 as i64),
+            ("requests_quarantined", "Requests kept from upstreams", |s| s.quarantined as i64),
+            ("requests_suspected", "Requests that may crash upstreams", |s| s.suspects as i64),
         ];
         let gauges = figures
             .into_iter()
--- /dev/null
+++ b/crates/sidecar/src/poison.rs
@@ -0,0 +1,138 @@
+//! What this sidecar knows of requests that may crash upstreams; its two sides share it.
+//!
+//! The outbound side refuses calls in quarantine where they come in, and marks suspects. The inbound
+//! side, which alone sees an upstream end and knows what ran there, tells the others.
+
+use crate::Millis;
+use http1::Request;
+use mesh::{CrashReport, Fingerprint, PoisonNews, PoisonNotice};
+use quarantine::{Quarantine, RecentRuns, RequestIdentity, Standing, Verdict};
+use std::cell::RefCell;
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// Names a request for its repeats, here and on other nodes.
+pub(crate) fn fingerprint(service: &str, request: &Request) -> Fingerprint {
+    let identity = RequestIdentity {
+        service,
+        method: &request.method,
+        target: &request.target,
+        host: request.headers.text("host").unwrap_or_default(),
+        body: &request.body,
+    };
+    identity.fingerprint()
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    quarantine: Quarantine,
+    recent: RecentRuns,
+    /// What coordinators are to be told.
+    untold: Vec<PoisonNews>,
+}
+
+/// A handle to it.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonWatch(Rc<RefCell<Known>>);
+
+impl PoisonWatch {
+    /// How a request stands; it is looked at only while anything is known against any.
+    pub fn standing(&self, service: &str, request: &Request, now: Millis) -> Standing {
+        let known = self.0.borrow();
+        match known.quarantine.is_empty() {
+            true => Standing::Clear,
+            false => known.quarantine.standing(fingerprint(service, request), now),
+        }
+    }
+
+    /// Takes in that the upstream beside this sidecar ended, with what it worked on.
+    pub fn upstream_ended(&self, instance: &str, running: &[Fingerprint], now: Millis) {
+        let mut known = self.0.borrow_mut();
+        let trusted = |fingerprint: &Fingerprint| known.recent.speak_for(*fingerprint, now);
+        let suspects = running.iter().copied().filter(|fingerprint| !trusted(fingerprint));
+        let report = CrashReport { instance: instance.to_owned(), running: suspects.collect() };
+        warn!(%instance, running = running.len(), suspects = report.running.len(), "upstream_ended");
+        if report.running.is_empty() {
+            return;
+        }
+        let verdict = known.quarantine.note_crash(&report, now);
+        log_verdict(&verdict, instance);
+        known.untold.push(PoisonNews::Crash(report));
+    }
+
+    /// Takes in that the upstream ran a request and did not end.
+    pub fn ran_well(&self, fingerprint: Fingerprint, now: Millis) {
+        let mut known = self.0.borrow_mut();
+        known.recent.note(fingerprint, now);
+        if known.quarantine.clear(fingerprint) {
+            info!(%fingerprint, "suspect_cleared");
+            known.untold.push(PoisonNews::Cleared(fingerprint));
+        }
+    }
+
+    /// Takes in what a coordinator passed on.
+    pub fn learn(&self, notices: Vec<PoisonNotice>, now: Millis) {
+        let mut known = self.0.borrow_mut();
+        for PoisonNotice { age_ms, news } in notices {
+            let at = now.saturating_sub(age_ms);
+            match news {
+                PoisonNews::Crash(report) => {
+                    log_verdict(&known.quarantine.note_crash(&report, at), &report.instance);
+                    known.speak_for(&report.running, now);
+                }
+                PoisonNews::Cleared(fingerprint) => {
+                    known.quarantine.clear(fingerprint);
+                }
+                PoisonNews::Quarantined(entry) => {
+                    known.quarantine.note_quarantined(entry, at);
+                }
+            }
+        }
+    }
+
+    /// What coordinators are to be told now.
+    pub fn take_untold(&self) -> Vec<PoisonNotice> {
+        let news = std::mem::take(&mut self.0.borrow_mut().untold);
+        news.into_iter().map(|news| PoisonNotice { age_ms: 0, news }).collect()
+    }
+
+    /// What a coordinator is told that may have forgotten all.
+    pub fn all_known(&self, now: Millis) -> Vec<PoisonNotice> {
+        let entries = self.0.borrow().quarantine.entries(now).into_iter();
+        let notice = |entry| PoisonNotice { age_ms: 0, news: PoisonNews::Quarantined(entry) };
+        entries.map(notice).collect()
+    }
+
+    /// Requests that are kept from upstreams, and suspects.
+    pub fn counts(&self, now: Millis) -> (usize, usize) {
+        let known = self.0.borrow();
+        (known.quarantine.entries(now).len(), known.quarantine.suspects(now))
+    }
+}
+
+impl Known {
+    /// Clears those that ran well at this node's upstream a moment ago.
+    fn speak_for(&mut self, running: &[Fingerprint], now: Millis) {
+        for fingerprint in running {
+            if self.recent.speak_for(*fingerprint, now) && self.quarantine.clear(*fingerprint) {
+                info!(%fingerprint, "suspect_cleared");
+                self.untold.push(PoisonNews::Cleared(*fingerprint));
+            }
+        }
+    }
+}
+
+fn log_verdict(verdict: &Verdict, instance: &str) {
+    match verdict {
+        Verdict::Known => {}
+        Verdict::Suspects(count) => info!(%instance, count, "requests_suspected"),
+        Verdict::Explained(fingerprint) => info!(%instance, %fingerprint, "crash_explained"),
+        Verdict::Quarantined(entries) => {
+            for entry in entries {
+                let (fingerprint, crashes, for_ms) =
+                    (entry.fingerprint, entry.crashes, entry.left_ms);
+                warn!(%instance, %fingerprint, crashes, for_ms, "request_quarantined");
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -39,9 +39,21 @@
 
 #[derive(Debug)]
 enum State {
-    Opening { asked: Asked, since: Millis },
-    Busy { exchange: Exchange, unsent: Option<Unsent> },
-    Idle { since: Millis },
+    Opening {
+        asked: Asked,
+        since: Millis,
+    },
+    /// Nothing is asked; it is tried whether a connection is taken.
+    Probing {
+        since: Millis,
+    },
+    Busy {
+        exchange: Exchange,
+        unsent: Option<Unsent>,
+    },
+    Idle {
+        since: Millis,
+    },
 }
 
 /// A body that is offered and not sent whole.
@@ -65,6 +77,8 @@
     connections: BTreeMap<ConnectionId, Held<K>>,
     by_key: BTreeMap<K, ConnectionId>,
     idle: BTreeMap<SocketAddr, Vec<ConnectionId>>,
+    /// Whether the connection that was tried last was taken.
+    probed: Option<bool>,
 }
 
 impl<K: Copy + Ord> Pool<K> {
@@ -75,9 +89,27 @@
             connections: BTreeMap::new(),
             by_key: BTreeMap::new(),
             idle: BTreeMap::new(),
+            probed: None,
         }
     }
 
+    /// Tries whether a connection is taken; [`Pool::take_probed`] tells. One that is taken is kept
+    /// for the next request.
+    pub fn probe(&mut self, net: &mut Net, address: SocketAddr, now: Millis) {
+        match net.connect(address) {
+            Ok(id) => {
+                let state = State::Probing { since: now };
+                self.connections.insert(id, Held { address, key: None, state });
+            }
+            Err(_) => self.probed = Some(false),
+        }
+    }
+
+    /// What the last probe showed, once.
+    pub fn take_probed(&mut self) -> Option<bool> {
+        self.probed.take()
+    }
+
     /// Asks a request; the end comes with a later event, or at once if it cannot be sent.
     pub fn ask(
         &mut self,
@@ -144,11 +176,12 @@
     ) -> Option<(K, PoolEnd)> {
         match event {
             NetEvent::Opened(id) => {
-                self.opened(net, *id);
+                self.opened(net, *id, now);
                 None
             }
             NetEvent::NotOpened(id) => {
                 let held = self.connections.remove(id)?;
+                self.note_probe_failed(&held.state);
                 let key = held.key?;
                 self.by_key.remove(&key);
                 Some((key, PoolEnd::NotSent))
@@ -159,13 +192,23 @@
         }
     }
 
-    fn opened(&mut self, net: &mut Net, id: ConnectionId) {
+    fn opened(&mut self, net: &mut Net, id: ConnectionId, now: Millis) {
         let Some(held) = self.connections.get_mut(&id) else {
             return;
         };
-        let former = std::mem::replace(&mut held.state, State::Idle { since: 0 });
-        if let State::Opening { asked, .. } = former {
-            held.state = send(net, id, asked);
+        match std::mem::replace(&mut held.state, State::Idle { since: now }) {
+            State::Opening { asked, .. } => held.state = send(net, id, asked),
+            State::Probing { .. } => {
+                self.probed = Some(true);
+                self.idle.entry(held.address).or_default().push(id);
+            }
+            other => held.state = other,
+        }
+    }
+
+    fn note_probe_failed(&mut self, state: &State) {
+        if matches!(state, State::Probing { .. }) {
+            self.probed = Some(false);
         }
     }
 
@@ -212,6 +255,11 @@
                 self.drop_connection(net, id);
                 None
             }
+            State::Probing { .. } => {
+                self.probed = Some(false);
+                self.drop_connection(net, id);
+                None
+            }
             State::Opening { .. } => {
                 let key = held.key.take()?;
                 self.by_key.remove(&key);
@@ -257,7 +305,7 @@
     pub fn tick(&mut self, net: &mut Net, now: Millis) -> Vec<(K, PoolEnd)> {
         let late = |held: &Held<K>| match held.state {
             State::Idle { since } => since + self.idle_limit_ms <= now,
-            State::Opening { since, .. } => since + OPEN_LIMIT_MS <= now,
+            State::Opening { since, .. } | State::Probing { since } => since + OPEN_LIMIT_MS <= now,
             State::Busy { .. } => false,
         };
         let found = self.connections.iter().filter(|(_, held)| late(held));
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -38,6 +38,7 @@
             if let Some((job, end)) = self.upstream.on_event(&mut self.net, &event, now) {
                 self.upstream_ended(job, end, now);
             }
+            self.note_probed(now);
         } else if self.links.holds(id) {
             let news = self.links.on_event(&mut self.net, &event, now);
             for news in news {
@@ -235,6 +236,11 @@
                 }
             }
             JobAction::Abort(job) => self.upstream.abort(&mut self.net, job),
+            JobAction::Probe => {
+                let address = SocketAddr::from(self.settings.upstream);
+                self.upstream.probe(&mut self.net, address, now);
+                self.note_probed(now);
+            }
             JobAction::Grant { source: Source::Peer { connection, slot }, bytes } => {
                 self.servers.allow(&mut self.net, connection, slot, bytes);
             }
@@ -267,6 +273,13 @@
         self.work.extend(actions.into_iter().map(Work::Call));
     }
 
+    fn note_probed(&mut self, now: Millis) {
+        if let Some(alive) = self.upstream.take_probed() {
+            let actions = self.jobs.probed(alive, now);
+            self.work.extend(actions.into_iter().map(Work::Job));
+        }
+    }
+
     pub(super) fn upstream_ended(&mut self, job: JobId, end: PoolEnd, now: Millis) {
         let end = match end {
             PoolEnd::NotSent => UpstreamEnd::NotSent,
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -13,6 +13,7 @@
 use crate::links::{LinkEvent, Links};
 use crate::metrics::{Metrics, Snapshot};
 use crate::net::{ConnectionId, Net};
+use crate::poison::PoisonWatch;
 use crate::pool::Pool;
 use crate::registrar::Registrar;
 use crate::sample::LogSample;
@@ -96,6 +97,7 @@
     config: Config,
     calls: Calls,
     jobs: Jobs,
+    poison: PoisonWatch,
     work: VecDeque<Work>,
     metrics: Metrics,
     stop: StopPlan,
@@ -176,6 +178,8 @@
             CallMetrics::new(&registry),
             seed,
         );
+        let poison = PoisonWatch::default();
+        let calls = calls.with_poison_watch(poison.clone());
         let job_metrics = JobMetrics::new(&registry);
         let jobs = Jobs::new(
             names,
@@ -185,6 +189,7 @@
             sample,
             job_metrics,
         );
+        let jobs = jobs.with_poison_watch(poison.clone());
         info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
         warn!("connections between processes are plain: settings say plain_transport");
         Ok(Sidecar {
@@ -207,6 +212,7 @@
             config: Config::default(),
             calls,
             jobs,
+            poison,
             work: VecDeque::new(),
             metrics: Metrics::new(registry),
             last_request: 0,
@@ -237,6 +243,7 @@
         self.work.extend(ended.into_iter().map(Work::Job));
         self.do_work();
         self.acknowledge();
+        self.links.tell_poison(&mut self.net, self.poison.take_untold());
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_MS;
             self.keep_house(now);
@@ -281,6 +288,7 @@
             return Response::empty(404);
         }
         let (running, queued) = self.jobs.load();
+        let (quarantined, suspects) = self.poison.counts(self.now());
         let snapshot = Snapshot {
             calls: self.calls.counts,
             in_flight: self.calls.in_flight(),
@@ -293,6 +301,8 @@
             failing_percent: self.jobs.failing_percent(self.now()),
             confirmed_ms: self.config.currency.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
+            quarantined,
+            suspects,
         };
         Response::text(200, &self.metrics.encode(&snapshot))
     }
@@ -301,6 +311,7 @@
         match news {
             LinkEvent::Welcome(last) => {
                 self.restore(last, now);
+                self.links.tell_poison(&mut self.net, self.poison.all_known(now));
                 self.take_waiting_registrations(now);
             }
             LinkEvent::Config { generation, confirmed: false, update } => {
@@ -322,6 +333,7 @@
                     self.calls.view.note_load(&address, load, now);
                 }
             }
+            LinkEvent::Poison(notices) => self.poison.learn(notices, now),
             LinkEvent::Versions(policies) => {
                 let own = policies.iter().find(|policy| policy.service == self.settings.service);
                 self.jobs.set_policy(own.cloned());
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -215,6 +215,7 @@
         link_percent: 0,
         transfer_wait_ms: 0,
         transfer_bytes_per_ms: 0,
+        upstream_ended: false,
     }
 }
 
--- /dev/null
+++ b/crates/sidecar/tests/crash.rs
@@ -0,0 +1,281 @@
+//! How a sidecar tells the end of its upstream from a lost answer, and what it does with requests
+//! that may have caused it.
+
+mod common;
+
+use common::{hop as hop_of, replied, retry_after_ms, sent, status, World, NAMES, SERVICE};
+use http1::{Answer, ExchangeError, Headers, Request, Response};
+use mesh::{
+    CrashReport, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceRecord, InstanceState,
+    PoisonNews, PoisonNotice,
+};
+use sidecar::{
+    AttemptEnd, ConnectionId, JobAction, JobMetrics, Jobs, LogSample, PoisonWatch, Source,
+    UpstreamEnd,
+};
+use std::rc::Rc;
+use telemetry::Registry;
+
+const SLOTS: u32 = 4;
+
+struct Node {
+    jobs: Jobs,
+    watch: PoisonWatch,
+}
+
+fn node(id: &str) -> Node {
+    let watch = PoisonWatch::default();
+    let metrics = JobMetrics::new(&Registry::default());
+    let jobs = Jobs::new(NAMES, SERVICE, 2_000, None, LogSample::new(1), metrics);
+    let mut node = Node { jobs: jobs.with_poison_watch(watch.clone()), watch };
+    node.starts(id, 1);
+    node
+}
+
+impl Node {
+    fn starts(&mut self, id: &str, sequence: u64) {
+        let record = InstanceRecord {
+            id: id.to_owned(),
+            state: InstanceState::Ready,
+            slots: SLOTS,
+            cold_remaining_ms: 0,
+            version: String::new(),
+        };
+        self.jobs.gate.told(&record, sequence, 0);
+        self.jobs.refresh_limit();
+    }
+
+    fn begin(&mut self, slot: u64, path: &str, suspect: bool, now: u64) -> Vec<JobAction> {
+        let mut headers = Headers::default();
+        headers.push(NAMES.attempt_id, format!("id-{slot}"));
+        let target = path.to_owned();
+        let request = Request { method: "GET".to_owned(), target, headers, body: Vec::new() };
+        let hop = HopRequest {
+            deadline_ms: 1_000,
+            patience_ms: 500,
+            rank: 1,
+            target_ms: 600,
+            repeatable: true,
+            service: SERVICE.to_owned(),
+            instance: None,
+            departure: None,
+            suspect,
+        };
+        let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
+        self.jobs.begin(source, Rc::new(request), &hop, now)
+    }
+
+    /// Begins a call that must run.
+    fn run(&mut self, slot: u64, path: &str, now: u64) -> u64 {
+        let actions = self.begin(slot, path, false, now);
+        let [JobAction::Run { job, .. }] = actions[..] else { panic!("{actions:?}") };
+        job
+    }
+
+    fn answer(&mut self, job: u64, now: u64) {
+        let response = Response::empty(200).with_header(NAMES.seal, "s");
+        let end = UpstreamEnd::Answered(Answer { response, reusable: true });
+        self.jobs.ended(job, end, now);
+    }
+
+    fn lose(&mut self, job: u64, now: u64) -> Vec<JobAction> {
+        self.jobs.ended(job, UpstreamEnd::Failed(ExchangeError::NoAnswer), now)
+    }
+
+    /// All runs end without an answer, and no connection is taken.
+    fn crash(&mut self, jobs: &[u64], now: u64) -> Vec<HopReply> {
+        for job in jobs {
+            self.lose(*job, now);
+        }
+        replies(&self.jobs.probed(false, now))
+    }
+}
+
+fn replies(actions: &[JobAction]) -> Vec<HopReply> {
+    let reply = |action: &JobAction| match action {
+        JobAction::Reply { reply, .. } => Some(*reply),
+        _ => None,
+    };
+    actions.iter().filter_map(reply).collect()
+}
+
+fn crashes(notices: Vec<PoisonNotice>) -> Vec<CrashReport> {
+    let report = |notice: PoisonNotice| match notice.news {
+        PoisonNews::Crash(report) => Some(report),
+        _ => None,
+    };
+    notices.into_iter().filter_map(report).collect()
+}
+
+#[test]
+fn one_lost_answer_is_no_crash() {
+    let mut node = node("i-1");
+    let (first, _second) = (node.run(1, "/a", 0), node.run(2, "/b", 0));
+    let actions = node.lose(first, 50);
+    assert!(matches!(actions[..], [JobAction::Probe]), "nobody is told yet");
+    let told = replies(&node.jobs.probed(true, 52));
+    assert_eq!(told.len(), 1);
+    assert!(told[0].outcome == HopOutcome::Unknown && !told[0].upstream_ended);
+    assert!(node.watch.take_untold().is_empty());
+    assert_eq!(node.watch.counts(60), (0, 0));
+}
+
+#[test]
+fn a_connection_that_is_neither_taken_nor_refused_tells_nothing() {
+    let mut node = node("i-1");
+    let job = node.run(1, "/a", 0);
+    node.lose(job, 50);
+    assert_eq!(node.jobs.next_tick(60), Some(150));
+    assert!(node.jobs.tick(149).is_empty());
+    let told = replies(&node.jobs.tick(150));
+    assert!(told.len() == 1 && !told[0].upstream_ended);
+    assert!(node.watch.take_untold().is_empty());
+}
+
+#[test]
+fn the_end_of_an_upstream_is_told_once_with_all_that_ran() {
+    let mut node = node("i-1");
+    let jobs = [node.run(1, "/a", 0), node.run(2, "/b", 0), node.run(3, "/c", 0)];
+    node.lose(jobs[0], 50);
+    assert!(node.lose(jobs[1], 50).is_empty(), "one connection is tried for all");
+    let told = replies(&node.jobs.probed(false, 52));
+    assert!(told.len() == 2 && told.iter().all(|reply| reply.upstream_ended));
+    let last = replies(&node.lose(jobs[2], 53));
+    assert!(last.len() == 1 && last[0].upstream_ended, "it is known by now");
+    let reports = crashes(node.watch.take_untold());
+    assert_eq!(reports.len(), 1);
+    assert_eq!((reports[0].instance.as_str(), reports[0].running.len()), ("i-1", 3));
+    // The next incarnation is another one.
+    node.starts("i-2", 2);
+    let job = node.run(4, "/d", 100);
+    assert!(matches!(node.lose(job, 120)[..], [JobAction::Probe]));
+}
+
+#[test]
+fn requests_that_ran_well_a_moment_before_are_not_suspected() {
+    let mut node = node("i-1");
+    let popular = node.run(1, "/popular", 0);
+    node.answer(popular, 40);
+    let jobs = [node.run(2, "/popular", 50), node.run(3, "/rare", 50)];
+    node.crash(&jobs, 90);
+    assert_eq!(crashes(node.watch.take_untold())[0].running.len(), 1);
+    node.starts("i-2", 2);
+    let again = node.run(4, "/popular", 100);
+    node.crash(&[again], 120);
+    assert!(node.watch.take_untold().is_empty(), "there is nobody to suspect");
+}
+
+#[test]
+fn suspects_run_one_at_a_time_beside_others() {
+    let mut node = node("i-1");
+    let jobs = [node.run(1, "/a", 0), node.run(2, "/b", 0)];
+    node.crash(&jobs, 50);
+    node.starts("i-2", 2);
+    let first = node.run(3, "/a", 100);
+    let refused = replies(&node.begin(4, "/b", false, 110));
+    assert_eq!(refused[0].outcome, HopOutcome::Refused);
+    // Known to its sender only: another upstream ended under it.
+    assert_eq!(replies(&node.begin(5, "/x", true, 110))[0].outcome, HopOutcome::Refused);
+    node.run(6, "/c", 110);
+    node.answer(first, 150);
+    node.run(7, "/b", 160);
+    node.run(8, "/a", 160);
+}
+
+#[test]
+fn a_request_that_two_upstreams_ended_under_is_kept_away_and_others_are_not() {
+    let mut node = node("i-1");
+    let jobs = [node.run(1, "/a", 0), node.run(2, "/poison", 0)];
+    node.crash(&jobs, 50);
+    node.starts("i-2", 2);
+    let jobs = [node.run(3, "/poison", 100), node.run(4, "/b", 100)];
+    node.crash(&jobs, 150);
+    node.starts("i-3", 3);
+    assert_eq!(node.watch.counts(160), (1, 0));
+    assert_eq!(replies(&node.begin(5, "/poison", false, 200))[0].outcome, HopOutcome::Refused);
+    for (slot, path) in [(6, "/a"), (7, "/b"), (8, "/c")] {
+        node.run(slot, path, 200);
+    }
+}
+
+#[test]
+fn what_ran_past_its_deadline_is_no_crash() {
+    let mut node = node("i-1");
+    node.run(1, "/a", 0);
+    let told = replies(&node.jobs.tick(1_200));
+    assert!(told.len() == 1 && !told[0].upstream_ended);
+    assert!(node.watch.take_untold().is_empty());
+}
+
+fn learned(reports: &[(&str, &str)]) -> PoisonWatch {
+    let watch = PoisonWatch::default();
+    let notices = reports.iter().map(|(instance, path)| {
+        let identity = quarantine::RequestIdentity {
+            service: SERVICE,
+            method: "GET",
+            target: path,
+            host: common::HOST,
+            body: b"",
+        };
+        let running = vec![identity.fingerprint()];
+        let report = CrashReport { instance: (*instance).to_owned(), running };
+        PoisonNotice { age_ms: 0, news: PoisonNews::Crash(report) }
+    });
+    watch.learn(notices.collect(), 10_000);
+    watch
+}
+
+fn world(reports: &[(&str, &str)]) -> World {
+    let mut world = World::with_upstreams(3);
+    world.calls = world.calls.with_poison_watch(learned(reports));
+    world
+}
+
+#[test]
+fn a_call_in_quarantine_is_refused_where_it_comes_in_and_told_a_time_beyond_it() {
+    let mut world = world(&[("i-1", "/safe/poison"), ("i-2", "/safe/poison")]);
+    let actions = world.begin("GET", "/safe/poison");
+    assert_eq!((status(&actions), sent(&actions)), (Some(503), None));
+    assert!(retry_after_ms(&actions).is_some_and(|after| after > 50_000));
+    for (method, path) in [("GET", "/safe/other"), ("POST", "/safe/poison")] {
+        assert!(sent(&world.begin(method, path)).is_some(), "{method} {path}");
+    }
+}
+
+#[test]
+fn a_suspect_is_sent_as_one_and_so_is_a_call_whose_upstream_ended() {
+    let mut world = world(&[("i-1", "/safe/maybe")]);
+    assert!(hop_of(&world.begin("GET", "/safe/maybe")).is_some_and(|hop| hop.suspect));
+    let actions = world.begin("GET", "/safe/x");
+    assert!(hop_of(&actions).is_some_and(|hop| !hop.suspect));
+    let (attempt, _) = sent(&actions).expect("it is sent");
+    let AttemptEnd::Replied(reply, response) = replied(HopOutcome::Unknown, 502) else {
+        panic!("it is a reply")
+    };
+    let ended = AttemptEnd::Replied(HopReply { upstream_ended: true, ..reply }, response);
+    let again = world.calls.ended(attempt, ended, world.now + 50);
+    assert!(hop_of(&again).is_some_and(|hop| hop.suspect));
+}
+
+#[test]
+fn a_node_whose_upstream_ran_a_suspect_well_speaks_for_it() {
+    let mut node = node("i-1");
+    let job = node.run(1, "/popular", 0);
+    node.answer(job, 40);
+    let fingerprint = {
+        let identity = quarantine::RequestIdentity {
+            service: SERVICE,
+            method: "GET",
+            target: "/popular",
+            host: "",
+            body: b"",
+        };
+        identity.fingerprint()
+    };
+    let running = vec![fingerprint, Fingerprint(5)];
+    let report = CrashReport { instance: "elsewhere".to_owned(), running };
+    node.watch.learn(vec![PoisonNotice { age_ms: 0, news: PoisonNews::Crash(report) }], 100);
+    let told: Vec<PoisonNews> =
+        node.watch.take_untold().into_iter().map(|notice| notice.news).collect();
+    assert_eq!(told, [PoisonNews::Cleared(fingerprint)]);
+}
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -162,6 +162,7 @@
         service: service.to_owned(),
         instance: None,
         departure: None,
+        suspect: false,
     };
     let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
     jobs.begin(source, Rc::new(request), &hop, 10)
@@ -170,7 +171,10 @@
 fn end_first(jobs: &mut Jobs, end: UpstreamEnd) {
     let actions = begin(jobs, 1, SERVICE);
     let JobAction::Run { job, .. } = &actions[0] else { panic!("it runs") };
-    jobs.ended(*job, end, 70);
+    let ended = jobs.ended(*job, end, 70);
+    if matches!(ended[..], [JobAction::Probe]) {
+        jobs.probed(true, 70);
+    }
 }
 
 fn answered(response: Response) -> UpstreamEnd {
@@ -214,7 +218,19 @@
         job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
         job_cancelled id=id-1 started=true"#]]
     .assert_eq(&left);
-    for text in [served, unsealed, broken, refused, left] {
+    let crashed = inbound(|jobs| {
+        let actions = begin(jobs, 1, SERVICE);
+        let JobAction::Run { job, .. } = &actions[0] else { panic!("it runs") };
+        jobs.ended(*job, UpstreamEnd::Failed(ExchangeError::NoAnswer), 70);
+        jobs.probed(false, 72);
+    });
+    expect![[r#"
+        job_started id=id-1 instance=Some("i-1") waited_ms=0 left_ms=1000 running=1 limit=1
+        upstream_ended instance=i-1 running=1 suspects=1
+        requests_suspected instance=i-1 count=1
+        upstream_failed id=id-1 fingerprint=d9541b5bf63471cb error=the connection ended without an answer instance=Some("i-1")
+        job_ended id=id-1 outcome=Unknown status=502 spent_ms=62 running=0 queued=0"#]].assert_eq(&crashed);
+    for text in [served, unsealed, broken, refused, left, crashed] {
         assert!(!text.contains(SECRET), "{text}");
     }
 }
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -51,6 +51,7 @@
         service: service.to_owned(),
         instance: instance.map(str::to_owned),
         departure: None,
+        suspect: false,
     }
 }
 
@@ -143,7 +144,12 @@
         let mut jobs = jobs();
         let actions = begin(&mut jobs, 1, 0);
         let (job, _) = started(&actions).expect("it runs");
-        assert_eq!(outcomes(&jobs.ended(job, end, 50)), [expected], "{name}");
+        let mut ended = jobs.ended(job, end, 50);
+        if matches!(ended[..], [JobAction::Probe]) {
+            assert_eq!(jobs.load(), (1, 0), "{name}: the slot is kept until it is known");
+            ended = jobs.probed(true, 52);
+        }
+        assert_eq!(outcomes(&ended), [expected], "{name}");
         assert_eq!(jobs.load(), (0, 0), "{name}: the slot is free again");
     }
 }
@@ -195,7 +201,7 @@
                 match action {
                     JobAction::Run { job, .. } => running.push(*job),
                     JobAction::Abort(job) => running.retain(|held| held != job),
-                    JobAction::Reply { .. } | JobAction::Grant { .. } => {}
+                    JobAction::Reply { .. } | JobAction::Grant { .. } | JobAction::Probe => {}
                 }
             }
             assert!(running.len() as u32 <= SLOTS, "seed {seed}");
--- a/crates/sidecar/tests/transit.rs
+++ b/crates/sidecar/tests/transit.rs
@@ -96,6 +96,7 @@
         service: SERVICE.to_owned(),
         instance: None,
         departure: Some(departure(CLOCK, AHEAD_MS + sent)),
+        suspect: false,
     }
 }
 
@@ -114,6 +115,7 @@
         }
         JobAction::Reply { reply, .. } => format!("{:?}", reply.outcome),
         JobAction::Abort(_) => "aborts".to_owned(),
+        JobAction::Probe => "probes".to_owned(),
         JobAction::Grant { bytes, .. } => format!("grants {bytes}"),
     };
     let words: Vec<String> = actions.iter().map(word).collect();
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -47,6 +47,7 @@
         service: SERVICE.to_owned(),
         instance: None,
         departure: None,
+        suspect: false,
     };
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
@@ -59,7 +60,10 @@
 fn run(jobs: &mut Jobs, target_ms: u64, end: UpstreamEnd, at: u64, for_ms: u64) {
     let actions = begin(jobs, at, target_ms, at);
     let [JobAction::Run { job, .. }] = &actions[..] else { panic!("{actions:?}") };
-    jobs.ended(*job, end, at + for_ms);
+    let ended = jobs.ended(*job, end, at + for_ms);
+    if matches!(ended[..], [JobAction::Probe]) {
+        jobs.probed(true, at + for_ms);
+    }
 }
 
 fn answered(status: u16) -> UpstreamEnd {
