--- a/crates/chutecove/src/operator.rs
+++ b/crates/chutecove/src/operator.rs
@@ -10,7 +10,8 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use telemetry::BootInstant;
 use verdict::Verdict;
 
 /// A replica that is silent for this long may be frozen or cut off, so another is asked; the request
@@ -123,7 +124,7 @@
     }
 
     fn call<T: DeserializeOwned>(&self, call: &Call<'_>) -> Result<T, Failure> {
-        let deadline = Instant::now() + TOTAL_LIMIT;
+        let deadline = BootInstant::now() + TOTAL_LIMIT;
         let mut next = 0;
         let mut hint: Option<SocketAddr> = None;
         let mut worst = Verdict::NotRun;
@@ -148,7 +149,7 @@
                     message
                 }
             };
-            if Instant::now() >= deadline {
+            if BootInstant::now() >= deadline {
                 return Err(gave_up(worst, call.request_id, &message));
             }
             if hint.is_none() {
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -23,6 +23,15 @@
         }
     }
 
+    /// Forgets who leads, itself included: the machine slept for longer than an election takes, and
+    /// no tick passed meanwhile. Others may have elected a leader and taken entries, which a member
+    /// that answered by what it knew before would deny. It keeps its term and vote.
+    pub fn note_sleep(&mut self) {
+        if !self.weak(Weakness::TrustsAfterSleep) {
+            self.become_follower(self.term, None);
+        }
+    }
+
     fn tick_leader(&mut self) {
         self.ticks_since_heartbeat += 1;
         self.ticks_since_quorum_check += 1;
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -21,6 +21,8 @@
     DoubleVote,
     /// A leader never notices that it lost its quorum.
     NoQuorumCheck,
+    /// A member whose machine slept takes for true what it knew before.
+    TrustsAfterSleep,
 }
 
 /// Fixed parameters of one member.
--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -2,7 +2,7 @@
 
 use consensus::{
     Body, Config, Entry, HardState, Membership, MembershipError, Message, NodeId, Payload,
-    ProposeError, Raft, Snapshot, SnapshotMeta,
+    ProposeError, Raft, Snapshot, SnapshotMeta, Weakness,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,8 +21,12 @@
 }
 
 fn empty_member(id: NodeId, membership: &Membership) -> Raft {
+    weak_member(id, membership, None)
+}
+
+fn weak_member(id: NodeId, membership: &Membership, weakness: Option<Weakness>) -> Raft {
     let config =
-        Config { id, election_ticks: ELECTION_TICKS, heartbeat_ticks: 2, seed: 1, weakness: None };
+        Config { id, election_ticks: ELECTION_TICKS, heartbeat_ticks: 2, seed: 1, weakness };
     let meta = SnapshotMeta { index: 0, term: 0, membership: membership.clone() };
     Raft::new(config, HardState::default(), Snapshot { meta, data: Vec::new() }, Vec::new())
 }
@@ -353,3 +357,64 @@
     assert!(early.iter().all(|waited| *waited <= ELECTION_TICKS / 2), "{ticks:?}");
     assert!(late.iter().all(|waited| *waited >= ELECTION_TICKS), "{ticks:?}");
 }
+
+/// A leader sleeps while the others elect another; what it says of itself once it is awake, before
+/// it hears of anybody, and after.
+fn leader_that_slept(weakness: Option<Weakness>) -> (bool, Option<NodeId>, Vec<String>) {
+    let membership = Membership::of_voters(1..=3);
+    let mut network = Network::of(3);
+    for id in 1..=3 {
+        network.members.insert(id, weak_member(id, &membership, weakness));
+    }
+    let leader = network.elect();
+    network.propose(leader, "before");
+    // Nothing reaches it, and no tick passes.
+    let mut asleep = network.members.remove(&leader).expect("it is there");
+    let next = network.elect();
+    network.propose(next, "meanwhile");
+    if weakness != Some(Weakness::TrustsAfterSleep) {
+        assert!(asleep.is_leader(), "as it knows it");
+    }
+    asleep.note_sleep();
+    let (leads, known) = (asleep.is_leader(), asleep.leader());
+    network.members.insert(leader, asleep);
+    network.tick(3 * ELECTION_TICKS);
+    (leads, known, network.applied_by(leader))
+}
+
+#[test]
+fn a_member_that_slept_knows_no_leader_until_it_hears_of_one() {
+    let after = vec!["before".to_owned(), "meanwhile".to_owned()];
+    assert_eq!(leader_that_slept(None), (false, None, after));
+    let (leads, known, _) = leader_that_slept(Some(Weakness::TrustsAfterSleep));
+    assert!(leads && known.is_some(), "the broken variant is noticed");
+}
+
+#[test]
+fn members_that_all_slept_elect_again_and_lose_nothing() {
+    let (mut network, leader) = Network::with_leader(3);
+    network.propose(leader, "before");
+    for member in network.members.values_mut() {
+        member.note_sleep();
+    }
+    assert_eq!(network.current_leader(), None);
+    let next = network.elect();
+    network.propose(next, "after");
+    network.tick(3);
+    for id in 1..=3 {
+        assert_eq!(network.applied_by(id), ["before", "after"]);
+    }
+}
+
+#[test]
+fn a_follower_that_sleeps_again_and_again_disturbs_nobody() {
+    let (mut network, leader) = Network::with_leader(3);
+    let sleeper = network.followers(leader)[0];
+    let term = network.members[&leader].term();
+    for _ in 0..20 {
+        network.member(sleeper).note_sleep();
+        network.tick(2);
+    }
+    assert_eq!(network.current_leader(), Some(leader));
+    assert_eq!(network.members[&leader].term(), term);
+}
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -4,7 +4,8 @@
 use crate::replica::{Replica, RequestError};
 use consensus::Membership;
 use serde::{Deserialize, Serialize};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 
 /// Longest wait for a learner to catch up before it is promoted.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(20);
@@ -52,7 +53,7 @@
     replica: &Replica<M>,
     change: MemberChange,
 ) -> Result<(), RequestError> {
-    let deadline = Instant::now() + CATCH_UP_LIMIT;
+    let deadline = BootInstant::now() + CATCH_UP_LIMIT;
     loop {
         let current = replica.lock().status.membership.clone();
         let next = change.applied_to(&current);
@@ -61,7 +62,7 @@
         }
         match replica.change_membership(next, CHANGE_TIMEOUT) {
             Ok(_) => return Ok(()),
-            Err(RequestError::Refused { .. }) if Instant::now() < deadline => {
+            Err(RequestError::Refused { .. }) if BootInstant::now() < deadline => {
                 std::thread::sleep(RETRY_PAUSE);
             }
             Err(error) => return Err(error),
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -11,8 +11,9 @@
 use std::sync::mpsc::{channel, sync_channel, Sender, SyncSender};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use storage::{DiskStore, LogStore, Recovered, StorageError};
+use telemetry::BootInstant;
 use verdict::Verdict;
 
 /// Fixed parameters of one replica of one group.
@@ -79,11 +80,24 @@
     /// Members.
     pub membership: Membership,
     /// Start of the latest heartbeat round that a quorum answered, when leading.
-    pub quorum_contact: Option<Instant>,
+    pub quorum_contact: Option<BootInstant>,
     /// How far each peer's log is known to match, when leading.
     pub matched: BTreeMap<u64, u64>,
     /// Whether its store has no room: it takes part in nothing until there is some.
     pub storage_full: bool,
+    /// When the replica's thread last looked; long ago if the process or the machine stood still.
+    pub checked_at: BootInstant,
+}
+
+/// How long a status is believed without its thread having looked again: ten ticks. A replica that
+/// stood still answers for nothing that it knew before; other threads may run before its own.
+const STATUS_TRUST: Duration = Duration::from_millis(500);
+
+impl ReplicaStatus {
+    /// The leader, if one is known and the replica has not stood still since.
+    pub fn trusted_leader(&self) -> Option<u64> {
+        self.leader.filter(|_| self.checked_at.elapsed() < STATUS_TRUST)
+    }
 }
 
 /// The state machine with the group's status.
@@ -163,6 +177,7 @@
             quorum_contact: None,
             matched: BTreeMap::new(),
             storage_full: false,
+            checked_at: BootInstant::now(),
         };
         let published = Arc::new(Mutex::new(Published { machine, status }));
         let changed = Arc::new(Condvar::new());
@@ -244,9 +259,9 @@
         let (done, finished) = sync_channel(1);
         let _ = self.inputs.send(Input::TransferLeadership(done));
         let _ = finished.recv_timeout(timeout);
-        let deadline = Instant::now() + timeout;
+        let deadline = BootInstant::now() + timeout;
         let mut published = self.lock();
-        while published.status.is_leader && Instant::now() < deadline {
+        while published.status.is_leader && BootInstant::now() < deadline {
             published = self.wait_changed(published, Duration::from_millis(10));
         }
     }
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -7,8 +7,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::Duration;
 use storage::{LogStore, StorageError};
+use telemetry::{BootInstant, SleepWatch};
 use tracing::{error, info};
 use verdict::Verdict;
 
@@ -25,7 +26,7 @@
     store: S,
     /// What the store had no room for; while there is any, this replica stands still.
     unsaved: Option<Ready>,
-    full_since: Option<Instant>,
+    full_since: Option<BootInstant>,
     parameters: ReplicaParameters,
     published: Arc<Mutex<Published<M>>>,
     changed: Arc<Condvar>,
@@ -36,8 +37,8 @@
     confirmed_reads: Vec<(u64, Reply<u64>)>,
     next_read: u64,
     /// Start of heartbeat rounds not yet answered by a quorum.
-    rounds: VecDeque<(u64, Instant)>,
-    quorum_contact: Option<Instant>,
+    rounds: VecDeque<(u64, BootInstant)>,
+    quorum_contact: Option<BootInstant>,
 }
 
 enum Proposal<M: StateMachine> {
@@ -75,10 +76,13 @@
 
     /// Runs until every handle of the replica is gone.
     pub fn run(mut self, inputs: Receiver<Input<M>>) {
-        let mut next_tick = Instant::now() + self.parameters.tick;
+        let mut next_tick = BootInstant::now() + self.parameters.tick;
+        let mut sleep = SleepWatch::default();
         loop {
-            let wait = next_tick.saturating_duration_since(Instant::now());
-            match inputs.recv_timeout(wait) {
+            let wait = next_tick.saturating_duration_since(BootInstant::now());
+            let received = inputs.recv_timeout(wait);
+            self.note_sleep(sleep.look());
+            match received {
                 Ok(input) => {
                     self.take(input);
                     for input in inputs.try_iter().take(MAX_BATCH) {
@@ -88,13 +92,13 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            if Instant::now() >= next_tick {
+            if BootInstant::now() >= next_tick {
                 if self.unsaved.is_none() {
                     self.raft.tick();
                 }
                 // After a pause of the process one tick passes, not all that were missed: an
                 // election must wait for messages that are already in the socket buffers.
-                next_tick = Instant::now() + self.parameters.tick;
+                next_tick = BootInstant::now() + self.parameters.tick;
             }
             match self.work() {
                 Ok(()) => {}
@@ -107,6 +111,19 @@
         }
     }
 
+    /// Gives up what was known before a sleep that was long enough for another election.
+    fn note_sleep(&mut self, slept: Option<Duration>) {
+        let Some(slept) = slept else {
+            return;
+        };
+        let slept_ms = slept.as_millis() as u64;
+        info!(group = %self.parameters.group, slept_ms, "machine_slept");
+        let election = self.parameters.tick * self.parameters.consensus.election_ticks;
+        if slept >= election && self.unsaved.is_none() {
+            self.raft.note_sleep();
+        }
+    }
+
     fn take(&mut self, input: Input<M>) {
         if self.unsaved.is_some() {
             refuse_input(input);
@@ -211,7 +228,7 @@
         if self.full_since.is_some() {
             return;
         }
-        self.full_since = Some(Instant::now());
+        self.full_since = Some(BootInstant::now());
         error!(group = %self.parameters.group, error = %failure, "storage_full");
         let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
         published.status.storage_full = true;
@@ -256,7 +273,7 @@
             info!(group = %self.parameters.group, index = snapshot.meta.index, "snapshot_installed");
         }
         let changed = !ready.committed.is_empty() || ready.snapshot.is_some();
-        let (entries, began) = (ready.committed.len(), Instant::now());
+        let (entries, began) = (ready.committed.len(), BootInstant::now());
         for entry in ready.committed {
             self.apply_entry(&mut published, &entry);
             published.status.applied = entry.index;
@@ -334,7 +351,7 @@
         }
         let newest = self.raft.round();
         if self.rounds.back().is_none_or(|(round, _)| *round < newest) {
-            self.rounds.push_back((newest, Instant::now()));
+            self.rounds.push_back((newest, BootInstant::now()));
         }
         let confirmed = self.raft.confirmed_round();
         while let Some((round, started)) = self.rounds.front().copied() {
@@ -354,6 +371,7 @@
         status.is_leader = is_leader;
         status.leader = self.raft.leader();
         status.term = self.raft.term();
+        status.checked_at = BootInstant::now();
         status.quorum_contact = self.quorum_contact;
         if status.membership != *self.raft.membership() {
             status.membership = self.raft.membership().clone();
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -7,8 +7,8 @@
 use bundle::{best_update, Bundle, BundleUpdate};
 use claims::{group_of, ClaimCommand};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use telemetry::{Clock, Counter, Gauge, Registry};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use telemetry::{BootInstant, Clock, Counter, Gauge, Registry};
 use tracing::debug;
 use wire::{
     ClaimReply, ClaimRequest, GroupMessage, Purpose, ReportReply, ReportRequest, ServerConnection,
@@ -128,14 +128,14 @@
 }
 
 fn wait_for_view(service: &RelayService, request: &WatchRequest) -> WatchReply {
-    let deadline = Instant::now() + Duration::from_millis(service.limits.hold_ms);
+    let deadline = BootInstant::now() + Duration::from_millis(service.limits.hold_ms);
     let replica = &service.groups.config;
     let mut published = replica.lock();
     loop {
         if !published.status.is_leader {
             return WatchReply::NotLeader { leader: published.status.leader };
         }
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = deadline.saturating_duration_since(BootInstant::now());
         let newer = published.machine.0.view().revision > request.revision;
         if newer || left.is_zero() {
             break;
--- a/crates/control/src/transport.rs
+++ b/crates/control/src/transport.rs
@@ -5,7 +5,8 @@
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::debug;
 use wire::{connect, Backoff, ClientConnection, GroupMessage, Purpose, Role, TlsIdentity};
 
@@ -54,18 +55,18 @@
 ) {
     let mut connection: Option<ClientConnection> = None;
     let mut backoff = Backoff::new(BACKOFF_BASE_MS, BACKOFF_CAP_MS, fastrand::u64(..));
-    let mut retry_at = Instant::now();
+    let mut retry_at = BootInstant::now();
     loop {
         let message = match messages.recv_timeout(IDLE_CHECK) {
             Ok(message) => message,
             Err(RecvTimeoutError::Timeout) => continue,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        if connection.is_none() && Instant::now() >= retry_at {
+        if connection.is_none() && BootInstant::now() >= retry_at {
             connection = open(tls, addresses, peer);
             match connection {
                 Some(_) => backoff.reset(),
-                None => retry_at = Instant::now() + backoff.next_delay(),
+                None => retry_at = BootInstant::now() + backoff.next_delay(),
             }
         }
         // Without a connection the message is dropped; consensus repeats what matters.
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -13,8 +13,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
-use telemetry::Clock;
+use std::time::Duration;
+use telemetry::{BootInstant, Clock};
 use tracing::info;
 
 /// A sidecar that says nothing for this long is taken for gone.
@@ -303,17 +303,17 @@
 /// Tells one subscriber of loads, at a bounded rate.
 struct LoadTeller {
     position: u64,
-    due: Instant,
+    due: BootInstant,
 }
 
 impl LoadTeller {
     /// Begins with loads that are told from now on.
     fn new(hub: &Hub) -> Self {
-        LoadTeller { position: hub.lock().loads.position(), due: Instant::now() }
+        LoadTeller { position: hub.lock().loads.position(), due: BootInstant::now() }
     }
 
     fn until_due(&self) -> Duration {
-        self.due.saturating_duration_since(Instant::now())
+        self.due.saturating_duration_since(BootInstant::now())
     }
 
     /// Tells what changed since the last time, if it is time to.
@@ -329,7 +329,7 @@
         };
         let bytes = (loads.len() * LOAD_BYTES) as f64;
         let pause = Duration::from_secs_f64(bytes / MOST_LOAD_BYTES_PER_S);
-        self.due = Instant::now() + pause.max(LOADS_INTERVAL);
+        self.due = BootInstant::now() + pause.max(LOADS_INTERVAL);
         match loads.is_empty() {
             true => Ok(()),
             false => writer.send(&ToSidecar::Loads { loads }),
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -118,7 +118,7 @@
     /// The newest generation this replica may tell sidecars of; 0 while it hears of no leader.
     pub fn announced_generation(&self) -> u64 {
         let published = self.replica.lock();
-        match published.status.leader {
+        match published.status.trusted_leader() {
             Some(_) => published.machine.0.newest_generation(),
             None => 0,
         }
@@ -144,7 +144,7 @@
         let (target, bundle) = machine.in_force();
         KnownConfiguration {
             generation: target.generation,
-            confirmed: published.status.leader.is_some(),
+            confirmed: published.status.trusted_leader().is_some(),
             held: machine.content(&held),
             bundle,
         }
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -8,8 +8,8 @@
 use mesh::{CoordinatorFrame, MemberId};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
-use telemetry::Clock;
+use std::time::Duration;
+use telemetry::{BootInstant, Clock};
 use tracing::info;
 
 /// Time between two looks at leases and at what is due for the other coordinators.
@@ -45,11 +45,11 @@
         let registry_loop = self.clone();
         thread::spawn(move || {
             let mut told = Told::default();
-            let mut summed_at = Instant::now();
+            let mut summed_at = BootInstant::now();
             loop {
                 told = registry_loop.look(told);
                 if summed_at.elapsed() >= SUM_INTERVAL {
-                    summed_at = Instant::now();
+                    summed_at = BootInstant::now();
                     registry_loop.log_waiting();
                 }
                 thread::sleep(LOOK_INTERVAL);
--- a/crates/coordinator/src/transport.rs
+++ b/crates/coordinator/src/transport.rs
@@ -8,7 +8,8 @@
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::debug;
 
 /// Frames waiting for one peer; beyond, they are dropped, as a network would.
@@ -76,17 +77,17 @@
 
 fn send_all(target: SocketAddr, greeting: &Greeting, frames: &Receiver<CoordinatorFrame>) {
     let mut connection: Option<TcpStream> = None;
-    let mut retry_at = Instant::now();
+    let mut retry_at = BootInstant::now();
     let mut buffer = Vec::new();
     loop {
         let frame = match frames.recv_timeout(IDLE_LIMIT) {
             Ok(frame) => frame,
             Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return,
         };
-        if connection.is_none() && Instant::now() >= retry_at {
+        if connection.is_none() && BootInstant::now() >= retry_at {
             connection = open(target, greeting).ok();
             if connection.is_none() {
-                retry_at = Instant::now() + RETRY_PAUSE;
+                retry_at = BootInstant::now() + RETRY_PAUSE;
             }
         }
         let Some(open) = &mut connection else { continue };
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -13,7 +13,8 @@
 };
 use std::io::Read;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use touche::{Body, HeaderMap, HttpBody, Method, Request, Response};
 use verdict::{Verdict, VERDICT_HEADER};
 
@@ -41,7 +42,7 @@
     path: String,
     headers: HeaderMap,
     body: Vec<u8>,
-    deadline: Instant,
+    deadline: BootInstant,
     depth: u32,
 }
 
@@ -132,7 +133,7 @@
     route: &CompiledRoute,
     request: Request<Body>,
 ) -> Result<Call, Refusal> {
-    let arrived = Instant::now();
+    let arrived = BootInstant::now();
     let (parts, body) = request.into_parts();
     let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let remaining = text(DEADLINE_HEADER);
@@ -223,7 +224,7 @@
         let may_retry = |verdict: Verdict| {
             (verdict == Verdict::NotRun || route.route.repeatable)
                 && (tried.len() as u32) < MAX_ATTEMPTS
-                && Instant::now() < call.deadline
+                && BootInstant::now() < call.deadline
                 && shared.dispatcher.take_retry(&route.route.name, route.route.retry_budget_percent)
         };
         match outcome {
@@ -269,7 +270,7 @@
     call: &Call,
     upstream: &EndpointKey,
 ) -> Result<UpstreamAnswer, SendError> {
-    let left = call.deadline.saturating_duration_since(Instant::now());
+    let left = call.deadline.saturating_duration_since(BootInstant::now());
     let headers = upstream_headers(route, call, left);
     let request = UpstreamRequest {
         method: &call.method,
--- a/crates/proxy/src/claim_link.rs
+++ b/crates/proxy/src/claim_link.rs
@@ -5,7 +5,8 @@
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::{debug, warn};
 use wire::{connect, ClaimReply, ClaimRequest, ClientConnection, Purpose, Role, TlsIdentity};
 
@@ -46,9 +47,9 @@
     }
 
     /// Asks until a quorum answers or `limit` is reached.
-    pub fn ask(&self, command: &ClaimCommand, limit: Instant) -> Result<ClaimAnswer, NoQuorum> {
-        while Instant::now() < limit {
-            let timeout = limit.saturating_duration_since(Instant::now()).min(CALL_TIMEOUT);
+    pub fn ask(&self, command: &ClaimCommand, limit: BootInstant) -> Result<ClaimAnswer, NoQuorum> {
+        while BootInstant::now() < limit {
+            let timeout = limit.saturating_duration_since(BootInstant::now()).min(CALL_TIMEOUT);
             match self.call(command, timeout) {
                 Some(answer) => return Ok(answer),
                 None => self.go_to_next_relay(),
@@ -67,8 +68,8 @@
 
     fn record_in_background(&self, commands: &Receiver<ClaimCommand>) {
         for command in commands.iter() {
-            let limit = Instant::now() + BACKGROUND_LIMIT;
-            while self.ask(&command, limit).is_err() && Instant::now() < limit {
+            let limit = BootInstant::now() + BACKGROUND_LIMIT;
+            while self.ask(&command, limit).is_err() && BootInstant::now() < limit {
                 thread::sleep(BACKGROUND_PAUSE);
             }
         }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -8,8 +8,8 @@
 };
 use std::collections::BTreeMap;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
-use telemetry::Clock;
+use std::time::Duration;
+use telemetry::{BootInstant, Clock};
 
 /// Calls that may wait for an upstream of one service.
 const QUEUE_CAPACITY: usize = 128;
@@ -28,7 +28,7 @@
     state: Mutex<State>,
     freed: Condvar,
     clock: Clock,
-    began: Instant,
+    began: BootInstant,
 }
 
 /// Why a call got no upstream.
@@ -46,7 +46,12 @@
             budgets: BTreeMap::new(),
             random: fastrand::Rng::new(),
         };
-        Dispatcher { state: Mutex::new(state), freed: Condvar::new(), clock, began: Instant::now() }
+        Dispatcher {
+            state: Mutex::new(state),
+            freed: Condvar::new(),
+            clock,
+            began: BootInstant::now(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -75,7 +80,7 @@
         service: &str,
         priority: Priority,
         exclude: &[EndpointKey],
-        limit: Instant,
+        limit: BootInstant,
     ) -> Result<EndpointKey, AcquireError> {
         let mut guard = self.lock();
         let state = &mut *guard;
@@ -88,7 +93,7 @@
             }
         }
         // Half of the time left must remain for the call itself.
-        let left = limit.saturating_duration_since(Instant::now()) / 2;
+        let left = limit.saturating_duration_since(BootInstant::now()) / 2;
         let longest_us = left.min(MAX_WAIT).as_micros() as u64;
         let Some(ticket) = queue.join(priority, self.now_us(), longest_us) else {
             return Err(AcquireError::Overloaded);
--- a/crates/proxy/src/keyed.rs
+++ b/crates/proxy/src/keyed.rs
@@ -5,7 +5,7 @@
 use crate::upstream::UpstreamAnswer;
 use claims::{ClaimAnswer, ClaimCommand, Outcome, MAX_KEY_BYTES};
 use ring::digest::{Context, SHA256};
-use std::time::Instant;
+use telemetry::BootInstant;
 use touche::{HeaderMap, StatusCode};
 use verdict::Verdict;
 
@@ -34,7 +34,7 @@
     key: &str,
     request_digest: [u8; 32],
     keep_ms: u64,
-    limit: Instant,
+    limit: BootInstant,
 ) -> Result<ClaimResult<'a>, Refusal> {
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
         let message = format!("{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} characters");
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -19,8 +19,10 @@
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::thread;
-use std::time::{Duration, Instant};
-use telemetry::{Clock, Counter, Gauge, MetricsServer, MetricsServerError, Registry, StopSignal};
+use std::time::Duration;
+use telemetry::{
+    BootInstant, Clock, Counter, Gauge, MetricsServer, MetricsServerError, Registry, StopSignal,
+};
 use tracing::info;
 use wire::{Role, TlsError, TlsFiles, TlsIdentity};
 
@@ -387,14 +389,14 @@
         info!("proxy_draining");
         thread::sleep(Duration::from_millis(shared.settings.drain_notice_ms));
         self.callers.close();
-        let limit = Instant::now() + Duration::from_millis(shared.settings.drain_limit_ms);
-        let mut quiet_since = Instant::now();
+        let limit = BootInstant::now() + Duration::from_millis(shared.settings.drain_limit_ms);
+        let mut quiet_since = BootInstant::now();
         let mut seen = shared.calls.entered();
-        while Instant::now() < limit {
+        while BootInstant::now() < limit {
             let entered = shared.calls.entered();
             if entered != seen || shared.calls.in_flight() > 0 {
                 seen = entered;
-                quiet_since = Instant::now();
+                quiet_since = BootInstant::now();
             }
             let all_gone = self.callers.open_connections() == 0;
             if all_gone || quiet_since.elapsed() >= QUIET_TIME {
--- a/crates/relay/src/claim_forward.rs
+++ b/crates/relay/src/claim_forward.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::debug;
 use verdict::Verdict;
 use wire::{
@@ -42,9 +43,9 @@
             return ClaimReply::Unavailable { verdict: Verdict::NotRun };
         }
         let group = group_of(request.command.key(), self.groups);
-        let deadline = Instant::now() + FORWARD_LIMIT;
+        let deadline = BootInstant::now() + FORWARD_LIMIT;
         let mut verdict = Verdict::NotRun;
-        while Instant::now() < deadline {
+        while BootInstant::now() < deadline {
             let replica = self.leader(group);
             match self.call(tls, replica, &request) {
                 Ok(ClaimReply::NotLeader { leader }) => self.redirect(group, replica, leader),
--- a/crates/relay/src/control_link.rs
+++ b/crates/relay/src/control_link.rs
@@ -5,7 +5,8 @@
 use speedy::{LittleEndian, Readable, Writable};
 use std::sync::{Arc, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::{debug, info};
 use wire::{
     connect, Backoff, ClientConnection, Purpose, ReportReply, ReportRequest, Role, TlsIdentity,
@@ -146,12 +147,12 @@
 
 /// Waits until there is something to report, or the interval is over.
 fn next_report(shared: &Shared, reported_version: u64) -> NextReport {
-    let deadline = Instant::now() + REPORT_INTERVAL;
+    let deadline = BootInstant::now() + REPORT_INTERVAL;
     let mut locked = shared.lock();
     loop {
         // The ticket is taken before the request is sent, so that the read begins after it.
         let ticket = locked.core.confirmation_wanted();
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = deadline.saturating_duration_since(BootInstant::now());
         let version = locked.report_version;
         if ticket.is_some() || version != reported_version || left.is_zero() {
             let report = locked.core.report(shared.clock.now_ms());
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -3,7 +3,8 @@
 use crate::runtime::Shared;
 use bundle::BundleUpdate;
 use std::sync::{Arc, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::{debug, warn};
 use wire::{
     ClaimRequest, MirrorRequest, ObservationReply, ProxyObservation, ProxyPoll, ProxyReply,
@@ -79,7 +80,7 @@
 }
 
 fn wait_for_news(shared: &Shared, session: crate::SessionId) -> ProxyReply {
-    let deadline = Instant::now() + Duration::from_millis(shared.settings.hold_ms);
+    let deadline = BootInstant::now() + Duration::from_millis(shared.settings.hold_ms);
     let mut locked = shared.lock();
     loop {
         if shared.stop.is_set() {
@@ -89,7 +90,7 @@
         if let Some(reply) = locked.core.answer(session, now_ms) {
             return reply;
         }
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = deadline.saturating_duration_since(BootInstant::now());
         if left.is_zero() {
             return locked.core.unchanged(now_ms);
         }
@@ -139,13 +140,13 @@
 fn serve_mirror(shared: &Shared, connection: &mut ServerConnection) -> Result<(), WireError> {
     loop {
         let request: MirrorRequest = connection.receive(REQUEST_TIMEOUT)?;
-        let deadline = Instant::now() + MIRROR_HOLD;
+        let deadline = BootInstant::now() + MIRROR_HOLD;
         let mut locked = shared.lock();
         let reply = loop {
             if let Some(reply) = locked.core.answer_mirror(&request) {
                 break reply;
             }
-            let left = deadline.saturating_duration_since(Instant::now());
+            let left = deadline.saturating_duration_since(BootInstant::now());
             if left.is_zero() {
                 break locked.core.mirror_reply(Vec::new());
             }
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -8,7 +8,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use telemetry::BootInstant;
 
 /// Names a connection; never used for another one, even after its place in the table is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -64,7 +65,7 @@
     opening: bool,
     ended: bool,
     /// Since when this side waits for the other to end; what still comes is dropped.
-    lingering: Option<Instant>,
+    lingering: Option<BootInstant>,
     /// Whether the other side is on another machine.
     remote: bool,
 }
@@ -211,7 +212,7 @@
         let Some(connection) = self.get_mut(id) else {
             return;
         };
-        connection.lingering = Some(Instant::now());
+        connection.lingering = Some(BootInstant::now());
         connection.input = BytesMut::new();
         flush(connection);
         if connection.output.is_empty() {
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -31,7 +31,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
-use telemetry::{Clock, Registry, ReloadSignal, StopSignal};
+use telemetry::{Clock, Registry, ReloadSignal, SleepWatch, StopSignal};
 use tracing::{info, warn};
 
 const HOUSEKEEPING_MS: u64 = 50;
@@ -86,6 +86,7 @@
     dialect: D,
     own: NodeAddress,
     clock: Clock,
+    sleep: SleepWatch,
     net: Net,
     listeners: Vec<ServerKind>,
     servers: Servers,
@@ -201,6 +202,7 @@
             dialect,
             own,
             clock: Clock::default(),
+            sleep: SleepWatch::default(),
             net,
             listeners,
             servers: Servers::default(),
@@ -231,6 +233,7 @@
     fn turn(&mut self, reload: &ReloadSignal) {
         let wait = self.next_due().saturating_sub(self.now());
         let events = self.net.poll(Duration::from_millis(wait));
+        self.note_sleep();
         self.measure_link();
         for event in events {
             self.on_event(event);
@@ -254,6 +257,28 @@
         }
     }
 
+    /// Ends what was over when the machine woke, before anything that came meanwhile is answered:
+    /// calls past their deadline, links that were silent, loads and confirmations that are old.
+    fn note_sleep(&mut self) {
+        let Some(slept) = self.sleep.look() else {
+            return;
+        };
+        let slept_ms = slept.as_millis() as u64;
+        let now = self.now();
+        warn!(
+            slept_ms,
+            calls = self.calls.in_flight(),
+            jobs = self.jobs.in_flight(),
+            "machine_slept"
+        );
+        let ended = self.calls.tick(now);
+        self.work.extend(ended.into_iter().map(Work::Call));
+        let ended = self.jobs.tick(now);
+        self.work.extend(ended.into_iter().map(Work::Job));
+        self.do_work();
+        self.links.tick(&mut self.net, now);
+    }
+
     fn measure_link(&mut self) {
         let now = self.now();
         let passed = self.net.take_passed();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,7 @@
 mod signal;
 
 pub use bounded::BoundedWriter;
-pub use clock::Clock;
+pub use clock::{BootInstant, Clock, SleepWatch};
 pub use logging::{
     exit_after_logs, init_logging, init_logging_to_stdout, parse_level, LogGuard, UnknownLevel,
     LINES_PER_SECOND,
