--- a/crates/simulator/src/checker.rs
+++ b/crates/simulator/src/checker.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// A leader answered a relay though no quorum had answered it for so long.
+    pub fn on_stale_leader(&mut self, replica: u64, age_ms: Option<u64>) {
+        let what =
+            format!("replica {replica} answered as leader, quorum contact {age_ms:?} ms ago");
+        self.violate("leader-has-a-quorum", what);
+    }
+
     /// A replica executed an operator's request, and made something.
     pub fn on_executed(&mut self, request_id: &str, revision: u64) {
         self.executed.insert(request_id.to_owned());
--- a/crates/simulator/src/control_node.rs
+++ b/crates/simulator/src/control_node.rs
@@ -59,8 +59,8 @@
     confirmed: Vec<(Index, PendingRead)>,
     next_read: u64,
     held: Vec<HeldWatch>,
-    rounds: VecDeque<(u64, u64)>,
-    quorum_contact_ms: Option<u64>,
+    rounds: VecDeque<(u64, RoundStart)>,
+    quorum_contact: Option<RoundStart>,
     /// The next write is torn, and the process dies.
     pub tear_next_write: Option<TornWrite>,
     /// Set when the process died in a write: how long until it restarts, milliseconds.
@@ -80,6 +80,13 @@
     Snapshot { meta: SnapshotMeta { index: 0, term: 0, membership }, data: Vec::new() }
 }
 
+/// When a round of heartbeats began, by the node's own clock and in truth.
+#[derive(Clone, Copy, Debug)]
+struct RoundStart {
+    clock_ms: u64,
+    real_ms: u64,
+}
+
 impl ControlNode {
     /// Starts from what the disk holds.
     pub fn start(id: u64, mut store: MemoryStore, weakness: ControlWeakness, seed: u64) -> Self {
@@ -108,7 +115,7 @@
             next_read: 1,
             held: Vec::new(),
             rounds: VecDeque::new(),
-            quorum_contact_ms: None,
+            quorum_contact: None,
             tear_next_write: None,
             died_for_ms: None,
         }
@@ -132,7 +139,7 @@
             Packet::Raft(message) => self.raft.step(message),
             Packet::Propose(call, command) => self.propose(from, call, &command, hosts),
             Packet::Watch(call, request) => {
-                let deadline_ms = hosts.now_ms + HOLD_MS;
+                let deadline_ms = hosts.clock_ms(Node::Control(self.id)) + HOLD_MS;
                 self.held.push(HeldWatch { relay: from, call, request, deadline_ms });
             }
             Packet::Report(call, request) => self.report(from, call, &request, hosts, checker),
@@ -205,8 +212,9 @@
             }
             self.apply(ready, hosts, checker);
         }
-        self.note_rounds(hosts.now_ms);
-        self.answer_watches(hosts);
+        let clock_ms = hosts.clock_ms(Node::Control(self.id));
+        self.note_rounds(RoundStart { clock_ms, real_ms: hosts.now_ms });
+        self.answer_watches(hosts, checker);
         if self.store.bytes_since_checkpoint() >= CHECKPOINT_BYTES {
             self.checkpoint();
         }
@@ -303,32 +311,40 @@
         }
     }
 
-    fn note_rounds(&mut self, now_ms: u64) {
+    /// As the product's replica does before it takes anything in.
+    pub fn note_sleep(&mut self, slept_ms: u64) {
+        if slept_ms >= TICK_MS * u64::from(ELECTION_TICKS) {
+            self.raft.note_sleep();
+        }
+    }
+
+    fn note_rounds(&mut self, now: RoundStart) {
         if !self.raft.is_leader() {
             self.rounds.clear();
-            self.quorum_contact_ms = None;
+            self.quorum_contact = None;
             return;
         }
         let newest = self.raft.round();
         if self.rounds.back().is_none_or(|(round, _)| *round < newest) {
-            self.rounds.push_back((newest, now_ms));
+            self.rounds.push_back((newest, now));
         }
         let confirmed = self.raft.confirmed_round();
-        while let Some((round, started_ms)) = self.rounds.front().copied() {
+        while let Some((round, started)) = self.rounds.front().copied() {
             if round > confirmed {
                 break;
             }
-            self.quorum_contact_ms = Some(started_ms);
+            self.quorum_contact = Some(started);
             self.rounds.pop_front();
         }
     }
 
-    fn answer_watches(&mut self, hosts: &mut Hosts) {
-        let now_ms = hosts.now_ms;
+    fn answer_watches(&mut self, hosts: &mut Hosts, checker: &mut Checker) {
+        let now_ms = hosts.clock_ms(Node::Control(self.id));
         let mut still_held = Vec::new();
         for watch in std::mem::take(&mut self.held) {
             match self.watch_reply(&watch, now_ms) {
                 Some(reply) => {
+                    self.check_contact(&reply, hosts.now_ms, checker);
                     let answer = Packet::WatchAnswer(watch.call, reply);
                     hosts.send(Node::Control(self.id), watch.relay, answer);
                 }
@@ -338,6 +354,18 @@
         self.held = still_held;
     }
 
+    /// A leader's word counts while a quorum answered it within an election timeout of real time.
+    fn check_contact(&self, reply: &WatchReply, now_ms: u64, checker: &mut Checker) {
+        if matches!(reply, WatchReply::NotLeader { .. }) {
+            return;
+        }
+        let age_ms = self.quorum_contact.map(|at| now_ms.saturating_sub(at.real_ms));
+        let longest_ms = TICK_MS * u64::from(ELECTION_TICKS);
+        if age_ms.is_none_or(|age_ms| age_ms >= longest_ms) {
+            checker.on_stale_leader(self.id, age_ms);
+        }
+    }
+
     fn watch_reply(&self, watch: &HeldWatch, now_ms: u64) -> Option<WatchReply> {
         if !self.raft.is_leader() {
             return Some(WatchReply::NotLeader { leader: self.raft.leader() });
@@ -348,7 +376,7 @@
             return None;
         }
         let longest = TICK_MS * u64::from(ELECTION_TICKS);
-        let recent = self.quorum_contact_ms.is_some_and(|at| now_ms < at + longest);
+        let recent = self.quorum_contact.is_some_and(|at| now_ms < at.clock_ms + longest);
         if !recent {
             return Some(WatchReply::NotLeader { leader: None });
         }
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -17,6 +17,8 @@
     Cut { both_ways: bool, heal_ms: u64 },
     /// A process stops and wakes up.
     Freeze { kind: Kind, wake_ms: u64 },
+    /// A machine is suspended and wakes up; a leader wakes up cut off from the others for a while.
+    Sleep { kind: Kind, wake_ms: u64, heal_ms: u64 },
     /// Messages are late, lost and doubled.
     Disturb { extra_delay_ms: u64 },
     /// Clocks of control run at another speed.
@@ -73,6 +75,7 @@
         Scenario::LostDisk | Scenario::RepairThenLoss => {
             faults.push((random.u64(1_000..end_ms / 2), Fault::LoseDisk));
         }
+        Scenario::Sleep => plan_sleep(end_ms, random, faults),
         Scenario::Behind => {
             let kill = Fault::KillOne { kind: Kind::Proxy, restart_ms: end_ms - 2_500 };
             faults.extend([(1_500, kill), (1_600, kill)]);
@@ -111,6 +114,25 @@
     }
 }
 
+/// Machines that sleep, a leader with the relay that asks it among them. Proxies that heard of newer
+/// generations meanwhile start as they wake.
+fn plan_sleep(end_ms: u64, random: &mut fastrand::Rng, faults: &mut Vec<(u64, Fault)>) {
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms < end_ms {
+        let kinds = [Kind::Control, Kind::Leader, Kind::Leader, Kind::Relay, Kind::Proxy];
+        let kind = kinds[random.usize(..kinds.len())];
+        let wake_ms = random.u64(300..4_000);
+        let heal_ms = wake_ms + random.u64(0..1_500);
+        faults.push((at_ms, Fault::Sleep { kind, wake_ms, heal_ms }));
+        for _ in 0..random.u32(0..4) {
+            let kill_at_ms = at_ms + wake_ms - random.u64(0..200);
+            let restart_ms = random.u64(50..600);
+            faults.push((kill_at_ms, Fault::KillOne { kind: Kind::Proxy, restart_ms }));
+        }
+        at_ms += random.u64(200..1_500);
+    }
+}
+
 /// A control machine or relay that believes to be current, and proxies that start meanwhile.
 fn silence(random: &mut fastrand::Rng) -> Fault {
     let heal_ms = random.u64(500..4_000);
--- a/crates/simulator/src/host.rs
+++ b/crates/simulator/src/host.rs
@@ -44,6 +44,10 @@
     up: bool,
     incarnation: u64,
     frozen_until_ms: u64,
+    /// Time that its machine slept since its start, milliseconds.
+    slept_ms: u64,
+    /// The part of it that it has not noticed yet.
+    unnoticed_sleep_ms: u64,
 }
 
 /// How the network misbehaves now.
@@ -68,6 +72,8 @@
     order: u64,
     hosts: BTreeMap<Node, Host>,
     isolated_until_ms: BTreeMap<Node, u64>,
+    /// Broken variant: clocks stand still while machines sleep.
+    pub steady_clocks: bool,
 }
 
 const SAME_ZONE_DELAY_MS: u64 = 1;
@@ -83,6 +89,7 @@
             order: 0,
             hosts: BTreeMap::new(),
             isolated_until_ms: BTreeMap::new(),
+            steady_clocks: false,
         }
     }
 
@@ -93,6 +100,8 @@
         host.up = true;
         host.incarnation += 1;
         host.frozen_until_ms = 0;
+        host.slept_ms = 0;
+        host.unnoticed_sleep_ms = 0;
     }
 
     /// The process is gone; what was on its way to it is lost.
@@ -112,6 +121,34 @@
         }
     }
 
+    /// Suspends the machine: nothing runs there, and its steady clock stands still.
+    pub fn sleep(&mut self, node: Node, until_ms: u64) {
+        let now_ms = self.now_ms;
+        if let Some(host) = self.hosts.get_mut(&node) {
+            let asleep_until_ms = host.frozen_until_ms.max(now_ms);
+            let more_ms = until_ms.saturating_sub(asleep_until_ms);
+            host.slept_ms += more_ms;
+            host.unnoticed_sleep_ms += more_ms;
+        }
+        self.freeze(node, until_ms);
+    }
+
+    /// The time as a process reckons it.
+    pub fn clock_ms(&self, node: Node) -> u64 {
+        let slept_ms = self.hosts.get(&node).map_or(0, |host| host.slept_ms);
+        match self.steady_clocks {
+            true => self.now_ms.saturating_sub(slept_ms),
+            false => self.now_ms,
+        }
+    }
+
+    /// How long a process' machine slept since it was asked last, if it can tell.
+    pub fn take_sleep(&mut self, node: Node) -> Option<u64> {
+        let host = self.hosts.get_mut(&node)?;
+        let slept_ms = std::mem::take(&mut host.unnoticed_sleep_ms);
+        (slept_ms > 0 && !self.steady_clocks).then_some(slept_ms)
+    }
+
     /// Nothing passes between this process and control replicas for a while; everything else
     /// still reaches it.
     pub fn isolate_from_control(&mut self, node: Node, until_ms: u64) {
--- a/crates/simulator/src/proxy_node.rs
+++ b/crates/simulator/src/proxy_node.rs
@@ -152,7 +152,7 @@
     fn on_lost(&mut self, call: CallId, hosts: &mut Hosts, checker: &mut Checker) {
         if self.call == Some(call) {
             self.call = None;
-            self.chooser.on_failure(hosts.now_ms);
+            self.chooser.on_failure(hosts.clock_ms(self.node()));
             self.reconnect(hosts);
         } else if let Some(position) = self.tries.iter().position(|one| one.call == call) {
             self.try_next_control(position, None, hosts, checker);
@@ -165,7 +165,7 @@
     }
 
     fn on_reply(&mut self, reply: ProxyReply, hosts: &mut Hosts, checker: &mut Checker) {
-        let now_ms = hosts.now_ms;
+        let now_ms = hosts.clock_ms(self.node());
         let source_age_ms = match &reply {
             ProxyReply::Unchanged { source_age_ms } => *source_age_ms,
             ProxyReply::Update(update) => update.source_age_ms,
@@ -219,7 +219,7 @@
     pub fn begin_keyed(&mut self, key: &str, hosts: &mut Hosts) {
         let attempt = hosts.random.u64(..);
         let target = hosts.random.usize(..self.controls.len());
-        let give_up_ms = hosts.now_ms + CLAIM_LIMIT_MS;
+        let give_up_ms = hosts.clock_ms(self.node()) + CLAIM_LIMIT_MS;
         let one = KeyedTry { key: key.to_owned(), attempt, call: 0, target, give_up_ms };
         self.tries.push(one);
         self.send_begin(self.tries.len() - 1, hosts);
@@ -250,8 +250,9 @@
         checker: &mut Checker,
     ) {
         let named = self.controls.iter().position(|control| Some(*control) == leader);
+        let now_ms = hosts.clock_ms(self.node());
         let one = &mut self.tries[position];
-        if hosts.now_ms >= one.give_up_ms {
+        if now_ms >= one.give_up_ms {
             // Nothing was sent to a back end: the caller is told so, and the claim released.
             let one = self.tries.remove(position);
             checker.on_told(&one.key, true);
--- a/crates/simulator/src/relay_node.rs
+++ b/crates/simulator/src/relay_node.rs
@@ -160,7 +160,7 @@
         let call = self.new_call();
         self.report.call = Some(call);
         self.report_ticket = self.core.confirmation_wanted();
-        let report = self.core.report(hosts.now_ms);
+        let report = self.core.report(hosts.clock_ms(self.node()));
         let confirm = self.report_ticket.is_some();
         let control = Node::Control(self.controls[self.report.target]);
         let request = ReportRequest { report, confirm };
@@ -208,7 +208,7 @@
                 hosts.timer(self.node(), u64::from(retry_after_ms), Timer::SendWatch);
             }
             reply => {
-                let news = self.core.on_watch_reply(reply, hosts.now_ms);
+                let news = self.core.on_watch_reply(reply, hosts.clock_ms(self.node()));
                 self.send_watch(hosts);
                 if news {
                     self.answer_held(hosts);
@@ -236,7 +236,7 @@
     }
 
     fn on_poll(&mut self, proxy: Node, call: CallId, poll: &ProxyPoll, hosts: &mut Hosts) {
-        let now_ms = hosts.now_ms;
+        let now_ms = hosts.clock_ms(self.node());
         self.held.retain(|held| held.proxy != proxy);
         let session = match (self.sessions.get(&proxy), poll) {
             (Some(session), ProxyPoll::Again) => {
@@ -267,14 +267,14 @@
     fn on_hold_over(&mut self, call: CallId, hosts: &mut Hosts) {
         let position = self.held.iter().position(|held| held.call == call);
         if let Some(held) = position.map(|position| self.held.remove(position)) {
-            let reply = self.core.unchanged(hosts.now_ms);
+            let reply = self.core.unchanged(hosts.clock_ms(self.node()));
             hosts.send(self.node(), held.proxy, Packet::PollAnswer(call, reply));
         }
     }
 
     fn answer_held(&mut self, hosts: &mut Hosts) {
         for held in std::mem::take(&mut self.held) {
-            match self.core.answer(held.session, hosts.now_ms) {
+            match self.core.answer(held.session, hosts.clock_ms(self.node())) {
                 Some(reply) => {
                     let answer = Packet::PollAnswer(held.call, reply);
                     hosts.send(self.node(), held.proxy, answer);
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -24,6 +24,8 @@
     Silence,
     /// Processes stop for long and wake up believing what they believed.
     Freeze,
+    /// Machines are suspended for seconds; their steady clocks do not count it.
+    Sleep,
     /// Clocks run at different speeds.
     Skew,
     /// Messages are late, out of order and doubled.
@@ -42,7 +44,7 @@
 
 impl Scenario {
     /// Every scenario.
-    pub const ALL: [Scenario; 16] = [
+    pub const ALL: [Scenario; 17] = [
         Scenario::Calm,
         Scenario::Kill,
         Scenario::Herd,
@@ -58,6 +60,7 @@
         Scenario::Race,
         Scenario::RepairThenLoss,
         Scenario::Behind,
+        Scenario::Sleep,
         Scenario::Two,
     ];
 
@@ -73,6 +76,7 @@
             Scenario::OneWayCut => "one-way-cut",
             Scenario::Silence => "silence",
             Scenario::Freeze => "freeze",
+            Scenario::Sleep => "sleep",
             Scenario::Skew => "skew",
             Scenario::Delay => "delay",
             Scenario::Outage => "outage",
@@ -148,11 +152,13 @@
     LostAnswerToldNotRun,
     /// Relays take no notice of leaving back ends.
     RelayIgnoresLeaving,
+    /// Clocks stand still while machines sleep, and nobody notices.
+    SteadyClocks,
 }
 
 impl BrokenVariant {
     /// Every variant.
-    pub const ALL: [BrokenVariant; 15] = [
+    pub const ALL: [BrokenVariant; 16] = [
         BrokenVariant::DoubleVote,
         BrokenVariant::UnconfirmedReads,
         BrokenVariant::LyingDisks,
@@ -168,6 +174,7 @@
         BrokenVariant::RelayStaysWithDeadLeader,
         BrokenVariant::LostAnswerToldNotRun,
         BrokenVariant::RelayIgnoresLeaving,
+        BrokenVariant::SteadyClocks,
     ];
 
     /// The stable spelling.
@@ -188,6 +195,7 @@
             BrokenVariant::RelayStaysWithDeadLeader => "relay-stays-with-dead-leader",
             BrokenVariant::LostAnswerToldNotRun => "lost-answer-told-not-run",
             BrokenVariant::RelayIgnoresLeaving => "relay-ignores-leaving",
+            BrokenVariant::SteadyClocks => "steady-clocks",
         }
     }
 
@@ -209,6 +217,7 @@
             BrokenVariant::RelayStaysWithDeadLeader => Scenario::Kill,
             BrokenVariant::LostAnswerToldNotRun => Scenario::Kill,
             BrokenVariant::RelayIgnoresLeaving => Scenario::Calm,
+            BrokenVariant::SteadyClocks => Scenario::Sleep,
         }
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -104,6 +104,7 @@
 impl World {
     fn new(parameters: RunParameters) -> Self {
         let mut hosts = Hosts::new(parameters.seed);
+        hosts.steady_clocks = parameters.broken == Some(BrokenVariant::SteadyClocks);
         let voters: u64 = if parameters.seed % 4 == 3 { 5 } else { 3 };
         let faults = schedule(parameters.scenario, FAULTS_END_MS, &mut hosts.random);
         let list_lag_ms = (0..RELAYS).map(|_| hosts.random.u64(0..MAX_LIST_LAG_MS)).collect();
@@ -335,6 +336,9 @@
     fn handle_control(&mut self, id: u64, event: Event) {
         let Some(control) = self.controls.get_mut(&id) else { return };
         let (hosts, checker) = (&mut self.hosts, &mut self.checker);
+        if let Some(slept_ms) = hosts.take_sleep(Node::Control(id)) {
+            control.note_sleep(slept_ms);
+        }
         match event {
             Event::Timer(timer) => {
                 control.on_timer(&timer, hosts, checker);
--- a/crates/simulator/src/world/injection.rs
+++ b/crates/simulator/src/world/injection.rs
@@ -35,6 +35,7 @@
                     self.hosts.freeze(node, until_ms);
                 }
             }
+            Fault::Sleep { kind, wake_ms, heal_ms } => self.put_to_sleep(kind, wake_ms, heal_ms),
             Fault::Isolate { kind, heal_ms } => {
                 if let Some(node) = self.pick(kind) {
                     let until_ms = self.hosts.now_ms + heal_ms;
@@ -57,6 +58,20 @@
         }
     }
 
+    /// A leader sleeps together with a relay, which asks it first when both are awake.
+    fn put_to_sleep(&mut self, kind: Kind, wake_ms: u64, heal_ms: u64) {
+        let now_ms = self.hosts.now_ms;
+        if let Some(node) = self.pick(kind) {
+            self.hosts.sleep(node, now_ms + wake_ms);
+            self.hosts.isolate_from_control(node, now_ms + heal_ms);
+        }
+        if kind == Kind::Leader {
+            if let Some(relay) = self.pick(Kind::Relay) {
+                self.hosts.sleep(relay, now_ms + wake_ms);
+            }
+        }
+    }
+
     pub(super) fn pause_together(&mut self, wake_ms: u64, heal_ms: u64) {
         let now_ms = self.hosts.now_ms;
         if let Some(leader) = self.pick(Kind::Leader) {
