--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -67,9 +67,12 @@
         drop(self.revised.wait_timeout_while(self.lock(), longest, same));
     }
 
-    /// Waits until the registry has moved on from a position; false if it did not.
-    pub fn wait_registry(&self, position: u64, longest: Duration) -> bool {
-        let same = |state: &mut HubState| state.registry.position() == position;
+    /// Waits until the registry or what is known of poison requests has moved on from a position;
+    /// false if neither did.
+    pub fn wait_news(&self, registry: u64, poison: u64, longest: Duration) -> bool {
+        let same = |state: &mut HubState| {
+            state.registry.position() == registry && state.poison.position() == poison
+        };
         let waited = self.registry_changed.wait_timeout_while(self.lock(), longest, same);
         let (_state, result) = waited.unwrap_or_else(PoisonError::into_inner);
         !result.timed_out()
@@ -79,6 +82,7 @@
     /// another coordinator.
     pub fn take_poison(&self, notices: Vec<PoisonNotice>, here: bool, now: Millis) {
         let mut state = self.lock();
+        let former = state.poison.position();
         for notice in notices {
             let verdict = state.poison.take(notice, here, now);
             if let Some(Verdict::Quarantined(entries)) = verdict {
@@ -87,6 +91,10 @@
                 }
             }
         }
+        if state.poison.position() != former {
+            drop(state);
+            self.notify();
+        }
     }
 
     /// Removes the sidecars whose lease ended.
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -272,14 +272,13 @@
             if self.tell_poison(writer, &mut poison_position).is_err() {
                 return;
             }
-            if self.hub.wait_registry(changes.position, loads.until_due()) {
+            if self.hub.wait_news(changes.position, poison_position, loads.until_due()) {
                 thread::sleep(COLLECT_TIME);
             }
         }
     }
 
-    /// Tells what came since a position of requests that may crash upstreams; it is looked for as
-    /// often as loads are told.
+    /// Tells what came since a position of requests that may crash upstreams.
     fn tell_poison(&self, writer: &Writer, position: &mut u64) -> io::Result<()> {
         let notices = {
             let board = &self.hub.lock().poison;
