--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -1,7 +1,9 @@
 //! Which incarnation is beside this sidecar, and whether it may still be given calls.
 //!
 //! States only go forward within one incarnation, and an incarnation that was replaced never
-//! comes back, however late its messages arrive.
+//! comes back, however late its messages arrive. Messages of one that was never heard of may come
+//! late, too: so the upstream's own word, that it is another one than a call was meant for, brings
+//! back the one that was replaced last.
 
 use crate::Millis;
 use mesh::{InstanceRecord, InstanceState, MOST_VERSION_BYTES};
@@ -30,6 +32,8 @@
 pub struct DrainGate {
     drain_ms: u64,
     current: Option<Current>,
+    /// The one replaced last, until the upstream has answered a call as the current one.
+    former: Option<Current>,
     retired: VecDeque<String>,
 }
 
@@ -49,7 +53,7 @@
 impl DrainGate {
     /// No upstream yet; one that says it leaves is given nothing after `drain_ms`.
     pub fn new(drain_ms: u64) -> Self {
-        DrainGate { drain_ms, current: None, retired: VecDeque::new() }
+        DrainGate { drain_ms, current: None, former: None, retired: VecDeque::new() }
     }
 
     /// Takes in what coordinators know from before this sidecar's start.
@@ -69,6 +73,9 @@
             return false;
         }
         if self.current.as_ref().is_none_or(|current| current.id != record.id) {
+            if self.is_late(record) {
+                return false;
+            }
             self.replace(record, sequence, now);
             return true;
         }
@@ -89,12 +96,45 @@
         self.advance(id, InstanceState::Left, now)
     }
 
+    /// Whether the first that is heard of an incarnation is its end, while another one serves: it
+    /// began and ended before that one, and its messages were held up.
+    fn is_late(&self, record: &InstanceRecord) -> bool {
+        let serves = self.current.as_ref().is_some_and(|current| current.open_until.is_none());
+        serves && record.state != InstanceState::Ready
+    }
+
+    /// Takes in that the upstream answered a call that was meant for this incarnation.
+    pub fn confirmed(&mut self, id: &str) {
+        if self.former.is_some() && self.id() == Some(id) {
+            self.former = None;
+        }
+    }
+
+    /// Takes in that the upstream is not this incarnation, as it says itself; true if that is news.
+    /// The one replaced last is the current one again. Without any, the next that is heard of is.
+    pub fn denied(&mut self, id: &str) -> bool {
+        let Some(denied) = self.current.take_if(|current| current.id == id) else {
+            return false;
+        };
+        if let Some(former) = self.former.take() {
+            self.retired.retain(|retired| *retired != former.id);
+            self.current = Some(former);
+            self.retire(denied);
+        }
+        true
+    }
+
+    fn retire(&mut self, replaced: Current) {
+        self.retired.push_back(replaced.id.clone());
+        if self.retired.len() > RETIRED_KEPT {
+            self.retired.pop_front();
+        }
+        self.former = Some(replaced);
+    }
+
     fn replace(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) {
-        if let Some(former) = self.current.take() {
-            self.retired.push_back(former.id);
-            if self.retired.len() > RETIRED_KEPT {
-                self.retired.pop_front();
-            }
+        if let Some(replaced) = self.current.take() {
+            self.retire(replaced);
         }
         // An end that is news was acknowledged by this process; any other may have been
         // acknowledged long ago, by an earlier life.
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -93,3 +93,85 @@
     gate.told(&InstanceRecord { version: "v2".to_owned(), ..long }, 2, 10);
     assert_ne!(gate.version(), Some("v2"), "an incarnation does not change its software");
 }
+
+/// What arrives at a sidecar.
+#[derive(Clone, Copy)]
+enum Arrival {
+    Beat(&'static str, u64),
+    Drain(&'static str, u64),
+    Leave(&'static str),
+    /// The upstream answered a call that was meant for this one.
+    Answers(&'static str),
+    /// It said that it is another one.
+    Denies(&'static str),
+}
+
+fn after(arrivals: &[Arrival]) -> (Option<String>, GateState) {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    for (step, arrival) in arrivals.iter().enumerate() {
+        let now = step as u64 * 100;
+        match *arrival {
+            Arrival::Beat(id, sequence) => {
+                gate.told(&record(id, InstanceState::Ready), sequence, now);
+            }
+            Arrival::Drain(id, sequence) => {
+                gate.told(&record(id, InstanceState::Draining), sequence, now);
+            }
+            Arrival::Leave(id) => {
+                gate.left(id, now);
+            }
+            Arrival::Answers(id) => gate.confirmed(id),
+            Arrival::Denies(id) => {
+                gate.denied(id);
+            }
+        }
+    }
+    (gate.id().map(str::to_owned), gate.state(60_000))
+}
+
+#[test]
+fn late_messages_of_an_earlier_incarnation_never_bring_it_back() {
+    use Arrival::{Answers, Beat, Denies, Drain, Leave};
+    use GateState::{Absent, Closed, Open};
+    let rows: [(&str, &[Arrival], Option<&str>, GateState); 11] = [
+        ("register, crash, register", &[Beat("a", 1), Beat("b", 1)], Some("b"), Open),
+        ("a late one, known", &[Beat("a", 1), Beat("b", 1), Beat("a", 9)], Some("b"), Open),
+        ("its late end", &[Beat("a", 1), Beat("b", 1), Drain("a", 9)], Some("b"), Open),
+        ("its late leave", &[Beat("a", 1), Beat("b", 1), Leave("a")], Some("b"), Open),
+        ("the end of one never heard of", &[Beat("b", 1), Drain("a", 4)], Some("b"), Open),
+        (
+            "a late one never heard of: the upstream denies it",
+            &[Beat("b", 1), Beat("a", 3), Denies("a")],
+            Some("b"),
+            Open,
+        ),
+        (
+            "and again",
+            &[Beat("b", 1), Beat("a", 3), Denies("a"), Beat("a", 4), Beat("b", 2)],
+            Some("b"),
+            Open,
+        ),
+        (
+            "denied in error: it is believed again",
+            &[Beat("a", 1), Beat("b", 1), Denies("b"), Denies("a")],
+            Some("b"),
+            Open,
+        ),
+        (
+            "denied in error after an answer",
+            &[Beat("a", 1), Beat("b", 1), Answers("b"), Denies("b"), Beat("b", 2)],
+            Some("b"),
+            Open,
+        ),
+        ("the only one is denied", &[Beat("a", 1), Denies("a")], None, Absent),
+        (
+            "drained, then a late beat of its own",
+            &[Beat("a", 1), Drain("a", 3), Beat("a", 2)],
+            Some("a"),
+            Closed,
+        ),
+    ];
+    for (name, arrivals, id, state) in rows {
+        assert_eq!(after(arrivals), (id.map(str::to_owned), state), "{name}");
+    }
+}
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -1,6 +1,8 @@
 //! How jobs end: the upstream's answer, callers that leave, time; and who starts then.
 
-use super::{Job, JobAction, Jobs, Refusal, Source, UpstreamEnd, REFUSED_STATUS};
+use super::{
+    Job, JobAction, Jobs, Refusal, Source, UpstreamEnd, REFUSED_STATUS, WRONG_INSTANCE_STATUS,
+};
 use crate::net::ConnectionId;
 use crate::Millis;
 use admission::{GateState, JobId};
@@ -55,6 +57,7 @@
             HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0, now),
             HopOutcome::Answered | HopOutcome::Unknown => 0,
         };
+        self.note_instance(job.given_to.as_deref(), outcome, response.status);
         if outcome == HopOutcome::Answered {
             self.poison.ran_well(self.fingerprint(&job.request), now);
         }
@@ -93,7 +96,8 @@
             UpstreamEnd::Answered(answer) => answer,
         };
         let response = answer.response;
-        if response.headers.get(self.names.not_run).is_some() || response.status == 421 {
+        let is_other = response.status == WRONG_INSTANCE_STATUS;
+        if response.headers.get(self.names.not_run).is_some() || is_other {
             return (HopOutcome::Rejected, response);
         }
         let sealed = response.headers.get(self.names.seal).is_some();
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -28,13 +28,15 @@
 use quarantine::Standing;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Slots of an upstream that did not tell any.
 const UNKNOWN_SLOTS: u32 = 4;
 /// Part of the slots that is used: some upstreams slow down or reset when they are full.
 const USED_PART_OF_SLOTS: f64 = 1.0;
 const REFUSED_STATUS: u16 = 503;
+/// Of an upstream that is not the incarnation that a call is meant for; it has not run the call.
+const WRONG_INSTANCE_STATUS: u16 = 421;
 /// A call that waited longer than this on its way is not run, milliseconds: its caller may have left
 /// meanwhile, and word of that waits in the same queues. A caller's leave takes effect within 500 ms;
 /// the rest is for the way to the upstream.
@@ -135,6 +137,8 @@
     class: CallClass,
     /// Whether an upstream may have ended because of a request like it.
     suspect: bool,
+    /// Incarnation that it was given to.
+    given_to: Option<String>,
     deadline: Millis,
     arrived: Millis,
     started: Option<Millis>,
@@ -162,6 +166,8 @@
     poison: PoisonWatch,
     failures: FailureShare,
     failures_of: Option<String>,
+    /// Whether the upstream said that it is another one than was registered, and nobody was told.
+    instance_denied: bool,
     /// Part of this machine's link that is in use, percent.
     pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
@@ -194,6 +200,7 @@
             poison: PoisonWatch::default(),
             failures: FailureShare::default(),
             failures_of: None,
+            instance_denied: false,
             link_percent: 0,
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
@@ -246,6 +253,27 @@
         self.trial.due(&self.service, version, now)
     }
 
+    /// Takes in what an answer says of the incarnation that the call was given to.
+    fn note_instance(&mut self, given_to: Option<&str>, outcome: HopOutcome, status: u16) {
+        let Some(id) = given_to else {
+            return;
+        };
+        match outcome {
+            HopOutcome::Answered => self.gate.confirmed(id),
+            HopOutcome::Rejected if status == WRONG_INSTANCE_STATUS && self.gate.denied(id) => {
+                warn!(instance = %id, now = ?self.gate.id(), "instance_denied");
+                self.instance_denied = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether coordinators must be told which incarnation is there, since it is not the one that
+    /// was registered last; once.
+    pub fn take_instance_denied(&mut self) -> bool {
+        std::mem::take(&mut self.instance_denied)
+    }
+
     /// Takes over what the upstream told of its slots.
     pub fn refresh_limit(&mut self) {
         let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
@@ -357,6 +385,7 @@
             attempt_id,
             class,
             suspect,
+            given_to: None,
             deadline,
             arrived: now,
             started: None,
@@ -414,6 +443,7 @@
         let instance = self.gate.id().map(str::to_owned);
         let job = self.jobs.get_mut(&id)?;
         job.started = Some(now);
+        job.given_to = instance.clone();
         let left = job.deadline.saturating_sub(now).max(1);
         let mut request = (*job.request).clone();
         request.headers.remove(HOP_HEADER);
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -288,5 +288,9 @@
         };
         let actions = self.jobs.ended(job, end, now);
         self.work.extend(actions.into_iter().map(Work::Job));
+        if self.jobs.take_instance_denied() {
+            self.jobs.refresh_limit();
+            self.report_instance(now);
+        }
     }
 }
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -266,3 +266,21 @@
     let refused = jobs.begin(source(99), request(), &hop("another", None), 60);
     assert_eq!(failing(&refused), Some(0));
 }
+
+#[test]
+fn an_upstream_that_is_another_than_registered_last_is_found_out_by_its_answer() {
+    let mut jobs = jobs();
+    // A heartbeat that was held up, of one that ended before i-1 began.
+    jobs.gate.told(&record("i-0", InstanceState::Ready), 4, 50);
+    let actions = jobs.begin(source(1), request(), &hop(SERVICE, None), 100);
+    let (job, request) = started(&actions).expect("it runs");
+    assert_eq!(request.headers.text(NAMES.expect_instance), Some("i-0"));
+    let answer = Answer { response: Response::empty(421), reusable: true };
+    let ended = jobs.ended(job, UpstreamEnd::Answered(answer), 110);
+    assert_eq!(outcomes(&ended), [HopOutcome::Rejected]);
+    assert!(jobs.take_instance_denied() && !jobs.take_instance_denied(), "it is told once");
+    assert_eq!(jobs.gate.id(), Some("i-1"));
+    let actions = begin(&mut jobs, 2, 120);
+    let (_, request) = started(&actions).expect("it runs");
+    assert_eq!(request.headers.text(NAMES.expect_instance), Some("i-1"));
+}
