--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -8,6 +8,7 @@
 pub mod keys;
 pub mod members;
 pub mod proxy;
+pub mod quarantine;
 pub mod relay;
 pub mod settings;
 pub mod sidecar;
--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use bundle::{Bundle, Object};
 use coordinator::{CanaryOrder, OperatorCall, OperatorDialect, Replacement};
-use mesh::{InstanceRecord, InstanceState};
+use mesh::{Fingerprint, InstanceRecord, InstanceState, QuarantineEntry};
 use rollout::CanaryRecord;
 use serde::{Deserialize, Serialize};
 use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect};
@@ -23,6 +23,7 @@
 const READY_PATH: &str = "/readyz";
 const CONFIGURATION: &str = "/v1/configuration";
 const CANARIES: &str = "/v1/canaries";
+const QUARANTINE: &str = "/v1/quarantine";
 const PRECONDITION: &str = "If-Match";
 
 #[derive(Deserialize)]
@@ -84,6 +85,17 @@
     duration_ms: u64,
 }
 
+/// A request that is kept from upstreams, as JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedRequest {
+    /// Names it; the same in all logs.
+    pub fingerprint: String,
+    /// Upstreams that ended under it.
+    pub crashes: u32,
+    /// How much longer, milliseconds.
+    pub left_ms: u64,
+}
+
 /// A whole configuration as JSON.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,6 +114,12 @@
             ("PUT", CONFIGURATION) => Some(OperatorCall::Replace),
             ("GET", CONFIGURATION) => Some(OperatorCall::Read),
             ("POST", CANARIES) => Some(OperatorCall::StartCanary),
+            ("GET", QUARANTINE) => Some(OperatorCall::ListQuarantine),
+            ("DELETE", url) => {
+                let name = url.strip_prefix(QUARANTINE)?.strip_prefix('/')?;
+                let fingerprint = Fingerprint(u64::from_str_radix(name, 16).ok()?);
+                Some(OperatorCall::ClearQuarantine { fingerprint })
+            }
             ("GET", url) => {
                 let service = url.strip_prefix(CANARIES)?.strip_prefix('/')?.to_owned();
                 Some(OperatorCall::ReadCanary { service })
@@ -132,6 +150,16 @@
         serde_json::to_vec(canary).expect("a record holds nothing that JSON cannot")
     }
 
+    fn write_quarantine(&self, entries: &[QuarantineEntry]) -> Vec<u8> {
+        let written = |entry: &QuarantineEntry| QuarantinedRequest {
+            fingerprint: entry.fingerprint.to_string(),
+            crashes: entry.crashes,
+            left_ms: entry.left_ms,
+        };
+        let rows: Vec<QuarantinedRequest> = entries.iter().map(written).collect();
+        serde_json::to_vec(&rows).expect("a row holds nothing that JSON cannot")
+    }
+
     fn precondition_header(&self) -> &'static str {
         PRECONDITION
     }
--- a/crates/chutecove/src/lib.rs
+++ b/crates/chutecove/src/lib.rs
@@ -28,6 +28,7 @@
   bundle     check, submit, approve, roll, advance, pause, resume, withdraw, show, list, diff
   status     how far each generation has spread
   members    list, add, promote, remove control replicas
+  quarantine list and clear requests that crash upstreams (small fleets)
   keys       init, issue, operator, seal, rotate
   settings   check a settings file and print its defaults
   data       check, show, backup, restore a control replica's data folder
@@ -69,6 +70,7 @@
         "bundle" => cli::bundle::run(rest),
         "status" => cli::status::run(rest),
         "members" => cli::members::run(rest),
+        "quarantine" => cli::quarantine::run(rest),
         "keys" => cli::keys::run(rest),
         "settings" => cli::settings::run(rest),
         "data" => cli::data::run(rest),
--- a/crates/chutecove/tests/crashing_requests.rs
+++ b/crates/chutecove/tests/crashing_requests.rs
@@ -15,7 +15,8 @@
 mod fleet;
 
 use fleet::crashing::CrashingUpstream;
-use fleet::{wait, Fleet, Running, SERVICE};
+use fleet::{wait, Fleet, Running, PROGRAM, SERVICE};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,6 +74,26 @@
         (0..20).all(|_| self.serves(path))
     }
 
+    /// An operator asks one coordinator, and clears the request at another.
+    fn operator_finds_and_clears_it(&self) {
+        let api = |host| format!("{}:{}", self.fleet.ip(host), self.fleet.ports.api);
+        let (listed, text) = quarantine(&["list", "--coordinator", &api(1)]);
+        assert!(listed && text.contains(" upstreams ended"), "{text}");
+        let fingerprint = text.split(' ').next().expect("a line");
+        let clear = ["clear", fingerprint, "--coordinator", &api(2)];
+        assert_eq!(quarantine(&clear), (true, "cleared\n".to_owned()));
+        assert!(!quarantine(&clear).0, "it is not there any more");
+        wait("all coordinators know", || {
+            let (_, text) = quarantine(&["list", "--coordinator", &api(1), "--output", "json"]);
+            text.trim() == "[]"
+        });
+        let before = self.crashes();
+        wait("sidecars know", || {
+            self.status(CALLERS[0], "/one/poison?card=7");
+            self.crashes() > before
+        });
+    }
+
     fn crashes(&self) -> u64 {
         self.upstreams.iter().map(|upstream| upstream.crashes()).sum()
     }
@@ -98,6 +119,13 @@
     }
 }
 
+/// Runs `chutecove quarantine`: whether it succeeded, and what it printed.
+fn quarantine(arguments: &[&str]) -> (bool, String) {
+    let command = Command::new(PROGRAM).arg("quarantine").args(arguments).output();
+    let output = command.expect("it runs");
+    (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
 struct SetOnDrop<'a>(&'a AtomicBool);
 
 impl Drop for SetOnDrop<'_> {
@@ -129,6 +157,7 @@
     mesh.wait_for_all();
     wait("others are served", || mesh.serves_in_a_row("/one/other"));
     assert!(CALLERS.iter().all(|host| mesh.status(*host, path) == Some(503)));
+    mesh.operator_finds_and_clears_it();
 }
 
 #[test]
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -1,16 +1,18 @@
 //! The operators' interface of a coordinator, in whatever dialect it was started with.
 
 use crate::dialect::{CanaryOrder, OperatorCall, OperatorDialect, Replacement};
+use crate::hub::Hub;
 use crate::membership::Group;
 use bundle::best_update;
 use control::RequestError;
-use mesh::MemberId;
+use mesh::{Fingerprint, MemberId};
 use rollout::{Accepted, Command, Refusal, Request};
 use rouille::Response;
 use std::io::Read;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
+use telemetry::Clock;
 use tracing::info;
 
 /// Operators go to another coordinator after a second; the answer must be there before.
@@ -22,6 +24,8 @@
 /// What the interface needs.
 pub(crate) struct Api {
     pub group: Arc<Group>,
+    pub hub: Arc<Hub>,
+    pub clock: Clock,
     pub dialect: Arc<dyn OperatorDialect>,
     pub listen: SocketAddrV4,
     pub trusted_source: String,
@@ -42,10 +46,29 @@
             Some(OperatorCall::Read) => self.read(request),
             Some(OperatorCall::StartCanary) => self.start_canary(request),
             Some(OperatorCall::ReadCanary { service }) => self.read_canary(request, &service),
+            Some(OperatorCall::ListQuarantine) => self.list_quarantine(),
+            Some(OperatorCall::ClearQuarantine { fingerprint }) => {
+                self.clear_quarantine(fingerprint)
+            }
             None => Response::empty_404(),
         }
     }
 
+    /// What this coordinator was told; any of them knows it within a second.
+    fn list_quarantine(&self) -> Response {
+        let entries = self.hub.lock().poison.entries(self.clock.now_ms());
+        Response::from_data("application/json", self.dialect.write_quarantine(&entries))
+    }
+
+    fn clear_quarantine(&self, fingerprint: Fingerprint) -> Response {
+        let cleared = self.hub.clear_poison(fingerprint, self.clock.now_ms());
+        info!(%fingerprint, cleared, "quarantine_cleared_by_operator");
+        match cleared {
+            true => Response::text("cleared\n"),
+            false => Response::empty_404(),
+        }
+    }
+
     fn replace(&self, request: &rouille::Request) -> Response {
         let Some(body) = read_body(request) else {
             return Response::empty_400();
--- a/crates/coordinator/src/dialect.rs
+++ b/crates/coordinator/src/dialect.rs
@@ -1,6 +1,7 @@
 //! How operators speak to a coordinator: the runtime knows what to do, a dialect how it is said.
 
 use bundle::Bundle;
+use mesh::{Fingerprint, QuarantineEntry};
 use rollout::CanaryRecord;
 
 /// What an operator asks.
@@ -17,6 +18,13 @@
         /// The service.
         service: String,
     },
+    /// List the requests that are kept from upstreams.
+    ListQuarantine,
+    /// Let upstreams have a request again.
+    ClearQuarantine {
+        /// The request.
+        fingerprint: Fingerprint,
+    },
 }
 
 /// An order to move a service to another version of its upstreams.
@@ -59,6 +67,11 @@
     /// Writes what became of a canary.
     fn write_canary(&self, canary: &CanaryRecord) -> Vec<u8>;
 
+    /// Writes the requests that are kept from upstreams. Dialects without such a call need none.
+    fn write_quarantine(&self, _entries: &[QuarantineEntry]) -> Vec<u8> {
+        Vec::new()
+    }
+
     /// Header that carries the version a replacement builds on.
     fn precondition_header(&self) -> &'static str;
 
--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -5,7 +5,7 @@
 
 use crate::{LoadBoard, Millis, Registry};
 use canary::Evidence;
-use mesh::{PoisonNotice, QuarantineEntry};
+use mesh::{Fingerprint, PoisonNotice, QuarantineEntry};
 use quarantine::{NoticeBoard, Verdict};
 use std::collections::BTreeMap;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -97,6 +97,15 @@
         }
     }
 
+    /// Lets upstreams have a request again, as an operator asks; false if it was not kept from them.
+    pub fn clear_poison(&self, fingerprint: Fingerprint, now: Millis) -> bool {
+        let cleared = self.lock().poison.clear(fingerprint, now);
+        if cleared {
+            self.notify();
+        }
+        cleared
+    }
+
     /// Removes the sidecars whose lease ended.
     pub fn expire(&self, now: Millis) {
         let mut state = self.lock();
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -100,7 +100,7 @@
     serve_metrics(settings, &group, &hub).context(MetricsSnafu)?;
     let trusted_source = settings.trusted_source.clone();
     let listen = settings.api_listen;
-    let api = Api { group: group.clone(), dialect, listen, trusted_source };
+    let api = Api { group: group.clone(), hub, clock, dialect, listen, trusted_source };
     api::spawn(api).map_err(|cause| listen_error(listen, cause))?;
     info!(name = %settings.name, member = %own, %address, api = %listen, "coordinator_started");
     Ok(RunningCoordinator { group, stop, _folder: folder })
