--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -17,6 +17,7 @@
 mod registry;
 mod registry_loop;
 mod runtime;
+mod silence;
 mod transport;
 
 pub use autopilot::{Autopilot, Change, Facts, MemberFacts};
@@ -27,6 +28,8 @@
 pub use loads::{LoadBoard, ServiceLoad};
 pub use registry::{Registry, RegistryChanges};
 pub use runtime::{run, CoordinatorError, RunningCoordinator};
+pub use silence::SilenceWatch;
+pub use transport::Transport;
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -3,22 +3,28 @@
 use crate::link::SidecarLink;
 use crate::membership::Group;
 use crate::registry_loop::RegistryLoop;
-use crate::transport::prepare;
+use crate::transport::{prepare, HEARD, HEARD_INTERVAL};
 use mesh::{
     decode_frame, CoordinatorFrame, Greeting, MemberId, Purpose, MAX_FRAME_BYTES, PROTOCOL_VERSION,
 };
 use speedy::{LittleEndian, Readable};
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use telemetry::BootInstant;
 use tracing::{info, warn};
 
 /// Connections served at once; more are closed.
 const MAX_CONNECTIONS: usize = 1_024;
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
+/// A coordinator sends the digest of its registry about each second. One that says nothing for this
+/// long has left, or opened another connection since this one fell silent.
+const COORDINATOR_SILENCE_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait for room for the byte that says something was heard.
+const HEARD_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 const STACK_BYTES: usize = 192 * 1024;
 const READ_BYTES: usize = 8 * 1024;
 
@@ -115,16 +121,28 @@
         }
         match purpose {
             Purpose::Coordinator => {
-                stream.set_read_timeout(None)?;
-                self.serve_coordinator(&mut reader, peer)
+                stream.set_read_timeout(Some(COORDINATOR_SILENCE_LIMIT))?;
+                self.serve_coordinator(stream, &mut reader, peer)
             }
             Purpose::Sidecar => self.link.serve(stream, reader),
         }
     }
 
-    fn serve_coordinator(&self, reader: &mut FrameReader, peer: SocketAddr) -> io::Result<()> {
+    fn serve_coordinator(
+        &self,
+        mut stream: TcpStream,
+        reader: &mut FrameReader,
+        peer: SocketAddr,
+    ) -> io::Result<()> {
+        stream.set_write_timeout(Some(HEARD_WRITE_TIMEOUT))?;
+        let mut said_at: Option<BootInstant> = None;
         loop {
-            match reader.next()? {
+            let frame = reader.next()?;
+            if said_at.is_none_or(|at| at.elapsed() >= HEARD_INTERVAL) {
+                said_at = Some(BootInstant::now());
+                stream.write_all(&[HEARD])?;
+            }
+            match frame {
                 CoordinatorFrame::Message(message) => self.group.receive(message),
                 CoordinatorFrame::Join { member } => self.group.join(MemberId(member)),
                 CoordinatorFrame::Removed { member } => info!(%peer, member, "removed_from_group"),
--- a/crates/coordinator/src/transport.rs
+++ b/crates/coordinator/src/transport.rs
@@ -1,16 +1,22 @@
 //! Sending frames to other coordinators: one thread and one connection each, never blocking.
+//!
+//! Frames go one way; the receiver sends back single bytes that say it read some. A connection can
+//! fall silent for good without a reset, while new ones work: then these stop, and another one is
+//! opened. Otherwise a leader would never again reach that member, and a cluster that lost two such
+//! connections would have no quorum.
 
+use crate::silence::SilenceWatch;
 use mesh::{encode_frame, CoordinatorFrame, Greeting, MemberId, Purpose, PROTOCOL_VERSION};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::BTreeMap;
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 use telemetry::BootInstant;
-use tracing::debug;
+use tracing::{debug, info};
 
 /// Frames waiting for one peer; beyond, they are dropped, as a network would.
 const QUEUE_LENGTH: usize = 1_024;
@@ -31,8 +37,17 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// The byte by which a receiver says that it read something.
+pub(crate) const HEARD: u8 = b'h';
+/// Time between two such bytes, milliseconds: about that between heartbeats of a leader.
+pub(crate) const HEARD_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two looks at what the receiver said.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// More than a receiver says between two looks.
+const HEARD_BYTES: usize = 64;
+
 /// Queues towards all peers.
-pub(crate) struct Transport {
+pub struct Transport {
     fleet: String,
     port: u16,
     queues: Mutex<BTreeMap<Ipv4Addr, SyncSender<CoordinatorFrame>>>,
@@ -76,7 +91,7 @@
 }
 
 fn send_all(target: SocketAddr, greeting: &Greeting, frames: &Receiver<CoordinatorFrame>) {
-    let mut connection: Option<TcpStream> = None;
+    let mut connection: Option<Connection> = None;
     let mut retry_at = BootInstant::now();
     let mut buffer = Vec::new();
     loop {
@@ -93,21 +108,61 @@
         let Some(open) = &mut connection else { continue };
         buffer.clear();
         encode_frame(&frame, &mut buffer);
-        if let Err(error) = open.write_all(&buffer) {
+        if let Err(error) = open.send(&buffer) {
             debug!(%target, %error, "consensus_send_failed");
             connection = None;
+        } else if open.silence.is_silent(BootInstant::now()) {
+            info!(%target, "peer_silent");
+            connection = None;
+        }
+    }
+}
+
+/// A connection, with what its receiver said.
+struct Connection {
+    stream: TcpStream,
+    silence: SilenceWatch,
+    look_at: BootInstant,
+}
+
+impl Connection {
+    fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)?;
+        let now = BootInstant::now();
+        self.silence.sent(now);
+        if now >= self.look_at {
+            self.look_at = now + LOOK_INTERVAL;
+            self.look()?;
+        }
+        Ok(())
+    }
+
+    /// Reads what the receiver said, without waiting for more.
+    fn look(&mut self) -> io::Result<()> {
+        let mut said = [0; HEARD_BYTES];
+        self.stream.set_nonblocking(true)?;
+        let read = self.stream.read(&mut said);
+        self.stream.set_nonblocking(false)?;
+        match read {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => {
+                self.silence.heard();
+                Ok(())
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
         }
     }
 }
 
-fn open(target: SocketAddr, greeting: &Greeting) -> io::Result<TcpStream> {
+fn open(target: SocketAddr, greeting: &Greeting) -> io::Result<Connection> {
     let mut stream = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
     prepare(&stream)?;
     stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
     let mut buffer = Vec::new();
     encode_frame(greeting, &mut buffer);
     stream.write_all(&buffer)?;
-    Ok(stream)
+    Ok(Connection { stream, silence: SilenceWatch::default(), look_at: BootInstant::now() })
 }
 
 /// Makes a connection notice a peer that went dark.
