--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -1,16 +1,21 @@
-//! Callers: each a thread that calls through one sidecar, on a connection of its own each time.
+//! Callers: each a thread that calls through one sidecar. Half of them open a connection for each call
+//! and go elsewhere when the sidecar is not ready; half keep theirs and use it until it is gone.
 
 use super::clock::{Clock, Shared};
+use super::kept::{KeptConnection, KeptEnd};
 use super::machines::{Machines, CALLERS};
 use super::operator::{BASE_HOST, BASE_PATH};
-use super::upstream::{answer_to, ID_HEADER};
+use super::upstream::{answer_to, ID_HEADER, POISON};
+use http1::Headers;
 use soak::{Call, End};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PAUSE_MS: std::ops::Range<u64> = 5..40;
+const POISON_PAUSE_MS: std::ops::Range<u64> = 20..120;
 /// One of so many calls asks for the route of a version.
 const VERSIONED_ONE_OF: u64 = 6;
 /// One of so many calls must not be repeated.
@@ -27,6 +32,8 @@
 
 /// One caller.
 struct Caller {
+    /// The connection that it keeps, if it is one that does.
+    kept: Option<KeptConnection>,
     host: u8,
     base: String,
     next_id: Arc<AtomicU64>,
@@ -50,8 +57,11 @@
         let next_id = Arc::new(AtomicU64::new(1));
         let mut threads = Vec::new();
         for (place, host) in CALLERS.into_iter().enumerate() {
-            for _ in 0..per_machine {
-                let caller = Caller {
+            for number in 0..per_machine {
+                let address = SocketAddr::from((machines.ip(host), machines.ports.outbound));
+                let kept = (number % 2 == 0).then(|| KeptConnection::new(address));
+                let mut caller = Caller {
+                    kept,
                     host,
                     base: format!("http://{}:{}", machines.ip(host), machines.ports.outbound),
                     next_id: next_id.clone(),
@@ -62,7 +72,9 @@
                 let (ended, away) = (ended.clone(), away.clone());
                 threads.push(thread::spawn(move || {
                     while !ended.load(Ordering::Relaxed) {
-                        if away.load(Ordering::SeqCst) & (1 << place) == 0 {
+                        let gone = away.load(Ordering::SeqCst) & (1 << place) != 0;
+                        let open = caller.kept.as_ref().is_some_and(KeptConnection::is_open);
+                        if !gone || open {
                             caller.call();
                         }
                         thread::sleep(Duration::from_millis(fastrand::u64(PAUSE_MS)));
@@ -83,7 +95,7 @@
 }
 
 impl Caller {
-    fn call(&self) {
+    fn call(&mut self) {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
         let repeatable = !id.is_multiple_of(CHARGE_ONE_OF);
         let newest = self.version.load(Ordering::SeqCst);
@@ -94,12 +106,17 @@
             None if repeatable => format!("{BASE_PATH}{id}"),
             None => format!("/charge/{id}"),
         };
-        let upload =
-            !repeatable && version.is_none() && (id / CHARGE_ONE_OF).is_multiple_of(UPLOAD_ONE_OF);
+        let upload = self.kept.is_none()
+            && !repeatable
+            && version.is_none()
+            && (id / CHARGE_ONE_OF).is_multiple_of(UPLOAD_ONE_OF);
         let bytes = if upload { fastrand::usize(UPLOAD_BYTES) } else { 0 };
         let body: Vec<u8> = (0..bytes).map(|place| (place as u64 * 7 + id) as u8).collect();
         let sent = self.clock.now();
-        let end = self.ask(id, &path, &body);
+        let end = match &mut self.kept {
+            Some(kept) => ask_on(kept, id, &path),
+            None => self.ask(id, &path, &body),
+        };
         let ended = self.clock.now();
         let repeatable = repeatable || version.is_some();
         self.calls.push(Call { id, machine: self.host, repeatable, version, sent, ended, end });
@@ -129,6 +146,37 @@
     }
 }
 
+fn ask_on(kept: &mut KeptConnection, id: u64, path: &str) -> End {
+    let mut headers = Headers::default();
+    headers.push("Host", BASE_HOST);
+    headers.push(ID_HEADER, id.to_string());
+    match kept.get(path, &headers) {
+        KeptEnd::NotConnected => End::NotConnected,
+        KeptEnd::ClosedBetween => End::ClosedBetween,
+        KeptEnd::Cut => End::Cut,
+        KeptEnd::Answered(response) => {
+            let whole = response.body == answer_to(id, path, &[]).as_bytes();
+            End::Answered { status: response.status, whole }
+        }
+    }
+}
+
+/// A caller that sends one poison request again and again, to whichever sidecar, for a time.
+pub fn repeat_poison(machines: &Machines, number: u64, time: Duration) -> JoinHandle<()> {
+    let bases = CALLERS
+        .map(|host| format!("http://{}:{}{BASE_PATH}", machines.ip(host), machines.ports.outbound));
+    thread::spawn(move || {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let base = &bases[fastrand::usize(..bases.len())];
+            let url = format!("{}{POISON}{number}", base.trim_end_matches('/'));
+            // Whatever it is answered, it comes again.
+            drop(super::agent().get(url).header("Host", BASE_HOST).call());
+            thread::sleep(Duration::from_millis(fastrand::u64(POISON_PAUSE_MS)));
+        }
+    })
+}
+
 fn is_refused(error: &std::io::Error) -> bool {
     matches!(
         error.kind(),
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! The faults of one round, drawn from its seed.
 
+use super::callers::repeat_poison;
 use super::clock::Clock;
 use super::machines::{Machines, CALLERS, COORDINATORS, DRAIN_MS, STOP_MS, UPSTREAMS};
 use super::operator::Operator;
@@ -8,12 +9,15 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 const PAUSE_MS: std::ops::Range<u64> = 300..1_500;
 const DOWN_MS: std::ops::Range<u64> = 50..900;
 const FREEZE_MS: std::ops::Range<u64> = 500..2_500;
+/// One of so many faults comes with a poison request.
+const POISON_ONE_OF: u32 = 5;
+const POISON_MS: std::ops::Range<u64> = 1_000..6_000;
 /// After a fault on a coordinator, until the next one there: the group mends itself meanwhile.
 const GROUP_REST: Duration = Duration::from_millis(2_500);
 /// Callers that look at the readiness have gone by then.
@@ -39,6 +43,7 @@
     /// What was done.
     pub done: Vec<Fault>,
     group_rests_until: Instant,
+    poisons: Vec<JoinHandle<()>>,
 }
 
 impl<'a> Faults<'a> {
@@ -54,13 +59,26 @@
         let random = fastrand::Rng::with_seed(seed);
         let done = Vec::new();
         let group_rests_until = Instant::now();
-        Faults { machines, upstreams, operator, away, clock, random, done, group_rests_until }
+        Faults {
+            machines,
+            upstreams,
+            operator,
+            away,
+            clock,
+            random,
+            done,
+            group_rests_until,
+            poisons: Vec::new(),
+        }
     }
 
     /// Strikes for a time.
     pub fn run(&mut self, time: Duration) -> std::io::Result<()> {
         let end = Instant::now() + time;
         while Instant::now() < end {
+            if self.random.u32(0..POISON_ONE_OF) == 0 {
+                self.begin_poison();
+            }
             match self.random.u32(0..10) {
                 0 | 1 => self.kill_sidecar()?,
                 2 => self.freeze_sidecar(),
@@ -74,9 +92,19 @@
             self.operator.send_next(ACKNOWLEDGE_LIMIT);
             self.sleep(PAUSE_MS);
         }
+        for poison in self.poisons.drain(..) {
+            drop(poison.join());
+        }
         Ok(())
     }
 
+    /// A caller begins to repeat a request that crashes upstreams, beside the faults that follow.
+    fn begin_poison(&mut self) {
+        let number = self.random.u64(1..=u64::MAX);
+        let time = Duration::from_millis(self.random.u64(POISON_MS));
+        self.poisons.push(repeat_poison(self.machines, number, time));
+    }
+
     fn sleep(&mut self, span_ms: std::ops::Range<u64>) {
         thread::sleep(Duration::from_millis(self.random.u64(span_ms)));
     }
@@ -154,9 +182,14 @@
         let Some(upstream) = self.upstreams.get(&host) else {
             return;
         };
+        let incarnation = upstream.incarnation();
         if upstream.drain() {
             let from = self.clock.now();
             thread::sleep(AFTER_DRAIN);
+            if upstream.incarnation() != incarnation {
+                // A poison request ended it meanwhile; the next one did not say that it leaves.
+                return;
+            }
             self.note(FaultKind::Drain, host, from);
         }
         upstream.return_anew();
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -4,8 +4,10 @@
 mod callers;
 mod clock;
 mod faults;
+mod kept;
 mod machines;
 mod operator;
+mod server;
 mod upstream;
 
 use self::callers::Callers;
@@ -15,14 +17,18 @@
 use self::operator::Operator;
 use self::upstream::Upstream;
 use getopts::Options;
-use soak::{judge, Bounds, Breach, Call, Record, Run};
+use soak::{judge, Bounds, Breach, Call, Crash, Record, Run};
 use std::collections::BTreeMap;
 use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-const BRIEF: &str = "Usage: chutecove-lab soak [--minutes N] [--seed S]";
+const BRIEF: &str = "\
+Usage: chutecove-lab soak [--minutes N]                    fresh seeds
+       chutecove-lab soak --seed S [--rounds N] [--network K]  seeds S, S+1, ...
+
+Rounds that run at the same time need networks (1 to 200) of their own.";
 const FAULTS_TIME: Duration = Duration::from_secs(40);
 const CALM_TIME: Duration = Duration::from_secs(6);
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -36,7 +42,9 @@
 pub fn run(arguments: &[String]) -> Result<(), crate::Failure> {
     let mut options = Options::new();
     options.optopt("", "minutes", "how long (1)", "N");
-    options.optopt("", "seed", "only the round of this seed", "S");
+    options.optopt("", "seed", "the round of this seed", "S");
+    options.optopt("", "rounds", "rounds from that seed on (1)", "N");
+    options.optopt("", "network", "addresses 127.x.K.y of the fleets (1)", "K");
     options.optflag("h", "help", "print this text");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
     if matches.opt_present("help") {
@@ -48,24 +56,40 @@
         .map_err(|error: std::num::ParseFloatError| error.to_string())?;
     let seed: Option<u64> =
         matches.opt_get("seed").map_err(|error: std::num::ParseIntError| error.to_string())?;
-    if let Some(seed) = seed {
-        return round(seed, 1);
+    let parse = |error: std::num::ParseIntError| error.to_string();
+    let rounds: u64 = matches.opt_get_default("rounds", 1).map_err(parse)?;
+    let network: u8 = matches.opt_get_default("network", 1).map_err(parse)?;
+    if let Some(first) = seed {
+        let failures: Vec<u64> = (first..first + rounds)
+            .filter(|seed| match round(*seed, network) {
+                Ok(()) => false,
+                Err(failure) => {
+                    println!("{failure}");
+                    true
+                }
+            })
+            .collect();
+        return report(rounds, &failures);
     }
     let end = Instant::now() + Duration::from_secs_f64(minutes * SECONDS_PER_MINUTE);
     let mut failures = Vec::new();
-    let mut rounds = 0;
+    let mut rounds: u64 = 0;
     while Instant::now() < end {
         rounds += 1;
         let seed = fastrand::u64(..);
-        if let Err(failure) = round(seed, rounds as u8) {
+        if let Err(failure) = round(seed, network) {
             println!("{failure}");
             failures.push(seed);
         }
     }
+    report(rounds, &failures)
+}
+
+fn report(rounds: u64, failures: &[u64]) -> Result<(), crate::Failure> {
     println!("{rounds} rounds, {} with a promise broken: {failures:?}", failures.len());
-    match failures.is_empty() {
-        true => Ok(()),
-        false => Err(format!("replay one with --seed {}", failures[0])),
+    match failures.first() {
+        None => Ok(()),
+        Some(seed) => Err(format!("replay one with --seed {seed}")),
     }
 }
 
@@ -75,12 +99,14 @@
     let clock = Clock::start();
     let mut machines = Machines::new(folder.path(), network);
     let (calls, runs) = (Shared::<Call>::default(), Shared::<Run>::default());
+    let crashes = Shared::<Crash>::default();
     for host in COORDINATORS.into_iter().chain(UPSTREAMS).chain(CALLERS) {
         machines.start(host, true).map_err(|error| error.to_string())?;
     }
     let mut upstreams = BTreeMap::new();
     for host in UPSTREAMS {
-        upstreams.insert(host, Upstream::start(&machines, host, clock, runs.clone())?);
+        upstreams
+            .insert(host, Upstream::start(&machines, host, clock, runs.clone(), crashes.clone())?);
     }
     let mut operator = Operator::new(&machines, clock);
     if !operator.send_next(START_LIMIT) {
@@ -99,11 +125,13 @@
     let record = Record {
         calls: calls.take(),
         runs: runs.take(),
+        crashes: crashes.take(),
         orders: operator.orders.clone(),
         faults,
         calm_from,
         read_back: operator.read_back(READ_LIMIT),
     };
+    upstreams.values().for_each(|upstream| upstream.finish());
     let breaches = judge(&record, &BOUNDS);
     println!("{}", summary(seed, &record, &breaches));
     if breaches.is_empty() {
@@ -133,16 +161,18 @@
         let word = match call.end {
             soak::End::Answered { status, .. } => status.to_string(),
             soak::End::Cut => "cut".to_owned(),
+            soak::End::ClosedBetween => "closed_between".to_owned(),
             soak::End::NotConnected => "not_connected".to_owned(),
         };
         *ends.entry(word).or_default() += 1;
     }
     let acknowledged = record.orders.iter().filter(|order| order.acknowledged.is_some()).count();
     format!(
-        "seed {seed}: {} calls {ends:?}, {} runs, {} faults, {acknowledged} of {} versions \
+        "seed {seed}: {} calls {ends:?}, {} runs, {} crashes, {} faults, {acknowledged} of {} versions \
          acknowledged, {} promises broken",
         record.calls.len(),
         record.runs.len(),
+        record.crashes.len(),
         record.faults.len(),
         record.orders.len(),
         breaches.len()
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -1,10 +1,12 @@
-//! Stand-in upstreams: they count their runs and register with the sidecar beside them.
+//! Stand-in upstreams: they count their runs, register with the sidecar beside them, and end with all
+//! that they work on when they run a poison request.
 
 use super::clock::{Clock, Shared};
 use super::machines::{Machines, SERVICE};
+use super::server::{Handler, Server};
+use http1::{Request, Response};
 use serde_json::json;
-use soak::Run;
-use std::io::Read;
+use soak::{Crash, Run};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -12,9 +14,15 @@
 use std::time::Duration;
 
 const SLOTS: usize = 8;
+const LOOK: Duration = Duration::from_millis(5);
 const BEAT: Duration = Duration::from_millis(300);
 const SHORTEST_WORK_MS: u64 = 2;
 const LONGEST_WORK_MS: u64 = 40;
+/// From the start of a poison run to the end of its upstream: others begin meanwhile.
+const TIME_TO_CRASH: Duration = Duration::from_millis(15);
+const TIME_TO_RESTART: Duration = Duration::from_millis(600);
+/// Requests with this in their path are poison; a number follows that names them.
+pub const POISON: &str = "/poison-";
 /// Header that carries a call's id.
 pub const ID_HEADER: &str = "X-Chutecove-Attempt-Id";
 
@@ -24,9 +32,38 @@
     incarnation: AtomicU64,
     sequence: AtomicU64,
     draining: AtomicBool,
+    /// Whether there is none between two lives.
+    down: AtomicBool,
     ended: AtomicBool,
 }
 
+/// What an upstream does with a request.
+struct Work {
+    host: u8,
+    clock: Clock,
+    runs: Shared<Run>,
+    crashes: Shared<Crash>,
+}
+
+impl Handler for Work {
+    fn answer(&self, request: &Request) -> Option<Response> {
+        let path = request.path();
+        if let Some((_, number)) = path.split_once(POISON) {
+            thread::sleep(TIME_TO_CRASH);
+            let poison = number.parse().unwrap_or(0);
+            self.crashes.push(Crash { poison, machine: self.host, at: self.clock.now() });
+            return None;
+        }
+        let id = request.headers.number(ID_HEADER).unwrap_or(0);
+        self.runs.push(Run { call: id, machine: self.host, at: self.clock.now() });
+        thread::sleep(Duration::from_millis(fastrand::u64(SHORTEST_WORK_MS..LONGEST_WORK_MS)));
+        let response = Response::text(200, &answer_to(id, path, &request.body))
+            .with_header("X-Chutecove-Seal", format!("seal-{}", self.host))
+            .with_header(ID_HEADER, id.to_string());
+        Some(response)
+    }
+}
+
 /// The whole answer to a call with this body.
 pub fn answer_to(id: u64, path: &str, body: &[u8]) -> String {
     let sum = check_sum(body);
@@ -45,6 +82,7 @@
         host: u8,
         clock: Clock,
         runs: Shared<Run>,
+        crashes: Shared<Crash>,
     ) -> Result<Arc<Self>, crate::Failure> {
         let ip = machines.ip(host);
         let upstream = Arc::new(Upstream {
@@ -52,34 +90,49 @@
             incarnation: AtomicU64::new(1),
             sequence: AtomicU64::new(1),
             draining: AtomicBool::new(false),
+            down: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         });
         let address = SocketAddr::from((ip, machines.ports.upstream));
-        let server = rouille::Server::new(address, move |request| {
-            let id = request.header(ID_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0);
-            runs.push(Run { call: id, machine: host, at: clock.now() });
-            let mut body = Vec::new();
-            let read = request.data().map(|mut data| data.read_to_end(&mut body));
-            if !matches!(read, None | Some(Ok(_))) {
-                return rouille::Response::empty_400();
-            }
-            thread::sleep(Duration::from_millis(fastrand::u64(SHORTEST_WORK_MS..LONGEST_WORK_MS)));
-            rouille::Response::text(answer_to(id, &request.url(), &body))
-                .with_additional_header("X-Chutecove-Seal", format!("seal-{host}"))
-                .with_additional_header(ID_HEADER, id.to_string())
-        });
-        let server = server.map_err(|error| error.to_string())?.pool_size(SLOTS);
-        thread::spawn(move || server.run());
+        let work = Arc::new(Work { host, clock, runs, crashes });
+        let first = Server::start(address, work.clone()).map_err(|error| error.to_string())?;
+        let living = upstream.clone();
+        thread::spawn(move || living.live(first, address, &work));
         let beating = upstream.clone();
         thread::spawn(move || {
             while !beating.ended.load(Ordering::Relaxed) {
-                beating.beat();
+                if !beating.down.load(Ordering::SeqCst) {
+                    beating.beat();
+                }
                 thread::sleep(BEAT);
             }
         });
         Ok(upstream)
     }
 
+    /// Starts again after each end, as another incarnation.
+    fn live(&self, first: Server, address: SocketAddr, work: &Arc<Work>) {
+        let mut server = first;
+        while !self.ended.load(Ordering::Relaxed) {
+            thread::sleep(LOOK);
+            if !server.is_ending() {
+                continue;
+            }
+            self.down.store(true, Ordering::SeqCst);
+            thread::sleep(TIME_TO_RESTART);
+            match Server::start(address, work.clone()) {
+                Ok(next) => server = next,
+                Err(error) => {
+                    println!("upstream at {address} not started again: {error}");
+                    continue;
+                }
+            }
+            self.return_anew();
+            self.down.store(false, Ordering::SeqCst);
+        }
+        server.end();
+    }
+
     /// One message to the sidecar; whether it was acknowledged.
     fn beat(&self) -> bool {
         let id = format!("i-{}", self.incarnation.load(Ordering::SeqCst));
@@ -97,7 +150,12 @@
     /// Says that it leaves; whether that was acknowledged.
     pub fn drain(&self) -> bool {
         self.draining.store(true, Ordering::SeqCst);
-        self.beat()
+        !self.down.load(Ordering::SeqCst) && self.beat()
+    }
+
+    /// Which incarnation it is; one that ended and began again is another.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::SeqCst)
     }
 
     /// Comes back as another incarnation.
@@ -107,8 +165,9 @@
     }
 }
 
-impl Drop for Upstream {
-    fn drop(&mut self) {
+impl Upstream {
+    /// Lets its threads end.
+    pub fn finish(&self) {
         self.ended.store(true, Ordering::Relaxed);
     }
 }
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -114,7 +114,7 @@
 }
 
 /// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
-/// and twelve numbers or words separated by blanks; the last five may be missing.
+/// and thirteen numbers or words separated by blanks; the last six may be missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// What became of the call.
@@ -143,6 +143,9 @@
     pub transfer_bytes_per_ms: u32,
     /// Whether the upstream ended while it ran the call.
     pub upstream_ended: bool,
+    /// How much longer a call is kept from all upstreams, since it crashes them, milliseconds; 0 if
+    /// it is not.
+    pub quarantine_left_ms: u32,
 }
 
 impl HopReply {
@@ -160,7 +163,7 @@
             InstanceState::Left => 'l',
         };
         format!(
-            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {}",
+            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -171,7 +174,8 @@
             self.link_percent,
             self.transfer_wait_ms,
             self.transfer_bytes_per_ms,
-            u8::from(self.upstream_ended)
+            u8::from(self.upstream_ended),
+            self.quarantine_left_ms
         )
     }
 
@@ -199,6 +203,7 @@
         let (failing_percent, link_percent) = (later(), later());
         let (transfer_wait_ms, transfer_bytes_per_ms) = (later(), later());
         let upstream_ended = later() == 1;
+        let quarantine_left_ms = later();
         Some(HopReply {
             outcome,
             running,
@@ -213,6 +218,7 @@
             transfer_wait_ms,
             transfer_bytes_per_ms,
             upstream_ended,
+            quarantine_left_ms,
         })
     }
 }
--- a/crates/mesh/src/poison.rs
+++ b/crates/mesh/src/poison.rs
@@ -1,5 +1,6 @@
 //! Requests that may crash their upstreams, as nodes tell each other of them.
 
+use crate::NodeAddress;
 use speedy::{Readable, Writable};
 use std::fmt;
 
@@ -16,6 +17,8 @@
 /// An upstream that ended without a word, with the requests that it worked on.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct CrashReport {
+    /// The sidecar beside it. Ids of incarnations need not differ between nodes.
+    pub node: NodeAddress,
     /// Incarnation that ended; a report of it that is told twice counts once.
     pub instance: String,
     /// What it worked on, without requests that upstreams ran well a moment before.
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -18,12 +18,13 @@
         transfer_wait_ms: 75,
         transfer_bytes_per_ms: 800,
         upstream_ended: false,
+        quarantine_left_ms: 0,
     }
 }
 
 #[test]
 fn a_reply_is_read_as_it_was_written() {
-    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0"].assert_eq(&reply().encode());
+    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0 0"].assert_eq(&reply().encode());
     assert_eq!(HopReply::decode(&reply().encode()), Some(reply()));
 }
 
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -48,6 +48,7 @@
         transfer_wait_ms: 0,
         transfer_bytes_per_ms: 0,
         upstream_ended: false,
+        quarantine_left_ms: 0,
     }
 }
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which requests are suspects, and which are kept from upstreams.
 
 use crate::Millis;
-use mesh::{CrashReport, Fingerprint, QuarantineEntry};
+use mesh::{CrashReport, Fingerprint, NodeAddress, QuarantineEntry};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a crash is remembered, milliseconds: a caller that repeats every few minutes is still
@@ -50,6 +50,7 @@
 
 #[derive(Clone, Debug)]
 struct Crash {
+    node: NodeAddress,
     instance: String,
     at: Millis,
     /// Whether a request in quarantine is known to have caused it.
@@ -109,7 +110,8 @@
 
     /// Takes in that an upstream ended.
     pub fn note_crash(&mut self, report: &CrashReport, now: Millis) -> Verdict {
-        if self.crashes.values().any(|crash| crash.instance == report.instance) {
+        let same = |crash: &Crash| crash.node == report.node && crash.instance == report.instance;
+        if self.crashes.values().any(same) {
             return Verdict::Known;
         }
         self.expire(now);
@@ -120,7 +122,7 @@
         let id = self.next_crash;
         self.next_crash += 1;
         let instance = report.instance.clone();
-        self.crashes.insert(id, Crash { instance, at: now, explained });
+        self.crashes.insert(id, Crash { node: report.node, instance, at: now, explained });
         // Also of a crash that is explained: should the wrong one have been blamed, the right one
         // is known by its next crash.
         for fingerprint in running {
--- a/crates/quarantine/tests/board.rs
+++ b/crates/quarantine/tests/board.rs
@@ -1,11 +1,14 @@
 //! What a coordinator passes on.
 
-use mesh::{CrashReport, Fingerprint, PoisonNews, PoisonNotice};
+use mesh::{CrashReport, Fingerprint, NodeAddress, PoisonNews, PoisonNotice};
 use quarantine::{NoticeBoard, Quarantine, Standing};
+use std::net::Ipv4Addr;
+
+const NODE: NodeAddress = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 9), port: 8_300 };
 
 fn crash(instance: &str, running: &[u64]) -> PoisonNotice {
     let running = running.iter().copied().map(Fingerprint).collect();
-    let report = CrashReport { instance: instance.to_owned(), running };
+    let report = CrashReport { node: NODE, instance: instance.to_owned(), running };
     PoisonNotice { age_ms: 0, news: PoisonNews::Crash(report) }
 }
 
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -1,15 +1,18 @@
 //! Which request is blamed for the end of upstreams.
 
 use expect_test::expect;
-use mesh::{CrashReport, Fingerprint, QuarantineEntry};
+use mesh::{CrashReport, Fingerprint, NodeAddress, QuarantineEntry};
 use quarantine::{Quarantine, RecentRuns, Standing, Verdict};
+use std::net::Ipv4Addr;
+
+const NODE: NodeAddress = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 9), port: 8_300 };
 
 const POISON: u64 = 999;
 const MINUTE: u64 = 60_000;
 
 fn report(instance: &str, running: impl IntoIterator<Item = u64>) -> CrashReport {
     let running = running.into_iter().map(Fingerprint).collect();
-    CrashReport { instance: instance.to_owned(), running }
+    CrashReport { node: NODE, instance: instance.to_owned(), running }
 }
 
 fn is_suspect(quarantine: &Quarantine, request: u64, now: u64) -> bool {
@@ -243,3 +246,16 @@
     assert_eq!(late, 0);
     assert!(others * 50 <= losses, "{others} blamed by chance in {losses} losses of power");
 }
+
+#[test]
+fn incarnations_of_two_nodes_may_have_one_id() {
+    let mut quarantine = Quarantine::default();
+    let here = report("i-1", [1, POISON]);
+    let there = CrashReport {
+        node: NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 10), port: 8_300 },
+        ..report("i-1", [2, POISON])
+    };
+    quarantine.note_crash(&here, 0);
+    quarantine.note_crash(&there, 10);
+    assert!(is_kept_away(&quarantine, POISON, 20));
+}
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -190,6 +190,9 @@
                 self.note_arrival(id);
                 self.answered(id, response, now)
             }
+            HopOutcome::Refused if reply.quarantine_left_ms > 0 => {
+                self.kept_away(id, u64::from(reply.quarantine_left_ms), now)
+            }
             HopOutcome::Refused => self.place(id, now),
             HopOutcome::Rejected if is_callers_fault(&response) => self.pass_on(id, response, now),
             HopOutcome::Rejected => self.place_within_budget(id, now),
@@ -200,6 +203,22 @@
         }
     }
 
+    /// A call whose like crash upstreams, as one of their sidecars knows and this one did not: others
+    /// that have not heard of it are not tried.
+    fn kept_away(&mut self, id: CallId, left_ms: u64, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(&id) else {
+            return Vec::new();
+        };
+        self.poison.note_kept_away(&call.service, &call.request, left_ms, now);
+        if call.arrivals > 0 {
+            return self.give_up(id, 0, now);
+        }
+        let Some(call) = self.remove(id) else {
+            return Vec::new();
+        };
+        vec![self.refuse_quarantined(call.origin, &call.attempt_id, &call.route, left_ms)]
+    }
+
     pub(super) fn answered(
         &mut self,
         id: CallId,
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -174,6 +174,7 @@
             sample,
             metrics,
             service: service.to_owned(),
+            poison: PoisonWatch::new(*locality.own()),
             view: PlacementView::new(locality),
             splits: BTreeMap::new(),
             canaries: CanaryShares::default(),
@@ -181,7 +182,6 @@
             times: ClassTimes::default(),
             throttle: Throttle::default(),
             pressure: Pressure::default(),
-            poison: PoisonWatch::default(),
             // Both are drawn at the start; nothing is secret about either.
             clock: seed as u32,
             random: fastrand::Rng::with_seed(seed),
@@ -283,7 +283,7 @@
 
     /// The answer to a call whose like crash their upstreams: it has not run. Its caller is told a
     /// time beyond the quarantine, which invites nobody to repeat it now.
-    fn refuse_quarantined(
+    pub(super) fn refuse_quarantined(
         &mut self,
         origin: Origin,
         id: &str,
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -133,7 +133,8 @@
         let job = self.remove(id)?;
         let retry_after_ms = self.admission.retry_after_ms(0, now);
         let held_ms = now.saturating_sub(job.arrived);
-        let refusal = Refusal { id: &job.attempt_id, reason, held_ms, retry_after_ms };
+        let refusal =
+            Refusal { id: &job.attempt_id, reason, held_ms, retry_after_ms, quarantine_left_ms: 0 };
         Some(self.refuse(job.source, refusal, now))
     }
 
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -22,8 +22,8 @@
 use admission::{Admission, Decision, DrainGate, FailureShare, GateState, JobId, Ticket};
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
-    CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceState, UpstreamLoad,
-    VersionEvidence, VersionPolicy, HOP_HEADER,
+    CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceState, NodeAddress,
+    UpstreamLoad, VersionEvidence, VersionPolicy, HOP_HEADER,
 };
 use quarantine::Standing;
 use std::collections::BTreeMap;
@@ -35,6 +35,8 @@
 /// Part of the slots that is used: some upstreams slow down or reset when they are full.
 const USED_PART_OF_SLOTS: f64 = 1.0;
 const REFUSED_STATUS: u16 = 503;
+/// The node of an inbound side that was not told which it is.
+const NOBODY: NodeAddress = NodeAddress { ip: std::net::Ipv4Addr::UNSPECIFIED, port: 0 };
 /// Of an upstream that is not the incarnation that a call is meant for; it has not run the call.
 const WRONG_INSTANCE_STATUS: u16 = 421;
 /// A call that waited longer than this on its way is not run, milliseconds: its caller may have left
@@ -100,7 +102,7 @@
 }
 
 /// Why a call is not given to the upstream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Refusal<'a> {
     /// Id of the call.
     id: &'a str,
@@ -108,6 +110,8 @@
     /// How long it was held before, milliseconds.
     held_ms: u64,
     retry_after_ms: u64,
+    /// How much longer the call is kept from all upstreams; 0 if it is not.
+    quarantine_left_ms: u64,
 }
 
 /// Where a call's time went before it was here whole, milliseconds.
@@ -197,7 +201,7 @@
             transits: TransitTimes::default(),
             trial: Trial::default(),
             crash: CrashWatch::default(),
-            poison: PoisonWatch::default(),
+            poison: PoisonWatch::new(NOBODY),
             failures: FailureShare::default(),
             failures_of: None,
             instance_denied: false,
@@ -312,12 +316,15 @@
             transfer_wait_ms: self.offers.wait_ms() as u32,
             transfer_bytes_per_ms: self.offers.bytes_per_ms() as u32,
             upstream_ended: false,
+            quarantine_left_ms: 0,
         }
     }
 
     fn refuse(&self, source: Source, refusal: Refusal<'_>, now: Millis) -> JobAction {
-        let Refusal { id, reason, held_ms, retry_after_ms } = refusal;
+        let Refusal { id, reason, held_ms, retry_after_ms, quarantine_left_ms } = refusal;
         let reply = self.reply(HopOutcome::Refused, 0, retry_after_ms, now);
+        let quarantine_left_ms = u32::try_from(quarantine_left_ms).unwrap_or(u32::MAX);
+        let reply = HopReply { quarantine_left_ms, ..reply };
         info!(
             %id, reason, running = reply.running, queued = reply.queued, limit = reply.limit,
             held_ms, retry_after_ms, verdict = "not-run", "job_refused"
@@ -362,7 +369,17 @@
         let barred = self.mismatch(hop, now).or(way.too_late(hop));
         if let Some(reason) = barred.or_else(|| self.keeps_away(standing, suspect)) {
             let id = &attempt_id;
-            let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms: waited_ms };
+            let quarantine_left_ms = match standing {
+                Standing::Quarantined { left_ms } => left_ms,
+                Standing::Suspect | Standing::Clear => 0,
+            };
+            let refusal = Refusal {
+                id,
+                reason,
+                held_ms: offered_ms,
+                retry_after_ms: waited_ms,
+                quarantine_left_ms,
+            };
             return vec![self.refuse(source, refusal, now)];
         }
         let job = self.next_job;
@@ -375,7 +392,8 @@
         if let Decision::Refuse { retry_after_ms } = decision {
             let id = &attempt_id;
             let reason = "no_room";
-            let refusal = Refusal { id, reason, held_ms: offered_ms, retry_after_ms };
+            let refusal =
+                Refusal { id, reason, held_ms: offered_ms, retry_after_ms, quarantine_left_ms: 0 };
             return vec![self.refuse(source, refusal, now)];
         }
         let class = CallClass { rank, target_ms: target_ms as u32 };
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -84,7 +84,7 @@
             return Vec::new();
         }
         if let Some((reason, retry_after_ms)) = self.why_not(hop, bytes, now) {
-            let refusal = Refusal { id: attempt_id, reason, held_ms: 0, retry_after_ms };
+            let refusal = Refusal { id: attempt_id, reason, retry_after_ms, ..Refusal::default() };
             return vec![self.refuse(source, refusal, now)];
         }
         let transfer = self.offers.next;
@@ -175,7 +175,7 @@
             let retry_after_ms = self.offers.wait_ms();
             let id = &offered.attempt_id;
             info!(%id, held_ms, waiting = self.offers.len(), "offer_expired");
-            let refusal = Refusal { id, reason, held_ms, retry_after_ms };
+            let refusal = Refusal { id, reason, held_ms, retry_after_ms, ..Refusal::default() };
             actions.push(self.refuse(source, refusal, now));
         }
         actions
--- a/crates/sidecar/src/poison.rs
+++ b/crates/sidecar/src/poison.rs
@@ -5,7 +5,7 @@
 
 use crate::Millis;
 use http1::Request;
-use mesh::{CrashReport, Fingerprint, PoisonNews, PoisonNotice};
+use mesh::{CrashReport, Fingerprint, NodeAddress, PoisonNews, PoisonNotice, QuarantineEntry};
 use quarantine::{Quarantine, RecentRuns, RequestIdentity, Standing, Verdict};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -23,8 +23,13 @@
     identity.fingerprint()
 }
 
-#[derive(Debug, Default)]
+/// Upstreams that ended at least under a request that is kept from others.
+const FEWEST_CRASHES: u32 = 2;
+
+#[derive(Debug)]
 struct Known {
+    /// This sidecar.
+    own: NodeAddress,
     quarantine: Quarantine,
     recent: RecentRuns,
     /// What coordinators are to be told.
@@ -32,10 +37,16 @@
 }
 
 /// A handle to it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PoisonWatch(Rc<RefCell<Known>>);
 
 impl PoisonWatch {
+    /// Nothing known yet, at this sidecar.
+    pub fn new(own: NodeAddress) -> Self {
+        let (quarantine, recent) = (Quarantine::default(), RecentRuns::default());
+        PoisonWatch(Rc::new(RefCell::new(Known { own, quarantine, recent, untold: Vec::new() })))
+    }
+
     /// How a request stands; it is looked at only while anything is known against any.
     pub fn standing(&self, service: &str, request: &Request, now: Millis) -> Standing {
         let known = self.0.borrow();
@@ -50,7 +61,11 @@
         let mut known = self.0.borrow_mut();
         let trusted = |fingerprint: &Fingerprint| known.recent.speak_for(*fingerprint, now);
         let suspects = running.iter().copied().filter(|fingerprint| !trusted(fingerprint));
-        let report = CrashReport { instance: instance.to_owned(), running: suspects.collect() };
+        let report = CrashReport {
+            node: known.own,
+            instance: instance.to_owned(),
+            running: suspects.collect(),
+        };
         warn!(%instance, running = running.len(), suspects = report.running.len(), "upstream_ended");
         if report.running.is_empty() {
             return;
@@ -90,6 +105,15 @@
         }
     }
 
+    /// Takes in that the sidecar beside an upstream keeps a call away from it, as it answered itself.
+    pub fn note_kept_away(&self, service: &str, request: &Request, left_ms: u64, now: Millis) {
+        let fingerprint = fingerprint(service, request);
+        let entry = QuarantineEntry { fingerprint, crashes: FEWEST_CRASHES, left_ms };
+        if self.0.borrow_mut().quarantine.note_quarantined(entry, now) {
+            info!(%fingerprint, left_ms, "quarantine_learned");
+        }
+    }
+
     /// What coordinators are to be told now.
     pub fn take_untold(&self) -> Vec<PoisonNotice> {
         let news = std::mem::take(&mut self.0.borrow_mut().untold);
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -179,7 +179,7 @@
             CallMetrics::new(&registry),
             seed,
         );
-        let poison = PoisonWatch::default();
+        let poison = PoisonWatch::new(own);
         let calls = calls.with_poison_watch(poison.clone());
         let job_metrics = JobMetrics::new(&registry);
         let jobs = Jobs::new(
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -216,6 +216,7 @@
         transfer_wait_ms: 0,
         transfer_bytes_per_ms: 0,
         upstream_ended: false,
+        quarantine_left_ms: 0,
     }
 }
 
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -7,15 +7,18 @@
 use http1::{Answer, ExchangeError, Headers, Request, Response};
 use mesh::{
     CrashReport, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceRecord, InstanceState,
-    PoisonNews, PoisonNotice,
+    NodeAddress, PoisonNews, PoisonNotice,
 };
 use sidecar::{
     AttemptEnd, ConnectionId, JobAction, JobMetrics, Jobs, LogSample, PoisonWatch, Source,
     UpstreamEnd,
 };
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use telemetry::Registry;
 
+const NODE: NodeAddress = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 9), port: 8_300 };
+
 const SLOTS: u32 = 4;
 
 struct Node {
@@ -24,7 +27,7 @@
 }
 
 fn node(id: &str) -> Node {
-    let watch = PoisonWatch::default();
+    let watch = PoisonWatch::new(NODE);
     let metrics = JobMetrics::new(&Registry::default());
     let jobs = Jobs::new(NAMES, SERVICE, 2_000, None, LogSample::new(1), metrics);
     let mut node = Node { jobs: jobs.with_poison_watch(watch.clone()), watch };
@@ -208,7 +211,7 @@
 }
 
 fn learned(reports: &[(&str, &str)]) -> PoisonWatch {
-    let watch = PoisonWatch::default();
+    let watch = PoisonWatch::new(NODE);
     let notices = reports.iter().map(|(instance, path)| {
         let identity = quarantine::RequestIdentity {
             service: SERVICE,
@@ -218,7 +221,7 @@
             body: b"",
         };
         let running = vec![identity.fingerprint()];
-        let report = CrashReport { instance: (*instance).to_owned(), running };
+        let report = CrashReport { node: NODE, instance: (*instance).to_owned(), running };
         PoisonNotice { age_ms: 0, news: PoisonNews::Crash(report) }
     });
     watch.learn(notices.collect(), 10_000);
@@ -273,9 +276,40 @@
         identity.fingerprint()
     };
     let running = vec![fingerprint, Fingerprint(5)];
-    let report = CrashReport { instance: "elsewhere".to_owned(), running };
+    let report = CrashReport { node: NODE, instance: "elsewhere".to_owned(), running };
     node.watch.learn(vec![PoisonNotice { age_ms: 0, news: PoisonNews::Crash(report) }], 100);
     let told: Vec<PoisonNews> =
         node.watch.take_untold().into_iter().map(|notice| notice.news).collect();
     assert_eq!(told, [PoisonNews::Cleared(fingerprint)]);
 }
+
+/// A sidecar whose coordinators were all gone: it knows nothing, the one beside the upstream does.
+#[test]
+fn one_sidecar_that_knows_is_enough_and_no_other_is_asked() {
+    let mut world = world(&[]);
+    let actions = world.begin("GET", "/safe/poison");
+    let (attempt, _) = sent(&actions).expect("it is sent");
+    let AttemptEnd::Replied(reply, response) = replied(HopOutcome::Refused, 503) else {
+        panic!("it is a reply")
+    };
+    let told = HopReply { quarantine_left_ms: 45_000, ..reply };
+    let ended = world.calls.ended(attempt, AttemptEnd::Replied(told, response), world.now + 5);
+    assert_eq!((status(&ended), sent(&ended)), (Some(503), None));
+    assert_eq!(retry_after_ms(&ended), Some(45_000));
+    let again = world.begin("GET", "/safe/poison");
+    assert_eq!((status(&again), sent(&again)), (Some(503), None));
+    assert!(sent(&world.begin("GET", "/safe/other")).is_some());
+}
+
+#[test]
+fn a_sidecar_says_how_long_it_keeps_a_call_away() {
+    let mut node = node("i-1");
+    for (instance, sequence) in [("i-2", 2), ("i-3", 3)] {
+        let job = node.run(sequence, "/poison", sequence * 100);
+        node.crash(&[job], sequence * 100 + 50);
+        node.starts(instance, sequence);
+    }
+    let refused = replies(&node.begin(9, "/poison", false, 1_350));
+    assert_eq!(refused[0].quarantine_left_ms, 59_000);
+    assert_eq!(replies(&node.begin(10, "/x", true, 1_350)).len(), 0, "others run");
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -10,6 +10,10 @@
 /// Part of the calls after the last fault that must be served.
 const SERVED_WHEN_CALM: f64 = 0.95;
 
+/// Most upstreams that one poison request may end: two make it known, and four run it at most until
+/// that is told, also while coordinators are killed.
+const MOST_CRASHES: usize = 6;
+
 /// What must hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Promise {
@@ -31,6 +35,8 @@
     Kept,
     /// Calls are served again after the last fault.
     Recovered,
+    /// A request that crashes upstreams is kept from them.
+    PoisonContained,
 }
 
 /// A promise that did not hold.
@@ -57,11 +63,12 @@
         let ran = runs.get(&call.id).copied().unwrap_or(0);
         check_call(call, ran, &mut note);
         check_version(call, record, bounds, &mut note);
-        check_cut(call, record, bounds, &mut note);
+        check_cut(call, ran, record, bounds, &mut note);
     }
     check_drains(record, bounds, &mut note);
     check_read_back(record, &mut note);
     check_recovery(record, bounds, &mut note);
+    check_poison(record, &mut note);
     breaches
 }
 
@@ -143,11 +150,14 @@
 /// A call that was cut although nothing but planned stops disturbed its time.
 fn check_cut(
     call: &Call,
+    ran: u32,
     record: &Record,
     bounds: &Bounds,
     note: &mut impl FnMut(Promise, String),
 ) {
-    if call.end != End::Cut {
+    // A call that crossed a close was not read; one that ran was.
+    let cut = call.end == End::Cut || (call.end == End::ClosedBetween && ran > 0);
+    if !cut {
         return;
     }
     let unplanned = |fault: &&Fault| {
@@ -190,6 +200,18 @@
     }
 }
 
+/// Upstreams that one poison request ends: as many as are needed to know it, and those that ran it
+/// before word of that was everywhere.
+fn check_poison(record: &Record, note: &mut impl FnMut(Promise, String)) {
+    let mut ended: BTreeMap<u64, usize> = BTreeMap::new();
+    for crash in &record.crashes {
+        *ended.entry(crash.poison).or_default() += 1;
+    }
+    for (poison, count) in ended.into_iter().filter(|(_, count)| *count > MOST_CRASHES) {
+        note(Promise::PoisonContained, format!("request {poison} ended {count} upstreams"));
+    }
+}
+
 fn check_recovery(record: &Record, bounds: &Bounds, note: &mut impl FnMut(Promise, String)) {
     let calm =
         |call: &&Call| call.sent > record.calm_from + bounds.settle && call.version.is_none();
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -14,6 +14,9 @@
     },
     /// The connection ended after the call was sent.
     Cut,
+    /// The connection, which had served calls before, ended before any of the answer: the call may
+    /// have crossed the close, and was not read then.
+    ClosedBetween,
     /// There was no connection.
     NotConnected,
 }
@@ -48,6 +51,17 @@
     pub at: Millis,
 }
 
+/// An upstream that ended because of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Crash {
+    /// Which request.
+    pub poison: u64,
+    /// The machine of the upstream.
+    pub machine: u8,
+    /// When.
+    pub at: Millis,
+}
+
 /// A configuration that was sent by the operator.
 #[derive(Clone, Copy, Debug)]
 pub struct Order {
@@ -105,6 +119,8 @@
     pub calls: Vec<Call>,
     /// Runs at upstreams.
     pub runs: Vec<Run>,
+    /// Upstreams that ended because of a request.
+    pub crashes: Vec<Crash>,
     /// Orders, in the order of their versions.
     pub orders: Vec<Order>,
     /// Faults.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -1,7 +1,7 @@
 //! Each check finds the breach it is for, and nothing in a record without any.
 
 use expect_test::expect;
-use soak::{judge, Bounds, Call, End, Fault, FaultKind, Order, Record, Run};
+use soak::{judge, Bounds, Call, Crash, End, Fault, FaultKind, Order, Record, Run};
 use std::fmt::Write;
 
 const BOUNDS: Bounds = Bounds { apply: 2_000, drain: 1_000, settle: 3_000 };
@@ -16,6 +16,7 @@
     Record {
         calls: (0..90).map(|id| call(id, id * 100, OK)).collect(),
         runs: (0..90).map(|id| Run { call: id, machine: 12, at: id * 100 + 5 }).collect(),
+        crashes: (0..6).map(|at| Crash { poison: 7, machine: 12, at }).collect(),
         orders: vec![
             Order { version: 1, acknowledged: Some(0) },
             Order { version: 2, acknowledged: Some(500) },
@@ -56,6 +57,8 @@
     type Spoil = fn(&mut Record);
     let rows: Vec<(&str, Spoil)> = vec![
         ("another's answer", |r| r.calls[3].end = End::Answered { status: 200, whole: false }),
+        ("cut between, and run", |r| r.calls[3].end = End::ClosedBetween),
+        ("a seventh crash", |r| r.crashes.push(Crash { poison: 7, machine: 13, at: 400 })),
         ("run twice", |r| r.runs.push(Run { call: 3, machine: 13, at: 400 })),
         ("refused and run", |r| r.calls[3].end = End::Answered { status: 503, whole: true }),
         ("denied", |r| r.calls[3].end = End::Answered { status: 404, whole: true }),
@@ -99,6 +102,8 @@
     }
     expect![[r#"
         another's answer: OwnAnswer: call 3 got another answer
+        cut between, and run: StopCutsNothing: call 3 on machine 11, 300 to 320 ms
+        a seventh crash: PoisonContained: request 7 ended 7 upstreams
         run twice: AtMostOnce: call 3 ran 2 times
         refused and run: TrueRefusal: call 3 got 503 and ran
         denied: NotDenied: call 3 at 300 ms on machine 11
