--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -11,6 +11,7 @@
 use forward::{
     BudgetError, CallBudget, CallReport, CompiledRoute, RoutingTable, DEADLINE_HEADER, DEPTH_HEADER,
 };
+use http1::is_connection_header;
 use std::io::Read;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,19 +24,6 @@
 /// Sends of one call, the first included.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those we set ourselves.
-const CONNECTION_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
-
 /// A call that was read whole.
 struct Call {
     method: Method,
@@ -294,7 +282,7 @@
 fn upstream_headers(route: &CompiledRoute, call: &Call, left: Duration) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(call.headers.len() + 3);
     for (name, value) in &call.headers {
-        if !CONNECTION_HEADERS.contains(&name.as_str()) {
+        if !is_connection_header(name.as_str()) {
             headers.append(name.clone(), value.clone());
         }
     }
@@ -334,7 +322,7 @@
     let mut builder = Response::builder().status(answer.status);
     if let Some(headers) = builder.headers_mut() {
         for (name, value) in &answer.headers {
-            if !CONNECTION_HEADERS.contains(&name.as_str()) {
+            if !is_connection_header(name.as_str()) {
                 headers.append(name.clone(), value.clone());
             }
         }
--- a/crates/rollout/tests/canaries.rs
+++ b/crates/rollout/tests/canaries.rs
@@ -1,26 +1,19 @@
 //! Canaries in the replicated log: a row for each order that can come, and what becomes of it.
 
+mod common;
+
 use bundle::{best_update, Bundle, Object, Service};
 use canary::Phase;
-use rollout::{
-    Accepted, Answer, ApprovalPolicy, Command, ConfigMachine, Refusal, Request, CONTROL_OPERATOR,
-};
+use common::{Fleet, SOURCE};
+use rollout::{Accepted, Answer, Command, ConfigMachine, Refusal, CONTROL_OPERATOR};
 
-const SOURCE: &str = "platform";
 const FARES: &str = "fares";
 const BALANCE: &str = "balance";
 const DURATION_MS: u64 = 16_000;
 
-struct Fleet {
-    machine: ConfigMachine,
-    index: u64,
-}
-
 impl Fleet {
     fn new() -> Self {
-        let mut fleet = Fleet { machine: ConfigMachine::default(), index: 0 };
-        let policy = ApprovalPolicy::TrustedSource { principal: SOURCE.to_owned() };
-        fleet.apply(CONTROL_OPERATOR, Command::SetApprovalPolicy { policy }).expect("set");
+        let mut fleet = Fleet::trusting();
         let service = |name: &str| {
             Object::Service(Service {
                 name: name.to_owned(),
@@ -37,13 +30,6 @@
         fleet
     }
 
-    fn apply(&mut self, operator: &str, command: Command) -> Answer {
-        self.index += 1;
-        let request_id = format!("r{}", self.index);
-        let request = Request { operator: operator.to_owned(), request_id, command };
-        self.machine.apply(self.index, &request)
-    }
-
     fn start(&mut self, service: &str, version: &str, duration_ms: u64) -> Answer {
         let (service, version) = (service.to_owned(), version.to_owned());
         self.apply(SOURCE, Command::StartCanary { service, version, duration_ms })
--- a/crates/rollout/tests/replace.rs
+++ b/crates/rollout/tests/replace.rs
@@ -1,13 +1,12 @@
 //! Replacements by a trusted source: compare-and-set, resends, races, the approval policy.
 
+mod common;
+
 use bundle::{best_update, Bundle, Object, Service};
-use rollout::{
-    Accepted, Answer, ApprovalPolicy, Command, ConfigMachine, Refusal, Request, RolloutWeakness,
-};
+use common::{Fleet, SOURCE};
+use rollout::{Accepted, Answer, Command, ConfigMachine, Refusal, RolloutWeakness};
 use std::collections::BTreeMap;
 
-const SOURCE: &str = "platform";
-
 fn content(number: u64) -> Bundle {
     let service = Service {
         name: format!("service-{number}"),
@@ -18,29 +17,7 @@
     Bundle::from_objects(vec![Object::Service(service)])
 }
 
-struct Fleet {
-    machine: ConfigMachine,
-    index: u64,
-}
-
 impl Fleet {
-    fn trusting() -> Self {
-        let mut fleet = Fleet { machine: ConfigMachine::default(), index: 0 };
-        let policy = ApprovalPolicy::TrustedSource { principal: SOURCE.to_owned() };
-        assert_eq!(
-            fleet.apply("control", Command::SetApprovalPolicy { policy }),
-            Ok(Accepted::PolicySet)
-        );
-        fleet
-    }
-
-    fn apply(&mut self, operator: &str, command: Command) -> Answer {
-        self.index += 1;
-        let request_id = format!("r{}", self.index);
-        let request = Request { operator: operator.to_owned(), request_id, command };
-        self.machine.apply(self.index, &request)
-    }
-
     fn order(&self, expected_version: u64, version: u64, bundle: &Bundle) -> Command {
         let (_, base) = self.machine.in_force();
         let update = best_update(Some(&base), bundle);
@@ -55,7 +32,7 @@
 
 #[test]
 fn only_the_trusted_source_may_replace() {
-    let mut fleet = Fleet { machine: ConfigMachine::default(), index: 0 };
+    let mut fleet = Fleet::default();
     let refused = fleet.replace(0, 1, &content(1));
     assert!(matches!(refused, Err(Refusal::NotTrusted { .. })), "the default is a second operator");
     let mut fleet = Fleet::trusting();
