--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -34,6 +34,8 @@
     current: Option<Current>,
     /// The one replaced last, until the upstream has answered a call as the current one.
     former: Option<Current>,
+    /// The one that ended without a word, until another registers.
+    ended: Option<String>,
     retired: VecDeque<String>,
 }
 
@@ -53,7 +55,7 @@
 impl DrainGate {
     /// No upstream yet; one that says it leaves is given nothing after `drain_ms`.
     pub fn new(drain_ms: u64) -> Self {
-        DrainGate { drain_ms, current: None, former: None, retired: VecDeque::new() }
+        DrainGate { drain_ms, current: None, former: None, ended: None, retired: VecDeque::new() }
     }
 
     /// Takes in what coordinators know from before this sidecar's start.
@@ -124,15 +126,34 @@
         true
     }
 
+    /// Takes in that a serving incarnation ended without a word; true if that is news. Should it
+    /// live after all, its next heartbeat brings it back.
+    pub fn ended(&mut self, id: &str) -> bool {
+        let serves = |current: &mut Current| current.id == id && current.open_until.is_none();
+        let Some(ended) = self.current.take_if(serves) else {
+            return false;
+        };
+        self.former = None;
+        self.ended = Some(ended.id);
+        true
+    }
+
     fn retire(&mut self, replaced: Current) {
-        self.retired.push_back(replaced.id.clone());
+        self.retire_id(replaced.id.clone());
+        self.former = Some(replaced);
+    }
+
+    fn retire_id(&mut self, id: String) {
+        self.retired.push_back(id);
         if self.retired.len() > RETIRED_KEPT {
             self.retired.pop_front();
         }
-        self.former = Some(replaced);
     }
 
     fn replace(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) {
+        if let Some(ended) = self.ended.take().filter(|ended| *ended != record.id) {
+            self.retire_id(ended);
+        }
         if let Some(replaced) = self.current.take() {
             self.retire(replaced);
         }
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -104,6 +104,8 @@
     Answers(&'static str),
     /// It said that it is another one.
     Denies(&'static str),
+    /// It ended without a word.
+    Ends(&'static str),
 }
 
 fn after(arrivals: &[Arrival]) -> (Option<String>, GateState) {
@@ -124,6 +126,9 @@
             Arrival::Denies(id) => {
                 gate.denied(id);
             }
+            Arrival::Ends(id) => {
+                gate.ended(id);
+            }
         }
     }
     (gate.id().map(str::to_owned), gate.state(60_000))
@@ -131,9 +136,9 @@
 
 #[test]
 fn late_messages_of_an_earlier_incarnation_never_bring_it_back() {
-    use Arrival::{Answers, Beat, Denies, Drain, Leave};
+    use Arrival::{Answers, Beat, Denies, Drain, Ends, Leave};
     use GateState::{Absent, Closed, Open};
-    let rows: [(&str, &[Arrival], Option<&str>, GateState); 11] = [
+    let rows: [(&str, &[Arrival], Option<&str>, GateState); 15] = [
         ("register, crash, register", &[Beat("a", 1), Beat("b", 1)], Some("b"), Open),
         ("a late one, known", &[Beat("a", 1), Beat("b", 1), Beat("a", 9)], Some("b"), Open),
         ("its late end", &[Beat("a", 1), Beat("b", 1), Drain("a", 9)], Some("b"), Open),
@@ -163,6 +168,15 @@
             Some("b"),
             Open,
         ),
+        ("it ended without a word", &[Beat("a", 1), Ends("a")], None, Absent),
+        ("it lives after all", &[Beat("a", 1), Ends("a"), Beat("a", 2)], Some("a"), Open),
+        (
+            "a late beat of the one that ended",
+            &[Beat("a", 1), Ends("a"), Beat("b", 1), Beat("a", 2)],
+            Some("b"),
+            Open,
+        ),
+        ("it ended while it left", &[Beat("a", 1), Drain("a", 2), Ends("a")], Some("a"), Closed),
         ("the only one is denied", &[Beat("a", 1), Denies("a")], None, Absent),
         (
             "drained, then a late beat of its own",
--- a/crates/sidecar/src/jobs/crash.rs
+++ b/crates/sidecar/src/jobs/crash.rs
@@ -23,6 +23,20 @@
     ended_instance: Option<String>,
 }
 
+impl CrashWatch {
+    /// Whether an incarnation is known to have ended.
+    pub fn has_ended(&self, instance: Option<&str>) -> bool {
+        instance.is_some() && instance == self.ended_instance.as_deref()
+    }
+
+    /// Takes in that an incarnation was heard of: if it was taken for ended, it was not.
+    pub fn note_registered(&mut self, instance: Option<&str>) {
+        if self.has_ended(instance) {
+            self.ended_instance = None;
+        }
+    }
+}
+
 impl Jobs {
     /// Takes in that a run ended without a whole answer.
     pub(super) fn ended_unanswered(
@@ -31,7 +45,8 @@
         error: ExchangeError,
         now: Millis,
     ) -> Vec<JobAction> {
-        if self.upstream_has_ended() {
+        let given_to = self.jobs.get(&id).and_then(|job| job.given_to.as_deref());
+        if self.crash.has_ended(given_to) {
             return self.finish(id, UpstreamEnd::Failed(error), now);
         }
         self.crash.held.push((id, error));
@@ -42,12 +57,6 @@
         vec![JobAction::Probe]
     }
 
-    /// Whether the incarnation that is registered is known to have ended.
-    pub(super) fn upstream_has_ended(&self) -> bool {
-        let ended = self.crash.ended_instance.as_deref();
-        ended.is_some() && ended == self.gate.id()
-    }
-
     /// Takes in whether the upstream took a connection after runs had ended without an answer.
     pub fn probed(&mut self, alive: bool, now: Millis) -> Vec<JobAction> {
         self.crash.probing_since = None;
@@ -66,6 +75,8 @@
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let running: Vec<Fingerprint> = running.map(|job| self.fingerprint(&job.request)).collect();
         self.poison.upstream_ended(&instance, &running, now);
+        // Its peers must not take it for idle: it refuses at once, and would be tried first.
+        self.instance_changed |= self.gate.ended(&instance);
         self.crash.ended_instance = Some(instance);
     }
 
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -37,7 +37,7 @@
         self.metrics.note_end(spent_ms);
         if let UpstreamEnd::Failed(error) = &end {
             let fingerprint = self.fingerprint(&job.request);
-            info!(id = %job.attempt_id, %fingerprint, %error, instance = ?self.gate.id(), "upstream_failed");
+            info!(id = %job.attempt_id, %fingerprint, %error, instance = ?job.given_to, "upstream_failed");
         }
         let (outcome, response) = self.judge(&job.attempt_id, end);
         if job.started.is_some() {
@@ -61,7 +61,8 @@
         if outcome == HopOutcome::Answered {
             self.poison.ran_well(self.fingerprint(&job.request), now);
         }
-        let upstream_ended = outcome == HopOutcome::Unknown && self.upstream_has_ended();
+        let upstream_ended =
+            outcome == HopOutcome::Unknown && self.crash.has_ended(job.given_to.as_deref());
         let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
         let reply = HopReply { upstream_ended, ..reply };
         let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
@@ -110,9 +111,14 @@
 
     pub(super) fn start_waiting(&mut self, now: Millis) -> Vec<JobAction> {
         let mut actions = Vec::new();
-        if self.gate.state(now) == GateState::Closed {
+        let barred = match self.gate.state(now) {
+            GateState::Open | GateState::Closing => None,
+            GateState::Closed => Some("upstream_leaves"),
+            GateState::Absent => Some("no_upstream"),
+        };
+        if let Some(reason) = barred {
             for id in self.admission.clear() {
-                actions.extend(self.refuse_waiting(id, "upstream_leaves", now));
+                actions.extend(self.refuse_waiting(id, reason, now));
             }
         }
         while let Some(id) = self.admission.start_next() {
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -170,8 +170,9 @@
     poison: PoisonWatch,
     failures: FailureShare,
     failures_of: Option<String>,
-    /// Whether the upstream said that it is another one than was registered, and nobody was told.
-    instance_denied: bool,
+    /// Whether the incarnation that was registered last is found not to be there, and nobody was
+    /// told.
+    instance_changed: bool,
     /// Part of this machine's link that is in use, percent.
     pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
@@ -204,7 +205,7 @@
             poison: PoisonWatch::new(NOBODY),
             failures: FailureShare::default(),
             failures_of: None,
-            instance_denied: false,
+            instance_changed: false,
             link_percent: 0,
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
@@ -266,16 +267,16 @@
             HopOutcome::Answered => self.gate.confirmed(id),
             HopOutcome::Rejected if status == WRONG_INSTANCE_STATUS && self.gate.denied(id) => {
                 warn!(instance = %id, now = ?self.gate.id(), "instance_denied");
-                self.instance_denied = true;
+                self.instance_changed = true;
             }
             _ => {}
         }
     }
 
-    /// Whether coordinators must be told which incarnation is there, since it is not the one that
-    /// was registered last; once.
-    pub fn take_instance_denied(&mut self) -> bool {
-        std::mem::take(&mut self.instance_denied)
+    /// Whether others must be told which incarnation is there, since it is not the one that was
+    /// registered last; once.
+    pub fn take_instance_changed(&mut self) -> bool {
+        std::mem::take(&mut self.instance_changed)
     }
 
     /// Takes over what the upstream told of its slots.
@@ -283,6 +284,7 @@
         let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
         let used = (f64::from(slots) * USED_PART_OF_SLOTS).floor() as u32;
         self.admission.set_limit(used.max(1));
+        self.crash.note_registered(self.gate.id());
         if self.failures_of.as_deref() != self.gate.id() {
             self.failures_of = self.gate.id().map(str::to_owned);
             self.failures.clear();
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -277,6 +277,7 @@
         if let Some(alive) = self.upstream.take_probed() {
             let actions = self.jobs.probed(alive, now);
             self.work.extend(actions.into_iter().map(Work::Job));
+            self.tell_instance_change(now);
         }
     }
 
@@ -288,7 +289,11 @@
         };
         let actions = self.jobs.ended(job, end, now);
         self.work.extend(actions.into_iter().map(Work::Job));
-        if self.jobs.take_instance_denied() {
+        self.tell_instance_change(now);
+    }
+
+    fn tell_instance_change(&mut self, now: Millis) {
+        if self.jobs.take_instance_changed() {
             self.jobs.refresh_limit();
             self.report_instance(now);
         }
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -313,3 +313,20 @@
     assert_eq!(refused[0].quarantine_left_ms, 59_000);
     assert_eq!(replies(&node.begin(10, "/x", true, 1_350)).len(), 0, "others run");
 }
+
+/// It refuses at once and seems idle: peers that are not told would try it first.
+#[test]
+fn an_upstream_that_ended_is_not_there_for_peers_until_it_is_heard_of() {
+    let mut node = node("i-1");
+    let jobs = [node.run(1, "/a", 0), node.run(2, "/b", 0)];
+    node.crash(&jobs, 50);
+    assert!(node.jobs.take_instance_changed(), "coordinators are told");
+    assert_eq!(node.jobs.gate.record(60), None);
+    let refused = replies(&node.begin(3, "/c", false, 60));
+    assert_eq!(refused[0].outcome, HopOutcome::Refused);
+    assert_eq!(refused[0].state, InstanceState::Left);
+    // It was frozen, not gone: its next heartbeat opens it again.
+    node.starts("i-1", 2);
+    let job = node.run(4, "/c", 1_000);
+    assert!(matches!(node.lose(job, 1_020)[..], [JobAction::Probe]), "it is found out anew");
+}
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -278,7 +278,7 @@
     let answer = Answer { response: Response::empty(421), reusable: true };
     let ended = jobs.ended(job, UpstreamEnd::Answered(answer), 110);
     assert_eq!(outcomes(&ended), [HopOutcome::Rejected]);
-    assert!(jobs.take_instance_denied() && !jobs.take_instance_denied(), "it is told once");
+    assert!(jobs.take_instance_changed() && !jobs.take_instance_changed(), "it is told once");
     assert_eq!(jobs.gate.id(), Some("i-1"));
     let actions = begin(&mut jobs, 2, 120);
     let (_, request) = started(&actions).expect("it runs");
