--- a/crates/sidecar/src/jobs/crash.rs
+++ b/crates/sidecar/src/jobs/crash.rs
@@ -2,7 +2,8 @@
 //!
 //! An upstream that lost one answer still takes connections. So the job is held, its slot taken,
 //! until a connection was tried: some milliseconds on one machine. Senders that were told at once
-//! would carry what crashed this upstream to the next one before anybody knew.
+//! would carry what crashed this upstream to the next one before anybody knew. An upstream ends bit
+//! by bit, and may take a connection while it does: so one that was taken is looked at once more.
 
 use super::{JobAction, Jobs, UpstreamEnd};
 use crate::Millis;
@@ -14,11 +15,19 @@
 /// at once; one that neither takes nor refuses it is not known to have ended.
 const LONGEST_PROBE_MS: u64 = 100;
 
+/// From a connection that was taken to the second look, milliseconds: longer than a process takes to
+/// close what it holds; stand-ins of the soak closed their listener up to 2 ms late.
+const SECOND_LOOK_MS: u64 = 5;
+
 /// Runs that ended without an answer, and what is known of the upstream.
 #[derive(Debug, Default)]
 pub(super) struct CrashWatch {
     held: Vec<(JobId, ExchangeError)>,
     probing_since: Option<Millis>,
+    /// When the connection that was taken is looked at once more.
+    second_look_at: Option<Millis>,
+    /// Whether this is the second look.
+    again: bool,
     /// The incarnation that is known to have ended.
     ended_instance: Option<String>,
 }
@@ -54,12 +63,25 @@
             return Vec::new();
         }
         self.crash.probing_since = Some(now);
-        vec![JobAction::Probe]
+        self.crash.again = false;
+        vec![JobAction::Probe { again: false }]
     }
 
     /// Takes in whether the upstream took a connection after runs had ended without an answer.
-    pub fn probed(&mut self, alive: bool, now: Millis) -> Vec<JobAction> {
+    pub fn probed(&mut self, taken: bool, now: Millis) -> Vec<JobAction> {
+        if self.crash.probing_since.is_none() {
+            return Vec::new();
+        }
+        if taken && !self.crash.again {
+            self.crash.second_look_at = Some(now + SECOND_LOOK_MS);
+            return Vec::new();
+        }
+        self.conclude(taken, now)
+    }
+
+    fn conclude(&mut self, alive: bool, now: Millis) -> Vec<JobAction> {
         self.crash.probing_since = None;
+        self.crash.second_look_at = None;
         if !alive {
             self.note_upstream_ended(now);
         }
@@ -80,15 +102,22 @@
         self.crash.ended_instance = Some(instance);
     }
 
-    /// Gives up waiting for the connection that is tried.
-    pub(super) fn expire_probe(&mut self, now: Millis) -> Vec<JobAction> {
-        match self.probe_expiry() {
-            Some(at) if at <= now => self.probed(true, now),
-            _ => Vec::new(),
+    /// Looks once more, or gives up waiting for the connection that is tried.
+    pub(super) fn tick_probe(&mut self, now: Millis) -> Vec<JobAction> {
+        let due = |at: Option<Millis>| at.is_some_and(|at| at <= now);
+        if due(self.crash.probing_since.map(|since| since + LONGEST_PROBE_MS)) {
+            return self.conclude(true, now);
+        }
+        if !due(self.crash.second_look_at) {
+            return Vec::new();
         }
+        self.crash.second_look_at = None;
+        self.crash.again = true;
+        vec![JobAction::Probe { again: true }]
     }
 
-    pub(super) fn probe_expiry(&self) -> Option<Millis> {
-        self.crash.probing_since.map(|since| since + LONGEST_PROBE_MS)
+    pub(super) fn next_probe_tick(&self) -> Option<Millis> {
+        let expiry = self.crash.probing_since.map(|since| since + LONGEST_PROBE_MS);
+        self.crash.second_look_at.into_iter().chain(expiry).min()
     }
 }
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -188,7 +188,7 @@
             actions.push(JobAction::Abort(id));
             actions.extend(self.finish(id, UpstreamEnd::Failed(ExchangeError::NoAnswer), now));
         }
-        actions.extend(self.expire_probe(now));
+        actions.extend(self.tick_probe(now));
         actions.extend(self.start_waiting(now));
         actions.extend(self.expire_offers(now));
         actions.extend(self.grant(now));
@@ -200,7 +200,7 @@
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let overdue = running.map(|job| job.deadline + OVERTIME_MS).min();
         let offers = self.offers.next_expiry(now);
-        let dues = [overdue, self.admission.next_expiry(), offers, self.probe_expiry()];
+        let dues = [overdue, self.admission.next_expiry(), offers, self.next_probe_tick()];
         dues.into_iter().flatten().min()
     }
 }
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -82,7 +82,10 @@
     /// Stop what the upstream does for a job.
     Abort(JobId),
     /// Try whether the upstream still takes connections.
-    Probe,
+    Probe {
+        /// Whether one that was just taken, and has not ended since, will do.
+        again: bool,
+    },
     /// Let a peer send more of the body that it offered.
     Grant {
         /// Who offered it.
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -94,8 +94,12 @@
     }
 
     /// Tries whether a connection is taken; [`Pool::take_probed`] tells. One that is taken is kept
-    /// for the next request.
-    pub fn probe(&mut self, net: &mut Net, address: SocketAddr, now: Millis) {
+    /// for the next request. `again`: one that rests unused, and so has not ended, will do.
+    pub fn probe(&mut self, net: &mut Net, address: SocketAddr, again: bool, now: Millis) {
+        if again && self.idle.get(&address).is_some_and(|idle| !idle.is_empty()) {
+            self.probed = Some(true);
+            return;
+        }
         match net.connect(address) {
             Ok(id) => {
                 let state = State::Probing { since: now };
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -236,9 +236,9 @@
                 }
             }
             JobAction::Abort(job) => self.upstream.abort(&mut self.net, job),
-            JobAction::Probe => {
+            JobAction::Probe { again } => {
                 let address = SocketAddr::from(self.settings.upstream);
-                self.upstream.probe(&mut self.net, address, now);
+                self.upstream.probe(&mut self.net, address, again, now);
                 self.note_probed(now);
             }
             JobAction::Grant { source: Source::Peer { connection, slot }, bytes } => {
