--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -106,9 +106,10 @@
         cleared
     }
 
-    /// Removes the sidecars whose lease ended.
+    /// Removes the sidecars whose lease ended, and what is too old of poison requests.
     pub fn expire(&self, now: Millis) {
         let mut state = self.lock();
+        state.poison.expire(now);
         if !state.registry.expire(now) {
             return;
         }
--- a/crates/quarantine/src/board.rs
+++ b/crates/quarantine/src/board.rs
@@ -1,6 +1,6 @@
 //! What a coordinator passes on of crashes and suspects; soft state.
 
-use crate::{Millis, Quarantine, Verdict};
+use crate::{Millis, Quarantine, Verdict, CRASH_MEMORY_MS};
 use mesh::{Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
 use std::collections::VecDeque;
 
@@ -58,6 +58,14 @@
         self.take(PoisonNotice { age_ms: 0, news }, true, now).is_some()
     }
 
+    /// Forgets what is too old to tell anything.
+    pub fn expire(&mut self, now: Millis) {
+        self.quarantine.expire(now);
+        while self.notices.front().is_some_and(|held| held.at + CRASH_MEMORY_MS <= now) {
+            self.notices.pop_front();
+        }
+    }
+
     /// Position of the newest notice.
     pub fn position(&self) -> u64 {
         self.position
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use board::NoticeBoard;
 pub use identity::RequestIdentity;
-pub use quarantine::{Quarantine, Standing, Verdict};
+pub use quarantine::{Quarantine, Standing, Verdict, CRASH_MEMORY_MS};
 pub use recent::RecentRuns;
 
 /// Milliseconds of a monotonic clock.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -6,7 +6,7 @@
 
 /// How long a crash is remembered, milliseconds: a caller that repeats every few minutes is still
 /// recognized.
-const CRASH_MEMORY_MS: u64 = 600_000;
+pub const CRASH_MEMORY_MS: u64 = 600_000;
 /// Most crashes remembered; a fleet of 2,200 has nine failed machines and 870 restarts a day.
 const MOST_CRASHES: usize = 256;
 /// Most requests of one crash that are remembered; an upstream has some tens of slots.
--- a/crates/quarantine/tests/board.rs
+++ b/crates/quarantine/tests/board.rs
@@ -79,3 +79,13 @@
     }
     assert_eq!(board.since(0, 10_000).len(), 256);
 }
+
+#[test]
+fn notices_end_with_time_though_nothing_more_happens() {
+    let mut board = NoticeBoard::default();
+    board.take(crash("i-1", &[1]), true, 0);
+    board.expire(599_999);
+    assert_eq!((board.since(0, 599_999).len(), board.suspects(599_999)), (1, 1));
+    board.expire(600_000);
+    assert_eq!((board.since(0, 600_000).len(), board.suspects(600_000)), (0, 0));
+}
--- a/crates/sidecar/src/poison.rs
+++ b/crates/sidecar/src/poison.rs
@@ -6,8 +6,9 @@
 use crate::Millis;
 use http1::Request;
 use mesh::{CrashReport, Fingerprint, NodeAddress, PoisonNews, PoisonNotice, QuarantineEntry};
-use quarantine::{Quarantine, RecentRuns, RequestIdentity, Standing, Verdict};
+use quarantine::{Quarantine, RecentRuns, RequestIdentity, Standing, Verdict, CRASH_MEMORY_MS};
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use tracing::{info, warn};
 
@@ -23,6 +24,9 @@
     identity.fingerprint()
 }
 
+/// Most ends of the own upstream kept for coordinators; one that ends more often is not kept running
+/// by anybody.
+const MOST_OWN_REPORTS: usize = 64;
 /// Upstreams that ended at least under a request that is kept from others.
 const FEWEST_CRASHES: u32 = 2;
 
@@ -32,6 +36,9 @@
     own: NodeAddress,
     quarantine: Quarantine,
     recent: RecentRuns,
+    /// Ends of the upstream beside this sidecar, and when; for coordinators that did not hear of
+    /// them or forgot.
+    own_reports: VecDeque<(Millis, CrashReport)>,
     /// What coordinators are to be told.
     untold: Vec<PoisonNews>,
 }
@@ -44,7 +51,10 @@
     /// Nothing known yet, at this sidecar.
     pub fn new(own: NodeAddress) -> Self {
         let (quarantine, recent) = (Quarantine::default(), RecentRuns::default());
-        PoisonWatch(Rc::new(RefCell::new(Known { own, quarantine, recent, untold: Vec::new() })))
+        let own_reports = VecDeque::new();
+        let untold = Vec::new();
+        let known = Known { own, quarantine, recent, own_reports, untold };
+        PoisonWatch(Rc::new(RefCell::new(known)))
     }
 
     /// How a request stands; it is looked at only while anything is known against any.
@@ -72,6 +82,10 @@
         }
         let verdict = known.quarantine.note_crash(&report, now);
         log_verdict(&verdict, instance);
+        known.own_reports.push_back((now, report.clone()));
+        if known.own_reports.len() > MOST_OWN_REPORTS {
+            known.own_reports.pop_front();
+        }
         known.untold.push(PoisonNews::Crash(report));
     }
 
@@ -120,11 +134,28 @@
         news.into_iter().map(|news| PoisonNotice { age_ms: 0, news }).collect()
     }
 
-    /// What a coordinator is told that may have forgotten all.
+    /// What a coordinator is told that may have forgotten all, or was not there when it happened:
+    /// the ends of the upstream here, with the requests that nothing speaks for by now, and what is
+    /// in quarantine.
     pub fn all_known(&self, now: Millis) -> Vec<PoisonNotice> {
-        let entries = self.0.borrow().quarantine.entries(now).into_iter();
-        let notice = |entry| PoisonNotice { age_ms: 0, news: PoisonNews::Quarantined(entry) };
-        entries.map(notice).collect()
+        let known = self.0.borrow();
+        let reports = known.own_reports.iter().filter_map(|(at, report)| {
+            let news = PoisonNews::Crash(known.still_suspected(report, now)?);
+            Some(PoisonNotice { age_ms: now.saturating_sub(*at), news })
+        });
+        let entries = known.quarantine.entries(now).into_iter();
+        let entry = |entry| PoisonNotice { age_ms: 0, news: PoisonNews::Quarantined(entry) };
+        reports.chain(entries.map(entry)).collect()
+    }
+
+    /// Forgets what is too old to tell anything.
+    pub fn expire(&self, now: Millis) {
+        let mut known = self.0.borrow_mut();
+        known.quarantine.expire(now);
+        let old = |(at, _): &(Millis, CrashReport)| at + CRASH_MEMORY_MS <= now;
+        while known.own_reports.front().is_some_and(old) {
+            known.own_reports.pop_front();
+        }
     }
 
     /// Requests that are kept from upstreams, and suspects.
@@ -135,6 +166,15 @@
 }
 
 impl Known {
+    /// A report with the requests that are still suspects or in quarantine, if there are any.
+    fn still_suspected(&self, report: &CrashReport, now: Millis) -> Option<CrashReport> {
+        let held = |fingerprint: &Fingerprint| {
+            self.quarantine.standing(*fingerprint, now) != Standing::Clear
+        };
+        let running: Vec<Fingerprint> = report.running.iter().copied().filter(held).collect();
+        (!running.is_empty()).then(|| CrashReport { running, ..report.clone() })
+    }
+
     /// Clears those that ran well at this node's upstream a moment ago.
     fn speak_for(&mut self, running: &[Fingerprint], now: Millis) {
         for fingerprint in running {
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -400,6 +400,7 @@
         if let Some(evidence) = self.jobs.evidence_due(now) {
             self.links.tell_evidence(&mut self.net, evidence);
         }
+        self.poison.expire(now);
         self.want_config(now);
         if now >= RESTORE_WAIT_MS {
             self.take_waiting_registrations(now);
