--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -18,7 +18,7 @@
 pub use digest::{Digest, DigestParseError};
 pub use object::{
     Bundle, CallLimits, HashedObject, Object, ObjectId, ObjectKind, Priority, Route, SealedSecret,
-    Service, Target, CALL_LIMITS_NAME,
+    Service, Target, Tenant, CALL_LIMITS_NAME,
 };
 pub use seal::{SealError, SealKey, SealKeys};
 pub use validate::{Limits, Problem, LIMITS};
--- a/crates/bundle/src/object.rs
+++ b/crates/bundle/src/object.rs
@@ -99,12 +99,45 @@
     pub target_latency_ms: u32,
     /// Order among routes of one priority when there is not room for all; 0 goes first.
     pub rank: u32,
+    /// Whether its calls need no key, although the bundle has tenants.
+    #[serde(default)]
+    pub keyless: bool,
     /// Text of the operator's tools, kept and returned as it came and never interpreted.
     #[speedy(length_type = u64_varint)]
     #[serde(default)]
     pub annotation: String,
 }
 
+/// A customer whose callers are known by their keys, with what it may ask of the whole fleet.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Unique name; upstreams are told it.
+    #[speedy(length_type = u64_varint)]
+    pub name: String,
+    /// Keys that its callers send. They are secrets: never logged.
+    #[speedy(length_type = u64_varint)]
+    pub keys: Vec<String>,
+    /// Requests that it may send to all nodes together, thousandths a second; 0 means no limit.
+    pub rate_milli: u64,
+    /// Requests that it may send at once on top of its rate.
+    pub burst: u64,
+    /// Order among tenants when there is not room for all; 0 goes first, and it goes before the rank
+    /// of a route. `None`: only the route's rank counts.
+    pub rank: Option<u32>,
+    /// Text of the operator's tools, kept and returned as it came and never interpreted. It may hold
+    /// the keys.
+    #[speedy(length_type = u64_varint)]
+    #[serde(default)]
+    pub annotation: String,
+}
+
+impl fmt::Debug for Tenant {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Tenant({}, {} keys, redacted)", self.name, self.keys.len())
+    }
+}
+
 /// Bounds on what callers may send and how long they may take.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
 #[serde(deny_unknown_fields)]
@@ -159,7 +192,7 @@
     }
 }
 
-/// The three kinds of object.
+/// The kinds of object.
 #[derive(
     Clone,
     Copy,
@@ -185,6 +218,8 @@
     Secret,
     /// The [`CallLimits`].
     Limits,
+    /// A [`Tenant`].
+    Tenant,
 }
 
 impl fmt::Display for ObjectKind {
@@ -194,6 +229,7 @@
             ObjectKind::Route => "route",
             ObjectKind::Secret => "secret",
             ObjectKind::Limits => "limits",
+            ObjectKind::Tenant => "tenant",
         })
     }
 }
@@ -228,6 +264,8 @@
     Secret(SealedSecret),
     /// Bounds on calls.
     Limits(CallLimits),
+    /// A tenant.
+    Tenant(Tenant),
 }
 
 impl Object {
@@ -238,6 +276,7 @@
             Object::Route(route) => (ObjectKind::Route, route.name.as_str()),
             Object::Secret(secret) => (ObjectKind::Secret, secret.name.as_str()),
             Object::Limits(_) => (ObjectKind::Limits, CALL_LIMITS_NAME),
+            Object::Tenant(tenant) => (ObjectKind::Tenant, tenant.name.as_str()),
         };
         ObjectId { kind, name: name.to_owned() }
     }
@@ -320,6 +359,14 @@
         })
     }
 
+    /// The tenants, by name.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.objects.values().filter_map(|hashed| match &hashed.object {
+            Object::Tenant(tenant) => Some(tenant),
+            _ => None,
+        })
+    }
+
     /// The bounds on calls, or the default ones.
     pub fn limits(&self) -> CallLimits {
         let found = self.objects.values().find_map(|hashed| match &hashed.object {
--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -132,6 +132,8 @@
     target_latency_ms: u32,
     #[serde(default)]
     rank: u32,
+    #[serde(default)]
+    keyless: bool,
 }
 
 #[derive(Deserialize)]
@@ -282,6 +284,7 @@
         attempts: table.attempts,
         target_latency_ms: table.target_latency_ms,
         rank: table.rank,
+        keyless: table.keyless,
         annotation: String::new(),
     })
 }
--- a/crates/bundle/tests/bad_bundles.rs
+++ b/crates/bundle/tests/bad_bundles.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn an_unknown_field_is_named_with_its_line() {
-    expect!["bundle.toml:9: unknown field `timeout_sec`, expected one of `name`, `host`, `path_prefix`, `methods`, `service`, `targets`, `secret`, `timeout_ms`, `repeatable`, `priority`, `retry_budget_percent`, `max_staleness_s`, `attempts`, `target_latency_ms`, `rank`"].assert_eq(&told(&route("service = \"fares\"\ntimeout_sec = 3")));
+    expect!["bundle.toml:9: unknown field `timeout_sec`, expected one of `name`, `host`, `path_prefix`, `methods`, `service`, `targets`, `secret`, `timeout_ms`, `repeatable`, `priority`, `retry_budget_percent`, `max_staleness_s`, `attempts`, `target_latency_ms`, `rank`, `keyless`"].assert_eq(&told(&route("service = \"fares\"\ntimeout_sec = 3")));
 }
 
 #[test]
--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -15,6 +15,9 @@
     expect_instance: "X-Chutecove-Expect-Instance",
     not_run: "X-Chutecove-Not-Run",
     caller: "X-Chutecove-Caller",
+    api_key: "X-Chutecove-Api-Key",
+    tenant: "X-Chutecove-Tenant",
+    load: "X-Chutecove-Load",
 };
 
 const INSTANCES: &str = "/v1/instances/";
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -281,8 +281,19 @@
 enum ShownObject<'a> {
     Service(&'a bundle::Service),
     Route(&'a bundle::Route),
-    Secret { name: &'a str, key_id: u32 },
+    Secret {
+        name: &'a str,
+        key_id: u32,
+    },
     Limits(&'a bundle::CallLimits),
+    /// Its keys are secrets.
+    Tenant {
+        name: &'a str,
+        keys: usize,
+        rate_milli: u64,
+        burst: u64,
+        rank: Option<u32>,
+    },
 }
 
 fn show_bundle(api: &OperatorApi, digest: &str) -> ApiResult {
@@ -302,6 +313,13 @@
             ShownObject::Secret { name: &secret.name, key_id: secret.key_id }
         }
         bundle::Object::Limits(limits) => ShownObject::Limits(limits),
+        bundle::Object::Tenant(tenant) => ShownObject::Tenant {
+            name: &tenant.name,
+            keys: tenant.keys.len(),
+            rate_milli: tenant.rate_milli,
+            burst: tenant.burst,
+            rank: tenant.rank,
+        },
     }
 }
 
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -31,7 +31,7 @@
 /// sidecars were seen with (2 Mbit/s). A large fleet is told of less often.
 const MOST_LOAD_BYTES_PER_S: f64 = 8_000.0;
 /// Length of one load in a frame, bytes.
-const LOAD_BYTES: usize = 10;
+const LOAD_BYTES: usize = 13;
 /// A coordinator that started has its list filled by the sidecars' own links, which pause for
 /// 0.8 s at most between tries, and by other coordinators. Until then its list is no proof that a
 /// sidecar is gone, milliseconds.
--- a/crates/coordinator/tests/loads.rs
+++ b/crates/coordinator/tests/loads.rs
@@ -57,7 +57,7 @@
 fn counts_that_do_not_fit_are_cut() {
     assert_eq!(
         UpstreamLoad::new(70_000, 256, 100),
-        UpstreamLoad { running: 255, queued: 255, service_ms: 100 }
+        UpstreamLoad { running: 255, queued: 255, service_ms: 100, ..UpstreamLoad::default() }
     );
     assert_eq!(UpstreamLoad::new(70_000, 256, 100).all(), 510);
 }
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -52,19 +52,28 @@
     /// Whether an upstream ended while it ran this call or one like it, so that it may crash the
     /// next one, too. Sidecars of an earlier version neither tell nor heed it.
     pub suspect: bool,
+    /// Whether a run that holds a slot elsewhere waits for it: refused, that run was in vain.
+    pub begun: bool,
 }
 
+/// Letters of the last word of a request.
+const SUSPECT: char = 's';
+const BEGUN: char = 'b';
+
 impl HopRequest {
     /// The header value.
     pub fn encode(&self) -> String {
+        let marked = self.suspect || self.begun;
         let mut departure = match self.departure {
             Some(departure) => format!(" {:x} {}", departure.clock, departure.at_ms),
-            None if self.suspect => " - -".to_owned(),
+            None if marked => " - -".to_owned(),
             None => String::new(),
         };
-        if self.suspect {
-            departure.push_str(" s");
+        if marked {
+            departure.push(' ');
         }
+        departure.extend(self.suspect.then_some(SUSPECT));
+        departure.extend(self.begun.then_some(BEGUN));
         format!(
             "{} {} {} {} {} {} {}{departure}",
             self.deadline_ms,
@@ -80,7 +89,7 @@
     /// Reads the header value.
     pub fn decode(text: &str) -> Option<HopRequest> {
         let mut words = text.split(' ');
-        Some(HopRequest {
+        let request = HopRequest {
             deadline_ms: words.next()?.parse().ok()?,
             patience_ms: words.next()?.parse().ok()?,
             rank: words.next()?.parse().ok()?,
@@ -89,7 +98,14 @@
             service: words.next()?.to_owned(),
             instance: words.next().filter(|id| *id != "-").map(str::to_owned),
             departure: decode_departure(words.next(), words.next()),
-            suspect: words.next() == Some("s"),
+            suspect: false,
+            begun: false,
+        };
+        let marks = words.next().unwrap_or_default();
+        Some(HopRequest {
+            suspect: marks.contains(SUSPECT),
+            begun: marks.contains(BEGUN),
+            ..request
         })
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -21,7 +21,7 @@
 pub use poison::{CrashReport, Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
 pub use record::{
     HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
-    UpstreamLoad,
+    UpstreamLoad, USUAL_PACE_PERCENT,
 };
 pub use version::{
     time_bin, CallClass, CandidateShare, ClassEvidence, ClassOutcomes, Track, VersionEvidence,
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -116,7 +116,7 @@
 }
 
 /// How busy an upstream is, as the sidecar beside it counts; the only one that sends to it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct UpstreamLoad {
     /// Calls it works on, at most 255.
     pub running: u8,
@@ -124,6 +124,19 @@
     pub queued: u8,
     /// Recent time that a call occupies a slot, milliseconds, at most 65,535.
     pub service_ms: u16,
+    /// How long work takes there now, percent of what is usual at its service.
+    pub pace_percent: u16,
+    /// Part of its machine's link that is in use, percent; 0 if that is not known.
+    pub link_percent: u8,
+}
+
+/// Pace of an upstream that takes as long as is usual at its service, percent.
+pub const USUAL_PACE_PERCENT: u16 = 100;
+
+impl Default for UpstreamLoad {
+    fn default() -> Self {
+        Self::new(0, 0, 0)
+    }
 }
 
 impl UpstreamLoad {
@@ -131,7 +144,25 @@
     pub fn new(running: u32, queued: u32, service_ms: u32) -> Self {
         let cut = |count: u32| u8::try_from(count).unwrap_or(u8::MAX);
         let service_ms = u16::try_from(service_ms).unwrap_or(u16::MAX);
-        UpstreamLoad { running: cut(running), queued: cut(queued), service_ms }
+        UpstreamLoad {
+            running: cut(running),
+            queued: cut(queued),
+            service_ms,
+            pace_percent: USUAL_PACE_PERCENT,
+            link_percent: 0,
+        }
+    }
+
+    /// The same of an upstream that takes so long, percent of what is usual.
+    pub fn with_pace(self, percent: u32) -> Self {
+        let pace_percent = u16::try_from(percent).unwrap_or(u16::MAX);
+        UpstreamLoad { pace_percent, ..self }
+    }
+
+    /// The same on a machine of whose link so much is in use, percent.
+    pub fn with_link(self, percent: u32) -> Self {
+        let link_percent = u8::try_from(percent).unwrap_or(u8::MAX);
+        UpstreamLoad { link_percent, ..self }
     }
 
     /// Calls with it, those that wait included.
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -56,16 +56,21 @@
         instance: None,
         departure: Some(Departure { clock: 0xab, at_ms: 77 }),
         suspect: false,
+        begun: false,
     }
 }
 
 #[test]
 fn a_request_is_read_as_it_was_written() {
     expect!["900 120 2 600 1 fares - ab 77"].assert_eq(&request().encode());
-    let suspect = HopRequest { suspect: true, ..request() };
+    let suspect = HopRequest { suspect: true, begun: false, ..request() };
     expect!["900 120 2 600 1 fares - ab 77 s"].assert_eq(&suspect.encode());
+    let begun = HopRequest { begun: true, ..request() };
+    expect!["900 120 2 600 1 fares - ab 77 b"].assert_eq(&begun.encode());
+    let both = HopRequest { begun: true, ..suspect.clone() };
+    expect!["900 120 2 600 1 fares - ab 77 sb"].assert_eq(&both.encode());
     let without_departure = HopRequest { departure: None, ..suspect.clone() };
-    for request in [request(), suspect, without_departure] {
+    for request in [request(), suspect, without_departure, begun, both] {
         assert_eq!(HopRequest::decode(&request.encode()), Some(request));
     }
 }
--- a/crates/proxy/tests/core.rs
+++ b/crates/proxy/tests/core.rs
@@ -32,6 +32,7 @@
         attempts: 2,
         target_latency_ms: 0,
         rank: 0,
+        keyless: false,
         annotation: String::new(),
     };
     Bundle::from_objects(vec![Object::Service(service_object), Object::Route(route)])
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -24,6 +24,8 @@
     pub track: Track,
     /// Whether an upstream ended while it ran this call or one like it.
     pub suspect: bool,
+    /// Whether a run of the upstream beside this node waits for it.
+    pub begun: bool,
     pub arrived: Millis,
     /// How long its caller waits, as it told; its route's timeout if it did not.
     pub told_ms: u64,
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -57,6 +57,15 @@
     pub slot: Slot,
 }
 
+/// Who asks for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lineage {
+    /// Nobody that this node knows more of.
+    Caller,
+    /// A run of the upstream beside this node, which holds a slot until the call ends.
+    BegunWork,
+}
+
 /// One try of a call; the number tells late news of earlier tries apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempt {
@@ -209,13 +218,25 @@
         self.calls.first_key_value().map(|(_, call)| call.arrived)
     }
 
-    /// Takes in a call.
+    /// Takes in a call of a caller.
     pub fn begin(
         &mut self,
         origin: Origin,
         request: Request,
         config: &Config,
         now: Millis,
+    ) -> Vec<CallAction> {
+        self.begin_of(Lineage::Caller, origin, request, config, now)
+    }
+
+    /// Takes in a call.
+    pub fn begin_of(
+        &mut self,
+        lineage: Lineage,
+        origin: Origin,
+        request: Request,
+        config: &Config,
+        now: Millis,
     ) -> Vec<CallAction> {
         self.counts.begun += 1;
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
@@ -266,6 +287,7 @@
             service,
             track,
             suspect: standing == Standing::Suspect,
+            begun: lineage == Lineage::BegunWork,
             arrived: now,
             told_ms: told,
             deadline: now + told.min(timeout),
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -156,6 +156,7 @@
             instance: record.map(|instance| instance.id.clone()),
             departure: Some(Departure { clock: self.clock, at_ms: now }),
             suspect: call.suspect,
+            begun: call.begun,
         }
     }
 }
--- a/crates/sidecar/src/dialect.rs
+++ b/crates/sidecar/src/dialect.rs
@@ -18,6 +18,12 @@
     pub not_run: &'static str,
     /// Service on whose machine the request began.
     pub caller: &'static str,
+    /// Key of a caller's tenant; never passed on.
+    pub api_key: &'static str,
+    /// Name of the tenant, for upstreams.
+    pub tenant: &'static str,
+    /// What an upstream tells of its load with an answer.
+    pub load: &'static str,
 }
 
 /// What an upstream tells of itself.
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -12,7 +12,7 @@
 use self::offers::Offers;
 use self::trial::Trial;
 use crate::call_metrics::JobMetrics;
-use crate::calls::Attempt;
+use crate::calls::{Attempt, Lineage};
 use crate::dialect::HeaderNames;
 use crate::net::ConnectionId;
 use crate::poison::{self, PoisonWatch};
@@ -35,6 +35,8 @@
 /// Part of the slots that is used: some upstreams slow down or reset when they are full.
 const USED_PART_OF_SLOTS: f64 = 1.0;
 const REFUSED_STATUS: u16 = 503;
+/// Between the id of a run and what tells its calls apart.
+const ID_SEPARATOR: char = '.';
 /// The node of an inbound side that was not told which it is.
 const NOBODY: NodeAddress = NodeAddress { ip: std::net::Ipv4Addr::UNSPECIFIED, port: 0 };
 /// Of an upstream that is not the incarnation that a call is meant for; it has not run the call.
@@ -180,6 +182,8 @@
     pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
     by_source: BTreeMap<Source, JobId>,
+    /// Ids of the calls that the upstream works on, with the number of jobs of that id.
+    at_work: BTreeMap<String, u32>,
     next_job: JobId,
     closed: bool,
 }
@@ -212,6 +216,7 @@
             link_percent: 0,
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
+            at_work: BTreeMap::new(),
             next_job: 1,
             closed: false,
         }
@@ -465,6 +470,9 @@
     fn start(&mut self, id: JobId, now: Millis) -> Option<JobAction> {
         let instance = self.gate.id().map(str::to_owned);
         let job = self.jobs.get_mut(&id)?;
+        if job.started.is_none() {
+            *self.at_work.entry(job.attempt_id.clone()).or_default() += 1;
+        }
         job.started = Some(now);
         job.given_to = instance.clone();
         let left = job.deadline.saturating_sub(now).max(1);
@@ -494,6 +502,30 @@
     fn remove(&mut self, id: JobId) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
         self.by_source.remove(&job.source);
+        if job.started.is_some() {
+            self.forget_work(&job.attempt_id);
+        }
         Some(job)
     }
+
+    fn forget_work(&mut self, attempt_id: &str) {
+        let Some(jobs) = self.at_work.get_mut(attempt_id) else {
+            return;
+        };
+        *jobs -= 1;
+        if *jobs == 0 {
+            self.at_work.remove(attempt_id);
+        }
+    }
+
+    /// Who asks for a call of this id, given on this machine. Ids of calls made by a run are those
+    /// of the run with a part of their own behind a dot, as hierarchical trace ids are; an id that
+    /// extends none of a run under way here is taken for a caller's.
+    pub fn lineage(&self, attempt_id: &str) -> Lineage {
+        let run = attempt_id.rsplit_once(ID_SEPARATOR).map(|(run, _)| run);
+        match run.is_some_and(|run| self.at_work.contains_key(run)) {
+            true => Lineage::BegunWork,
+            false => Lineage::Caller,
+        }
+    }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -25,7 +25,7 @@
 mod transit;
 
 pub use call_metrics::{CallMetrics, JobMetrics};
-pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Origin};
+pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Lineage, Origin};
 pub use config::Config;
 pub use currency::Currency;
 pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -22,6 +22,9 @@
     expect_instance: "x-expect",
     not_run: "x-not-run",
     caller: "x-caller",
+    api_key: "x-key",
+    tenant: "x-tenant",
+    load: "x-load",
 };
 pub const OWN_SERVICE: &str = "own";
 pub const SERVICE: &str = "fares";
@@ -55,6 +58,7 @@
         attempts: 2,
         target_latency_ms,
         rank: 1,
+        keyless: false,
         annotation: String::new(),
     })
 }
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -65,6 +65,7 @@
             instance: None,
             departure: None,
             suspect,
+            begun: false,
         };
         let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
         self.jobs.begin(source, Rc::new(request), &hop, now)
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -163,6 +163,7 @@
         instance: None,
         departure: None,
         suspect: false,
+        begun: false,
     };
     let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
     jobs.begin(source, Rc::new(request), &hop, 10)
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -6,7 +6,7 @@
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
 use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
-use sidecar::{ConnectionId, JobAction, JobMetrics, Jobs, LogSample, Source, UpstreamEnd};
+use sidecar::{ConnectionId, JobAction, JobMetrics, Jobs, Lineage, LogSample, Source, UpstreamEnd};
 use std::rc::Rc;
 use telemetry::Registry;
 
@@ -52,6 +52,7 @@
         instance: instance.map(str::to_owned),
         departure: None,
         suspect: false,
+        begun: false,
     }
 }
 
@@ -285,3 +286,47 @@
     let (_, request) = started(&actions).expect("it runs");
     assert_eq!(request.headers.text(NAMES.expect_instance), Some("i-1"));
 }
+
+#[test]
+fn calls_of_a_run_are_told_by_its_id_while_it_is_under_way() {
+    let mut jobs = jobs();
+    assert_eq!(jobs.lineage("7.ab"), Lineage::Caller, "nothing runs yet");
+    let (first, _) = started(&begin(&mut jobs, 1, 0)).map(|(id, _)| (id, ())).expect("runs");
+    begin(&mut jobs, 2, 0);
+    assert!(begin(&mut jobs, 3, 0).is_empty(), "it waits");
+    let told = ["7", "7.ab", "7.ab.cd", "8.ab", ".ab", ""].map(|id| (id, jobs.lineage(id)));
+    expect![[r#"
+        [
+            (
+                "7",
+                Caller,
+            ),
+            (
+                "7.ab",
+                BegunWork,
+            ),
+            (
+                "7.ab.cd",
+                Caller,
+            ),
+            (
+                "8.ab",
+                Caller,
+            ),
+            (
+                ".ab",
+                Caller,
+            ),
+            (
+                "",
+                Caller,
+            ),
+        ]
+    "#]]
+    .assert_debug_eq(&told);
+    let answer = Answer { response: sealed(200), reusable: true };
+    jobs.ended(first, UpstreamEnd::Answered(answer), 10);
+    assert_eq!(jobs.lineage("7.ab"), Lineage::BegunWork, "another run of that id goes on");
+    jobs.connection_ended(ConnectionId::for_tests(1), 20);
+    assert_eq!(jobs.lineage("7.ab"), Lineage::Caller, "its run is over");
+}
--- a/crates/sidecar/tests/offers.rs
+++ b/crates/sidecar/tests/offers.rs
@@ -117,6 +117,7 @@
         instance: Some("i-1".to_owned()),
         departure: None,
         suspect: false,
+        begun: false,
     }
 }
 
--- a/crates/sidecar/tests/transit.rs
+++ b/crates/sidecar/tests/transit.rs
@@ -97,6 +97,7 @@
         instance: None,
         departure: Some(departure(CLOCK, AHEAD_MS + sent)),
         suspect: false,
+        begun: false,
     }
 }
 
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -48,6 +48,7 @@
         instance: None,
         departure: None,
         suspect: false,
+        begun: false,
     };
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
--- a/crates/simulator/src/workload.rs
+++ b/crates/simulator/src/workload.rs
@@ -37,6 +37,7 @@
             attempts: 2,
             target_latency_ms: 0,
             rank: 0,
+            keyless: false,
             annotation: String::new(),
         }));
     }
