Tenants are read, checked and known by their keys at the caller's sidecar

Cause: a configuration with tenants was refused whole, so that nothing of it was served. Change: the platform's tenants are read and written back as they came; a bundle with a key that two tenants hold, that is held twice, or that no header can carry is refused without naming the key; calls are known by a keyed digest of their key, denied with 401 while the configuration is confirmed, and carry the tenant's name and rank.

--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -1,4 +1,4 @@
-//! The typed configuration: services, routes and secrets that belong together.
+//! The typed configuration: services, routes, secrets and tenants that belong together.
 //!
 //! A [`Bundle`] is whole by construction: every route's service and secret is in it. Objects are
 //! content-addressed, so two bundles differ by a [`Delta`] of a few objects. This crate does no
@@ -11,6 +11,7 @@
 mod object;
 mod seal;
 pub mod source;
+mod tenant;
 mod validate;
 
 pub use approval::{approval_message, Approval, ApprovalError, OperatorKeys};
@@ -18,7 +19,8 @@
 pub use digest::{Digest, DigestParseError};
 pub use object::{
     Bundle, CallLimits, HashedObject, Object, ObjectId, ObjectKind, Priority, Route, SealedSecret,
-    Service, Target, Tenant, CALL_LIMITS_NAME,
+    Service, Target, CALL_LIMITS_NAME,
 };
 pub use seal::{SealError, SealKey, SealKeys};
+pub use tenant::{KeyFingerprint, Tenant};
 pub use validate::{Limits, Problem, LIMITS};
--- a/crates/bundle/src/object.rs
+++ b/crates/bundle/src/object.rs
@@ -1,6 +1,6 @@
 //! Services, routes and sealed secrets, and the bundle that holds them.
 
-use crate::Digest;
+use crate::{Digest, Tenant};
 use serde::{Deserialize, Serialize};
 use speedy::{LittleEndian, Readable, Writable};
 use std::collections::BTreeMap;
@@ -108,36 +108,6 @@
     pub annotation: String,
 }
 
-/// A customer whose callers are known by their keys, with what it may ask of the whole fleet.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
-#[serde(deny_unknown_fields)]
-pub struct Tenant {
-    /// Unique name; upstreams are told it.
-    #[speedy(length_type = u64_varint)]
-    pub name: String,
-    /// Keys that its callers send. They are secrets: never logged.
-    #[speedy(length_type = u64_varint)]
-    pub keys: Vec<String>,
-    /// Requests that it may send to all nodes together, thousandths a second; 0 means no limit.
-    pub rate_milli: u64,
-    /// Requests that it may send at once on top of its rate.
-    pub burst: u64,
-    /// Order among tenants when there is not room for all; 0 goes first, and it goes before the rank
-    /// of a route. `None`: only the route's rank counts.
-    pub rank: Option<u32>,
-    /// Text of the operator's tools, kept and returned as it came and never interpreted. It may hold
-    /// the keys.
-    #[speedy(length_type = u64_varint)]
-    #[serde(default)]
-    pub annotation: String,
-}
-
-impl fmt::Debug for Tenant {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "Tenant({}, {} keys, redacted)", self.name, self.keys.len())
-    }
-}
-
 /// Bounds on what callers may send and how long they may take.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
 #[serde(deny_unknown_fields)]
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -1,7 +1,8 @@
 //! What makes a bundle acceptable; run at submission and again before a proxy applies it.
 
-use crate::{Bundle, ObjectId, ObjectKind, Route};
-use std::collections::BTreeSet;
+use crate::tenant::flaw_of;
+use crate::{Bundle, KeyFingerprint, ObjectId, ObjectKind, Route, Tenant};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// Largest sizes and counts a bundle may have.
@@ -17,15 +18,28 @@
     pub secret_bytes: usize,
     /// Longest timeout of a route, milliseconds.
     pub timeout_ms: u32,
+    /// Length of a tenant's key, bytes.
+    pub key_bytes: usize,
+    /// Highest rate of a tenant, thousandths of a request a second.
+    pub rate_milli: u64,
+    /// Most requests that a tenant may send at once on top of its rate.
+    pub burst: u64,
 }
 
 /// The limits in force.
 pub const LIMITS: Limits = Limits {
-    bundle_bytes: 1024 * 1024,
+    // 10,000 tenants with two keys of 20 characters beside 800 routes take 2.5 MB. Half of what a
+    // frame between machines holds, so that a snapshot that does not compress still fits.
+    bundle_bytes: 4 * 1024 * 1024,
     objects: 20_000,
     name_characters: 128,
     secret_bytes: 16 * 1024,
     timeout_ms: 300_000,
+    // A quarter of the longest head that callers may send by default.
+    key_bytes: 4 * 1024,
+    // A thousand times what the largest fleet serves; sums over minutes stay far from overflow.
+    rate_milli: 1_000_000_000_000,
+    burst: 1_000_000_000,
 };
 
 /// How far a target latency may lie above the timeout of its route, milliseconds.
@@ -69,6 +83,10 @@
         for route in self.routes() {
             check_route(route, &names, &mut problems);
         }
+        let mut holders = BTreeMap::new();
+        for tenant in self.tenants() {
+            check_tenant(tenant, &mut holders, &mut problems);
+        }
         problems
     }
 
@@ -138,6 +156,44 @@
     check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
 }
 
+/// Checks a tenant; `holders` are the keys of those before it. No problem names a key.
+fn check_tenant<'a>(
+    tenant: &'a Tenant,
+    holders: &mut BTreeMap<&'a str, &'a str>,
+    problems: &mut Vec<Problem>,
+) {
+    let id = ObjectId { kind: ObjectKind::Tenant, name: tenant.name.clone() };
+    for (position, key) in tenant.keys.iter().enumerate() {
+        let mut refuse = |flaw: &str| {
+            let fingerprint = KeyFingerprint::of(key.as_bytes());
+            push(problems, &id, "keys", format!("key {} ({fingerprint}) {flaw}", position + 1));
+        };
+        if let Some(flaw) = flaw_of(key) {
+            refuse(&flaw);
+            continue;
+        }
+        match holders.insert(key, &tenant.name) {
+            None => {}
+            Some(holder) if holder == tenant.name => refuse("is there twice"),
+            Some(holder) => refuse(&format!("is held by tenant '{holder}' as well")),
+        }
+    }
+    check_most(&id, "rate_milli", tenant.rate_milli, LIMITS.rate_milli, problems);
+    check_most(&id, "burst", tenant.burst, LIMITS.burst, problems);
+}
+
+fn check_most(
+    id: &ObjectId,
+    field: &'static str,
+    value: u64,
+    most: u64,
+    problems: &mut Vec<Problem>,
+) {
+    if value > most {
+        push(problems, id, field, format!("{value} is outside 0 to {most}"));
+    }
+}
+
 fn check_name(id: &ObjectId, problems: &mut Vec<Problem>) {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     let name = &id.name;
--- a/crates/sidecar/src/call_metrics.rs
+++ b/crates/sidecar/src/call_metrics.rs
@@ -23,6 +23,8 @@
     HeldBack,
     /// Refused without being offered, because its like crash upstreams.
     Quarantined,
+    /// Refused because it shows no key of a tenant where one is needed.
+    Denied,
     /// No proper answer; it may have run.
     Failed,
     /// Its time was over.
@@ -39,6 +41,7 @@
             Self::Refused => "refused",
             Self::HeldBack => "held_back",
             Self::Quarantined => "quarantined",
+            Self::Denied => "denied",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
             Self::Cancelled => "cancelled",
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -1,6 +1,7 @@
 //! One call with what became of its tries.
 
 use super::{Attempt, Origin};
+use crate::tenants::{CompiledTenant, KeyHolder};
 use crate::Millis;
 use http1::{Request, Response};
 use mesh::{HopOutcome, NodeAddress, Track};
@@ -15,6 +16,12 @@
     pub request: Rc<Request>,
     pub attempt_id: String,
     pub route: String,
+    /// Its tenant, and the key by which that is known.
+    pub holder: Option<KeyHolder>,
+    /// What became of that key since it was placed.
+    pub key_change: Option<KeyChange>,
+    /// Rank of its route alone.
+    pub route_rank: u32,
     pub repeatable: bool,
     pub rank: u32,
     pub most_arrivals: u32,
@@ -48,6 +55,18 @@
     }
 }
 
+/// What a newer configuration did to the key of a call that has no answer yet.
+#[derive(Clone, Debug)]
+pub(super) enum KeyChange {
+    /// Another tenant has it.
+    Moved(Rc<CompiledTenant>),
+    /// Nobody has it.
+    Gone {
+        /// Whether that configuration was confirmed as the newest.
+        confirmed: bool,
+    },
+}
+
 /// A try without an end.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Try {
--- /dev/null
+++ b/crates/sidecar/src/calls/keys.rs
@@ -0,0 +1,124 @@
+//! Keys of callers: what is answered without one, and what becomes of waiting calls whose key is
+//! taken away or moved.
+
+use super::call::KeyChange;
+use super::{refusal, CallAction, CallId, Calls, Origin, UNREADY_RETRY_AFTER_MS};
+use crate::call_metrics::CallOutcome;
+use crate::config::Config;
+use crate::tenants::{combined_rank, CompiledTenant, KeyProblem};
+use crate::Millis;
+use bundle::KeyFingerprint;
+use http1::{Request, Response};
+use std::rc::Rc;
+use tracing::info;
+
+/// Answer to a call that shows no key of a tenant where one is needed.
+const DENIED_STATUS: u16 = 401;
+
+impl Calls {
+    /// The answer to a call without a proper key: that, if what is held is known to be the newest;
+    /// a newer generation may have the key.
+    pub(super) fn deny(
+        &mut self,
+        origin: Origin,
+        route: &str,
+        problem: KeyProblem,
+        request: &Request,
+        config: &Config,
+        now: Millis,
+    ) -> CallAction {
+        let id = request.headers.text(self.names.attempt_id).unwrap_or("-");
+        let (generation, current) = (config.generation(), config.is_current(now));
+        if self.sample.takes(id) {
+            let shown = request.headers.get(self.names.api_key);
+            let key = shown.map(|key| KeyFingerprint::of(key.trim_ascii()).to_string());
+            let key = key.as_deref().unwrap_or("-");
+            info!(
+                %id, %route, reason = %problem, generation, current, %key, verdict = "not-run",
+                "call_denied"
+            );
+        }
+        if !current {
+            self.counts.refused += 1;
+            self.metrics.note_end(route, CallOutcome::Refused, 0);
+            return refusal(origin, UNREADY_RETRY_AFTER_MS);
+        }
+        self.counts.denied += 1;
+        self.metrics.note_end(route, CallOutcome::Denied, 0);
+        CallAction::Answer { origin, response: Response::empty(DENIED_STATUS) }
+    }
+
+    /// Takes in that a configuration may be in force since. Calls that wait are looked up again, so
+    /// that none is placed under a tenant that has lost its key.
+    pub fn note_configuration(&mut self, config: &Config, now: Millis) {
+        if self.keys_checked == config.generation() {
+            return;
+        }
+        self.keys_checked = config.generation();
+        let known: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in known {
+            self.check_key_again(id, config, now);
+        }
+    }
+
+    fn check_key_again(&mut self, id: CallId, config: &Config, now: Millis) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(holder) = &mut call.holder else {
+            return;
+        };
+        call.key_change = match config.tenants().holder(holder.key) {
+            Some(tenant) if tenant.name == holder.tenant.name => {
+                holder.tenant = tenant.clone();
+                call.rank = combined_rank(tenant.rank, call.route_rank);
+                None
+            }
+            Some(tenant) => Some(KeyChange::Moved(tenant.clone())),
+            None => Some(KeyChange::Gone { confirmed: config.is_current(now) }),
+        };
+    }
+
+    /// Before a call is placed: one whose key moved goes on under the tenant that has it now, unless
+    /// it may have run under the other. Ends it if it may not be placed.
+    pub(super) fn settle_key(&mut self, id: CallId, now: Millis) -> Option<Vec<CallAction>> {
+        let call = self.calls.get_mut(&id)?;
+        let change = call.key_change.take()?;
+        let never_ran = call.arrivals == 0;
+        match change {
+            KeyChange::Moved(tenant) if never_ran => {
+                self.move_to(id, tenant);
+                None
+            }
+            KeyChange::Gone { confirmed: true } if never_ran => Some(self.end_without_key(id, now)),
+            _ => Some(self.give_up(id, UNREADY_RETRY_AFTER_MS, now)),
+        }
+    }
+
+    fn move_to(&mut self, id: CallId, tenant: Rc<CompiledTenant>) {
+        let Some(mut call) = self.calls.remove(&id) else {
+            return;
+        };
+        call.rank = combined_rank(tenant.rank, call.route_rank);
+        if let Some(holder) = &mut call.holder {
+            holder.tenant = tenant;
+        }
+        self.name_tenant(Rc::make_mut(&mut call.request), call.holder.as_ref());
+        self.calls.insert(id, call);
+    }
+
+    /// The answer to a call that never ran, and whose key nobody has any more.
+    fn end_without_key(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        let Some(call) = self.remove(id) else {
+            return Vec::new();
+        };
+        info!(
+            id = %call.attempt_id, route = %call.route, reason = "key_taken_away",
+            generation = self.keys_checked, held_ms = now.saturating_sub(call.arrived),
+            verdict = "not-run", "call_denied"
+        );
+        self.counts.denied += 1;
+        self.note_outcome(&call, CallOutcome::Denied, now);
+        vec![CallAction::Answer { origin: call.origin, response: Response::empty(DENIED_STATUS) }]
+    }
+}
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod endings;
+mod keys;
 mod placing;
 mod time;
 
@@ -13,6 +14,7 @@
 use crate::config::Config;
 use crate::dialect::HeaderNames;
 use crate::poison::PoisonWatch;
+use crate::tenants::{combined_rank, KeyHolder};
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress};
 use placement::{
@@ -132,6 +134,8 @@
     pub refused: u64,
     /// Failures without that promise.
     pub failed: u64,
+    /// Calls that showed no key of a tenant where one is needed; they did not run.
+    pub denied: u64,
     /// Calls whose time was over.
     pub timed_out: u64,
     /// Calls whose caller went away.
@@ -163,6 +167,8 @@
     deadlines: BTreeSet<(Millis, CallId)>,
     parked: BTreeSet<CallId>,
     next_call: CallId,
+    /// Generation by which the keys of all calls were looked up.
+    keys_checked: u64,
     /// Totals since the start.
     pub counts: CallCounts,
 }
@@ -199,6 +205,7 @@
             deadlines: BTreeSet::new(),
             parked: BTreeSet::new(),
             next_call: 1,
+            keys_checked: 0,
             counts: CallCounts::default(),
         }
     }
@@ -253,12 +260,19 @@
             return vec![self.without_route(origin, &attempt_id, &request, config, now)];
         };
         let route = &found.route;
+        let shown = request.headers.all(self.names.api_key);
+        let holder = match config.tenant_of_call(route.keyless, shown) {
+            Ok(holder) => holder,
+            Err(problem) => {
+                return vec![self.deny(origin, &route.name, problem, &request, config, now)];
+            }
+        };
         let Some(service) = self.draw_service(&route.name, &route.targets) else {
             return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
         };
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
-        let urgency = urgency_of(route);
+        let urgency = urgency_of(route, holder.as_ref());
         let standing = self.poison.standing(&service, &request, now);
         if let Standing::Quarantined { left_ms } = standing {
             return vec![self.refuse_quarantined(origin, &attempt_id, &route.name, left_ms)];
@@ -277,9 +291,12 @@
         let track = self.draw_track(&service);
         let call = Call {
             origin,
-            request: Rc::new(self.prepared(request)),
+            request: Rc::new(self.prepared(request, holder.as_ref())),
             attempt_id,
             route: route.name.clone(),
+            holder,
+            key_change: None,
+            route_rank: route.rank,
             repeatable: route.repeatable,
             rank: urgency.rank,
             most_arrivals: route.attempts.max(1),
@@ -397,13 +414,14 @@
     }
 }
 
-/// The place of a route's calls among those that wait for an upstream.
-fn urgency_of(route: &bundle::Route) -> Urgency {
+/// The place of a tenant's calls on a route among those that wait for an upstream.
+fn urgency_of(route: &bundle::Route, holder: Option<&KeyHolder>) -> Urgency {
     let target_ms = match route.target_latency_ms {
         0 => route.timeout_ms,
         target => target,
     };
-    Urgency { rank: route.rank, target_ms: u64::from(target_ms) }
+    let rank = combined_rank(holder.and_then(|holder| holder.tenant.rank), route.rank);
+    Urgency { rank, target_ms: u64::from(target_ms) }
 }
 
 fn refusal(origin: Origin, retry_after_ms: u64) -> CallAction {
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -2,6 +2,7 @@
 
 use super::call::{Call, Try};
 use super::{Attempt, CallAction, CallId, Calls};
+use crate::tenants::KeyHolder;
 use crate::Millis;
 use http1::Request;
 use mesh::{Departure, HopRequest, NodeAddress, Track, HOP_HEADER};
@@ -51,17 +52,28 @@
     }
 
     /// The request as it goes to the peer: without what only the caller's connection concerns,
-    /// and without what only sidecars may say.
-    pub(super) fn prepared(&self, mut request: Request) -> Request {
+    /// without what only sidecars may say, and without keys.
+    pub(super) fn prepared(&self, mut request: Request, holder: Option<&KeyHolder>) -> Request {
+        let names = &self.names;
         let headers = &mut request.headers;
         headers.remove_connection_headers();
-        for name in [self.names.expect_instance, self.names.deadline_ms, HOP_HEADER, "expect"] {
+        for name in [names.expect_instance, names.deadline_ms, HOP_HEADER, "expect"] {
             headers.remove(name);
         }
-        headers.set(self.names.caller, self.service.as_bytes());
+        headers.remove(names.api_key);
+        headers.set(names.caller, self.service.as_bytes());
+        self.name_tenant(&mut request, holder);
         request
     }
 
+    /// Tells upstreams whose call it is, whatever the caller said.
+    pub(super) fn name_tenant(&self, request: &mut Request, holder: Option<&KeyHolder>) {
+        request.headers.remove(self.names.tenant);
+        if let Some(holder) = holder {
+            request.headers.push(self.names.tenant, holder.tenant.name.as_bytes());
+        }
+    }
+
     pub(super) fn usual_ms(&self, call: &Call) -> f64 {
         let guessed = match call.target_ms {
             0 => UNKNOWN_TIME_MS,
@@ -72,6 +84,9 @@
 
     /// Chooses an upstream for a call that has no try, or gives it up.
     pub(super) fn place(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        if let Some(ended) = self.settle_key(id, now) {
+            return ended;
+        }
         let Some(call) = self.calls.get(&id) else {
             return Vec::new();
         };
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force on this node.
 
 use crate::currency::Currency;
+use crate::tenants::{KeyDigester, KeyHolder, KeyProblem, Tenants};
 use crate::Millis;
 use bundle::{Bundle, BundleUpdate, CallLimits, Digest, SealKeys};
 use forward::RoutingTable;
@@ -10,6 +11,7 @@
 struct Prepared {
     bundle: Bundle,
     routing: RoutingTable,
+    tenants: Tenants,
 }
 
 /// The newest configuration applied; it is replaced whole and never goes back. One that a
@@ -18,6 +20,8 @@
 pub struct Config {
     bundle: Bundle,
     routing: Option<RoutingTable>,
+    tenants: Tenants,
+    digester: KeyDigester,
     prepared: Option<Prepared>,
     limits: CallLimits,
     /// What coordinators say of the newest generation.
@@ -30,6 +34,26 @@
         self.routing.as_ref()
     }
 
+    /// The tenants.
+    pub fn tenants(&self) -> &Tenants {
+        &self.tenants
+    }
+
+    /// Which tenant a call is of, by the keys that its caller shows; `None` if it needs none.
+    pub fn tenant_of_call<'a>(
+        &self,
+        keyless: bool,
+        mut shown: impl Iterator<Item = &'a [u8]>,
+    ) -> Result<Option<KeyHolder>, KeyProblem> {
+        if self.tenants.is_empty() {
+            return Ok(None);
+        }
+        match self.tenants.identify(&mut shown, &self.digester) {
+            Err(KeyProblem::Missing) if keyless => Ok(None),
+            found => found.map(Some),
+        }
+    }
+
     /// The bounds on calls.
     pub fn limits(&self) -> &CallLimits {
         &self.limits
@@ -82,7 +106,8 @@
                 return false;
             }
         };
-        self.prepared = Some(Prepared { bundle, routing });
+        let tenants = Tenants::compile(&bundle, &self.digester);
+        self.prepared = Some(Prepared { bundle, routing, tenants });
         true
     }
 
@@ -91,15 +116,21 @@
     pub fn put_in_force(&mut self, generation: u64) -> bool {
         let fits = |prepared: &mut Prepared| prepared.routing.generation == generation;
         let newer = generation > self.generation();
-        let Some(Prepared { bundle, routing }) = self.prepared.take_if(|held| newer && fits(held))
+        let Some(Prepared { bundle, routing, tenants }) =
+            self.prepared.take_if(|held| newer && fits(held))
         else {
             return false;
         };
         let routes = bundle.routes().count();
-        info!(generation, digest = ?bundle.digest(), routes, "generation_in_force");
+        let tenant_count = tenants.iter().count();
+        info!(
+            generation, digest = ?bundle.digest(), routes, tenants = tenant_count,
+            "generation_in_force"
+        );
         self.limits = bundle.limits();
         self.bundle = bundle;
         self.routing = Some(routing);
+        self.tenants = tenants;
         true
     }
 }
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -478,6 +478,7 @@
         let left = job.deadline.saturating_sub(now).max(1);
         let mut request = (*job.request).clone();
         request.headers.remove(HOP_HEADER);
+        request.headers.remove(self.names.api_key);
         // What it asks for was answered between the two sidecars.
         request.headers.remove("expect");
         request.headers.set(self.names.deadline_ms, left.to_string());
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -22,6 +22,7 @@
 mod sample;
 mod servers;
 mod stop;
+mod tenants;
 mod transit;
 
 pub use call_metrics::{CallMetrics, JobMetrics};
@@ -38,6 +39,9 @@
 pub use runtime::{run, SidecarError};
 pub use sample::LogSample;
 pub use stop::{Activity, StopPhase, StopPlan};
+pub use tenants::{
+    combined_rank, CompiledTenant, KeyDigest, KeyDigester, KeyHolder, KeyProblem, Tenants,
+};
 pub use transit::TransitTimes;
 
 /// Milliseconds of a monotonic clock.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -28,6 +28,8 @@
     pub confirmed_ms: Option<u64>,
     /// Upstreams that may be given calls, and the others known.
     pub upstreams: (usize, usize),
+    /// Tenants of the generation in force.
+    pub tenants: usize,
     /// Requests that are kept from upstreams.
     pub quarantined: usize,
     /// Requests that ran when an upstream ended, and that nothing clears.
@@ -49,11 +51,12 @@
 impl Metrics {
     /// Registers all figures.
     pub fn new(registry: Registry) -> Self {
-        let figures: [Figure; 20] = [
+        let figures: [Figure; 22] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
             ("calls_failed", "Calls failed that may have run", |s| s.calls.failed as i64),
+            ("calls_denied", "Calls without a tenant's key", |s| s.calls.denied as i64),
             ("calls_timed_out", "Calls whose time was over", |s| s.calls.timed_out as i64),
             ("calls_cancelled", "Calls whose caller left", |s| s.calls.cancelled as i64),
             ("calls_repeats", "Arrivals past the first", |s| s.calls.repeats as i64),
@@ -61,6 +64,7 @@
             ("upstream_running", "Calls the upstream works on", |s| i64::from(s.running)),
             ("upstream_queued", "Calls that wait for it", |s| i64::from(s.queued)),
             ("config_generation", "Generation in force", |s| s.generation as i64),
+            ("tenants", "Tenants of the generation in force", |s| s.tenants as i64),
             ("nodes", "Nodes known", |s| s.nodes as i64),
             ("connections", "Open connections", |s| s.connections as i64),
             ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -326,6 +326,7 @@
             failing_percent: self.jobs.failing_percent(self.now()),
             confirmed_ms: self.config.currency.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
+            tenants: self.config.tenants().iter().count(),
             quarantined,
             suspects,
         };
@@ -372,6 +373,7 @@
             }
         }
         self.config.put_in_force(self.links.announced());
+        self.calls.note_configuration(&self.config, now);
         self.want_config(now);
     }
 
