Begun work goes before new work: queue, holding back, patience, repeats

Cause: calls that a run waits for with a slot in its hands were held back and refused like new work. Change: the mark of lineage orders the queue of an upstream (begun before all new), exempts from holding back, lets such calls wait while their deadline allows, asks upstreams that refused only new work, and keeps for them the repeats that their own requests earned.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -18,10 +18,13 @@
 pub struct Ticket {
     /// Its id.
     pub job: JobId,
+    /// Whether a run that holds a slot elsewhere waits for it. It goes before all new work, whatever
+    /// its rank: refused or late, it wastes that slot as well.
+    pub begun: bool,
     /// Order among those waiting; 0 goes first.
     pub rank: u32,
-    /// Target latency of its kind, milliseconds; of one rank, the shorter goes first. Calls that
-    /// others wait for with a slot in their hands have the shortest.
+    /// Target latency of its kind, milliseconds; of one rank, the shorter goes first. Where ids do
+    /// not tell which calls are begun work, those that others wait for mostly have the shortest.
     pub target_ms: u64,
     /// Longest useful wait, milliseconds.
     pub patience_ms: u64,
@@ -49,13 +52,15 @@
     latest_start: Millis,
 }
 
+/// Place in the queue: begun work before new, then by rank, target latency and arrival.
+type Place = (bool, u32, u64, u64);
+
 /// Slots of one upstream.
 #[derive(Clone, Debug)]
 pub struct Admission {
     limit: u32,
     running: u32,
-    /// By rank, then by target latency, then by order of arrival.
-    waiting: BTreeMap<(u32, u64, u64), Waiting>,
+    waiting: BTreeMap<Place, Waiting>,
     arrivals: u64,
     service_ms: f64,
     /// Calls refused of late that will come back.
@@ -112,9 +117,9 @@
             return Decision::Refuse { retry_after_ms };
         }
         let latest_start = ticket.deadline.min(now + ticket.patience_ms);
-        let key = (ticket.rank, ticket.target_ms, self.arrivals);
+        let place = self.place(ticket);
         self.arrivals += 1;
-        self.waiting.insert(key, Waiting { job: ticket.job, latest_start });
+        self.waiting.insert(place, Waiting { job: ticket.job, latest_start });
         Decision::Wait
     }
 
@@ -123,8 +128,7 @@
         if self.running < self.limit && self.waiting.is_empty() {
             return Ok(());
         }
-        let key = (ticket.rank, ticket.target_ms, self.arrivals);
-        let ahead = self.waiting.range(..key).count();
+        let ahead = self.waiting.range(..self.place(ticket)).count();
         if self.wait_behind(ahead) <= ticket.patience_ms {
             return Ok(());
         }
@@ -133,6 +137,10 @@
         Err(retry_after_ms)
     }
 
+    fn place(&self, ticket: Ticket) -> Place {
+        (!ticket.begun, ticket.rank, ticket.target_ms, self.arrivals)
+    }
+
     /// Expected wait of a call with this many in front of it, milliseconds.
     fn wait_behind(&self, ahead: usize) -> u64 {
         let turns = (ahead + 1) as f64 / f64::from(self.limit);
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -9,7 +9,7 @@
 }
 
 fn ticket_of(job: u64, rank: u32, target_ms: u64, patience_ms: u64) -> Ticket {
-    Ticket { job, rank, target_ms, patience_ms, deadline: 1_000_000 }
+    Ticket { job, begun: false, rank, target_ms, patience_ms, deadline: 1_000_000 }
 }
 
 fn full() -> Admission {
@@ -101,3 +101,28 @@
     // They have come back by then, or never will.
     assert!(refuse(40, 8_000) < first + 100);
 }
+
+#[test]
+fn what_a_run_waits_for_goes_before_all_new_work() {
+    let begun = |job, rank, patience_ms| Ticket { begun: true, ..ticket(job, rank, patience_ms) };
+    let mut admission = full();
+    assert_eq!(admission.submit(ticket(10, 0, 900), 0), Decision::Wait);
+    assert_eq!(admission.submit(begun(11, 2, 900), 1), Decision::Wait);
+    assert_eq!(admission.submit(begun(12, 1, 900), 2), Decision::Wait);
+    assert_eq!(next(&mut admission), Some(12), "among themselves by rank");
+    assert_eq!(next(&mut admission), Some(11), "before new work of a better rank");
+    assert_eq!(next(&mut admission), Some(10));
+}
+
+#[test]
+fn new_work_that_waits_takes_no_room_from_what_a_run_waits_for() {
+    let mut admission = full();
+    for job in 10..20 {
+        assert_eq!(admission.submit(ticket(job, 0, 900), 0), Decision::Wait);
+    }
+    // Two slots of 100 ms each: behind ten others it would wait for 550 ms.
+    let begun = |job| Ticket { begun: true, ..ticket(job, 1, 60) };
+    assert!(admission.check_room(ticket(20, 1, 60), 0).is_err(), "new work is refused");
+    assert_eq!(admission.submit(begun(21), 0), Decision::Wait);
+    assert!(admission.check_room(begun(22), 0).is_err(), "behind its like it would be late");
+}
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -1,7 +1,9 @@
 //! How many calls one node may send a second time.
 //!
 //! The bound holds for the fleet, so a node allows itself a part of the ratio, and its share of
-//! what is granted besides.
+//! what is granted besides. While upstreams turn many calls away, all would be spent on whichever
+//! call comes first; calls that runs wait for keep what they earned, since each of them that fails
+//! wastes the slot of its run.
 
 use crate::Millis;
 use std::collections::{BTreeMap, VecDeque};
@@ -23,13 +25,37 @@
     pub window_ms: u64,
 }
 
+/// Who asks for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskedBy {
+    /// A caller, whose work is new.
+    Caller,
+    /// A run that holds a slot until the call ends.
+    Run,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
-struct Slice {
-    index: u64,
+struct Sent {
     requests: u32,
     repeats: u32,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Slice {
+    index: u64,
+    by_callers: Sent,
+    by_runs: Sent,
+}
+
+impl Slice {
+    fn by(&mut self, asked_by: AskedBy) -> &mut Sent {
+        match asked_by {
+            AskedBy::Caller => &mut self.by_callers,
+            AskedBy::Run => &mut self.by_runs,
+        }
+    }
+}
+
 /// What one node sent to each service of late.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -59,24 +85,37 @@
         slices.back_mut().expect("pushed above")
     }
 
-    /// Notes a request of a caller.
-    pub fn note_request(&mut self, service: &str, now: Millis) {
-        self.slice(service, now).requests += 1;
+    /// Notes a request.
+    pub fn note_request(&mut self, service: &str, asked_by: AskedBy, now: Millis) {
+        self.slice(service, now).by(asked_by).requests += 1;
     }
 
     /// Notes an arrival at an upstream past the first of its request.
-    pub fn note_repeat(&mut self, service: &str, now: Millis) {
-        self.slice(service, now).repeats += 1;
+    pub fn note_repeat(&mut self, service: &str, asked_by: AskedBy, now: Millis) {
+        self.slice(service, now).by(asked_by).repeats += 1;
     }
 
-    /// Whether one more repeat fits, on one of `nodes` nodes.
-    pub fn allows(&mut self, service: &str, nodes: usize, now: Millis) -> bool {
+    /// Whether one more repeat fits, on one of `nodes` nodes. Runs may use all that is granted,
+    /// callers all but what the requests of runs earned and have not used.
+    pub fn allows(&mut self, service: &str, asked_by: AskedBy, nodes: usize, now: Millis) -> bool {
         self.slice(service, now);
         let slices = &self.services[service];
-        let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
-        let repeats: u32 = slices.iter().map(|slice| slice.repeats).sum();
+        let callers = sum(slices.iter().map(|slice| slice.by_callers));
+        let runs = sum(slices.iter().map(|slice| slice.by_runs));
+        let earned = |sent: Sent| f64::from(sent.requests) * self.bounds.ratio * USED_PART_OF_RATIO;
         let share = self.bounds.slack * USED_PART_OF_SLACK / nodes.max(1) as f64;
-        let granted = f64::from(requests) * self.bounds.ratio * USED_PART_OF_RATIO + share;
-        f64::from(repeats) + 1.0 <= granted
+        let granted = earned(callers) + earned(runs) + share;
+        let kept = match asked_by {
+            AskedBy::Caller => (earned(runs) - f64::from(runs.repeats)).max(0.0),
+            AskedBy::Run => 0.0,
+        };
+        f64::from(callers.repeats + runs.repeats) + 1.0 <= granted - kept
     }
 }
+
+fn sum(sent: impl Iterator<Item = Sent>) -> Sent {
+    sent.fold(Sent::default(), |all, more| Sent {
+        requests: all.requests + more.requests,
+        repeats: all.repeats + more.repeats,
+    })
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,7 +14,7 @@
 mod upstream;
 mod view;
 
-pub use budget::{BudgetBounds, RetryBudget};
+pub use budget::{AskedBy, BudgetBounds, RetryBudget};
 pub use canary_share::CanaryShares;
 pub use locality::{Distance, Locality};
 pub use pressure::{CallEnd, Pressure};
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -70,6 +70,11 @@
     pub target_ms: u64,
 }
 
+impl Urgency {
+    /// That of calls that a run with a slot waits for: ahead of all new work.
+    pub const BEGUN: Self = Self { rank: 0, target_ms: 0 };
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     urgency: Urgency,
--- a/crates/placement/tests/shares.rs
+++ b/crates/placement/tests/shares.rs
@@ -1,7 +1,7 @@
 //! Shares of a split, and the retry budget of a fleet.
 
 use bundle::Target;
-use placement::{BudgetBounds, RetryBudget, WeightedSplit};
+use placement::{AskedBy, BudgetBounds, RetryBudget, WeightedSplit};
 use std::collections::BTreeMap;
 
 fn targets(weights: &[u32]) -> Vec<Target> {
@@ -65,10 +65,11 @@
             continue;
         }
         let budget = &mut budgets[random.usize(0..nodes)];
-        budget.note_request("s", now);
+        let asked_by = if random.bool() { AskedBy::Run } else { AskedBy::Caller };
+        budget.note_request("s", asked_by, now);
         events.push((now, false));
-        if budget.allows("s", believed_nodes, now) {
-            budget.note_repeat("s", now);
+        if budget.allows("s", asked_by, believed_nodes, now) {
+            budget.note_repeat("s", asked_by, now);
             events.push((now, true));
         }
     }
@@ -99,3 +100,26 @@
 fn the_check_notices_nodes_that_each_take_the_whole_slack() {
     assert!((0..20).any(|seed| worst_excess(12, 1, seed) > 0.0));
 }
+
+#[test]
+fn callers_leave_runs_what_their_requests_earned() {
+    let bounds = BudgetBounds { slack: 0.0, ..BOUNDS };
+    // Requests of callers and of runs; repeats that go to callers that ask first, then to runs.
+    let rows = [(100, 0, 15, 0), (80, 20, 12, 3), (0, 100, 0, 15), (50, 50, 7, 8)];
+    for (by_callers, by_runs, to_callers, to_runs) in rows {
+        let mut budget = RetryBudget::new(bounds);
+        for (requests, asked_by) in [(by_callers, AskedBy::Caller), (by_runs, AskedBy::Run)] {
+            (0..requests).for_each(|_| budget.note_request("s", asked_by, 0));
+        }
+        let mut taken = |asked_by| {
+            let mut repeats = 0;
+            while budget.allows("s", asked_by, 1, 0) {
+                budget.note_repeat("s", asked_by, 0);
+                repeats += 1;
+            }
+            repeats
+        };
+        let found = (taken(AskedBy::Caller), taken(AskedBy::Run));
+        assert_eq!(found, (to_callers, to_runs), "of {by_callers} and {by_runs} requests");
+    }
+}
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -5,7 +5,7 @@
 use crate::Millis;
 use http1::{Request, Response};
 use mesh::{HopOutcome, NodeAddress, Track};
-use placement::Urgency;
+use placement::{AskedBy, Urgency};
 use std::fmt;
 use std::rc::Rc;
 
@@ -49,9 +49,20 @@
 }
 
 impl Call {
+    /// Who asks for it.
+    pub fn asked_by(&self) -> AskedBy {
+        match self.begun {
+            true => AskedBy::Run,
+            false => AskedBy::Caller,
+        }
+    }
+
     /// Its place among those that wait for an upstream.
     pub fn urgency(&self) -> Urgency {
-        Urgency { rank: self.rank, target_ms: self.target_ms }
+        match self.begun {
+            true => Urgency::BEGUN,
+            false => Urgency { rank: self.rank, target_ms: self.target_ms },
+        }
     }
 }
 
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -287,14 +287,14 @@
         let Some(call) = self.calls.get(&id) else {
             return Vec::new();
         };
-        let service = call.service.clone();
-        if !self.budget.allows(&service, self.view.nodes(), now) {
+        let (service, asked_by) = (call.service.clone(), call.asked_by());
+        if !self.budget.allows(&service, asked_by, self.view.nodes(), now) {
             info!(id = %call.attempt_id, %service, "retry_budget_spent");
             return self.give_up(id, SHORTEST_RETRY_AFTER_MS, now);
         }
         if call.arrivals == 0 {
             // The rejected arrival counts at the service, though the call did not run there.
-            self.budget.note_repeat(&service, now);
+            self.budget.note_repeat(&service, asked_by, now);
         }
         self.place(id, now)
     }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -18,7 +18,7 @@
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress};
 use placement::{
-    BudgetBounds, CallEnd, CanaryShares, ClassTimes, Locality, PlacementView, Pressure,
+    AskedBy, BudgetBounds, CallEnd, CanaryShares, ClassTimes, Locality, PlacementView, Pressure,
     RetryBudget, Throttle, Urgency, WeightedSplit,
 };
 use quarantine::Standing;
@@ -68,6 +68,15 @@
     BegunWork,
 }
 
+impl Lineage {
+    fn asked_by(self) -> AskedBy {
+        match self {
+            Self::Caller => AskedBy::Caller,
+            Self::BegunWork => AskedBy::Run,
+        }
+    }
+}
+
 /// One try of a call; the number tells late news of earlier tries apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempt {
@@ -277,7 +286,12 @@
         if let Standing::Quarantined { left_ms } = standing {
             return vec![self.refuse_quarantined(origin, &attempt_id, &route.name, left_ms)];
         }
-        if let Some(held_back) = self.hold_back(&route.name, &service, urgency, now) {
+        // Held back, the run that waits for it would have held its slot in vain.
+        let held_back = match lineage {
+            Lineage::Caller => self.hold_back(&route.name, &service, urgency, now),
+            Lineage::BegunWork => None,
+        };
+        if let Some(held_back) = held_back {
             let HeldBack { reason, part, retry_after_ms } = held_back;
             info!(
                 id = %attempt_id, route = %route.name, %service, reason, part = %format_args!("{part:.2}"),
@@ -287,7 +301,7 @@
             self.metrics.note_end(&route.name, CallOutcome::HeldBack, 0);
             return vec![refusal(origin, retry_after_ms)];
         }
-        self.budget.note_request(&service, now);
+        self.budget.note_request(&service, lineage.asked_by(), now);
         let track = self.draw_track(&service);
         let call = Call {
             origin,
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -22,6 +22,9 @@
 /// Those with short targets are mostly asked for within other calls, which would fail with a slot
 /// in their hands.
 const LEAST_PATIENCE_MS: f64 = 120.0;
+/// Most upstreams that a call is offered to for which a run waits with a slot: as many as any call
+/// while there is room. An offer in vain costs two messages, the run in vain its whole slot time.
+const BEGUN_OFFERS: u32 = 5;
 /// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
 const HOP_MARGIN_MS: u64 = 8;
 
@@ -109,7 +112,10 @@
             body_bytes,
             tried,
         };
-        let most_offers = self.pressure.most_offers(&call.service, now);
+        let most_offers = match call.begun {
+            true => BEGUN_OFFERS,
+            false => self.pressure.most_offers(&call.service, now),
+        };
         let chosen = match call.tries < most_offers {
             true => self.view.choose(&wanted, now, &mut self.random),
             false => None,
@@ -128,7 +134,7 @@
         let request = call.request.clone();
         let offered = self.view.is_offered(&to, request.body.len());
         if call.arrivals > 0 {
-            self.budget.note_repeat(&call.service, now);
+            self.budget.note_repeat(&call.service, call.asked_by(), now);
             self.counts.repeats += 1;
         }
         if self.sample.takes(&call.attempt_id) {
@@ -159,7 +165,11 @@
         let elapsed = now.saturating_sub(call.arrived) as f64;
         let useful = (target - elapsed - planned).min(target * MOST_PATIENCE_PART);
         let possible = (left as f64 - planned).max(0.0);
-        let patience = useful.max(LEAST_PATIENCE_MS.min(possible));
+        let patience = match call.begun {
+            // Late, it still serves the run that waits for it.
+            true => possible,
+            false => useful.max(LEAST_PATIENCE_MS.min(possible)),
+        };
         let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
         HopRequest {
             deadline_ms: left,
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -395,9 +395,9 @@
         let job = self.next_job;
         self.next_job += 1;
         let deadline = now + hop.deadline_ms.saturating_sub(waited_ms + offered_ms);
-        let (rank, target_ms) = (hop.rank, hop.target_ms);
+        let HopRequest { begun, rank, target_ms, .. } = *hop;
         let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
-        let ticket = Ticket { job, rank, target_ms, patience_ms, deadline };
+        let ticket = Ticket { job, begun, rank, target_ms, patience_ms, deadline };
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
             let id = &attempt_id;
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -108,10 +108,10 @@
         if let Some(reason) = self.mismatch(hop, now).or(way.too_late(hop)) {
             return Some((reason, waited_ms));
         }
-        let HopRequest { rank, target_ms, .. } = *hop;
+        let HopRequest { begun, rank, target_ms, .. } = *hop;
         let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
         let deadline = now + hop.deadline_ms.saturating_sub(waited_ms);
-        let ticket = Ticket { job: 0, rank, target_ms, patience_ms, deadline };
+        let ticket = Ticket { job: 0, begun, rank, target_ms, patience_ms, deadline };
         if let Err(retry_after_ms) = self.admission.check_room(ticket, now) {
             return Some(("no_room", retry_after_ms));
         }
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use placement::{BudgetBounds, Locality};
 use sidecar::{
     Attempt, AttemptEnd, CallAction, CallMetrics, Calls, Config, ConnectionId, HeaderNames,
-    JobAction, Jobs, LogSample, Origin,
+    JobAction, Jobs, Lineage, LogSample, Origin,
 };
 use std::net::Ipv4Addr;
 use telemetry::Registry;
@@ -150,12 +150,28 @@
         self.begin_request(HOST, "GET", path, more)
     }
 
+    /// A call that a run of the upstream beside waits for.
+    pub fn begin_begun(&mut self, path: &str) -> Vec<CallAction> {
+        self.begin_request_of(Lineage::BegunWork, HOST, "GET", path, &[])
+    }
+
     fn begin_request(
         &mut self,
         host: &str,
         method: &str,
         path: &str,
         more: &[(&str, &str)],
+    ) -> Vec<CallAction> {
+        self.begin_request_of(Lineage::Caller, host, method, path, more)
+    }
+
+    fn begin_request_of(
+        &mut self,
+        lineage: Lineage,
+        host: &str,
+        method: &str,
+        path: &str,
+        more: &[(&str, &str)],
     ) -> Vec<CallAction> {
         self.next_slot += 1;
         let mut headers = Headers::default();
@@ -171,7 +187,7 @@
             body: Vec::new(),
         };
         let origin = Origin { connection: self.connection(), slot: self.next_slot };
-        self.calls.begin(origin, request, &self.config, self.now)
+        self.calls.begin_of(lineage, origin, request, &self.config, self.now)
     }
 }
 
