Operators see tenants: files, documents, changes by fingerprint, 401 from its id to the cause

Cause: tenants could only be put in the platform's form; a log line for each 401 would be a flood's to fill. An object that is in a document twice is refused, where the later one won. Ruled out: last characters of keys in logs (a part of the key is given away).

--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Bundle, Object, ObjectId, ObjectKind, Priority, Problem, Route, SealKey, Service, Target,
-    LIMITS,
+    Tenant, LIMITS,
 };
 use serde::Deserialize;
 use snafu::{ensure, ResultExt, Snafu};
@@ -92,6 +92,8 @@
     route: Vec<RouteTable>,
     #[serde(default)]
     secret: Vec<SecretTable>,
+    #[serde(default)]
+    tenant: Vec<TenantTable>,
 }
 
 #[derive(Deserialize)]
@@ -143,6 +145,19 @@
     value: String,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TenantTable {
+    name: Spanned<String>,
+    #[serde(default, deserialize_with = "crate::tenant::read_keys")]
+    keys: Vec<String>,
+    #[serde(default)]
+    rate_milli: u64,
+    #[serde(default)]
+    burst: u64,
+    rank: Option<u32>,
+}
+
 fn default_slots() -> u32 {
     DEFAULT_UPSTREAM_SLOTS
 }
@@ -255,6 +270,9 @@
         let key = seal_key.ok_or(SourceError::NoSealKey { path: path.to_owned(), line })?;
         add(&table.name, secret_from(&table, path, line, key)?)?;
     }
+    for table in file.tenant {
+        add(&table.name, tenant_from(&table))?;
+    }
     Ok(())
 }
 
@@ -289,6 +307,17 @@
     })
 }
 
+fn tenant_from(table: &TenantTable) -> Object {
+    Object::Tenant(Tenant {
+        name: table.name.get_ref().clone(),
+        keys: table.keys.clone(),
+        rate_milli: table.rate_milli,
+        burst: table.burst,
+        rank: table.rank,
+        annotation: String::new(),
+    })
+}
+
 fn secret_from(
     table: &SecretTable,
     path: &Path,
--- a/crates/bundle/src/tenant.rs
+++ b/crates/bundle/src/tenant.rs
@@ -2,7 +2,8 @@
 
 use crate::LIMITS;
 use ring::digest::{Context, SHA256};
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, IgnoredAny};
+use serde::{Deserialize, Deserializer, Serialize};
 use speedy::{Readable, Writable};
 use std::fmt;
 
@@ -18,7 +19,7 @@
     pub name: String,
     /// Keys that its callers send. They are secrets: never logged.
     #[speedy(length_type = u64_varint)]
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_keys")]
     pub keys: Vec<String>,
     /// Requests that it may send to all nodes together, thousandths a second; 0 means no limit.
     #[serde(default)]
@@ -37,6 +38,28 @@
     pub annotation: String,
 }
 
+impl Tenant {
+    /// What stands for its keys where they may be seen.
+    pub fn fingerprints(&self) -> Vec<KeyFingerprint> {
+        self.keys.iter().map(|key| KeyFingerprint::of(key.as_bytes())).collect()
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum ReadKeys {
+    Keys(Vec<String>),
+    Other(IgnoredAny),
+}
+
+/// Reads a list of keys. What is no such list is not shown in the error, as it would be by default.
+pub(crate) fn read_keys<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<String>, D::Error> {
+    match ReadKeys::deserialize(input)? {
+        ReadKeys::Keys(keys) => Ok(keys),
+        ReadKeys::Other(_) => Err(D::Error::custom("keys must be a list of texts")),
+    }
+}
+
 impl fmt::Debug for Tenant {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Tenant({}, {} keys, redacted)", self.name, self.keys.len())
--- a/crates/bundle/tests/bad_bundles.rs
+++ b/crates/bundle/tests/bad_bundles.rs
@@ -219,3 +219,39 @@
     let stolen = bundle(vec![tenant("a", keys(&["one"])), tenant("b", keys(&["one"]))]);
     assert!(best_update(None, &stolen).apply(&Bundle::default()).is_err());
 }
+
+#[test]
+fn tenants_are_read_from_files_and_problems_name_their_line() {
+    let with = |fields: &str| told(&format!("{SERVICE}\n[[tenant]]\nname = \"a\"\n{fields}\n"));
+    let second = "keys = [\"secret\"]\n[[tenant]]\nname = \"b\"\nkeys = [\"secret\"]";
+    let rows = [
+        ("nothing more", ""),
+        ("all", "keys = [\"k\"]\nrate_milli = 5\nburst = 0\nrank = 1"),
+        ("a key of two", second),
+        ("twice", "[[tenant]]\nname = \"a\""),
+        ("unknown field", "key = \"secret\""),
+        ("a key alone", "keys = \"secret\""),
+        ("a number among keys", "keys = [\"secret\", 7]"),
+        ("rate below 0", "rate_milli = -1"),
+        ("rate with a fraction", "rate_milli = 0.5"),
+        ("rate too high", "rate_milli = 1000000000001"),
+    ];
+    let mut text = String::new();
+    for (name, fields) in rows {
+        let told = with(fields);
+        assert!(!told.contains("secret"), "{told}");
+        text.push_str(&format!("{name}: {told}\n"));
+    }
+    expect![[r#"
+        nothing more: accepted with 2 objects
+        all: accepted with 2 objects
+        a key of two: bundle.toml:8: tenant 'b': keys: key 1 (dfa8733b) is held by tenant 'a' as well
+        twice: bundle.toml:7: tenant 'a' is defined twice; first in bundle.toml:5
+        unknown field: bundle.toml:6: unknown field `key`, expected one of `name`, `keys`, `rate_milli`, `burst`, `rank`
+        a key alone: bundle.toml:6: keys must be a list of texts
+        a number among keys: bundle.toml:6: keys must be a list of texts
+        rate below 0: bundle.toml:6: invalid value: integer `-1`, expected u64
+        rate with a fraction: bundle.toml:6: invalid type: floating point `0.5`, expected u64
+        rate too high: bundle.toml:5: tenant 'a': rate_milli: 1000000000001 is outside 0 to 1000000000000
+    "#]].assert_eq(&text);
+}
--- a/crates/chutecove/src/cli/bundle.rs
+++ b/crates/chutecove/src/cli/bundle.rs
@@ -1,12 +1,15 @@
 //! `chutecove bundle`
 
+use crate::changes;
 use crate::cli::{free_argument, operator_client, operator_options, parse};
+use crate::dialect::read_document;
 use crate::exit::Failure;
 use crate::operator::{read_seal_key, OperatorClient};
-use ::bundle::{approval_message, source, Bundle, BundleUpdate, Delta, Digest, SealKey};
+use ::bundle::{approval_message, source, Bundle, BundleUpdate, Digest, KeyFingerprint, SealKey};
 use getopts::{Matches, Options};
 use rollout::{Accepted, Command, Stage};
 use serde_json::Value;
+use std::io::Read;
 use std::path::Path;
 
 const BRIEF: &str = "\
@@ -19,7 +22,9 @@
        chutecove bundle withdraw --expect GENERATION [--to DIGEST]
        chutecove bundle list | history | show DIGEST
        chutecove bundle diff PATH PATH
+       chutecove bundle fingerprint < FILE             (of a tenant's key, as logs show it)
 
+PATH may also be a .json document of a coordinator, for check and diff.
 STAGE is proxies:NAME,NAME or zones:ZONE,ZONE or percent:N; a last stage 'all' is added.";
 
 /// Works with bundles.
@@ -39,6 +44,7 @@
     match free_argument(&matches, 0, "VERB")? {
         "check" => check(&matches),
         "diff" => diff(&matches),
+        "fingerprint" => fingerprint(),
         "submit" => submit(&matches),
         "approve" => approve(&matches),
         "roll" => roll(&matches),
@@ -72,7 +78,30 @@
 }
 
 fn load(path: &str, key: Option<&SealKey>) -> Result<Bundle, Failure> {
-    source::load(Path::new(path), key).map_err(Failure::usage)
+    let path = Path::new(path);
+    if path.extension().is_some_and(|extension| extension == "json") {
+        return load_document(path);
+    }
+    source::load(path, key).map_err(Failure::usage)
+}
+
+fn load_document(path: &Path) -> Result<Bundle, Failure> {
+    let told = |problem: String| Failure::usage(format!("{}: {problem}", path.display()));
+    let body = std::fs::read(path).map_err(|error| told(error.to_string()))?;
+    let (_, bundle) = read_document(&body).map_err(told)?;
+    let problems: Vec<String> = bundle.check().iter().map(ToString::to_string).collect();
+    match problems.is_empty() {
+        true => Ok(bundle),
+        false => Err(told(problems.join("\n"))),
+    }
+}
+
+/// Prints what stands for a key, read from standard input so that it is in no list of processes.
+fn fingerprint() -> Result<(), Failure> {
+    let mut key = Vec::new();
+    std::io::stdin().read_to_end(&mut key).map_err(Failure::usage)?;
+    println!("{}", KeyFingerprint::of(key.trim_ascii()));
+    Ok(())
 }
 
 /// A check needs no real key: any will do, since nothing is sent.
@@ -86,10 +115,12 @@
 fn check(matches: &Matches) -> Result<(), Failure> {
     let bundle = load(free_argument(matches, 1, "PATH")?, Some(&local_key(matches)?))?;
     println!(
-        "valid: {} services, {} routes, {} secrets, {} bytes",
+        "valid: {} services, {} routes, {} secrets, {} tenants, {} keys, {} bytes",
         bundle.services().count(),
         bundle.routes().count(),
         bundle.secrets().count(),
+        bundle.tenants().count(),
+        bundle.tenants().map(|tenant| tenant.keys.len()).sum::<usize>(),
         bundle.encode().len()
     );
     Ok(())
@@ -99,14 +130,8 @@
     let key = local_key(matches)?;
     let old = load(free_argument(matches, 1, "PATH")?, Some(&key))?;
     let new = load(free_argument(matches, 2, "PATH")?, Some(&key))?;
-    let delta = Delta::between(&old, &new);
-    for id in &delta.removed {
-        println!("- {id}");
-    }
-    for object in &delta.upserts {
-        let id = object.id();
-        let sign = if old.objects().contains_key(&id) { '~' } else { '+' };
-        println!("{sign} {id}");
+    for line in changes::lines(&old, &new) {
+        println!("{line}");
     }
     Ok(())
 }
--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -6,6 +6,7 @@
 use rollout::CanaryRecord;
 use serde::{Deserialize, Serialize};
 use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect};
+use std::collections::BTreeSet;
 
 /// Header names between callers, sidecars and upstreams.
 pub const HEADERS: HeaderNames = HeaderNames {
@@ -107,6 +108,17 @@
     objects: Vec<Object>,
 }
 
+/// Reads a whole configuration: its version and its content.
+pub fn read_document(body: &[u8]) -> Result<(u64, Bundle), String> {
+    let document: Document = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let mut seen = BTreeSet::new();
+    if let Some(again) = document.objects.iter().map(Object::id).find(|id| !seen.insert(id.clone()))
+    {
+        return Err(format!("{again} is there twice"));
+    }
+    Ok((document.version, Bundle::from_objects(document.objects)))
+}
+
 /// Orders of operators: `PUT` and `GET /v1/configuration`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ProductOperators;
@@ -138,9 +150,8 @@
     ) -> Result<Replacement, String> {
         let expected = precondition.and_then(|text| text.trim().parse().ok());
         let expected_version = expected.ok_or("If-Match must hold the version it builds on")?;
-        let document: Document = serde_json::from_slice(body).map_err(|error| error.to_string())?;
-        let bundle = Bundle::from_objects(document.objects);
-        Ok(Replacement { expected_version, version: document.version, bundle })
+        let (version, bundle) = read_document(body)?;
+        Ok(Replacement { expected_version, version, bundle })
     }
 
     fn read_canary_order(&self, body: &[u8]) -> Result<CanaryOrder, String> {
--- a/crates/chutecove/src/lib.rs
+++ b/crates/chutecove/src/lib.rs
@@ -3,6 +3,7 @@
 //! It is a library so that the lab can start the roles as processes of its own binary.
 #![forbid(unsafe_code)]
 
+pub mod changes;
 mod cli;
 pub mod dialect;
 pub mod exit;
--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -151,6 +151,12 @@
             let header = |name| request.header(name).unwrap_or_default().to_owned();
             let caller = header("X-Chutecove-Caller");
             counted.callers.lock().expect("not poisoned").push(caller);
+            let key = match header("X-Chutecove-Api-Key").is_empty() {
+                true => "without a key",
+                false => "with its key",
+            };
+            let tenant = format!("{} {key}", header("X-Chutecove-Tenant"));
+            counted.tenants.lock().expect("not poisoned").push(tenant);
             let mut body = Vec::new();
             if let Some(mut data) = request.data() {
                 data.read_to_end(&mut body).expect("a whole body");
@@ -329,6 +335,8 @@
 pub struct Upstream {
     pub runs: AtomicU64,
     pub callers: Mutex<Vec<String>>,
+    /// Tenant of each call, and whether its key came with it.
+    pub tenants: Mutex<Vec<String>>,
     /// Whether it fails all that it is asked.
     pub fails: AtomicBool,
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -286,10 +286,10 @@
         key_id: u32,
     },
     Limits(&'a bundle::CallLimits),
-    /// Its keys are secrets.
+    /// Its keys are secrets: they are shown by their fingerprints.
     Tenant {
         name: &'a str,
-        keys: usize,
+        keys: Vec<String>,
         rate_milli: u64,
         burst: u64,
         rank: Option<u32>,
@@ -315,7 +315,7 @@
         bundle::Object::Limits(limits) => ShownObject::Limits(limits),
         bundle::Object::Tenant(tenant) => ShownObject::Tenant {
             name: &tenant.name,
-            keys: tenant.keys.len(),
+            keys: tenant.fingerprints().iter().map(ToString::to_string).collect(),
             rate_milli: tenant.rate_milli,
             burst: tenant.burst,
             rank: tenant.rank,
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -146,6 +146,10 @@
     }
 
     fn compile(&self, preparation: &Preparation) -> Result<RoutingTable, String> {
+        // A proxy knows no keys: it would let every caller in, and no tenant would be told.
+        if preparation.bundle.tenants().next().is_some() {
+            return Err("the bundle has tenants, which only sidecars know".to_owned());
+        }
         RoutingTable::compile(preparation.generation, &preparation.bundle, &self.seal_keys)
             .map_err(|error| error.to_string())
     }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -27,7 +27,7 @@
 use tracing::info;
 
 use crate::net::ConnectionId;
-use crate::sample::LogSample;
+use crate::sample::{LogAllowance, LogSample};
 use crate::Millis;
 
 /// Names a call on this node.
@@ -50,6 +50,10 @@
 const ROOM_PART: f64 = 0.1;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
+/// Denied calls that are logged in a second beside those of the sample: whoever sends with random
+/// keys gets a hundredth of the lines that a node may write.
+const DENIALS_LOGGED_A_SECOND: u32 = 20;
+
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Origin {
@@ -178,6 +182,7 @@
     next_call: CallId,
     /// Generation by which the keys of all calls were looked up.
     keys_checked: u64,
+    denials_logged: LogAllowance,
     /// Totals since the start.
     pub counts: CallCounts,
 }
@@ -215,6 +220,7 @@
             parked: BTreeSet::new(),
             next_call: 1,
             keys_checked: 0,
+            denials_logged: LogAllowance::new(DENIALS_LOGGED_A_SECOND),
             counts: CallCounts::default(),
         }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -37,7 +37,7 @@
 pub use poison::PoisonWatch;
 pub use registrar::{PendingAcknowledgement, Registrar};
 pub use runtime::{run, SidecarError};
-pub use sample::LogSample;
+pub use sample::{LogAllowance, LogSample};
 pub use stop::{Activity, StopPhase, StopPlan};
 pub use tenants::{
     combined_rank, CompiledTenant, KeyDigest, KeyDigester, KeyHolder, KeyProblem, Tenants,
--- a/crates/sidecar/tests/sample.rs
+++ b/crates/sidecar/tests/sample.rs
@@ -1,6 +1,6 @@
 //! Which calls are logged in every step.
 
-use sidecar::LogSample;
+use sidecar::{LogAllowance, LogSample};
 
 #[test]
 fn about_one_of_so_many_is_taken_and_every_node_takes_the_same() {
@@ -13,3 +13,10 @@
     }
     assert!(LogSample::new(1).takes("anything"));
 }
+
+#[test]
+fn a_flood_gets_a_few_lines_each_second() {
+    let mut allowance = LogAllowance::new(3);
+    let mut taken = |now| (0..1_000).filter(|_| allowance.takes(now)).count();
+    assert_eq!((taken(0), taken(999), taken(1_000), taken(5_500)), (3, 0, 3, 3));
+}
