A changed tenant costs little more than itself

Change: tenants that did not change keep their compiled form; a change is checked against the keys of the others in one pass. Broken by hand and noticed: others' keys not compared; changed tenants not checked; the old form taken for a changed tenant; an old table kept while tenants go.

--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -2,7 +2,7 @@
 
 use crate::tenant::flaw_of;
 use crate::{Bundle, KeyFingerprint, Object, ObjectId, ObjectKind, Route, Service, Tenant};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::fmt;
 
 /// Largest sizes and counts a bundle may have.
@@ -92,21 +92,21 @@
         let mut problems = Vec::new();
         self.check_sizes(&mut problems);
         let mut routes = Vec::new();
-        let mut any_tenant = false;
+        let mut tenants = Vec::new();
         for object in upserts {
             check_name(&object.id(), &mut problems);
             match object {
                 Object::Service(service) => check_service(service, &mut problems),
                 Object::Route(route) => routes.push(route),
-                Object::Tenant(_) => any_tenant = true,
+                Object::Tenant(tenant) => tenants.push(tenant),
                 Object::Secret(_) | Object::Limits(_) => {}
             }
         }
         if !routes.is_empty() {
             self.check_routes(routes.into_iter(), &mut problems);
         }
-        if any_tenant {
-            self.check_tenants(&mut problems);
+        if !tenants.is_empty() {
+            self.check_changed_tenants(&tenants, &mut problems);
         }
         problems
     }
@@ -124,12 +124,28 @@
 
     /// All of them: which keys a tenant may have depends on those of the others.
     fn check_tenants(&self, problems: &mut Vec<Problem>) {
-        let mut holders = BTreeMap::new();
+        let mut holders = HashMap::new();
         for tenant in self.tenants() {
             check_tenant(tenant, &mut holders, problems);
         }
     }
 
+    /// Those that a change put in, by themselves, then the keys of all others against theirs.
+    fn check_changed_tenants(&self, changed: &[&Tenant], problems: &mut Vec<Problem>) {
+        let mut holders = HashMap::new();
+        for tenant in changed {
+            check_tenant(tenant, &mut holders, problems);
+        }
+        let names: HashSet<&str> = changed.iter().map(|tenant| tenant.name.as_str()).collect();
+        for tenant in self.tenants().filter(|tenant| !names.contains(tenant.name.as_str())) {
+            for (position, key) in tenant.keys.iter().enumerate() {
+                if let Some(holder) = holders.get(key.as_str()) {
+                    refuse_key(tenant, position, &held_by(holder), problems);
+                }
+            }
+        }
+    }
+
     fn check_sizes(&self, problems: &mut Vec<Problem>) {
         let bytes = self.encoded_bytes();
         if bytes > LIMITS.bundle_bytes {
@@ -203,32 +219,45 @@
     check_range(&id, "retry_budget_percent", budget, 0, 100, problems);
 }
 
-/// Checks a tenant; `holders` are the keys of those before it. No problem names a key.
+/// Checks a tenant; `holders` are the keys of those before it.
 fn check_tenant<'a>(
     tenant: &'a Tenant,
-    holders: &mut BTreeMap<&'a str, &'a str>,
+    holders: &mut HashMap<&'a str, &'a str>,
     problems: &mut Vec<Problem>,
 ) {
-    let id = ObjectId { kind: ObjectKind::Tenant, name: tenant.name.clone() };
     for (position, key) in tenant.keys.iter().enumerate() {
-        let mut refuse = |flaw: &str| {
-            let fingerprint = KeyFingerprint::of(key.as_bytes());
-            push(problems, &id, "keys", format!("key {} ({fingerprint}) {flaw}", position + 1));
-        };
         if let Some(flaw) = flaw_of(key) {
-            refuse(&flaw);
+            refuse_key(tenant, position, &flaw, problems);
             continue;
         }
         match holders.insert(key, &tenant.name) {
             None => {}
-            Some(holder) if holder == tenant.name => refuse("is there twice"),
-            Some(holder) => refuse(&format!("is held by tenant '{holder}' as well")),
+            Some(holder) if holder == tenant.name => {
+                refuse_key(tenant, position, "is there twice", problems);
+            }
+            Some(holder) => refuse_key(tenant, position, &held_by(holder), problems),
         }
     }
+    let id = id_of(tenant);
     check_most(&id, "rate_milli", tenant.rate_milli, LIMITS.rate_milli, problems);
     check_most(&id, "burst", tenant.burst, LIMITS.burst, problems);
 }
 
+fn id_of(tenant: &Tenant) -> ObjectId {
+    ObjectId { kind: ObjectKind::Tenant, name: tenant.name.clone() }
+}
+
+fn held_by(holder: &str) -> String {
+    format!("is held by tenant '{holder}' as well")
+}
+
+/// Names a key by its place and its fingerprint, never by itself.
+fn refuse_key(tenant: &Tenant, position: usize, flaw: &str, problems: &mut Vec<Problem>) {
+    let fingerprint = KeyFingerprint::of(tenant.keys[position].as_bytes());
+    let reason = format!("key {} ({fingerprint}) {flaw}", position + 1);
+    push(problems, &id_of(tenant), "keys", reason);
+}
+
 fn check_most(
     id: &ObjectId,
     field: &'static str,
--- a/crates/bundle/tests/bad_bundles.rs
+++ b/crates/bundle/tests/bad_bundles.rs
@@ -255,3 +255,33 @@
         rate too high: bundle.toml:5: tenant 'a': rate_milli: 1000000000001 is outside 0 to 1000000000000
     "#]].assert_eq(&text);
 }
+
+#[test]
+fn a_change_is_told_what_a_whole_check_would_find() {
+    let bundle = |tenants: Vec<Tenant>| {
+        Bundle::from_objects(tenants.into_iter().map(Object::Tenant).collect())
+    };
+    let held = |changed: Tenant| {
+        let others = (0..50).map(|number| tenant(&format!("t{number}"), vec![number.to_string()]));
+        bundle(others.chain([changed, tenant("z", keys(&["last"]))]).collect())
+    };
+    let old = held(tenant("m", keys(&["own"])));
+    let rows = [
+        ("a key of one before it", keys(&["own", "7"])),
+        ("a key of one behind it", keys(&["last"])),
+        ("its own twice", keys(&["own", "own"])),
+        ("an empty one", keys(&[""])),
+        ("another", keys(&["other"])),
+    ];
+    for (name, changed) in rows {
+        let new = held(tenant("m", changed));
+        let update = best_update(Some(&old), &new);
+        assert!(matches!(update, BundleUpdate::Delta(_)), "{name}");
+        assert_eq!(update.apply(&old).is_ok(), new.check().is_empty(), "{name}");
+    }
+    // Two exchange their keys at once.
+    let pair =
+        |first, second| bundle(vec![tenant("a", keys(&[first])), tenant("b", keys(&[second]))]);
+    let (old, new) = (pair("one", "two"), pair("two", "one"));
+    assert_eq!(best_update(Some(&old), &new).apply(&old).expect("valid"), new);
+}
--- a/crates/chutecove/tests/tenants.rs
+++ b/crates/chutecove/tests/tenants.rs
@@ -124,15 +124,18 @@
     };
     expect![[r#"
         valid: 1 services, 1 routes, 0 secrets, 1 tenants, 1 keys, 125 bytes
-    "#]].assert_eq(&tool(&["check", &old]));
+    "#]]
+    .assert_eq(&tool(&["check", &old]));
     expect![[r#"
         ~ tenant 'a'
             - key 7dbf19e7
             + key a7eed68a
-    "#]].assert_eq(&tool(&["diff", &old, &new]));
+    "#]]
+    .assert_eq(&tool(&["diff", &old, &new]));
     expect![[r#"
         bad.json: tenant 'a': keys: key 2 (7dbf19e7) is there twice
-    "#]].assert_eq(&tool(&["check", &bad]));
+    "#]]
+    .assert_eq(&tool(&["check", &bad]));
 }
 
 /// Puts a document in force at whichever coordinator takes it.
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -5,13 +5,14 @@
 use crate::Millis;
 use bundle::{Bundle, BundleUpdate, CallLimits, Digest, SealKeys};
 use forward::RoutingTable;
+use std::rc::Rc;
 use tracing::{info, warn};
 
 /// A configuration that is ready to be put in force.
 struct Prepared {
     bundle: Bundle,
     routing: RoutingTable,
-    tenants: Tenants,
+    tenants: Rc<Tenants>,
 }
 
 /// The newest configuration applied; it is replaced whole and never goes back. One that a
@@ -20,7 +21,7 @@
 pub struct Config {
     bundle: Bundle,
     routing: Option<RoutingTable>,
-    tenants: Tenants,
+    tenants: Rc<Tenants>,
     digester: KeyDigester,
     prepared: Option<Prepared>,
     limits: CallLimits,
@@ -106,7 +107,8 @@
                 return false;
             }
         };
-        let tenants = Tenants::compile(&bundle, &self.digester);
+        let before = self.prepared.as_ref().map_or(&self.tenants, |prepared| &prepared.tenants);
+        let tenants = Tenants::compile(&bundle, &self.digester, before);
         self.prepared = Some(Prepared { bundle, routing, tenants });
         true
     }
--- a/crates/sidecar/src/tenants.rs
+++ b/crates/sidecar/src/tenants.rs
@@ -3,7 +3,7 @@
 //! Keys are looked up by a keyed digest: how long that takes depends on what no caller can compute,
 //! so it tells nothing of how near a wrong key is to a true one.
 
-use bundle::Bundle;
+use bundle::{Bundle, Digest, Object, Tenant};
 use ring::hmac;
 use ring::rand::SystemRandom;
 use std::fmt;
@@ -49,6 +49,22 @@
     pub rate_milli: u64,
     /// Requests that it may send at once on top of its rate.
     pub burst: u64,
+    keys: Box<[KeyDigest]>,
+    /// Digest of the object that it was made from.
+    source: Digest,
+}
+
+impl CompiledTenant {
+    fn compile(tenant: &Tenant, source: Digest, digester: &KeyDigester) -> Self {
+        Self {
+            name: tenant.name.as_str().into(),
+            rank: tenant.rank,
+            rate_milli: tenant.rate_milli,
+            burst: tenant.burst,
+            keys: tenant.keys.iter().map(|key| digester.digest(key.as_bytes())).collect(),
+            source,
+        }
+    }
 }
 
 /// The tenant of a call, and by which key it is known.
@@ -90,23 +106,34 @@
 }
 
 impl Tenants {
-    /// Takes the tenants out of a bundle.
-    pub fn compile(bundle: &Bundle, digester: &KeyDigester) -> Self {
-        let mut compiled = Self::default();
-        for tenant in bundle.tenants() {
-            let place = u32::try_from(compiled.tenants.len()).expect("bundles are smaller");
-            let digests = tenant.keys.iter().map(|key| (digester.digest(key.as_bytes()), place));
-            compiled.by_key.extend(digests);
-            compiled.tenants.push(Rc::new(CompiledTenant {
-                name: tenant.name.as_str().into(),
-                rank: tenant.rank,
-                rate_milli: tenant.rate_milli,
-                burst: tenant.burst,
-            }));
+    /// Takes the tenants out of a bundle. Those that are in the generation before it as they are, are
+    /// taken from there: digests of their keys are what costs most.
+    pub fn compile(bundle: &Bundle, digester: &KeyDigester, before: &Rc<Self>) -> Rc<Self> {
+        let mut compiled = Vec::new();
+        for hashed in bundle.objects().values() {
+            let Object::Tenant(tenant) = &hashed.object else {
+                continue;
+            };
+            let same = before.get(&tenant.name).filter(|held| held.source == hashed.digest);
+            let made = || Rc::new(CompiledTenant::compile(tenant, hashed.digest, digester));
+            compiled.push(same.cloned().unwrap_or_else(made));
+        }
+        if compiled.len() == before.tenants.len()
+            && compiled.iter().zip(&before.tenants).all(|(new, held)| Rc::ptr_eq(new, held))
+        {
+            return before.clone();
+        }
+        Rc::new(Self::of(compiled))
+    }
+
+    /// Tenants in order of their names.
+    fn of(tenants: Vec<Rc<CompiledTenant>>) -> Self {
+        let mut by_key = Vec::with_capacity(tenants.iter().map(|tenant| tenant.keys.len()).sum());
+        for (place, tenant) in (0..).zip(&tenants) {
+            by_key.extend(tenant.keys.iter().map(|key| (*key, place)));
         }
-        compiled.by_key.sort_unstable();
-        compiled.by_key.shrink_to_fit();
-        compiled
+        by_key.sort_unstable();
+        Self { tenants, by_key }
     }
 
     /// Whether calls need no keys, because there are no tenants.
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -415,3 +415,28 @@
     assert_eq!(status(&world.begin_with_key("/safe/1", &key(10_000, 0))), Some(401));
     assert!(world.config.tenants().get("tenant").is_none());
 }
+
+#[test]
+fn a_change_keeps_what_it_does_not_concern() {
+    let mut world = World::with_tenants(1);
+    let steps = [
+        ("a route went", vec![("a", KEY), ("b", KEY_OF_B)]),
+        ("keys exchanged", vec![("a", KEY_OF_B), ("b", KEY)]),
+        ("one gone", vec![("b", KEY)]),
+        ("one new", vec![("b", KEY), ("d", KEY_OF_B)]),
+        ("back", vec![("a", KEY), ("b", KEY_OF_B)]),
+    ];
+    let mut held = usual();
+    for ((step, wanted), generation) in steps.into_iter().zip(3..) {
+        let next = bundle_of(wanted.iter().map(|(name, key)| tenant(name, &[key], None)).collect());
+        assert!(world.config.apply(generation, &best_update(Some(&held), &next)), "{step}");
+        held = next;
+        world.confirm(generation);
+        for (name, key) in &wanted {
+            let actions = world.begin_with_key("/safe/1", key);
+            assert_eq!(told(&actions), format!("sent for {:?} rank 0.1", [name]), "{step}");
+        }
+        assert_eq!(status(&world.begin_with_key("/safe/1", OTHER_KEY)), Some(401), "{step}");
+        assert_eq!(world.config.tenants().iter().count(), wanted.len(), "{step}");
+    }
+}
