Cores: a pacer for what leaves over a link, and a book of answers against it

Cause: whatever an upstream answers is handed to its socket at once, so small answers stand behind large ones in buffers and links, and runs begin whose answers can't leave in time.

Change: admission::Pacer (token bucket of 6 ms, small and begun work at once, the rest by rank, target and arrival in pieces of 2 ms; sockets that take nothing set aside, the rate learned downwards) and admission::EgressBook (sizes learned by kind, booked by runs, refused with the time to return).

Figures (virtual time, link of 2,000 bytes/ms, small answers every 5 ms, large ones of 90 kB): at 0.5, 1, 1.5 and 3 times the link all small ones served, p99 wait 6.1, 5.1, 1.9, 1.7 ms; large ones fill 0.86 of the link (0.93 is left by the small ones) at 1 and more. A rate told ten times too high: 3,481 of 4,000 small ones within 200 ms, large ones 395 in time; ten times too low: nothing hangs, large ones get a tenth. Not learned upwards: a socket that takes bytes says nothing of the link.

Ruled out: by percent of the link in use (a full link may have a backlog of 10 ms or of 10 s); shortest remaining first (starves the longest).

Checked by hand that tests fail with: a bucket of 60 ms, no order, no end of a stall, no slowing, bytes not given back, bookings of the less urgent counted, no refusals.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,15 +1,20 @@
-//! The one gate to an upstream: how many calls it has at once, who waits, and for how long.
+//! The one gate to an upstream: how many calls it has at once, who waits, and for how long; and
+//! the order of what leaves over the machine's link.
 //!
 //! Pure: time is passed in as milliseconds of a monotonic clock.
 #![forbid(unsafe_code)]
 
+mod egress;
 mod gate;
 mod health;
+mod pacer;
 mod queue;
 mod transfers;
 
+pub use egress::{EgressBook, EgressKind, EgressTime, LinkRoom};
 pub use gate::{DrainGate, GateState};
 pub use health::FailureShare;
+pub use pacer::{Pacer, PacerCounts, Piece, SendUrgency};
 pub use queue::{Admission, Decision, JobId, Ticket};
 pub use transfers::{Grant, Transfer, TransferId, Transfers};
 
--- /dev/null
+++ b/crates/admission/tests/egress.rs
@@ -0,0 +1,377 @@
+//! The outgoing link: what goes first, what waits, and which runs may begin for it.
+
+use admission::{EgressBook, EgressKind, EgressTime, LinkRoom, Pacer, SendUrgency};
+use expect_test::expect;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
+
+/// A link of 2,000 bytes a millisecond (16 Mbit/s).
+const LINK: f64 = 2_000.0;
+/// What a socket takes before its peer has it, bytes.
+const SOCKET_BYTES: usize = 64 * 1024;
+const SMALL_BYTES: usize = 700;
+const LARGE_BYTES: usize = 90_000;
+const LARGE_RUN_MS: u64 = 140;
+const LARGE_PATIENCE_MS: u64 = 375;
+const LARGE_DEADLINE_MS: u64 = 1_500;
+const PLAYED_MS: u64 = 20_000;
+const LARGE: EgressKind = EgressKind { rank: 2, target_ms: 1_500 };
+const SMALL: EgressKind = EgressKind { rank: 2, target_ms: 200 };
+const UNHURRIED: SendUrgency = SendUrgency { unhurried: true, rank: 2, target_ms: 1_500 };
+const BEGUN: SendUrgency = SendUrgency { unhurried: false, rank: 2, target_ms: 200 };
+
+/// A caller of this patience that waits for as long as those of large answers do.
+fn within(patience_ms: u64) -> EgressTime {
+    EgressTime { patience_ms, deadline_ms: LARGE_DEADLINE_MS }
+}
+
+/// The link beyond the sockets: first come, first served.
+struct Link {
+    bytes_per_ms: f64,
+    free_at_ms: f64,
+}
+
+impl Link {
+    /// When bytes that are handed over now are through.
+    fn carry(&mut self, bytes: usize, now_ms: f64) -> f64 {
+        let begins = self.free_at_ms.max(now_ms);
+        self.free_at_ms = begins + bytes as f64 / self.bytes_per_ms;
+        self.free_at_ms
+    }
+}
+
+/// What sockets took and the link has not carried.
+#[derive(Default)]
+struct Sockets {
+    under_way: BTreeMap<u64, VecDeque<(f64, usize)>>,
+}
+
+impl Sockets {
+    fn room(&self, key: u64) -> usize {
+        let taken = self.under_way.get(&key).map_or(0, |held| held.iter().map(|one| one.1).sum());
+        SOCKET_BYTES.saturating_sub(taken)
+    }
+
+    fn take(&mut self, key: u64, bytes: usize, through_ms: f64) {
+        self.under_way.entry(key).or_default().push_back((through_ms, bytes));
+    }
+
+    /// The connections of which something was carried meanwhile.
+    fn drained(&mut self, now_ms: f64) -> Vec<u64> {
+        let mut drained = Vec::new();
+        for (key, held) in &mut self.under_way {
+            let before = held.len();
+            held.retain(|(through_ms, _)| *through_ms > now_ms);
+            if held.len() < before {
+                drained.push(*key);
+            }
+        }
+        self.under_way.retain(|_, held| !held.is_empty());
+        drained
+    }
+}
+
+/// What became of one play.
+#[derive(Default)]
+struct Played {
+    small_asked: u64,
+    small_served: u64,
+    small_waits_ms: Vec<f64>,
+    large_asked: u64,
+    large_refused: u64,
+    large_in_time: u64,
+    large_late: u64,
+    longest_retry_ms: u64,
+    most_waiting_bytes: usize,
+}
+
+impl Played {
+    fn small_p99_ms(&mut self) -> f64 {
+        self.small_waits_ms.sort_by(f64::total_cmp);
+        let last = self.small_waits_ms.len().saturating_sub(1);
+        self.small_waits_ms.get(last * 99 / 100).copied().unwrap_or(0.0)
+    }
+}
+
+/// A machine that is asked for large answers at `ratio` of its link, and for a small one every
+/// 5 ms; the rate told is `told` times the true one.
+fn play(ratio: f64, told: f64) -> Played {
+    let mut random = fastrand::Rng::with_seed(18);
+    let mut pacer: Pacer<u64> = Pacer::new(Some(LINK * told));
+    let mut book = EgressBook::default();
+    let mut link = Link { bytes_per_ms: LINK, free_at_ms: 0.0 };
+    let mut runs: VecDeque<(u64, u64, usize, u64)> = VecDeque::new();
+    let mut waiting: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut sockets = Sockets::default();
+    let mut played = Played::default();
+    book.note_answer(LARGE, LARGE_BYTES, LARGE_RUN_MS);
+    book.note_answer(SMALL, SMALL_BYTES, 44);
+    let mut job = 0;
+    for now in 0..PLAYED_MS {
+        let now_ms = now as f64;
+        book.set_room(LinkRoom {
+            bytes_per_ms: pacer.left_bytes_per_ms(now_ms),
+            waiting_bytes: pacer.bytes(),
+        });
+        if now % 5 == 0 {
+            played.small_asked += 1;
+            assert_eq!(
+                book.check_room(SMALL, within(50), now),
+                Ok(()),
+                "a small one is never refused"
+            );
+            assert!(pacer.goes_at_once(SMALL_BYTES, BEGUN));
+            pacer.note_at_once(SMALL_BYTES, now_ms);
+            let wait_ms = link.carry(SMALL_BYTES, now_ms) - now_ms;
+            played.small_waits_ms.push(wait_ms);
+            played.small_served += u64::from(wait_ms < 200.0);
+        }
+        let chance = ratio * LINK / LARGE_BYTES as f64;
+        if random.f64() < chance {
+            job += 1;
+            played.large_asked += 1;
+            match book.check_room(LARGE, within(LARGE_PATIENCE_MS), now) {
+                Ok(()) => {
+                    book.book(job, LARGE);
+                    let bytes = random.usize(LARGE_BYTES / 2..LARGE_BYTES * 3 / 2);
+                    runs.push_back((now + LARGE_RUN_MS, job, bytes, now));
+                }
+                Err(retry_ms) => {
+                    played.large_refused += 1;
+                    played.longest_retry_ms = played.longest_retry_ms.max(retry_ms);
+                }
+            }
+        }
+        while let Some((_, job, bytes, since)) = runs.front().copied().filter(|run| run.0 <= now) {
+            runs.pop_front();
+            book.end(job);
+            book.note_answer(LARGE, bytes, LARGE_RUN_MS);
+            pacer.push(job, bytes, UNHURRIED, now_ms);
+            waiting.insert(job, since);
+        }
+        played.most_waiting_bytes = played.most_waiting_bytes.max(pacer.bytes());
+        for key in sockets.drained(now_ms) {
+            pacer.let_go(key);
+        }
+        while let Some(piece) = pacer.next(now_ms) {
+            let taken = piece.bytes.min(sockets.room(piece.key));
+            pacer.handed_over(piece.key, taken, now_ms);
+            let through_ms = link.carry(taken, now_ms);
+            sockets.take(piece.key, taken, through_ms);
+            if taken < piece.bytes {
+                pacer.hold_up(piece.key, now_ms);
+            }
+            if !pacer.holds(piece.key) {
+                let since = waiting.remove(&piece.key).expect("waits");
+                let in_time = through_ms <= (since + LARGE_DEADLINE_MS) as f64;
+                played.large_in_time += u64::from(in_time);
+                played.large_late += u64::from(!in_time);
+            }
+        }
+    }
+    played
+}
+
+#[test]
+fn small_answers_never_stand_behind_large_ones_and_large_ones_fill_the_link() {
+    let mut text = String::new();
+    for ratio in [0.0, 0.5, 1.0, 1.5, 3.0] {
+        let mut played = play(ratio, 1.0);
+        let p99_ms = played.small_p99_ms();
+        let carried = played.large_in_time as f64 * LARGE_BYTES as f64 / PLAYED_MS as f64 / LINK;
+        writeln!(
+            text,
+            "{ratio}: small {}/{} p99 {p99_ms:.1} ms; large asked {} in time {} late {} refused {} \
+             (link {carried:.2}), most waiting {}, longest retry {} ms",
+            played.small_served,
+            played.small_asked,
+            played.large_asked,
+            played.large_in_time,
+            played.large_late,
+            played.large_refused,
+            played.most_waiting_bytes,
+            played.longest_retry_ms
+        )
+        .expect("text");
+        assert!(p99_ms < 10.0, "ratio {ratio}: {p99_ms} ms");
+        assert_eq!(played.small_served, played.small_asked, "ratio {ratio}");
+        let possible = ratio.min(0.95 - SMALL_BYTES as f64 / 5.0 / LINK);
+        let offered = played.large_asked as f64 * LARGE_BYTES as f64 / PLAYED_MS as f64 / LINK;
+        assert!(carried >= possible.min(offered) * 0.9, "ratio {ratio}: {carried} of the link");
+    }
+    expect![[r#"
+        0: small 4000/4000 p99 0.4 ms; large asked 0 in time 0 late 0 refused 0 (link 0.00), most waiting 0, longest retry 0 ms
+        0.5: small 4000/4000 p99 6.1 ms; large asked 229 in time 228 late 0 refused 0 (link 0.51), most waiting 716713, longest retry 0 ms
+        1: small 4000/4000 p99 5.1 ms; large asked 447 in time 383 late 0 refused 60 (link 0.86), most waiting 832798, longest retry 385 ms
+        1.5: small 4000/4000 p99 1.9 ms; large asked 672 in time 381 late 0 refused 282 (link 0.86), most waiting 858407, longest retry 1307 ms
+        3: small 4000/4000 p99 1.7 ms; large asked 1344 in time 384 late 0 refused 949 (link 0.86), most waiting 904567, longest retry 3278 ms
+    "#]].assert_eq(&text);
+}
+
+#[test]
+fn a_rate_told_wrong_by_ten_hangs_nothing() {
+    let mut text = String::new();
+    for told in [0.1, 10.0] {
+        let mut played = play(1.5, told);
+        let p99_ms = played.small_p99_ms();
+        writeln!(
+            text,
+            "told {told}: small {}/{} p99 {p99_ms:.0} ms, large in time {} late {} refused {}, most waiting {}",
+            played.small_served,
+            played.small_asked,
+            played.large_in_time,
+            played.large_late,
+            played.large_refused,
+            played.most_waiting_bytes
+        )
+        .expect("text");
+        assert!(played.small_served * 5 >= played.small_asked * 4, "told {told}");
+        assert!(played.large_in_time + played.large_late > 0, "told {told}");
+        assert!(played.most_waiting_bytes < 4_000_000);
+    }
+    expect![[r#"
+        told 0.1: small 4000/4000 p99 0 ms, large in time 4 late 7 refused 660, most waiting 172274
+        told 10: small 3481/4000 p99 456 ms, large in time 395 late 8 refused 261, most waiting 1643425
+    "#]].assert_eq(&text);
+}
+
+#[test]
+fn an_unknown_link_paces_and_refuses_nothing() {
+    for told in [None, Some(0.0), Some(-1.0), Some(f64::NAN), Some(f64::INFINITY)] {
+        let mut pacer: Pacer<u64> = Pacer::new(told);
+        assert!(pacer.goes_at_once(100_000_000, UNHURRIED), "{told:?}");
+        pacer.note_at_once(100_000_000, 1.0);
+        assert_eq!(pacer.due_in_ms(1.0), None);
+        let mut book = EgressBook::default();
+        let bytes_per_ms = pacer.left_bytes_per_ms(1.0);
+        book.set_room(LinkRoom { bytes_per_ms, waiting_bytes: usize::MAX });
+        book.note_answer(LARGE, usize::MAX, u64::MAX);
+        book.book(1, LARGE);
+        assert_eq!(book.check_room(LARGE, within(0), 1), Ok(()), "{told:?}");
+        assert_eq!(book.wait_ms(), 0);
+    }
+}
+
+#[test]
+fn the_most_urgent_message_goes_first_and_those_of_one_kind_in_their_order() {
+    let mut pacer: Pacer<u64> = Pacer::new(Some(LINK));
+    let urgency = |rank, target_ms| SendUrgency { unhurried: true, rank, target_ms };
+    pacer.push(1, 9_000, urgency(2, 1_500), 0.0);
+    pacer.push(2, 9_000, urgency(2, 1_500), 0.0);
+    pacer.push(3, 9_000, urgency(1, 1_500), 0.0);
+    pacer.push(4, 9_000, urgency(2, 300), 0.0);
+    let mut order = Vec::new();
+    let mut now_ms = 0.0;
+    while pacer.bytes() > 0 {
+        while let Some(piece) = pacer.next(now_ms) {
+            assert!(piece.bytes <= 4_000, "a piece takes 2 ms");
+            pacer.handed_over(piece.key, piece.bytes, now_ms);
+            order.push(piece.key);
+        }
+        now_ms += pacer.due_in_ms(now_ms).unwrap_or(0.0);
+    }
+    order.dedup();
+    assert_eq!(order, [3, 4, 1, 2]);
+    let counts = pacer.counts();
+    assert_eq!((counts.messages_paced, counts.bytes_paced), (4, 36_000));
+}
+
+#[test]
+fn a_peer_that_reads_nothing_holds_up_nobody_for_long() {
+    let mut pacer: Pacer<u64> = Pacer::new(Some(LINK));
+    // Four of them take nothing; the fifth would.
+    for key in 1..=5 {
+        pacer.push(key, 50_000, UNHURRIED, 0.0);
+    }
+    for key in 1..=4 {
+        assert_eq!(pacer.next(0.0).map(|piece| piece.key), Some(key));
+        pacer.hold_up(key, 0.0);
+    }
+    assert_eq!(pacer.next(0.0), None, "what four were given may stand in the link");
+    assert_eq!(pacer.due_in_ms(0.0), Some(150.0));
+    assert_eq!(pacer.next(150.0).map(|piece| piece.key), Some(5));
+    // One that takes bytes again is in its turn.
+    pacer.let_go(1);
+    assert_eq!(pacer.next(150.0).map(|piece| piece.key), Some(1));
+    // Closed ones leave nothing behind.
+    for key in 1..=5 {
+        pacer.remove(key);
+    }
+    assert_eq!((pacer.bytes(), pacer.next(200.0), pacer.due_in_ms(200.0)), (0, None, None));
+}
+
+#[test]
+fn messages_that_do_not_wait_leave_a_part_to_those_that_do() {
+    // Small messages alone ask for ten times what the link is told to carry.
+    let mut pacer: Pacer<u64> = Pacer::new(Some(LINK / 10.0));
+    pacer.push(1, 100_000, UNHURRIED, 0.0);
+    let mut handed_over = 0;
+    for now in 0..2_000 {
+        let now_ms = f64::from(now);
+        pacer.note_at_once(LINK as usize, now_ms);
+        while let Some(piece) = pacer.next(now_ms) {
+            pacer.handed_over(piece.key, piece.bytes, now_ms);
+            handed_over += piece.bytes;
+        }
+    }
+    let share = handed_over as f64 / 2_000.0 / (LINK / 10.0);
+    assert!((0.2..0.3).contains(&share), "{share}");
+}
+
+#[test]
+fn a_run_begins_only_if_its_answer_leaves_in_time() {
+    let mut book = EgressBook::default();
+    book.set_room(LinkRoom { bytes_per_ms: Some(LINK), waiting_bytes: 0 });
+    assert_eq!(book.check_room(LARGE, within(0), 0), Ok(()), "nothing is known of its like yet");
+    book.note_answer(LARGE, LARGE_BYTES, LARGE_RUN_MS);
+    for job in 0..10 {
+        book.book(job, LARGE);
+    }
+    // 900,000 bytes take 450 ms, 140 of them while it runs.
+    assert_eq!(book.wait_ms(), 450);
+    assert_eq!(book.check_room(LARGE, within(310), 0), Ok(()));
+    assert_eq!(book.check_room(LARGE, within(200), 0), Err(110));
+    assert_eq!(book.check_room(LARGE, within(200), 0), Err(155), "behind one that comes back");
+    assert_eq!(book.check_room(LARGE, within(200), 60_000), Err(110), "which was long ago");
+    // A more urgent one does not stand behind them, nor does a small one.
+    let urgent = EgressKind { rank: 1, target_ms: 1_500 };
+    book.note_answer(urgent, LARGE_BYTES, LARGE_RUN_MS);
+    assert_eq!(book.check_room(urgent, within(0), 0), Ok(()));
+    book.note_answer(SMALL, SMALL_BYTES, 44);
+    assert_eq!(book.check_room(SMALL, within(0), 0), Ok(()));
+    // Those that end give back what they booked.
+    for job in 0..10 {
+        book.end(job);
+    }
+    assert_eq!((book.wait_ms(), book.check_room(LARGE, within(0), 60_000)), (0, Ok(())));
+}
+
+#[test]
+fn an_endless_answer_and_odd_deadlines_are_bounded() {
+    let mut book = EgressBook::default();
+    book.set_room(LinkRoom { bytes_per_ms: Some(LINK), waiting_bytes: 0 });
+    book.note_answer(LARGE, usize::MAX, LARGE_RUN_MS);
+    book.book(1, LARGE);
+    for patience_ms in [0, 1, 3_600_000] {
+        assert_eq!(book.check_room(LARGE, within(patience_ms), 0), Err(10_000), "{patience_ms}");
+    }
+    // Sizes are taken anew: two hundred answers later it is forgotten.
+    book.end(1);
+    for _ in 0..2_000 {
+        book.note_answer(LARGE, LARGE_BYTES, LARGE_RUN_MS);
+    }
+    book.book(2, LARGE);
+    assert!(book.wait_ms() < 60, "{}", book.wait_ms());
+    book.note_leaving(usize::MAX);
+    book.note_leaving(usize::MAX);
+    assert_eq!(book.check_room(LARGE, within(0), 60_000), Err(10_000));
+    // A deadline of an hour does not fill the memory: what waits is bounded by what is refused.
+    book.set_room(LinkRoom { bytes_per_ms: Some(LINK), waiting_bytes: 0 });
+    assert_eq!(book.check_room(LARGE, within(3_600_000), 120_000), Ok(()));
+    // Kinds are bounded: those past the bound are taken to be small.
+    for rank in 0..10_000 {
+        book.note_answer(EgressKind { rank, target_ms: 1 }, LARGE_BYTES, 1);
+    }
+    book.book(3, EgressKind { rank: 9_999, target_ms: 1 });
+    assert!(book.wait_ms() < 60);
+}
