Answers leave in order, and runs begin only if theirs can

Change: Net hands bytes for other machines to sockets through the pacer; Jobs books and refuses (link_full, with a true time to return; begun work and what needs no link never); replies and loads tell the link's wait; placement adds it to the time of large answers, varied by chance, and asks another zone for an answer that costs more than the call is worth only if there is nobody in the own. Log lines link_full and link_free, counters of paced messages, waits, refusals, bytes by use.

Checked by hand that tests fail with: no stay in the zone, small ones kept from full links, no variation, own asked bytes not counted, a leftover not counted at the socket, a finished connection swept while its output waits, closed connections and ended jobs not given back, begun work refused.

--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -130,7 +130,7 @@
 }
 
 /// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
-/// and thirteen numbers or words separated by blanks; the last six may be missing.
+/// and sixteen numbers or words separated by blanks; the last nine may be missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// What became of the call.
@@ -162,6 +162,13 @@
     /// How much longer a call is kept from all upstreams, since it crashes them, milliseconds; 0 if
     /// it is not.
     pub quarantine_left_ms: u32,
+    /// How long a large answer would wait for its machine's link, milliseconds.
+    pub egress_wait_ms: u32,
+    /// What its machine's link carries of large answers, bytes a millisecond; 0 if that is not
+    /// known.
+    pub egress_bytes_per_ms: u32,
+    /// Whether a refusal is for want of room on that link, and not of a slot.
+    pub link_full: bool,
 }
 
 impl HopReply {
@@ -179,7 +186,7 @@
             InstanceState::Left => 'l',
         };
         format!(
-            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {}",
+            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -191,7 +198,10 @@
             self.transfer_wait_ms,
             self.transfer_bytes_per_ms,
             u8::from(self.upstream_ended),
-            self.quarantine_left_ms
+            self.quarantine_left_ms,
+            self.egress_wait_ms,
+            self.egress_bytes_per_ms,
+            u8::from(self.link_full),
         )
     }
 
@@ -220,6 +230,8 @@
         let (transfer_wait_ms, transfer_bytes_per_ms) = (later(), later());
         let upstream_ended = later() == 1;
         let quarantine_left_ms = later();
+        let (egress_wait_ms, egress_bytes_per_ms) = (later(), later());
+        let link_full = later() == 1;
         Some(HopReply {
             outcome,
             running,
@@ -235,6 +247,9 @@
             transfer_bytes_per_ms,
             upstream_ended,
             quarantine_left_ms,
+            egress_wait_ms,
+            egress_bytes_per_ms,
+            link_full,
         })
     }
 }
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -128,6 +128,8 @@
     pub pace_percent: u16,
     /// Part of its machine's link that is in use, percent; 0 if that is not known.
     pub link_percent: u8,
+    /// How long a large answer would wait for that link, milliseconds, at most 65,535.
+    pub egress_wait_ms: u16,
 }
 
 /// Pace of an upstream that takes as long as is usual at its service, percent.
@@ -150,6 +152,7 @@
             service_ms,
             pace_percent: USUAL_PACE_PERCENT,
             link_percent: 0,
+            egress_wait_ms: 0,
         }
     }
 
@@ -165,6 +168,12 @@
         UpstreamLoad { link_percent, ..self }
     }
 
+    /// The same on a machine over whose link a large answer would wait so long, milliseconds.
+    pub fn with_egress_wait(self, wait_ms: u64) -> Self {
+        let egress_wait_ms = u16::try_from(wait_ms).unwrap_or(u16::MAX);
+        UpstreamLoad { egress_wait_ms, ..self }
+    }
+
     /// Calls with it, those that wait included.
     pub fn all(self) -> u32 {
         u32::from(self.running) + u32::from(self.queued)
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -19,18 +19,24 @@
         transfer_bytes_per_ms: 800,
         upstream_ended: false,
         quarantine_left_ms: 0,
+        egress_wait_ms: 310,
+        egress_bytes_per_ms: 1900,
+        link_full: true,
     }
 }
 
 #[test]
 fn a_reply_is_read_as_it_was_written() {
-    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0 0"].assert_eq(&reply().encode());
+    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1"].assert_eq(&reply().encode());
     assert_eq!(HopReply::decode(&reply().encode()), Some(reply()));
 }
 
 #[test]
 fn a_reply_of_an_earlier_version_is_read_too() {
-    let former = HopReply { transfer_wait_ms: 0, transfer_bytes_per_ms: 0, ..reply() };
+    let egress =
+        HopReply { egress_wait_ms: 0, egress_bytes_per_ms: 0, link_full: false, ..reply() };
+    assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d 12 40 75 800 0 0"), Some(egress));
+    let former = HopReply { transfer_wait_ms: 0, transfer_bytes_per_ms: 0, ..egress };
     assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d 12 40"), Some(former));
     let first = HopReply { failing_percent: 0, link_percent: 0, ..former };
     assert_eq!(HopReply::decode("a 3 1 9 120 97 0 d"), Some(first));
--- a/crates/placement/src/locality.rs
+++ b/crates/placement/src/locality.rs
@@ -13,6 +13,8 @@
 /// What a kilobyte between zones costs, as such a part.
 const COST_PER_KB: f64 = 0.06;
 const BYTES_PER_KB: f64 = 1_000.0;
+/// What a call in time is worth: the unit of all costs here.
+const WORTH_OF_A_CALL: f64 = 1.0;
 /// Heads of a request and its answer, bytes.
 const HEAD_BYTES: f64 = 700.0;
 /// Another zone never costs more than this for its bytes: a call that would be late goes there.
@@ -78,6 +80,11 @@
         }
     }
 
+    /// Whether an answer of this length costs more to be brought from there than its call is worth.
+    pub fn is_too_dear(self, answer_bytes: f64) -> bool {
+        self == Self::Far && answer_bytes / BYTES_PER_KB * COST_PER_KB > WORTH_OF_A_CALL
+    }
+
     /// Cost of the bytes that a call and its answer move, as a part of the worth of a call that is
     /// in time. To another node of the zone they cost nothing by themselves, but they fill two
     /// links.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -59,6 +59,29 @@
     listed: bool,
     answered_at: Option<Millis>,
     silence: Silence,
+    link: EgressSeen,
+}
+
+/// What is known of the outgoing link of its machine.
+#[derive(Clone, Copy, Debug, Default)]
+struct EgressSeen {
+    wait_ms: f64,
+    told_at: Millis,
+    /// Of the answers that this node asked for since then, bytes.
+    asked_bytes: f64,
+    /// 0 if that is not known.
+    bytes_per_ms: f64,
+    /// Until when a refusal for want of room there is believed, and when there may be room, as told.
+    full_until: Millis,
+    room_at: Millis,
+}
+
+impl EgressSeen {
+    fn tell(&mut self, wait_ms: f64, now: Millis) {
+        self.wait_ms = wait_ms;
+        self.told_at = now;
+        self.asked_bytes = 0.0;
+    }
 }
 
 /// How urgent a call is among those that wait for an upstream; the least goes first.
@@ -157,6 +180,7 @@
             listed: true,
             answered_at: None,
             silence: Silence::default(),
+            link: EgressSeen::default(),
         };
         upstream.update(record, now);
         upstream
@@ -229,7 +253,9 @@
     /// When it may have room for a call like the one it refused, as it told; `None` if that is
     /// over, or it refused none.
     pub fn room_at(&self, now: Millis) -> Option<Millis> {
-        self.refusal.map(|refusal| refusal.room_at).filter(|at| *at > now)
+        let slot = self.refusal.map(|refusal| refusal.room_at);
+        let rooms = slot.into_iter().chain([self.link.room_at]);
+        rooms.filter(|at| *at > now).min()
     }
 
     /// Most calls it works on at once.
@@ -257,6 +283,7 @@
     /// Takes in how busy it was a moment ago, as the sidecar beside it told through coordinators.
     pub fn note_load(&mut self, load: UpstreamLoad, now: Millis) {
         self.load_told_at = Some(now);
+        self.link.tell(f64::from(load.egress_wait_ms), now);
         let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
         if !self.load_seen.is_some_and(newer) {
             self.see_load(load.all(), f64::from(load.service_ms), false, now);
@@ -342,6 +369,8 @@
         self.figures = Some(Figures { reply, at: now });
         let service_ms = f64::from(reply.service_ms);
         self.see_load(reply.running + reply.queued, service_ms, true, now);
+        self.link.tell(f64::from(reply.egress_wait_ms), now);
+        self.link.bytes_per_ms = f64::from(reply.egress_bytes_per_ms);
         self.silence = Silence::default();
         self.answered_at = Some(now);
     }
@@ -367,6 +396,36 @@
         self.refusal = Some(Refusal { urgency, until, room_at: now + retry_after_ms });
     }
 
+    /// Notes that it refused a call since its answer would have waited too long for the link.
+    pub fn note_link_full(&mut self, retry_after_ms: u64, now: Millis) {
+        self.link.full_until = now + retry_after_ms.min(LONGEST_REFUSAL_MS);
+        self.link.room_at = now + retry_after_ms;
+    }
+
+    /// Whether it lately refused a large answer for want of room on its machine's link.
+    pub fn is_link_full(&self, now: Millis) -> bool {
+        now < self.link.full_until
+    }
+
+    /// Notes that it was asked for an answer of this length.
+    pub fn note_asked(&mut self, answer_bytes: f64) {
+        self.link.asked_bytes += answer_bytes;
+    }
+
+    /// Time that an answer of this length takes over its machine's link after a run of `work_ms`,
+    /// the wait for the link included, milliseconds; 0 if nothing is known of that link.
+    pub(crate) fn answer_ms(&self, answer_bytes: f64, work_ms: f64, now: Millis) -> f64 {
+        let EgressSeen { wait_ms, told_at, asked_bytes, bytes_per_ms, .. } = self.link;
+        if bytes_per_ms <= 0.0 {
+            return 0.0;
+        }
+        let age = now.saturating_sub(told_at) as f64;
+        let belief = 1.0 - (age / FIGURES_AGE_MS as f64).min(1.0);
+        let ahead_ms = (wait_ms + asked_bytes / bytes_per_ms) * belief;
+        // What is ahead leaves while it runs.
+        (ahead_ms - work_ms).max(0.0) + answer_bytes / bytes_per_ms
+    }
+
     /// Notes a failure; it rests for a growing time.
     pub fn note_failure(&mut self, now: Millis) {
         let rest = (FIRST_REST_MS << self.failures.min(6)).min(LONGEST_REST_MS);
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -19,6 +19,11 @@
 const OVERDUE_COST: f64 = 1.0;
 /// Part of the expected time by which choices are varied, so that nodes do not choose alike.
 const VARIATION: f64 = 0.15;
+/// Part of the expected time on a link by which choices are varied: all nodes are told the same
+/// wait at the same time, and one that looks least busy to all of them is full a moment later.
+const LINK_VARIATION: f64 = 1.0;
+/// Answers longer than this are counted against links, bytes: shorter ones do not wait for them.
+const LARGE_ANSWER_BYTES: f64 = 4.0 * 1024.0;
 /// Upstreams looked at for one call; a sample beyond. Services of some thousand nodes have about
 /// forty each, so all of one are looked at, and the time a choice takes is bounded all the same.
 const MOST_CANDIDATES: usize = 64;
@@ -47,6 +52,13 @@
     pub tried: &'a [UpstreamKey],
 }
 
+impl Request<'_> {
+    /// What its like are answered with, bytes.
+    fn answer_bytes(&self) -> f64 {
+        (self.moved_bytes - self.body_bytes as f64).max(0.0)
+    }
+}
+
 /// What changed about a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NodeChange {
@@ -243,6 +255,8 @@
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
         let mut best: Option<((bool, f64), UpstreamKey)> = None;
+        let answer_bytes = request.answer_bytes();
+        let stays = self.stays_in_zone(request.service, answer_bytes, now);
         for (key, held) in self.candidates(request.service, random) {
             let tried = request.tried.contains(key);
             let usable = held.track == track && held.is_live();
@@ -250,6 +264,11 @@
                 continue;
             }
             let distance = self.locality.distance(&held.record);
+            let leaves = distance != Distance::Own && answer_bytes > LARGE_ANSWER_BYTES;
+            let elsewhere = stays && distance.is_too_dear(answer_bytes);
+            if elsewhere || (leaves && held.is_link_full(now)) {
+                continue;
+            }
             let varied = 1.0 + VARIATION * random.f64();
             let expected = held.expected(request.usual_ms * varied, now);
             let transfer_ms =
@@ -257,7 +276,15 @@
                     true => held.transfer_ms(request.body_bytes, now),
                     false => 0.0,
                 };
-            let cost = cost(held, distance, expected, transfer_ms, request, now);
+            let answer_ms = match leaves {
+                true => {
+                    let varied = 1.0 + LINK_VARIATION * (random.f64() - 0.5);
+                    held.answer_ms(answer_bytes, expected.work_ms, now) * varied
+                }
+                false => 0.0,
+            };
+            let link_ms = transfer_ms + answer_ms;
+            let cost = cost(held, distance, expected, link_ms, request, now);
             let cost = (held.is_resting(now), cost);
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
@@ -268,6 +295,17 @@
         best.map(|(_, key)| key)
     }
 
+    /// Whether a large answer is asked for in the own zone only: it costs too much to be brought
+    /// from another, and there are upstreams here, which may be busy.
+    fn stays_in_zone(&self, service: &str, answer_bytes: f64, now: Millis) -> bool {
+        if !Distance::Far.is_too_dear(answer_bytes) {
+            return false;
+        }
+        let here = |held: &Upstream| self.locality.distance(&held.record) != Distance::Far;
+        let mut usable = self.of_service(service).filter(|(_, held)| held.is_stable());
+        usable.any(|(_, held)| here(held) && !held.is_resting(now))
+    }
+
     fn offers(&self, upstream: &Upstream, body_bytes: usize) -> bool {
         upstream.is_offered(body_bytes, self.locality.link_bytes_per_ms())
     }
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -175,6 +175,9 @@
                     self.times.note(&route, Seen { spent_ms, speed, moved_bytes });
                 }
                 HopOutcome::Answered => upstream.note_success(),
+                HopOutcome::Refused if reply.link_full => {
+                    upstream.note_link_full(u64::from(reply.retry_after_ms), now);
+                }
                 HopOutcome::Refused => {
                     upstream.note_full(urgency, u64::from(reply.retry_after_ms), now);
                 }
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -145,8 +145,10 @@
                 told_ms = call.told_ms, "call_placed"
             );
         }
+        let moved_bytes = self.times.moved_bytes(&call.route).unwrap_or(0.0);
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.outstanding += 1;
+            upstream.note_asked((moved_bytes - request.body.len() as f64).max(0.0));
         }
         vec![CallAction::Send { attempt, to, request, hop, offered }]
     }
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -44,6 +44,7 @@
             self.failures.note(is_upstreams_fault(outcome, response.status), now);
             self.note_trial(job.class, outcome, response.status, spent_ms, now);
         }
+        self.note_egress(&job, outcome, &response, spent_ms);
         let telling = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
         self.admission.release(telling.then_some(spent_ms));
         let ordinary = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
@@ -70,6 +71,17 @@
         actions
     }
 
+    /// Takes in what an answer takes of the link.
+    fn note_egress(&mut self, job: &Job, outcome: HopOutcome, response: &Response, spent_ms: u64) {
+        let bytes = response.body.len();
+        if outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS {
+            self.egress.note_answer(job.egress_kind(), bytes, spent_ms);
+        }
+        if matches!(job.source, Source::Peer { .. }) {
+            self.egress.note_leaving(bytes);
+        }
+    }
+
     /// Takes down what a canary is judged by. How long a cold upstream takes says nothing of its
     /// version.
     fn note_trial(
@@ -139,8 +151,8 @@
         let job = self.remove(id)?;
         let retry_after_ms = self.admission.retry_after_ms(0, now);
         let held_ms = now.saturating_sub(job.arrived);
-        let refusal =
-            Refusal { id: &job.attempt_id, reason, held_ms, retry_after_ms, quarantine_left_ms: 0 };
+        let id = &job.attempt_id;
+        let refusal = Refusal { id, reason, held_ms, retry_after_ms, ..Refusal::default() };
         Some(self.refuse(job.source, refusal, now))
     }
 
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -19,7 +19,10 @@
 use crate::sample::LogSample;
 use crate::transit::TransitTimes;
 use crate::Millis;
-use admission::{Admission, Decision, DrainGate, FailureShare, GateState, JobId, Ticket};
+use admission::{
+    Admission, Decision, DrainGate, EgressBook, EgressKind, EgressTime, FailureShare, GateState,
+    JobId, LinkRoom, Ticket,
+};
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
     CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceState, NodeAddress,
@@ -117,6 +120,8 @@
     retry_after_ms: u64,
     /// How much longer the call is kept from all upstreams; 0 if it is not.
     quarantine_left_ms: u64,
+    /// Whether it is for want of room on the link.
+    link_full: bool,
 }
 
 /// Where a call's time went before it was here whole, milliseconds.
@@ -154,6 +159,11 @@
 }
 
 impl Job {
+    /// What tells the answers of its like apart.
+    fn egress_kind(&self) -> EgressKind {
+        EgressKind { rank: self.class.rank, target_ms: u64::from(self.class.target_ms) }
+    }
+
     fn spent_ms(&self, now: Millis) -> u64 {
         now.saturating_sub(self.started.unwrap_or(now))
     }
@@ -169,6 +179,8 @@
     pub gate: DrainGate,
     admission: Admission,
     offers: Offers,
+    egress: EgressBook,
+    link_refusals: u64,
     transits: TransitTimes,
     trial: Trial,
     crash: CrashWatch,
@@ -206,6 +218,8 @@
             gate: DrainGate::new(drain_ms),
             admission: Admission::new(UNKNOWN_SLOTS),
             offers: Offers::new(link_bytes_per_ms),
+            egress: EgressBook::default(),
+            link_refusals: 0,
             transits: TransitTimes::default(),
             trial: Trial::default(),
             crash: CrashWatch::default(),
@@ -252,6 +266,13 @@
     pub fn told_load(&self) -> UpstreamLoad {
         let (running, queued) = self.load();
         UpstreamLoad::new(running, queued, self.admission.service_ms() as u32)
+            .with_link(self.link_percent)
+            .with_egress_wait(self.egress.wait_ms())
+    }
+
+    /// Takes in the room of this machine's outgoing link.
+    pub fn set_link_room(&mut self, room: LinkRoom) {
+        self.egress.set_room(room);
     }
 
     /// Takes in which versions of this service may be given calls; `None` if nothing sets them
@@ -327,14 +348,18 @@
             transfer_bytes_per_ms: self.offers.bytes_per_ms() as u32,
             upstream_ended: false,
             quarantine_left_ms: 0,
+            egress_wait_ms: u32::try_from(self.egress.wait_ms()).unwrap_or(u32::MAX),
+            egress_bytes_per_ms: self.egress.bytes_per_ms() as u32,
+            link_full: false,
         }
     }
 
     fn refuse(&self, source: Source, refusal: Refusal<'_>, now: Millis) -> JobAction {
-        let Refusal { id, reason, held_ms, retry_after_ms, quarantine_left_ms } = refusal;
+        let Refusal { id, reason, held_ms, retry_after_ms, quarantine_left_ms, link_full } =
+            refusal;
         let reply = self.reply(HopOutcome::Refused, 0, retry_after_ms, now);
         let quarantine_left_ms = u32::try_from(quarantine_left_ms).unwrap_or(u32::MAX);
-        let reply = HopReply { quarantine_left_ms, ..reply };
+        let reply = HopReply { quarantine_left_ms, link_full, ..reply };
         info!(
             %id, reason, running = reply.running, queued = reply.queued, limit = reply.limit,
             held_ms, retry_after_ms, verdict = "not-run", "job_refused"
@@ -389,6 +414,26 @@
                 held_ms: offered_ms,
                 retry_after_ms: waited_ms,
                 quarantine_left_ms,
+                link_full: false,
+            };
+            return vec![self.refuse(source, refusal, now)];
+        }
+        let kind = EgressKind { rank: hop.rank, target_ms: hop.target_ms };
+        let leaves = matches!(source, Source::Peer { .. });
+        let time = EgressTime {
+            patience_ms: hop.patience_ms.saturating_sub(waited_ms),
+            deadline_ms: hop.deadline_ms.saturating_sub(waited_ms + offered_ms),
+        };
+        if let Some(retry_after_ms) = self.link_refusal(leaves && !hop.begun, kind, time, now) {
+            let id = &attempt_id;
+            let reason = "link_full";
+            let refusal = Refusal {
+                id,
+                reason,
+                held_ms: offered_ms,
+                retry_after_ms,
+                link_full: true,
+                ..Refusal::default()
             };
             return vec![self.refuse(source, refusal, now)];
         }
@@ -402,8 +447,8 @@
         if let Decision::Refuse { retry_after_ms } = decision {
             let id = &attempt_id;
             let reason = "no_room";
-            let refusal =
-                Refusal { id, reason, held_ms: offered_ms, retry_after_ms, quarantine_left_ms: 0 };
+            let held_ms = offered_ms;
+            let refusal = Refusal { id, reason, held_ms, retry_after_ms, ..Refusal::default() };
             return vec![self.refuse(source, refusal, now)];
         }
         let class = CallClass { rank, target_ms: target_ms as u32 };
@@ -420,12 +465,42 @@
         };
         self.jobs.insert(job, entry);
         self.by_source.insert(source, job);
+        if leaves {
+            self.egress.book(job, kind);
+        }
         match decision {
             Decision::Run => self.start(job, now).into_iter().collect(),
             _ => Vec::new(),
         }
     }
 
+    /// When a call whose answer must leave over a link without room for it may come back,
+    /// milliseconds; `None` if it may run now. What a begun run waits for is never refused for that.
+    fn link_refusal(
+        &mut self,
+        bound: bool,
+        kind: EgressKind,
+        time: EgressTime,
+        now: Millis,
+    ) -> Option<u64> {
+        let refused = match bound {
+            true => self.egress.check_room(kind, time, now).err(),
+            false => None,
+        };
+        self.link_refusals += u64::from(refused.is_some());
+        refused
+    }
+
+    /// How long a large answer would wait for the link, milliseconds.
+    pub fn link_wait_ms(&self) -> u64 {
+        self.egress.wait_ms()
+    }
+
+    /// Calls refused so far since their answers would have waited too long for the link.
+    pub fn link_refusals(&self) -> u64 {
+        self.link_refusals
+    }
+
     /// Takes in no more calls, because the process stops; those that wait are refused.
     pub fn close(&mut self, now: Millis) -> Vec<JobAction> {
         self.closed = true;
@@ -502,6 +577,7 @@
 
     fn remove(&mut self, id: JobId) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
+        self.egress.end(id);
         self.by_source.remove(&job.source);
         if job.started.is_some() {
             self.forget_work(&job.attempt_id);
--- a/crates/sidecar/src/link_meter.rs
+++ b/crates/sidecar/src/link_meter.rs
@@ -9,6 +9,11 @@
 const MS_PER_SECOND: f64 = 1_000.0;
 const MOST_PERCENT: f64 = 100.0;
 
+/// Wait of a large answer from which on the link is called full, and below which it is called free
+/// again, milliseconds: half and a tenth of what callers with long targets wait for.
+const FULL_WAIT_MS: u64 = 200;
+const FREE_WAIT_MS: u64 = 40;
+
 /// Bytes that went one way, each weighing less with its age.
 #[derive(Clone, Copy, Debug, Default)]
 struct Flow {
@@ -75,3 +80,38 @@
         (busier / whole * 100.0).min(MOST_PERCENT).round() as u32
     }
 }
+
+/// Whether large answers wait for the link, as operators are told: once each time it changes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkWatch {
+    full_since: Option<Millis>,
+}
+
+/// What changed about the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkChange {
+    /// Large answers wait for it.
+    Full,
+    /// They do not any more.
+    Free {
+        /// For how long they did, milliseconds.
+        lasted_ms: u64,
+    },
+}
+
+impl LinkWatch {
+    /// Takes in how long a large answer would wait for the link, milliseconds.
+    pub fn note(&mut self, wait_ms: u64, now: Millis) -> Option<LinkChange> {
+        match self.full_since {
+            None if wait_ms >= FULL_WAIT_MS => {
+                self.full_since = Some(now);
+                Some(LinkChange::Full)
+            }
+            Some(since) if wait_ms < FREE_WAIT_MS => {
+                self.full_since = None;
+                Some(LinkChange::Free { lasted_ms: now.saturating_sub(since) })
+            }
+            _ => None,
+        }
+    }
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Figures of a sidecar, set when they are asked for.
 
 use crate::calls::CallCounts;
+use crate::net::SentBytes;
+use admission::PacerCounts;
 use telemetry::{Gauge, Registry};
 
 /// What the figures are taken from.
@@ -22,6 +24,14 @@
     pub connections: usize,
     /// Part of this machine's link in use, percent.
     pub link_percent: u32,
+    /// What was handed over to that link.
+    pub sent: PacerCounts,
+    /// Bytes of it by use.
+    pub sent_bytes: SentBytes,
+    /// Bytes that wait for it.
+    pub link_waiting_bytes: usize,
+    /// Calls refused since their answers would have waited too long for it.
+    pub link_refusals: u64,
     /// Share of recent calls that the upstream failed, percent.
     pub failing_percent: u32,
     /// Since when the generation in force is known to be the newest, milliseconds ago.
@@ -51,7 +61,7 @@
 impl Metrics {
     /// Registers all figures.
     pub fn new(registry: Registry) -> Self {
-        let figures: [Figure; 22] = [
+        let figures: [Figure; 32] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -68,6 +78,16 @@
             ("nodes", "Nodes known", |s| s.nodes as i64),
             ("connections", "Open connections", |s| s.connections as i64),
             ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
+            ("link_waiting_bytes", "Wait for the link", |s| s.link_waiting_bytes as i64),
+            ("link_refusals", "Calls refused for want of the link", |s| s.link_refusals as i64),
+            ("sent_bytes_calls", "To peers, calls", |s| s.sent_bytes.calls as i64),
+            ("sent_bytes_answers", "To peers, answers", |s| s.sent_bytes.answers as i64),
+            ("sent_bytes_control", "To coordinators", |s| s.sent_bytes.control as i64),
+            ("link_bytes_at_once", "Small messages' bytes", |s| s.sent.bytes_at_once as i64),
+            ("link_bytes_paced", "Large messages' bytes", |s| s.sent.bytes_paced as i64),
+            ("link_messages_paced", "Messages that waited", |s| s.sent.messages_paced as i64),
+            ("link_waited_ms", "Their wait together", |s| s.sent.waited_ms as i64),
+            ("link_longest_wait_ms", "Longest of them", |s| s.sent.longest_ms as i64),
             ("upstream_failing_percent", "Calls it fails", |s| i64::from(s.failing_percent)),
             (
                 "config_confirmed_ms",
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -1,5 +1,6 @@
 //! Sockets: a table of connections over one poll, with buffered output.
 
+use admission::{LinkRoom, Pacer, PacerCounts, SendUrgency};
 use bytes::BytesMut;
 use http1::StreamEnd;
 use mio::net::{TcpListener, TcpStream};
@@ -34,6 +35,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 const BACKLOG_ACCEPTS: usize = 64;
+const MS_PER_SECOND: f64 = 1_000.0;
 
 /// What happened on the sockets.
 #[derive(Debug)]
@@ -68,6 +70,43 @@
     lingering: Option<BootInstant>,
     /// Whether the other side is on another machine.
     remote: bool,
+    /// Order of what is sent on it among all that waits for the link.
+    urgency: SendUrgency,
+    used_for: LinkUse,
+}
+
+/// What a connection to another machine is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkUse {
+    /// Calls that go to peers.
+    Calls,
+    /// Answers that go to peers, refusals and grants included.
+    Answers,
+    /// What coordinators are told.
+    #[default]
+    Control,
+}
+
+/// Bytes sent to other machines since the start, by use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentBytes {
+    /// Calls.
+    pub calls: u64,
+    /// Answers.
+    pub answers: u64,
+    /// What coordinators are told.
+    pub control: u64,
+}
+
+impl SentBytes {
+    fn note(&mut self, used_for: LinkUse, bytes: usize) {
+        let total = match used_for {
+            LinkUse::Calls => &mut self.calls,
+            LinkUse::Answers => &mut self.answers,
+            LinkUse::Control => &mut self.control,
+        };
+        *total += bytes as u64;
+    }
 }
 
 /// Bytes that passed between this machine and others.
@@ -88,12 +127,17 @@
     opened: u64,
     own: IpAddr,
     passed: Passed,
+    /// What waits for this machine's link.
+    pacer: Pacer<ConnectionId>,
+    sent_bytes: SentBytes,
+    since: BootInstant,
     scratch: Vec<u8>,
 }
 
 impl Net {
-    /// No sockets yet, on the machine with this address.
-    pub fn new(own: IpAddr) -> io::Result<Self> {
+    /// No sockets yet, on the machine with this address, whose link carries so many bytes a
+    /// millisecond; `None` if that is not known.
+    pub fn new(own: IpAddr, link_bytes_per_ms: Option<f64>) -> io::Result<Self> {
         Ok(Net {
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS_CAPACITY),
@@ -102,6 +146,9 @@
             opened: 0,
             own,
             passed: Passed::default(),
+            pacer: Pacer::new(link_bytes_per_ms),
+            sent_bytes: SentBytes::default(),
+            since: BootInstant::now(),
             scratch: vec![0; SCRATCH_BYTES],
         })
     }
@@ -146,6 +193,8 @@
             ended: false,
             lingering: None,
             remote,
+            urgency: SendUrgency { unhurried: true, ..SendUrgency::default() },
+            used_for: LinkUse::default(),
         });
         Ok(ConnectionId { place, generation })
     }
@@ -179,18 +228,119 @@
         self.connections.len()
     }
 
-    /// Sends bytes, now or when the socket takes them.
+    fn now_ms(&self) -> f64 {
+        self.since.elapsed().as_secs_f64() * MS_PER_SECOND
+    }
+
+    /// Counts a connection as one to another machine whatever its address is, for tests of sockets
+    /// on one machine.
+    pub fn set_remote_for_tests(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.remote = true;
+        }
+    }
+
+    /// Sets what a connection is for.
+    pub fn set_use(&mut self, id: ConnectionId, used_for: LinkUse) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.used_for = used_for;
+        }
+    }
+
+    /// Bytes sent to other machines since the start.
+    pub fn sent_bytes(&self) -> SentBytes {
+        self.sent_bytes
+    }
+
+    /// Sets the order of what is sent on a connection from now on.
+    pub fn set_urgency(&mut self, id: ConnectionId, urgency: SendUrgency) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.urgency = urgency;
+        }
+    }
+
+    /// Sends bytes, when the link and the socket take them.
     pub fn send(&mut self, id: ConnectionId, bytes: &[u8]) {
         let Some(connection) = self.get_mut(id) else {
             return;
         };
         connection.output.extend_from_slice(bytes);
-        flush(connection);
-        if connection.remote {
-            self.passed.sent += bytes.len();
+        let unsent = connection.output.len() - connection.sent;
+        let Connection { remote, urgency, used_for, .. } = *connection;
+        if !remote {
+            flush(connection);
+            return;
+        }
+        self.passed.sent += bytes.len();
+        self.sent_bytes.note(used_for, bytes.len());
+        let now_ms = self.now_ms();
+        if self.pacer.holds(id) {
+            self.pacer.push(id, bytes.len(), urgency, now_ms);
+            return;
+        }
+        if !self.pacer.goes_at_once(bytes.len(), urgency) {
+            // With what the socket did not take of an earlier message, which goes first.
+            self.pacer.push(id, unsent, urgency, now_ms);
+            self.pump();
+            return;
+        }
+        self.pacer.note_at_once(bytes.len(), now_ms);
+        if let Some(connection) = self.get_mut(id) {
+            flush(connection);
         }
     }
 
+    /// Hands over what the link has room for.
+    pub fn pump(&mut self) {
+        let now_ms = self.now_ms();
+        while let Some(piece) = self.pacer.next(now_ms) {
+            let Some(connection) = self.get_mut(piece.key) else {
+                self.pacer.remove(piece.key);
+                continue;
+            };
+            let taken = write_piece(connection, piece.bytes);
+            if taken > 0 {
+                self.pacer.handed_over(piece.key, taken, now_ms);
+            }
+            if taken < piece.bytes {
+                self.pacer.hold_up(piece.key, now_ms);
+            }
+            self.end_if_finished(piece.key);
+        }
+    }
+
+    /// Tells the other side the end of a connection that was finished once its output is out.
+    fn end_if_finished(&mut self, id: ConnectionId) {
+        let Some(connection) = self.get_mut(id) else {
+            return;
+        };
+        if connection.lingering.is_some() && connection.output.is_empty() {
+            let _ = connection.stream.shutdown(Shutdown::Write);
+            if connection.ended {
+                self.close(id);
+            }
+        }
+    }
+
+    /// Time until the link has room for what waits for it, milliseconds; `None` if nothing does.
+    pub fn due_in_ms(&self) -> Option<u64> {
+        let due_ms = self.pacer.due_in_ms(self.now_ms())?;
+        Some((due_ms.ceil() as u64).max(1))
+    }
+
+    /// Room of this machine's outgoing link.
+    pub fn link_room(&self) -> LinkRoom {
+        LinkRoom {
+            bytes_per_ms: self.pacer.left_bytes_per_ms(self.now_ms()),
+            waiting_bytes: self.pacer.bytes(),
+        }
+    }
+
+    /// What was handed over to the link since the start.
+    pub fn pacer_counts(&self) -> PacerCounts {
+        self.pacer.counts()
+    }
+
     /// Whether anything waits for a socket to take it.
     pub fn has_unsent(&self) -> bool {
         self.connections.iter().any(|(_, connection)| !connection.output.is_empty())
@@ -201,6 +351,7 @@
         if self.get_mut(id).is_none() {
             return;
         }
+        self.pacer.remove(id);
         if let Some(mut connection) = self.connections.try_remove(id.place) {
             let _ = self.poll.registry().deregister(&mut connection.stream);
         }
@@ -214,25 +365,27 @@
         };
         connection.lingering = Some(BootInstant::now());
         connection.input = BytesMut::new();
-        flush(connection);
-        if connection.output.is_empty() {
-            let _ = connection.stream.shutdown(Shutdown::Write);
-            if connection.ended {
-                self.close(id);
+        if !self.pacer.holds(id) {
+            if let Some(connection) = self.get_mut(id) {
+                flush(connection);
             }
         }
+        self.end_if_finished(id);
     }
 
     /// Drops connections that were finished longer than `longest` ago and not ended since.
     pub fn sweep(&mut self, longest: Duration) {
-        let late = |connection: &Connection| {
-            connection.lingering.is_some_and(|since| since.elapsed() > longest)
+        // What waits for the link is no sign of a peer that does not read.
+        let late = |place: usize, connection: &Connection| {
+            let id = ConnectionId { place, generation: connection.generation };
+            let waits = self.pacer.holds(id) && !connection.ended;
+            !waits && connection.lingering.is_some_and(|since| since.elapsed() > longest)
         };
         let of = |(place, connection): (usize, &Connection)| ConnectionId {
             place,
             generation: connection.generation,
         };
-        let found = self.connections.iter().filter(|(_, connection)| late(connection));
+        let found = self.connections.iter().filter(|(place, held)| late(*place, held));
         let ids: Vec<ConnectionId> = found.map(of).collect();
         for id in ids {
             self.close(id);
@@ -315,14 +468,25 @@
             }
         }
         if writable {
+            self.on_writable(id);
+        }
+        if readable {
+            self.read(id, happened);
+        }
+    }
+
+    fn on_writable(&mut self, id: ConnectionId) {
+        if self.pacer.holds(id) {
+            self.pacer.let_go(id);
+            self.pump();
+            return;
+        }
+        if let Some(connection) = self.get_mut(id) {
             flush(connection);
             if connection.lingering.is_some() && connection.output.is_empty() {
                 let _ = connection.stream.shutdown(Shutdown::Write);
             }
         }
-        if readable {
-            self.read(id, happened);
-        }
     }
 
     fn read(&mut self, id: ConnectionId, happened: &mut Vec<NetEvent>) {
@@ -365,20 +529,31 @@
 }
 
 fn flush(connection: &mut Connection) {
+    write_piece(connection, usize::MAX);
+}
+
+/// Writes at most so many bytes of what is to be sent; returns how many the socket took.
+fn write_piece(connection: &mut Connection, most: usize) -> usize {
     if connection.opening {
-        return;
+        return 0;
     }
-    while connection.sent < connection.output.len() {
-        match connection.stream.write(&connection.output[connection.sent..]) {
-            Ok(0) => return,
+    let before = connection.sent;
+    let end = connection.output.len().min(before.saturating_add(most));
+    while connection.sent < end {
+        match connection.stream.write(&connection.output[connection.sent..end]) {
+            Ok(0) => break,
             Ok(count) => connection.sent += count,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             // A broken connection also becomes readable, which tells its end.
-            Err(_) => return,
+            Err(_) => break,
         }
     }
-    connection.sent = 0;
-    connection.output = Vec::new();
+    let taken = connection.sent - before;
+    if connection.sent == connection.output.len() {
+        connection.sent = 0;
+        connection.output = Vec::new();
+    }
+    taken
 }
 
 fn opened(stream: &TcpStream) -> io::Result<bool> {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections on which this sidecar asks: one request at a time each, kept between requests.
 
-use crate::net::{ConnectionId, Net, NetEvent};
+use crate::net::{ConnectionId, LinkUse, Net, NetEvent};
 use crate::Millis;
 use http1::{Answer, Exchange, ExchangeError, ExpectedId, Request, StreamEnd};
 use mesh::GRANT_HEADER;
@@ -132,6 +132,7 @@
         let Ok(id) = net.connect(address) else {
             return Some(PoolEnd::NotSent);
         };
+        net.set_use(id, LinkUse::Calls);
         let state = State::Opening { asked, since: now };
         self.connections.insert(id, Held { address, key: Some(key), state });
         self.by_key.insert(key, id);
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::pool::{Asked, PoolEnd};
 use crate::servers::ServerKind;
 use crate::{Attempt, Millis};
-use admission::JobId;
+use admission::{JobId, SendUrgency};
 use http1::{
     write_request, write_request_head, BodyLength, ExpectedId, Headers, Offer, Request, Response,
     ServerLimits, Slot,
@@ -22,7 +22,8 @@
         let now = self.now();
         let id = match &event {
             NetEvent::Accepted { listener, connection } => {
-                self.servers.accepted(*connection, self.listeners[*listener], now);
+                let kind = self.listeners[*listener];
+                self.servers.accepted(&mut self.net, *connection, kind, now);
                 return;
             }
             NetEvent::Opened(id) | NetEvent::NotOpened(id) | NetEvent::Received(id) => *id,
@@ -158,6 +159,7 @@
             self.answer(id, slot, Response::empty(421), now);
             return;
         };
+        self.net.set_urgency(id, send_urgency(&hop));
         let source = Source::Peer { connection: id, slot };
         let actions = self.jobs.begin(source, Rc::new(request), &hop, now);
         self.work.extend(actions.into_iter().map(Work::Job));
@@ -301,3 +303,8 @@
         }
     }
 }
+
+/// The place of a call's answer among what waits for the link.
+fn send_urgency(hop: &HopRequest) -> SendUrgency {
+    SendUrgency { unhurried: !hop.begun, rank: hop.rank, target_ms: hop.target_ms }
+}
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -1,6 +1,7 @@
 //! The loop of a sidecar: sockets to cores and back.
 
 mod dispatch;
+mod link;
 mod registration;
 mod stopping;
 
@@ -9,7 +10,7 @@
 use crate::config::Config;
 use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
 use crate::jobs::{JobAction, Jobs};
-use crate::link_meter::LinkMeter;
+use crate::link_meter::{LinkMeter, LinkWatch};
 use crate::links::{LinkEvent, Links};
 use crate::metrics::{Metrics, Snapshot};
 use crate::net::{ConnectionId, Net};
@@ -104,6 +105,7 @@
     stop: StopPlan,
     last_request: Millis,
     link: LinkMeter,
+    link_watch: LinkWatch,
     next_housekeeping: Millis,
     next_reload_look: Millis,
     /// Whether a coordinator was asked for a configuration before one was announced.
@@ -134,7 +136,9 @@
         names: HeaderNames,
         dialect: D,
     ) -> Result<Self, SidecarError> {
-        let mut net = Net::new(IpAddr::V4(settings.ip)).context(PollSnafu)?;
+        let link = LinkMeter::new(settings.link_mbps);
+        let ip = IpAddr::V4(settings.ip);
+        let mut net = Net::new(ip, link.bytes_per_ms()).context(PollSnafu)?;
         let listen = [
             (settings.outbound_listen, ServerKind::Caller),
             (settings.inbound_listen, ServerKind::Peer),
@@ -168,7 +172,6 @@
         };
         let sample = LogSample::new(settings.log_sample);
         let registry = Registry::default();
-        let link = LinkMeter::new(settings.link_mbps);
         let locality = Locality::new(own, &settings.zone).with_link(link.bytes_per_ms());
         let calls = Calls::new(
             names,
@@ -219,6 +222,7 @@
             metrics: Metrics::new(registry),
             last_request: 0,
             link,
+            link_watch: LinkWatch::default(),
             next_housekeeping: 0,
             next_reload_look: RELOAD_LOOK_MS,
             asked_first_config: false,
@@ -239,6 +243,7 @@
             self.on_event(event);
             self.do_work();
         }
+        self.net.pump();
         let now = self.now();
         let ended = self.calls.tick(now);
         self.work.extend(ended.into_iter().map(Work::Call));
@@ -279,14 +284,6 @@
         self.links.tick(&mut self.net, now);
     }
 
-    fn measure_link(&mut self) {
-        let now = self.now();
-        let passed = self.net.take_passed();
-        self.link.received(passed.received, now);
-        self.link.sent(passed.sent, now);
-        self.jobs.link_percent = self.link.percent(now);
-    }
-
     fn next_due(&self) -> Millis {
         let now = self.now();
         let dues = [
@@ -294,6 +291,7 @@
             self.jobs.next_tick(now),
             self.registrar.next_tick(),
             Some(self.next_housekeeping),
+            self.net.due_in_ms().map(|due_ms| now + due_ms),
         ];
         dues.into_iter().flatten().min().unwrap_or(now)
     }
@@ -323,6 +321,10 @@
             nodes: self.calls.view.nodes(),
             connections: self.net.connections(),
             link_percent: self.jobs.link_percent,
+            sent: self.net.pacer_counts(),
+            sent_bytes: self.net.sent_bytes(),
+            link_waiting_bytes: self.net.link_room().waiting_bytes,
+            link_refusals: self.jobs.link_refusals(),
             failing_percent: self.jobs.failing_percent(self.now()),
             confirmed_ms: self.config.currency.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
@@ -390,6 +392,7 @@
 
     fn keep_house(&mut self, now: Millis) {
         self.net.sweep(LINGER_LIMIT);
+        self.watch_link(now);
         for (attempt, end) in self.peers.tick(&mut self.net, now) {
             self.peer_ended(attempt, end, now);
         }
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -1,7 +1,7 @@
 //! Connections on which this sidecar is asked: callers, peers, the upstream that registers, and
 //! those who look at readiness and metrics.
 
-use crate::net::{ConnectionId, Net};
+use crate::net::{ConnectionId, LinkUse, Net};
 use crate::Millis;
 use http1::{Offer, Request, Response, ServerConnection, ServerLimits, Slot};
 use mesh::GRANT_HEADER;
@@ -66,7 +66,8 @@
 
 impl Servers {
     /// Takes in a new connection.
-    pub fn accepted(&mut self, id: ConnectionId, kind: ServerKind, now: Millis) {
+    pub fn accepted(&mut self, net: &mut Net, id: ConnectionId, kind: ServerKind, now: Millis) {
+        net.set_use(id, LinkUse::Answers);
         let core = ServerConnection::default();
         let held = Held { kind, core, reading: None, resting_since: now };
         self.connections.insert(id, held);
--- a/crates/sidecar/tests/link_meter.rs
+++ b/crates/sidecar/tests/link_meter.rs
@@ -1,7 +1,7 @@
 //! How much of a machine's link is in use.
 
 use expect_test::expect;
-use sidecar::LinkMeter;
+use sidecar::{LinkChange, LinkMeter, LinkWatch};
 use std::fmt::Write;
 
 /// A second of so many bytes each ten milliseconds, then half a second of rest, on a link of 3.2
@@ -51,3 +51,14 @@
     meter.received(1_000_000, 10);
     assert_eq!(meter.percent(10), 0);
 }
+
+#[test]
+fn a_full_link_is_told_once_and_its_end_once() {
+    let mut watch = LinkWatch::default();
+    let waits = [0, 199, 200, 900, 39, 41, 250, 50, 10, 10];
+    let told: Vec<Option<LinkChange>> =
+        waits.iter().zip(0..).map(|(wait_ms, turn)| watch.note(*wait_ms, turn * 100)).collect();
+    let free = |lasted_ms| Some(LinkChange::Free { lasted_ms });
+    let full = Some(LinkChange::Full);
+    assert_eq!(told, [None, None, full, None, free(200), None, full, None, free(200), None]);
+}
--- a/crates/sidecar/tests/links.rs
+++ b/crates/sidecar/tests/links.rs
@@ -136,7 +136,7 @@
         let port = coordinators[0].port();
         coordinators.extend(hosts[1..].iter().map(|host| Coordinator::listen(*host, port)));
         let seeds = hosts.iter().map(|host| ip(*host)).collect();
-        let net = Net::new(IpAddr::V4(ip(1))).expect("a poll");
+        let net = Net::new(IpAddr::V4(ip(1)), None).expect("a poll");
         let links = Links::new("fleet", port, seeds, record(200, OWN_ZONE), 7);
         let mut world = World { net, links, now: 1_000, events: Vec::new(), coordinators };
         world.until(|world| world.coordinators.iter().all(|held| !held.heard.is_empty()));
