Large answers cross zones for a slow upstream, never for a busy link

Cause: the first form of the rule kept answers whose bytes cost more than the call is worth in the zone even where the upstream there was certain to be late by itself; the check that a call which would be late goes elsewhere did not hold any more.

Change: such an answer stays in the zone if an upstream there is the choice with all links taken as free; waits for links and refusals for them decide among the upstreams here only. A link's percent in use counts outside of the cost now, so that it can be left out.

--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -52,6 +52,17 @@
     pub tried: &'a [UpstreamKey],
 }
 
+/// How the links of upstreams' machines take part in a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Links {
+    /// Their waits are part of the expected time, and full ones bar large answers.
+    Counted,
+    /// The same, of upstreams in the own zone.
+    CountedHere,
+    /// As if they were free.
+    Ignored,
+}
+
 impl Request<'_> {
     /// What its like are answered with, bytes.
     fn answer_bytes(&self) -> f64 {
@@ -253,20 +264,58 @@
         request: &Request<'_>,
         now: Millis,
         random: &mut fastrand::Rng,
+    ) -> Option<UpstreamKey> {
+        let counted = match self.stays_in_zone(track, request, now, random) {
+            true => Links::CountedHere,
+            false => Links::Counted,
+        };
+        self.best_of(track, request, counted, now, random)
+    }
+
+    /// Whether an answer is only asked for in the own zone: it costs too much to be brought from
+    /// another, and that would be done for busy links alone.
+    fn stays_in_zone(
+        &self,
+        track: Track,
+        request: &Request<'_>,
+        now: Millis,
+        random: &mut fastrand::Rng,
+    ) -> bool {
+        if !Distance::Far.is_too_dear(request.answer_bytes()) {
+            return false;
+        }
+        let best = self.best_of(track, request, Links::Ignored, now, random);
+        let held = best.and_then(|key| self.upstreams.get(&key));
+        held.is_some_and(|held| self.locality.distance(&held.record) != Distance::Far)
+    }
+
+    /// The upstream that costs least.
+    fn best_of(
+        &self,
+        track: Track,
+        request: &Request<'_>,
+        links: Links,
+        now: Millis,
+        random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
         let mut best: Option<((bool, f64), UpstreamKey)> = None;
-        let answer_bytes = request.answer_bytes();
-        let stays = self.stays_in_zone(request.service, answer_bytes, now);
         for (key, held) in self.candidates(request.service, random) {
-            let tried = request.tried.contains(key);
+            let distance = self.locality.distance(&held.record);
             let usable = held.track == track && held.is_live();
-            if tried || !usable || held.is_full(request.urgency, now) {
+            if !usable || held.is_full(request.urgency, now) {
                 continue;
             }
-            let distance = self.locality.distance(&held.record);
+            let tried = request.tried.contains(key);
+            let answer_bytes = request.answer_bytes();
             let leaves = distance != Distance::Own && answer_bytes > LARGE_ANSWER_BYTES;
-            let elsewhere = stays && distance.is_too_dear(answer_bytes);
-            if elsewhere || (leaves && held.is_link_full(now)) {
+            let link_full = leaves && held.is_link_full(now);
+            let barred = match links {
+                Links::Counted => tried || link_full,
+                Links::CountedHere => tried || link_full || distance == Distance::Far,
+                // One that refused for its link alone would have been taken.
+                Links::Ignored => tried && !link_full,
+            };
+            if barred {
                 continue;
             }
             let varied = 1.0 + VARIATION * random.f64();
@@ -276,16 +325,20 @@
                     true => held.transfer_ms(request.body_bytes, now),
                     false => 0.0,
                 };
-            let answer_ms = match leaves {
+            let answer_ms = match leaves && links != Links::Ignored {
                 true => {
                     let varied = 1.0 + LINK_VARIATION * (random.f64() - 0.5);
                     held.answer_ms(answer_bytes, expected.work_ms, now) * varied
                 }
                 false => 0.0,
             };
-            let link_ms = transfer_ms + answer_ms;
-            let cost = cost(held, distance, expected, link_ms, request, now);
-            let cost = (held.is_resting(now), cost);
+            // The upstream beside this node needs no link.
+            let in_use = match distance == Distance::Own || links == Links::Ignored {
+                true => 0.0,
+                false => link_cost(held.link_in_use(now)),
+            };
+            let cost = cost(held, distance, expected, transfer_ms + answer_ms, request, now);
+            let cost = (held.is_resting(now), cost + in_use);
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
@@ -295,17 +348,6 @@
         best.map(|(_, key)| key)
     }
 
-    /// Whether a large answer is asked for in the own zone only: it costs too much to be brought
-    /// from another, and there are upstreams here, which may be busy.
-    fn stays_in_zone(&self, service: &str, answer_bytes: f64, now: Millis) -> bool {
-        if !Distance::Far.is_too_dear(answer_bytes) {
-            return false;
-        }
-        let here = |held: &Upstream| self.locality.distance(&held.record) != Distance::Far;
-        let mut usable = self.of_service(service).filter(|(_, held)| held.is_stable());
-        usable.any(|(_, held)| here(held) && !held.is_resting(now))
-    }
-
     fn offers(&self, upstream: &Upstream, body_bytes: usize) -> bool {
         upstream.is_offered(body_bytes, self.locality.link_bytes_per_ms())
     }
@@ -362,10 +404,5 @@
     let late = request.spread.beyond(left_ms / expected.work_ms.max(1.0));
     let time = part * TIME_COST + (part - 1.0).max(0.0) * OVERDUE_COST;
     let failing = (held.failing(now) - FAILING_BORNE).max(0.0) * FAILURE_COST;
-    // The upstream beside this node needs no link.
-    let link = match distance {
-        Distance::Own => 0.0,
-        _ => link_cost(held.link_in_use(now)),
-    };
-    late + time + failing + link + distance.cost(request.moved_bytes)
+    late + time + failing + distance.cost(request.moved_bytes)
 }
