Tenants of one rank take turns at an upstream

Cause: of one rank the queue went by target and arrival, so a tenant that asks for many times its usual had the slots and the queue of a service. Change: start-time fair queueing in the one queue of each upstream: of one rank each tenant has one call a turn, refusals are reckoned by the same order. Without tenants nothing changes. Ruled out: the tenant with the least running first (one that asks for ever has one slot of twelve among 72 tenants); shares dealt by coordinators (as old as their news).

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -9,6 +9,7 @@
 mod health;
 mod pacer;
 mod queue;
+mod shares;
 mod transfers;
 
 pub use egress::{EgressBook, EgressKind, EgressTime, LinkRoom};
@@ -16,6 +17,7 @@
 pub use health::FailureShare;
 pub use pacer::{Pacer, PacerCounts, Piece, SendUrgency};
 pub use queue::{Admission, Decision, JobId, Ticket};
+pub use shares::TenantKey;
 pub use transfers::{Grant, Transfer, TransferId, Transfers};
 
 /// Milliseconds of a monotonic clock.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,5 +1,6 @@
 //! Slots and the short queue in front of them.
 
+use crate::shares::{TenantKey, TenantShares};
 use crate::Millis;
 use std::collections::BTreeMap;
 
@@ -23,7 +24,9 @@
     pub begun: bool,
     /// Order among those waiting; 0 goes first.
     pub rank: u32,
-    /// Target latency of its kind, milliseconds; of one rank, the shorter goes first. Where ids do
+    /// Its tenant; those of one rank take turns.
+    pub tenant: Option<TenantKey>,
+    /// Target latency of its kind, milliseconds; of one turn, the shorter goes first. Where ids do
     /// not tell which calls are begun work, those that others wait for mostly have the shortest.
     pub target_ms: u64,
     /// Longest useful wait, milliseconds.
@@ -49,11 +52,13 @@
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     job: JobId,
+    tenant: Option<TenantKey>,
     latest_start: Millis,
 }
 
-/// Place in the queue: begun work before new, then by rank, target latency and arrival.
-type Place = (bool, u32, u64, u64);
+/// Place in the queue: begun work before new, then by rank, tenants' turn, target latency and
+/// arrival.
+type Place = (bool, u32, u64, u64, u64);
 
 /// Slots of one upstream.
 #[derive(Clone, Debug)]
@@ -61,6 +66,7 @@
     limit: u32,
     running: u32,
     waiting: BTreeMap<Place, Waiting>,
+    shares: TenantShares,
     arrivals: u64,
     service_ms: f64,
     /// Calls refused of late that will come back.
@@ -75,6 +81,7 @@
             limit: limit.max(1),
             running: 0,
             waiting: BTreeMap::new(),
+            shares: TenantShares::default(),
             arrivals: 0,
             service_ms: INITIAL_SERVICE_MS,
             refused: 0.0,
@@ -111,6 +118,9 @@
     pub fn submit(&mut self, ticket: Ticket, now: Millis) -> Decision {
         if self.running < self.limit && self.waiting.is_empty() {
             self.running += 1;
+            let turn = self.shares.turn(ticket.rank, ticket.tenant);
+            self.shares.taken(ticket.rank, ticket.tenant, turn);
+            self.shares.started(ticket.rank, turn);
             return Decision::Run;
         }
         if let Err(retry_after_ms) = self.check_room(ticket, now) {
@@ -119,7 +129,9 @@
         let latest_start = ticket.deadline.min(now + ticket.patience_ms);
         let place = self.place(ticket);
         self.arrivals += 1;
-        self.waiting.insert(place, Waiting { job: ticket.job, latest_start });
+        let Ticket { job, rank, tenant, .. } = ticket;
+        self.shares.taken(rank, tenant, place.2);
+        self.waiting.insert(place, Waiting { job, tenant, latest_start });
         Decision::Wait
     }
 
@@ -138,7 +150,8 @@
     }
 
     fn place(&self, ticket: Ticket) -> Place {
-        (!ticket.begun, ticket.rank, ticket.target_ms, self.arrivals)
+        let turn = self.shares.turn(ticket.rank, ticket.tenant);
+        (!ticket.begun, ticket.rank, turn, ticket.target_ms, self.arrivals)
     }
 
     /// Expected wait of a call with this many in front of it, milliseconds.
@@ -178,30 +191,39 @@
         if self.running >= self.limit {
             return None;
         }
-        let (_, waiting) = self.waiting.pop_first()?;
+        let ((_, rank, turn, ..), waiting) = self.waiting.pop_first()?;
+        self.shares.started(rank, turn);
         self.running += 1;
         Some(waiting.job)
     }
 
     /// Removes a call that waits; false if it does not.
     pub fn cancel(&mut self, job: JobId) -> bool {
-        let before = self.waiting.len();
-        self.waiting.retain(|_, waiting| waiting.job != job);
-        self.waiting.len() < before
+        !self.take_out(|waiting| waiting.job == job).is_empty()
     }
 
     /// Removes the calls that waited as long as they would.
     pub fn expire(&mut self, now: Millis) -> Vec<JobId> {
-        let late = |waiting: &Waiting| waiting.latest_start <= now;
-        let expired = self.waiting.values().filter(|waiting| late(waiting));
-        let expired: Vec<JobId> = expired.map(|waiting| waiting.job).collect();
-        self.waiting.retain(|_, waiting| !late(waiting));
-        expired
+        self.take_out(|waiting| waiting.latest_start <= now)
+    }
+
+    fn take_out(&mut self, goes: impl Fn(&Waiting) -> bool) -> Vec<JobId> {
+        let mut jobs = Vec::new();
+        let shares = &mut self.shares;
+        self.waiting.retain(|(_, rank, ..), waiting| {
+            if !goes(waiting) {
+                return true;
+            }
+            shares.given_up(*rank, waiting.tenant);
+            jobs.push(waiting.job);
+            false
+        });
+        jobs
     }
 
     /// Removes every call that waits.
     pub fn clear(&mut self) -> Vec<JobId> {
-        std::mem::take(&mut self.waiting).into_values().map(|waiting| waiting.job).collect()
+        self.take_out(|_| true)
     }
 
     /// When the next waiting call expires.
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -9,7 +9,8 @@
 }
 
 fn ticket_of(job: u64, rank: u32, target_ms: u64, patience_ms: u64) -> Ticket {
-    Ticket { job, begun: false, rank, target_ms, patience_ms, deadline: 1_000_000 }
+    let (begun, tenant, deadline) = (false, None, 1_000_000);
+    Ticket { job, begun, rank, tenant, target_ms, patience_ms, deadline }
 }
 
 fn full() -> Admission {
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -21,7 +21,7 @@
 use crate::Millis;
 use admission::{
     Admission, Decision, DrainGate, EgressBook, EgressKind, EgressTime, FailureShare, GateState,
-    JobId, LinkRoom, Ticket,
+    JobId, LinkRoom, TenantKey, Ticket,
 };
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
@@ -442,7 +442,8 @@
         let deadline = now + hop.deadline_ms.saturating_sub(waited_ms + offered_ms);
         let HopRequest { begun, rank, target_ms, .. } = *hop;
         let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
-        let ticket = Ticket { job, begun, rank, target_ms, patience_ms, deadline };
+        let tenant = request.headers.get(self.names.tenant).map(TenantKey::of);
+        let ticket = Ticket { job, begun, rank, tenant, target_ms, patience_ms, deadline };
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
             let id = &attempt_id;
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -111,7 +111,9 @@
         let HopRequest { begun, rank, target_ms, .. } = *hop;
         let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
         let deadline = now + hop.deadline_ms.saturating_sub(waited_ms);
-        let ticket = Ticket { job: 0, begun, rank, target_ms, patience_ms, deadline };
+        // Whose it is comes with its head, once it is here.
+        let tenant = None;
+        let ticket = Ticket { job: 0, begun, rank, tenant, target_ms, patience_ms, deadline };
         if let Err(retry_after_ms) = self.admission.check_room(ticket, now) {
             return Some(("no_room", retry_after_ms));
         }
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -440,3 +440,56 @@
         assert_eq!(world.config.tenants().iter().count(), wanted.len(), "{step}");
     }
 }
+
+/// The tenant of each call as it is given to an upstream of two slots, one after the other.
+fn order_at_the_upstream(arrivals: &[&str]) -> Vec<String> {
+    let metrics = JobMetrics::new(&telemetry::Registry::default());
+    let mut jobs = Jobs::new(NAMES, SERVICE, 2_000, None, LogSample::new(1), metrics);
+    let record = mesh::InstanceRecord {
+        id: "i-1".to_owned(),
+        state: mesh::InstanceState::Ready,
+        slots: 2,
+        cold_remaining_ms: 0,
+        version: String::new(),
+    };
+    jobs.gate.told(&record, 1, 0);
+    jobs.refresh_limit();
+    let mut world = World::with_tenants(1);
+    let hop = hop(&world.begin_with_key("/safe/1", KEY)).expect("placed");
+    let hop = mesh::HopRequest { patience_ms: 100_000, deadline_ms: 100_000, ..hop };
+    let mut actions = Vec::new();
+    for (slot, tenant) in (0..).zip(arrivals) {
+        let mut headers = Headers::default();
+        headers.push(NAMES.attempt_id, slot.to_string());
+        if !tenant.is_empty() {
+            headers.push(NAMES.tenant, *tenant);
+        }
+        let (method, target) = ("GET".to_owned(), "/".to_owned());
+        let request = Rc::new(Request { method, target, headers, body: Vec::new() });
+        let source = Source::Peer { connection: world.connection(), slot };
+        actions.extend(jobs.begin(source, request, &hop, 0));
+    }
+    let mut given = Vec::new();
+    while let Some(place) =
+        actions.iter().position(|action| matches!(action, JobAction::Run { .. }))
+    {
+        let JobAction::Run { job, request } = actions.remove(place) else {
+            unreachable!("looked for");
+        };
+        given.push(request.headers.text(NAMES.tenant).unwrap_or("-").to_owned());
+        let response = http1::Response::empty(200).with_header(NAMES.seal, "s");
+        let answer = http1::Answer { response, reusable: true };
+        actions.extend(jobs.ended(job, sidecar::UpstreamEnd::Answered(answer), 1));
+    }
+    given
+}
+
+#[test]
+fn tenants_of_one_rank_take_turns_at_an_upstream() {
+    let hot_first = ["hot", "hot", "hot", "hot", "hot", "small", "small", "", "other"];
+    let expected = ["hot", "hot", "-", "small", "other", "hot", "small", "hot", "hot"];
+    assert_eq!(order_at_the_upstream(&hot_first), expected);
+    let alone = ["hot"; 5];
+    assert_eq!(order_at_the_upstream(&alone), alone);
+    assert_eq!(order_at_the_upstream(&[""; 4]), ["-"; 4]);
+}
