Quotas: pools of leased credits at coordinators, a gate at sidecars

Cause: a tenant's rate and burst must hold over all sidecars in any window of 5 s, in touch or not; most tenants send a few requests a second, so no node can count or hold credit alone. Frames within version 6. Each of these broken variants made its test fail: credits given and not taken out, pools filled at a restart, parts lent to the own zone's coordinator only, a limit lowered late.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 mod link;
 mod member;
 mod poison;
+mod quota;
 mod record;
 mod version;
 
@@ -19,6 +20,7 @@
 pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
 pub use poison::{CrashReport, Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
+pub use quota::{CreditAmount, CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
 pub use record::{
     HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
     UpstreamLoad, USUAL_PACE_PERCENT,
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,8 +1,8 @@
 //! Frames between coordinators and sidecars.
 
 use crate::{
-    HeardNode, NodeAddress, NodeLoad, NodeRecord, PoisonNotice, RegistryEntry, UpstreamLoad,
-    VersionEvidence, VersionPolicy,
+    CreditAmount, CreditAnswer, CreditRequest, HeardNode, NodeAddress, NodeLoad, NodeRecord,
+    PoisonNotice, RegistryEntry, UpstreamLoad, VersionEvidence, VersionPolicy,
 };
 use bundle::{BundleUpdate, Digest};
 use consensus::Message;
@@ -85,6 +85,20 @@
         /// In the order in which they came.
         notices: Vec<PoisonNotice>,
     },
+    /// The sender's pools of credits lack something; answered with what the receiver can spare.
+    CreditPull {
+        /// Sender.
+        member: u64,
+        /// What they lack.
+        lacks: Vec<CreditAmount>,
+    },
+    /// Credits that the sender took out of its pools for the receiver.
+    CreditGift {
+        /// Sender.
+        member: u64,
+        /// One for each tenant that was asked for; nothing where it cannot spare any.
+        gifts: Vec<CreditAmount>,
+    },
 }
 
 /// Frames from a sidecar.
@@ -122,6 +136,8 @@
         /// In the order in which it came.
         notices: Vec<PoisonNotice>,
     },
+    /// Asks for credits of tenants' quotas.
+    Credits(CreditRequest),
 }
 
 /// Frames to a sidecar.
@@ -194,4 +210,6 @@
         /// In the order in which they came.
         notices: Vec<PoisonNotice>,
     },
+    /// Credits of tenants' quotas.
+    Credits(CreditAnswer),
 }
