Calls of tenants wait for a credit or are answered 429 before they cost a hop

Cause: quotas were read and not enforced. Change: Calls asks its gate after the key is known; a call without a credit waits for one answer, goes on with the time it has left, or is answered 429 with the time to come back (503 if no coordinator answered). A call that reached no upstream gives its credit back; a repeat that reaches one again is charged. Coordinators keep the pools beside the registry. Counters, log lines, and the way from a 429 to its cause.

--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -106,6 +106,8 @@
             CoordinatorFrame::Message(_)
             | CoordinatorFrame::Loads { .. }
             | CoordinatorFrame::Poison { .. }
+            | CoordinatorFrame::CreditPull { .. }
+            | CoordinatorFrame::CreditGift { .. }
             | CoordinatorFrame::Join { .. }
             | CoordinatorFrame::Removed { .. } => (None, false),
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod loads;
 mod membership;
+mod quotas;
 mod registry;
 mod registry_loop;
 mod runtime;
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -5,6 +5,7 @@
 use crate::hub::Hub;
 use crate::listener::FrameReader;
 use crate::membership::{Group, KnownConfiguration};
+use crate::quotas::Quotas;
 use crate::Millis;
 use bundle::{best_update, Bundle, BundleUpdate, Digest};
 use mesh::{encode_frame, MemberId, NodeAddress, NodeRecord, ToCoordinator, ToSidecar};
@@ -48,6 +49,7 @@
     group: Arc<Group>,
     clock: Clock,
     canary_policies: CanaryPolicies,
+    quotas: Arc<Quotas>,
     /// The last update made, which many sidecars ask for at once.
     made: Mutex<Option<MadeUpdate>>,
 }
@@ -87,10 +89,11 @@
         group: Arc<Group>,
         clock: Clock,
         canary_policies: CanaryPolicies,
+        quotas: Arc<Quotas>,
     ) -> Self {
         let (zone, started_at) = (zone.to_owned(), clock.now_ms());
         let made = Mutex::new(None);
-        SidecarLink { zone, started_at, hub, group, clock, canary_policies, made }
+        SidecarLink { zone, started_at, hub, group, clock, canary_policies, quotas, made }
     }
 
     /// Serves one sidecar until its connection ends.
@@ -157,6 +160,10 @@
                 ToCoordinator::Poison { notices } => {
                     self.hub.take_poison(notices, true, self.clock.now_ms());
                 }
+                ToCoordinator::Credits(request) => {
+                    let answer = self.quotas.request(node, request);
+                    writer.send(&ToSidecar::Credits(answer))?;
+                }
                 ToCoordinator::Applied { generation } => {
                     info!(%node, generation, "generation_applied");
                 }
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -2,6 +2,7 @@
 
 use crate::link::SidecarLink;
 use crate::membership::Group;
+use crate::quotas::Quotas;
 use crate::registry_loop::RegistryLoop;
 use crate::transport::{prepare, HEARD, HEARD_INTERVAL};
 use mesh::{
@@ -72,6 +73,7 @@
     pub fleet: String,
     pub group: Arc<Group>,
     pub registry_loop: Arc<RegistryLoop>,
+    pub quotas: Arc<Quotas>,
     pub link: Arc<SidecarLink>,
 }
 
@@ -152,6 +154,10 @@
                 | CoordinatorFrame::Heard { .. }
                 | CoordinatorFrame::Loads { .. }
                 | CoordinatorFrame::Poison { .. }) => self.registry_loop.receive(frame),
+                CoordinatorFrame::CreditPull { member, lacks } => {
+                    self.quotas.pulled(member, &lacks)
+                }
+                CoordinatorFrame::CreditGift { member, gifts } => self.quotas.given(member, &gifts),
             }
         }
     }
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -4,8 +4,9 @@
 use crate::hub::Hub;
 use crate::loads::ServiceLoad;
 use crate::membership::Group;
+use crate::quotas::Quotas;
 use crate::transport::Transport;
-use mesh::{CoordinatorFrame, MemberId};
+use mesh::{CoordinatorFrame, MemberId, NodeAddress};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -31,13 +32,20 @@
     group: Arc<Group>,
     transport: Arc<Transport>,
     clock: Clock,
+    quotas: Arc<Quotas>,
     exchange: Mutex<RegistryExchange>,
 }
 
 impl RegistryLoop {
-    pub fn new(hub: Arc<Hub>, group: Arc<Group>, transport: Arc<Transport>, clock: Clock) -> Self {
+    pub fn new(
+        hub: Arc<Hub>,
+        group: Arc<Group>,
+        transport: Arc<Transport>,
+        clock: Clock,
+        quotas: Arc<Quotas>,
+    ) -> Self {
         let exchange = Mutex::new(RegistryExchange::new(group.own));
-        RegistryLoop { hub, group, transport, clock, exchange }
+        RegistryLoop { hub, group, transport, clock, quotas, exchange }
     }
 
     /// Starts the loop.
@@ -51,6 +59,7 @@
                 if summed_at.elapsed() >= SUM_INTERVAL {
                     summed_at = BootInstant::now();
                     registry_loop.log_waiting();
+                    registry_loop.quotas.log_scarce();
                 }
                 thread::sleep(LOOK_INTERVAL);
             }
@@ -70,8 +79,11 @@
         let loads = state.loads.told_since(told.loads);
         let notices = state.poison.told_since(told.poison, now);
         let told = Told { loads: state.loads.position(), poison: state.poison.position() };
+        let listed = state.registry.records().map(|node| (node.address, node.stopping));
+        let listed: Vec<(NodeAddress, bool)> = listed.collect();
         drop(state);
         drop(exchange);
+        self.quotas.look(listed, &peers, now);
         self.send(due);
         if !loads.is_empty() {
             self.send_all(&peers, CoordinatorFrame::Loads { loads });
@@ -103,6 +115,9 @@
             return;
         }
         let now = self.clock.now_ms();
+        if let CoordinatorFrame::RegistryDigest { member, .. } = &frame {
+            self.quotas.heard_peer(*member, now);
+        }
         let frame = match frame {
             CoordinatorFrame::Poison { notices } => {
                 self.hub.take_poison(notices, false, now);
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -9,6 +9,7 @@
 use crate::link::SidecarLink;
 use crate::listener;
 use crate::membership::Group;
+use crate::quotas::Quotas;
 use crate::registry_loop::RegistryLoop;
 use crate::transport::Transport;
 use consensus::{Config, Membership};
@@ -80,9 +81,13 @@
     let group = Arc::new(Group::new(own, replica, transport.clone(), clock, autopilot, seeds));
     let hub = Arc::new(Hub::new(settings.lease_ms));
     let policies = CanaryPolicies::new(settings.canary_exposed_part);
-    let link = SidecarLink::new(&settings.zone, hub.clone(), group.clone(), clock, policies);
+    let quotas = Arc::new(Quotas::new(group.clone(), transport.clone(), clock));
+    let (for_links, of_links) = (hub.clone(), quotas.clone());
+    let link =
+        SidecarLink::new(&settings.zone, for_links, group.clone(), clock, policies, of_links);
     let canary_loop = CanaryLoop::new(hub.clone(), group.clone(), clock, policies);
-    let registry_loop = RegistryLoop::new(hub.clone(), group.clone(), transport, clock);
+    let registry_loop =
+        RegistryLoop::new(hub.clone(), group.clone(), transport, clock, quotas.clone());
     let registry_loop = Arc::new(registry_loop);
     let address = SocketAddrV4::new(settings.ip, settings.mesh_port);
     let listen = TcpListener::bind(address);
@@ -91,6 +96,7 @@
         fleet: settings.fleet.clone(),
         group: group.clone(),
         registry_loop: registry_loop.clone(),
+        quotas,
         link: Arc::new(link),
     };
     listener::spawn(listen, Arc::new(service));
--- a/crates/sidecar/src/call_metrics.rs
+++ b/crates/sidecar/src/call_metrics.rs
@@ -25,6 +25,8 @@
     Quarantined,
     /// Refused because it shows no key of a tenant where one is needed.
     Denied,
+    /// Refused because its tenant sends more than it may.
+    AboveQuota,
     /// No proper answer; it may have run.
     Failed,
     /// Its time was over.
@@ -42,6 +44,7 @@
             Self::HeldBack => "held_back",
             Self::Quarantined => "quarantined",
             Self::Denied => "denied",
+            Self::AboveQuota => "above_quota",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
             Self::Cancelled => "cancelled",
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -51,6 +51,7 @@
         }
         let held_ms = now.saturating_sub(call.arrived);
         if call.arrivals == 0 {
+            self.return_credit(call.holder.as_ref(), now);
             self.counts.refused += 1;
             self.note_outcome(&call, CallOutcome::Refused, now);
             self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
--- a/crates/sidecar/src/calls/keys.rs
+++ b/crates/sidecar/src/calls/keys.rs
@@ -87,7 +87,7 @@
         let never_ran = call.arrivals == 0;
         match change {
             KeyChange::Moved(tenant) if never_ran => {
-                self.move_to(id, tenant);
+                self.move_to(id, tenant, now);
                 None
             }
             KeyChange::Gone { confirmed: true } if never_ran => Some(self.end_without_key(id, now)),
@@ -95,12 +95,14 @@
         }
     }
 
-    fn move_to(&mut self, id: CallId, tenant: Rc<CompiledTenant>) {
+    fn move_to(&mut self, id: CallId, tenant: Rc<CompiledTenant>, now: Millis) {
         let Some(mut call) = self.calls.remove(&id) else {
             return;
         };
         call.rank = combined_rank(tenant.rank, call.route_rank);
         if let Some(holder) = &mut call.holder {
+            self.quota.refund(&holder.tenant, now);
+            self.quota.charge(&tenant, now);
             holder.tenant = tenant;
         }
         self.name_tenant(Rc::make_mut(&mut call.request), call.holder.as_ref());
@@ -117,6 +119,7 @@
             generation = self.keys_checked, held_ms = now.saturating_sub(call.arrived),
             verdict = "not-run", "call_denied"
         );
+        self.return_credit(call.holder.as_ref(), now);
         self.counts.denied += 1;
         self.note_outcome(&call, CallOutcome::Denied, now);
         vec![CallAction::Answer { origin: call.origin, response: Response::empty(DENIED_STATUS) }]
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -4,16 +4,19 @@
 //! when it is decided; it has at most one attempt at a time.
 
 mod call;
+mod credit;
 mod endings;
 mod keys;
 mod placing;
 mod time;
 
 use self::call::Call;
+use self::credit::Credit;
 use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
 use crate::poison::PoisonWatch;
+use crate::quota::{Quota, WaitingCall};
 use crate::tenants::{combined_rank, KeyHolder};
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress};
@@ -172,6 +175,8 @@
     throttle: Throttle,
     pressure: Pressure,
     poison: PoisonWatch,
+    /// Which calls wait for a credit of their tenants.
+    pub quota: Quota,
     random: fastrand::Rng,
     /// Names this process' clock to peers.
     clock: u32,
@@ -204,6 +209,7 @@
             metrics,
             service: service.to_owned(),
             poison: PoisonWatch::new(*locality.own()),
+            quota: Quota::new(sample, seed),
             view: PlacementView::new(locality),
             splits: BTreeMap::new(),
             canaries: CanaryShares::default(),
@@ -232,7 +238,7 @@
 
     /// Calls without a final answer.
     pub fn in_flight(&self) -> usize {
-        self.calls.len()
+        self.calls.len() + self.quota.waiting()
     }
 
     /// When the oldest call without a final answer came.
@@ -261,6 +267,19 @@
         now: Millis,
     ) -> Vec<CallAction> {
         self.counts.begun += 1;
+        let call = WaitingCall { lineage, origin, request, arrived: now };
+        self.begin_with(Credit::Wanted, call, config, now)
+    }
+
+    /// Takes in a call, or goes on with one that waited for a credit.
+    fn begin_with(
+        &mut self,
+        credit: Credit,
+        call: WaitingCall,
+        config: &Config,
+        now: Millis,
+    ) -> Vec<CallAction> {
+        let WaitingCall { lineage, origin, request, arrived } = call;
         let attempt_id = request.headers.text(self.names.attempt_id).unwrap_or("-").to_owned();
         let Some(routing) = config.routing() else {
             // It comes back when there is a configuration, and can still be in time then; one that
@@ -282,6 +301,11 @@
                 return vec![self.deny(origin, &route.name, problem, &request, config, now)];
             }
         };
+        let call = WaitingCall { lineage, origin, request, arrived };
+        let request = match self.take_credit(credit, holder.as_ref(), call, &route.name, now) {
+            Ok(request) => request,
+            Err(answers) => return answers,
+        };
         let Some(service) = self.draw_service(&route.name, &route.targets) else {
             return vec![refusal(origin, UNREADY_RETRY_AFTER_MS)];
         };
@@ -290,6 +314,7 @@
         let urgency = urgency_of(route, holder.as_ref());
         let standing = self.poison.standing(&service, &request, now);
         if let Standing::Quarantined { left_ms } = standing {
+            self.return_credit(holder.as_ref(), now);
             return vec![self.refuse_quarantined(origin, &attempt_id, &route.name, left_ms)];
         }
         // Held back, the run that waits for it would have held its slot in vain.
@@ -299,6 +324,7 @@
         };
         if let Some(held_back) = held_back {
             let HeldBack { reason, part, retry_after_ms } = held_back;
+            self.return_credit(holder.as_ref(), now);
             info!(
                 id = %attempt_id, route = %route.name, %service, reason, part = %format_args!("{part:.2}"),
                 retry_after_ms, verdict = "not-run", "call_refused"
@@ -325,9 +351,9 @@
             track,
             suspect: standing == Standing::Suspect,
             begun: lineage == Lineage::BegunWork,
-            arrived: now,
+            arrived,
             told_ms: told,
-            deadline: now + told.min(timeout),
+            deadline: arrived + told.min(timeout),
             tries: 0,
             arrivals: 0,
             current: None,
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -136,6 +136,9 @@
         if call.arrivals > 0 {
             self.budget.note_repeat(&call.service, call.asked_by(), now);
             self.counts.repeats += 1;
+            if let Some(holder) = &call.holder {
+                self.quota.charge(&holder.tenant, now);
+            }
         }
         if self.sample.takes(&call.attempt_id) {
             info!(
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -29,6 +29,7 @@
         let last = Origin { connection, slot: Slot::MAX };
         let ids: Vec<CallId> = self.by_origin.range(first..=last).map(|(_, id)| *id).collect();
         let mut actions = Vec::new();
+        self.counts.cancelled += self.quota.connection_ended(connection) as u64;
         for id in ids {
             if let Some(call) = self.remove(id) {
                 self.counts.cancelled += 1;
@@ -73,7 +74,7 @@
         retry_after_ms: u64,
         now: Millis,
     ) -> Vec<CallAction> {
-        let mut actions = Vec::new();
+        let mut actions = self.refuse_waiting(retry_after_ms);
         let ids: Vec<CallId> = self.calls.keys().copied().collect();
         for id in ids {
             let Some(call) = self.calls.get_mut(&id) else {
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -5,6 +5,7 @@
 //! and is asked for the content of a new generation.
 
 mod content;
+mod credits;
 mod subscription;
 mod telling;
 
@@ -13,8 +14,8 @@
 use bundle::BundleUpdate;
 use bytes::Buf;
 use mesh::{
-    decode_frame, encode_frame, Greeting, NodeAddress, NodeLoad, NodeRecord, PoisonNotice, Purpose,
-    ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy, PROTOCOL_VERSION,
+    decode_frame, encode_frame, CreditAnswer, Greeting, NodeAddress, NodeLoad, NodeRecord,
+    PoisonNotice, Purpose, ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy, PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -63,6 +64,8 @@
     Loads(Vec<NodeLoad>),
     /// What others know of requests that may crash upstreams.
     Poison(Vec<PoisonNotice>),
+    /// Credits of tenants' quotas.
+    Credits(CreditAnswer),
     /// Nodes may have gone; see [`Links::is_listed`].
     Gone,
     /// Which versions of upstreams may be given calls, newer than what was told before.
@@ -107,6 +110,8 @@
     record: NodeRecord,
     random: fastrand::Rng,
     config_asked: Option<(Ipv4Addr, Millis)>,
+    /// Which coordinator was asked for credits last.
+    credits_asked: Option<Ipv4Addr>,
     welcomed: bool,
     /// When a coordinator was linked though none was before.
     linked_at: Millis,
@@ -137,6 +142,7 @@
             record,
             random: fastrand::Rng::with_seed(seed),
             config_asked: None,
+            credits_asked: None,
             welcomed: false,
             linked_at: 0,
             newest: 0,
@@ -320,6 +326,7 @@
             }
             ToSidecar::Loads { loads } => events.push(LinkEvent::Loads(loads)),
             ToSidecar::Poison { notices } => events.push(LinkEvent::Poison(notices)),
+            ToSidecar::Credits(answer) => events.push(LinkEvent::Credits(answer)),
             ToSidecar::Pong { asked_at, generation } => {
                 events.push(LinkEvent::Newest { asked_at, generation });
             }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::CallCounts;
 use crate::net::SentBytes;
+use ::quota::GateCounts;
 use admission::PacerCounts;
 use telemetry::{Gauge, Registry};
 
@@ -40,6 +41,8 @@
     pub upstreams: (usize, usize),
     /// Tenants of the generation in force.
     pub tenants: usize,
+    /// Calls of tenants with a limit.
+    pub quota: GateCounts,
     /// Requests that are kept from upstreams.
     pub quarantined: usize,
     /// Requests that ran when an upstream ended, and that nothing clears.
@@ -61,7 +64,7 @@
 impl Metrics {
     /// Registers all figures.
     pub fn new(registry: Registry) -> Self {
-        let figures: [Figure; 32] = [
+        let figures: [Figure; 37] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -75,6 +78,11 @@
             ("upstream_queued", "Calls that wait for it", |s| i64::from(s.queued)),
             ("config_generation", "Generation in force", |s| s.generation as i64),
             ("tenants", "Tenants of the generation in force", |s| s.tenants as i64),
+            ("quota_admitted", "Calls with a credit at hand", |s| s.quota.admitted as i64),
+            ("quota_waited", "Calls let on after a wait", |s| s.quota.waited as i64),
+            ("quota_refused", "Calls above their quota", |s| s.quota.refused as i64),
+            ("quota_unanswered", "Calls without an answer", |s| s.quota.unanswered as i64),
+            ("quota_alone", "Calls decided by the own part", |s| s.quota.alone as i64),
             ("nodes", "Nodes known", |s| s.nodes as i64),
             ("connections", "Open connections", |s| s.connections as i64),
             ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -252,6 +252,7 @@
         self.do_work();
         self.acknowledge();
         self.links.tell_poison(&mut self.net, self.poison.take_untold());
+        self.look_at_quotas(now);
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_MS;
             self.keep_house(now);
@@ -262,6 +263,14 @@
         }
     }
 
+    /// Lets on or refuses the calls that waited for a credit, and asks for those that wait now.
+    fn look_at_quotas(&mut self, now: Millis) {
+        let settled = self.calls.settle_quotas(&self.config, now);
+        self.work.extend(settled.into_iter().map(Work::Call));
+        self.do_work();
+        self.links.ask_credits(&mut self.net, self.calls.quota.gate(), now);
+    }
+
     /// Ends what was over when the machine woke, before anything that came meanwhile is answered:
     /// calls past their deadline, links that were silent, loads and confirmations that are old.
     fn note_sleep(&mut self) {
@@ -290,6 +299,7 @@
             self.calls.next_tick(now),
             self.jobs.next_tick(now),
             self.registrar.next_tick(),
+            self.calls.quota.next_tick(),
             Some(self.next_housekeeping),
             self.net.due_in_ms().map(|due_ms| now + due_ms),
         ];
@@ -329,6 +339,7 @@
             confirmed_ms: self.config.currency.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
             tenants: self.config.tenants().iter().count(),
+            quota: self.calls.quota.counts(),
             quarantined,
             suspects,
         };
@@ -362,6 +373,7 @@
                 }
             }
             LinkEvent::Poison(notices) => self.poison.learn(notices, now),
+            LinkEvent::Credits(answer) => self.calls.quota.answered(answer, now),
             LinkEvent::Versions(policies) => {
                 let own = policies.iter().find(|policy| policy.service == self.settings.service);
                 self.jobs.set_policy(own.cloned());
@@ -406,6 +418,7 @@
             self.links.tell_evidence(&mut self.net, evidence);
         }
         self.poison.expire(now);
+        self.calls.quota.keep_house(self.config.tenants().any_limit(), now);
         self.want_config(now);
         if now >= RESTORE_WAIT_MS {
             self.take_waiting_registrations(now);
--- a/crates/sidecar/src/tenants.rs
+++ b/crates/sidecar/src/tenants.rs
@@ -146,6 +146,11 @@
         self.tenants.iter()
     }
 
+    /// Whether any of them has a limit.
+    pub fn any_limit(&self) -> bool {
+        self.tenants.iter().any(|tenant| tenant.rate_milli > 0)
+    }
+
     /// A tenant by its name.
     pub fn get(&self, name: &str) -> Option<&Rc<CompiledTenant>> {
         let place = self.tenants.binary_search_by(|tenant| (*tenant.name).cmp(name)).ok()?;
