A denial names the header that it asks for; that proxies refuse tenants has a test

Cause: a 401 without WWW-Authenticate breaks RFC 9110; the refusal of proxies was in no test's reach. Change: the header names the key's; the reason is a function of its own. Calls of a run are in the table of keys.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,7 +24,7 @@
 pub use chooser::{RelayAddress, RelayChooser};
 pub use refusal::{Refusal, RefusalKind, HOP_HEADER};
 pub use runtime::{
-    load_operator_keys, load_seal_keys, relay_address, run, ProxyError, RunningProxy,
+    load_operator_keys, load_seal_keys, relay_address, run, unsupported, ProxyError, RunningProxy,
 };
 pub use upstream::{
     SendError, SendPolicy, UpstreamAnswer, UpstreamClient, UpstreamRequest, BACKEND_STATE_HEADER,
--- a/crates/proxy/src/runtime.rs
+++ b/crates/proxy/src/runtime.rs
@@ -8,7 +8,7 @@
 use crate::upstream::UpstreamClient;
 use crate::watch::{run_watch, WatchCounters, Watcher};
 use crate::{applied_store, local_backend, observe, server};
-use bundle::{Approval, OperatorKeys, SealKeys};
+use bundle::{Approval, Bundle, OperatorKeys, SealKeys};
 use endpoints::{EndpointKey, EndpointView, LeavingMark};
 use forward::{BalancerIdentity, RoutingTable};
 use rollout::ProxyName;
@@ -146,9 +146,8 @@
     }
 
     fn compile(&self, preparation: &Preparation) -> Result<RoutingTable, String> {
-        // A proxy knows no keys: it would let every caller in, and no tenant would be told.
-        if preparation.bundle.tenants().next().is_some() {
-            return Err("the bundle has tenants, which only sidecars know".to_owned());
+        if let Some(reason) = unsupported(&preparation.bundle) {
+            return Err(reason.to_owned());
         }
         RoutingTable::compile(preparation.generation, &preparation.bundle, &self.seal_keys)
             .map_err(|error| error.to_string())
@@ -161,6 +160,12 @@
     }
 }
 
+/// Why no proxy may put a bundle in force, however right it is.
+pub fn unsupported(bundle: &Bundle) -> Option<&'static str> {
+    // A proxy knows no keys: it would let every caller in, and upstreams would be told no tenant.
+    bundle.tenants().next().map(|_| "the bundle has tenants, which only sidecars know")
+}
+
 impl Watcher for Shared {
     fn put_in_force(
         &self,
--- a/crates/proxy/tests/core.rs
+++ b/crates/proxy/tests/core.rs
@@ -167,3 +167,16 @@
     core.on_reply(list(3, &Endpoint { incarnation: 2, ..live }), 0);
     assert_eq!(core.endpoints().live("fares").count(), 1, "a return is a new incarnation");
 }
+
+#[test]
+fn a_bundle_with_tenants_is_not_put_in_force() {
+    let plain = bundle_with("fares");
+    assert_eq!(proxy::unsupported(&plain), None);
+    let (name, annotation) = ("a".to_owned(), String::new());
+    let (keys, rate_milli, burst, rank) = (vec!["key".to_owned()], 0, 0, None);
+    let tenant = bundle::Tenant { name, keys, rate_milli, burst, rank, annotation };
+    let objects = plain.objects().values().map(|held| held.object.clone());
+    let with_tenant = Bundle::from_objects(objects.chain([Object::Tenant(tenant)]).collect());
+    assert_eq!(with_tenant.check(), Vec::new(), "it is right all the same");
+    assert!(proxy::unsupported(&with_tenant).is_some());
+}
--- a/crates/sidecar/src/calls/keys.rs
+++ b/crates/sidecar/src/calls/keys.rs
@@ -45,7 +45,12 @@
         }
         self.counts.denied += 1;
         self.metrics.note_end(route, CallOutcome::Denied, 0);
-        CallAction::Answer { origin, response: Response::empty(DENIED_STATUS) }
+        CallAction::Answer { origin, response: self.denial() }
+    }
+
+    /// It names what is asked for, as every 401 has to (RFC 9110, section 15.5.2).
+    fn denial(&self) -> Response {
+        Response::empty(DENIED_STATUS).with_header("WWW-Authenticate", self.names.api_key)
     }
 
     /// Takes in that a configuration may be in force since. Calls that wait are looked up again, so
@@ -122,6 +127,6 @@
         self.return_credit(call.holder.as_ref(), now);
         self.counts.denied += 1;
         self.note_outcome(&call, CallOutcome::Denied, now);
-        vec![CallAction::Answer { origin: call.origin, response: Response::empty(DENIED_STATUS) }]
+        vec![CallAction::Answer { origin: call.origin, response: self.denial() }]
     }
 }
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -153,6 +153,35 @@
     .assert_eq(&text);
 }
 
+#[test]
+fn a_denial_names_the_header_that_is_missing() {
+    let actions = World::with_tenants(1).begin("GET", "/safe/1");
+    let [CallAction::Answer { response, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(response.status, 401);
+    assert_eq!(response.headers.text("www-authenticate"), Some(NAMES.api_key));
+}
+
+#[test]
+fn calls_of_a_run_need_no_key_on_keyless_routes_and_carry_no_tenant() {
+    let mut world = World::with_tenants(1);
+    let rows = [(OPEN_PATH, "sent for [] rank 0.1"), ("/safe/1", "401")];
+    for (slot, (path, expected)) in (100..).zip(rows) {
+        let mut headers = Headers::default();
+        headers.push("Host", HOST);
+        headers.push(NAMES.attempt_id, "id.1");
+        headers.push(NAMES.tenant, "a");
+        let (method, target) = ("GET".to_owned(), path.to_owned());
+        let request = Request { method, target, headers, body: Vec::new() };
+        let origin = sidecar::Origin { connection: world.connection(), slot };
+        let (config, now) = (&world.config, world.now);
+        let lineage = sidecar::Lineage::BegunWork;
+        let actions = world.calls.begin_of(lineage, origin, request, config, now);
+        assert_eq!(told(&actions), expected, "{path}");
+    }
+}
+
 #[test]
 fn every_byte_and_every_length_of_a_key_is_borne() {
     let mut world = World::with_tenants(1);
