--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,17 +7,21 @@
 mod egress;
 mod gate;
 mod health;
+mod pace;
 mod pacer;
 mod queue;
 mod shares;
+mod taken;
 mod transfers;
 
 pub use egress::{EgressBook, EgressKind, EgressTime, LinkRoom};
 pub use gate::{DrainGate, GateState};
 pub use health::FailureShare;
+pub use pace::Pace;
 pub use pacer::{Pacer, PacerCounts, Piece, SendUrgency};
 pub use queue::{Admission, Decision, JobId, Ticket};
 pub use shares::TenantKey;
+pub use taken::TakenSlots;
 pub use transfers::{Grant, Transfer, TransferId, Transfers};
 
 /// Milliseconds of a monotonic clock.
--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -5,7 +5,7 @@
 use mesh::{Fingerprint, InstanceRecord, InstanceState, QuarantineEntry};
 use rollout::CanaryRecord;
 use serde::{Deserialize, Serialize};
-use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect};
+use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect, ToldLoad};
 use std::collections::BTreeSet;
 
 /// Header names between callers, sidecars and upstreams.
@@ -75,6 +75,11 @@
         })
     }
 
+    fn read_load(&self, _value: &str) -> Option<ToldLoad> {
+        // The product's own upstreams tell nothing of their load.
+        None
+    }
+
     fn ready_path(&self) -> &'static str {
         READY_PATH
     }
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -29,8 +29,8 @@
     pub at_ms: u64,
 }
 
-/// What the calling sidecar tells the one beside the upstream. As a header value: ten words
-/// separated by blanks; the seventh is `-` for any instance, the last three may be missing.
+/// What the calling sidecar tells the one beside the upstream. As a header value: eleven
+/// words separated by blanks; the seventh is `-` for any instance, the last four may be missing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
     /// Time left for the whole call, milliseconds.
@@ -54,26 +54,45 @@
     pub suspect: bool,
     /// Whether a run that holds a slot elsewhere waits for it: refused, that run was in vain.
     pub begun: bool,
+    /// Whether another upstream had the call before: what its run asks for is asked for once more.
+    pub repeat: bool,
+    /// Whether another upstream has it now: a hedged second try.
+    pub hedge: bool,
+    /// What the call takes at an upstream of usual pace, milliseconds; 0 if that is not known.
+    pub usual_ms: u32,
 }
 
 /// Letters of the last word of a request.
 const SUSPECT: char = 's';
 const BEGUN: char = 'b';
+const REPEAT: char = 'r';
+const HEDGE: char = 'h';
 
 impl HopRequest {
     /// The header value.
     pub fn encode(&self) -> String {
-        let marked = self.suspect || self.begun;
+        let marks = [
+            (self.suspect, SUSPECT),
+            (self.begun, BEGUN),
+            (self.repeat, REPEAT),
+            (self.hedge, HEDGE),
+        ];
+        let mut marks: String =
+            marks.into_iter().filter(|(set, _)| *set).map(|(_, mark)| mark).collect();
+        let marked = !marks.is_empty() || self.usual_ms > 0;
         let mut departure = match self.departure {
             Some(departure) => format!(" {:x} {}", departure.clock, departure.at_ms),
             None if marked => " - -".to_owned(),
             None => String::new(),
         };
+        if self.usual_ms > 0 {
+            let held = if marks.is_empty() { "-" } else { &marks };
+            marks = format!("{held} {}", self.usual_ms);
+        }
         if marked {
             departure.push(' ');
+            departure.push_str(&marks);
         }
-        departure.extend(self.suspect.then_some(SUSPECT));
-        departure.extend(self.begun.then_some(BEGUN));
         format!(
             "{} {} {} {} {} {} {}{departure}",
             self.deadline_ms,
@@ -100,11 +119,18 @@
             departure: decode_departure(words.next(), words.next()),
             suspect: false,
             begun: false,
+            repeat: false,
+            hedge: false,
+            usual_ms: 0,
         };
         let marks = words.next().unwrap_or_default();
+        let usual_ms = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
         Some(HopRequest {
+            usual_ms,
             suspect: marks.contains(SUSPECT),
             begun: marks.contains(BEGUN),
+            repeat: marks.contains(REPEAT),
+            hedge: marks.contains(HEDGE),
             ..request
         })
     }
@@ -130,7 +156,7 @@
 }
 
 /// What the sidecar beside the upstream tells with every answer. As a header value: the outcome
-/// and sixteen numbers or words separated by blanks; the last nine may be missing.
+/// and eighteen numbers or words separated by blanks; the last eleven may be missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// What became of the call.
@@ -169,6 +195,11 @@
     pub egress_bytes_per_ms: u32,
     /// Whether a refusal is for want of room on that link, and not of a slot.
     pub link_full: bool,
+    /// How long work takes at the upstream now, percent of what is usual at its service; 0 if that is
+    /// not known.
+    pub pace_percent: u32,
+    /// What the upstream itself tells of that, percent; 0 if it tells nothing.
+    pub told_pace_percent: u32,
 }
 
 impl HopReply {
@@ -186,7 +217,7 @@
             InstanceState::Left => 'l',
         };
         format!(
-            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {} {} {} {}",
+            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -202,6 +233,8 @@
             self.egress_wait_ms,
             self.egress_bytes_per_ms,
             u8::from(self.link_full),
+            self.pace_percent,
+            self.told_pace_percent
         )
     }
 
@@ -232,6 +265,7 @@
         let quarantine_left_ms = later();
         let (egress_wait_ms, egress_bytes_per_ms) = (later(), later());
         let link_full = later() == 1;
+        let (pace_percent, told_pace_percent) = (later(), later());
         Some(HopReply {
             outcome,
             running,
@@ -250,6 +284,8 @@
             egress_wait_ms,
             egress_bytes_per_ms,
             link_full,
+            pace_percent,
+            told_pace_percent,
         })
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -23,7 +23,7 @@
 pub use quota::{CreditAmount, CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
 pub use record::{
     HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
-    UpstreamLoad, USUAL_PACE_PERCENT,
+    UpstreamLoad,
 };
 pub use version::{
     time_bin, CallClass, CandidateShare, ClassEvidence, ClassOutcomes, Track, VersionEvidence,
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -124,7 +124,7 @@
     pub queued: u8,
     /// Recent time that a call occupies a slot, milliseconds, at most 65,535.
     pub service_ms: u16,
-    /// How long work takes there now, percent of what is usual at its service.
+    /// How long work takes there now, percent of what is usual at its service; 0 if that is not known.
     pub pace_percent: u16,
     /// Part of its machine's link that is in use, percent; 0 if that is not known.
     pub link_percent: u8,
@@ -132,9 +132,6 @@
     pub egress_wait_ms: u16,
 }
 
-/// Pace of an upstream that takes as long as is usual at its service, percent.
-pub const USUAL_PACE_PERCENT: u16 = 100;
-
 impl Default for UpstreamLoad {
     fn default() -> Self {
         Self::new(0, 0, 0)
@@ -150,7 +147,7 @@
             running: cut(running),
             queued: cut(queued),
             service_ms,
-            pace_percent: USUAL_PACE_PERCENT,
+            pace_percent: 0,
             link_percent: 0,
             egress_wait_ms: 0,
         }
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -22,12 +22,14 @@
         egress_wait_ms: 310,
         egress_bytes_per_ms: 1900,
         link_full: true,
+        pace_percent: 0,
+        told_pace_percent: 0,
     }
 }
 
 #[test]
 fn a_reply_is_read_as_it_was_written() {
-    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1"].assert_eq(&reply().encode());
+    expect!["a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1 0 0"].assert_eq(&reply().encode());
     assert_eq!(HopReply::decode(&reply().encode()), Some(reply()));
 }
 
@@ -63,6 +65,9 @@
         departure: Some(Departure { clock: 0xab, at_ms: 77 }),
         suspect: false,
         begun: false,
+        repeat: false,
+        hedge: false,
+        usual_ms: 0,
     }
 }
 
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -12,6 +12,10 @@
 /// wrong moments, and repeats within repeats.
 const USED_PART_OF_RATIO: f64 = 0.75;
 const USED_PART_OF_SLACK: f64 = 0.8;
+/// Part of the fleet's bound that hedged second tries may use. More than a third of the bound is left
+/// to repeats after failures, which save calls that are lost otherwise; with a ratio of 0.2, one call
+/// in twelve may be hedged, which covers the part that is worth a second try.
+const HEDGED_PART: f64 = 0.4;
 const SLICES: u64 = 10;
 
 /// The fleet's bound for each service.
@@ -45,6 +49,8 @@
     index: u64,
     by_callers: Sent,
     by_runs: Sent,
+    /// Those of the repeats that were hedged second tries.
+    hedges: u32,
 }
 
 impl Slice {
@@ -95,6 +101,32 @@
         self.slice(service, now).by(asked_by).repeats += 1;
     }
 
+    /// Notes a hedged second try, which counts as a repeat.
+    pub fn note_hedge(&mut self, service: &str, asked_by: AskedBy, now: Millis) {
+        let slice = self.slice(service, now);
+        slice.by(asked_by).repeats += 1;
+        slice.hedges += 1;
+    }
+
+    /// Whether one more hedged second try fits, on one of `nodes` nodes.
+    pub fn allows_hedge(
+        &mut self,
+        service: &str,
+        asked_by: AskedBy,
+        nodes: usize,
+        now: Millis,
+    ) -> bool {
+        self.slice(service, now);
+        let slices = &self.services[service];
+        let callers = sum(slices.iter().map(|slice| slice.by_callers));
+        let runs = sum(slices.iter().map(|slice| slice.by_runs));
+        let hedges: u32 = slices.iter().map(|slice| slice.hedges).sum();
+        let share = self.bounds.slack / nodes.max(1) as f64;
+        let requests = f64::from(callers.requests + runs.requests);
+        let granted = (requests * self.bounds.ratio + share) * HEDGED_PART;
+        f64::from(hedges) + 1.0 <= granted && self.allows(service, asked_by, nodes, now)
+    }
+
     /// Whether one more repeat fits, on one of `nodes` nodes. Runs may use all that is granted,
     /// callers all but what the requests of runs earned and have not used.
     pub fn allows(&mut self, service: &str, asked_by: AskedBy, nodes: usize, now: Millis) -> bool {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod canary_share;
+mod hedge;
 mod locality;
 mod pressure;
 mod split;
@@ -16,6 +17,7 @@
 
 pub use budget::{AskedBy, BudgetBounds, RetryBudget};
 pub use canary_share::CanaryShares;
+pub use hedge::HedgePlan;
 pub use locality::{Distance, Locality};
 pub use pressure::{CallEnd, Pressure};
 pub use split::WeightedSplit;
--- a/crates/placement/src/spread.rs
+++ b/crates/placement/src/spread.rs
@@ -43,6 +43,18 @@
         self.bins[place(ratio) as usize] += 1.0;
     }
 
+    /// Number of times remembered, older ones weighing less.
+    pub fn seen(&self) -> f64 {
+        f64::from(self.bins.iter().sum::<f32>())
+    }
+
+    /// Least multiple of the usual time beyond which at most this part of times lies, at an edge of a
+    /// bin; `None` if more than that lie beyond all that are told apart.
+    pub fn quantile_beyond(&self, part: f64) -> Option<f64> {
+        let edge = |bin: usize| (bin as f64 / BINS_PER_DOUBLING - DOUBLINGS_BELOW).exp2();
+        (0..=BINS).map(edge).find(|ratio| self.beyond(*ratio) <= part)
+    }
+
     /// Part of times that are longer than `ratio` times the usual, 0 to 1.
     pub fn beyond(&self, ratio: f64) -> f64 {
         if ratio.is_nan() || ratio <= 0.0 {
--- a/crates/placement/src/times.rs
+++ b/crates/placement/src/times.rs
@@ -5,16 +5,19 @@
 
 /// Weight of a new observation.
 const WEIGHT: f64 = 0.05;
-/// Slowest speed that a time is divided by, so that an odd one does not spoil what is usual.
-const LEAST_SPEED: f64 = 0.05;
+/// Least pace that a time is divided by, so that an odd one does not spoil what is usual.
+const LEAST_PACE: f64 = 0.05;
 
 /// One answered call.
 #[derive(Clone, Copy, Debug)]
 pub struct Seen {
     /// Time it spent with its upstream, milliseconds.
     pub spent_ms: f64,
-    /// How long that upstream takes, relative to the others of its service.
-    pub speed: f64,
+    /// How long that upstream takes, relative to what is usual at its service.
+    pub pace: f64,
+    /// What that upstream tells of this itself; 1 if it tells nothing. What is usual is learned by this
+    /// alone: by a pace that is itself learned from what is usual, both would drift.
+    pub told_pace: f64,
     /// Length of its body and of its answer's, bytes.
     pub moved_bytes: f64,
 }
@@ -51,9 +54,18 @@
         self.routes.get(route).map_or(&self.unknown, |usual| &usual.spread)
     }
 
+    /// Takes in a call that was given up after `spent_ms` because another answer came first: it would
+    /// have taken longer, so the part of long times stays what it is.
+    pub fn note_cut(&mut self, route: &str, spent_ms: f64, pace: f64) {
+        let ms = spent_ms / pace.max(LEAST_PACE);
+        if let Some(usual) = self.routes.get_mut(route).filter(|usual| usual.ms > 0.0) {
+            usual.spread.note(ms / usual.ms);
+        }
+    }
+
     /// Takes in an answered call.
     pub fn note(&mut self, route: &str, seen: Seen) {
-        let ms = seen.spent_ms / seen.speed.max(LEAST_SPEED);
+        let ms = seen.spent_ms / seen.told_pace.max(LEAST_PACE);
         let Some(usual) = self.routes.get_mut(route) else {
             let moved_bytes = seen.moved_bytes;
             let first = Usual { ms, moved_bytes, spread: TimeSpread::default() };
@@ -61,7 +73,7 @@
             return;
         };
         if usual.ms > 0.0 {
-            usual.spread.note(ms / usual.ms);
+            usual.spread.note(seen.spent_ms / (usual.ms * seen.pace.max(LEAST_PACE)));
         }
         usual.ms += (ms - usual.ms) * WEIGHT;
         usual.moved_bytes += (seen.moved_bytes - usual.moved_bytes) * WEIGHT;
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -32,6 +32,16 @@
 const SPEED_WEIGHT: f64 = 0.08;
 /// How long an answer proves that an upstream can be reached though no coordinator lists it, ms.
 const PROOF_MS: u64 = 5_000;
+/// How far a told load is off when a call arrives, slots: what changes hands between two tellings at an
+/// upstream of a dozen slots, by the root of some four runs.
+const LOAD_ERROR_SLOTS: f64 = 2.0;
+/// Pace that an upstream is taken to have of which nothing is known, cold or not: that of the quick ones.
+/// One taken for average would be given nothing beside quick ones that are idle, and nobody would learn
+/// how quick it is; a sender has one call with it until something is known.
+const UNTRIED_PACE: f64 = 0.5;
+/// How long a pace that was told is believed, milliseconds: it is told again each 0.8 s, and one word of
+/// three may be lost.
+const PACE_FRESH_MS: u64 = 2_400;
 const SLOWEST: f64 = 30.0;
 const FASTEST: f64 = 0.1;
 /// How much slower a freshly started upstream is taken to be.
@@ -46,8 +56,12 @@
     pub outstanding: u32,
     /// How its version takes part in its service.
     pub track: Track,
-    /// How long it takes, relative to the others of its service.
+    /// How long it takes, relative to the others of its service, as this node learned alone; what the
+    /// sidecar beside it tells goes first, see [`Upstream::pace`].
     pub speed: f64,
+    told_pace: Option<ToldPace>,
+    /// Whether this node learned anything of its speed.
+    timed: bool,
     cold_until: Millis,
     figures: Option<Figures>,
     load_seen: Option<LoadSeen>,
@@ -146,6 +160,13 @@
     }
 }
 
+/// How long work takes there, as the sidecar beside it told.
+#[derive(Clone, Copy, Debug)]
+struct ToldPace {
+    pace: f64,
+    at: Millis,
+}
+
 /// What a call would take at an upstream, milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Expected {
@@ -153,6 +174,8 @@
     pub wait_ms: f64,
     /// From then on, on average.
     pub work_ms: f64,
+    /// Chance that no slot is free when it arrives, 0 to 1.
+    pub full: f64,
 }
 
 /// The longest wait beyond the usual of calls that were given up.
@@ -170,6 +193,8 @@
             outstanding: 0,
             track: Track::Stable,
             speed: 1.0,
+            told_pace: None,
+            timed: false,
             cold_until: 0,
             figures: None,
             load_seen: None,
@@ -201,6 +226,8 @@
         }
         if other_instance {
             self.speed = 1.0;
+            self.told_pace = None;
+            self.timed = false;
         }
         if let Some(instance) = &record.instance {
             self.cold_until = now + u64::from(instance.cold_remaining_ms);
@@ -280,6 +307,26 @@
         told.then_some(if refused { 0.0 } else { free })
     }
 
+    /// How long work takes there now, relative to what is usual at its service: as the sidecar beside it
+    /// tells, which sees all of its runs, else as this node learned.
+    pub fn pace(&self, now: Millis) -> f64 {
+        if let Some(told) = self.told_pace.filter(|told| now < told.at + PACE_FRESH_MS) {
+            return told.pace;
+        }
+        if !self.timed && self.outstanding == 0 {
+            return UNTRIED_PACE;
+        }
+        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
+        self.speed * cold
+    }
+
+    fn note_pace(&mut self, percent: u32, now: Millis) {
+        if percent > 0 {
+            let pace = (f64::from(percent) / 100.0).clamp(FASTEST, SLOWEST);
+            self.told_pace = Some(ToldPace { pace, at: now });
+        }
+    }
+
     /// Takes in how busy it was a moment ago, as the sidecar beside it told through coordinators.
     pub fn note_load(&mut self, load: UpstreamLoad, now: Millis) {
         self.load_told_at = Some(now);
@@ -287,6 +334,7 @@
         let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
         if !self.load_seen.is_some_and(newer) {
             self.see_load(load.all(), f64::from(load.service_ms), false, now);
+            self.note_pace(u32::from(load.pace_percent), now);
         }
     }
 
@@ -298,14 +346,14 @@
     /// What a call sent now would take here; `usual_ms` is what it takes at an upstream of average
     /// speed.
     pub(crate) fn expected(&self, usual_ms: f64, now: Millis) -> Expected {
-        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
-        let work_ms = usual_ms * self.speed * cold;
+        let work_ms = usual_ms * self.pace(now);
         let limit = f64::from(self.limit());
         let ahead = self.load(now) - limit + 1.0;
         let told = self.load_seen.map(|seen| seen.service_ms);
         let each = told.filter(|told| *told > 0.0).unwrap_or(work_ms);
         let wait_ms = if ahead > 0.0 { ahead * each / limit } else { 0.0 };
-        Expected { wait_ms, work_ms }
+        let full = 1.0 / (1.0 + (-ahead / LOAD_ERROR_SLOTS).exp());
+        Expected { wait_ms, work_ms, full }
     }
 
     /// Notes that a call was given up after it had waited for so much longer than usual,
@@ -371,6 +419,7 @@
         self.see_load(reply.running + reply.queued, service_ms, true, now);
         self.link.tell(f64::from(reply.egress_wait_ms), now);
         self.link.bytes_per_ms = f64::from(reply.egress_bytes_per_ms);
+        self.note_pace(reply.pace_percent, now);
         self.silence = Silence::default();
         self.answered_at = Some(now);
     }
@@ -381,6 +430,7 @@
             return;
         }
         let seen = (spent_ms / usual_ms).clamp(FASTEST, SLOWEST);
+        self.timed = true;
         self.speed += (seen - self.speed) * SPEED_WEIGHT;
     }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -12,6 +12,10 @@
 /// What a failed call costs, where one is an answer that is certainly late. All upstreams of a
 /// service that fails alike pay the same, so only those that fail more than others are avoided.
 const FAILURE_COST: f64 = 1.0;
+/// What it costs to find no slot free: the call waits or is refused, and few more upstreams are asked.
+/// Without it all senders go to the quickest upstreams by loads some tenths of a second old, and
+/// their calls are refused there while slower ones are idle.
+const FULL_COST: f64 = 0.1;
 /// Weight of the expected time itself, so that of equal risks the faster is taken.
 const TIME_COST: f64 = 0.03;
 /// What each part of the time left costs by which an answer is expected to come too late: where all
@@ -28,6 +32,10 @@
 /// forty each, so all of one are looked at, and the time a choice takes is bounded all the same.
 const MOST_CANDIDATES: usize = 64;
 
+/// Slots that an upstream must have free, by what it told, to be taken for idle: one may be taken by a
+/// call that is on its way, since loads are some tenths of a second old.
+const IDLE_SLOTS: f64 = 2.0;
+
 /// What a choice depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -250,59 +258,73 @@
         now: Millis,
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
-        let chosen = self.choose_of(request.track, request, now, random);
+        let chosen =
+            self.choose_of(&Wanted { track: request.track, fits: any, request }, now, random);
         if chosen.is_some() || request.track == Track::Stable {
             return chosen;
         }
-        self.choose_of(Track::Stable, request, now, random)
+        self.choose_of(&Wanted { track: Track::Stable, fits: any, request }, now, random)
     }
 
-    /// The upstream of one track that should have a call.
-    fn choose_of(
+    /// The upstream that should have a second try of a call: one in use, that does not rest and has an
+    /// idle slot for all that is known.
+    pub fn choose_idle(
         &self,
-        track: Track,
         request: &Request<'_>,
         now: Millis,
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
-        let counted = match self.stays_in_zone(track, request, now, random) {
+        let idle = |held: &Upstream| {
+            let free = held.free_slots(now).is_some_and(|free| free >= IDLE_SLOTS);
+            free && !held.is_resting(now)
+        };
+        self.choose_of(&Wanted { track: Track::Stable, fits: idle, request }, now, random)
+    }
+
+    /// The one of the upstreams wanted that should have a call.
+    fn choose_of<F: Fn(&Upstream) -> bool>(
+        &self,
+        wanted: &Wanted<'_, F>,
+        now: Millis,
+        random: &mut fastrand::Rng,
+    ) -> Option<UpstreamKey> {
+        let counted = match self.stays_in_zone(wanted, now, random) {
             true => Links::CountedHere,
             false => Links::Counted,
         };
-        self.best_of(track, request, counted, now, random)
+        self.best_of(wanted, counted, now, random)
     }
 
     /// Whether an answer is only asked for in the own zone: it costs too much to be brought from
     /// another, and that would be done for busy links alone.
-    fn stays_in_zone(
+    fn stays_in_zone<F: Fn(&Upstream) -> bool>(
         &self,
-        track: Track,
-        request: &Request<'_>,
+        wanted: &Wanted<'_, F>,
         now: Millis,
         random: &mut fastrand::Rng,
     ) -> bool {
-        if !Distance::Far.is_too_dear(request.answer_bytes()) {
+        if !Distance::Far.is_too_dear(wanted.request.answer_bytes()) {
             return false;
         }
-        let best = self.best_of(track, request, Links::Ignored, now, random);
+        let best = self.best_of(wanted, Links::Ignored, now, random);
         let held = best.and_then(|key| self.upstreams.get(&key));
         held.is_some_and(|held| self.locality.distance(&held.record) != Distance::Far)
     }
 
     /// The upstream that costs least.
-    fn best_of(
+    fn best_of<F: Fn(&Upstream) -> bool>(
         &self,
-        track: Track,
-        request: &Request<'_>,
+        wanted: &Wanted<'_, F>,
         links: Links,
         now: Millis,
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
+        let Wanted { track, ref fits, request } = *wanted;
         let mut best: Option<((bool, f64), UpstreamKey)> = None;
         for (key, held) in self.candidates(request.service, random) {
             let distance = self.locality.distance(&held.record);
             let usable = held.track == track && held.is_live();
-            if !usable || held.is_full(request.urgency, now) {
+            if !usable || held.is_full(request.urgency, now) || !fits(held) {
                 continue;
             }
             let tried = request.tried.contains(key);
@@ -376,6 +398,18 @@
     }
 }
 
+/// Which upstreams a choice is made among, and for what.
+struct Wanted<'a, F> {
+    track: Track,
+    fits: F,
+    request: &'a Request<'a>,
+}
+
+/// Fits every upstream.
+fn any(_: &Upstream) -> bool {
+    true
+}
+
 fn remove_from_index(
     by_service: &mut BTreeMap<Rc<str>, Vec<UpstreamKey>>,
     service: &str,
@@ -404,5 +438,6 @@
     let late = request.spread.beyond(left_ms / expected.work_ms.max(1.0));
     let time = part * TIME_COST + (part - 1.0).max(0.0) * OVERDUE_COST;
     let failing = (held.failing(now) - FAILING_BORNE).max(0.0) * FAILURE_COST;
-    late + time + failing + distance.cost(request.moved_bytes)
+    let full = expected.full * FULL_COST;
+    late + time + full + failing + distance.cost(request.moved_bytes)
 }
--- a/crates/placement/tests/egress.rs
+++ b/crates/placement/tests/egress.rs
@@ -52,6 +52,8 @@
         transfer_bytes_per_ms: 0,
         upstream_ended: false,
         quarantine_left_ms: 0,
+        pace_percent: 0,
+        told_pace_percent: 0,
         egress_wait_ms,
         egress_bytes_per_ms: LINK_BYTES_PER_MS,
         link_full: false,
--- /dev/null
+++ b/crates/placement/tests/hedge.rs
@@ -0,0 +1,123 @@
+//! When a second try of a call pays, and how many are sent.
+
+use expect_test::expect;
+use placement::{AskedBy, BudgetBounds, HedgePlan, RetryBudget, TimeSpread};
+use std::fmt::Write;
+
+const SERVICE: &str = "fares";
+
+/// Work of which one in `every` takes seven times as long, and the others up to a third more or less.
+fn tailed(every: u32, times: u32) -> TimeSpread {
+    let mut random = fastrand::Rng::with_seed(5);
+    let mut spread = TimeSpread::default();
+    for number in 0..times {
+        let factor = if number % every == 7 % every { 7.0 } else { 1.0 };
+        spread.note(factor * (0.6 + 0.6 * random.f64()));
+    }
+    spread
+}
+
+#[test]
+fn a_second_try_is_sent_when_the_first_is_likely_of_the_tail() {
+    let mut seen = String::new();
+    type Row = (&'static str, f64, f64, f64, f64, u32, u32);
+    let rows: [Row; 10] = [
+        ("target of three times the usual", 200.0, 1.0, 600.0, 1_500.0, 30, 1_000),
+        ("at a quick upstream", 200.0, 0.6, 600.0, 1_500.0, 30, 1_000),
+        ("at a slow upstream", 200.0, 1.6, 600.0, 1_500.0, 30, 1_000),
+        ("no time for a second", 200.0, 1.0, 250.0, 250.0, 30, 1_000),
+        ("only the deadline can be met", 200.0, 1.0, 250.0, 1_200.0, 30, 1_000),
+        ("all the time there is", 200.0, 1.0, 4_000.0, 8_000.0, 30, 1_000),
+        ("a tail of one in a thousand", 200.0, 1.0, 600.0, 1_500.0, 2_000, 1_000),
+        ("nothing was seen", 200.0, 1.0, 600.0, 1_500.0, 30, 0),
+        ("little was seen", 200.0, 1.0, 600.0, 1_500.0, 8, 18),
+        ("nothing is usual", 0.0, 1.0, 600.0, 1_500.0, 30, 1_000),
+    ];
+    for (name, usual_ms, pace, target_ms, deadline_ms, every, times) in rows {
+        let spread = tailed(every, times);
+        let plan = HedgePlan { usual_ms, pace, spread: &spread, target_ms, deadline_ms };
+        let delay = plan.delay_ms().map(|ms| ms.round());
+        writeln!(seen, "{name}: {delay:?}").expect("text");
+    }
+    expect![[r#"
+        target of three times the usual: Some(238.0)
+        at a quick upstream: Some(143.0)
+        at a slow upstream: Some(381.0)
+        no time for a second: None
+        only the deadline can be met: Some(238.0)
+        all the time there is: Some(3200.0)
+        a tail of one in a thousand: Some(476.0)
+        nothing was seen: None
+        little was seen: None
+        nothing is usual: None
+    "#]]
+    .assert_eq(&seen);
+}
+
+#[test]
+fn a_plan_of_odd_figures_is_none_or_lies_before_the_deadline() {
+    let spread = tailed(30, 500);
+    let odd = [0.0, -1.0, f64::NAN, f64::INFINITY, 1e-300, 1e300, 1.0, 500.0];
+    for usual_ms in odd {
+        for pace in odd {
+            for target_ms in odd {
+                for deadline_ms in [0.0, 1.0, 900.0, 7_200_000.0] {
+                    let plan =
+                        HedgePlan { usual_ms, pace, spread: &spread, target_ms, deadline_ms };
+                    if let Some(delay_ms) = plan.delay_ms() {
+                        assert!((0.0..deadline_ms).contains(&delay_ms), "{plan:?}: {delay_ms}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn second_tries_leave_room_for_repeats_after_failures() {
+    let bounds = BudgetBounds { ratio: 0.2, slack: 160.0, window_ms: 10_000 };
+    let mut seen = String::new();
+    for (nodes, requests) in [(60, 0), (60, 100), (60, 1_000), (1, 100)] {
+        let mut budget = RetryBudget::new(bounds);
+        for _ in 0..requests {
+            budget.note_request(SERVICE, AskedBy::Caller, 0);
+        }
+        let mut hedges = 0;
+        while budget.allows_hedge(SERVICE, AskedBy::Caller, nodes, 0) {
+            budget.note_hedge(SERVICE, AskedBy::Caller, 0);
+            hedges += 1;
+        }
+        let mut repeats = 0;
+        while budget.allows(SERVICE, AskedBy::Caller, nodes, 0) {
+            budget.note_repeat(SERVICE, AskedBy::Caller, 0);
+            repeats += 1;
+        }
+        writeln!(seen, "{nodes} nodes, {requests}: {hedges} hedges and {repeats} repeats")
+            .expect("text");
+        assert!(
+            !budget.allows_hedge(SERVICE, AskedBy::Caller, nodes, 9_999),
+            "beyond the bound of all"
+        );
+    }
+    expect![[r#"
+        60 nodes, 0: 1 hedges and 1 repeats
+        60 nodes, 100: 9 hedges and 8 repeats
+        60 nodes, 1000: 81 hedges and 71 repeats
+        1 nodes, 100: 72 hedges and 71 repeats
+    "#]]
+    .assert_eq(&seen);
+}
+
+#[test]
+fn repeats_after_failures_take_the_room_of_second_tries() {
+    let bounds = BudgetBounds { ratio: 0.2, slack: 0.0, window_ms: 10_000 };
+    let mut budget = RetryBudget::new(bounds);
+    for _ in 0..100 {
+        budget.note_request(SERVICE, AskedBy::Caller, 0);
+    }
+    assert!(budget.allows_hedge(SERVICE, AskedBy::Caller, 1, 0));
+    for _ in 0..15 {
+        budget.note_repeat(SERVICE, AskedBy::Caller, 0);
+    }
+    assert!(!budget.allows_hedge(SERVICE, AskedBy::Caller, 1, 0));
+}
--- a/crates/placement/tests/spread.rs
+++ b/crates/placement/tests/spread.rs
@@ -78,11 +78,14 @@
 fn a_route_is_known_by_its_own_calls() {
     let mut times = ClassTimes::default();
     assert_eq!(times.usual_ms("quotes"), None);
-    // A clock that stands still between two looks, and an upstream of no speed, spoil nothing.
-    for (spent_ms, speed) in [(0.0, 1.0), (100.0, 1.0), (200.0, 2.0), (50.0, 0.0)] {
-        times.note("quotes", Seen { spent_ms, speed, moved_bytes: 1_500.0 });
+    // A clock that stands still between two looks, and an upstream of no pace, spoil nothing.
+    for (spent_ms, pace) in [(0.0, 1.0), (100.0, 1.0), (200.0, 2.0), (50.0, 0.0)] {
+        times.note("quotes", Seen { spent_ms, pace, told_pace: pace, moved_bytes: 1_500.0 });
     }
-    times.note("uploads", Seen { spent_ms: 300.0, speed: 1.5, moved_bytes: 60_000.0 });
+    times.note(
+        "uploads",
+        Seen { spent_ms: 300.0, pace: 1.5, told_pace: 1.5, moved_bytes: 60_000.0 },
+    );
     let known = |route| (times.usual_ms(route), times.moved_bytes(route));
     expect!["(Some(59.2625), Some(1500.0)) (Some(200.0), Some(60000.0))"].assert_eq(&format!(
         "{:?} {:?}",
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -52,6 +52,8 @@
         egress_wait_ms: 0,
         egress_bytes_per_ms: 0,
         link_full: false,
+        pace_percent: 0,
+        told_pace_percent: 0,
     }
 }
 
@@ -232,7 +234,10 @@
 /// The upstream that calls of a kind go to, of one in the zone at the given speed and one elsewhere.
 fn chosen_at_speed(speed: f64, spread: &TimeSpread, moved_bytes: f64) -> u8 {
     let mut view = view(&[(1, "a"), (2, "b")]);
-    view.get_mut(&address(1)).expect("there").speed = speed;
+    for (host, speed) in [(1, speed), (2, 1.0)] {
+        let load = UpstreamLoad::new(0, 0, 100).with_pace((speed * 100.0) as u32);
+        view.note_load(&address(host), load, 0);
+    }
     let request = Request {
         service: SERVICE,
         track: Track::Stable,
@@ -357,3 +362,140 @@
     assert!(!view.is_offered(&address(1), 1_000_000));
     assert!(!view.is_offered(&address(9), 1_000_000), "nor for one that is not known");
 }
+
+/// The view of two upstreams whose paces were told at 0, percent.
+fn paced(first: u32, second: u32) -> PlacementView {
+    let mut view = view(&[(1, "a"), (2, "a")]);
+    for (host, percent) in [(1, first), (2, second)] {
+        view.note_load(&address(host), UpstreamLoad::new(0, 0, 100).with_pace(percent), 0);
+    }
+    view
+}
+
+#[test]
+fn the_pace_that_is_told_goes_before_what_one_sender_learned() {
+    let mut view = paced(160, 60);
+    let first = view.get_mut(&address(1)).expect("there");
+    for _ in 0..100 {
+        first.note_time(50.0, 100.0);
+    }
+    assert_eq!(first.pace(0), 1.6);
+    assert_eq!(choose(&view, &[], 0), Some(2));
+    // A neighbour slows the other: told with the next load, known to all senders at once.
+    view.note_load(&address(2), UpstreamLoad::new(0, 0, 100).with_pace(300), 600);
+    assert_eq!(choose(&view, &[], 600), Some(1));
+    view.note_load(&address(2), UpstreamLoad::new(0, 0, 100).with_pace(60), 1_200);
+    assert_eq!(choose(&view, &[], 1_200), Some(2));
+    // What nobody repeats is not believed for ever; what this sender learned is left.
+    let pace = |view: &PlacementView, at| view.get(&address(1)).expect("there").pace(at);
+    assert_eq!(pace(&view, 2_399), 1.6);
+    assert!((pace(&view, 2_400) - 0.5).abs() < 0.01, "{}", pace(&view, 2_400));
+}
+
+#[test]
+fn paces_that_cannot_be_are_bounded_and_none_changes_nothing() {
+    for (percent, expected) in [(0, 1.4), (1, 0.1), (65_535, 30.0)] {
+        let mut view = paced(140, 100);
+        view.note_load(&address(1), UpstreamLoad::new(0, 0, 100).with_pace(percent), 10);
+        assert_eq!(view.get(&address(1)).expect("there").pace(10), expected, "{percent}");
+    }
+}
+
+#[test]
+fn another_incarnation_is_not_taken_for_as_quick_as_the_former() {
+    let mut view = paced(30, 100);
+    let mut other = record(1, "a", InstanceState::Ready);
+    other.sequence = 9;
+    other.instance.as_mut().expect("there").id = "i-other".to_owned();
+    view.update(other, 10);
+    let upstream = view.get_mut(&address(1)).expect("there");
+    assert_eq!(upstream.pace(10), 0.5, "nothing is known of it, so it is tried");
+    upstream.outstanding = 1;
+    assert_eq!(upstream.pace(10), 1.0, "by one call");
+    upstream.note_time(300.0, 100.0);
+    upstream.outstanding = 0;
+    assert!(upstream.pace(10) > 1.0);
+}
+
+#[test]
+fn a_second_try_goes_only_where_a_slot_is_idle() {
+    type Row = (&'static str, fn(&mut PlacementView), Option<u8>);
+    let rows: [Row; 6] = [
+        ("all idle", |_| {}, Some(2)),
+        (
+            "one slot free",
+            |view| view.note_load(&address(2), UpstreamLoad::new(1, 0, 100), 0),
+            None,
+        ),
+        ("full", |view| view.note_load(&address(2), UpstreamLoad::new(2, 4, 100), 0), None),
+        ("rests", |view| view.get_mut(&address(2)).expect("there").note_failure(0), None),
+        (
+            "refused a like call",
+            |view| {
+                view.get_mut(&address(2)).expect("there").note_full(URGENCY, 100, 0);
+            },
+            None,
+        ),
+        (
+            "own calls fill it",
+            |view| view.get_mut(&address(2)).expect("there").outstanding = 1,
+            None,
+        ),
+    ];
+    for (name, change, expected) in rows {
+        let mut view = paced(100, 100);
+        change(&mut view);
+        let spread = TimeSpread::default();
+        let tried = [address(1)];
+        let request = Request {
+            service: SERVICE,
+            track: Track::Stable,
+            urgency: URGENCY,
+            usual_ms: 100.0,
+            spread: &spread,
+            moved_bytes: 100.0,
+            target_ms: 400.0,
+            body_bytes: 0,
+            tried: &tried,
+        };
+        let mut random = fastrand::Rng::with_seed(1);
+        let chosen = view.choose_idle(&request, 10, &mut random);
+        assert_eq!(chosen.map(|key| key.ip.octets()[3]), expected, "{name}");
+    }
+    // Nothing was heard of its load.
+    let silent = view(&[(2, "a")]);
+    let spread = TimeSpread::default();
+    let request = Request {
+        service: SERVICE,
+        track: Track::Stable,
+        urgency: URGENCY,
+        usual_ms: 100.0,
+        spread: &spread,
+        moved_bytes: 100.0,
+        target_ms: 400.0,
+        body_bytes: 0,
+        tried: &[],
+    };
+    assert_eq!(silent.choose_idle(&request, 10, &mut fastrand::Rng::with_seed(1)), None);
+}
+
+#[test]
+fn a_quick_upstream_without_a_free_slot_is_left_to_those_that_have_no_other() {
+    let mut seen = String::new();
+    // Slots of the quick one in use, of two; the slower one is idle.
+    for pace in [105, 140, 200] {
+        let chosen = [0, 1, 2, 4].map(|running| {
+            let mut view = paced(60, pace);
+            let load = UpstreamLoad::new(running, 0, 100).with_pace(60);
+            view.note_load(&address(1), load, 0);
+            choose(&view, &[], 0).expect("two are live")
+        });
+        writeln!(seen, "{pace}: {chosen:?}").expect("text");
+    }
+    expect![[r#"
+        105: [1, 2, 2, 2]
+        140: [1, 2, 2, 2]
+        200: [1, 1, 2, 2]
+    "#]]
+    .assert_eq(&seen);
+}
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -59,12 +59,20 @@
     /// full. 0 if it is not known.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Whether a repeatable call that takes longer than nearly all of its like is also sent to a second
+    /// upstream that has an idle slot, within the bound on repeats.
+    #[serde(default = "default_hedging")]
+    pub hedging: bool,
     /// One of so many calls has every step logged, the same ones on all nodes; refusals and
     /// failures are always logged.
     #[serde(default = "default_log_sample")]
     pub log_sample: u64,
 }
 
+fn default_hedging() -> bool {
+    true
+}
+
 fn default_log_sample() -> u64 {
     16
 }
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -40,6 +40,10 @@
     pub tries: u32,
     pub arrivals: u32,
     pub current: Option<Try>,
+    /// A second try beside the current one.
+    pub hedge: Option<Try>,
+    /// When it is looked at whether a second try pays.
+    pub hedge_at: Option<Millis>,
     pub tried: Vec<NodeAddress>,
     /// What each try came to, for the log of a failure.
     pub trail: Vec<Step>,
@@ -57,6 +61,23 @@
         }
     }
 
+    /// Takes out a try that ended; the other one, if there is one, is the current one from then on.
+    pub fn take_try(&mut self, attempt: Attempt) -> Option<Try> {
+        let is_it = |held: &Option<Try>| held.is_some_and(|held| held.attempt == attempt);
+        if is_it(&self.hedge) {
+            return self.hedge.take();
+        }
+        if !is_it(&self.current) {
+            return None;
+        }
+        std::mem::replace(&mut self.current, self.hedge.take())
+    }
+
+    /// Its tries without an end.
+    pub fn under_way(&self) -> impl Iterator<Item = Try> {
+        self.current.into_iter().chain(self.hedge)
+    }
+
     /// Its place among those that wait for an upstream.
     pub fn urgency(&self) -> Urgency {
         match self.begun {
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -1,6 +1,6 @@
 //! How tries end, and what follows: another try, or the final answer.
 
-use super::call::{outcome_word, trail, Step, Try};
+use super::call::{outcome_word, trail, Call, Step, Try};
 use super::{
     refusal, Attempt, AttemptEnd, CallAction, CallId, Calls, NO_UPSTREAM_WAIT_MS,
     SHORTEST_RETRY_AFTER_MS,
@@ -44,10 +44,17 @@
         let Some(call) = self.remove(id) else {
             return Vec::new();
         };
+        let mut actions = self.abort(&call);
+        actions.push(self.last_word(call, retry_after_ms, now));
+        actions
+    }
+
+    /// What the caller is told in the end.
+    fn last_word(&mut self, call: Call, retry_after_ms: u64, now: Millis) -> CallAction {
         if let Some(response) = call.fallback.clone() {
             self.counts.answered += 1;
             self.note_outcome(&call, CallOutcome::UpstreamFailed, now);
-            return vec![CallAction::Answer { origin: call.origin, response }];
+            return CallAction::Answer { origin: call.origin, response };
         }
         let held_ms = now.saturating_sub(call.arrived);
         if call.arrivals == 0 {
@@ -60,7 +67,7 @@
                 tries = call.tries, retry_after_ms, held_ms, trail = %trail(&call.trail),
                 verdict = "not-run", "call_refused"
             );
-            return vec![refusal(call.origin, retry_after_ms)];
+            return refusal(call.origin, retry_after_ms);
         }
         self.counts.failed += 1;
         self.note_outcome(&call, CallOutcome::Failed, now);
@@ -70,21 +77,18 @@
             verdict = "may-have-run",
             "call_failed"
         );
-        vec![CallAction::Answer { origin: call.origin, response: Response::empty(502) }]
+        CallAction::Answer { origin: call.origin, response: Response::empty(502) }
     }
 
     /// Takes in how a try ended; late news of a try that was given up change nothing.
     pub fn ended(&mut self, attempt: Attempt, end: AttemptEnd, now: Millis) -> Vec<CallAction> {
-        let current = self.calls.get(&attempt.call).and_then(|call| call.current);
-        let Some(Try { to, .. }) = current.filter(|held| held.attempt == attempt) else {
+        let call = self.calls.get_mut(&attempt.call);
+        let Some(Try { to, .. }) = call.and_then(|call| call.take_try(attempt)) else {
             return Vec::new();
         };
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.outstanding = upstream.outstanding.saturating_sub(1);
         }
-        if let Some(call) = self.calls.get_mut(&attempt.call) {
-            call.current = None;
-        }
         self.note_step(attempt.call, to, &end, now);
         match end {
             AttemptEnd::NotSent => {
@@ -172,8 +176,12 @@
                     self.metrics.note_added(elapsed.saturating_sub(u64::from(reply.spent_ms)));
                     upstream.note_success();
                     upstream.note_time(f64::from(reply.spent_ms), usual_ms);
-                    let (spent_ms, speed) = (f64::from(reply.spent_ms), upstream.speed);
-                    self.times.note(&route, Seen { spent_ms, speed, moved_bytes });
+                    let (spent_ms, pace) = (f64::from(reply.spent_ms), upstream.pace(now));
+                    let told_pace = match reply.told_pace_percent {
+                        0 => 1.0,
+                        percent => f64::from(percent) / 100.0,
+                    };
+                    self.times.note(&route, Seen { spent_ms, pace, told_pace, moved_bytes });
                 }
                 HopOutcome::Answered => upstream.note_success(),
                 HopOutcome::Refused if reply.link_full => {
@@ -192,7 +200,11 @@
         match reply.outcome {
             HopOutcome::Answered => {
                 self.note_arrival(id);
-                self.answered(id, response, now)
+                self.answered(attempt, response, now)
+            }
+            HopOutcome::Refused if self.is_under_way(id) => {
+                self.refused_beside_another(id, reply, now);
+                Vec::new()
             }
             HopOutcome::Refused if reply.quarantine_left_ms > 0 => {
                 self.kept_away(id, u64::from(reply.quarantine_left_ms), now)
@@ -207,6 +219,17 @@
         }
     }
 
+    /// One of two tries did not run. If that is because the call crashes upstreams, what the other
+    /// comes to is its end.
+    fn refused_beside_another(&mut self, id: CallId, reply: HopReply, now: Millis) {
+        let left_ms = u64::from(reply.quarantine_left_ms);
+        let Some(call) = self.calls.get_mut(&id).filter(|_| left_ms > 0) else {
+            return;
+        };
+        call.most_arrivals = call.arrivals;
+        self.poison.note_kept_away(&call.service, &call.request, left_ms, now);
+    }
+
     /// A call whose like crash upstreams, as one of their sidecars knows and this one did not: others
     /// that have not heard of it are not tried.
     fn kept_away(&mut self, id: CallId, left_ms: u64, now: Millis) -> Vec<CallAction> {
@@ -225,15 +248,20 @@
 
     pub(super) fn answered(
         &mut self,
-        id: CallId,
+        attempt: Attempt,
         response: Response,
         now: Millis,
     ) -> Vec<CallAction> {
+        let id = attempt.call;
         let failed = response.status >= FIRST_SERVER_ERROR;
         let Some(call) = self.calls.get_mut(&id) else {
             return Vec::new();
         };
         self.throttle.note_end(&call.route, !failed, now);
+        if failed && call.current.is_some() {
+            call.fallback = Some(response);
+            return Vec::new();
+        }
         let worthwhile = failed && self.throttle.fails_rarely(&call.route, now);
         match Some(call).filter(|call| worthwhile && call.repeatable) {
             Some(call) => {
@@ -241,6 +269,7 @@
                 self.repeat_or_give_up(id, now)
             }
             None => {
+                self.note_hedge_end(attempt, now);
                 self.note_in_time(id, failed, now);
                 self.pass_on(id, response, now)
             }
@@ -271,12 +300,14 @@
             false => CallOutcome::UpstreamFailed,
         };
         self.note_outcome(&call, outcome, now);
-        vec![CallAction::Answer { origin: call.origin, response }]
+        let mut actions = self.abort(&call);
+        actions.push(CallAction::Answer { origin: call.origin, response });
+        actions
     }
 
     /// Sends a call that may have run once more, if it may run twice and there is room for it.
     pub(super) fn repeat_or_give_up(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
-        let Some(call) = self.calls.get(&id) else {
+        let Some(call) = self.calls.get(&id).filter(|call| call.current.is_none()) else {
             return Vec::new();
         };
         let worthwhile = now + (self.usual_ms(call) as u64) < call.deadline;
@@ -288,7 +319,7 @@
     }
 
     pub(super) fn place_within_budget(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
-        let Some(call) = self.calls.get(&id) else {
+        let Some(call) = self.calls.get(&id).filter(|call| call.current.is_none()) else {
             return Vec::new();
         };
         let (service, asked_by) = (call.service.clone(), call.asked_by());
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -1,11 +1,12 @@
 //! The outbound side: what becomes of each call of a caller on this machine.
 //!
 //! Pure: events come in with the time, actions go out. A call has one final answer, given at once
-//! when it is decided; it has at most one attempt at a time.
+//! when it is decided; it has one attempt at a time, and at most one hedge beside it.
 
 mod call;
 mod credit;
 mod endings;
+mod hedge;
 mod keys;
 mod placing;
 mod time;
@@ -56,7 +57,9 @@
 /// Denied calls that are logged in a second beside those of the sample: whoever sends with random
 /// keys gets a hundredth of the lines that a node may write.
 const DENIALS_LOGGED_A_SECOND: u32 = 20;
-
+/// How long second tries are kept from an upstream whose repeated runs asked for more than the bound on
+/// repeats allows, milliseconds: a slice of the bound's window, after which some are forgotten.
+const HEDGES_BARRED_MS: u64 = 1_000;
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Origin {
@@ -73,13 +76,16 @@
     Caller,
     /// A run of the upstream beside this node, which holds a slot until the call ends.
     BegunWork,
+    /// The same, where another upstream had the call that the run is of: this call was asked for there,
+    /// too, and counts as a repeat at the service that it is for.
+    RepeatedWork,
 }
 
 impl Lineage {
     fn asked_by(self) -> AskedBy {
         match self {
             Self::Caller => AskedBy::Caller,
-            Self::BegunWork => AskedBy::Run,
+            Self::BegunWork | Self::RepeatedWork => AskedBy::Run,
         }
     }
 }
@@ -158,6 +164,10 @@
     pub cancelled: u64,
     /// Arrivals at upstreams past the first.
     pub repeats: u64,
+    /// Those of them that were hedged second tries.
+    pub hedges: u64,
+    /// Hedged second tries whose answer came first.
+    pub hedges_won: u64,
 }
 
 /// All calls of callers on this machine.
@@ -184,6 +194,11 @@
     by_origin: BTreeMap<Origin, CallId>,
     deadlines: BTreeSet<(Millis, CallId)>,
     parked: BTreeSet<CallId>,
+    /// Whether calls that take long are also sent to a second upstream.
+    hedging: bool,
+    /// When it is looked at whether a second try of a call pays.
+    hedges_due: BTreeSet<(Millis, CallId)>,
+    hedges_barred_until: Millis,
     next_call: CallId,
     /// Generation by which the keys of all calls were looked up.
     keys_checked: u64,
@@ -224,6 +239,9 @@
             by_origin: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             parked: BTreeSet::new(),
+            hedging: true,
+            hedges_due: BTreeSet::new(),
+            hedges_barred_until: 0,
             next_call: 1,
             keys_checked: 0,
             denials_logged: LogAllowance::new(DENIALS_LOGGED_A_SECOND),
@@ -236,6 +254,11 @@
         Calls { poison, ..self }
     }
 
+    /// Switches hedged second tries on or off.
+    pub fn set_hedging(&mut self, hedging: bool) {
+        self.hedging = hedging;
+    }
+
     /// Calls without a final answer.
     pub fn in_flight(&self) -> usize {
         self.calls.len() + self.quota.waiting()
@@ -320,7 +343,7 @@
         // Held back, the run that waits for it would have held its slot in vain.
         let held_back = match lineage {
             Lineage::Caller => self.hold_back(&route.name, &service, urgency, now),
-            Lineage::BegunWork => None,
+            Lineage::BegunWork | Lineage::RepeatedWork => None,
         };
         if let Some(held_back) = held_back {
             let HeldBack { reason, part, retry_after_ms } = held_back;
@@ -333,7 +356,7 @@
             self.metrics.note_end(&route.name, CallOutcome::HeldBack, 0);
             return vec![refusal(origin, retry_after_ms)];
         }
-        self.budget.note_request(&service, lineage.asked_by(), now);
+        self.note_asked(lineage, &service, now);
         let track = self.draw_track(&service);
         let call = Call {
             origin,
@@ -350,13 +373,15 @@
             service,
             track,
             suspect: standing == Standing::Suspect,
-            begun: lineage == Lineage::BegunWork,
+            begun: lineage != Lineage::Caller,
             arrived,
             told_ms: told,
             deadline: arrived + told.min(timeout),
             tries: 0,
             arrivals: 0,
             current: None,
+            hedge: None,
+            hedge_at: None,
             tried: Vec::new(),
             trail: Vec::new(),
             parked_until: None,
@@ -385,6 +410,24 @@
         CallAction::Answer { origin, response }
     }
 
+    /// Takes down a call for the bound on repeats.
+    fn note_asked(&mut self, lineage: Lineage, service: &str, now: Millis) {
+        if lineage != Lineage::RepeatedWork {
+            self.budget.note_request(service, lineage.asked_by(), now);
+            return;
+        }
+        if !self.budget.allows(service, lineage.asked_by(), self.view.nodes(), now) {
+            self.hedges_barred_until = now + HEDGES_BARRED_MS;
+        }
+        self.budget.note_repeat(service, lineage.asked_by(), now);
+    }
+
+    /// Until when the upstream beside this node should be given no second tries, since what their runs
+    /// ask for is beyond the bound on repeats.
+    pub fn hedges_barred_until(&self) -> Millis {
+        self.hedges_barred_until
+    }
+
     fn add(&mut self, call: Call) -> CallId {
         let id = self.next_call;
         self.next_call += 1;
@@ -456,6 +499,7 @@
         self.deadlines.remove(&(call.deadline, id));
         self.by_origin.remove(&call.origin);
         self.parked.remove(&id);
+        self.forget_hedge(id, call.hedge_at);
         Some(call)
     }
 }
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -87,6 +87,10 @@
 
     /// Chooses an upstream for a call that has no try, or gives it up.
     pub(super) fn place(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
+        // A call with a try under way waits for it.
+        if self.is_under_way(id) {
+            return Vec::new();
+        }
         if let Some(ended) = self.settle_key(id, now) {
             return ended;
         }
@@ -94,32 +98,17 @@
             return Vec::new();
         };
         let usual_ms = self.usual_ms(call);
-        let elapsed = now.saturating_sub(call.arrived);
-        let target_ms = call.target_ms.saturating_sub(elapsed).max(1) as f64;
-        let service = &call.service;
-        let urgency = call.urgency();
-        let tried = &call.tried;
-        let body_bytes = call.request.body.len();
-        let wanted = placement::Request {
-            service,
-            // What the version under trial failed is not tried there again.
-            track: if call.arrivals > 0 { Track::Stable } else { call.track },
-            urgency,
-            usual_ms,
-            spread: self.times.spread(&call.route),
-            moved_bytes: self.times.moved_bytes(&call.route).unwrap_or(body_bytes as f64),
-            target_ms,
-            body_bytes,
-            tried,
-        };
+        let mut random = self.random.clone();
+        let wanted = self.wanted(call, now);
         let most_offers = match call.begun {
             true => BEGUN_OFFERS,
             false => self.pressure.most_offers(&call.service, now),
         };
         let chosen = match call.tries < most_offers {
-            true => self.view.choose(&wanted, now, &mut self.random),
+            true => self.view.choose(&wanted, now, &mut random),
             false => None,
         };
+        self.random = random;
         let Some(to) = chosen else {
             return self.without_upstream(id, now);
         };
@@ -153,9 +142,28 @@
             upstream.outstanding += 1;
             upstream.note_asked((moved_bytes - request.body.len() as f64).max(0.0));
         }
+        self.plan_hedge(id, offered, now);
         vec![CallAction::Send { attempt, to, request, hop, offered }]
     }
 
+    /// What a call's choice of an upstream depends on.
+    pub(super) fn wanted<'a>(&'a self, call: &'a Call, now: Millis) -> placement::Request<'a> {
+        let elapsed = now.saturating_sub(call.arrived);
+        let body_bytes = call.request.body.len();
+        placement::Request {
+            service: &call.service,
+            // What the version under trial failed is not tried there again.
+            track: if call.arrivals > 0 { Track::Stable } else { call.track },
+            urgency: call.urgency(),
+            usual_ms: self.usual_ms(call),
+            spread: self.times.spread(&call.route),
+            moved_bytes: self.times.moved_bytes(&call.route).unwrap_or(body_bytes as f64),
+            target_ms: call.target_ms.saturating_sub(elapsed).max(1) as f64,
+            body_bytes,
+            tried: &call.tried,
+        }
+    }
+
     pub(super) fn hop_request(
         &self,
         call: &Call,
@@ -164,8 +172,8 @@
         now: Millis,
     ) -> HopRequest {
         let left = call.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN_MS).max(1);
-        let speed = self.view.get(to).map_or(1.0, |upstream| upstream.speed);
-        let planned = usual_ms * speed * PLANNED_TIME_FACTOR;
+        let pace = self.view.get(to).map_or(1.0, |upstream| upstream.pace(now));
+        let planned = usual_ms * pace * PLANNED_TIME_FACTOR;
         let target = call.target_ms as f64;
         let elapsed = now.saturating_sub(call.arrived) as f64;
         let useful = (target - elapsed - planned).min(target * MOST_PATIENCE_PART);
@@ -187,6 +195,9 @@
             departure: Some(Departure { clock: self.clock, at_ms: now }),
             suspect: call.suspect,
             begun: call.begun,
+            repeat: call.arrivals > 0,
+            hedge: false,
+            usual_ms: self.times.usual_ms(&call.route).map_or(0, |ms| ms.round() as u32),
         }
     }
 }
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -45,25 +45,27 @@
     /// A try that is given up after more than the call usually takes says that the upstream, its
     /// sidecar or the way to it is slow.
     fn note_unanswered(&mut self, call: &Call, now: Millis) {
-        let Some(Try { to, since, .. }) = call.current else {
-            return;
-        };
         let usual_ms = self.usual_ms(call);
-        let elapsed = now.saturating_sub(since) as f64;
-        if let Some(upstream) = self.view.get_mut(&to) {
-            let beyond_ms = elapsed - usual_ms * upstream.speed;
-            if beyond_ms > 0.0 {
-                upstream.note_unanswered(beyond_ms, now);
+        for Try { to, since, .. } in call.under_way() {
+            let elapsed = now.saturating_sub(since) as f64;
+            if let Some(upstream) = self.view.get_mut(&to) {
+                let beyond_ms = elapsed - usual_ms * upstream.pace(now);
+                if beyond_ms > 0.0 {
+                    upstream.note_unanswered(beyond_ms, now);
+                }
             }
         }
     }
 
-    pub(super) fn abort(&mut self, call: &Call) -> Option<CallAction> {
-        let Try { attempt, to, .. } = call.current?;
-        if let Some(upstream) = self.view.get_mut(&to) {
-            upstream.outstanding = upstream.outstanding.saturating_sub(1);
+    /// Stops the tries of a call that are under way.
+    pub(super) fn abort(&mut self, call: &Call) -> Vec<CallAction> {
+        let tries: Vec<Try> = call.under_way().collect();
+        for Try { to, .. } in &tries {
+            if let Some(upstream) = self.view.get_mut(to) {
+                upstream.outstanding = upstream.outstanding.saturating_sub(1);
+            }
         }
-        Some(CallAction::Abort(attempt))
+        tries.into_iter().map(|held| CallAction::Abort(held.attempt)).collect()
     }
 
     /// Gives every call its final answer, because the process ends. `was_sent` tells whether a try
@@ -80,12 +82,8 @@
             let Some(call) = self.calls.get_mut(&id) else {
                 continue;
             };
-            if call.current.is_some_and(|held| was_sent(held.attempt)) {
-                call.arrivals += 1;
-            }
-            if let Some(aborted) = self.calls.get(&id).and_then(|call| call.current) {
-                actions.push(CallAction::Abort(aborted.attempt));
-            }
+            let sent = call.under_way().filter(|held| was_sent(held.attempt)).count();
+            call.arrivals += sent as u32;
             actions.extend(self.give_up(id, retry_after_ms, now));
         }
         actions
@@ -117,6 +115,7 @@
             let response = call.fallback.unwrap_or_else(|| Response::empty(504));
             actions.push(CallAction::Answer { origin: call.origin, response });
         }
+        actions.extend(self.tick_hedges(now));
         let parked: Vec<CallId> = self.parked.iter().copied().collect();
         for id in parked {
             actions.extend(self.place(id, now));
@@ -128,6 +127,7 @@
     pub fn next_tick(&self, now: Millis) -> Option<Millis> {
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         let parked = (!self.parked.is_empty()).then_some(now + PARKED_LOOK_MS);
-        deadline.into_iter().chain(parked).min()
+        let hedge = self.hedges_due.first().map(|(due, _)| *due);
+        deadline.into_iter().chain(parked).chain(hedge).min()
     }
 }
--- a/crates/sidecar/src/dialect.rs
+++ b/crates/sidecar/src/dialect.rs
@@ -26,6 +26,19 @@
     pub load: &'static str,
 }
 
+/// What an upstream tells of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// How long work takes there now, percent of what is usual at its service.
+    pub pace_percent: Option<u32>,
+}
+
 /// What an upstream tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RegistrationCall {
@@ -55,6 +68,10 @@
     /// Reads a request; `None` if it is no call of upstreams.
     fn read(&self, method: &str, target: &str, body: &[u8]) -> Option<RegistrationCall>;
 
+    /// Reads what an upstream tells of its load with an answer; `None` if it tells nothing, or nothing
+    /// that can be read.
+    fn read_load(&self, value: &str) -> Option<ToldLoad>;
+
     /// Path of the readiness check.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -46,6 +46,9 @@
         }
         self.note_egress(&job, outcome, &response, spent_ms);
         let telling = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
+        if telling {
+            self.pace.note_run(spent_ms, job.usual_ms, now);
+        }
         self.admission.release(telling.then_some(spent_ms));
         let ordinary = outcome == HopOutcome::Answered && response.status < FIRST_FAILURE_STATUS;
         if !ordinary || self.sample.takes(&job.attempt_id) {
@@ -190,6 +193,7 @@
     /// Ends what waited or ran too long.
     pub fn tick(&mut self, now: Millis) -> Vec<JobAction> {
         let mut actions = Vec::new();
+        self.mind_taken(now);
         for id in self.admission.expire(now) {
             actions.extend(self.refuse_waiting(id, "waited_too_long", now));
         }
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -13,7 +13,7 @@
 use self::trial::Trial;
 use crate::call_metrics::JobMetrics;
 use crate::calls::{Attempt, Lineage};
-use crate::dialect::HeaderNames;
+use crate::dialect::{HeaderNames, ToldLoad};
 use crate::net::ConnectionId;
 use crate::poison::{self, PoisonWatch};
 use crate::sample::LogSample;
@@ -21,7 +21,7 @@
 use crate::Millis;
 use admission::{
     Admission, Decision, DrainGate, EgressBook, EgressKind, EgressTime, FailureShare, GateState,
-    JobId, LinkRoom, TenantKey, Ticket,
+    JobId, LinkRoom, Pace, TakenSlots, TenantKey, Ticket,
 };
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
@@ -143,6 +143,14 @@
     }
 }
 
+/// Jobs of one id that the upstream works on.
+#[derive(Clone, Copy, Debug, Default)]
+struct AtWork {
+    jobs: u32,
+    /// Whether another upstream had the call before.
+    repeated: bool,
+}
+
 #[derive(Debug)]
 struct Job {
     source: Source,
@@ -156,6 +164,10 @@
     deadline: Millis,
     arrived: Millis,
     started: Option<Millis>,
+    /// What it takes at an upstream of usual pace, as its sender told, milliseconds; 0 if it did not.
+    usual_ms: u32,
+    /// Whether another upstream had the call before.
+    repeat: bool,
 }
 
 impl Job {
@@ -187,6 +199,10 @@
     poison: PoisonWatch,
     failures: FailureShare,
     failures_of: Option<String>,
+    pace: Pace,
+    /// Most calls that the upstream is given at once.
+    slots_used: u32,
+    taken: TakenSlots,
     /// Whether the incarnation that was registered last is found not to be there, and nobody was
     /// told.
     instance_changed: bool,
@@ -194,8 +210,11 @@
     pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
     by_source: BTreeMap<Source, JobId>,
-    /// Ids of the calls that the upstream works on, with the number of jobs of that id.
-    at_work: BTreeMap<String, u32>,
+    /// Ids of the calls that the upstream works on.
+    at_work: BTreeMap<String, AtWork>,
+    /// Until when no second tries are taken in, since what their runs ask for is beyond the bound on
+    /// repeats.
+    pub hedges_barred_until: Millis,
     next_job: JobId,
     closed: bool,
 }
@@ -226,11 +245,15 @@
             poison: PoisonWatch::new(NOBODY),
             failures: FailureShare::default(),
             failures_of: None,
+            pace: Pace::default(),
+            slots_used: UNKNOWN_SLOTS,
+            taken: TakenSlots::default(),
             instance_changed: false,
             link_percent: 0,
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
             at_work: BTreeMap::new(),
+            hedges_barred_until: 0,
             next_job: 1,
             closed: false,
         }
@@ -263,11 +286,12 @@
     }
 
     /// What others are told of that.
-    pub fn told_load(&self) -> UpstreamLoad {
+    pub fn told_load(&self, now: Millis) -> UpstreamLoad {
         let (running, queued) = self.load();
         UpstreamLoad::new(running, queued, self.admission.service_ms() as u32)
             .with_link(self.link_percent)
             .with_egress_wait(self.egress.wait_ms())
+            .with_pace(self.pace.percent(now))
     }
 
     /// Takes in the room of this machine's outgoing link.
@@ -275,6 +299,30 @@
         self.egress.set_room(room);
     }
 
+    /// Takes in what the upstream told of its load with an answer.
+    pub fn note_told(&mut self, told: ToldLoad, now: Millis) {
+        if let Some(percent) = told.pace_percent {
+            self.pace.note_figure(percent, now);
+        }
+        let all = told.running.saturating_add(told.waiting);
+        self.taken.note(all, self.admission.running(), now);
+        self.mind_taken(now);
+    }
+
+    /// Gives the upstream no more than it has slots for beside what it works on unknown to this side.
+    fn mind_taken(&mut self, now: Millis) {
+        let limit = self.taken.left_of(self.slots_used, now);
+        if limit != self.admission.limit() {
+            info!(
+                limit,
+                slots = self.slots_used,
+                running = self.admission.running(),
+                "slots_taken"
+            );
+            self.admission.set_limit(limit);
+        }
+    }
+
     /// Takes in which versions of this service may be given calls; `None` if nothing sets them
     /// apart.
     pub fn set_policy(&mut self, policy: Option<VersionPolicy>) {
@@ -312,11 +360,13 @@
     pub fn refresh_limit(&mut self) {
         let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
         let used = (f64::from(slots) * USED_PART_OF_SLOTS).floor() as u32;
-        self.admission.set_limit(used.max(1));
+        self.slots_used = used.max(1);
+        self.admission.set_limit(self.slots_used);
         self.crash.note_registered(self.gate.id());
         if self.failures_of.as_deref() != self.gate.id() {
             self.failures_of = self.gate.id().map(str::to_owned);
             self.failures.clear();
+            self.pace = Pace::default();
         }
     }
 
@@ -351,6 +401,8 @@
             egress_wait_ms: u32::try_from(self.egress.wait_ms()).unwrap_or(u32::MAX),
             egress_bytes_per_ms: self.egress.bytes_per_ms() as u32,
             link_full: false,
+            pace_percent: self.pace.percent(now),
+            told_pace_percent: self.pace.told_percent(now),
         }
     }
 
@@ -463,6 +515,8 @@
             deadline,
             arrived: now,
             started: None,
+            usual_ms: hop.usual_ms,
+            repeat: hop.repeat,
         };
         self.jobs.insert(job, entry);
         self.by_source.insert(source, job);
@@ -535,6 +589,9 @@
         if self.gate.version().is_some_and(|version| self.trial.bars(version)) {
             return Some("version_barred");
         }
+        if hop.hedge && now < self.hedges_barred_until {
+            return Some("retry_budget_spent");
+        }
         match self.gate.state(now) {
             GateState::Open | GateState::Closing => None,
             GateState::Absent => Some("no_upstream"),
@@ -547,7 +604,9 @@
         let instance = self.gate.id().map(str::to_owned);
         let job = self.jobs.get_mut(&id)?;
         if job.started.is_none() {
-            *self.at_work.entry(job.attempt_id.clone()).or_default() += 1;
+            let work = self.at_work.entry(job.attempt_id.clone()).or_default();
+            work.jobs += 1;
+            work.repeated |= job.repeat;
         }
         job.started = Some(now);
         job.given_to = instance.clone();
@@ -587,11 +646,11 @@
     }
 
     fn forget_work(&mut self, attempt_id: &str) {
-        let Some(jobs) = self.at_work.get_mut(attempt_id) else {
+        let Some(work) = self.at_work.get_mut(attempt_id) else {
             return;
         };
-        *jobs -= 1;
-        if *jobs == 0 {
+        work.jobs -= 1;
+        if work.jobs == 0 {
             self.at_work.remove(attempt_id);
         }
     }
@@ -601,9 +660,10 @@
     /// extends none of a run under way here is taken for a caller's.
     pub fn lineage(&self, attempt_id: &str) -> Lineage {
         let run = attempt_id.rsplit_once(ID_SEPARATOR).map(|(run, _)| run);
-        match run.is_some_and(|run| self.at_work.contains_key(run)) {
-            true => Lineage::BegunWork,
-            false => Lineage::Caller,
+        match run.and_then(|run| self.at_work.get(run)) {
+            Some(AtWork { repeated: true, .. }) => Lineage::RepeatedWork,
+            Some(_) => Lineage::BegunWork,
+            None => Lineage::Caller,
         }
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,7 +30,7 @@
 pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Lineage, Origin};
 pub use config::Config;
 pub use currency::Currency;
-pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
+pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect, ToldLoad};
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
 pub use link_meter::{LinkChange, LinkMeter, LinkWatch};
 pub use links::{LinkEvent, Links};
--- a/crates/sidecar/src/links/telling.rs
+++ b/crates/sidecar/src/links/telling.rs
@@ -8,6 +8,9 @@
 /// Time between two tellings of this upstream's load, milliseconds: about as long as a call with a
 /// short target, so that a slot taken or given back is told while that still helps.
 const LOAD_INTERVAL_MS: u64 = 150;
+/// Change of the pace that is told at once, percent: it moves the risk of being late by less than
+/// a choice is varied by.
+const PACE_STEP: u16 = 20;
 /// A load that stays as it is is told again after this time, milliseconds; readers let it age.
 const LOAD_REPEAT_MS: u64 = 800;
 
@@ -27,7 +30,8 @@
     /// ago. One that stays as it is is told again now and then, so that readers trust it.
     pub fn tell_load(&mut self, net: &mut Net, load: UpstreamLoad, now: Millis) {
         let age_ms = now.saturating_sub(self.load_told_at);
-        let counts = |load: UpstreamLoad| (load.running, load.queued);
+        let counts =
+            |load: UpstreamLoad| (load.running, load.queued, load.pace_percent / PACE_STEP);
         let changed = self.load_told.map(counts) != Some(counts(load));
         let due_ms = if changed { LOAD_INTERVAL_MS } else { LOAD_REPEAT_MS };
         if age_ms < due_ms {
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -291,6 +291,12 @@
             PoolEnd::Answered(answer) => UpstreamEnd::Answered(answer),
             PoolEnd::Failed(error) => UpstreamEnd::Failed(error),
         };
+        if let UpstreamEnd::Answered(answer) = &end {
+            let told = answer.response.headers.text(self.names.load);
+            if let Some(told) = told.and_then(|value| self.dialect.read_load(value)) {
+                self.jobs.note_told(told, now);
+            }
+        }
         let actions = self.jobs.ended(job, end, now);
         self.work.extend(actions.into_iter().map(Work::Job));
         self.tell_instance_change(now);
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -183,7 +183,8 @@
             seed,
         );
         let poison = PoisonWatch::new(own);
-        let calls = calls.with_poison_watch(poison.clone());
+        let mut calls = calls.with_poison_watch(poison.clone());
+        calls.set_hedging(settings.hedging);
         let job_metrics = JobMetrics::new(&registry);
         let jobs = Jobs::new(
             names,
@@ -250,6 +251,7 @@
         let ended = self.jobs.tick(now);
         self.work.extend(ended.into_iter().map(Work::Job));
         self.do_work();
+        self.jobs.hedges_barred_until = self.calls.hedges_barred_until();
         self.acknowledge();
         self.links.tell_poison(&mut self.net, self.poison.take_untold());
         self.look_at_quotas(now);
@@ -413,7 +415,7 @@
         }
         self.do_work();
         self.links.tick(&mut self.net, now);
-        self.links.tell_load(&mut self.net, self.jobs.told_load(), now);
+        self.links.tell_load(&mut self.net, self.jobs.told_load(now), now);
         if let Some(evidence) = self.jobs.evidence_due(now) {
             self.links.tell_evidence(&mut self.net, evidence);
         }
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -80,7 +80,20 @@
 
 impl World {
     pub fn unconfigured() -> Self {
-        let bounds = BudgetBounds { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
+        World::of_bounds(BudgetBounds { ratio: 0.2, slack: 60.0, window_ms: 10_000 })
+    }
+
+    /// Three upstreams and another bound on repeats.
+    pub fn with_bounds(ratio: f64, slack: f64) -> Self {
+        let mut world = World::of_bounds(BudgetBounds { ratio, slack, window_ms: 10_000 });
+        world.configure();
+        for host in 1..=3 {
+            world.add_upstream(host);
+        }
+        world
+    }
+
+    fn of_bounds(bounds: BudgetBounds) -> Self {
         let own = NodeAddress { ip: Ipv4Addr::new(10, 0, 0, 200), port: 8_300 };
         let locality = Locality::new(own, "zone-a");
         let registry = Registry::default();
@@ -165,6 +178,10 @@
         self.begin_request_of(Lineage::Caller, host, method, path, more)
     }
 
+    pub fn begin_of(&mut self, lineage: Lineage, path: &str) -> Vec<CallAction> {
+        self.begin_request_of(lineage, HOST, "GET", path, &[])
+    }
+
     fn begin_request_of(
         &mut self,
         lineage: Lineage,
@@ -248,6 +265,8 @@
         egress_wait_ms: 0,
         egress_bytes_per_ms: 0,
         link_full: false,
+        pace_percent: 0,
+        told_pace_percent: 0,
     }
 }
 
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -66,6 +66,9 @@
             departure: None,
             suspect,
             begun: false,
+            repeat: false,
+            hedge: false,
+            usual_ms: 0,
         };
         let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
         self.jobs.begin(source, Rc::new(request), &hop, now)
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -164,6 +164,9 @@
         departure: None,
         suspect: false,
         begun: false,
+        repeat: false,
+        hedge: false,
+        usual_ms: 0,
     };
     let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
     jobs.begin(source, Rc::new(request), &hop, 10)
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -6,7 +6,9 @@
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
 use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
-use sidecar::{ConnectionId, JobAction, JobMetrics, Jobs, Lineage, LogSample, Source, UpstreamEnd};
+use sidecar::{
+    ConnectionId, JobAction, JobMetrics, Jobs, Lineage, LogSample, Source, ToldLoad, UpstreamEnd,
+};
 use std::rc::Rc;
 use telemetry::Registry;
 
@@ -53,6 +55,9 @@
         departure: None,
         suspect: false,
         begun: false,
+        repeat: false,
+        hedge: false,
+        usual_ms: 0,
     }
 }
 
@@ -330,3 +335,68 @@
     jobs.connection_ended(ConnectionId::for_tests(1), 20);
     assert_eq!(jobs.lineage("7.ab"), Lineage::Caller, "its run is over");
 }
+
+#[test]
+fn calls_of_a_run_that_another_upstream_had_count_as_repeated() {
+    let mut jobs = jobs();
+    let repeated = HopRequest { repeat: true, ..hop(SERVICE, Some("i-1")) };
+    let first = jobs.begin(source(1), request(), &repeated, 0);
+    assert_eq!(jobs.lineage("7.ab"), Lineage::RepeatedWork);
+    let (id, _) = started(&first).expect("runs");
+    let answer = Answer { response: sealed(200), reusable: true };
+    jobs.ended(id, UpstreamEnd::Answered(answer), 10);
+    assert_eq!(jobs.lineage("7.ab"), Lineage::Caller, "its run is over");
+    begin(&mut jobs, 2, 20);
+    assert_eq!(jobs.lineage("7.ab"), Lineage::BegunWork, "a first run of that id");
+}
+
+#[test]
+fn second_tries_are_refused_while_what_they_ask_for_is_beyond_the_bound() {
+    let mut jobs = jobs();
+    jobs.hedges_barred_until = 500;
+    let hedge = HopRequest { repeat: true, hedge: true, ..hop(SERVICE, Some("i-1")) };
+    let actions = jobs.begin(source(1), request(), &hedge, 499);
+    assert_eq!(outcomes(&actions), [HopOutcome::Refused]);
+    assert!(started(&begin(&mut jobs, 2, 499)).is_some(), "others are let in");
+    assert!(started(&jobs.begin(source(3), request(), &hedge, 500)).is_some());
+}
+
+fn told(running: u32, waiting: u32, pace_percent: Option<u32>) -> ToldLoad {
+    ToldLoad { running, waiting, slots: SLOTS, pace_percent }
+}
+
+#[test]
+fn slots_that_a_cut_run_still_holds_are_not_given_away() {
+    let mut jobs = jobs();
+    let (first, _) = started(&begin(&mut jobs, 1, 0)).expect("runs");
+    assert!(started(&begin(&mut jobs, 2, 0)).is_some());
+    // The second is cut, and its slot given to a third; the upstream works on all three.
+    jobs.cancel(source(2), 10);
+    assert!(started(&begin(&mut jobs, 3, 10)).is_some());
+    jobs.note_told(told(2, 1, None), 20);
+    let answer = Answer { response: sealed(200), reusable: true };
+    let actions = jobs.ended(first, UpstreamEnd::Answered(answer), 20);
+    let reply = actions.iter().find_map(|action| match action {
+        JobAction::Reply { reply, .. } => Some(*reply),
+        _ => None,
+    });
+    assert_eq!(reply.expect("told").limit, 1, "senders are told of the slots that are left");
+    assert!(started(&begin(&mut jobs, 4, 20)).is_none(), "it waits: the third has the only slot");
+    // Nothing more was heard of it.
+    assert!(started(&jobs.tick(320)).is_some());
+}
+
+#[test]
+fn what_the_upstream_tells_of_its_pace_is_passed_on() {
+    let mut jobs = jobs();
+    let mut seen = Vec::new();
+    for pace in [None, Some(120), Some(0), Some(u32::MAX), Some(300)] {
+        jobs.note_told(told(0, 0, pace), 0);
+        seen.push(jobs.told_load(0).pace_percent);
+    }
+    assert_eq!(seen, [0, 120, 120, 120, 300]);
+    // Another incarnation is another upstream.
+    jobs.gate.told(&record("i-2", InstanceState::Ready), 2, 100);
+    jobs.refresh_limit();
+    assert_eq!(jobs.told_load(100).pace_percent, 0);
+}
--- a/crates/sidecar/tests/offers.rs
+++ b/crates/sidecar/tests/offers.rs
@@ -118,6 +118,9 @@
         departure: None,
         suspect: false,
         begun: false,
+        repeat: false,
+        hedge: false,
+        usual_ms: 0,
     }
 }
 
--- a/crates/sidecar/tests/transit.rs
+++ b/crates/sidecar/tests/transit.rs
@@ -98,6 +98,9 @@
         departure: Some(departure(CLOCK, AHEAD_MS + sent)),
         suspect: false,
         begun: false,
+        repeat: false,
+        hedge: false,
+        usual_ms: 0,
     }
 }
 
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -49,6 +49,9 @@
         departure: None,
         suspect: false,
         begun: false,
+        repeat: false,
+        hedge: false,
+        usual_ms: 0,
     };
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
