--- a/crates/quota/src/gate.rs
+++ b/crates/quota/src/gate.rs
@@ -7,7 +7,7 @@
 use crate::limit::Limit;
 use crate::{Millis, LEASE_MS, LOAN_MS};
 use mesh::{CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Wait of a call for a credit, milliseconds: a way to a coordinator and back takes some, a pull from
 /// another zone some more; calls with a short target have most of it left then.
@@ -52,6 +52,8 @@
 /// milliseconds: a tenant above its limit costs ten requests a second, and what comes in for it
 /// meanwhile stays in the pool.
 const EMPTY_MS: Millis = 100;
+/// Time between two looks at all tenants for what is wanted ahead, milliseconds.
+const LOOK_MS: Millis = 50;
 /// A tenant that sent nothing for this long is forgotten, milliseconds.
 const IDLE_MS: Millis = 10_000;
 
@@ -214,6 +216,11 @@
 #[derive(Debug)]
 pub struct Gate<T> {
     accounts: BTreeMap<TenantId, Account<T>>,
+    /// Those whose calls wait, and how many calls.
+    busy: BTreeSet<TenantId>,
+    waiting: usize,
+    /// When all accounts were last looked at, not just the busy ones.
+    looked_at: Option<Millis>,
     random: fastrand::Rng,
     /// Sidecars among which quotas are divided; 0 while unknown.
     nodes: u32,
@@ -239,6 +246,9 @@
     pub fn new(seed: u64) -> Self {
         Gate {
             accounts: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            waiting: 0,
+            looked_at: None,
             random: fastrand::Rng::with_seed(seed),
             nodes: 0,
             unanswered_since: None,
@@ -268,7 +278,6 @@
             return Some((item, Outcome::Admitted));
         }
         let (alone, wait_ms) = (self.is_alone(now), self.wait_ms());
-        let in_all: usize = self.accounts.values().map(|account| account.waiting.len()).sum();
         let account = self.accounts.entry(tenant).or_insert_with(|| Account::new(limit, now));
         account.set_limit(limit);
         account.note_call(now);
@@ -285,13 +294,15 @@
         let fresh = |empty: &Empty| now < empty.told_at + EMPTY_MS;
         let until = now + wait_ms;
         let empty = account.empty.filter(fresh).filter(|empty| until < empty.retry_at);
-        let full = account.waiting.len() >= MOST_WAITING || in_all >= MOST_WAITING_IN_ALL;
+        let full = account.waiting.len() >= MOST_WAITING || self.waiting >= MOST_WAITING_IN_ALL;
         if empty.is_some() || full {
             self.counts.refused += 1;
             account.refused += 1;
             return Some((item, Outcome::Refused(refusal(account.empty, now))));
         }
         account.waiting.push_back(Waiting { item, until });
+        self.waiting += 1;
+        self.busy.insert(tenant);
         None
     }
 
@@ -314,21 +325,26 @@
 
     /// Gives up calls that wait and that nobody waits for any more.
     pub fn retain(&mut self, wanted: impl Fn(&T) -> bool) {
+        if self.waiting == 0 {
+            return;
+        }
         for account in self.accounts.values_mut() {
             account.waiting.retain(|waiting| wanted(&waiting.item));
         }
+        self.waiting = self.accounts.values().map(|account| account.waiting.len()).sum();
     }
 
     /// Gives back all calls that wait, because the process ends.
     pub fn take_waiting(&mut self) -> Vec<T> {
         let accounts = self.accounts.values_mut();
         let waiting = accounts.flat_map(|account| account.waiting.drain(..));
+        self.waiting = 0;
         waiting.map(|waiting| waiting.item).collect()
     }
 
     /// Calls that wait.
     pub fn waiting(&self) -> usize {
-        self.accounts.values().map(|account| account.waiting.len()).sum()
+        self.waiting
     }
 
     /// Takes in whether any tenant has a limit: without one, coordinators are told nothing.
@@ -381,8 +397,16 @@
         }
         let times = Times { answer_ms: self.answer_ms, longest_ms: self.longest_answer_ms() };
         let mut asks = Vec::new();
-        for (tenant, account) in &mut self.accounts {
-            asks.extend(ask_of(*tenant, account, times, now));
+        if self.looked_at.is_none_or(|at| now >= at + LOOK_MS) {
+            self.looked_at = Some(now);
+            for (tenant, account) in &mut self.accounts {
+                asks.extend(ask_of(*tenant, account, times, now));
+            }
+        } else {
+            for tenant in &self.busy {
+                let account = self.accounts.get_mut(tenant);
+                asks.extend(account.and_then(|account| ask_of(*tenant, account, times, now)));
+            }
         }
         let quiet = self.last_request.is_some_and(|at| now < at + REQUEST_INTERVAL_MS);
         if asks.is_empty() && quiet {
@@ -422,9 +446,12 @@
     pub fn settle(&mut self, now: Millis) -> Vec<(T, Outcome)> {
         let alone = self.is_alone(now);
         let own = Alone { nodes: self.nodes, since: self.lent_until };
-        let Gate { accounts, random, counts, .. } = self;
+        let Gate { accounts, busy, waiting, random, counts, .. } = self;
         let mut settled = Vec::new();
-        for account in accounts.values_mut() {
+        busy.retain(|tenant| {
+            let Some(account) = accounts.get_mut(tenant) else {
+                return false;
+            };
             while let Some(first) = account.waiting.front() {
                 let until = first.until;
                 let empty = account.empty.filter(|empty| until < empty.retry_at);
@@ -449,8 +476,10 @@
                     break;
                 };
                 settled.push((item, outcome));
+                *waiting -= 1;
             }
-        }
+            !account.waiting.is_empty()
+        });
         settled
     }
 
@@ -463,19 +492,21 @@
     }
 
     /// When [`Self::settle`] and [`Self::request`] have something to do though nothing comes.
-    pub fn next_tick(&self) -> Option<Millis> {
-        if self.accounts.is_empty() {
-            return None;
-        }
-        let waiting = self.accounts.values().filter(|account| !account.waiting.is_empty());
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
         let longest_ms = self.longest_answer_ms();
+        let may_ask = self.linked && self.bounded;
+        let collected = self.last_request.map_or(0, |at| at + COLLECT_MS);
+        let waiting = self.busy.iter().filter_map(|tenant| self.accounts.get(tenant));
         let due = waiting.filter_map(|account| {
             let first = account.waiting.front()?;
-            let asked = account.in_flight.back().map_or(0, |asked| asked.asked_at + longest_ms);
-            Some(first.until.min(account.ask_at.max(asked)))
+            let ask_at = match account.unasked(longest_ms, now) {
+                0 => account.in_flight.back().map_or(0, |asked| asked.asked_at + longest_ms),
+                _ => account.ask_at,
+            };
+            let ask_at = may_ask.then_some(ask_at.max(collected));
+            Some(ask_at.map_or(first.until, |at| at.min(first.until)))
         });
-        let collected = self.last_request.map_or(0, |at| at + COLLECT_MS);
-        due.min().map(|due| due.max(collected))
+        due.min()
     }
 }
 
--- a/crates/quota/tests/common/mod.rs
+++ b/crates/quota/tests/common/mod.rs
@@ -40,6 +40,7 @@
     Deliver { from_zone: usize, to: usize, message: Message },
     Call { tenant: usize },
     Housekeeping(usize),
+    Wake(usize),
     Look(usize),
 }
 
@@ -267,6 +268,7 @@
                 let at = self.now + HOUSEKEEPING_MS;
                 self.push(at, Event::Housekeeping(node));
             }
+            Event::Wake(node) => self.pump(node),
             Event::Look(coordinator) => {
                 self.look(coordinator);
                 let at = self.now + LOOK_MS;
@@ -344,6 +346,12 @@
             }
         }
         self.note(settled);
+        if let Some(at) = self.sidecars[node].gate.next_tick(now) {
+            let soon = now + HOUSEKEEPING_MS;
+            if at > now && at < soon {
+                self.push(at, Event::Wake(node));
+            }
+        }
     }
 
     fn send(&mut self, from_zone: usize, to: usize, message: Message) {
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -88,8 +88,8 @@
     }
 
     /// When something is due though nothing comes.
-    pub fn next_tick(&self) -> Option<Millis> {
-        self.gate.next_tick()
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
+        self.gate.next_tick(now)
     }
 
     /// Takes in whether a coordinator can be asked.
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -301,7 +301,7 @@
             self.calls.next_tick(now),
             self.jobs.next_tick(now),
             self.registrar.next_tick(),
-            self.calls.quota.next_tick(),
+            self.calls.quota.next_tick(now),
             Some(self.next_housekeeping),
             self.net.due_in_ms().map(|due_ms| now + due_ms),
         ];
