--- a/crates/sidecar/src/calls/hedge.rs
+++ b/crates/sidecar/src/calls/hedge.rs
@@ -14,13 +14,19 @@
 /// from a call that has none, and by what senders know of each other it is sent too often.
 const HEDGE_ROOM_PART: f64 = 0.25;
 
+/// Most that a call and its answer move, bytes, for a second try: as long as a body that is sent unasked.
+/// Larger ones wait for links, and two of them would wait for two.
+const MOST_HEDGED_BYTES: f64 = 8.0 * 1024.0;
+
 impl Calls {
     /// Takes down when it is looked at whether a second try of a call, just sent, pays.
     pub(super) fn plan_hedge(&mut self, id: CallId, offered: bool, now: Millis) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        if !self.hedging || offered || !may_be_hedged(call) {
+        let large =
+            self.times.moved_bytes(&call.route).is_some_and(|bytes| bytes > MOST_HEDGED_BYTES);
+        if !self.hedging || offered || large || !may_be_hedged(call) {
             return;
         }
         let pace = call.current.and_then(|held| self.view.get(&held.to));
@@ -42,6 +48,12 @@
         }
     }
 
+    /// What a call's route is known to move, bytes.
+    fn moved_bytes(&self, id: CallId) -> f64 {
+        let route = self.calls.get(&id).map(|call| call.route.as_str());
+        route.and_then(|route| self.times.moved_bytes(route)).unwrap_or(0.0)
+    }
+
     pub(super) fn forget_hedge(&mut self, id: CallId, due: Option<Millis>) {
         if let Some(due) = due {
             self.hedges_due.remove(&(due, id));
@@ -101,8 +113,10 @@
         self.budget.note_hedge(&service, asked_by, now);
         self.counts.repeats += 1;
         self.counts.hedges += 1;
+        let moved_bytes = self.moved_bytes(id);
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.outstanding += 1;
+            upstream.note_asked((moved_bytes - request.body.len() as f64).max(0.0));
         }
         let offered = self.view.is_offered(&to, request.body.len());
         Some(CallAction::Send { attempt, to, request, hop, offered })
--- a/crates/sidecar/tests/hedge.rs
+++ b/crates/sidecar/tests/hedge.rs
@@ -341,3 +341,25 @@
     }
     expect!["[0, 0, 0, 11000, 11000]"].assert_eq(&format!("{until:?}"));
 }
+
+#[test]
+fn calls_with_large_answers_get_no_second_try() {
+    let mut seen = Vec::new();
+    for bytes in [400, 90_000] {
+        let mut world = World::with_upstreams(3);
+        for number in 0..LEARNED {
+            let (attempt, _) = sent(&world.begin("GET", "/safe/1")).expect("placed");
+            let spent_ms = if number % 30 == 7 { 7 * USUAL_MS } else { USUAL_MS };
+            let AttemptEnd::Replied(reply, mut response) = answered(spent_ms, 200) else {
+                panic!("it is an answer");
+            };
+            response.body = vec![b'x'; bytes];
+            world.calls.ended(attempt, AttemptEnd::Replied(reply, response), world.now);
+        }
+        world.now += 1_000;
+        tell_loads(&mut world, 0);
+        assert!(sent(&world.begin("GET", "/safe/1")).is_some());
+        seen.push(sent(&wait(&mut world, 500)).is_some());
+    }
+    assert_eq!(seen, [true, false], "they would wait for two links");
+}
