A refusal tells when the first upstream that refused this call expects room; first answers tell how long calls take

Cause: callers were told the least time that any refusal of late had told, mostly a few ms before its end, so a crowd came back at once and was refused again; and an upstream that starts cold judged its queue by a guess of 100 ms until some fifty calls had ended (queues of 14 to 19 before 12 slots of some 380 ms each). Change: the least of what the upstreams that refused this call told; an average of the first ends. Broken variants that the checks notice: what others were told; the fixed weight.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -7,6 +7,9 @@
 /// Names a call at this upstream.
 pub type JobId = u64;
 
+/// Weight of one more call for how long calls hold a slot. The first ones weigh more, as an average
+/// does: upstreams that all start at once are slow, and a queue judged by the guess below is let grow
+/// to some times of what is in time.
 const SERVICE_WEIGHT: f64 = 0.05;
 const INITIAL_SERVICE_MS: f64 = 100.0;
 const SHORTEST_RETRY_MS: u64 = 50;
@@ -69,6 +72,8 @@
     shares: TenantShares,
     arrivals: u64,
     service_ms: f64,
+    /// Calls that told how long they held a slot, while they are few.
+    told: u32,
     /// Calls refused of late that will come back.
     refused: f64,
     refused_at: Millis,
@@ -84,6 +89,7 @@
             shares: TenantShares::default(),
             arrivals: 0,
             service_ms: INITIAL_SERVICE_MS,
+            told: 0,
             refused: 0.0,
             refused_at: 0,
         }
@@ -182,7 +188,9 @@
     pub fn release(&mut self, occupied_ms: Option<u64>) {
         self.running = self.running.saturating_sub(1);
         if let Some(occupied) = occupied_ms {
-            self.service_ms += (occupied as f64 - self.service_ms) * SERVICE_WEIGHT;
+            self.told = self.told.saturating_add(1);
+            let weight = SERVICE_WEIGHT.max(1.0 / f64::from(self.told));
+            self.service_ms += (occupied as f64 - self.service_ms) * weight;
         }
     }
 
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -127,3 +127,20 @@
     assert_eq!(admission.submit(begun(21), 0), Decision::Wait);
     assert!(admission.check_room(begun(22), 0).is_err(), "behind its like it would be late");
 }
+
+#[test]
+fn how_long_calls_take_is_known_after_the_first_ones() {
+    let mut admission = full();
+    for _ in 0..3 {
+        admission.release(Some(400));
+        assert_eq!(admission.submit(ticket(30, 1, 1_000), 0), Decision::Run);
+    }
+    assert_eq!(admission.service_ms(), 400.0);
+    // Two slots of 400 ms each: the next in the queue waits for 200 ms.
+    assert!(admission.check_room(ticket(40, 1, 150), 0).is_err());
+    assert_eq!(admission.submit(ticket(41, 1, 250), 0), Decision::Wait);
+    // Later an odd one moves it little.
+    (0..100).for_each(|_| admission.release(Some(400)));
+    admission.release(Some(0));
+    assert_eq!(admission.service_ms(), 380.0);
+}
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -44,6 +44,8 @@
     /// What each try came to, for the log of a failure.
     pub trail: Vec<Step>,
     pub parked_until: Option<Millis>,
+    /// When the first of the upstreams that refused it expects room for it.
+    pub room_at: Option<Millis>,
     /// An upstream's own failure, passed on if nothing better comes.
     pub fallback: Option<Response>,
 }
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -8,7 +8,7 @@
 use crate::call_metrics::CallOutcome;
 use crate::Millis;
 use http1::Response;
-use mesh::{HopOutcome, HopReply, NodeAddress};
+use mesh::{HopOutcome, HopReply, InstanceState, NodeAddress};
 use placement::{CallEnd, Seen};
 use tracing::{info, warn};
 
@@ -29,7 +29,9 @@
                 return Vec::new();
             }
         }
-        let room_at = self.view.room_at(&call.service, now);
+        // What it was told itself: what others were told a while ago is nearly over, and a crowd that
+        // comes back by that is refused again.
+        let room_at = call.room_at.or_else(|| self.view.room_at(&call.service, now));
         let wait = room_at.map_or(SHORTEST_RETRY_AFTER_MS * 4, |at| at.saturating_sub(now));
         self.give_up(id, wait, now)
     }
@@ -187,6 +189,10 @@
         }
         if let Some(call) = self.calls.get_mut(&id) {
             call.suspect |= reply.upstream_ended;
+            if reply.outcome == HopOutcome::Refused && reply.state == InstanceState::Ready {
+                let room_at = now + u64::from(reply.retry_after_ms);
+                call.room_at = Some(call.room_at.map_or(room_at, |held| held.min(room_at)));
+            }
         }
         match reply.outcome {
             HopOutcome::Answered => {
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -334,6 +334,7 @@
             tried: Vec::new(),
             trail: Vec::new(),
             parked_until: None,
+            room_at: None,
             fallback: None,
         };
         let id = self.add(call);
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -5,7 +5,7 @@
 use common::*;
 use expect_test::expect;
 use http1::Response;
-use mesh::{HopOutcome, NodeAddress, UpstreamLoad};
+use mesh::{HopOutcome, HopReply, NodeAddress, UpstreamLoad};
 use sidecar::{AttemptEnd, CallAction};
 use std::fmt::Write;
 use std::net::Ipv4Addr;
@@ -365,3 +365,27 @@
         refused_of_forty(Some(UpstreamLoad::new(2, 0, 100))),
     ));
 }
+
+#[test]
+fn who_is_refused_is_told_when_the_first_that_refused_it_expects_room() {
+    let mut world = World::with_upstreams(3);
+    let refused = |retry_after_ms| {
+        let reply = HopReply { retry_after_ms, ..reply(HopOutcome::Refused) };
+        AttemptEnd::Replied(reply, Response::empty(503))
+    };
+    // An earlier call was told 160 ms by one of them; most of it is over, and it is not asked yet.
+    let (earlier, _) = sent(&world.begin("GET", "/unsafe/1")).expect("placed");
+    let actions = world.calls.ended(earlier, refused(160), world.now);
+    let connection = world.connection();
+    assert!(sent(&actions).is_some());
+    world.calls.connection_ended(connection, world.now);
+    world.now += 149;
+
+    let mut actions = world.begin("GET", "/unsafe/1");
+    let mut told = [900, 600].into_iter();
+    while let Some((attempt, _)) = sent(&actions) {
+        let end = refused(told.next().expect("two others"));
+        actions = world.calls.ended(attempt, end, world.now);
+    }
+    assert_eq!(retry_after_ms(&actions), Some(600));
+}
