Try: refusals where work enters, by how long calls wait along its whole path

Cause: the part of calls held back was judged by each node on a handful of its own calls, and work whose inner calls had no room was let in and failed with a slot in its hands. Change: one controller (PIE) a service on what loads tell, the same at all nodes, in turns of a slot; work counts at its own service and at those that its runs call, as their answers tell; begun work is exempt; callers that came back stand behind in a lasting overload. Pressure and Throttle go.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod frame;
 mod hop;
+mod inner;
 mod link;
 mod member;
 mod poison;
@@ -16,6 +17,7 @@
 pub use hop::{
     most_unasked_bytes, Departure, HopOutcome, HopReply, HopRequest, GRANT_HEADER, HOP_HEADER,
 };
+pub use inner::{decode_inner_calls, encode_inner_calls, INNER_CALLS_HEADER};
 pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
 pub use member::MemberId;
 pub use poison::{CrashReport, Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -51,7 +51,9 @@
     cold_until: Millis,
     figures: Option<Figures>,
     load_seen: Option<LoadSeen>,
-    /// When coordinators last brought its load.
+    /// Its load as coordinators last brought it.
+    load_told: UpstreamLoad,
+    /// When they did.
     load_told_at: Option<Millis>,
     rest_until: Millis,
     failures: u32,
@@ -173,6 +175,7 @@
             cold_until: 0,
             figures: None,
             load_seen: None,
+            load_told: UpstreamLoad::default(),
             load_told_at: None,
             rest_until: 0,
             failures: 0,
@@ -280,10 +283,27 @@
         told.then_some(if refused { 0.0 } else { free })
     }
 
+    /// Calls that wait for it: as coordinators brought it of late, the same to all nodes; else as it
+    /// told with an answer.
+    pub fn queued(&self, now: Millis) -> Option<u32> {
+        let told = self.load_told_at.is_some_and(|at| now < at + LOAD_FRESH_MS);
+        let answered = self.figures.filter(|figures| now < figures.at + FIGURES_AGE_MS);
+        match told {
+            true => Some(u32::from(self.load_told.queued)),
+            false => answered.map(|figures| figures.reply.queued),
+        }
+    }
+
+    /// For how long calls hold a slot there, as it told last, milliseconds; 0 if it told nothing.
+    pub fn turn_ms(&self) -> f64 {
+        self.load_seen.map_or(0.0, |seen| seen.service_ms)
+    }
+
     /// Takes in how busy it was a moment ago, as the sidecar beside it told through coordinators.
     pub fn note_load(&mut self, load: UpstreamLoad, now: Millis) {
         self.load_told_at = Some(now);
         self.link.tell(f64::from(load.egress_wait_ms), now);
+        self.load_told = load;
         let newer = |seen: LoadSeen| seen.answered && now < seen.at + ANSWER_FIRST_MS;
         if !self.load_seen.is_some_and(newer) {
             self.see_load(load.all(), f64::from(load.service_ms), false, now);
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::locality::link_cost;
 use crate::upstream::Expected;
-use crate::{Distance, Locality, Millis, TimeSpread, Upstream, UpstreamKey, Urgency};
+use crate::{Distance, Locality, Millis, TimeSpread, Upstream, UpstreamKey, Urgency, Wait, Waits};
 use mesh::{NodeRecord, Track, UpstreamLoad, VersionPolicy};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -235,6 +235,18 @@
         enough.then(|| free / slots)
     }
 
+    /// How long calls wait for a slot at a service; `None` if too little was heard of late to tell.
+    pub fn wait(&self, service: &str, now: Millis) -> Option<Wait> {
+        let (mut live, mut waits) = (0, Waits::default());
+        for (_, held) in self.of_service(service).filter(|(_, held)| held.is_stable()) {
+            live += 1;
+            if let Some(queued) = held.queued(now) {
+                waits.note(queued, held.limit(), held.turn_ms());
+            }
+        }
+        waits.typical(live)
+    }
+
     /// When the first of the upstreams of a service that lately refused is expected to have room.
     pub fn room_at(&self, service: &str, now: Millis) -> Option<Millis> {
         let live = self.of_service(service).filter(|(_, held)| held.is_stable());
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -9,6 +9,10 @@
 use std::fmt;
 use std::rc::Rc;
 
+/// Calls that came back stand behind the others of their rank as if their target was so much longer,
+/// milliseconds: beyond any target.
+pub(super) const RETURNED_BEHIND_MS: u64 = 100_000;
+
 /// A call without a final answer.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -26,6 +30,8 @@
     pub rank: u32,
     pub most_arrivals: u32,
     pub target_ms: u64,
+    /// Whether its caller was refused before and came back in an overload.
+    pub returned: bool,
     pub service: String,
     /// Whether it belongs to the share of a canary.
     pub track: Track,
@@ -59,11 +65,19 @@
         }
     }
 
+    /// What orders it among calls of its rank, milliseconds.
+    pub fn order_ms(&self) -> u64 {
+        match self.returned {
+            true => self.target_ms + RETURNED_BEHIND_MS,
+            false => self.target_ms,
+        }
+    }
+
     /// Its place among those that wait for an upstream.
     pub fn urgency(&self) -> Urgency {
         match self.begun {
             true => Urgency::BEGUN,
-            false => Urgency { rank: self.rank, target_ms: self.target_ms },
+            false => Urgency { rank: self.rank, target_ms: self.order_ms() },
         }
     }
 }
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -8,8 +8,8 @@
 use crate::call_metrics::CallOutcome;
 use crate::Millis;
 use http1::Response;
-use mesh::{HopOutcome, HopReply, InstanceState, NodeAddress};
-use placement::{CallEnd, Seen};
+use mesh::{HopOutcome, HopReply, InstanceState, NodeAddress, INNER_CALLS_HEADER};
+use placement::Seen;
 use tracing::{info, warn};
 
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -55,7 +55,6 @@
         if call.arrivals == 0 {
             self.counts.refused += 1;
             self.note_outcome(&call, CallOutcome::Refused, now);
-            self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
             warn!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
                 tries = call.tries, retry_after_ms, held_ms, trail = %trail(&call.trail),
@@ -146,7 +145,7 @@
         attempt: Attempt,
         to: NodeAddress,
         reply: HopReply,
-        response: Response,
+        mut response: Response,
         now: Millis,
     ) -> Vec<CallAction> {
         let id = attempt.call;
@@ -165,6 +164,10 @@
                 limit = reply.limit, spent_ms = reply.spent_ms, "hop_replied"
             );
         }
+        if reply.outcome == HopOutcome::Answered {
+            self.note_path(&route, response.headers.text(INNER_CALLS_HEADER));
+        }
+        response.headers.remove(INNER_CALLS_HEADER);
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.note_reply(reply, now);
             match reply.outcome {
@@ -238,26 +241,14 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return Vec::new();
         };
-        self.throttle.note_end(&call.route, !failed, now);
-        let worthwhile = failed && self.throttle.fails_rarely(&call.route, now);
+        self.failures.note_end(&call.route, failed);
+        let worthwhile = failed && self.failures.are_rare(&call.route);
         match Some(call).filter(|call| worthwhile && call.repeatable) {
             Some(call) => {
                 call.fallback = Some(response);
                 self.repeat_or_give_up(id, now)
             }
-            None => {
-                self.note_in_time(id, failed, now);
-                self.pass_on(id, response, now)
-            }
-        }
-    }
-
-    /// Takes in whether an upstream's answer helps the caller.
-    fn note_in_time(&mut self, id: CallId, failed: bool, now: Millis) {
-        if let Some(call) = self.calls.get(&id) {
-            let in_time = !failed && now <= call.arrived + call.target_ms;
-            let end = if in_time { CallEnd::InTime } else { CallEnd::Missed };
-            self.pressure.note(&call.service, call.urgency(), end, now);
+            None => self.pass_on(id, response, now),
         }
     }
 
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -5,11 +5,13 @@
 
 mod call;
 mod endings;
+mod entry;
 mod keys;
 mod placing;
 mod time;
 
-use self::call::Call;
+use self::call::{Call, RETURNED_BEHIND_MS};
+use self::entry::HeldBack;
 use crate::call_metrics::{CallMetrics, CallOutcome};
 use crate::config::Config;
 use crate::dialect::HeaderNames;
@@ -18,8 +20,8 @@
 use http1::{Request, Response, Slot};
 use mesh::{HopReply, HopRequest, NodeAddress};
 use placement::{
-    AskedBy, BudgetBounds, CallEnd, CanaryShares, ClassTimes, Locality, PlacementView, Pressure,
-    RetryBudget, Throttle, Urgency, WeightedSplit,
+    AskedBy, BudgetBounds, CallerAges, CanaryShares, ClassTimes, EntryControl, Locality,
+    PlacementView, RetryBudget, RouteFailures, RoutePaths, Urgency, WeightedSplit,
 };
 use quarantine::Standing;
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,14 +42,6 @@
 const PARKED_LOOK_MS: u64 = 20;
 const SHORTEST_RETRY_AFTER_MS: u64 = 50;
 const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
-/// Retry-After of calls that are held back because their like fail, milliseconds.
-const THROTTLED_RETRY_AFTER_MS: u64 = 250;
-/// Shortest and longest Retry-After of calls that are held back because their like are late,
-/// milliseconds.
-const PRESSED_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_250;
-/// Part of a service's slots that must be free for its calls to be sent whatever became of their
-/// like: more than change hands between two tellings of loads.
-const ROOM_PART: f64 = 0.1;
 /// Retry-After while no configuration is known, milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 600;
 /// Denied calls that are logged in a second beside those of the sample: whoever sends with random
@@ -81,6 +75,15 @@
     }
 }
 
+/// A call that a run of the upstream beside this node made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InnerCall {
+    /// Its id, which tells the run's.
+    pub attempt_id: String,
+    /// The service called.
+    pub service: String,
+}
+
 /// One try of a call; the number tells late news of earlier tries apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempt {
@@ -128,14 +131,6 @@
     Abort(Attempt),
 }
 
-/// A call that is refused before it is offered to any upstream.
-struct HeldBack {
-    reason: &'static str,
-    /// Part of such calls that is held back now, 0 to 1.
-    part: f64,
-    retry_after_ms: u64,
-}
-
 /// Counters of the outbound side.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallCounts {
@@ -169,8 +164,11 @@
     canaries: CanaryShares,
     budget: RetryBudget,
     times: ClassTimes,
-    throttle: Throttle,
-    pressure: Pressure,
+    ages: CallerAges,
+    entry: EntryControl,
+    paths: RoutePaths,
+    inner_calls: Vec<InnerCall>,
+    failures: RouteFailures,
     poison: PoisonWatch,
     random: fastrand::Rng,
     /// Names this process' clock to peers.
@@ -209,8 +207,11 @@
             canaries: CanaryShares::default(),
             budget: RetryBudget::new(bounds),
             times: ClassTimes::default(),
-            throttle: Throttle::default(),
-            pressure: Pressure::default(),
+            ages: CallerAges::default(),
+            entry: EntryControl::default(),
+            paths: RoutePaths::default(),
+            inner_calls: Vec::new(),
+            failures: RouteFailures::default(),
             // Both are drawn at the start; nothing is secret about either.
             clock: seed as u32,
             random: fastrand::Rng::with_seed(seed),
@@ -287,20 +288,28 @@
         };
         let timeout = u64::from(route.timeout_ms);
         let told = request.headers.number(self.names.deadline_ms).unwrap_or(timeout);
-        let urgency = urgency_of(route, holder.as_ref());
+        let mut urgency = urgency_of(route, holder.as_ref());
+        let target_ms = urgency.target_ms;
         let standing = self.poison.standing(&service, &request, now);
         if let Standing::Quarantined { left_ms } = standing {
             return vec![self.refuse_quarantined(origin, &attempt_id, &route.name, left_ms)];
         }
+        let returned = lineage == Lineage::Caller && self.has_returned(route, told, &service, now);
+        if returned {
+            urgency.target_ms += RETURNED_BEHIND_MS;
+        }
         // Held back, the run that waits for it would have held its slot in vain.
         let held_back = match lineage {
             Lineage::Caller => self.hold_back(&route.name, &service, urgency, now),
-            Lineage::BegunWork => None,
+            Lineage::BegunWork => {
+                self.note_inner_call(&attempt_id, &service);
+                None
+            }
         };
         if let Some(held_back) = held_back {
-            let HeldBack { reason, part, retry_after_ms } = held_back;
+            let HeldBack { reason, overloaded, part, retry_after_ms } = held_back;
             info!(
-                id = %attempt_id, route = %route.name, %service, reason, part = %format_args!("{part:.2}"),
+                id = %attempt_id, route = %route.name, %service, reason, %overloaded, part = %format_args!("{part:.2}"),
                 retry_after_ms, verdict = "not-run", "call_refused"
             );
             self.counts.refused += 1;
@@ -320,7 +329,8 @@
             repeatable: route.repeatable,
             rank: urgency.rank,
             most_arrivals: route.attempts.max(1),
-            target_ms: urgency.target_ms,
+            target_ms,
+            returned,
             service,
             track,
             suspect: standing == Standing::Suspect,
@@ -390,37 +400,6 @@
         refusal(origin, UNREADY_RETRY_AFTER_MS)
     }
 
-    /// Whether a new call is refused here, because its like fail or are not answered in time.
-    fn hold_back(
-        &mut self,
-        route: &str,
-        service: &str,
-        urgency: Urgency,
-        now: Millis,
-    ) -> Option<HeldBack> {
-        let part = 1.0 - self.throttle.admitted(route, now);
-        if self.random.f64() < part {
-            let retry_after_ms = THROTTLED_RETRY_AFTER_MS;
-            return Some(HeldBack { reason: "like_calls_fail", part, retry_after_ms });
-        }
-        let part = self.pressure.held_back(service, urgency, now);
-        if part > 0.0 && self.has_room(service, now) {
-            return None;
-        }
-        if self.random.f64() < part {
-            self.pressure.note(service, urgency, CallEnd::HeldBack, now);
-            let retry_after_ms = self.random.u64(PRESSED_RETRY_AFTER_MS);
-            return Some(HeldBack { reason: "like_calls_are_late", part, retry_after_ms });
-        }
-        None
-    }
-
-    /// Whether upstreams of a service are known to have room. What few calls of this node became
-    /// tells less than what all of its upstreams tell of themselves.
-    fn has_room(&self, service: &str, now: Millis) -> bool {
-        self.view.free_part(service, now).is_some_and(|free| free >= ROOM_PART)
-    }
-
     /// Takes down how a call ended.
     fn note_outcome(&mut self, call: &Call, outcome: CallOutcome, now: Millis) {
         self.metrics.note_end(&call.route, outcome, now.saturating_sub(call.arrived));
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -22,12 +22,19 @@
 /// Those with short targets are mostly asked for within other calls, which would fail with a slot
 /// in their hands.
 const LEAST_PATIENCE_MS: f64 = 120.0;
-/// Most upstreams that a call is offered to for which a run waits with a slot: as many as any call
-/// while there is room. An offer in vain costs two messages, the run in vain its whole slot time.
-const BEGUN_OFFERS: u32 = 5;
+/// Most upstreams that a call is offered to, and most while its service has less room than is asked
+/// for: each offer in vain costs two messages. A call that a run waits for is offered to as many as any
+/// call, since a run in vain costs its whole slot time.
+const MOST_OFFERS: u32 = 5;
+const FEW_OFFERS: u32 = 2;
 /// The hop's deadline ends this much before the caller's, so that its answer is in time, ms.
 const HOP_MARGIN_MS: u64 = 8;
 
+/// Longest wait for a slot that is of use to a call of this target, milliseconds.
+pub(super) fn most_patience_ms(target_ms: u64) -> u64 {
+    (target_ms as f64 * MOST_PATIENCE_PART).max(LEAST_PATIENCE_MS) as u64
+}
+
 impl Calls {
     pub(super) fn draw_service(
         &mut self,
@@ -113,8 +120,8 @@
             tried,
         };
         let most_offers = match call.begun {
-            true => BEGUN_OFFERS,
-            false => self.pressure.most_offers(&call.service, now),
+            false if self.entry.is_overloaded(&call.service) => FEW_OFFERS,
+            _ => MOST_OFFERS,
         };
         let chosen = match call.tries < most_offers {
             true => self.view.choose(&wanted, now, &mut self.random),
@@ -177,7 +184,7 @@
             deadline_ms: left,
             patience_ms: (patience as u64).min(left),
             rank: call.rank,
-            target_ms: call.target_ms,
+            target_ms: call.order_ms(),
             repeatable: call.repeatable,
             service: call.service.clone(),
             instance: record.map(|instance| instance.id.clone()),
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -6,7 +6,6 @@
 use crate::net::ConnectionId;
 use crate::Millis;
 use http1::{Request, Response, Slot};
-use placement::CallEnd;
 use tracing::{info, warn};
 
 impl Calls {
@@ -103,7 +102,6 @@
             };
             self.counts.timed_out += 1;
             self.note_outcome(&call, CallOutcome::TimedOut, now);
-            self.pressure.note(&call.service, call.urgency(), CallEnd::Missed, now);
             let held_ms = now.saturating_sub(call.arrived);
             warn!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -7,7 +7,7 @@
 use crate::Millis;
 use admission::{GateState, JobId};
 use http1::{ExchangeError, Response, Slot};
-use mesh::{CallClass, HopOutcome, HopReply};
+use mesh::{CallClass, HopOutcome, HopReply, INNER_CALLS_HEADER};
 use tracing::info;
 
 /// A call whose deadline passed this long ago is taken from its upstream, milliseconds.
@@ -30,6 +30,7 @@
 
     /// Tells what became of a job, and starts others.
     pub(super) fn finish(&mut self, id: JobId, end: UpstreamEnd, now: Millis) -> Vec<JobAction> {
+        let inner_calls = self.jobs.get(&id).and_then(|job| self.told_inner_calls(&job.attempt_id));
         let Some(job) = self.remove(id) else {
             return Vec::new();
         };
@@ -39,7 +40,11 @@
             let fingerprint = self.fingerprint(&job.request);
             info!(id = %job.attempt_id, %fingerprint, %error, instance = ?job.given_to, "upstream_failed");
         }
-        let (outcome, response) = self.judge(&job.attempt_id, end);
+        let (outcome, mut response) = self.judge(&job.attempt_id, end);
+        response.headers.remove(INNER_CALLS_HEADER);
+        if let Some(told) = inner_calls {
+            response.headers.push(INNER_CALLS_HEADER, told);
+        }
         if job.started.is_some() {
             self.failures.note(is_upstreams_fault(outcome, response.status), now);
             self.note_trial(job.class, outcome, response.status, spent_ms, now);
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -169,6 +169,14 @@
     }
 }
 
+/// What the upstream does for calls of one id.
+#[derive(Debug, Default)]
+struct Work {
+    jobs: u32,
+    /// Calls that it made meanwhile, by service.
+    inner_calls: BTreeMap<String, u32>,
+}
+
 /// All calls for the upstream beside this sidecar.
 pub struct Jobs {
     names: HeaderNames,
@@ -194,8 +202,8 @@
     pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
     by_source: BTreeMap<Source, JobId>,
-    /// Ids of the calls that the upstream works on, with the number of jobs of that id.
-    at_work: BTreeMap<String, u32>,
+    /// The runs of the upstream, by the ids of their calls.
+    at_work: BTreeMap<String, Work>,
     next_job: JobId,
     closed: bool,
 }
@@ -547,7 +555,7 @@
         let instance = self.gate.id().map(str::to_owned);
         let job = self.jobs.get_mut(&id)?;
         if job.started.is_none() {
-            *self.at_work.entry(job.attempt_id.clone()).or_default() += 1;
+            self.at_work.entry(job.attempt_id.clone()).or_default().jobs += 1;
         }
         job.started = Some(now);
         job.given_to = instance.clone();
@@ -587,15 +595,29 @@
     }
 
     fn forget_work(&mut self, attempt_id: &str) {
-        let Some(jobs) = self.at_work.get_mut(attempt_id) else {
+        let Some(work) = self.at_work.get_mut(attempt_id) else {
             return;
         };
-        *jobs -= 1;
-        if *jobs == 0 {
+        work.jobs -= 1;
+        if work.jobs == 0 {
             self.at_work.remove(attempt_id);
         }
     }
 
+    /// Notes that a run of the upstream called a service.
+    pub fn note_inner_call(&mut self, attempt_id: &str, service: &str) {
+        let run = attempt_id.rsplit_once(ID_SEPARATOR).map(|(run, _)| run);
+        if let Some(work) = run.and_then(|run| self.at_work.get_mut(run)) {
+            *work.inner_calls.entry(service.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// What the answer of a run tells of the calls that it made.
+    fn told_inner_calls(&self, attempt_id: &str) -> Option<String> {
+        let made = &self.at_work.get(attempt_id)?.inner_calls;
+        mesh::encode_inner_calls(made.iter().map(|(service, calls)| (service.as_str(), *calls)))
+    }
+
     /// Who asks for a call of this id, given on this machine. Ids of calls made by a run are those
     /// of the run with a part of their own behind a dot, as hierarchical trace ids are; an id that
     /// extends none of a run under way here is taken for a caller's.
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -62,6 +62,9 @@
             match kind {
                 ServerKind::Caller => {
                     let actions = self.calls.connection_ended(id, now);
+                    for call in self.calls.take_inner_calls() {
+                        self.jobs.note_inner_call(&call.attempt_id, &call.service);
+                    }
                     self.work.extend(actions.into_iter().map(Work::Call));
                 }
                 ServerKind::Peer => {
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -5,7 +5,7 @@
 use common::{found_alive, NAMES, SERVICE};
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
-use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
+use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState, INNER_CALLS_HEADER};
 use sidecar::{ConnectionId, JobAction, JobMetrics, Jobs, Lineage, LogSample, Source, UpstreamEnd};
 use std::rc::Rc;
 use telemetry::Registry;
@@ -330,3 +330,29 @@
     jobs.connection_ended(ConnectionId::for_tests(1), 20);
     assert_eq!(jobs.lineage("7.ab"), Lineage::Caller, "its run is over");
 }
+
+#[test]
+fn the_answer_of_a_run_tells_the_calls_that_it_made() {
+    let told = |actions: &[JobAction]| {
+        actions.iter().find_map(|action| match action {
+            JobAction::Reply { response, .. } => {
+                Some(response.headers.text(INNER_CALLS_HEADER).unwrap_or("-").to_owned())
+            }
+            _ => None,
+        })
+    };
+    let mut jobs = jobs();
+    let (made_calls, _) = started(&begin(&mut jobs, 1, 0)).map(|(id, _)| (id, ())).expect("runs");
+    for (id, service) in [("7.a", "ledger"), ("7.b", "ledger"), ("7.c", "desk"), ("8.a", "desk")] {
+        jobs.note_inner_call(id, service);
+    }
+    let forged = sealed(200).with_header(INNER_CALLS_HEADER, "other 9");
+    let answer = Answer { response: forged.clone(), reusable: true };
+    let ended = jobs.ended(made_calls, UpstreamEnd::Answered(answer), 10);
+    assert_eq!(told(&ended).as_deref(), Some("desk 1 ledger 2"));
+
+    let (made_none, _) = started(&begin(&mut jobs, 2, 20)).map(|(id, _)| (id, ())).expect("runs");
+    let answer = Answer { response: forged, reusable: true };
+    let ended = jobs.ended(made_none, UpstreamEnd::Answered(answer), 30);
+    assert_eq!(told(&ended).as_deref(), Some("-"), "an upstream cannot tell it itself");
+}
