A run that fails since its call was refused is no fault of its upstream

Cause: runs whose inner calls we refused ended with 500 and counted against their upstream and its version. Change: the sidecar beside knows of the refusal by the id of the run and leaves that end out. Broken variant that the check notices: such ends counted.

--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -55,6 +55,9 @@
         if call.arrivals == 0 {
             self.counts.refused += 1;
             self.note_outcome(&call, CallOutcome::Refused, now);
+            if call.begun {
+                self.inner_refusals.push(call.attempt_id.clone());
+            }
             warn!(
                 id = %call.attempt_id, route = %call.route, service = %call.service,
                 tries = call.tries, retry_after_ms, held_ms, trail = %trail(&call.trail),
--- a/crates/sidecar/src/calls/entry.rs
+++ b/crates/sidecar/src/calls/entry.rs
@@ -101,6 +101,11 @@
         std::mem::take(&mut self.inner_calls)
     }
 
+    /// Ids of calls that runs beside made and that were refused since the last look.
+    pub fn take_inner_refusals(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.inner_refusals)
+    }
+
     /// Takes in the calls that a run of a route made.
     pub(super) fn note_path(&mut self, route: &str, told: Option<&str>) {
         let calls = told.map(mesh::decode_inner_calls).unwrap_or_default();
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -168,6 +168,8 @@
     entry: EntryControl,
     paths: RoutePaths,
     inner_calls: Vec<InnerCall>,
+    /// Ids of calls of runs beside that were refused since the last look.
+    inner_refusals: Vec<String>,
     failures: RouteFailures,
     poison: PoisonWatch,
     random: fastrand::Rng,
@@ -211,6 +213,7 @@
             entry: EntryControl::default(),
             paths: RoutePaths::default(),
             inner_calls: Vec::new(),
+            inner_refusals: Vec::new(),
             failures: RouteFailures::default(),
             // Both are drawn at the start; nothing is secret about either.
             clock: seed as u32,
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -31,6 +31,7 @@
     /// Tells what became of a job, and starts others.
     pub(super) fn finish(&mut self, id: JobId, end: UpstreamEnd, now: Millis) -> Vec<JobAction> {
         let inner_calls = self.jobs.get(&id).and_then(|job| self.told_inner_calls(&job.attempt_id));
+        let starved = self.jobs.get(&id).is_some_and(|job| self.is_starved(&job.attempt_id));
         let Some(job) = self.remove(id) else {
             return Vec::new();
         };
@@ -45,7 +46,9 @@
         if let Some(told) = inner_calls {
             response.headers.push(INNER_CALLS_HEADER, told);
         }
-        if job.started.is_some() {
+        // What fails because a call that it needs was refused is no fault of the upstream.
+        let telling_end = !(starved && response.status >= FIRST_SERVER_ERROR);
+        if job.started.is_some() && telling_end {
             self.failures.note(is_upstreams_fault(outcome, response.status), now);
             self.note_trial(job.class, outcome, response.status, spent_ms, now);
         }
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -175,6 +175,8 @@
     jobs: u32,
     /// Calls that it made meanwhile, by service.
     inner_calls: BTreeMap<String, u32>,
+    /// Whether one of them was refused, so that it fails by no fault of its own.
+    starved: bool,
 }
 
 /// All calls for the upstream beside this sidecar.
@@ -612,6 +614,19 @@
         }
     }
 
+    /// Notes that a call of a run was refused.
+    pub fn note_inner_refusal(&mut self, attempt_id: &str) {
+        let run = attempt_id.rsplit_once(ID_SEPARATOR).map(|(run, _)| run);
+        if let Some(work) = run.and_then(|run| self.at_work.get_mut(run)) {
+            work.starved = true;
+        }
+    }
+
+    /// Whether a call that the run needs was refused.
+    fn is_starved(&self, attempt_id: &str) -> bool {
+        self.at_work.get(attempt_id).is_some_and(|work| work.starved)
+    }
+
     /// What the answer of a run tells of the calls that it made.
     fn told_inner_calls(&self, attempt_id: &str) -> Option<String> {
         let made = &self.at_work.get(attempt_id)?.inner_calls;
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -171,6 +171,9 @@
     pub(super) fn do_work(&mut self) {
         while let Some(work) = self.work.pop_front() {
             let now = self.now();
+            for id in self.calls.take_inner_refusals() {
+                self.jobs.note_inner_refusal(&id);
+            }
             match work {
                 Work::Call(action) => self.do_call_action(action, now),
                 Work::Job(action) => self.do_job_action(action, now),
--- a/crates/sidecar/tests/begun_work.rs
+++ b/crates/sidecar/tests/begun_work.rs
@@ -67,3 +67,16 @@
     world.calls.ended(attempt, refused, world.now);
     assert!(sent(&world.begin("GET", "/inner/1")).is_none());
 }
+
+#[test]
+fn it_is_told_beside_which_of_them_were_refused() {
+    let mut world = World::with_upstreams(1);
+    let refused = || replied(HopOutcome::Refused, 503);
+    let (attempt, _) = sent(&world.begin("GET", "/inner/1")).expect("placed");
+    world.calls.ended(attempt, refused(), world.now);
+    assert!(world.calls.take_inner_refusals().is_empty(), "new work is nobody's call here");
+    let (attempt, _) = sent(&world.begin_begun("/inner/1")).expect("placed");
+    world.calls.ended(attempt, refused(), world.now);
+    assert_eq!(world.calls.take_inner_refusals(), ["id-2"]);
+    assert!(world.calls.take_inner_refusals().is_empty(), "once");
+}
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -356,3 +356,19 @@
     let ended = jobs.ended(made_none, UpstreamEnd::Answered(answer), 30);
     assert_eq!(told(&ended).as_deref(), Some("-"), "an upstream cannot tell it itself");
 }
+
+#[test]
+fn a_run_whose_calls_were_refused_fails_by_no_fault_of_its_upstream() {
+    // Whether one of its calls was refused, how it ended, and whether that tells against the upstream.
+    for (refused, status, blamed) in [(false, 500, true), (true, 500, false), (true, 200, false)] {
+        let mut jobs = jobs();
+        let (run, _) = started(&begin(&mut jobs, 1, 0)).map(|(id, _)| (id, ())).expect("runs");
+        jobs.note_inner_refusal("8.a");
+        if refused {
+            jobs.note_inner_refusal("7.a");
+        }
+        let answer = Answer { response: sealed(status), reusable: true };
+        jobs.ended(run, UpstreamEnd::Answered(answer), 10);
+        assert_eq!(jobs.failing_percent(10) > 0, blamed, "refused {refused}, {status}");
+    }
+}
