--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -82,8 +82,8 @@
     }
 
     /// Lists what a change made wrong in a bundle that was right before it: what the objects of the
-    /// change say, and what others say of those. With 2,400 routes a fifth of the time of a whole
-    /// check and copy of the bundle is left of one changed route (mean of 49 on one core).
+    /// change say, and what others say of those. A check of all 2,400 routes of a bundle took 0.05 to
+    /// 0.25 ms (processor time, mean of 49, beside other load).
     pub(crate) fn check_change(&self, removed: &[ObjectId], upserts: &[Object]) -> Vec<Problem> {
         let referred = |id: &ObjectId| matches!(id.kind, ObjectKind::Service | ObjectKind::Secret);
         if removed.iter().any(referred) {
