--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -4,13 +4,19 @@
 //! comes back, however late its messages arrive. Messages of one that was never heard of may come
 //! late, too: so the upstream's own word, that it is another one than a call was meant for, brings
 //! back the one that was replaced last.
+//!
+//! An incarnation is named by its id and the time of its start: an upstream may start again under its
+//! id, and then knows nothing of before, its sequence begins anew, and no end of before binds it.
 
 use crate::Millis;
-use mesh::{InstanceRecord, InstanceState, MOST_VERSION_BYTES};
+use mesh::{Incarnation, InstanceRecord, InstanceState, MOST_VERSION_BYTES};
 use std::collections::VecDeque;
 
 /// Part of the drain time during which the gate stays open for calls already on their way.
 const OPEN_PART: f64 = 0.5;
+/// An upstream that is cold for this much longer than was known is news to its peers, milliseconds:
+/// beats repeat what is left to within their own way.
+const COLD_NEWS_MS: u64 = 200;
 /// Replaced incarnations remembered.
 const RETIRED_KEPT: usize = 64;
 
@@ -35,13 +41,13 @@
     /// The one replaced last, until the upstream has answered a call as the current one.
     former: Option<Current>,
     /// The one that ended without a word, until another registers.
-    ended: Option<String>,
-    retired: VecDeque<String>,
+    ended: Option<Incarnation>,
+    retired: VecDeque<Incarnation>,
 }
 
 #[derive(Clone, Debug)]
 struct Current {
-    id: String,
+    incarnation: Incarnation,
     /// Told once; an incarnation does not change its software.
     version: String,
     state: InstanceState,
@@ -60,21 +66,24 @@
 
     /// Takes in what coordinators know from before this sidecar's start.
     pub fn restore(&mut self, record: &InstanceRecord, now: Millis) {
-        if self.current.is_none() && !self.retired.contains(&record.id) {
+        let incarnation = record.incarnation();
+        if self.current.is_none() && !self.is_retired(&incarnation) {
             self.replace(record, 0, now);
         }
-        if self.advance(&record.id, record.state, now) {
-            self.close_now(&record.id);
+        if self.advance(&incarnation, record.state, now) {
+            self.close_now(&incarnation);
         }
     }
 
     /// Takes in what the upstream tells of itself; true if that is news to others. `sequence`
     /// orders its messages.
     pub fn told(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) -> bool {
-        if self.retired.contains(&record.id) {
+        let incarnation = record.incarnation();
+        if self.is_retired(&incarnation) {
             return false;
         }
-        if self.current.as_ref().is_none_or(|current| current.id != record.id) {
+        let known = self.current.as_ref().is_some_and(|held| held.incarnation.may_be(&incarnation));
+        if !known {
             if self.is_late(record) {
                 return false;
             }
@@ -84,23 +93,37 @@
         let Some(current) = &mut self.current else {
             return false;
         };
-        let slots_changed = current.slots != record.slots && sequence > current.newest_sequence;
-        if sequence > current.newest_sequence {
+        current.incarnation.born_ms = current.incarnation.born_ms.max(record.born_ms);
+        let newer = sequence > current.newest_sequence;
+        let slots_changed = newer && current.slots != record.slots;
+        let mut cold_changed = false;
+        if newer {
             current.newest_sequence = sequence;
             current.slots = record.slots;
-            current.cold_until = now + u64::from(record.cold_remaining_ms);
+            let cold_until = now + u64::from(record.cold_remaining_ms);
+            cold_changed = current.cold_until.max(now) + COLD_NEWS_MS < cold_until;
+            current.cold_until = cold_until;
         }
-        self.advance(&record.id, record.state, now) || slots_changed
+        self.advance(&incarnation, record.state, now) || slots_changed || cold_changed
     }
 
     /// Takes in that an incarnation ends; true if that is news to others.
-    pub fn left(&mut self, id: &str, now: Millis) -> bool {
-        self.advance(id, InstanceState::Left, now)
+    pub fn left(&mut self, incarnation: &Incarnation, now: Millis) -> bool {
+        self.advance(incarnation, InstanceState::Left, now)
+    }
+
+    fn is_retired(&self, incarnation: &Incarnation) -> bool {
+        self.retired.iter().any(|retired| retired.may_be(incarnation))
     }
 
     /// Whether the first that is heard of an incarnation is its end, while another one serves: it
-    /// began and ended before that one, and its messages were held up.
+    /// began and ended before that one, and its messages were held up. So is any word of an earlier
+    /// start under the id of the one that is there.
     fn is_late(&self, record: &InstanceRecord) -> bool {
+        let incarnation = record.incarnation();
+        if self.current.as_ref().is_some_and(|current| current.incarnation.succeeds(&incarnation)) {
+            return true;
+        }
         let serves = self.current.as_ref().is_some_and(|current| current.open_until.is_none());
         serves && record.state != InstanceState::Ready
     }
@@ -115,11 +138,11 @@
     /// Takes in that the upstream is not this incarnation, as it says itself; true if that is news.
     /// The one replaced last is the current one again. Without any, the next that is heard of is.
     pub fn denied(&mut self, id: &str) -> bool {
-        let Some(denied) = self.current.take_if(|current| current.id == id) else {
+        let Some(denied) = self.current.take_if(|current| current.incarnation.id == id) else {
             return false;
         };
         if let Some(former) = self.former.take() {
-            self.retired.retain(|retired| *retired != former.id);
+            self.retired.retain(|retired| *retired != former.incarnation);
             self.current = Some(former);
             self.retire(denied);
         }
@@ -129,30 +152,32 @@
     /// Takes in that a serving incarnation ended without a word; true if that is news. Should it
     /// live after all, its next heartbeat brings it back.
     pub fn ended(&mut self, id: &str) -> bool {
-        let serves = |current: &mut Current| current.id == id && current.open_until.is_none();
+        let serves =
+            |current: &mut Current| current.incarnation.id == id && current.open_until.is_none();
         let Some(ended) = self.current.take_if(serves) else {
             return false;
         };
         self.former = None;
-        self.ended = Some(ended.id);
+        self.ended = Some(ended.incarnation);
         true
     }
 
     fn retire(&mut self, replaced: Current) {
-        self.retire_id(replaced.id.clone());
+        self.forget(replaced.incarnation.clone());
         self.former = Some(replaced);
     }
 
-    fn retire_id(&mut self, id: String) {
-        self.retired.push_back(id);
+    fn forget(&mut self, incarnation: Incarnation) {
+        self.retired.push_back(incarnation);
         if self.retired.len() > RETIRED_KEPT {
             self.retired.pop_front();
         }
     }
 
     fn replace(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) {
-        if let Some(ended) = self.ended.take().filter(|ended| *ended != record.id) {
-            self.retire_id(ended);
+        let incarnation = record.incarnation();
+        if let Some(ended) = self.ended.take().filter(|ended| !ended.may_be(&incarnation)) {
+            self.forget(ended);
         }
         if let Some(replaced) = self.current.take() {
             self.retire(replaced);
@@ -161,7 +186,7 @@
         // acknowledged long ago, by an earlier life.
         let leaving = record.state != InstanceState::Ready;
         self.current = Some(Current {
-            id: record.id.clone(),
+            incarnation,
             version: bounded(&record.version),
             state: record.state,
             slots: record.slots,
@@ -171,8 +196,9 @@
         });
     }
 
-    fn advance(&mut self, id: &str, state: InstanceState, now: Millis) -> bool {
-        let Some(current) = self.current.as_mut().filter(|current| current.id == id) else {
+    fn advance(&mut self, of: &Incarnation, state: InstanceState, now: Millis) -> bool {
+        let is_it = |current: &&mut Current| current.incarnation.may_be(of);
+        let Some(current) = self.current.as_mut().filter(is_it) else {
             return false;
         };
         if state <= current.state {
@@ -184,8 +210,9 @@
         true
     }
 
-    fn close_now(&mut self, id: &str) {
-        if let Some(current) = self.current.as_mut().filter(|current| current.id == id) {
+    fn close_now(&mut self, of: &Incarnation) {
+        let is_it = |current: &&mut Current| current.incarnation.may_be(of);
+        if let Some(current) = self.current.as_mut().filter(is_it) {
             current.open_until = Some(0);
         }
     }
@@ -204,7 +231,12 @@
 
     /// Id of the incarnation beside this sidecar.
     pub fn id(&self) -> Option<&str> {
-        self.current.as_ref().map(|current| current.id.as_str())
+        self.incarnation().map(|incarnation| incarnation.id.as_str())
+    }
+
+    /// The incarnation beside this sidecar.
+    pub fn incarnation(&self) -> Option<&Incarnation> {
+        self.current.as_ref().map(|current| &current.incarnation)
     }
 
     /// Version of its software.
@@ -217,6 +249,11 @@
         self.current.as_ref().is_some_and(|current| now < current.cold_until)
     }
 
+    /// Until when it is slow after its start; in the past if it is not.
+    pub fn cold_until(&self) -> Millis {
+        self.current.as_ref().map_or(0, |current| current.cold_until)
+    }
+
     /// Calls it works on at once.
     pub fn slots(&self) -> Option<u32> {
         self.current.as_ref().map(|current| current.slots)
@@ -225,11 +262,12 @@
     /// What others should know.
     pub fn record(&self, now: Millis) -> Option<InstanceRecord> {
         self.current.as_ref().map(|current| InstanceRecord {
-            id: current.id.clone(),
+            id: current.incarnation.id.clone(),
             version: current.version.clone(),
             state: current.state,
             slots: current.slots,
             cold_remaining_ms: current.cold_until.saturating_sub(now) as u32,
+            born_ms: current.incarnation.born_ms,
         })
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,6 +4,7 @@
 //! Pure: time is passed in as milliseconds of a monotonic clock.
 #![forbid(unsafe_code)]
 
+mod cold_start;
 mod egress;
 mod gate;
 mod health;
@@ -14,6 +15,7 @@
 mod taken;
 mod transfers;
 
+pub use cold_start::{ColdRate, ColdStart};
 pub use egress::{EgressBook, EgressKind, EgressTime, LinkRoom};
 pub use gate::{DrainGate, GateState};
 pub use health::FailureShare;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,7 +1,7 @@
 //! Slots and the short queue in front of them.
 
 use crate::shares::{TenantKey, TenantShares};
-use crate::Millis;
+use crate::{ColdRate, ColdStart, Millis};
 use std::collections::BTreeMap;
 
 /// Names a call at this upstream.
@@ -70,6 +70,7 @@
     running: u32,
     waiting: BTreeMap<Place, Waiting>,
     shares: TenantShares,
+    cold_start: ColdStart,
     arrivals: u64,
     service_ms: f64,
     /// Calls that told how long they held a slot, while they are few.
@@ -87,6 +88,7 @@
             running: 0,
             waiting: BTreeMap::new(),
             shares: TenantShares::default(),
+            cold_start: ColdStart::default(),
             arrivals: 0,
             service_ms: INITIAL_SERVICE_MS,
             told: 0,
@@ -100,6 +102,27 @@
         self.limit = limit.max(1);
     }
 
+    /// Takes in what cold upstreams of the service bear.
+    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>) {
+        self.cold_start.set_rate(rate);
+    }
+
+    /// Takes in until when the upstream is cold.
+    pub fn set_cold_until(&mut self, until: Millis) {
+        self.cold_start.set_until(until);
+    }
+
+    /// Takes in that another incarnation is there.
+    pub fn restarted(&mut self, now: Millis) {
+        self.cold_start.restarted(now);
+    }
+
+    /// Whether a call that comes now need not wait.
+    fn is_free(&self, now: Millis) -> bool {
+        let has_slot = self.running < self.limit && self.waiting.is_empty();
+        has_slot && self.cold_start.next_at(now) <= now
+    }
+
     /// Most calls at once.
     pub fn limit(&self) -> u32 {
         self.limit
@@ -122,8 +145,9 @@
 
     /// Decides on a new call.
     pub fn submit(&mut self, ticket: Ticket, now: Millis) -> Decision {
-        if self.running < self.limit && self.waiting.is_empty() {
+        if self.is_free(now) {
             self.running += 1;
+            self.cold_start.note_start(now);
             let turn = self.shares.turn(ticket.rank, ticket.tenant);
             self.shares.taken(ticket.rank, ticket.tenant, turn);
             self.shares.started(ticket.rank, turn);
@@ -143,11 +167,11 @@
 
     /// Whether a call would be taken in now; if not, when there may be room, milliseconds.
     pub fn check_room(&mut self, ticket: Ticket, now: Millis) -> Result<(), u64> {
-        if self.running < self.limit && self.waiting.is_empty() {
+        if self.is_free(now) {
             return Ok(());
         }
         let ahead = self.waiting.range(..self.place(ticket)).count();
-        if self.wait_behind(ahead) <= ticket.patience_ms {
+        if self.wait_behind(ahead, now) <= ticket.patience_ms {
             return Ok(());
         }
         let retry_after_ms = self.retry_after_ms(ticket.patience_ms, now);
@@ -160,17 +184,22 @@
         (!ticket.begun, ticket.rank, turn, ticket.target_ms, self.arrivals)
     }
 
-    /// Expected wait of a call with this many in front of it, milliseconds.
-    fn wait_behind(&self, ahead: usize) -> u64 {
+    /// Expected wait of a call with this many in front of it, milliseconds: for a slot, and while the
+    /// upstream is cold for its room a second.
+    fn wait_behind(&self, ahead: usize, now: Millis) -> u64 {
         let turns = (ahead + 1) as f64 / f64::from(self.limit);
-        (turns * self.service_ms) as u64
+        let until_slot = match self.running as usize + ahead < self.limit as usize {
+            true => 0,
+            false => (turns * self.service_ms) as u64,
+        };
+        until_slot.max(self.cold_start.room_at(ahead, now) - now)
     }
 
     /// When a call of this patience would be let in, by the rate at which slots become free:
     /// behind those that wait, and behind those that were refused before it and come back.
     pub fn retry_after_ms(&self, patience_ms: u64, now: Millis) -> u64 {
         let returning = self.refused * self.refusals_kept(now);
-        let all = self.wait_behind(self.waiting.len() + returning as usize);
+        let all = self.wait_behind(self.waiting.len() + returning as usize, now);
         all.saturating_sub(patience_ms).max(SHORTEST_RETRY_MS)
     }
 
@@ -194,13 +223,14 @@
         }
     }
 
-    /// The next call to run, if a slot is free; its slot is taken.
-    pub fn start_next(&mut self) -> Option<JobId> {
-        if self.running >= self.limit {
+    /// The next call to run, if a slot is free and the upstream bears it; its slot is taken.
+    pub fn start_next(&mut self, now: Millis) -> Option<JobId> {
+        if self.running >= self.limit || self.cold_start.next_at(now) > now {
             return None;
         }
         let ((_, rank, turn, ..), waiting) = self.waiting.pop_first()?;
         self.shares.started(rank, turn);
+        self.cold_start.note_start(now);
         self.running += 1;
         Some(waiting.job)
     }
@@ -234,6 +264,12 @@
         self.take_out(|_| true)
     }
 
+    /// When the next waiting call may start though no slot is given back; `None` if it waits for a slot.
+    pub fn next_start(&self, now: Millis) -> Option<Millis> {
+        let waits = !self.waiting.is_empty() && self.running < self.limit;
+        waits.then(|| self.cold_start.next_at(now))
+    }
+
     /// When the next waiting call expires.
     pub fn next_expiry(&self) -> Option<Millis> {
         self.waiting.values().map(|waiting| waiting.latest_start).min()
--- /dev/null
+++ b/crates/admission/tests/cold_start.rs
@@ -0,0 +1,162 @@
+//! What a cold upstream is given: no more than it bears in any second, and as much of that as there is.
+
+use admission::{Admission, ColdRate, Decision, Ticket};
+
+const PER_S: f64 = 20.0;
+const BURST: f64 = 3.0;
+/// Any span of a second holds the even rate, the burst, and the call at its edge.
+const MOST_IN_A_SECOND: usize = 24;
+const COLD_MS: u64 = 3_000;
+const LIMIT: u32 = 9;
+const SERVICE_MS: u64 = 100;
+
+/// A cold upstream under calls that come at given times, each with a slot for `SERVICE_MS`.
+struct Upstream {
+    admission: Admission,
+    /// When each call that runs ends.
+    ends: Vec<u64>,
+    starts: Vec<u64>,
+    refused: Vec<(u64, u64)>,
+    next: u64,
+}
+
+impl Upstream {
+    fn cold(until: u64) -> Self {
+        let mut admission = Admission::new(LIMIT);
+        admission.set_cold_rate(Some(ColdRate { per_s: PER_S, burst: BURST }));
+        admission.set_cold_until(until);
+        Upstream { admission, ends: Vec::new(), starts: Vec::new(), refused: Vec::new(), next: 0 }
+    }
+
+    fn started(&mut self, now: u64) {
+        self.starts.push(now);
+        self.ends.push(now + SERVICE_MS);
+    }
+
+    fn at(&mut self, now: u64, calls: usize, begun: bool, patience_ms: u64) {
+        let over = self.ends.iter().filter(|end| **end <= now).count();
+        self.ends.retain(|end| *end > now);
+        for _ in 0..over {
+            self.admission.release(Some(SERVICE_MS));
+        }
+        while self.admission.start_next(now).is_some() {
+            self.started(now);
+        }
+        self.admission.expire(now);
+        for _ in 0..calls {
+            self.next += 1;
+            let deadline = now + 2_000;
+            let (job, rank, tenant, target_ms) = (self.next, 1, None, 300);
+            let ticket = Ticket { job, begun, rank, tenant, target_ms, patience_ms, deadline };
+            match self.admission.submit(ticket, now) {
+                Decision::Run => self.started(now),
+                Decision::Wait => {}
+                Decision::Refuse { retry_after_ms } => self.refused.push((now, retry_after_ms)),
+            }
+        }
+    }
+
+    fn most_in_a_second(&self) -> usize {
+        let within = |from: &u64| {
+            self.starts.iter().filter(|at| **at >= *from && **at < from + 1_000).count()
+        };
+        self.starts.iter().map(within).max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn under_any_load_it_is_given_no_more_than_it_bears() {
+    // Calls at each time: even, a herd at the first millisecond, herds that come back by turns.
+    let loads: [(&str, fn(u64) -> usize); 3] = [
+        ("even", |now| usize::from(now % 5 == 0)),
+        ("a herd", |now| if now == 0 { 400 } else { 0 }),
+        ("herds", |now| if now % 250 == 0 { 60 } else { 0 }),
+    ];
+    for (name, load) in loads {
+        let mut upstream = Upstream::cold(COLD_MS);
+        for now in 0..COLD_MS {
+            upstream.at(now, load(now), false, 75);
+        }
+        assert!(upstream.most_in_a_second() <= MOST_IN_A_SECOND, "{name}: {:?}", upstream.starts);
+        assert!(upstream.starts.len() >= 4, "{name}: what it bears is used");
+    }
+}
+
+#[test]
+fn an_even_load_uses_what_it_bears_and_the_rest_is_refused_at_once_with_a_true_time() {
+    let mut upstream = Upstream::cold(COLD_MS);
+    for now in 0..COLD_MS {
+        upstream.at(now, usize::from(now % 10 == 0), false, 75);
+    }
+    let served = upstream.starts.len();
+    assert!((55..=66).contains(&served), "20 a second for 3 s and the burst: {served}");
+    for (at, after) in &upstream.refused {
+        // Those refused before it come back as well, and want slots once it is warm.
+        assert!(at + after <= COLD_MS + 5 * SERVICE_MS, "refused at {at} until {after} ms later");
+    }
+}
+
+#[test]
+fn without_the_rate_the_same_check_fails() {
+    let mut upstream = Upstream::cold(0);
+    for now in 0..COLD_MS {
+        upstream.at(now, usize::from(now % 5 == 0), false, 75);
+    }
+    assert!(upstream.most_in_a_second() > MOST_IN_A_SECOND);
+}
+
+#[test]
+fn begun_work_goes_first_to_a_cold_upstream() {
+    let mut upstream = Upstream::cold(COLD_MS);
+    upstream.at(0, 8, false, 400);
+    let (starts, waiting) = (upstream.starts.len(), upstream.admission.queued());
+    upstream.at(1, 1, true, 400);
+    assert_eq!(upstream.admission.queued(), waiting + 1);
+    let before = upstream.next;
+    let first = (2..200).find_map(|now| upstream.admission.start_next(now));
+    assert_eq!(first, Some(before), "{starts} had started");
+}
+
+#[test]
+fn a_restart_in_the_same_second_is_given_no_second_burst() {
+    let mut upstream = Upstream::cold(COLD_MS);
+    upstream.at(0, 50, false, 75);
+    upstream.admission.restarted(300);
+    upstream.admission.set_cold_until(300 + COLD_MS);
+    for now in 300..1_000 {
+        upstream.at(now, usize::from(now % 2 == 0), false, 75);
+    }
+    assert!(upstream.most_in_a_second() <= MOST_IN_A_SECOND);
+}
+
+#[test]
+fn what_was_given_before_word_came_that_it_is_cold_counts() {
+    let mut upstream = Upstream::cold(0);
+    for now in 0..500 {
+        upstream.at(now, usize::from(now % 20 == 0), false, 75);
+    }
+    let before = upstream.starts.len();
+    upstream.admission.set_cold_until(500 + COLD_MS);
+    for now in 500..1_000 {
+        upstream.at(now, usize::from(now % 20 == 0), false, 75);
+    }
+    assert!(before >= 20 && upstream.starts.len() <= MOST_IN_A_SECOND + 2, "{before}");
+}
+
+#[test]
+fn one_that_is_cold_for_a_year_is_given_what_it_bears_all_the_same() {
+    let mut upstream = Upstream::cold(u64::MAX);
+    for now in 0..2_000 {
+        upstream.at(now, usize::from(now % 10 == 0), false, 75);
+    }
+    assert!(upstream.starts.len() >= 38, "{}", upstream.starts.len());
+}
+
+#[test]
+fn a_waiting_call_starts_when_there_is_room_without_a_slot_given_back() {
+    let mut upstream = Upstream::cold(COLD_MS);
+    upstream.at(0, 5, false, 400);
+    let at = upstream.admission.next_start(0).expect("one waits and slots are free");
+    assert!(upstream.admission.start_next(at - 1).is_none());
+    assert!(upstream.admission.start_next(at).is_some());
+}
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -1,7 +1,7 @@
 //! Which incarnation is beside a sidecar, and how its end is remembered.
 
 use admission::{DrainGate, GateState};
-use mesh::{InstanceRecord, InstanceState, MOST_VERSION_BYTES};
+use mesh::{Incarnation, InstanceRecord, InstanceState, MOST_VERSION_BYTES};
 
 const DRAIN_MS: u64 = 2_000;
 
@@ -11,10 +11,15 @@
         state,
         slots: 18,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     }
 }
 
+fn incarnation(id: &str) -> Incarnation {
+    Incarnation { id: id.to_owned(), born_ms: 0 }
+}
+
 fn serving() -> DrainGate {
     let mut gate = DrainGate::new(DRAIN_MS);
     assert!(gate.told(&record("i-1", InstanceState::Ready), 1, 0));
@@ -27,7 +32,7 @@
     assert!(gate.told(&record("i-1", InstanceState::Draining), 2, 10_000));
     assert_eq!(gate.state(10_500), GateState::Closing);
     assert_eq!(gate.state(11_000), GateState::Closed);
-    assert!(gate.left("i-1", 12_000));
+    assert!(gate.left(&incarnation("i-1"), 12_000));
     assert_eq!(gate.state(12_000), GateState::Closed, "a second end opens nothing");
 }
 
@@ -46,7 +51,7 @@
     assert!(gate.told(&record("i-2", InstanceState::Ready), 1, 5_000));
     assert_eq!(gate.id(), Some("i-2"));
     assert!(!gate.told(&record("i-1", InstanceState::Ready), 9, 5_100));
-    assert!(!gate.left("i-1", 5_200));
+    assert!(!gate.left(&incarnation("i-1"), 5_200));
     assert_eq!((gate.id(), gate.state(5_300)), (Some("i-2"), GateState::Open));
 }
 
@@ -120,7 +125,7 @@
                 gate.told(&record(id, InstanceState::Draining), sequence, now);
             }
             Arrival::Leave(id) => {
-                gate.left(id, now);
+                gate.left(&incarnation(id), now);
             }
             Arrival::Answers(id) => gate.confirmed(id),
             Arrival::Denies(id) => {
@@ -189,3 +194,67 @@
         assert_eq!(after(arrivals), (id.map(str::to_owned), state), "{name}");
     }
 }
+
+/// An upstream that tells when it started.
+fn born(id: &str, born_ms: u64, state: InstanceState) -> InstanceRecord {
+    InstanceRecord { born_ms, ..record(id, state) }
+}
+
+#[test]
+fn one_that_starts_again_under_its_id_serves_though_the_earlier_start_had_left() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&born("i-1", 1_000, InstanceState::Ready), 7, 0);
+    gate.told(&born("i-1", 1_000, InstanceState::Draining), 8, 100);
+    gate.left(&born("i-1", 1_000, InstanceState::Left).incarnation(), 200);
+    assert_eq!(gate.state(5_000), GateState::Closed);
+    // Its sequence begins anew.
+    assert!(gate.told(&born("i-1", 9_000, InstanceState::Ready), 1, 5_000));
+    assert_eq!(gate.state(5_000), GateState::Open);
+    assert_eq!(gate.record(5_000).map(|record| record.born_ms), Some(9_000));
+}
+
+#[test]
+fn words_of_an_earlier_start_change_nothing_after_the_later_one() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&born("i-1", 1_000, InstanceState::Ready), 7, 0);
+    gate.told(&born("i-1", 9_000, InstanceState::Ready), 1, 500);
+    assert!(!gate.told(&born("i-1", 1_000, InstanceState::Ready), 9, 600), "a held up beat");
+    assert!(!gate.told(&born("i-1", 1_000, InstanceState::Draining), 10, 700), "a held up end");
+    assert!(!gate.left(&born("i-1", 1_000, InstanceState::Left).incarnation(), 800));
+    assert_eq!(gate.state(900), GateState::Open);
+    // A sidecar that never heard of the earlier one knows by the times of start.
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&born("i-1", 9_000, InstanceState::Ready), 1, 0);
+    assert!(!gate.told(&born("i-1", 1_000, InstanceState::Ready), 30, 100));
+    assert_eq!(gate.record(200).map(|record| record.born_ms), Some(9_000));
+}
+
+#[test]
+fn a_restart_within_one_beat_is_another_incarnation() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    gate.told(&born("i-1", 1_000, InstanceState::Ready), 5, 0);
+    let again =
+        InstanceRecord { cold_remaining_ms: 3_000, ..born("i-1", 1_900, InstanceState::Ready) };
+    assert!(gate.told(&again, 1, 1_500), "the sequence is lower, and the start another");
+    assert!(gate.is_cold(2_000));
+}
+
+#[test]
+fn without_times_of_start_one_id_is_one_incarnation() {
+    let mut gate = serving();
+    gate.told(&born("i-1", 9_000, InstanceState::Ready), 2, 100);
+    assert!(gate.left(&incarnation("i-1"), 200), "a leave without a body");
+    assert_eq!(gate.state(5_000), GateState::Closed);
+    assert!(!gate.told(&record("i-1", InstanceState::Ready), 9, 5_100), "gone is gone");
+}
+
+#[test]
+fn one_that_becomes_cold_again_is_news() {
+    let mut gate = serving();
+    let cold = InstanceRecord { cold_remaining_ms: 3_000, ..record("i-1", InstanceState::Ready) };
+    assert!(gate.told(&cold, 2, 1_000));
+    let later = InstanceRecord { cold_remaining_ms: 1_500, ..cold.clone() };
+    assert!(!gate.told(&later, 3, 2_500), "it is as cold as was known");
+    assert!(!gate.told(&record("i-1", InstanceState::Ready), 4, 4_000));
+    assert!(!gate.is_cold(4_000));
+}
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -23,7 +23,7 @@
 
 fn next(admission: &mut Admission) -> Option<u64> {
     admission.release(None);
-    admission.start_next()
+    admission.start_next(0)
 }
 
 #[test]
@@ -79,7 +79,7 @@
 fn no_more_than_the_limit_run() {
     let mut admission = full();
     admission.submit(ticket(10, 1, 900), 0);
-    assert_eq!(admission.start_next(), None);
+    assert_eq!(admission.start_next(0), None);
     assert_eq!(admission.running(), LIMIT);
     assert!(admission.cancel(10));
     assert!(!admission.cancel(10));
--- a/crates/admission/tests/shares.rs
+++ b/crates/admission/tests/shares.rs
@@ -43,7 +43,7 @@
     let mut order = Vec::new();
     for _ in 0..7 {
         admission.release(None);
-        order.push(admission.start_next().expect("some wait"));
+        order.push(admission.start_next(0).expect("some wait"));
     }
     // Begun work, then the rank; one without a tenant has no turn to wait for. The first of the small
     // tenant goes before the third of the hot one, and its second beside that.
@@ -61,7 +61,7 @@
         }
         for job in 1..9 {
             admission.release(None);
-            assert_eq!(admission.start_next(), Some(job));
+            assert_eq!(admission.start_next(0), Some(job));
         }
     }
 }
@@ -89,7 +89,7 @@
     let mut order = Vec::new();
     for _ in 0..4 {
         admission.release(None);
-        order.push(admission.start_next().expect("some wait"));
+        order.push(admission.start_next(0).expect("some wait"));
     }
     assert_eq!(order, [20, 10, 21, 11]);
 }
@@ -109,7 +109,7 @@
     let mut order = Vec::new();
     for _ in 0..5 {
         admission.release(None);
-        order.push(admission.start_next().expect("some wait"));
+        order.push(admission.start_next(0).expect("some wait"));
     }
     assert_eq!(order, [2, 1, 4, 3, 5]);
 }
@@ -158,7 +158,7 @@
                 }
             }
         }
-        while let Some(job) = admission.start_next() {
+        while let Some(job) = admission.start_next(0) {
             started.push(job);
         }
         running.extend(started.into_iter().map(|job| (job, now + SERVICE_MS)));
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -18,8 +18,8 @@
 pub use delta::{best_update, BundleUpdate, Delta, UpdateError};
 pub use digest::{Digest, DigestParseError};
 pub use object::{
-    Bundle, CallLimits, HashedObject, Object, ObjectId, ObjectKind, Priority, Route, SealedSecret,
-    Service, SharedRoute, Target, CALL_LIMITS_NAME,
+    Bundle, CallLimits, ColdStart, HashedObject, Object, ObjectId, ObjectKind, Priority, Route,
+    SealedSecret, Service, SharedRoute, Target, CALL_LIMITS_NAME,
 };
 pub use seal::{SealError, SealKey, SealKeys};
 pub use tenant::{KeyFingerprint, Tenant};
--- a/crates/bundle/src/object.rs
+++ b/crates/bundle/src/object.rs
@@ -23,12 +23,25 @@
     pub upstream_slots: u32,
     /// Connections one upstream accepts in all.
     pub upstream_connections: u32,
+    /// What an upstream bears after its start; `None` if that is no less than later.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
     /// Text of the operator's tools, kept and returned as it came and never interpreted.
     #[speedy(length_type = u64_varint)]
     #[serde(default)]
     pub annotation: String,
 }
 
+/// What an upstream bears while it is cold, as its operator measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// How long it stays cold after a start, milliseconds.
+    pub lasts_ms: u32,
+    /// Calls that it bears meanwhile, thousandths a second.
+    pub rate_milli: u32,
+}
+
 /// Which calls are kept when there is not room for all.
 #[derive(
     Clone,
--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -1,8 +1,8 @@
 //! Reading a bundle from an operator's TOML file or folder.
 
 use crate::{
-    Bundle, Object, ObjectId, ObjectKind, Priority, Problem, Route, SealKey, Service, Target,
-    Tenant, LIMITS,
+    Bundle, ColdStart, Object, ObjectId, ObjectKind, Priority, Problem, Route, SealKey, Service,
+    Target, Tenant, LIMITS,
 };
 use serde::Deserialize;
 use snafu::{ensure, ResultExt, Snafu};
@@ -104,6 +104,7 @@
     upstream_slots: u32,
     #[serde(default = "default_connections")]
     upstream_connections: u32,
+    cold_start: Option<ColdStart>,
 }
 
 #[derive(Deserialize)]
@@ -281,6 +282,7 @@
         name: table.name.get_ref().clone(),
         upstream_slots: table.upstream_slots,
         upstream_connections: table.upstream_connections,
+        cold_start: table.cold_start,
         annotation: String::new(),
     })
 }
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -43,6 +43,8 @@
 };
 
 /// How far a target latency may lie above the timeout of its route, milliseconds.
+/// Longest time for which upstreams of a service are cold, milliseconds: a day.
+const LONGEST_COLD_MS: u32 = 86_400_000;
 const TARGET_LATENCY_SLACK_MS: u32 = 60_000;
 
 /// One reason why a bundle is refused.
@@ -180,6 +182,10 @@
     check_range(&id, "upstream_slots", service.upstream_slots, 1, 100_000, problems);
     let connections = service.upstream_connections;
     check_range(&id, "upstream_connections", connections, 1, 100_000, problems);
+    if let Some(cold_start) = service.cold_start {
+        check_range(&id, "cold_start.lasts_ms", cold_start.lasts_ms, 0, LONGEST_COLD_MS, problems);
+        check_range(&id, "cold_start.rate_milli", cold_start.rate_milli, 1, u32::MAX, problems);
+    }
 }
 
 fn check_route(route: &Route, names: &ReferenceNames<'_>, problems: &mut Vec<Problem>) {
--- a/crates/bundle/tests/bad_bundles.rs
+++ b/crates/bundle/tests/bad_bundles.rs
@@ -90,6 +90,7 @@
                 name,
                 upstream_slots: 1,
                 upstream_connections: 1,
+                cold_start: None,
                 annotation,
             })
         };
--- a/crates/bundle/tests/changes.rs
+++ b/crates/bundle/tests/changes.rs
@@ -14,6 +14,7 @@
         name: name.to_owned(),
         upstream_slots: 1,
         upstream_connections: 1,
+        cold_start: None,
         annotation: String::new(),
     })
 }
--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use bundle::{Bundle, Object};
 use coordinator::{CanaryOrder, OperatorCall, OperatorDialect, Replacement};
-use mesh::{Fingerprint, InstanceRecord, InstanceState, QuarantineEntry};
+use mesh::{Fingerprint, Incarnation, InstanceRecord, InstanceState, QuarantineEntry};
 use rollout::CanaryRecord;
 use serde::{Deserialize, Serialize};
 use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect, ToldLoad};
@@ -43,6 +43,9 @@
     sequence: u64,
     #[serde(default)]
     cold_remaining_ms: u32,
+    /// When it started, Unix milliseconds.
+    #[serde(default)]
+    born_ms: u64,
 }
 
 /// Registration of upstreams: `POST /v1/instances/ID/heartbeat` and `.../leave`.
@@ -53,7 +56,8 @@
     fn read(&self, method: &str, target: &str, body: &[u8]) -> Option<RegistrationCall> {
         let rest = target.strip_prefix(INSTANCES).filter(|_| method == "POST")?;
         if let Some(instance) = rest.strip_suffix(LEAVE) {
-            return Some(RegistrationCall::Leave { instance: instance.to_owned() });
+            let incarnation = Incarnation { id: instance.to_owned(), born_ms: 0 };
+            return Some(RegistrationCall::Leave { incarnation });
         }
         let id = rest.strip_suffix(HEARTBEAT)?.to_owned();
         Some(match serde_json::from_slice::<Heartbeat>(body) {
@@ -68,6 +72,7 @@
                     },
                     slots: told.slots,
                     cold_remaining_ms: told.cold_remaining_ms,
+                    born_ms: told.born_ms,
                 },
                 service: told.service,
                 sequence: told.sequence,
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -5,7 +5,7 @@
 
 use crate::Millis;
 use bundle::Digest;
-use mesh::{HeardNode, InstanceState, NodeAddress, NodeRecord, RegistryEntry};
+use mesh::{HeardNode, Incarnation, InstanceState, NodeAddress, NodeRecord, RegistryEntry};
 use speedy::Writable;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::info;
@@ -54,7 +54,7 @@
     nodes: BTreeMap<NodeAddress, Held>,
     gone: VecDeque<(u64, NodeAddress)>,
     last: BTreeMap<NodeAddress, (NodeRecord, Millis)>,
-    marks: VecDeque<(String, InstanceState)>,
+    marks: VecDeque<(Incarnation, InstanceState)>,
 }
 
 impl Registry {
@@ -235,7 +235,8 @@
         let Some(instance) = &mut record.instance else {
             return;
         };
-        let mark = self.marks.iter().find(|(id, _)| *id == instance.id);
+        let incarnation = instance.incarnation();
+        let mark = self.marks.iter().find(|(marked, _)| marked.may_be(&incarnation));
         if let Some((_, state)) = mark {
             instance.state = instance.state.max(*state);
         }
@@ -247,9 +248,10 @@
         let Some(instance) = leaving else {
             return;
         };
-        match self.marks.iter_mut().find(|(id, _)| *id == instance.id) {
+        let incarnation = instance.incarnation();
+        match self.marks.iter_mut().find(|(marked, _)| marked.may_be(&incarnation)) {
             Some((_, state)) => *state = instance.state,
-            None => self.marks.push_back((instance.id.clone(), instance.state)),
+            None => self.marks.push_back((incarnation, instance.state)),
         }
         if self.marks.len() > MARKS_KEPT {
             self.marks.pop_front();
--- a/crates/coordinator/tests/exchange.rs
+++ b/crates/coordinator/tests/exchange.rs
@@ -30,6 +30,7 @@
             state,
             slots: 9,
             cold_remaining_ms: 0,
+            born_ms: 0,
             version: String::new(),
         }),
     }
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -21,6 +21,7 @@
         state,
         slots: 9,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     });
     NodeRecord {
@@ -262,3 +263,22 @@
     registry.report(record(1, 8, 1, Some(("i-1", InstanceState::Ready))), 500);
     assert_eq!(state_of(&registry, 1), Some(InstanceState::Draining));
 }
+
+#[test]
+fn an_end_binds_the_start_that_it_was_told_of() {
+    let born = |sequence, state, born_ms| {
+        let mut record = record(1, 7, sequence, Some(("i-1", state)));
+        record.instance.as_mut().expect("it has one").born_ms = born_ms;
+        record
+    };
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(born(1, InstanceState::Left, 1_000), 0);
+    registry.report(born(2, InstanceState::Ready, 1_000), 10);
+    let state = |registry: &Registry| {
+        let record = registry.last_record(&address(1)).expect("known");
+        record.instance.expect("it has one").state
+    };
+    assert_eq!(state(&registry), InstanceState::Left, "the same start");
+    registry.report(born(3, InstanceState::Ready, 9_000), 20);
+    assert_eq!(state(&registry), InstanceState::Ready, "it started again under its id");
+}
--- a/crates/forward/tests/routing.rs
+++ b/crates/forward/tests/routing.rs
@@ -35,6 +35,7 @@
         name: SERVICE.to_owned(),
         upstream_slots: 1,
         upstream_connections: 1,
+        cold_start: None,
         annotation: String::new(),
     };
     let objects = routes.iter().cloned().map(Object::Route);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -22,8 +22,8 @@
 pub use poison::{CrashReport, Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
 pub use quota::{CreditAmount, CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
 pub use record::{
-    HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord, RegistryEntry,
-    UpstreamLoad,
+    HeardNode, Incarnation, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord,
+    RegistryEntry, UpstreamLoad,
 };
 pub use version::{
     time_bin, CallClass, CandidateShare, ClassEvidence, ClassOutcomes, Track, VersionEvidence,
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -10,7 +10,7 @@
 use std::net::Ipv4Addr;
 
 /// Version of all frames; two processes of different versions refuse each other.
-pub const PROTOCOL_VERSION: u16 = 6;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 /// What a connection to a coordinator is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -67,6 +67,38 @@
     pub slots: u32,
     /// How much longer it stays slow after its start, milliseconds from when this was sent.
     pub cold_remaining_ms: u32,
+    /// When it started, Unix milliseconds of its own clock; 0 if it did not tell. An upstream may start
+    /// again under its id: the two together name one incarnation.
+    pub born_ms: u64,
+}
+
+impl InstanceRecord {
+    /// Which incarnation this is.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), born_ms: self.born_ms }
+    }
+}
+
+/// Names one start of an upstream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Incarnation {
+    /// Its id; one that starts again may keep it.
+    pub id: String,
+    /// When it started, Unix milliseconds; 0 if that was not told.
+    pub born_ms: u64,
+}
+
+impl Incarnation {
+    /// Whether both may be the same start: a time that was not told tells nothing apart.
+    pub fn may_be(&self, other: &Self) -> bool {
+        let untold = self.born_ms == 0 || other.born_ms == 0;
+        self.id == other.id && (untold || self.born_ms == other.born_ms)
+    }
+
+    /// Whether this is a later start under the same id.
+    pub fn succeeds(&self, other: &Self) -> bool {
+        self.id == other.id && other.born_ms > 0 && self.born_ms > other.born_ms
+    }
 }
 
 /// A sidecar with the upstream beside it.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -63,6 +63,12 @@
     /// Whether this node learned anything of its speed.
     timed: bool,
     cold_until: Millis,
+    cold_since: Millis,
+    /// When this node's first part of what it bears comes, as a part of the time between two: drawn,
+    /// so that not all nodes send to it at once.
+    cold_phase: f64,
+    /// When this node may send it another call while it is cold; `None` if it was not cold so far.
+    cold_part_at: Option<Millis>,
     figures: Option<Figures>,
     load_seen: Option<LoadSeen>,
     /// When coordinators last brought its load.
@@ -196,6 +202,9 @@
             told_pace: None,
             timed: false,
             cold_until: 0,
+            cold_since: 0,
+            cold_phase: 0.0,
+            cold_part_at: None,
             figures: None,
             load_seen: None,
             load_told_at: None,
@@ -213,8 +222,9 @@
 
     /// Takes in news of the coordinators.
     pub fn update(&mut self, record: NodeRecord, now: Millis) {
-        let id = |record: &NodeRecord| record.instance.as_ref().map(|found| found.id.clone());
-        let other_instance = id(&self.record) != id(&record);
+        let incarnation =
+            |record: &NodeRecord| record.instance.as_ref().map(mesh::InstanceRecord::incarnation);
+        let other_instance = incarnation(&self.record) != incarnation(&record);
         if other_instance || self.record.life != record.life {
             self.rest_until = 0;
             self.failures = 0;
@@ -225,17 +235,47 @@
             self.silence = Silence::default();
         }
         if other_instance {
+            self.cold_part_at = None;
             self.speed = 1.0;
             self.told_pace = None;
             self.timed = false;
         }
         if let Some(instance) = &record.instance {
+            if other_instance || now >= self.cold_until {
+                self.cold_since = now;
+            }
             self.cold_until = now + u64::from(instance.cold_remaining_ms);
         }
         self.record = record;
         self.listed = true;
     }
 
+    /// Whether it is slow after its start.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Takes in when this node's first part of what it bears comes, while it is cold.
+    pub(crate) fn with_cold_phase(self, cold_phase: f64) -> Self {
+        Self { cold_phase, ..self }
+    }
+
+    /// Whether this node may send it a call now for all that it bears: always once it is warm.
+    pub(crate) fn has_cold_part(&self, spacing_ms: Option<f64>, now: Millis) -> bool {
+        let Some(spacing_ms) = spacing_ms.filter(|_| self.is_cold(now)) else {
+            return true;
+        };
+        let first_at = self.cold_since + (spacing_ms * self.cold_phase) as Millis;
+        self.cold_part_at.unwrap_or(first_at) <= now
+    }
+
+    /// Notes that a call is sent to it.
+    pub(crate) fn note_cold_use(&mut self, spacing_ms: f64, now: Millis) {
+        if self.is_cold(now) {
+            self.cold_part_at = Some(now + spacing_ms as Millis);
+        }
+    }
+
     /// Notes whether a coordinator lists it.
     pub fn set_listed(&mut self, listed: bool) {
         self.listed = listed;
@@ -316,7 +356,7 @@
         if !self.timed && self.outstanding == 0 {
             return UNTRIED_PACE;
         }
-        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
+        let cold = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
         self.speed * cold
     }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -36,6 +36,8 @@
 /// call that is on its way, since loads are some tenths of a second old.
 const IDLE_SLOTS: f64 = 2.0;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// What a choice depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -96,6 +98,8 @@
     by_service: BTreeMap<Rc<str>, Vec<UpstreamKey>>,
     /// Services with versions that are not all alike.
     policies: BTreeMap<String, VersionPolicy>,
+    /// What cold upstreams of some services are given by all nodes together, calls a second.
+    cold_rates: BTreeMap<Rc<str>, f64>,
 }
 
 impl PlacementView {
@@ -106,6 +110,7 @@
             upstreams: BTreeMap::new(),
             by_service: BTreeMap::new(),
             policies: BTreeMap::new(),
+            cold_rates: BTreeMap::new(),
         }
     }
 
@@ -118,6 +123,31 @@
         }
     }
 
+    /// Takes in what cold upstreams are given by all nodes together, calls a second; of services that
+    /// are not named, as much as others.
+    pub fn set_cold_rates(&mut self, rates: BTreeMap<Rc<str>, f64>) {
+        self.cold_rates = rates;
+    }
+
+    /// This node's part of what a cold upstream of a service is given: the time from one call of it
+    /// to the next, milliseconds. Each node keeps to its part, so that all together send a cold
+    /// upstream what it bears; nothing has to be told, and no sender has to know of another.
+    fn cold_spacing_ms(&self, service: &str) -> Option<f64> {
+        let per_s = self.cold_rates.get(service)?;
+        Some(MILLIS_PER_SECOND * self.upstreams.len().max(1) as f64 / per_s)
+    }
+
+    /// Notes that a call is sent to an upstream, whose like are answered with so many bytes.
+    pub fn note_sent(&mut self, key: &UpstreamKey, answer_bytes: f64, now: Millis) {
+        let service = self.upstreams.get(key).map(|held| held.record.service.as_str());
+        let spacing_ms = service.and_then(|service| self.cold_spacing_ms(service));
+        if let Some(held) = self.upstreams.get_mut(key) {
+            held.outstanding += 1;
+            held.note_asked(answer_bytes.max(0.0));
+            held.note_cold_use(spacing_ms.unwrap_or(0.0), now);
+        }
+    }
+
     /// What is known of the versions of a service.
     pub fn policy(&self, service: &str) -> Option<&VersionPolicy> {
         self.policies.get(service)
@@ -128,7 +158,8 @@
         match self.upstreams.get_mut(&record.address) {
             None => {
                 self.index(&record);
-                let mut upstream = Upstream::new(record, now);
+                let phase = cold_phase(self.locality.own(), &record.address);
+                let mut upstream = Upstream::new(record, now).with_cold_phase(phase);
                 upstream.apply_policy(self.policies.get(&upstream.record.service));
                 self.upstreams.insert(upstream.record.address, upstream);
                 NodeChange::Changed
@@ -266,7 +297,7 @@
         self.choose_of(&Wanted { track: Track::Stable, fits: any, request }, now, random)
     }
 
-    /// The upstream that should have a second try of a call: one in use, that does not rest and has an
+    /// The upstream that should have a second try of a call: one in use, that neither rests nor is cold and has an
     /// idle slot for all that is known.
     pub fn choose_idle(
         &self,
@@ -276,7 +307,7 @@
     ) -> Option<UpstreamKey> {
         let idle = |held: &Upstream| {
             let free = held.free_slots(now).is_some_and(|free| free >= IDLE_SLOTS);
-            free && !held.is_resting(now)
+            free && !held.is_resting(now) && !held.is_cold(now)
         };
         self.choose_of(&Wanted { track: Track::Stable, fits: idle, request }, now, random)
     }
@@ -320,7 +351,8 @@
         random: &mut fastrand::Rng,
     ) -> Option<UpstreamKey> {
         let Wanted { track, ref fits, request } = *wanted;
-        let mut best: Option<((bool, f64), UpstreamKey)> = None;
+        let mut best: Option<((Standby, f64), UpstreamKey)> = None;
+        let cold_spacing_ms = self.cold_spacing_ms(request.service);
         for (key, held) in self.candidates(request.service, random) {
             let distance = self.locality.distance(&held.record);
             let usable = held.track == track && held.is_live();
@@ -360,7 +392,14 @@
                 false => link_cost(held.link_in_use(now)),
             };
             let cost = cost(held, distance, expected, transfer_ms + answer_ms, request, now);
-            let cost = (held.is_resting(now), cost + in_use);
+            let standby = match held.is_resting(now) {
+                true => Standby::Resting,
+                false if distance != Distance::Own && !held.has_cold_part(cold_spacing_ms, now) => {
+                    Standby::Cold
+                }
+                false => Standby::No,
+            };
+            let cost = (standby, cost + in_use);
             if best.as_ref().is_none_or(|(held_cost, _)| {
                 cost.partial_cmp(held_cost).is_some_and(std::cmp::Ordering::is_lt)
             }) {
@@ -405,6 +444,24 @@
     request: &'a Request<'a>,
 }
 
+/// Whether an upstream is only taken if there is no other, and after which of its like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standby {
+    No,
+    /// It is cold, and had this node's part of what it bears.
+    Cold,
+    /// It failed this node lately.
+    Resting,
+}
+
+/// When the first part of a cold upstream comes to a node, as a part of the time between two, 0 to 1:
+/// drawn from both addresses, so that the parts of all nodes are spread over that time.
+fn cold_phase(own: &UpstreamKey, upstream: &UpstreamKey) -> f64 {
+    let bits = |key: &UpstreamKey| u64::from(key.ip.to_bits()) ^ u64::from(key.port) << 32;
+    let seed = bits(own).rotate_left(32) ^ bits(upstream);
+    fastrand::Rng::with_seed(seed).f64()
+}
+
 /// Fits every upstream.
 fn any(_: &Upstream) -> bool {
     true
--- a/crates/placement/tests/canary.rs
+++ b/crates/placement/tests/canary.rs
@@ -20,6 +20,7 @@
         state: InstanceState::Ready,
         slots: 9,
         cold_remaining_ms: 0,
+        born_ms: 0,
     };
     NodeRecord {
         address: address(host),
--- a/crates/placement/tests/egress.rs
+++ b/crates/placement/tests/egress.rs
@@ -31,6 +31,7 @@
             state: InstanceState::Ready,
             slots: 12,
             cold_remaining_ms: 0,
+            born_ms: 0,
             version: String::new(),
         }),
     }
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -28,6 +28,7 @@
             state,
             slots: 2,
             cold_remaining_ms: 0,
+            born_ms: 0,
             version: String::new(),
         }),
     }
--- a/crates/proxy/tests/core.rs
+++ b/crates/proxy/tests/core.rs
@@ -15,6 +15,7 @@
         name: service.to_owned(),
         upstream_slots: 20,
         upstream_connections: 130,
+        cold_start: None,
         annotation: String::new(),
     };
     let route = Route {
--- a/crates/rollout/tests/canaries.rs
+++ b/crates/rollout/tests/canaries.rs
@@ -19,6 +19,7 @@
                 name: name.to_owned(),
                 upstream_slots: 1,
                 upstream_connections: 1,
+                cold_start: None,
                 annotation: String::new(),
             })
         };
--- a/crates/rollout/tests/replace.rs
+++ b/crates/rollout/tests/replace.rs
@@ -12,6 +12,7 @@
         name: format!("service-{number}"),
         upstream_slots: 1,
         upstream_connections: 1,
+        cold_start: None,
         annotation: format!("as sent {number}"),
     };
     Bundle::from_objects(vec![Object::Service(service)])
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -16,6 +16,22 @@
     pub window_s: u64,
 }
 
+/// How far calls to a cold upstream may exceed what its service says that one bears.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStartSettings {
+    /// Calls a second, as a multiple of what it bears.
+    pub over: f64,
+    /// Calls beyond that within one second.
+    pub slack: f64,
+}
+
+impl Default for ColdStartSettings {
+    fn default() -> Self {
+        Self { over: 1.0, slack: 0.0 }
+    }
+}
+
 /// Settings of `chutecove sidecar`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,6 +67,9 @@
     pub plain_transport: bool,
     /// Bound on repeats.
     pub retry_budget: RetryBudgetSettings,
+    /// Bound on calls to cold upstreams.
+    #[serde(default)]
+    pub cold_start: ColdStartSettings,
     /// Time after an upstream said that it leaves, until it is given no more calls, ms.
     pub drain_ms: u64,
     /// Longest time for a planned stop, milliseconds.
@@ -90,6 +109,10 @@
         checks.require("link_mbps", self.link_mbps >= 0.0, "must not be below 0");
         let ratio = (0.0..=1.0).contains(&self.retry_budget.ratio);
         checks.require("retry_budget.ratio", ratio, "must be 0 to 1");
+        let over = (0.1..=100.0).contains(&self.cold_start.over);
+        checks.require("cold_start.over", over, "must be 0.1 to 100");
+        let cold_slack = (0.0..=1e6).contains(&self.cold_start.slack);
+        checks.require("cold_start.slack", cold_slack, "must be 0 to 1000000");
         let slack = self.retry_budget.slack >= 0.0;
         checks.require("retry_budget.slack", slack, "must not be below 0");
     }
--- a/crates/sidecar/examples/tenant_cost.rs
+++ b/crates/sidecar/examples/tenant_cost.rs
@@ -70,6 +70,7 @@
         name: "fares".to_owned(),
         upstream_slots: 1,
         upstream_connections: 100,
+        cold_start: None,
         annotation: String::new(),
     });
     let routes =
--- a/crates/sidecar/src/calls/hedge.rs
+++ b/crates/sidecar/src/calls/hedge.rs
@@ -114,10 +114,7 @@
         self.counts.repeats += 1;
         self.counts.hedges += 1;
         let moved_bytes = self.moved_bytes(id);
-        if let Some(upstream) = self.view.get_mut(&to) {
-            upstream.outstanding += 1;
-            upstream.note_asked((moved_bytes - request.body.len() as f64).max(0.0));
-        }
+        self.view.note_sent(&to, moved_bytes - request.body.len() as f64, now);
         let offered = self.view.is_offered(&to, request.body.len());
         Some(CallAction::Send { attempt, to, request, hop, offered })
     }
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -138,10 +138,7 @@
             );
         }
         let moved_bytes = self.times.moved_bytes(&call.route).unwrap_or(0.0);
-        if let Some(upstream) = self.view.get_mut(&to) {
-            upstream.outstanding += 1;
-            upstream.note_asked((moved_bytes - request.body.len() as f64).max(0.0));
-        }
+        self.view.note_sent(&to, moved_bytes - request.body.len() as f64, now);
         self.plan_hedge(id, offered, now);
         vec![CallAction::Send { attempt, to, request, hop, offered }]
     }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -3,11 +3,15 @@
 use crate::currency::Currency;
 use crate::tenants::{KeyDigester, KeyHolder, KeyProblem, Tenants};
 use crate::Millis;
-use bundle::{Bundle, BundleUpdate, CallLimits, Digest, SealKeys};
+use bundle::{Bundle, BundleUpdate, CallLimits, ColdStart, Digest, SealKeys, Service};
 use forward::RoutingTable;
+use mesh::InstanceRecord;
 use std::rc::Rc;
 use tracing::{info, warn};
 
+/// Thousandths in one.
+const MILLI: f64 = 1_000.0;
+
 /// A configuration that is ready to be put in force.
 struct Prepared {
     bundle: Bundle,
@@ -60,6 +64,27 @@
         &self.limits
     }
 
+    /// What upstreams of a service bear while they are cold.
+    pub fn cold_start(&self, service: &str) -> Option<ColdStart> {
+        self.bundle.services().find(|held| held.name == service)?.cold_start
+    }
+
+    /// What an upstream told of itself, cold for no longer than upstreams of its service are.
+    pub fn bounded_cold(&self, record: &InstanceRecord, service: &str) -> InstanceRecord {
+        let longest_ms =
+            self.cold_start(service).map_or(u32::MAX, |cold_start| cold_start.lasts_ms);
+        let cold_remaining_ms = record.cold_remaining_ms.min(longest_ms);
+        InstanceRecord { cold_remaining_ms, ..record.clone() }
+    }
+
+    /// The services whose cold upstreams bear less, with what they bear, calls a second.
+    pub fn cold_rates(&self) -> impl Iterator<Item = (&str, f64)> {
+        let rated = |service: &'_ Service| service.cold_start.map(|cold| cold.rate_milli);
+        self.bundle.services().filter_map(move |service| {
+            Some((service.name.as_str(), f64::from(rated(service)?) / MILLI))
+        })
+    }
+
     /// Digest of the newest content held, in force or prepared.
     pub fn digest(&self) -> Digest {
         self.newest_held().digest()
--- a/crates/sidecar/src/dialect.rs
+++ b/crates/sidecar/src/dialect.rs
@@ -1,7 +1,7 @@
 //! The names and formats that callers and upstreams use: the runtime knows what to do, a dialect
 //! how it is said.
 
-use mesh::InstanceRecord;
+use mesh::{Incarnation, InstanceRecord};
 
 /// Header names between callers, sidecars and upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,8 +53,8 @@
     },
     /// It ends.
     Leave {
-        /// Id of the incarnation.
-        instance: String,
+        /// Which incarnation; without the time of its start, the one that is known by that id.
+        incarnation: Incarnation,
     },
     /// It cannot be read.
     Unreadable {
--- a/crates/sidecar/src/jobs/crash.rs
+++ b/crates/sidecar/src/jobs/crash.rs
@@ -9,7 +9,7 @@
 use crate::Millis;
 use admission::JobId;
 use http1::ExchangeError;
-use mesh::Fingerprint;
+use mesh::{Fingerprint, Incarnation};
 
 /// Longest wait for the connection that is tried, milliseconds. An upstream that ended refuses it
 /// at once; one that neither takes nor refuses it is not known to have ended.
@@ -29,17 +29,17 @@
     /// Whether this is the second look.
     again: bool,
     /// The incarnation that is known to have ended.
-    ended_instance: Option<String>,
+    ended_instance: Option<Incarnation>,
 }
 
 impl CrashWatch {
     /// Whether an incarnation is known to have ended.
-    pub fn has_ended(&self, instance: Option<&str>) -> bool {
-        instance.is_some() && instance == self.ended_instance.as_deref()
+    pub fn has_ended(&self, instance: Option<&Incarnation>) -> bool {
+        instance.is_some() && instance == self.ended_instance.as_ref()
     }
 
     /// Takes in that an incarnation was heard of: if it was taken for ended, it was not.
-    pub fn note_registered(&mut self, instance: Option<&str>) {
+    pub fn note_registered(&mut self, instance: Option<&Incarnation>) {
         if self.has_ended(instance) {
             self.ended_instance = None;
         }
@@ -54,7 +54,7 @@
         error: ExchangeError,
         now: Millis,
     ) -> Vec<JobAction> {
-        let given_to = self.jobs.get(&id).and_then(|job| job.given_to.as_deref());
+        let given_to = self.jobs.get(&id).and_then(|job| job.given_to.as_ref());
         if self.crash.has_ended(given_to) {
             return self.finish(id, UpstreamEnd::Failed(error), now);
         }
@@ -91,14 +91,14 @@
     }
 
     fn note_upstream_ended(&mut self, now: Millis) {
-        let Some(instance) = self.gate.id().map(str::to_owned) else {
+        let Some(instance) = self.gate.incarnation().cloned() else {
             return;
         };
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let running: Vec<Fingerprint> = running.map(|job| self.fingerprint(&job.request)).collect();
-        self.poison.upstream_ended(&instance, &running, now);
+        self.poison.upstream_ended(&instance.id, &running, now);
         // Its peers must not take it for idle: it refuses at once, and would be tried first.
-        self.instance_changed |= self.gate.ended(&instance);
+        self.instance_changed |= self.gate.ended(&instance.id);
         self.crash.ended_instance = Some(instance);
     }
 
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -61,12 +61,12 @@
             HopOutcome::Refused | HopOutcome::Rejected => self.admission.retry_after_ms(0, now),
             HopOutcome::Answered | HopOutcome::Unknown => 0,
         };
-        self.note_instance(job.given_to.as_deref(), outcome, response.status);
+        self.note_instance(job.given_to.as_ref(), outcome, response.status);
         if outcome == HopOutcome::Answered {
             self.poison.ran_well(self.fingerprint(&job.request), now);
         }
         let upstream_ended =
-            outcome == HopOutcome::Unknown && self.crash.has_ended(job.given_to.as_deref());
+            outcome == HopOutcome::Unknown && self.crash.has_ended(job.given_to.as_ref());
         let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
         let reply = HopReply { upstream_ended, ..reply };
         let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
@@ -136,7 +136,7 @@
                 actions.extend(self.refuse_waiting(id, reason, now));
             }
         }
-        while let Some(id) = self.admission.start_next() {
+        while let Some(id) = self.admission.start_next(now) {
             match self.start(id, now) {
                 Some(action) => actions.push(action),
                 None => self.admission.release(None),
@@ -216,7 +216,13 @@
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let overdue = running.map(|job| job.deadline + OVERTIME_MS).min();
         let offers = self.offers.next_expiry(now);
-        let dues = [overdue, self.admission.next_expiry(), offers, self.next_probe_tick()];
+        let dues = [
+            overdue,
+            self.admission.next_expiry(),
+            self.admission.next_start(now),
+            offers,
+            self.next_probe_tick(),
+        ];
         dues.into_iter().flatten().min()
     }
 }
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -20,13 +20,13 @@
 use crate::transit::TransitTimes;
 use crate::Millis;
 use admission::{
-    Admission, Decision, DrainGate, EgressBook, EgressKind, EgressTime, FailureShare, GateState,
-    JobId, LinkRoom, Pace, TakenSlots, TenantKey, Ticket,
+    Admission, ColdRate, Decision, DrainGate, EgressBook, EgressKind, EgressTime, FailureShare,
+    GateState, JobId, LinkRoom, Pace, TakenSlots, TenantKey, Ticket,
 };
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
-    CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, InstanceState, NodeAddress,
-    UpstreamLoad, VersionEvidence, VersionPolicy, HOP_HEADER,
+    CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, Incarnation, InstanceState,
+    NodeAddress, UpstreamLoad, VersionEvidence, VersionPolicy, HOP_HEADER,
 };
 use quarantine::Standing;
 use std::collections::BTreeMap;
@@ -160,7 +160,7 @@
     /// Whether an upstream may have ended because of a request like it.
     suspect: bool,
     /// Incarnation that it was given to.
-    given_to: Option<String>,
+    given_to: Option<Incarnation>,
     deadline: Millis,
     arrived: Millis,
     started: Option<Millis>,
@@ -198,7 +198,7 @@
     crash: CrashWatch,
     poison: PoisonWatch,
     failures: FailureShare,
-    failures_of: Option<String>,
+    failures_of: Option<Incarnation>,
     pace: Pace,
     /// Most calls that the upstream is given at once.
     slots_used: u32,
@@ -336,8 +336,8 @@
     }
 
     /// Takes in what an answer says of the incarnation that the call was given to.
-    fn note_instance(&mut self, given_to: Option<&str>, outcome: HopOutcome, status: u16) {
-        let Some(id) = given_to else {
+    fn note_instance(&mut self, given_to: Option<&Incarnation>, outcome: HopOutcome, status: u16) {
+        let Some(Incarnation { id, .. }) = given_to else {
             return;
         };
         match outcome {
@@ -356,15 +356,27 @@
         std::mem::take(&mut self.instance_changed)
     }
 
-    /// Takes over what the upstream told of its slots.
-    pub fn refresh_limit(&mut self) {
+    /// Takes in what cold upstreams of this service bear.
+    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>) {
+        self.admission.set_cold_rate(rate);
+    }
+
+    /// Takes over for how long the upstream is cold.
+    pub fn refresh_cold(&mut self) {
+        self.admission.set_cold_until(self.gate.cold_until());
+    }
+
+    /// Takes over what the upstream told of its slots, and for how long it is cold.
+    pub fn refresh_limit(&mut self, now: Millis) {
         let slots = self.gate.slots().unwrap_or(UNKNOWN_SLOTS).max(1);
         let used = (f64::from(slots) * USED_PART_OF_SLOTS).floor() as u32;
         self.slots_used = used.max(1);
         self.admission.set_limit(self.slots_used);
-        self.crash.note_registered(self.gate.id());
-        if self.failures_of.as_deref() != self.gate.id() {
-            self.failures_of = self.gate.id().map(str::to_owned);
+        self.crash.note_registered(self.gate.incarnation());
+        self.refresh_cold();
+        if self.failures_of.as_ref() != self.gate.incarnation() {
+            self.failures_of = self.gate.incarnation().cloned();
+            self.admission.restarted(now);
             self.failures.clear();
             self.pace = Pace::default();
         }
@@ -601,7 +613,7 @@
 
     /// Gives a job, which holds a slot, to the upstream.
     fn start(&mut self, id: JobId, now: Millis) -> Option<JobAction> {
-        let instance = self.gate.id().map(str::to_owned);
+        let instance = self.gate.incarnation().cloned();
         let job = self.jobs.get_mut(&id)?;
         if job.started.is_none() {
             let work = self.at_work.entry(job.attempt_id.clone()).or_default();
@@ -618,7 +630,7 @@
         request.headers.remove("expect");
         request.headers.set(self.names.deadline_ms, left.to_string());
         if let Some(instance) = instance {
-            request.headers.set(self.names.expect_instance, instance);
+            request.headers.set(self.names.expect_instance, instance.id);
         }
         let waited_ms = now.saturating_sub(job.arrived);
         self.metrics.note_start(waited_ms);
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -304,7 +304,7 @@
 
     fn tell_instance_change(&mut self, now: Millis) {
         if self.jobs.take_instance_changed() {
-            self.jobs.refresh_limit();
+            self.jobs.refresh_limit(now);
             self.report_instance(now);
         }
     }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -21,16 +21,17 @@
 use crate::servers::{ServerKind, ServerTimes, Servers};
 use crate::stop::StopPlan;
 use crate::{Attempt, Millis};
-use admission::JobId;
+use admission::{ColdRate, JobId};
 use http1::{Response, Slot};
 use mesh::{NodeAddress, NodeLoad, NodeRecord};
 use placement::{BudgetBounds, Locality};
 use settings::SidecarSettings;
 use snafu::{ResultExt, Snafu};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 use telemetry::{Clock, Registry, ReloadSignal, SleepWatch, StopSignal};
 use tracing::{info, warn};
@@ -49,6 +50,10 @@
 /// How long the upstream's messages wait for what coordinators know of an earlier life, ms.
 const RESTORE_WAIT_MS: u64 = 800;
 
+/// Part of the slack for cold upstreams that is given to them at once: the rest is for what was sent
+/// before word came that they are cold.
+const BURST_PART_OF_SLACK: f64 = 0.5;
+
 /// A sidecar could not start.
 #[derive(Debug, Snafu)]
 pub enum SidecarError {
@@ -110,6 +115,8 @@
     next_reload_look: Millis,
     /// Whether a coordinator was asked for a configuration before one was announced.
     asked_first_config: bool,
+    /// Generation whose rates of cold upstreams were taken over.
+    cold_rates_of: u64,
 }
 
 /// Runs a sidecar until it is asked to stop. `settings_path` is read again when it changes.
@@ -227,6 +234,7 @@
             next_housekeeping: 0,
             next_reload_look: RELOAD_LOOK_MS,
             asked_first_config: false,
+            cold_rates_of: 0,
         })
     }
 
@@ -389,10 +397,29 @@
             }
         }
         self.config.put_in_force(self.links.announced());
+        if self.config.generation() != self.cold_rates_of {
+            self.cold_rates_of = self.config.generation();
+            self.take_cold_rates();
+        }
         self.calls.note_configuration(&self.config, now);
         self.want_config(now);
     }
 
+    /// Takes over what cold upstreams bear: the one beside this sidecar, and those it sends to.
+    fn take_cold_rates(&mut self) {
+        let bounds = &self.settings.cold_start;
+        let allowed = |per_s: f64| ColdRate {
+            per_s: per_s * bounds.over,
+            burst: (bounds.slack * BURST_PART_OF_SLACK - 1.0).max(0.0),
+        };
+        let rates = self.config.cold_rates().map(|(service, per_s)| (service, allowed(per_s)));
+        let rates: BTreeMap<Rc<str>, ColdRate> =
+            rates.map(|(service, rate)| (service.into(), rate)).collect();
+        self.jobs.set_cold_rate(rates.get(self.settings.service.as_str()).copied());
+        let per_s = rates.into_iter().map(|(service, rate)| (service, rate.per_s)).collect();
+        self.calls.view.set_cold_rates(per_s);
+    }
+
     /// Asks for a newer configuration, or at the start for the one that coordinators know before
     /// any of them has announced it.
     fn want_config(&mut self, now: Millis) {
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -16,7 +16,7 @@
             return;
         };
         self.jobs.gate.restore(&instance, now);
-        self.jobs.refresh_limit();
+        self.jobs.refresh_limit(now);
         info!(instance = %instance.id, state = instance.state.as_str(), "instance_restored");
         self.report_instance(now);
     }
@@ -73,9 +73,9 @@
                 }
                 self.heartbeat(&record, sequence, now)
             }
-            RegistrationCall::Leave { instance } => {
-                if self.jobs.gate.left(&instance, now) {
-                    info!(%instance, state = "left", "endpoint_state");
+            RegistrationCall::Leave { incarnation } => {
+                if self.jobs.gate.left(&incarnation, now) {
+                    info!(instance = %incarnation.id, state = "left", "endpoint_state");
                     self.report_instance(now);
                 }
                 true
@@ -97,12 +97,17 @@
         sequence: u64,
         now: Millis,
     ) -> bool {
+        let record = &self.config.bounded_cold(record, &self.settings.service);
         if self.jobs.gate.told(record, sequence, now) {
             let state = record.state.as_str();
-            info!(instance = %record.id, state, sequence, slots = record.slots, "endpoint_state");
-            self.jobs.refresh_limit();
+            info!(
+                instance = %record.id, born_ms = record.born_ms, state, sequence, slots = record.slots,
+                cold_ms = record.cold_remaining_ms, "endpoint_state"
+            );
+            self.jobs.refresh_limit(now);
             self.report_instance(now);
         }
+        self.jobs.refresh_cold();
         record.state != InstanceState::Ready
     }
 
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -68,6 +68,7 @@
         name: SERVICE.to_owned(),
         upstream_slots: 1,
         upstream_connections: 100,
+        cold_start: None,
         annotation: String::new(),
     };
     let routes = [
@@ -128,6 +129,7 @@
             state: InstanceState::Ready,
             slots: 9,
             cold_remaining_ms: 0,
+            born_ms: 0,
             version: String::new(),
         };
         let record = NodeRecord {
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -44,10 +44,11 @@
             state: InstanceState::Ready,
             slots: SLOTS,
             cold_remaining_ms: 0,
+            born_ms: 0,
             version: String::new(),
         };
         self.jobs.gate.told(&record, sequence, 0);
-        self.jobs.refresh_limit();
+        self.jobs.refresh_limit(0);
     }
 
     fn begin(&mut self, slot: u64, path: &str, suspect: bool, now: u64) -> Vec<JobAction> {
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -140,10 +140,16 @@
     let mut jobs = Jobs::new(NAMES, SERVICE, 2_000, None, LogSample::new(1), metrics);
     let id = "i-1".to_owned();
     let state = InstanceState::Ready;
-    let record =
-        InstanceRecord { id, state, slots: 1, cold_remaining_ms: 0, version: String::new() };
+    let record = InstanceRecord {
+        id,
+        state,
+        slots: 1,
+        cold_remaining_ms: 0,
+        born_ms: 0,
+        version: String::new(),
+    };
     jobs.gate.told(&record, 1, 0);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     lines_of(|| story(&mut jobs)).join("\n")
 }
 
--- a/crates/sidecar/tests/egress.rs
+++ b/crates/sidecar/tests/egress.rs
@@ -196,10 +196,11 @@
         state: InstanceState::Ready,
         slots: SLOTS,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     };
     jobs.gate.told(&record, 1, 0);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     jobs.set_link_room(room);
     jobs
 }
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -21,6 +21,7 @@
         state,
         slots: SLOTS,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     }
 }
@@ -35,7 +36,7 @@
         JobMetrics::new(&Registry::default()),
     );
     jobs.gate.told(&record("i-1", InstanceState::Ready), 1, 0);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     jobs
 }
 
@@ -269,7 +270,7 @@
     "#]]
     .assert_debug_eq(&told);
     jobs.gate.told(&record("i-2", InstanceState::Ready), 1, 60);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     let refused = jobs.begin(source(99), request(), &hop("another", None), 60);
     assert_eq!(failing(&refused), Some(0));
 }
@@ -397,6 +398,6 @@
     assert_eq!(seen, [0, 120, 120, 120, 300]);
     // Another incarnation is another upstream.
     jobs.gate.told(&record("i-2", InstanceState::Ready), 2, 100);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     assert_eq!(jobs.told_load(100).pace_percent, 0);
 }
--- a/crates/sidecar/tests/offers.rs
+++ b/crates/sidecar/tests/offers.rs
@@ -28,7 +28,7 @@
         let metrics = JobMetrics::new(&Registry::default());
         let mut jobs = Jobs::new(NAMES, SERVICE, DRAIN_MS, LINK, LogSample::new(1), metrics);
         jobs.gate.told(&record(InstanceState::Ready), 1, 0);
-        jobs.refresh_limit();
+        jobs.refresh_limit(0);
         Inbound { jobs, seen: String::new() }
     }
 
@@ -93,6 +93,7 @@
         state,
         slots: 2,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     }
 }
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -374,10 +374,11 @@
         state: mesh::InstanceState::Ready,
         slots: 1,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     };
     jobs.gate.told(&record, 1, world.now);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     let source = Source::Peer { connection: world.connection(), slot: 1 };
     let started = jobs.begin(source, Rc::new(request), &hop, world.now);
     let [JobAction::Run { request, .. }] = &started[..] else {
@@ -479,10 +480,11 @@
         state: mesh::InstanceState::Ready,
         slots: 2,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     };
     jobs.gate.told(&record, 1, 0);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     let mut world = World::with_tenants(1);
     let hop = hop(&world.begin_with_key("/safe/1", KEY)).expect("placed");
     let hop = mesh::HopRequest { patience_ms: 100_000, deadline_ms: 100_000, ..hop };
--- a/crates/sidecar/tests/transit.rs
+++ b/crates/sidecar/tests/transit.rs
@@ -74,10 +74,11 @@
         state: InstanceState::Ready,
         slots: 2,
         cold_remaining_ms: 0,
+        born_ms: 0,
         version: String::new(),
     };
     jobs.gate.told(&record, 1, 0);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     assert_eq!(seen(&begin(&mut jobs, 0, 1_000, 0, 2)), "runs, 1000 ms left");
     jobs
 }
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -24,9 +24,10 @@
         state: InstanceState::Ready,
         slots: 4,
         cold_remaining_ms: COLD_MS,
+        born_ms: 0,
     };
     jobs.gate.told(&record, 1, 0);
-    jobs.refresh_limit();
+    jobs.refresh_limit(0);
     jobs
 }
 
--- a/crates/simulator/src/workload.rs
+++ b/crates/simulator/src/workload.rs
@@ -19,6 +19,7 @@
             name: (*service).to_owned(),
             upstream_slots: 20,
             upstream_connections: 130,
+            cold_start: None,
             annotation: String::new(),
         }));
         objects.push(Object::Secret(key.seal(&secret, &format!("value {revision}"))));
