--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -128,6 +128,13 @@
         serves && record.state != InstanceState::Ready
     }
 
+    /// Takes the upstream for cold until it tells, or for so long.
+    pub fn presume_cold(&mut self, until: Millis) {
+        if let Some(current) = &mut self.current {
+            current.cold_until = current.cold_until.max(until);
+        }
+    }
+
     /// Takes in that the upstream answered a call that was meant for this incarnation.
     pub fn confirmed(&mut self, id: &str) {
         if self.former.is_some() && self.id() == Some(id) {
--- a/crates/chutecove/src/cli/bundle.rs
+++ b/crates/chutecove/src/cli/bundle.rs
@@ -246,6 +246,8 @@
         Accepted::Withdrawn { generation, digest } => {
             println!("generation {generation} returns to {digest}");
         }
+        Accepted::ZoneEvacuated { zone } => println!("{zone} is evacuated"),
+        Accepted::ZoneRestored { zone } => println!("{zone} gets calls"),
         Accepted::CanaryStarted { run } => println!("canary {run} is under way, or has ended"),
         Accepted::CanaryMoved { run, phase } => println!("canary {run}: {}", phase.as_str()),
     }
--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 pub mod sidecar;
 pub mod status;
+pub mod zone;
 
 use crate::exit::Failure;
 use crate::operator::{OperatorClient, OperatorSettings};
--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -3,10 +3,10 @@
 use bundle::{Bundle, Object};
 use coordinator::{CanaryOrder, OperatorCall, OperatorDialect, Replacement};
 use mesh::{Fingerprint, Incarnation, InstanceRecord, InstanceState, QuarantineEntry};
-use rollout::CanaryRecord;
+use rollout::{CanaryRecord, EvacuationRecord};
 use serde::{Deserialize, Serialize};
 use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect, ToldLoad};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Header names between callers, sidecars and upstreams.
 pub const HEADERS: HeaderNames = HeaderNames {
@@ -27,6 +27,7 @@
 const READY_PATH: &str = "/readyz";
 const CONFIGURATION: &str = "/v1/configuration";
 const CANARIES: &str = "/v1/canaries";
+const EVACUATIONS: &str = "/v1/evacuations";
 const QUARANTINE: &str = "/v1/quarantine";
 const PRECONDITION: &str = "If-Match";
 
@@ -110,6 +111,19 @@
     pub left_ms: u64,
 }
 
+/// A zone whose upstreams get no calls, as JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedZone {
+    /// The zone.
+    pub zone: String,
+    /// Time since it was ordered, milliseconds.
+    pub age_ms: u64,
+}
+
+fn zone_of(url: &str) -> Option<String> {
+    url.strip_prefix(EVACUATIONS)?.strip_prefix('/').map(str::to_owned)
+}
+
 /// A whole configuration as JSON.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -140,6 +154,11 @@
             ("GET", CONFIGURATION) => Some(OperatorCall::Read),
             ("POST", CANARIES) => Some(OperatorCall::StartCanary),
             ("GET", QUARANTINE) => Some(OperatorCall::ListQuarantine),
+            ("GET", EVACUATIONS) => Some(OperatorCall::ListEvacuations),
+            ("PUT", url) => Some(OperatorCall::EvacuateZone { zone: zone_of(url)? }),
+            ("DELETE", url) if url.starts_with(EVACUATIONS) => {
+                Some(OperatorCall::RestoreZone { zone: zone_of(url)? })
+            }
             ("DELETE", url) => {
                 let name = url.strip_prefix(QUARANTINE)?.strip_prefix('/')?;
                 let fingerprint = Fingerprint(u64::from_str_radix(name, 16).ok()?);
@@ -174,6 +193,19 @@
         serde_json::to_vec(canary).expect("a record holds nothing that JSON cannot")
     }
 
+    fn write_evacuations(
+        &self,
+        zones: &BTreeMap<String, EvacuationRecord>,
+        now_ms: u64,
+    ) -> Vec<u8> {
+        let written = |(zone, record): (&String, &EvacuationRecord)| EvacuatedZone {
+            zone: zone.clone(),
+            age_ms: now_ms.saturating_sub(record.ordered_ms),
+        };
+        let rows: Vec<EvacuatedZone> = zones.iter().map(written).collect();
+        serde_json::to_vec(&rows).expect("a row holds nothing that JSON cannot")
+    }
+
     fn write_quarantine(&self, entries: &[QuarantineEntry]) -> Vec<u8> {
         let written = |entry: &QuarantineEntry| QuarantinedRequest {
             fingerprint: entry.fingerprint.to_string(),
--- a/crates/chutecove/src/lib.rs
+++ b/crates/chutecove/src/lib.rs
@@ -30,6 +30,7 @@
   status     how far each generation has spread
   members    list, add, promote, remove control replicas
   quarantine list and clear requests that crash upstreams (small fleets)
+  zone       evacuate and restore zones (small fleets)
   keys       init, issue, operator, seal, rotate
   settings   check a settings file and print its defaults
   data       check, show, backup, restore a control replica's data folder
@@ -72,6 +73,7 @@
         "status" => cli::status::run(rest),
         "members" => cli::members::run(rest),
         "quarantine" => cli::quarantine::run(rest),
+        "zone" => cli::zone::run(rest),
         "keys" => cli::keys::run(rest),
         "settings" => cli::settings::run(rest),
         "data" => cli::data::run(rest),
--- a/crates/chutecove/tests/tenants.rs
+++ b/crates/chutecove/tests/tenants.rs
@@ -123,7 +123,7 @@
         text.replace(&format!("{}/", folder.path().display()), "")
     };
     expect![[r#"
-        valid: 1 services, 1 routes, 0 secrets, 1 tenants, 1 keys, 125 bytes
+        valid: 1 services, 1 routes, 0 secrets, 1 tenants, 1 keys, 126 bytes
     "#]]
     .assert_eq(&tool(&["check", &old]));
     expect![[r#"
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -11,7 +11,7 @@
 use std::io::Read;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use telemetry::Clock;
 use tracing::info;
 
@@ -46,6 +46,16 @@
             Some(OperatorCall::Read) => self.read(request),
             Some(OperatorCall::StartCanary) => self.start_canary(request),
             Some(OperatorCall::ReadCanary { service }) => self.read_canary(request, &service),
+            Some(OperatorCall::EvacuateZone { zone }) => {
+                info!(%zone, "evacuation_ordered");
+                let command = Command::EvacuateZone { zone, ordered_ms: unix_ms() };
+                self.order(request, command)
+            }
+            Some(OperatorCall::RestoreZone { zone }) => {
+                info!(%zone, "restoration_ordered");
+                self.order(request, Command::RestoreZone { zone })
+            }
+            Some(OperatorCall::ListEvacuations) => self.list_evacuations(request),
             Some(OperatorCall::ListQuarantine) => self.list_quarantine(),
             Some(OperatorCall::ClearQuarantine { fingerprint }) => {
                 self.clear_quarantine(fingerprint)
@@ -102,9 +112,13 @@
         };
         let CanaryOrder { service, version, duration_ms } = order;
         info!(%service, %version, duration_ms, "canary_ordered");
+        self.order(request, Command::StartCanary { service, version, duration_ms })
+    }
+
+    /// Proposes an order that has the same effect however often it is taken.
+    fn order(&self, request: &rouille::Request, command: Command) -> Response {
         let operator = self.trusted_source.clone();
-        let request_id = format!("canary-{service}-{version}-{:x}", fastrand::u64(..));
-        let command = Command::StartCanary { service, version, duration_ms };
+        let request_id = format!("order-{:x}", fastrand::u64(..));
         let proposal = Request { operator, request_id, command };
         match self.group.replica.propose(proposal, PROPOSE_TIMEOUT) {
             Ok(answer) => answered(0, answer),
@@ -112,6 +126,15 @@
         }
     }
 
+    fn list_evacuations(&self, request: &rouille::Request) -> Response {
+        if let Err(error) = self.group.replica.read(READ_TIMEOUT) {
+            return self.not_answered(request, 0, &error);
+        }
+        let zones = self.group.evacuations().zones;
+        let body = self.dialect.write_evacuations(&zones, unix_ms());
+        Response::from_data("application/json", body)
+    }
+
     fn read_canary(&self, request: &rouille::Request, service: &str) -> Response {
         if let Err(error) = self.group.replica.read(READ_TIMEOUT) {
             return self.not_answered(request, 0, &error);
@@ -173,6 +196,13 @@
     }
 }
 
+/// Time by this machine's clock, Unix milliseconds; only told to people.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before 1970 shows a wrong age and changes nothing else.
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn read_body(request: &rouille::Request) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     let reader = request.data()?;
@@ -186,6 +216,14 @@
             info!(run, "canary_accepted");
             Response::text("accepted\n")
         }
+        Ok(Accepted::ZoneEvacuated { zone }) => {
+            info!(%zone, "zone_evacuated");
+            Response::text("accepted\n")
+        }
+        Ok(Accepted::ZoneRestored { zone }) => {
+            info!(%zone, "zone_restored");
+            Response::text("accepted\n")
+        }
         Ok(accepted) => {
             let generation = match accepted {
                 Accepted::Replaced { generation, .. } => generation,
--- a/crates/coordinator/src/dialect.rs
+++ b/crates/coordinator/src/dialect.rs
@@ -2,7 +2,8 @@
 
 use bundle::Bundle;
 use mesh::{Fingerprint, QuarantineEntry};
-use rollout::CanaryRecord;
+use rollout::{CanaryRecord, EvacuationRecord};
+use std::collections::BTreeMap;
 
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +19,18 @@
         /// The service.
         service: String,
     },
+    /// Give the upstreams of a zone no more calls.
+    EvacuateZone {
+        /// The zone.
+        zone: String,
+    },
+    /// Give the upstreams of an evacuated zone calls again.
+    RestoreZone {
+        /// The zone.
+        zone: String,
+    },
+    /// List the evacuated zones.
+    ListEvacuations,
     /// List the requests that are kept from upstreams.
     ListQuarantine,
     /// Let upstreams have a request again.
@@ -67,6 +80,16 @@
     /// Writes what became of a canary.
     fn write_canary(&self, canary: &CanaryRecord) -> Vec<u8>;
 
+    /// Writes the evacuated zones, at a time in Unix milliseconds. Dialects without such a call need
+    /// none.
+    fn write_evacuations(
+        &self,
+        _zones: &BTreeMap<String, EvacuationRecord>,
+        _now_ms: u64,
+    ) -> Vec<u8> {
+        Vec::new()
+    }
+
     /// Writes the requests that are kept from upstreams. Dialects without such a call need none.
     fn write_quarantine(&self, _entries: &[QuarantineEntry]) -> Vec<u8> {
         Vec::new()
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -61,6 +61,13 @@
     update: BundleUpdate,
 }
 
+/// Revisions that one sidecar was told of.
+#[derive(Clone, Copy, Debug, Default)]
+struct ToldRevisions {
+    versions: u64,
+    evacuations: u64,
+}
+
 /// The writing half, shared by the reader's answers and the news.
 struct Writer {
     stream: Mutex<TcpStream>,
@@ -115,11 +122,11 @@
         let zone = self.zone.clone();
         writer.send(&ToSidecar::Welcome { zone, last })?;
         // Before its upstream is told of: what may be given to it depends on its version.
-        let mut versions_told = 0;
-        self.send_versions(&writer, &mut versions_told)?;
+        let mut told = ToldRevisions::default();
+        self.send_versions(&writer, &mut told)?;
         self.take_report(&writer, record)?;
         let (link, of_group) = (self.clone(), writer.clone());
-        spawn_thread(move || link.send_announcements(&of_group, versions_told))?;
+        spawn_thread(move || link.send_announcements(&of_group, told))?;
         let ended = self.receive_all(&writer, &mut reader, address, life);
         writer.ended.store(true, Ordering::Relaxed);
         if self.hub.lock().registry.disconnected(&address, life) {
@@ -212,19 +219,26 @@
         update
     }
 
-    /// Tells which versions may be given calls, if that changed since the revision `told`.
-    fn send_versions(&self, writer: &Writer, told: &mut u64) -> io::Result<()> {
+    /// Tells which upstreams may be given calls, by their versions and their zones, if that changed
+    /// since it was told.
+    fn send_versions(&self, writer: &Writer, told: &mut ToldRevisions) -> io::Result<()> {
+        let known = self.group.evacuations();
+        if known.revision > told.evacuations {
+            told.evacuations = known.revision;
+            let zones = known.zones.into_keys().collect();
+            writer.send(&ToSidecar::Evacuations { revision: known.revision, zones })?;
+        }
         let known = self.group.versions();
-        if known.revision <= *told {
-            return Ok(());
+        if known.revision > told.versions {
+            told.versions = known.revision;
+            let policies = self.canary_policies.of(&known.canaries);
+            writer.send(&ToSidecar::Versions { revision: known.revision, policies })?;
         }
-        *told = known.revision;
-        let policies = self.canary_policies.of(&known.canaries);
-        writer.send(&ToSidecar::Versions { revision: known.revision, policies })
+        Ok(())
     }
 
     /// Tells of generations, members and versions for as long as the connection stands.
-    fn send_announcements(&self, writer: &Writer, mut versions_told: u64) {
+    fn send_announcements(&self, writer: &Writer, mut told: ToldRevisions) {
         let mut announced = 0;
         let mut members: Vec<Ipv4Addr> = Vec::new();
         while !writer.ended.load(Ordering::Relaxed) {
@@ -243,7 +257,7 @@
             if messages.iter().any(|message| writer.send(message).is_err()) {
                 return;
             }
-            if self.send_versions(writer, &mut versions_told).is_err() {
+            if self.send_versions(writer, &mut told).is_err() {
                 return;
             }
             self.hub.wait_revised(revision, LONGEST_WAIT);
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -9,7 +9,7 @@
 use consensus::{Membership, Message};
 use control::{ConfigState, Replica};
 use mesh::{CoordinatorFrame, MemberId};
-use rollout::{ApprovalPolicy, CanaryRecord, Command, Request, CONTROL_OPERATOR};
+use rollout::{ApprovalPolicy, CanaryRecord, Command, EvacuationRecord, Request, CONTROL_OPERATOR};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -53,6 +53,14 @@
     pub canaries: BTreeMap<String, CanaryRecord>,
 }
 
+/// The evacuated zones that a coordinator knows.
+pub(crate) struct KnownEvacuations {
+    /// Log position of the newest change; 0 before the first.
+    pub revision: u64,
+    /// By zone.
+    pub zones: BTreeMap<String, EvacuationRecord>,
+}
+
 impl Group {
     pub fn new(
         own: MemberId,
@@ -132,6 +140,14 @@
         KnownVersions { revision, canaries }
     }
 
+    /// The evacuated zones known here.
+    pub fn evacuations(&self) -> KnownEvacuations {
+        let published = self.replica.lock();
+        let machine = &published.machine.0;
+        let (revision, zones) = (machine.evacuations_revision(), machine.evacuations().clone());
+        KnownEvacuations { revision, zones }
+    }
+
     /// Whether this coordinator leads the group.
     pub fn leads(&self) -> bool {
         self.replica.lock().status.is_leader
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -205,6 +205,14 @@
         /// One for each service that ever had a canary; all others take any version.
         policies: Vec<VersionPolicy>,
     },
+    /// The evacuated zones: their upstreams are given no calls. Replaces what any coordinator said
+    /// before in an older revision.
+    Evacuations {
+        /// Log position of the newest change.
+        revision: u64,
+        /// All of them.
+        zones: Vec<String>,
+    },
     /// News of requests that may crash upstreams, for subscribers.
     Poison {
         /// In the order in which they came.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -24,7 +24,7 @@
 pub use spread::TimeSpread;
 pub use throttle::Throttle;
 pub use times::{ClassTimes, Seen};
-pub use upstream::{Upstream, UpstreamKey, Urgency};
+pub use upstream::{Upstream, UpstreamKey, Urgency, PRESUMED_COLD_MS};
 pub use view::{NodeChange, PlacementView, Request};
 
 /// Milliseconds of a monotonic clock.
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -44,6 +44,9 @@
 const PACE_FRESH_MS: u64 = 2_400;
 const SLOWEST: f64 = 30.0;
 const FASTEST: f64 = 0.1;
+/// How long upstreams of a zone that was evacuated are taken for cold once it is restored, unless they
+/// tell, milliseconds: they tell each second or two, and word takes some tenths of a second.
+pub const PRESUMED_COLD_MS: u64 = 2_000;
 /// How much slower a freshly started upstream is taken to be.
 const COLD_FACTOR: f64 = 1.8;
 
@@ -77,6 +80,8 @@
     failures: u32,
     refusal: Option<Refusal>,
     listed: bool,
+    /// Whether its zone is evacuated.
+    evacuated: bool,
     answered_at: Option<Millis>,
     silence: Silence,
     link: EgressSeen,
@@ -212,6 +217,7 @@
             failures: 0,
             refusal: None,
             listed: true,
+            evacuated: false,
             answered_at: None,
             silence: Silence::default(),
             link: EgressSeen::default(),
@@ -250,6 +256,20 @@
         self.listed = true;
     }
 
+    /// Takes in whether its zone is evacuated. One that is restored is taken for cold until it tells.
+    pub(crate) fn set_evacuated(&mut self, evacuated: bool, now: Millis) {
+        if self.evacuated && !evacuated {
+            self.cold_since = now;
+            self.cold_until = self.cold_until.max(now + PRESUMED_COLD_MS);
+        }
+        self.evacuated = evacuated;
+    }
+
+    /// Whether its zone is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated
+    }
+
     /// Whether it is slow after its start.
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until
@@ -292,7 +312,7 @@
         let ready = |state| state == InstanceState::Ready;
         let instance_ready = self.record.instance.as_ref().is_some_and(|held| ready(held.state));
         let says_ready = self.figures.is_none_or(|figures| ready(figures.reply.state));
-        let barred = self.track == Track::Barred;
+        let barred = self.track == Track::Barred || self.evacuated;
         instance_ready && says_ready && !self.record.stopping && !barred
     }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -100,6 +100,7 @@
     policies: BTreeMap<String, VersionPolicy>,
     /// What cold upstreams of some services are given by all nodes together, calls a second.
     cold_rates: BTreeMap<Rc<str>, f64>,
+    evacuated: BTreeSet<String>,
 }
 
 impl PlacementView {
@@ -111,6 +112,7 @@
             by_service: BTreeMap::new(),
             policies: BTreeMap::new(),
             cold_rates: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -123,6 +125,21 @@
         }
     }
 
+    /// Takes in which zones are evacuated: their upstreams are given no calls.
+    pub fn set_evacuated(&mut self, zones: Vec<String>, now: Millis) {
+        self.evacuated = zones.into_iter().collect();
+        for upstream in self.upstreams.values_mut() {
+            let evacuated = self.evacuated.contains(&upstream.record.zone);
+            upstream.set_evacuated(evacuated, now);
+        }
+    }
+
+    /// Whether upstreams of a service are there, and all that would be given calls are in evacuated
+    /// zones.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        !self.has_live(service) && self.of_service(service).any(|(_, held)| held.is_evacuated())
+    }
+
     /// Takes in what cold upstreams are given by all nodes together, calls a second; of services that
     /// are not named, as much as others.
     pub fn set_cold_rates(&mut self, rates: BTreeMap<Rc<str>, f64>) {
@@ -161,6 +178,7 @@
                 let phase = cold_phase(self.locality.own(), &record.address);
                 let mut upstream = Upstream::new(record, now).with_cold_phase(phase);
                 upstream.apply_policy(self.policies.get(&upstream.record.service));
+                upstream.set_evacuated(self.evacuated.contains(&upstream.record.zone), now);
                 self.upstreams.insert(upstream.record.address, upstream);
                 NodeChange::Changed
             }
@@ -178,6 +196,7 @@
                 if let Some(held) = self.upstreams.get_mut(&record.address) {
                     held.update(record, now);
                     held.apply_policy(self.policies.get(&held.record.service));
+                    held.set_evacuated(self.evacuated.contains(&held.record.zone), now);
                 }
                 NodeChange::Changed
             }
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -500,3 +500,26 @@
     "#]]
     .assert_eq(&seen);
 }
+
+#[test]
+fn upstreams_of_an_evacuated_zone_are_not_taken_until_it_is_restored() {
+    let mut view = view(&[(1, "b"), (2, "a"), (3, "c")]);
+    assert_eq!(choose(&view, &[], 0), Some(2), "the own zone, while it is not evacuated");
+    view.set_evacuated(vec!["a".to_owned()], 10);
+    for now in 10..60 {
+        assert!([Some(1), Some(3)].contains(&choose(&view, &[], now)));
+    }
+    // News of a node, or a node that is new, changes nothing of it.
+    view.update(NodeRecord { sequence: 9, ..record(2, "a", InstanceState::Ready) }, 60);
+    view.update(record(4, "a", InstanceState::Ready), 60);
+    view.set_evacuated(["a", "b"].map(str::to_owned).to_vec(), 70);
+    assert_eq!(choose(&view, &[], 70), Some(3));
+    // All zones: nothing is served, and nobody waits for one that comes up.
+    view.set_evacuated(["a", "b", "c"].map(str::to_owned).to_vec(), 80);
+    assert_eq!(choose(&view, &[], 80), None);
+    assert!(view.is_evacuated(SERVICE));
+    view.set_evacuated(Vec::new(), 90);
+    assert_eq!(choose(&view, &[], 90), Some(2));
+    assert!(view.get(&address(2)).expect("there").is_cold(91), "until it tells");
+    assert!(!view.get(&address(2)).expect("there").is_cold(90 + 2_000));
+}
--- a/crates/rollout/src/command.rs
+++ b/crates/rollout/src/command.rs
@@ -106,6 +106,18 @@
         /// Versions that get no more calls once the new one has taken over.
         replaced: Vec<String>,
     },
+    /// Gives the upstreams of a zone no more calls.
+    EvacuateZone {
+        /// The zone.
+        zone: String,
+        /// When it was ordered, Unix milliseconds.
+        ordered_ms: u64,
+    },
+    /// Gives the upstreams of an evacuated zone calls again.
+    RestoreZone {
+        /// The zone.
+        zone: String,
+    },
 }
 
 /// Who signs versions off.
@@ -201,6 +213,16 @@
         /// The phase.
         phase: Phase,
     },
+    /// The upstreams of the zone get no more calls.
+    ZoneEvacuated {
+        /// The zone.
+        zone: String,
+    },
+    /// The upstreams of the zone get calls.
+    ZoneRestored {
+        /// The zone.
+        zone: String,
+    },
 }
 
 /// Why nothing was done. Every refusal is [`Verdict::NotRun`].
@@ -208,6 +230,12 @@
 #[serde(rename_all = "snake_case", tag = "kind")]
 #[snafu(visibility(pub(crate)))]
 pub enum Refusal {
+    /// A zone cannot be evacuated.
+    #[snafu(display("{reason}"))]
+    BadZone {
+        /// Why.
+        reason: String,
+    },
     /// Another bundle holds this version number.
     #[snafu(display("version {version} was submitted by {winner} with digest {winner_digest}"))]
     VersionConflict {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -14,8 +14,8 @@
 pub use advance::Advancer;
 pub use command::{Accepted, Answer, ApprovalPolicy, Command, Refusal, Request, CONTROL_OPERATOR};
 pub use machine::{
-    CanaryRecord, ConfigMachine, GenerationKind, GenerationRecord, RolloutWeakness, StoredBundle,
-    VersionSummary,
+    CanaryRecord, ConfigMachine, EvacuationRecord, GenerationKind, GenerationRecord,
+    RolloutWeakness, StoredBundle, VersionSummary,
 };
 pub use spread::{FleetSpread, Laggard, RelayReport, SpreadSummary, REPORT_LEASE_MS};
 pub use view::{Candidate, GenerationTarget, ProxyName, Stage, TargetView};
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -1,11 +1,13 @@
 //! The replicated state machine of bundles, approvals and rollouts.
 
 mod canaries;
+mod evacuations;
 mod queries;
 mod records;
 mod snapshot;
 
 pub use canaries::CanaryRecord;
+pub use evacuations::EvacuationRecord;
 pub use records::{GenerationKind, GenerationRecord, StoredBundle, VersionSummary};
 
 use crate::command::{
@@ -20,6 +22,7 @@
 };
 use bundle::{Approval, Bundle, BundleUpdate, Digest, LIMITS};
 use canaries::{Canaries, CanaryStep};
+use evacuations::Evacuations;
 use records::{RecordedAnswer, Rollout, VersionClaim};
 use snafu::{ensure, OptionExt};
 use speedy::Writable;
@@ -65,6 +68,7 @@
     policy: ApprovalPolicy,
     current_version: u64,
     canaries: Canaries,
+    evacuations: Evacuations,
     weakness: Option<RolloutWeakness>,
 }
 
@@ -83,6 +87,7 @@
             policy: ApprovalPolicy::default(),
             current_version: 0,
             canaries: Canaries::default(),
+            evacuations: Evacuations::default(),
             weakness: None,
         }
     }
@@ -177,6 +182,14 @@
                 let step = CanaryStep { run, from, to, elapsed_ms, replaced };
                 self.canaries.step(index, service, &step)
             }
+            Command::EvacuateZone { zone, ordered_ms } => {
+                self.check_trusted(operator)?;
+                self.evacuations.start(index, zone, *ordered_ms)
+            }
+            Command::RestoreZone { zone } => {
+                self.check_trusted(operator)?;
+                self.evacuations.end(index, zone)
+            }
         }
     }
 
@@ -398,7 +411,11 @@
 fn is_idempotent(command: &Command) -> bool {
     matches!(
         command,
-        Command::Replace { .. } | Command::StartCanary { .. } | Command::MoveCanary { .. }
+        Command::Replace { .. }
+            | Command::StartCanary { .. }
+            | Command::MoveCanary { .. }
+            | Command::EvacuateZone { .. }
+            | Command::RestoreZone { .. }
     )
 }
 
--- a/crates/rollout/src/machine/queries.rs
+++ b/crates/rollout/src/machine/queries.rs
@@ -1,7 +1,8 @@
 //! Questions about the state; none changes it.
 
 use super::{
-    CanaryRecord, ConfigMachine, GenerationRecord, StoredBundle, VersionClaim, VersionSummary,
+    CanaryRecord, ConfigMachine, EvacuationRecord, GenerationRecord, StoredBundle, VersionClaim,
+    VersionSummary,
 };
 use crate::{ApprovalPolicy, Candidate, GenerationTarget, TargetView};
 use bundle::{Bundle, Digest};
@@ -25,6 +26,16 @@
         self.canaries.revision
     }
 
+    /// The evacuated zones.
+    pub fn evacuations(&self) -> &BTreeMap<String, EvacuationRecord> {
+        &self.evacuations.zones
+    }
+
+    /// Log index of the newest change of the evacuated zones; 0 before the first.
+    pub fn evacuations_revision(&self) -> u64 {
+        self.evacuations.revision
+    }
+
     /// The policy in force.
     pub fn approval_policy(&self) -> &ApprovalPolicy {
         &self.policy
--- a/crates/rollout/src/machine/snapshot.rs
+++ b/crates/rollout/src/machine/snapshot.rs
@@ -1,6 +1,7 @@
 //! The whole state as bytes, for checkpoints and for replicas that are far behind.
 
 use super::canaries::Canaries;
+use super::evacuations::Evacuations;
 use super::records::{GenerationRecord, RecordedAnswer, Rollout, StoredBundle, VersionClaim};
 use super::ConfigMachine;
 use crate::{ApprovalPolicy, GenerationTarget};
@@ -31,6 +32,8 @@
     /// Checkpoints of an earlier version hold none.
     #[speedy(default_on_eof)]
     canaries: Canaries,
+    #[speedy(default_on_eof)]
+    evacuations: Evacuations,
 }
 
 impl ConfigMachine {
@@ -49,6 +52,7 @@
             policy: self.policy.clone(),
             current_version: self.current_version,
             canaries: self.canaries.clone(),
+            evacuations: self.evacuations.clone(),
         };
         encoded.write_to_vec().expect("encoding to memory cannot fail")
     }
@@ -70,6 +74,7 @@
             policy: encoded.policy,
             current_version: encoded.current_version,
             canaries: encoded.canaries,
+            evacuations: encoded.evacuations,
             ..ConfigMachine::default()
         };
         for stored in encoded.bundles {
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -20,7 +20,9 @@
             return Vec::new();
         };
         call.current = None;
-        let none_live = !self.view.has_live(&call.service);
+        // One that comes up in a moment is waited for; an evacuated zone does not come back so soon.
+        let none_live =
+            !self.view.has_live(&call.service) && !self.view.is_evacuated(&call.service);
         if none_live && call.arrivals == 0 {
             let wait = NO_UPSTREAM_WAIT_MS.min(call.target_ms / 2);
             let until = *call.parked_until.get_or_insert(now + wait);
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -37,7 +37,8 @@
         self.metrics.note_end(spent_ms);
         if let UpstreamEnd::Failed(error) = &end {
             let fingerprint = self.fingerprint(&job.request);
-            info!(id = %job.attempt_id, %fingerprint, %error, instance = ?job.given_to, "upstream_failed");
+            let instance = job.given_to.as_ref().map(|given_to| &given_to.id);
+            info!(id = %job.attempt_id, %fingerprint, %error, ?instance, "upstream_failed");
         }
         let (outcome, response) = self.judge(&job.attempt_id, end);
         if job.started.is_some() {
@@ -127,6 +128,7 @@
     pub(super) fn start_waiting(&mut self, now: Millis) -> Vec<JobAction> {
         let mut actions = Vec::new();
         let barred = match self.gate.state(now) {
+            _ if self.evacuated => Some("zone_evacuated"),
             GateState::Open | GateState::Closing => None,
             GateState::Closed => Some("upstream_leaves"),
             GateState::Absent => Some("no_upstream"),
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -28,6 +28,7 @@
     CallClass, Fingerprint, HopOutcome, HopReply, HopRequest, Incarnation, InstanceState,
     NodeAddress, UpstreamLoad, VersionEvidence, VersionPolicy, HOP_HEADER,
 };
+use placement::PRESUMED_COLD_MS;
 use quarantine::Standing;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -206,6 +207,8 @@
     /// Whether the incarnation that was registered last is found not to be there, and nobody was
     /// told.
     instance_changed: bool,
+    /// Whether the zone is evacuated: nothing is given to the upstream.
+    evacuated: bool,
     /// Part of this machine's link that is in use, percent.
     pub link_percent: u32,
     jobs: BTreeMap<JobId, Job>,
@@ -249,6 +252,7 @@
             slots_used: UNKNOWN_SLOTS,
             taken: TakenSlots::default(),
             instance_changed: false,
+            evacuated: false,
             link_percent: 0,
             jobs: BTreeMap::new(),
             by_source: BTreeMap::new(),
@@ -329,6 +333,19 @@
         self.trial.set_policy(policy);
     }
 
+    /// Takes in whether the zone of this sidecar is evacuated; calls that wait then are refused. A
+    /// zone that is restored has upstreams that may have become cold meanwhile, and told nobody yet:
+    /// until they tell, they are taken for cold.
+    pub fn set_evacuated(&mut self, evacuated: bool, now: Millis) -> Vec<JobAction> {
+        let restored = self.evacuated && !evacuated;
+        self.evacuated = evacuated;
+        if restored {
+            self.gate.presume_cold(now + PRESUMED_COLD_MS);
+            self.refresh_cold();
+        }
+        self.start_waiting(now)
+    }
+
     /// What coordinators should be told of a canary now.
     pub fn evidence_due(&mut self, now: Millis) -> Option<VersionEvidence> {
         let version = self.gate.version()?;
@@ -601,6 +618,9 @@
         if self.gate.version().is_some_and(|version| self.trial.bars(version)) {
             return Some("version_barred");
         }
+        if self.evacuated {
+            return Some("zone_evacuated");
+        }
         if hop.hedge && now < self.hedges_barred_until {
             return Some("retry_budget_spent");
         }
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -70,6 +70,8 @@
     Gone,
     /// Which versions of upstreams may be given calls, newer than what was told before.
     Versions(Vec<VersionPolicy>),
+    /// The evacuated zones, newer than what was told before.
+    Evacuations(Vec<String>),
 }
 
 #[derive(Debug, Default)]
@@ -122,6 +124,8 @@
     load_told_at: Millis,
     /// Revision of the versions told last; older ones are passed over.
     versions_revision: u64,
+    /// The same of evacuated zones.
+    evacuations_revision: u64,
 }
 
 impl Links {
@@ -150,6 +154,7 @@
             load_told: None,
             load_told_at: 0,
             versions_revision: 0,
+            evacuations_revision: 0,
         }
     }
 
@@ -324,6 +329,13 @@
                     events.push(LinkEvent::Versions(policies));
                 }
             }
+            ToSidecar::Evacuations { revision, zones } => {
+                if revision > self.evacuations_revision {
+                    info!(coordinator = %address, revision, ?zones, "evacuations_learned");
+                    self.evacuations_revision = revision;
+                    events.push(LinkEvent::Evacuations(zones));
+                }
+            }
             ToSidecar::Loads { loads } => events.push(LinkEvent::Loads(loads)),
             ToSidecar::Poison { notices } => events.push(LinkEvent::Poison(notices)),
             ToSidecar::Credits(answer) => events.push(LinkEvent::Credits(answer)),
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -389,6 +389,12 @@
                 self.jobs.set_policy(own.cloned());
                 self.calls.view.set_policies(&policies);
             }
+            LinkEvent::Evacuations(zones) => {
+                let own = zones.contains(&self.settings.zone);
+                let refused = self.jobs.set_evacuated(own, now);
+                self.work.extend(refused.into_iter().map(Work::Job));
+                self.calls.view.set_evacuated(zones, now);
+            }
             LinkEvent::Gone => {
                 let links = &self.links;
                 let own = self.own;
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use admission::ColdRate;
 use common::{found_alive, NAMES, SERVICE};
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
@@ -401,3 +402,35 @@
     jobs.refresh_limit(0);
     assert_eq!(jobs.told_load(100).pace_percent, 0);
 }
+
+#[test]
+fn nothing_passes_while_the_zone_is_evacuated_not_even_what_waits() {
+    let mut jobs = jobs();
+    let first = begin(&mut jobs, 1, 0);
+    begin(&mut jobs, 2, 0);
+    assert!(begin(&mut jobs, 3, 0).is_empty(), "it waits");
+    let refused = jobs.set_evacuated(true, 10);
+    assert_eq!(outcomes(&refused), [HopOutcome::Refused]);
+    assert_eq!(outcomes(&begin(&mut jobs, 4, 20)), [HopOutcome::Refused]);
+    // What runs is not broken off.
+    let (first, _) = started(&first).expect("runs");
+    let answer = Answer { response: sealed(200), reusable: true };
+    let actions = jobs.ended(first, UpstreamEnd::Answered(answer), 30);
+    assert_eq!(outcomes(&actions), [HopOutcome::Answered]);
+    assert!(jobs.set_evacuated(false, 40).is_empty());
+    assert!(started(&begin(&mut jobs, 5, 50)).is_some());
+}
+
+#[test]
+fn an_upstream_of_a_restored_zone_is_given_what_a_cold_one_bears_until_it_tells() {
+    let mut jobs = jobs();
+    jobs.set_cold_rate(Some(ColdRate { per_s: 10.0, burst: 0.0 }));
+    jobs.set_evacuated(true, 0);
+    jobs.set_evacuated(false, 5_000);
+    assert!(started(&begin(&mut jobs, 1, 5_000)).is_some());
+    assert!(begin(&mut jobs, 2, 5_001).is_empty(), "a slot is free, and it is taken for cold");
+    // Its next beat says that it is warm.
+    jobs.gate.told(&record("i-1", InstanceState::Ready), 9, 5_050);
+    jobs.refresh_cold();
+    assert!(started(&jobs.tick(5_051)).is_some());
+}
