--- a/crates/coordinator/src/autopilot.rs
+++ b/crates/coordinator/src/autopilot.rs
@@ -1,4 +1,4 @@
-//! Changing the members of the group without an operator, one at a time.
+//! Changing the members of the group without an operator, one voter at a time.
 //!
 //! A voter is exchanged only when something stands in its place: its own machine under a new id
 //! (its disk was lost), or a spare member that has caught up. It is never removed only for being
@@ -35,10 +35,11 @@
 }
 
 /// One step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// A newcomer begins to receive the log.
-    AddLearner(MemberId),
+    /// Newcomers begin to receive the log. Learners count for no majority, so all that ask are added
+    /// at once: one by one, the 21 of a group of 24 would take their links seconds after a start.
+    AddLearners(Vec<MemberId>),
     /// A learner begins to vote.
     Promote(MemberId),
     /// A member is removed.
@@ -94,7 +95,10 @@
 
     fn add_newcomer(&self, facts: &Facts) -> Option<Change> {
         let is_member = |member: &MemberId| facts.membership.members().any(|id| id == member.0);
-        self.joining.keys().copied().find(|member| !is_member(member)).map(Change::AddLearner)
+        let joining = self.joining.keys().copied();
+        let newcomers: Vec<MemberId> = joining.filter(|member| !is_member(member)).collect();
+        let any = !newcomers.is_empty();
+        any.then_some(Change::AddLearners(newcomers))
     }
 
     fn promote(&self, facts: &Facts) -> Option<Change> {
--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -1,130 +1,285 @@
 //! What coordinators tell each other of the sidecars that they hear; pure.
 //!
-//! Each sidecar reports to every coordinator it reaches and is told of the others by one of them.
-//! That one may be cut off from sidecars that its subscribers reach. So coordinators compare
-//! digests of their registries, send each other what a lasting difference is about, and vouch for
-//! sidecars that one of them does not hear. Between zones this costs bytes for differences only.
+//! A sidecar links to a few coordinators. Those vouch for it to all others: each keeps a numbered list
+//! of the sidecars that it hears on links of its own, tells every other coordinator what changed in it,
+//! and says twice a second up to which number that list holds. One such beat renews the leases of all
+//! in the list, so in the calm two coordinators exchange some tens of bytes a second however many
+//! sidecars there are. What is listed are versions of records; a record is asked for by whoever lacks
+//! it, of one of those that vouch for it.
 
 use crate::{Millis, Registry};
-use mesh::{CoordinatorFrame, HeardNode, MemberId};
-use std::collections::BTreeMap;
-
-/// Time between two questions about sidecars that are not heard, milliseconds: several fit into
-/// the second half of a lease.
-const UNHEARD_INTERVAL_MS: u64 = 500;
-/// Time between two digests, milliseconds. Reports reach all coordinators within far less, so what
-/// differs in two rounds alike is not on its way.
-const DIGEST_INTERVAL_MS: u64 = 1_000;
-/// For so long after its start a coordinator asks the others again and again for what it lacks,
-/// milliseconds: after a loss of all power they start apart, and each sidecar links to some first.
-const YOUNG_MS: u64 = 2_000;
-/// Time between two such questions, milliseconds.
-const YOUNG_INTERVAL_MS: u64 = 250;
+use mesh::{CoordinatorFrame, HeardNode, MemberId, NodeAddress, RegistryEntry};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Time between two beats, milliseconds: several fit into the second half of a lease, which is what is
+/// left when a sidecar was last heard half a lease before.
+const BEAT_INTERVAL_MS: u64 = 500;
+/// A question that was not answered is asked again after this time, milliseconds: the longest way there
+/// and back between regions, and a look.
+const ASK_AGAIN_MS: u64 = 250;
+/// Sidecars remembered as no longer heard, for coordinators that are behind; one further behind is told
+/// the whole list. A list is seldom longer than this, so to keep more would save nothing.
+const DROPPED_KEPT: usize = 256;
 
 /// A frame for another coordinator.
 pub type Outgoing = (MemberId, CoordinatorFrame);
 
+/// A sidecar that is heard here.
+#[derive(Clone, Copy, Debug)]
+struct Vouched {
+    entry: RegistryEntry,
+    changed_at: u64,
+}
+
+/// The list of another coordinator, as far as it told.
+#[derive(Clone, Debug, Default)]
+struct PeerList {
+    epoch: u64,
+    position: u64,
+    nodes: BTreeMap<NodeAddress, RegistryEntry>,
+    asked_at: Option<Millis>,
+}
+
 /// The exchange of one coordinator with the others.
 #[derive(Debug)]
 pub struct RegistryExchange {
     own: MemberId,
-    started_at: Option<Millis>,
-    asked_at: Option<Millis>,
-    unheard_at: Millis,
-    digest_at: Millis,
-    /// Difference of digests seen last, by coordinator; none while they agree.
-    differences: BTreeMap<MemberId, u64>,
+    zone: String,
+    /// Drawn at the start: positions of an earlier life of this process mean nothing.
+    epoch: u64,
+    position: u64,
+    vouched: BTreeMap<NodeAddress, Vouched>,
+    dropped: VecDeque<(u64, NodeAddress)>,
+    /// Position up to which each other coordinator was told.
+    told: BTreeMap<MemberId, u64>,
+    peers: BTreeMap<MemberId, PeerList>,
+    /// Versions of records that were asked for.
+    asked: BTreeMap<NodeAddress, (RegistryEntry, Millis)>,
+    beat_at: Option<Millis>,
 }
 
 impl RegistryExchange {
-    /// Nothing was exchanged yet.
-    pub fn new(own: MemberId) -> Self {
+    /// Nothing was exchanged yet. `epoch` differs from that of every earlier life of this process.
+    pub fn new(own: MemberId, zone: &str, epoch: u64) -> Self {
         RegistryExchange {
             own,
-            started_at: None,
-            asked_at: None,
-            unheard_at: 0,
-            digest_at: 0,
-            differences: BTreeMap::new(),
+            zone: zone.to_owned(),
+            epoch,
+            position: 0,
+            vouched: BTreeMap::new(),
+            dropped: VecDeque::new(),
+            told: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            beat_at: None,
         }
     }
 
-    /// What is due now. After the start others are asked for all that they hear.
+    /// What is due now: news of the list to all, and beats. A coordinator that is new to this one is
+    /// asked for its list.
     pub fn tick(&mut self, registry: &Registry, peers: &[MemberId], now: Millis) -> Vec<Outgoing> {
         let mut frames = Vec::new();
-        self.differences.retain(|peer, _| peers.contains(peer));
-        if self.asks_as_young(now) && !peers.is_empty() {
-            self.asked_at = Some(now);
-            frames.push(self.entries(registry));
+        self.peers.retain(|peer, _| peers.contains(peer));
+        self.told.retain(|peer, _| peers.contains(peer));
+        self.asked.retain(|_, (_, at)| now < *at + ASK_AGAIN_MS);
+        self.refresh(registry, now);
+        let beats = self.beat_at.is_none_or(|at| now >= at + BEAT_INTERVAL_MS);
+        if beats {
+            self.beat_at = Some(now);
+        }
+        for peer in peers {
+            let told = self.told.insert(*peer, self.position).unwrap_or(0);
+            if told < self.position {
+                frames.push((*peer, self.list_since(told)));
+            }
+            if beats {
+                frames.push((*peer, self.beat()));
+            }
+            if !self.peers.contains_key(peer) {
+                self.peers.insert(*peer, PeerList::default());
+                frames.extend(self.ask_list(*peer, now));
+            }
         }
-        if now >= self.unheard_at + UNHEARD_INTERVAL_MS {
-            self.unheard_at = now;
-            let nodes = registry.unheard(now);
-            if !nodes.is_empty() {
-                frames.push(CoordinatorFrame::Unheard { member: self.own.0, nodes });
+        frames
+    }
+
+    /// Brings the list up to date.
+    fn refresh(&mut self, registry: &Registry, now: Millis) {
+        let heard: BTreeMap<NodeAddress, RegistryEntry> =
+            registry.heard_entries(now).map(|entry| (entry.address, entry)).collect();
+        let lost: Vec<NodeAddress> =
+            self.vouched.keys().filter(|address| !heard.contains_key(address)).copied().collect();
+        for address in lost {
+            self.position += 1;
+            self.vouched.remove(&address);
+            self.dropped.push_back((self.position, address));
+        }
+        for (address, entry) in heard {
+            if self.vouched.get(&address).is_none_or(|vouched| vouched.entry != entry) {
+                self.position += 1;
+                let changed_at = self.position;
+                self.vouched.insert(address, Vouched { entry, changed_at });
             }
         }
-        if now >= self.digest_at + DIGEST_INTERVAL_MS {
-            self.digest_at = now;
-            let digest = registry.digest();
-            frames.push(CoordinatorFrame::RegistryDigest { member: self.own.0, digest });
+        let beyond = self.dropped.len().saturating_sub(DROPPED_KEPT);
+        self.dropped.drain(..beyond);
+    }
+
+    fn beat(&self) -> CoordinatorFrame {
+        CoordinatorFrame::Vouching {
+            member: self.own.0,
+            zone: self.zone.clone(),
+            epoch: self.epoch,
+            position: self.position,
+        }
+    }
+
+    /// What changed in the list after a position; the whole list if that is too long ago.
+    fn list_since(&self, position: u64) -> CoordinatorFrame {
+        let forgotten = self.dropped.len() >= DROPPED_KEPT
+            && self.dropped.front().is_some_and(|(oldest, _)| position < *oldest);
+        let since = if forgotten { 0 } else { position };
+        let newer = self.vouched.values().filter(|vouched| vouched.changed_at > since);
+        let dropped = self.dropped.iter().filter(|(at, _)| since > 0 && *at > since);
+        CoordinatorFrame::Vouched {
+            member: self.own.0,
+            epoch: self.epoch,
+            since,
+            position: self.position,
+            heard: newer.map(|vouched| vouched.entry).collect(),
+            dropped: dropped.map(|(_, address)| *address).collect(),
         }
-        let to_all = |frame: CoordinatorFrame| peers.iter().map(move |to| (*to, frame.clone()));
-        frames.into_iter().flat_map(to_all).collect()
     }
 
-    fn asks_as_young(&mut self, now: Millis) -> bool {
-        let started_at = *self.started_at.get_or_insert(now);
-        let due = self.asked_at.is_none_or(|at| now >= at + YOUNG_INTERVAL_MS);
-        due && now < started_at + YOUNG_MS
+    fn ask_list(&mut self, peer: MemberId, now: Millis) -> Option<Outgoing> {
+        let own = self.own.0;
+        let list = self.peers.entry(peer).or_default();
+        if list.asked_at.is_some_and(|at| now < at + ASK_AGAIN_MS) {
+            return None;
+        }
+        list.asked_at = Some(now);
+        let (epoch, position) = (list.epoch, list.position);
+        Some((peer, CoordinatorFrame::WantVouched { member: own, epoch, position }))
     }
 
-    /// Takes in a frame of another coordinator; an answer, and whether the registry changed.
+    /// Takes in a frame of another coordinator; answers, and whether the registry changed.
     pub fn receive(
         &mut self,
         registry: &mut Registry,
         frame: CoordinatorFrame,
         now: Millis,
-    ) -> (Option<Outgoing>, bool) {
+    ) -> (Vec<Outgoing>, bool) {
         match frame {
-            CoordinatorFrame::RegistryDigest { member, digest } => {
-                (self.compare(registry, MemberId(member), digest), false)
+            CoordinatorFrame::Vouching { member, zone: _, epoch, position } => {
+                let member = MemberId(member);
+                (self.beaten(registry, member, (epoch, position), now), false)
+            }
+            CoordinatorFrame::Vouched { member, epoch, since, position, heard, dropped } => {
+                let member = MemberId(member);
+                let list = self.peers.entry(member).or_default();
+                let follows = since == 0 || (list.epoch == epoch && list.position >= since);
+                if !follows {
+                    return (self.ask_list(member, now).into_iter().collect(), false);
+                }
+                let old = list.epoch == epoch && position < list.position;
+                if old {
+                    return (Vec::new(), false);
+                }
+                if since == 0 {
+                    list.nodes.clear();
+                }
+                (list.epoch, list.position, list.asked_at) = (epoch, position, None);
+                for address in &dropped {
+                    list.nodes.remove(address);
+                }
+                list.nodes.extend(heard.iter().map(|entry| (entry.address, *entry)));
+                let changed = self.forget_stopped(registry, &dropped, now);
+                let asked = self.ask_records(registry, member, heard, now);
+                (asked.into_iter().collect(), changed)
             }
-            CoordinatorFrame::RegistryEntries { member, entries } => {
-                (vouching(member, registry.lacking(&entries, now)), false)
+            CoordinatorFrame::WantVouched { member, epoch, position } => {
+                let known = epoch == self.epoch && position <= self.position;
+                let list = self.list_since(if known { position } else { 0 });
+                self.told.insert(MemberId(member), self.position);
+                (vec![(MemberId(member), list)], false)
             }
-            CoordinatorFrame::Unheard { member, nodes } => {
-                (vouching(member, registry.heard(&nodes, now)), false)
+            CoordinatorFrame::WantRecords { member, nodes } => {
+                let nodes = registry.heard(&nodes, now);
+                (vouching(member, nodes).into_iter().collect(), false)
             }
             CoordinatorFrame::Heard { nodes } => {
                 let mut changed = false;
                 for node in nodes {
+                    self.asked.remove(&node.record.address);
                     changed |= registry.vouch(node, now);
                 }
-                (None, changed)
+                (Vec::new(), changed)
             }
             CoordinatorFrame::Message(_)
             | CoordinatorFrame::Loads { .. }
             | CoordinatorFrame::Poison { .. }
+            | CoordinatorFrame::Evidence { .. }
             | CoordinatorFrame::CreditPull { .. }
             | CoordinatorFrame::CreditGift { .. }
             | CoordinatorFrame::Join { .. }
-            | CoordinatorFrame::Removed { .. } => (None, false),
+            | CoordinatorFrame::Removed { .. } => (Vec::new(), false),
         }
     }
 
-    fn compare(&mut self, registry: &Registry, peer: MemberId, digest: u64) -> Option<Outgoing> {
-        let difference = registry.digest().wrapping_sub(digest);
-        if difference == 0 {
-            self.differences.remove(&peer);
-            return None;
+    /// Takes in that a list holds up to a position: all in it were heard within half a lease.
+    fn beaten(
+        &mut self,
+        registry: &mut Registry,
+        member: MemberId,
+        (epoch, position): (u64, u64),
+        now: Millis,
+    ) -> Vec<Outgoing> {
+        let list = self.peers.entry(member).or_default();
+        if (list.epoch, list.position) != (epoch, position) {
+            return self.ask_list(member, now).into_iter().collect();
         }
-        let lasts = self.differences.insert(peer, difference) == Some(difference);
-        lasts.then(|| (peer, self.entries(registry)))
+        for entry in list.nodes.values() {
+            registry.renew(entry, now);
+        }
+        let all: Vec<RegistryEntry> = list.nodes.values().copied().collect();
+        self.ask_records(registry, member, all, now).into_iter().collect()
+    }
+
+    /// Asks for the records that are lacking here, and were not asked for a moment ago.
+    fn ask_records(
+        &mut self,
+        registry: &Registry,
+        of: MemberId,
+        entries: Vec<RegistryEntry>,
+        now: Millis,
+    ) -> Option<Outgoing> {
+        let mut nodes = Vec::new();
+        for entry in entries.into_iter().filter(|entry| registry.lacks(entry, now)) {
+            let known = self.asked.get(&entry.address).is_some_and(|(asked, _)| *asked == entry);
+            if !known {
+                self.asked.insert(entry.address, (entry, now));
+                nodes.push(entry.address);
+            }
+        }
+        let any = !nodes.is_empty();
+        any.then_some((of, CoordinatorFrame::WantRecords { member: self.own.0, nodes }))
     }
 
-    fn entries(&self, registry: &Registry) -> CoordinatorFrame {
-        CoordinatorFrame::RegistryEntries { member: self.own.0, entries: registry.entries() }
+    /// Removes sidecars that stop and that nobody hears any more; true if there were any.
+    fn forget_stopped(
+        &self,
+        registry: &mut Registry,
+        dropped: &[NodeAddress],
+        now: Millis,
+    ) -> bool {
+        let elsewhere: BTreeSet<&NodeAddress> =
+            self.peers.values().flat_map(|list| list.nodes.keys()).collect();
+        let unheard = dropped.iter().filter(|address| !elsewhere.contains(address));
+        let mut changed = false;
+        for address in unheard {
+            changed |= registry.forget_stopped(address, now);
+        }
+        changed
     }
 }
 
--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -1,22 +1,21 @@
-//! What wakes the links: the registry, and that something changed.
-//!
-//! Only links that subscribed to the registry wake for its changes; with a thread a link, waking
-//! all for each sidecar's change would cost a coordinator the square of the fleet.
+//! What the coordinator knows of its sidecars, and what wakes the thread that serves their links.
 
 use crate::{LoadBoard, Millis, Registry};
 use canary::Evidence;
 use mesh::{Fingerprint, PoisonNotice, QuarantineEntry};
+use mio::Waker;
 use quarantine::{NoticeBoard, Verdict};
 use std::collections::BTreeMap;
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
-use tracing::info;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use tracing::{info, warn};
 
-/// The registry with its readers.
+/// What is known, shared by the loops of a coordinator.
 pub(crate) struct Hub {
     state: Mutex<HubState>,
-    registry_changed: Condvar,
-    revised: Condvar,
+    waker: OnceLock<Waker>,
+    /// Whether the thread of the links was woken and has not seen it yet.
+    waking: AtomicBool,
 }
 
 /// What links look at.
@@ -42,40 +41,45 @@
             evidence: BTreeMap::new(),
             revision: 0,
         };
-        let (registry_changed, revised) = (Condvar::new(), Condvar::new());
-        Hub { state: Mutex::new(state), registry_changed, revised }
+        Hub { state: Mutex::new(state), waker: OnceLock::new(), waking: AtomicBool::new(false) }
     }
 
     pub fn lock(&self) -> MutexGuard<'_, HubState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Wakes the subscribers of the registry.
-    pub fn notify(&self) {
-        self.registry_changed.notify_all();
+    /// Names what wakes the thread that serves the links; once.
+    pub fn set_waker(&self, waker: Waker) {
+        if self.waker.set(waker).is_err() {
+            warn!("the links are served by one thread");
+        }
     }
 
-    /// Notes that the configuration or the members may have changed.
-    pub fn bump(&self) {
-        self.lock().revision += 1;
-        self.revised.notify_all();
+    /// Wakes the thread that serves the links: something may be to be told.
+    pub fn wake(&self) {
+        if self.waking.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        if let Some(Err(error)) = self.waker.get().map(Waker::wake) {
+            // It looks by itself several times a second.
+            warn!(%error, "links_not_woken");
+        }
     }
 
-    /// Waits until the revision is not as given any more.
-    pub fn wait_revised(&self, revision: u64, longest: Duration) {
-        let same = |state: &mut HubState| state.revision == revision;
-        drop(self.revised.wait_timeout_while(self.lock(), longest, same));
+    /// Notes that the thread of the links is awake.
+    pub fn woken(&self) {
+        self.waking.store(false, Ordering::Release);
     }
 
-    /// Waits until the registry or what is known of poison requests has moved on from a position;
-    /// false if neither did.
-    pub fn wait_news(&self, registry: u64, poison: u64, longest: Duration) -> bool {
-        let same = |state: &mut HubState| {
-            state.registry.position() == registry && state.poison.position() == poison
-        };
-        let waited = self.registry_changed.wait_timeout_while(self.lock(), longest, same);
-        let (_state, result) = waited.unwrap_or_else(PoisonError::into_inner);
-        !result.timed_out()
+    /// Notes that the registry, or what is known of poison requests, changed.
+    pub fn notify(&self) {
+        self.wake();
+    }
+
+    /// Notes that the configuration or the members may have changed.
+    pub fn bump(&self) {
+        self.lock().revision += 1;
+        self.wake();
     }
 
     /// Takes in what was told of requests that may crash upstreams, by a sidecar here (`here`) or by
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,6 +11,7 @@
 mod hub;
 mod identity;
 mod link;
+mod link_server;
 mod listener;
 mod loads;
 mod membership;
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -1,16 +1,14 @@
-//! Connections of other coordinators and of sidecars.
+//! Connections of other coordinators, a thread each.
 
-use crate::link::SidecarLink;
+use crate::hub::Hub;
 use crate::membership::Group;
 use crate::quotas::Quotas;
 use crate::registry_loop::RegistryLoop;
-use crate::transport::{prepare, HEARD, HEARD_INTERVAL};
-use mesh::{
-    decode_frame, CoordinatorFrame, Greeting, MemberId, Purpose, MAX_FRAME_BYTES, PROTOCOL_VERSION,
-};
+use crate::transport::{HEARD, HEARD_INTERVAL};
+use mesh::{decode_frame, CoordinatorFrame, MemberId, MAX_FRAME_BYTES};
 use speedy::{LittleEndian, Readable};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -18,10 +16,10 @@
 use telemetry::BootInstant;
 use tracing::{info, warn};
 
-/// Connections served at once; more are closed.
-const MAX_CONNECTIONS: usize = 1_024;
-const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
-/// A coordinator sends the digest of its registry about each second. One that says nothing for this
+/// Connections served at once; more are closed: ten for each of the some fifty coordinators that the
+/// largest fleet planned for has, for those that were opened anew meanwhile.
+const MOST_CONNECTIONS: usize = 512;
+/// A coordinator sends a beat twice a second. One that says nothing for this
 /// long has left, or opened another connection since this one fell silent.
 const COORDINATOR_SILENCE_LIMIT: Duration = Duration::from_secs(30);
 /// Longest wait for room for the byte that says something was heard.
@@ -36,10 +34,6 @@
 }
 
 impl FrameReader {
-    pub fn new(stream: TcpStream) -> Self {
-        FrameReader { stream, buffer: Vec::new() }
-    }
-
     /// The next frame; an error when the connection ended or carries something else.
     pub fn next<T>(&mut self) -> io::Result<T>
     where
@@ -68,69 +62,45 @@
     }
 }
 
-/// What connections are served with.
-pub(crate) struct Service {
-    pub fleet: String,
+/// What connections of other coordinators are served with.
+pub(crate) struct CoordinatorService {
     pub group: Arc<Group>,
+    pub hub: Arc<Hub>,
     pub registry_loop: Arc<RegistryLoop>,
     pub quotas: Arc<Quotas>,
-    pub link: Arc<SidecarLink>,
+    /// Connections served now.
+    pub open: AtomicUsize,
 }
 
-/// Accepts connections for as long as the process runs.
-pub(crate) fn spawn(listener: TcpListener, service: Arc<Service>) {
-    let open = Arc::new(AtomicUsize::new(0));
-    thread::spawn(move || {
-        for accepted in listener.incoming() {
-            let Ok(stream) = accepted else {
-                thread::sleep(Duration::from_millis(10));
-                continue;
-            };
-            if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
-                warn!(limit = MAX_CONNECTIONS, "connection_turned_away");
-                continue;
-            }
-            let service = service.clone();
-            let counted = open.clone();
-            counted.fetch_add(1, Ordering::Relaxed);
-            let serve = move || {
-                let peer = stream.peer_addr().ok();
-                if let Err(error) = service.serve(stream) {
-                    info!(?peer, %error, "connection_ended");
-                }
-                counted.fetch_sub(1, Ordering::Relaxed);
-            };
-            let spawned = thread::Builder::new().stack_size(STACK_BYTES).spawn(serve);
-            if let Err(error) = spawned {
-                open.fetch_sub(1, Ordering::Relaxed);
-                warn!(%error, "connection_without_thread");
-            }
+impl CoordinatorService {
+    /// Serves a connection in a thread of its own; `read` was read of it behind the greeting.
+    pub fn spawn(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr, read: Vec<u8>) {
+        if self.open.fetch_add(1, Ordering::Relaxed) >= MOST_CONNECTIONS {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            warn!(%peer, limit = MOST_CONNECTIONS, "coordinator_turned_away");
+            return;
         }
-    });
-}
-
-impl Service {
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        prepare(&stream)?;
-        stream.set_read_timeout(Some(GREETING_TIMEOUT))?;
-        let peer = stream.peer_addr()?;
-        let mut reader = FrameReader::new(stream.try_clone()?);
-        let greeting: Greeting = reader.next()?;
-        let Greeting { protocol, fleet, purpose } = greeting;
-        if protocol != PROTOCOL_VERSION || fleet != self.fleet {
-            warn!(%peer, protocol, %fleet, "greeting_refused");
-            return Ok(());
-        }
-        match purpose {
-            Purpose::Coordinator => {
-                stream.set_read_timeout(Some(COORDINATOR_SILENCE_LIMIT))?;
-                self.serve_coordinator(stream, &mut reader, peer)
+        let service = self.clone();
+        let serve = move || {
+            if let Err(error) = service.serve(stream, read, peer) {
+                info!(%peer, %error, "connection_ended");
             }
-            Purpose::Sidecar => self.link.serve(stream, reader),
+            service.open.fetch_sub(1, Ordering::Relaxed);
+        };
+        let spawned = thread::Builder::new().stack_size(STACK_BYTES).spawn(serve);
+        if let Err(error) = spawned {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            warn!(%peer, %error, "connection_without_thread");
         }
     }
 
-    fn serve_coordinator(
+    fn serve(&self, stream: TcpStream, read: Vec<u8>, peer: SocketAddr) -> io::Result<()> {
+        stream.set_read_timeout(Some(COORDINATOR_SILENCE_LIMIT))?;
+        let mut reader = FrameReader { stream: stream.try_clone()?, buffer: read };
+        self.receive_all(stream, &mut reader, peer)
+    }
+
+    fn receive_all(
         &self,
         mut stream: TcpStream,
         reader: &mut FrameReader,
@@ -148,9 +118,15 @@
                 CoordinatorFrame::Message(message) => self.group.receive(message),
                 CoordinatorFrame::Join { member } => self.group.join(MemberId(member)),
                 CoordinatorFrame::Removed { member } => info!(%peer, member, "removed_from_group"),
-                frame @ (CoordinatorFrame::RegistryDigest { .. }
-                | CoordinatorFrame::RegistryEntries { .. }
-                | CoordinatorFrame::Unheard { .. }
+                CoordinatorFrame::Evidence { node, life, told } => {
+                    if let Some(evidence) = self.hub.lock().evidence.get_mut(&told.service) {
+                        evidence.told(node, life, &told);
+                    }
+                }
+                frame @ (CoordinatorFrame::Vouching { .. }
+                | CoordinatorFrame::Vouched { .. }
+                | CoordinatorFrame::WantVouched { .. }
+                | CoordinatorFrame::WantRecords { .. }
                 | CoordinatorFrame::Heard { .. }
                 | CoordinatorFrame::Loads { .. }
                 | CoordinatorFrame::Poison { .. }) => self.registry_loop.receive(frame),
--- a/crates/coordinator/src/loads.rs
+++ b/crates/coordinator/src/loads.rs
@@ -5,6 +5,7 @@
 //! told, and each tells its subscribers of all. A load is only a hint: it is not repeated when it
 //! is lost, and readers let it age.
 
+use crate::Registry;
 use mesh::{InstanceState, NodeAddress, NodeLoad, NodeRecord, UpstreamLoad};
 use std::collections::BTreeMap;
 
@@ -34,6 +35,26 @@
     pub with_queue: u32,
 }
 
+/// Sidecars by how far they are from a zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Reach<'a> {
+    /// Those in the zone; all, where no zone is named.
+    Near(&'a str),
+    /// All others.
+    Far(&'a str),
+}
+
+impl Reach<'_> {
+    /// Whether a sidecar is among them; one that is not listed is in no zone.
+    pub fn holds(self, node: &NodeAddress, registry: &Registry) -> bool {
+        let is_in = |zone: &str| zone.is_empty() || registry.zone(node) == Some(zone);
+        match self {
+            Reach::Near(zone) => is_in(zone),
+            Reach::Far(zone) => !is_in(zone),
+        }
+    }
+}
+
 /// The newest load of each upstream.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBoard {
@@ -74,14 +95,14 @@
         self.position
     }
 
-    /// Loads that came after a position, for a subscriber.
-    pub fn since(&self, position: u64) -> Vec<NodeLoad> {
-        self.newer(position, |_| true)
+    /// Loads of some upstreams that came after a position, for subscribers.
+    pub fn since(&self, position: u64, of: impl Fn(&NodeAddress) -> bool) -> Vec<NodeLoad> {
+        self.newer(position, |address, _| of(address))
     }
 
     /// Loads that sidecars told here after a position, for other coordinators.
     pub fn told_since(&self, position: u64) -> Vec<NodeLoad> {
-        self.newer(position, |told| told.here)
+        self.newer(position, |_, told| told.here)
     }
 
     /// The upstreams that take calls, summed up by service.
@@ -109,9 +130,11 @@
         services
     }
 
-    fn newer(&self, position: u64, wanted: impl Fn(&Told) -> bool) -> Vec<NodeLoad> {
-        let newer = |told: &Told| told.changed_at > position && wanted(told);
-        let found = self.loads.iter().filter(|(_, told)| newer(told));
+    fn newer(&self, position: u64, wanted: impl Fn(&NodeAddress, &Told) -> bool) -> Vec<NodeLoad> {
+        let newer = |address: &NodeAddress, told: &Told| {
+            told.changed_at > position && wanted(address, told)
+        };
+        let found = self.loads.iter().filter(|(address, told)| newer(address, told));
         found.map(|(address, told)| NodeLoad { address: *address, load: told.load }).collect()
     }
 }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -8,7 +8,7 @@
 use bundle::{Bundle, Digest};
 use consensus::{Membership, Message};
 use control::{ConfigState, Replica};
-use mesh::{CoordinatorFrame, MemberId};
+use mesh::{CoordinatorFrame, MemberId, MemberPlace, NodeAddress, VersionEvidence};
 use rollout::{ApprovalPolicy, CanaryRecord, Command, EvacuationRecord, Request, CONTROL_OPERATOR};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -31,6 +31,8 @@
     heard: Mutex<BTreeMap<MemberId, Millis>>,
     autopilot: Mutex<Autopilot>,
     seeds: Vec<Ipv4Addr>,
+    /// Zones of coordinators, as they told.
+    zones: Mutex<BTreeMap<Ipv4Addr, String>>,
 }
 
 /// The newest configuration that a coordinator knows.
@@ -78,6 +80,7 @@
             heard: Mutex::default(),
             autopilot: Mutex::new(autopilot),
             seeds,
+            zones: Mutex::default(),
         }
     }
 
@@ -123,6 +126,41 @@
         self.replica.lock().status.membership.members().map(MemberId).collect()
     }
 
+    /// All members in force with their zones, as far as they told.
+    pub fn places(&self) -> Vec<MemberPlace> {
+        let members = self.members();
+        let zones = self.zones.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = |member: MemberId| MemberPlace {
+            address: member.address(),
+            zone: zones.get(&member.address()).cloned().unwrap_or_default(),
+        };
+        members.into_iter().map(place).collect()
+    }
+
+    /// Notes the zone of a coordinator.
+    pub fn note_zone(&self, member: MemberId, zone: &str) {
+        let mut zones = self.zones.lock().unwrap_or_else(PoisonError::into_inner);
+        if zones.get(&member.address()).is_none_or(|known| known != zone) {
+            zones.insert(member.address(), zone.to_owned());
+        }
+    }
+
+    /// Hands what a sidecar told of a canary on to the leader, which judges it.
+    pub fn pass_evidence(&self, node: NodeAddress, life: u64, told: &VersionEvidence) {
+        let leader = self.replica.lock().status.leader.map(MemberId);
+        if let Some(leader) = leader.filter(|leader| *leader != self.own) {
+            let told = told.clone();
+            self.transport.send(leader, CoordinatorFrame::Evidence { node, life, told });
+        }
+    }
+
+    /// The newest generation known here, and whether a leader is.
+    pub fn newest(&self) -> (u64, bool) {
+        let published = self.replica.lock();
+        let generation = published.machine.0.in_force_generation();
+        (generation, published.status.trusted_leader().is_some())
+    }
+
     /// The newest generation this replica may tell sidecars of; 0 while it hears of no leader.
     pub fn announced_generation(&self) -> u64 {
         let published = self.replica.lock();
@@ -263,8 +301,8 @@
     fn apply(&self, change: Change, facts: &Facts) {
         let mut next = facts.membership.clone();
         match change {
-            Change::AddLearner(member) => {
-                next.learners.insert(member.0);
+            Change::AddLearners(ref members) => {
+                next.learners.extend(members.iter().map(|member| member.0));
             }
             Change::Promote(member) => {
                 next.learners.remove(&member.0);
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -4,9 +4,7 @@
 //! cut off from this coordinator stays listed for as long as another coordinator vouches for it.
 
 use crate::Millis;
-use bundle::Digest;
 use mesh::{HeardNode, Incarnation, InstanceState, NodeAddress, NodeRecord, RegistryEntry};
-use speedy::Writable;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::info;
 
@@ -145,11 +143,45 @@
         self.lease_ms / 2
     }
 
-    /// Listed sidecars that are not heard directly: others must vouch for them.
-    pub fn unheard(&self, now: Millis) -> Vec<NodeAddress> {
+    /// Versions of the sidecars that are heard directly here.
+    pub fn heard_entries(&self, now: Millis) -> impl Iterator<Item = RegistryEntry> + '_ {
         let limit_ms = self.unheard_ms();
-        let unheard = self.nodes.iter().filter(|(_, held)| !held.is_heard_directly(limit_ms, now));
-        unheard.map(|(address, _)| *address).collect()
+        let heard = self.nodes.values().filter(move |held| held.is_heard_directly(limit_ms, now));
+        heard.map(|held| RegistryEntry::of(&held.record))
+    }
+
+    /// Whether the record of this version, which another coordinator hears, is lacking here. What is
+    /// heard directly here is told by the sidecar itself.
+    pub fn lacks(&self, entry: &RegistryEntry, now: Millis) -> bool {
+        let Some(held) = self.nodes.get(&entry.address) else {
+            return true;
+        };
+        match held.record.life == entry.life {
+            true => held.record.sequence < entry.sequence,
+            false => !held.is_heard_directly(self.unheard_ms(), now),
+        }
+    }
+
+    /// Notes that another coordinator heard a sidecar within half a lease.
+    pub fn renew(&mut self, entry: &RegistryEntry, now: Millis) {
+        let heard_at = now.saturating_sub(self.unheard_ms());
+        if let Some(held) = self.nodes.get_mut(&entry.address) {
+            if held.record.life == entry.life {
+                held.heard_at = held.heard_at.max(heard_at);
+            }
+        }
+    }
+
+    /// Removes a sidecar that nobody hears any more, if it said that it stops; true if it did.
+    pub fn forget_stopped(&mut self, address: &NodeAddress, now: Millis) -> bool {
+        let limit_ms = self.unheard_ms();
+        let over = |held: &Held| held.record.stopping && !held.is_heard_directly(limit_ms, now);
+        let stopped = self.nodes.get(address).is_some_and(over);
+        if stopped {
+            info!(node = %address, "node_left");
+            self.remove(*address);
+        }
+        stopped
     }
 
     /// Those of some sidecars that are heard directly here.
@@ -164,28 +196,6 @@
         Some(HeardNode { record: held.record.clone(), silent_ms })
     }
 
-    /// What is listed, as versions.
-    pub fn entries(&self) -> Vec<RegistryEntry> {
-        self.nodes.values().map(|held| RegistryEntry::of(&held.record)).collect()
-    }
-
-    /// A digest of [`Self::entries`], whatever their order.
-    pub fn digest(&self) -> u64 {
-        self.entries().iter().map(digest_of).fold(0, u64::wrapping_add)
-    }
-
-    /// What is heard directly here and missing, or of another version, among another
-    /// coordinator's entries.
-    pub fn lacking(&self, entries: &[RegistryEntry], now: Millis) -> Vec<HeardNode> {
-        let theirs: BTreeMap<NodeAddress, RegistryEntry> =
-            entries.iter().map(|entry| (entry.address, *entry)).collect();
-        let differs = |held: &&Held| {
-            theirs.get(&held.record.address) != Some(&RegistryEntry::of(&held.record))
-        };
-        let differing = self.nodes.values().filter(differs);
-        differing.filter_map(|held| self.heard_directly(&held.record.address, now)).collect()
-    }
-
     /// Notes a sign of life.
     pub fn alive(&mut self, address: &NodeAddress, life: u64, now: Millis) {
         if let Some(held) = self.nodes.get_mut(address).filter(|held| held.record.life == life) {
@@ -268,6 +278,11 @@
         self.nodes.values().map(|held| &held.record)
     }
 
+    /// Zone of a node that is listed.
+    pub fn zone(&self, address: &NodeAddress) -> Option<&str> {
+        self.nodes.get(address).map(|held| held.record.zone.as_str())
+    }
+
     /// Whether a node is listed.
     pub fn lists(&self, address: &NodeAddress) -> bool {
         self.nodes.contains_key(address)
@@ -294,10 +309,3 @@
         }
     }
 }
-
-fn digest_of(entry: &RegistryEntry) -> u64 {
-    let encoded = entry.write_to_vec().expect("encoding to memory cannot fail");
-    let digest = Digest::of(&encoded);
-    let first = digest.0.first_chunk().expect("a digest is longer than eight bytes");
-    u64::from_le_bytes(*first)
-}
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -2,6 +2,7 @@
 
 use crate::exchange::{Outgoing, RegistryExchange};
 use crate::hub::Hub;
+use crate::link::LOAD_BYTES;
 use crate::loads::ServiceLoad;
 use crate::membership::Group;
 use crate::quotas::Quotas;
@@ -13,21 +14,41 @@
 use telemetry::{BootInstant, Clock};
 use tracing::info;
 
-/// Time between two looks at leases and at what is due for the other coordinators.
-const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two looks at what changed for the other coordinators: a sidecar that leaves is known to
+/// all of them after this time and a question.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two looks at leases, and at what is not urgent.
+const LEASES_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two tellings of loads to coordinators of the own zone, and the least to others.
+const LOADS_INTERVAL: Duration = Duration::from_millis(200);
+/// What loads for coordinators of other zones may take together, bytes a second: calls stay in their
+/// zone while it has room, and bytes between zones are dear.
+const FAR_LOAD_BYTES_PER_S: f64 = 16_000.0;
 
 /// Time between two looks at how busy services are.
 const SUM_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Positions up to which other coordinators were told.
-#[derive(Clone, Copy, Debug, Default)]
+/// Positions up to which other coordinators were told, and when they are told again.
+#[derive(Clone, Copy, Debug)]
 struct Told {
-    loads: u64,
+    near_loads: u64,
+    near_due: BootInstant,
+    far_loads: u64,
+    far_due: BootInstant,
     poison: u64,
+    leases_at: BootInstant,
+}
+
+impl Told {
+    fn nothing() -> Self {
+        let now = BootInstant::now();
+        Told { near_loads: 0, near_due: now, far_loads: 0, far_due: now, poison: 0, leases_at: now }
+    }
 }
 
 /// The registry's loop and what it needs.
 pub(crate) struct RegistryLoop {
+    zone: String,
     hub: Arc<Hub>,
     group: Arc<Group>,
     transport: Arc<Transport>,
@@ -43,19 +64,22 @@
         transport: Arc<Transport>,
         clock: Clock,
         quotas: Arc<Quotas>,
+        zone: &str,
     ) -> Self {
-        let exchange = Mutex::new(RegistryExchange::new(group.own));
-        RegistryLoop { hub, group, transport, clock, quotas, exchange }
+        group.note_zone(group.own, zone);
+        let exchange = RegistryExchange::new(group.own, zone, fastrand::u64(1..));
+        let (zone, exchange) = (zone.to_owned(), Mutex::new(exchange));
+        RegistryLoop { zone, hub, group, transport, clock, quotas, exchange }
     }
 
     /// Starts the loop.
     pub fn spawn(self: &Arc<Self>) {
         let registry_loop = self.clone();
         thread::spawn(move || {
-            let mut told = Told::default();
+            let mut told = Told::nothing();
             let mut summed_at = BootInstant::now();
             loop {
-                told = registry_loop.look(told);
+                registry_loop.look(&mut told);
                 if summed_at.elapsed() >= SUM_INTERVAL {
                     summed_at = BootInstant::now();
                     registry_loop.log_waiting();
@@ -66,32 +90,72 @@
         });
     }
 
-    /// Does what is due; returns up to where others were told.
-    fn look(&self, told: Told) -> Told {
+    /// Does what is due.
+    fn look(&self, told: &mut Told) {
         let now = self.clock.now_ms();
-        self.hub.expire(now);
         let members = self.group.members();
         let peers: Vec<MemberId> =
             members.into_iter().filter(|member| *member != self.group.own).collect();
+        if told.leases_at.elapsed() >= LEASES_INTERVAL {
+            told.leases_at = BootInstant::now();
+            self.hub.expire(now);
+            let state = self.hub.lock();
+            let listed = state.registry.records().map(|node| (node.address, node.stopping));
+            let listed: Vec<(NodeAddress, bool)> = listed.collect();
+            drop(state);
+            self.quotas.look(listed, &peers, now);
+        }
         let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = exchange.tick(&self.hub.lock().registry, &peers, now);
+        drop(exchange);
+        self.send(due);
+        self.tell_loads(told, &peers);
         let state = self.hub.lock();
-        let due = exchange.tick(&state.registry, &peers, now);
-        let loads = state.loads.told_since(told.loads);
         let notices = state.poison.told_since(told.poison, now);
-        let told = Told { loads: state.loads.position(), poison: state.poison.position() };
-        let listed = state.registry.records().map(|node| (node.address, node.stopping));
-        let listed: Vec<(NodeAddress, bool)> = listed.collect();
+        told.poison = state.poison.position();
         drop(state);
-        drop(exchange);
-        self.quotas.look(listed, &peers, now);
-        self.send(due);
-        if !loads.is_empty() {
-            self.send_all(&peers, CoordinatorFrame::Loads { loads });
-        }
         if !notices.is_empty() {
             self.send_all(&peers, CoordinatorFrame::Poison { notices });
         }
-        told
+    }
+
+    /// Tells other coordinators of loads that sidecars told here, if it is time to.
+    fn tell_loads(&self, told: &mut Told, peers: &[MemberId]) {
+        let now = BootInstant::now();
+        let (near, far) = self.by_zone(peers);
+        if now >= told.near_due {
+            told.near_due = now + LOADS_INTERVAL;
+            self.tell_loads_since(&mut told.near_loads, &near);
+        }
+        if now >= told.far_due {
+            let loads = self.tell_loads_since(&mut told.far_loads, &far);
+            let bytes = (loads * LOAD_BYTES * far.len()) as f64;
+            let pause = Duration::from_secs_f64(bytes / FAR_LOAD_BYTES_PER_S);
+            told.far_due = now + pause.max(LOADS_INTERVAL);
+        }
+    }
+
+    /// Coordinators of the own zone, and all others.
+    fn by_zone(&self, peers: &[MemberId]) -> (Vec<MemberId>, Vec<MemberId>) {
+        let places = self.group.places();
+        let near = |member: &MemberId| {
+            let place = places.iter().find(|place| place.address == member.address());
+            place.is_some_and(|place| place.zone == self.zone)
+        };
+        peers.iter().partition(|member| near(member))
+    }
+
+    /// Tells some coordinators of loads after a position, and moves it on; returns how many.
+    fn tell_loads_since(&self, position: &mut u64, peers: &[MemberId]) -> usize {
+        let state = self.hub.lock();
+        let loads = state.loads.told_since(*position);
+        *position = state.loads.position();
+        drop(state);
+        let count = loads.len();
+        if count > 0 {
+            self.send_all(peers, CoordinatorFrame::Loads { loads });
+        }
+        count
     }
 
     fn send_all(&self, peers: &[MemberId], frame: CoordinatorFrame) {
@@ -115,8 +179,9 @@
             return;
         }
         let now = self.clock.now_ms();
-        if let CoordinatorFrame::RegistryDigest { member, .. } = &frame {
+        if let CoordinatorFrame::Vouching { member, zone, .. } = &frame {
             self.quotas.heard_peer(*member, now);
+            self.group.note_zone(MemberId(*member), zone);
         }
         let frame = match frame {
             CoordinatorFrame::Poison { notices } => {
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -6,8 +6,9 @@
 use crate::dialect::OperatorDialect;
 use crate::hub::Hub;
 use crate::identity::{self, IdentityError};
-use crate::link::SidecarLink;
-use crate::listener;
+use crate::link::Links;
+use crate::link_server::LinkServer;
+use crate::listener::CoordinatorService;
 use crate::membership::Group;
 use crate::quotas::Quotas;
 use crate::registry_loop::RegistryLoop;
@@ -18,6 +19,7 @@
 use settings::CoordinatorSettings;
 use snafu::{ResultExt, Snafu};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -83,23 +85,26 @@
     let policies = CanaryPolicies::new(settings.canary_exposed_part);
     let quotas = Arc::new(Quotas::new(group.clone(), transport.clone(), clock));
     let (for_links, of_links) = (hub.clone(), quotas.clone());
-    let link =
-        SidecarLink::new(&settings.zone, for_links, group.clone(), clock, policies, of_links);
+    let links = Links::new(&settings.zone, for_links, group.clone(), clock, policies, of_links);
     let canary_loop = CanaryLoop::new(hub.clone(), group.clone(), clock, policies);
+    let (for_loop, zone) = (quotas.clone(), &settings.zone);
     let registry_loop =
-        RegistryLoop::new(hub.clone(), group.clone(), transport, clock, quotas.clone());
+        RegistryLoop::new(hub.clone(), group.clone(), transport, clock, for_loop, zone);
     let registry_loop = Arc::new(registry_loop);
     let address = SocketAddrV4::new(settings.ip, settings.mesh_port);
     let listen = TcpListener::bind(address);
     let listen = listen.map_err(|cause| listen_error(address, cause))?;
-    let service = listener::Service {
-        fleet: settings.fleet.clone(),
+    let service = Arc::new(CoordinatorService {
         group: group.clone(),
+        hub: hub.clone(),
         registry_loop: registry_loop.clone(),
         quotas,
-        link: Arc::new(link),
-    };
-    listener::spawn(listen, Arc::new(service));
+        open: AtomicUsize::new(0),
+    });
+    let serve = Box::new(move |stream, peer, read| service.spawn(stream, peer, read));
+    let server = LinkServer::new(&settings.fleet, listen, links, serve);
+    let server = server.map_err(|cause| listen_error(address, cause))?;
+    thread::spawn(move || server.run());
     group.spawn(settings.trusted_source.clone(), hub.clone());
     registry_loop.spawn();
     canary_loop.spawn();
--- a/crates/coordinator/src/transport.rs
+++ b/crates/coordinator/src/transport.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::os::fd::AsFd;
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
@@ -166,9 +167,9 @@
 }
 
 /// Makes a connection notice a peer that went dark.
-pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+pub(crate) fn prepare(stream: &impl AsFd) -> io::Result<()> {
     let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/crates/coordinator/tests/autopilot.rs
+++ b/crates/coordinator/tests/autopilot.rs
@@ -41,7 +41,7 @@
     let b_again = at(2, 77);
     let rows: Vec<(&str, Facts, Vec<MemberId>, Option<Change>)> = vec![
         ("all is well", facts(&[a, b, c], &[d], &[]), vec![], None),
-        ("a newcomer", facts(&[a, b, c], &[], &[]), vec![d], Some(Change::AddLearner(d))),
+        ("a newcomer", facts(&[a, b, c], &[], &[]), vec![d], Some(Change::AddLearners(vec![d]))),
         ("one of few voters", facts(&[a, b], &[d], &[]), vec![], Some(Change::Promote(d))),
         ("a silent voter without a spare", facts(&[a, b, c], &[], &[b]), vec![], None),
         (
@@ -57,7 +57,7 @@
             "a lost disk, then the newcomer",
             facts(&[a, c], &[], &[]),
             vec![b_again],
-            Some(Change::AddLearner(b_again)),
+            Some(Change::AddLearners(vec![b_again])),
         ),
         (
             "a lost disk of a learner",
@@ -75,10 +75,15 @@
             "no quorum would remain",
             facts(&[a, b, c], &[], &[b, c]),
             vec![b_again],
-            Some(Change::AddLearner(b_again)),
+            Some(Change::AddLearners(vec![b_again])),
         ),
         ("cut off with a silent spare", facts(&[a, b, c], &[d], &[c, d]), vec![], None),
-        ("removed while away", facts(&[a, b, d], &[], &[]), vec![c], Some(Change::AddLearner(c))),
+        (
+            "removed while away",
+            facts(&[a, b, d], &[], &[]),
+            vec![c],
+            Some(Change::AddLearners(vec![c])),
+        ),
     ];
     for (name, facts, joining, expected) in rows {
         assert_eq!(next(&facts, &joining), expected, "{name}");
@@ -96,7 +101,10 @@
 #[test]
 fn the_leader_never_removes_itself() {
     let (a, b, c) = (at(1, 0), at(2, 0), at(3, 0));
-    assert_eq!(next(&facts(&[a, b, c], &[], &[]), &[at(1, 5)]), Some(Change::AddLearner(at(1, 5))));
+    assert_eq!(
+        next(&facts(&[a, b, c], &[], &[]), &[at(1, 5)]),
+        Some(Change::AddLearners(vec![at(1, 5)]))
+    );
 }
 
 #[test]
--- a/crates/coordinator/tests/exchange.rs
+++ b/crates/coordinator/tests/exchange.rs
@@ -59,7 +59,7 @@
         let new = |host| Coordinator {
             id: member(host),
             registry: Registry::new(LEASE_MS),
-            exchange: RegistryExchange::new(member(host)),
+            exchange: RegistryExchange::new(member(host), "a", u64::from(host) + 1),
         };
         Fleet {
             now: 0,
@@ -134,9 +134,10 @@
 
 fn name_of(frame: &CoordinatorFrame) -> &'static str {
     match frame {
-        CoordinatorFrame::RegistryDigest { .. } => "digest",
-        CoordinatorFrame::RegistryEntries { .. } => "entries",
-        CoordinatorFrame::Unheard { .. } => "unheard",
+        CoordinatorFrame::Vouching { .. } => "vouching",
+        CoordinatorFrame::Vouched { .. } => "vouched",
+        CoordinatorFrame::WantVouched { .. } => "want_vouched",
+        CoordinatorFrame::WantRecords { .. } => "want_records",
         CoordinatorFrame::Heard { .. } => "heard",
         _ => "other",
     }
@@ -179,13 +180,13 @@
     fleet.report(record(1, 7, 1, InstanceState::Ready));
     fleet.run(2_000);
     fleet.coordinators[0].registry = Registry::new(LEASE_MS);
-    fleet.coordinators[0].exchange = RegistryExchange::new(member(0));
+    fleet.coordinators[0].exchange = RegistryExchange::new(member(0), "a", 100);
     fleet.exchange();
     assert_eq!(fleet.listed(0), [(1, 1, InstanceState::Ready)]);
 }
 
 #[test]
-fn coordinators_that_agree_send_each_other_digests_only() {
+fn coordinators_that_agree_send_each_other_beats_only() {
     let mut fleet = Fleet::new(3);
     for host in 1..=40 {
         fleet.report(record(host, 7, 1, InstanceState::Ready));
@@ -193,7 +194,7 @@
     fleet.run(3_000);
     fleet.frames.clear();
     fleet.run(10_000);
-    assert_eq!(fleet.frames, ["digest"; 60]);
+    assert_eq!(fleet.frames, ["vouching"; 120]);
 }
 
 #[test]
@@ -249,7 +250,7 @@
             8 => {
                 let restarted = &mut fleet.coordinators[random.usize(0..count)];
                 restarted.registry = Registry::new(LEASE_MS);
-                restarted.exchange = RegistryExchange::new(restarted.id);
+                restarted.exchange = RegistryExchange::new(restarted.id, "a", 100 + step);
             }
             _ => fleet.run(random.u64(1..8) * STEP_MS),
         }
@@ -282,7 +283,7 @@
 
 #[test]
 fn broken_variants_are_noticed() {
-    for lost in ["heard", "unheard", "entries", "digest"] {
+    for lost in ["heard", "vouching", "vouched", "want_vouched", "want_records"] {
         let noticed = (0..200).find(|seed| !after_faults(*seed, lost, false).holds());
         assert!(noticed.is_some(), "frames `{lost}` are lost, and no seed shows it");
     }
--- a/crates/coordinator/tests/loads.rs
+++ b/crates/coordinator/tests/loads.rs
@@ -27,13 +27,13 @@
     let position = board.position();
     board.told(address(3), UpstreamLoad::new(1, 0, 100));
     board.told(address(3), UpstreamLoad::new(2, 0, 100));
-    let told = [board.since(0), board.told_since(0), board.since(position)];
+    let told = [board.since(0, |_| true), board.told_since(0), board.since(position, |_| true)];
     expect![[r#"
         10.0.0.1 3+0, 10.0.0.2 9+4, 10.0.0.3 2+0
         10.0.0.1 3+0, 10.0.0.3 2+0
         10.0.0.3 2+0"#]]
     .assert_eq(&told.map(|loads| shown(&loads)).join("\n"));
-    assert!(board.since(board.position()).is_empty());
+    assert!(board.since(board.position(), |_| true).is_empty());
 }
 
 #[test]
@@ -42,7 +42,7 @@
     board.told(address(1), UpstreamLoad::new(3, 0, 100));
     board.passed_on(&[load(1, 4, 0)]);
     assert!(board.told_since(0).is_empty());
-    assert_eq!(shown(&board.since(0)), "10.0.0.1 4+0");
+    assert_eq!(shown(&board.since(0, |_| true)), "10.0.0.1 4+0");
 }
 
 #[test]
@@ -50,7 +50,7 @@
     let mut board = LoadBoard::default();
     board.passed_on(&[load(1, 4, 0), load(2, 5, 0)]);
     board.retain(|listed| *listed == address(2));
-    assert_eq!(shown(&board.since(0)), "10.0.0.2 5+0");
+    assert_eq!(shown(&board.since(0, |_| true)), "10.0.0.2 5+0");
 }
 
 #[test]
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -154,8 +154,8 @@
 }
 
 fn version_of(registry: &Registry, host: u8) -> Option<(u64, u64)> {
-    let found = registry.entries().into_iter().find(|entry| entry.address == address(host));
-    found.map(|entry| (entry.life, entry.sequence))
+    let found = registry.records().find(|record| record.address == address(host));
+    found.map(|record| (record.life, record.sequence))
 }
 
 /// One row: what is known here, what another coordinator vouches for, what is listed after it.
@@ -242,8 +242,8 @@
 fn vouching_lasts_as_long_as_somebody_hears_the_sidecar() {
     let mut registry = Registry::new(LEASE_MS);
     registry.report(record(1, 7, 1, None), 0);
-    assert!(registry.unheard(1_000).is_empty());
-    assert_eq!(registry.unheard(1_500), [address(1)]);
+    assert_eq!(registry.heard_entries(1_000).count(), 1);
+    assert_eq!(registry.heard_entries(1_500).count(), 0);
     for at in [1_500, 2_500, 3_500, 4_500] {
         registry.vouch(HeardNode { record: record(1, 7, 1, None), silent_ms: 400 }, at);
         registry.expire(at + 500);
--- a/crates/coordinator/tests/simulated_membership.rs
+++ b/crates/coordinator/tests/simulated_membership.rs
@@ -324,8 +324,8 @@
     let mut next = membership;
     match process.autopilot.next_change(&facts) {
         None => return,
-        Some(Change::AddLearner(member)) => {
-            next.learners.insert(member.0);
+        Some(Change::AddLearners(members)) => {
+            next.learners.extend(members.iter().map(|member| member.0));
         }
         Some(Change::Promote(member)) => {
             next.learners.remove(&member.0);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,7 +17,9 @@
 pub use hop::{
     most_unasked_bytes, Departure, HopOutcome, HopReply, HopRequest, GRANT_HEADER, HOP_HEADER,
 };
-pub use link::{CoordinatorFrame, Greeting, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION};
+pub use link::{
+    CoordinatorFrame, Greeting, MemberPlace, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION,
+};
 pub use member::MemberId;
 pub use poison::{CrashReport, Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
 pub use quota::{CreditAmount, CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -12,6 +12,15 @@
 /// Version of all frames; two processes of different versions refuse each other.
 pub const PROTOCOL_VERSION: u16 = 7;
 
+/// Where a coordinator is.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct MemberPlace {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its zone; empty while that is not known, or if its settings name none.
+    pub zone: String,
+}
+
 /// What a connection to a coordinator is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 #[speedy(tag_type = u8)]
@@ -49,22 +58,43 @@
         /// The id that was removed.
         member: u64,
     },
-    /// What the sender's registry holds, in a few bytes; sent again and again.
-    RegistryDigest {
+    /// Up to which position the sender's list of sidecars that it hears holds; sent again and again.
+    Vouching {
         /// Sender.
         member: u64,
-        /// Sum over all of its entries.
-        digest: u64,
+        /// Its zone; empty if its settings name none.
+        zone: String,
+        /// Drawn by the sender at its start; tells positions of its lives apart.
+        epoch: u64,
+        /// Position of the newest change of the list.
+        position: u64,
     },
-    /// All that the sender's registry holds; answered with what it lacks.
-    RegistryEntries {
+    /// What changed in that list.
+    Vouched {
         /// Sender.
         member: u64,
-        /// One for each sidecar that it lists.
-        entries: Vec<RegistryEntry>,
+        /// As in [`CoordinatorFrame::Vouching`].
+        epoch: u64,
+        /// Position after which it changed; 0 if this is the whole list.
+        since: u64,
+        /// Position of the newest change.
+        position: u64,
+        /// New or changed.
+        heard: Vec<RegistryEntry>,
+        /// Not heard any more.
+        dropped: Vec<NodeAddress>,
     },
-    /// Sidecars that the sender lists but does not hear; answered for those the receiver hears.
-    Unheard {
+    /// The sender lacks what changed in the receiver's list after a position.
+    WantVouched {
+        /// Sender.
+        member: u64,
+        /// Epoch of the receiver's list as it is known; 0 if it is not.
+        epoch: u64,
+        /// Position up to which it is known.
+        position: u64,
+    },
+    /// The sender lacks the records of sidecars that the receiver hears.
+    WantRecords {
         /// Sender.
         member: u64,
         /// Which.
@@ -80,6 +110,15 @@
         /// One for each upstream.
         loads: Vec<NodeLoad>,
     },
+    /// What a sidecar of the sender told of a canary; for the leader, which judges it.
+    Evidence {
+        /// The sidecar.
+        node: NodeAddress,
+        /// Its life.
+        life: u64,
+        /// What it told.
+        told: VersionEvidence,
+    },
     /// What the sender's own sidecars told of requests that may crash upstreams.
     Poison {
         /// In the order in which they came.
@@ -159,7 +198,7 @@
     /// Where coordinators are.
     Members {
         /// All of them.
-        addresses: Vec<Ipv4Addr>,
+        members: Vec<MemberPlace>,
     },
     /// A generation is in force.
     Announce {
--- a/crates/rollout/src/machine/queries.rs
+++ b/crates/rollout/src/machine/queries.rs
@@ -51,6 +51,11 @@
         (self.base.clone(), self.content(&self.base.digest).unwrap_or_default())
     }
 
+    /// The generation in force outside a rollout.
+    pub fn in_force_generation(&self) -> u64 {
+        self.base.generation
+    }
+
     /// What relays need to know.
     pub fn view(&self) -> TargetView {
         let candidate = self.rollout.as_ref().map(|rollout| Candidate {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -33,7 +33,7 @@
 pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect, ToldLoad};
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
 pub use link_meter::{LinkChange, LinkMeter, LinkWatch};
-pub use links::{LinkEvent, Links};
+pub use links::{chosen as chosen_coordinators, LinkEvent, Links};
 pub use net::{ConnectionId, LinkUse, Net, NetEvent, SentBytes};
 pub use poison::PoisonWatch;
 pub use quota::Quota;
--- a/crates/sidecar/src/links/content.rs
+++ b/crates/sidecar/src/links/content.rs
@@ -31,7 +31,8 @@
         let newer = |link: &Link| link.open && link.announced > applied;
         let found = self.links.iter().filter(|(_, link)| newer(link));
         let best = found.max_by_key(|(address, link)| {
-            (Some(**address) != passed_over, link.announced, link.same_zone)
+            let rank = self.rank(**address);
+            (Some(**address) != passed_over, link.announced, link.same_zone, rank)
         });
         let Some((address, link)) = best else {
             return;
@@ -53,7 +54,7 @@
             return true;
         }
         let welcomed = self.links.iter().filter(|(_, link)| link.open && link.welcomed);
-        let nearest = welcomed.max_by_key(|(_, link)| link.same_zone);
+        let nearest = welcomed.max_by_key(|(address, link)| (link.same_zone, self.rank(**address)));
         let waits = self.waits_for_near(now);
         let Some((address, link)) = nearest.filter(|(_, link)| link.same_zone || !waits) else {
             return false;
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -1,28 +1,30 @@
 //! Links to the coordinators: what this sidecar is goes out, configuration and endpoints come in.
 //!
-//! A sidecar keeps a link to several coordinators, so that a cut among them loses nothing. All are
-//! told what it is; only one, of its own zone where there is one, tells it of the other sidecars
-//! and is asked for the content of a new generation.
+//! A sidecar keeps a link to several coordinators, so that a cut among them loses nothing. Those are
+//! told what it is, and vouch for it to all others; only one, of its own zone where there is one, tells
+//! it of the other sidecars and is asked for the content of a new generation.
 
+mod choice;
 mod content;
 mod credits;
 mod subscription;
 mod telling;
 
+pub use choice::chosen;
+
 use crate::net::{ConnectionId, Net, NetEvent};
 use crate::Millis;
 use bundle::BundleUpdate;
 use bytes::Buf;
 use mesh::{
-    decode_frame, encode_frame, CreditAnswer, Greeting, NodeAddress, NodeLoad, NodeRecord,
-    PoisonNotice, Purpose, ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy, PROTOCOL_VERSION,
+    decode_frame, encode_frame, CreditAnswer, Greeting, MemberPlace, NodeAddress, NodeLoad,
+    NodeRecord, PoisonNotice, Purpose, ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy,
+    PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use tracing::{info, warn};
 
-/// Most coordinators linked at once.
-const MAX_LINKS: usize = 5;
 const PING_INTERVAL_MS: u64 = 1_000;
 /// A coordinator that says nothing for this long is left.
 const SILENCE_LIMIT_MS: u64 = 3_000;
@@ -36,6 +38,9 @@
 const LONGEST_PAUSE_MS: u64 = 800;
 /// What a lost coordinator said of endpoints counts for this long.
 const STALE_LIMIT_MS: u64 = 15_000;
+/// A coordinator that was tried in vain so often gets another one beside it: with growing pauses, after
+/// about half a second.
+const FAILURES_BORNE: u32 = 3;
 
 /// What the links bring.
 #[derive(Debug)]
@@ -107,7 +112,7 @@
     fleet: String,
     port: u16,
     seeds: Vec<Ipv4Addr>,
-    members: Vec<Ipv4Addr>,
+    members: Vec<MemberPlace>,
     links: BTreeMap<Ipv4Addr, Link>,
     record: NodeRecord,
     random: fastrand::Rng,
@@ -288,9 +293,11 @@
                 self.subscribe(net, now);
             }
             ToSidecar::ReportTaken { sequence } => link.taken = link.taken.max(sequence),
-            ToSidecar::Members { addresses } => {
-                info!(coordinator = %address, members = ?addresses, "members_learned");
-                self.members = addresses;
+            ToSidecar::Members { members } => {
+                let known = members.iter().filter(|member| !member.zone.is_empty()).count();
+                let count = members.len();
+                info!(coordinator = %address, members = count, zones_known = known, "members_learned");
+                self.members = members;
             }
             ToSidecar::Announce { generation } => {
                 link.announced = generation;
@@ -396,8 +403,15 @@
                 }
             }
         }
+        // One that tells of other sidecars goes once one of those wanted has told all it lists.
+        let told = |(address, link): (&Ipv4Addr, &Link)| wanted.contains(address) && link.whole;
+        let settled = self.links.iter().any(told);
         let former = |address: &Ipv4Addr, link: &Link| {
-            !wanted.contains(address) && link.lost_at.is_none_or(|at| at + STALE_LIMIT_MS <= now)
+            let over = match link.open {
+                true => settled || !link.subscribed,
+                false => link.lost_at.is_none_or(|at| at + STALE_LIMIT_MS <= now),
+            };
+            !wanted.contains(address) && over
         };
         let found = self.links.iter().filter(|(address, link)| former(address, link));
         let unwanted: Vec<Ipv4Addr> = found.map(|(address, _)| *address).collect();
@@ -415,18 +429,27 @@
         }
     }
 
-    /// The members, and the seeds while no member is reached.
+    /// The coordinators to be linked, and the seeds while no member is reached.
     fn wanted(&self) -> Vec<Ipv4Addr> {
+        let is_down = |member: Ipv4Addr| {
+            let link = self.links.get(&member);
+            link.is_some_and(|link| !link.welcomed && link.failures >= FAILURES_BORNE)
+        };
+        let (own, zone) = (&self.record.address, &self.record.zone);
+        let mut wanted = choice::chosen(own, zone, &self.members, is_down);
         let reached = self.links.values().any(|link| link.welcomed);
-        let mut wanted = self.members.clone();
         if !reached || wanted.is_empty() {
             wanted.extend(&self.seeds);
         }
         wanted.sort_unstable();
         wanted.dedup();
-        wanted.truncate(MAX_LINKS + self.seeds.len());
         wanted
     }
+
+    /// How high a coordinator ranks for this sidecar among those that are as near.
+    fn rank(&self, coordinator: Ipv4Addr) -> u64 {
+        choice::rank(&self.record.address, coordinator)
+    }
 }
 
 fn send(net: &mut Net, link: &Link, message: &ToCoordinator) {
--- a/crates/sidecar/src/links/subscription.rs
+++ b/crates/sidecar/src/links/subscription.rs
@@ -23,7 +23,8 @@
     /// told to stop once the new one has told all it lists, so nothing is missed between.
     pub(super) fn subscribe(&mut self, net: &mut Net, now: Millis) {
         let healthy = self.links.iter().filter(|(_, link)| link.is_healthy(now));
-        let best = healthy.max_by_key(|(_, link)| (link.same_zone, link.subscribed));
+        let best = healthy
+            .max_by_key(|(address, link)| (link.same_zone, link.subscribed, self.rank(**address)));
         let knows_others = self.links.values().any(|link| !link.nodes.is_empty());
         let wait_ms = if knows_others { RETURN_WAIT_MS } else { NEAR_WAIT_MS };
         let waits = now < self.linked_at + wait_ms;
--- a/crates/sidecar/tests/links.rs
+++ b/crates/sidecar/tests/links.rs
@@ -2,8 +2,8 @@
 
 use bundle::{best_update, Bundle, Digest};
 use mesh::{
-    decode_frame, encode_frame, Greeting, NodeAddress, NodeRecord, ToCoordinator, ToSidecar,
-    VersionPolicy,
+    decode_frame, encode_frame, Greeting, MemberPlace, NodeAddress, NodeRecord, ToCoordinator,
+    ToSidecar, VersionPolicy,
 };
 use sidecar::{LinkEvent, Links, Net};
 use std::io::{ErrorKind, Read, Write};
@@ -141,8 +141,9 @@
         let mut world = World { net, links, now: 1_000, events: Vec::new(), coordinators };
         world.until(|world| world.coordinators.iter().all(|held| !held.heard.is_empty()));
         // Seeds are wanted only until one of them is reached; members always.
-        let addresses: Vec<Ipv4Addr> = hosts.iter().map(|host| ip(*host)).collect();
-        world.coordinators[0].send(&ToSidecar::Members { addresses });
+        let place = |host: &u8| MemberPlace { address: ip(*host), zone: String::new() };
+        let members = hosts.iter().map(place).collect();
+        world.coordinators[0].send(&ToSidecar::Members { members });
         world
     }
 
