--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -22,6 +22,13 @@
 
 pub struct Running(Child);
 
+impl Running {
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let _ = self.0.kill();
