A refusal for cold is told and counted as one; cold times age where they are held

Read in the code: a record kept the time left in which its upstream is cold as it came, so a node that started later took upstreams for cold that had long been warm, and a sidecar that starts again its own.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -123,6 +123,11 @@
         has_slot && self.cold_start.next_at(now) <= now
     }
 
+    /// Whether a slot is free, and only what a cold upstream bears keeps calls from it.
+    pub fn is_held_by_cold(&self, now: Millis) -> bool {
+        self.running < self.limit && self.cold_start.next_at(now) > now
+    }
+
     /// Most calls at once.
     pub fn limit(&self) -> u32 {
         self.limit
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -145,6 +145,7 @@
         encode_frame(&ToSidecar::Welcome { zone, last }, output);
         let mut link = Link { node, life, told: Told::default(), subscription: None };
         // Before its upstream is told of: what may be given to it depends on its version and zone.
+        self.look_at_group();
         self.tell_group(&mut link, output);
         self.take_report(record, output);
         link
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -18,6 +18,9 @@
 #[derive(Clone, Debug)]
 struct Held {
     record: NodeRecord,
+    /// When the record came; what it says of the time left in which its upstream is cold counts from
+    /// then on.
+    told_at: Millis,
     /// Last sign of life, its own or one that another coordinator vouched for.
     heard_at: Millis,
     /// Last sign of life on a link of its own.
@@ -26,6 +29,11 @@
 }
 
 impl Held {
+    /// The record as it would be told now.
+    fn aged(&self, now: Millis) -> NodeRecord {
+        aged(self.record.clone(), self.told_at, now)
+    }
+
     fn is_heard_directly(&self, limit_ms: u64, now: Millis) -> bool {
         self.heard_directly_at.is_some_and(|at| now < at + limit_ms)
     }
@@ -48,6 +56,8 @@
 #[derive(Clone, Debug)]
 pub struct Registry {
     lease_ms: u64,
+    /// The newest time that it was told of.
+    now: Millis,
     position: u64,
     nodes: BTreeMap<NodeAddress, Held>,
     gone: VecDeque<(u64, NodeAddress)>,
@@ -60,6 +70,7 @@
     pub fn new(lease_ms: u64) -> Self {
         Registry {
             lease_ms,
+            now: 0,
             position: 0,
             nodes: BTreeMap::new(),
             gone: VecDeque::new(),
@@ -70,15 +81,18 @@
 
     /// What was last known of a node, with all marks.
     pub fn last_record(&self, address: &NodeAddress) -> Option<NodeRecord> {
-        let held = self.nodes.get(address).map(|held| &held.record);
-        let held = held.filter(|record| record.instance.is_some());
-        let mut record = held.or(self.last.get(address).map(|(record, _)| record))?.clone();
+        let held = self.nodes.get(address).map(|held| (&held.record, held.told_at));
+        let held = held.filter(|(record, _)| record.instance.is_some());
+        let last = self.last.get(address).map(|(record, told_at)| (record, *told_at));
+        let (record, told_at) = held.or(last)?;
+        let mut record = aged(record.clone(), told_at, self.now);
         self.apply_marks(&mut record);
         Some(record)
     }
 
     /// Takes in a report; true if it changed what others should know.
     pub fn report(&mut self, mut record: NodeRecord, now: Millis) -> bool {
+        self.now = self.now.max(now);
         self.apply_marks(&mut record);
         self.keep_mark(&record);
         if record.instance.is_some() {
@@ -92,15 +106,22 @@
                 return false;
             }
         }
-        self.hold(record, now, Some(now));
+        self.hold(record, now, now, Some(now));
         true
     }
 
-    fn hold(&mut self, record: NodeRecord, heard_at: Millis, heard_directly_at: Option<Millis>) {
+    fn hold(
+        &mut self,
+        record: NodeRecord,
+        told_at: Millis,
+        heard_at: Millis,
+        heard_directly_at: Option<Millis>,
+    ) {
         self.position += 1;
         let address = record.address;
         let changed_at = self.position;
-        self.nodes.insert(address, Held { record, heard_at, heard_directly_at, changed_at });
+        let held = Held { record, told_at, heard_at, heard_directly_at, changed_at };
+        self.nodes.insert(address, held);
         self.gone.retain(|(_, gone)| *gone != address);
     }
 
@@ -108,6 +129,7 @@
     /// record that is heard directly here, or was heard later here, is never replaced by another
     /// life's: lives have no order of their own.
     pub fn vouch(&mut self, heard: HeardNode, now: Millis) -> bool {
+        self.now = self.now.max(now);
         let heard_at = now.saturating_sub(u64::from(heard.silent_ms));
         if heard_at + self.lease_ms < now {
             return false;
@@ -134,7 +156,7 @@
         if record.instance.is_some() {
             self.last.insert(record.address, (record.clone(), now));
         }
-        self.hold(record, heard_at, heard_directly_at);
+        self.hold(record, now, heard_at, heard_directly_at);
         true
     }
 
@@ -193,7 +215,7 @@
         let held = self.nodes.get(address)?;
         let at = held.heard_directly_at.filter(|at| now < at + self.unheard_ms())?;
         let silent_ms = now.saturating_sub(at) as u32;
-        Some(HeardNode { record: held.record.clone(), silent_ms })
+        Some(HeardNode { record: held.aged(now), silent_ms })
     }
 
     /// Notes a sign of life.
@@ -220,6 +242,7 @@
 
     /// Removes the nodes whose lease ended; true if there were any.
     pub fn expire(&mut self, now: Millis) -> bool {
+        self.now = self.now.max(now);
         let ended = |held: &Held| held.heard_at + self.lease_ms < now;
         let late: Vec<NodeAddress> =
             self.nodes.iter().filter(|(_, held)| ended(held)).map(|(key, _)| *key).collect();
@@ -304,8 +327,17 @@
         RegistryChanges {
             position: self.position,
             whole: known.is_none(),
-            changed: self.nodes.values().filter(news).map(|held| held.record.clone()).collect(),
+            changed: self.nodes.values().filter(news).map(|held| held.aged(self.now)).collect(),
             gone: gone.map(|(_, address)| *address).collect(),
         }
     }
 }
+
+/// A record that came at a time, as it would be told now: an upstream that was cold is so for less long.
+fn aged(mut record: NodeRecord, told_at: Millis, now: Millis) -> NodeRecord {
+    if let Some(instance) = &mut record.instance {
+        let age_ms = u32::try_from(now.saturating_sub(told_at)).unwrap_or(u32::MAX);
+        instance.cold_remaining_ms = instance.cold_remaining_ms.saturating_sub(age_ms);
+    }
+    record
+}
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -282,3 +282,29 @@
     registry.report(born(3, InstanceState::Ready, 9_000), 20);
     assert_eq!(state(&registry), InstanceState::Ready, "it started again under its id");
 }
+
+#[test]
+fn an_upstream_is_cold_for_as_long_as_it_told_and_no_longer_for_those_who_hear_later() {
+    let mut cold = record(1, 7, 1, Some(("i-1", InstanceState::Ready)));
+    cold.instance.as_mut().expect("it has one").cold_remaining_ms = 3_000;
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(cold, 10_000);
+    let remaining =
+        |record: &NodeRecord| record.instance.as_ref().expect("it has one").cold_remaining_ms;
+    let told = |registry: &Registry| remaining(&registry.changes_since(None).changed[0]);
+    assert_eq!(told(&registry), 3_000);
+    registry.expire(11_000);
+    assert_eq!(told(&registry), 2_000);
+    let heard = registry.heard(&[address(1)], 11_200);
+    assert_eq!(remaining(&heard[0].record), 1_800, "for other coordinators");
+    // What another coordinator vouches for ages here from then on.
+    let mut other = Registry::new(LEASE_MS);
+    other.vouch(heard[0].clone(), 11_300);
+    other.expire(12_300);
+    assert_eq!(told(&other), 800);
+    // Its sidecar starts again: the upstream is warm.
+    registry.alive(&address(1), 7, 13_900);
+    registry.expire(14_000);
+    let last = registry.last_record(&address(1)).expect("known");
+    assert_eq!(remaining(&last), 0);
+}
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -194,6 +194,7 @@
     offers: Offers,
     egress: EgressBook,
     link_refusals: u64,
+    cold_refusals: u64,
     transits: TransitTimes,
     trial: Trial,
     crash: CrashWatch,
@@ -242,6 +243,7 @@
             offers: Offers::new(link_bytes_per_ms),
             egress: EgressBook::default(),
             link_refusals: 0,
+            cold_refusals: 0,
             transits: TransitTimes::default(),
             trial: Trial::default(),
             crash: CrashWatch::default(),
@@ -528,7 +530,7 @@
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
             let id = &attempt_id;
-            let reason = "no_room";
+            let reason = self.why_no_room(now);
             let held_ms = offered_ms;
             let refusal = Refusal { id, reason, held_ms, retry_after_ms, ..Refusal::default() };
             return vec![self.refuse(source, refusal, now)];
@@ -575,6 +577,20 @@
         refused
     }
 
+    /// Why a call has no room in the queue; counts those that a cold upstream does not bear.
+    fn why_no_room(&mut self, now: Millis) -> &'static str {
+        if !self.admission.is_held_by_cold(now) {
+            return "no_room";
+        }
+        self.cold_refusals += 1;
+        "cold"
+    }
+
+    /// Calls refused so far since the upstream was cold.
+    pub fn cold_refusals(&self) -> u64 {
+        self.cold_refusals
+    }
+
     /// How long a large answer would wait for the link, milliseconds.
     pub fn link_wait_ms(&self) -> u64 {
         self.egress.wait_ms()
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -33,6 +33,8 @@
     pub link_waiting_bytes: usize,
     /// Calls refused since their answers would have waited too long for it.
     pub link_refusals: u64,
+    /// Calls refused since the upstream was cold.
+    pub cold_refusals: u64,
     /// Share of recent calls that the upstream failed, percent.
     pub failing_percent: u32,
     /// Since when the generation in force is known to be the newest, milliseconds ago.
@@ -64,7 +66,7 @@
 impl Metrics {
     /// Registers all figures.
     pub fn new(registry: Registry) -> Self {
-        let figures: [Figure; 39] = [
+        let figures: [Figure; 40] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -90,6 +92,7 @@
             ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
             ("link_waiting_bytes", "Wait for the link", |s| s.link_waiting_bytes as i64),
             ("link_refusals", "Calls refused for want of the link", |s| s.link_refusals as i64),
+            ("cold_refusals", "Calls a cold upstream does not bear", |s| s.cold_refusals as i64),
             ("sent_bytes_calls", "To peers, calls", |s| s.sent_bytes.calls as i64),
             ("sent_bytes_answers", "To peers, answers", |s| s.sent_bytes.answers as i64),
             ("sent_bytes_control", "To coordinators", |s| s.sent_bytes.control as i64),
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -345,6 +345,7 @@
             sent_bytes: self.net.sent_bytes(),
             link_waiting_bytes: self.net.link_room().waiting_bytes,
             link_refusals: self.jobs.link_refusals(),
+            cold_refusals: self.jobs.cold_refusals(),
             failing_percent: self.jobs.failing_percent(self.now()),
             confirmed_ms: self.config.currency.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -434,3 +434,24 @@
     jobs.refresh_cold();
     assert!(started(&jobs.tick(5_051)).is_some());
 }
+
+#[test]
+fn a_call_that_a_cold_upstream_does_not_bear_is_refused_and_counted() {
+    let mut jobs = jobs();
+    jobs.set_cold_rate(Some(ColdRate { per_s: 1.0, burst: 0.0 }));
+    let cold = InstanceRecord { cold_remaining_ms: 3_000, ..record("i-1", InstanceState::Ready) };
+    jobs.gate.told(&cold, 2, 0);
+    jobs.refresh_cold();
+    assert!(started(&begin(&mut jobs, 1, 0)).is_some());
+    // A second is longer than it would wait; the time told is when there is room.
+    let refused = begin(&mut jobs, 2, 10);
+    let [JobAction::Reply { reply, .. }] = &refused[..] else { panic!("{refused:?}") };
+    assert_eq!((reply.outcome, jobs.cold_refusals()), (HopOutcome::Refused, 1));
+    assert!((490..=2_990).contains(&reply.retry_after_ms), "{}", reply.retry_after_ms);
+    // Its slots are full: that it is cold is not why.
+    jobs.gate.told(&InstanceRecord { cold_remaining_ms: 0, ..cold }, 3, 20);
+    jobs.refresh_cold();
+    begin(&mut jobs, 3, 20);
+    assert_eq!(outcomes(&begin(&mut jobs, 4, 20)).len(), 0, "it waits");
+    assert_eq!(jobs.cold_refusals(), 1);
+}
