--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod coordinator;
 pub mod data;
 pub mod explain;
+pub mod interface;
 pub mod keys;
 pub mod members;
 pub mod proxy;
--- a/crates/chutecove/src/cli/zone.rs
+++ b/crates/chutecove/src/cli/zone.rs
@@ -1,12 +1,9 @@
 //! `chutecove zone`
 
-use crate::cli::{free_argument, parse};
+use crate::cli::free_argument;
+use crate::cli::interface::Interface;
 use crate::dialect::EvacuatedZone;
-use crate::exit::{Failure, MAY_HAVE_RUN, UNREACHABLE};
-use getopts::Options;
-use std::time::Duration;
-use ureq::http::Response;
-use ureq::Body;
+use crate::exit::Failure;
 
 const BRIEF: &str = "\
 Usage: chutecove zone list --coordinator IP:PORT [--output json]
@@ -17,64 +14,29 @@
 Callers there are served by other zones. Both verbs may be repeated. Any coordinator will do; PORT is
 its api_listen. A zone may be named that has no upstreams yet; the last zone may be evacuated, too,
 and all calls are then refused.";
-/// A coordinator passes an order on to the leader and answers within a second.
-const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+const PATH: &str = "/v1/evacuations";
 const SECOND_MS: u64 = 1_000;
 
 /// Evacuates and restores zones.
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
-    let mut options = Options::new();
-    options.reqopt("", "coordinator", "address of a coordinator's interface", "IP:PORT");
-    options.optopt("", "output", "text or json (text)", "FORMAT");
-    let Some(matches) = parse(options, BRIEF, arguments)? else {
+    let Some((matches, interface)) = Interface::parse(BRIEF, arguments)? else {
         return Ok(());
     };
-    let coordinator = matches.opt_str("coordinator").unwrap_or_default();
-    let url = format!("http://{coordinator}/v1/evacuations");
-    let as_json = match matches.opt_str("output").as_deref() {
-        None | Some("text") => false,
-        Some("json") => true,
-        Some(other) => return Err(Failure::usage(format!("--output: '{other}' is unknown"))),
-    };
-    let zone = || free_argument(&matches, 1, "ZONE");
-    match free_argument(&matches, 0, "VERB")? {
-        "list" => list(&url, as_json),
-        "evacuate" => {
-            let answer = agent().put(format!("{url}/{}", zone()?)).send_empty();
-            taken(answer, zone()?, "evacuated")
-        }
-        "restore" => {
-            let answer = agent().delete(format!("{url}/{}", zone()?)).call();
-            taken(answer, zone()?, "restored")
-        }
-        _ => Err(Failure::usage(BRIEF)),
-    }
-}
-
-fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .timeout_global(Some(ANSWER_LIMIT))
-        .http_status_as_error(false)
-        .build()
-        .into()
-}
-
-fn unreachable(error: impl std::fmt::Display) -> Failure {
-    Failure { message: format!("the coordinator does not answer: {error}"), code: UNREACHABLE }
-}
-
-fn list(url: &str, as_json: bool) -> Result<(), Failure> {
-    let mut answer = agent().get(url).call().map_err(unreachable)?;
-    let text = answer.body_mut().read_to_string().map_err(unreachable)?;
-    if answer.status() != 200 {
-        return Err(Failure::refused(format!("answered {}", answer.status())));
+    let verb = free_argument(&matches, 0, "VERB")?;
+    if verb == "list" {
+        return interface.print_list(PATH, table);
     }
-    if as_json {
-        println!("{text}");
-        return Ok(());
+    let zone = free_argument(&matches, 1, "ZONE")?;
+    let path = format!("{PATH}/{zone}");
+    let (answer, done) = match verb {
+        "evacuate" => (interface.put(&path, "it may be evacuated, repeat the order")?, "evacuated"),
+        "restore" => (interface.delete(&path, "it may be restored, repeat the order")?, "restored"),
+        _ => return Err(Failure::usage(BRIEF)),
+    };
+    if !answer.is_ok() {
+        return Err(answer.refused());
     }
-    let rows: Vec<EvacuatedZone> = serde_json::from_str(&text).map_err(Failure::refused)?;
-    print!("{}", table(&rows));
+    println!("{zone} is {done}");
     Ok(())
 }
 
@@ -90,20 +52,3 @@
     };
     rows.iter().map(line).collect()
 }
-
-fn taken(
-    answer: Result<Response<Body>, ureq::Error>,
-    zone: &str,
-    done: &str,
-) -> Result<(), Failure> {
-    let mut answer = answer.map_err(|error| Failure {
-        message: format!("not answered, {zone} may be {done}; repeat the order: {error}"),
-        code: MAY_HAVE_RUN,
-    })?;
-    if answer.status() == 200 {
-        println!("{zone} is {done}");
-        return Ok(());
-    }
-    let reason = answer.body_mut().read_to_string().unwrap_or_else(|error| error.to_string());
-    Err(Failure::refused(format!("answered {}: {}", answer.status(), reason.trim())))
-}
