--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -86,6 +86,8 @@
     connections: Slab<Connection>,
     serve_coordinator: ServeCoordinator,
     scratch: Vec<u8>,
+    /// Whether connections wait that no event will tell of: an event tells of new ones only.
+    accepts_wait: bool,
     /// Position of the registry and of poison requests, and revision of the group, told last.
     told: (u64, u64, u64),
     /// When what changed since is to be told.
@@ -117,6 +119,7 @@
             connections: Slab::new(),
             serve_coordinator,
             scratch: vec![0; SCRATCH_BYTES],
+            accepts_wait: false,
             told: (0, 0, 0),
             tell_at: None,
             told_at: now,
@@ -149,11 +152,17 @@
                     }
                 }
             }
+            if self.accepts_wait {
+                self.accept();
+            }
             self.tell_due();
         }
     }
 
     fn until_due(&self) -> Duration {
+        if self.accepts_wait {
+            return Duration::ZERO;
+        }
         let sweep_at = self.swept_at + SWEEP_INTERVAL;
         let due = sweep_at.min(self.links.next_loads());
         let due = self.tell_at.map_or(due, |at| due.min(at));
@@ -161,6 +170,7 @@
     }
 
     fn accept(&mut self) {
+        self.accepts_wait = false;
         for _ in 0..ACCEPTS_AT_ONCE {
             match self.listener.accept() {
                 Ok((stream, peer)) => {
@@ -171,14 +181,13 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
-                    // Without a descriptor left it is tried again at the next connection.
+                    // Without a descriptor left it is tried again at the next sweep.
                     warn!(%error, connections = self.connections.len(), "accept_failed");
                     return;
                 }
             }
         }
-        // More may wait, and no event tells so again.
-        self.links.hub.wake();
+        self.accepts_wait = true;
     }
 
     fn add(&mut self, mut stream: TcpStream, peer: SocketAddr) -> io::Result<()> {
@@ -422,6 +431,7 @@
     }
 
     fn sweep(&mut self, now: BootInstant) {
+        self.accept();
         let over = |connection: &Connection| {
             let limit = match connection.stage {
                 Stage::Accepted | Stage::Greeted => GREETING_TIMEOUT,
