--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -123,6 +123,8 @@
     poll: Poll,
     events: Events,
     listeners: Vec<TcpListener>,
+    /// Listeners with connections that wait, of which no event will tell: one tells of new ones only.
+    accepts_wait: Vec<usize>,
     connections: Slab<Connection>,
     opened: u64,
     own: IpAddr,
@@ -142,6 +144,7 @@
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS_CAPACITY),
             listeners: Vec::new(),
+            accepts_wait: Vec::new(),
             connections: Slab::new(),
             opened: 0,
             own,
@@ -395,6 +398,7 @@
     /// Waits for events, at most `longest`.
     pub fn poll(&mut self, longest: Duration) -> Vec<NetEvent> {
         let mut happened = Vec::new();
+        let longest = if self.accepts_wait.is_empty() { longest } else { Duration::ZERO };
         if let Err(error) = self.poll.poll(&mut self.events, Some(longest)) {
             if error.kind() != io::ErrorKind::Interrupted {
                 tracing::error!(%error, "poll_failed");
@@ -409,6 +413,9 @@
                 (event.token().0, readable, event.is_writable() || event.is_error())
             })
             .collect();
+        for listener in std::mem::take(&mut self.accepts_wait) {
+            self.accept(listener, &mut happened);
+        }
         for (token, readable, writable) in ready {
             match token.checked_sub(FIRST_LISTENER) {
                 Some(listener) => self.accept(listener, &mut happened),
@@ -441,6 +448,7 @@
                 }
             }
         }
+        self.accepts_wait.push(listener);
     }
 
     fn on_ready(
