Calls stay in their region while it has room

Change: regions of zones in a sidecar's settings; distance, cost and sample tell them apart. Sites of one region are not concerned.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,7 +18,7 @@
 pub use budget::{AskedBy, BudgetBounds, RetryBudget};
 pub use canary_share::CanaryShares;
 pub use hedge::HedgePlan;
-pub use locality::{Distance, Locality};
+pub use locality::{Distance, Locality, Regions};
 pub use pressure::{CallEnd, Pressure};
 pub use split::WeightedSplit;
 pub use spread::TimeSpread;
--- a/crates/placement/src/locality.rs
+++ b/crates/placement/src/locality.rs
@@ -1,6 +1,7 @@
 //! How far an upstream is, and what it costs to go there.
 
 use mesh::{NodeAddress, NodeRecord};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Part of a link in use from which on messages wait for it.
@@ -20,14 +21,41 @@
 /// Another zone never costs more than this for its bytes: a call that would be late goes there.
 const MOST_BYTES_COST: f64 = 0.4;
 
+/// Time there and back between regions, milliseconds: those planned for are 20 to 25 ms apart.
+const REMOTE_MS: f64 = 45.0;
+/// What another region costs beyond another zone, as a part of the worth of a call that is in time: its
+/// calls end when regions lose each other, which they do for minutes several times a year, and all share
+/// one link. Less than the risk of being late behind a full queue, so calls leave a region without room.
+const REMOTE_COST: f64 = 0.3;
+
 /// Where a node is among the others.
 #[derive(Clone, Debug)]
 pub struct Locality {
     own: NodeAddress,
     zone: Rc<str>,
+    regions: Regions,
     link_bytes_per_ms: Option<f64>,
 }
 
+/// Region of each zone; zones that are not named are all in one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Regions(BTreeMap<String, String>);
+
+impl Regions {
+    /// Regions by zone.
+    pub fn new(by_zone: BTreeMap<String, String>) -> Self {
+        Self(by_zone)
+    }
+
+    /// Whether two zones are in one region for all that is known.
+    fn are_one(&self, zone: &str, other: &str) -> bool {
+        match (self.0.get(zone), self.0.get(other)) {
+            (Some(region), Some(other)) => region == other,
+            _ => true,
+        }
+    }
+}
+
 /// How far an upstream is from a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Distance {
@@ -35,14 +63,21 @@
     Own,
     /// In its zone.
     Zone,
-    /// In another zone.
+    /// In another zone of its region.
     Far,
+    /// In another region.
+    Remote,
 }
 
 impl Locality {
     /// The place of the node that is reached at `own`.
     pub fn new(own: NodeAddress, zone: &str) -> Self {
-        Self { own, zone: zone.into(), link_bytes_per_ms: None }
+        Self { own, zone: zone.into(), regions: Regions::default(), link_bytes_per_ms: None }
+    }
+
+    /// The same, where zones are in these regions.
+    pub fn with_regions(self, regions: Regions) -> Self {
+        Self { regions, ..self }
     }
 
     /// The same, on a machine whose link carries so much each way; `None` if that is not known.
@@ -65,24 +100,31 @@
         match record.address == self.own {
             true => Distance::Own,
             false if *record.zone == *self.zone => Distance::Zone,
-            false => Distance::Far,
+            false if self.regions.are_one(&self.zone, &record.zone) => Distance::Far,
+            false => Distance::Remote,
         }
     }
 }
 
 impl Distance {
+    /// Whether it is in another zone.
+    pub fn leaves_zone(self) -> bool {
+        matches!(self, Self::Far | Self::Remote)
+    }
+
     /// Time to it and back over links that are not busy, milliseconds.
     pub fn usual_ms(self) -> f64 {
         match self {
             Self::Own => 0.0,
             Self::Zone => 0.5,
             Self::Far => 3.0,
+            Self::Remote => REMOTE_MS,
         }
     }
 
     /// Whether an answer of this length costs more to be brought from there than its call is worth.
     pub fn is_too_dear(self, answer_bytes: f64) -> bool {
-        self == Self::Far && answer_bytes / BYTES_PER_KB * COST_PER_KB > WORTH_OF_A_CALL
+        self.leaves_zone() && answer_bytes / BYTES_PER_KB * COST_PER_KB > WORTH_OF_A_CALL
     }
 
     /// Cost of the bytes that a call and its answer move, as a part of the worth of a call that is
@@ -96,6 +138,7 @@
                 let bytes = (moved_bytes + HEAD_BYTES) / BYTES_PER_KB;
                 MESSAGE_COST + (bytes * COST_PER_KB).min(MOST_BYTES_COST)
             }
+            Self::Remote => Self::Far.cost(moved_bytes) + REMOTE_COST,
         }
     }
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -34,6 +34,8 @@
 /// to the power 48 is 0.05); those of other zones are for when there is no room in the own.
 const MOST_CANDIDATES: usize = 64;
 const MOST_FAR_CANDIDATES: usize = 16;
+/// Of those, at least so many of other regions: for when there is no room in the own.
+const MOST_REMOTE_CANDIDATES: usize = 4;
 
 /// Slots that an upstream must have free, by what it told, to be taken for idle: one may be taken by a
 /// call that is on its way, since loads are some tenths of a second old.
@@ -97,22 +99,25 @@
 struct ServiceKeys {
     /// In the zone of this node.
     near: Vec<UpstreamKey>,
-    /// In other zones.
+    /// In other zones of its region.
     far: Vec<UpstreamKey>,
+    /// In other regions.
+    remote: Vec<UpstreamKey>,
 }
 
 impl ServiceKeys {
     fn iter(&self) -> impl Iterator<Item = &UpstreamKey> {
-        self.near.iter().chain(&self.far)
+        self.near.iter().chain(&self.far).chain(&self.remote)
     }
 
     fn len(&self) -> usize {
-        self.near.len() + self.far.len()
+        self.near.len() + self.far.len() + self.remote.len()
     }
 
     fn remove(&mut self, key: &UpstreamKey) {
         self.near.retain(|held| held != key);
         self.far.retain(|held| held != key);
+        self.remote.retain(|held| held != key);
     }
 
     /// Those that one choice looks at. A sample is drawn with replacement: one that comes twice is
@@ -121,9 +126,11 @@
         if self.len() <= MOST_CANDIDATES {
             return self.iter().collect();
         }
-        let most_near = MOST_CANDIDATES - MOST_FAR_CANDIDATES.min(self.far.len());
-        let mut found = draw(&self.near, most_near, random);
-        found.extend(draw(&self.far, MOST_CANDIDATES - found.len(), random));
+        let remote = MOST_REMOTE_CANDIDATES.min(self.remote.len());
+        let elsewhere = MOST_FAR_CANDIDATES.min(self.far.len() + self.remote.len());
+        let mut found = draw(&self.near, MOST_CANDIDATES - elsewhere, random);
+        found.extend(draw(&self.far, MOST_CANDIDATES - found.len() - remote, random));
+        found.extend(draw(&self.remote, MOST_CANDIDATES - found.len(), random));
         found
     }
 }
@@ -257,15 +264,16 @@
     }
 
     fn index(&mut self, record: &NodeRecord) {
-        let near = self.locality.distance(record) != Distance::Far;
+        let distance = self.locality.distance(record);
         let service = record.service.as_str();
         if !self.by_service.contains_key(service) {
             self.by_service.insert(service.into(), ServiceKeys::default());
         }
         if let Some(keys) = self.by_service.get_mut(service) {
-            match near {
-                true => keys.near.push(record.address),
-                false => keys.far.push(record.address),
+            match distance {
+                Distance::Own | Distance::Zone => keys.near.push(record.address),
+                Distance::Far => keys.far.push(record.address),
+                Distance::Remote => keys.remote.push(record.address),
             }
         }
     }
@@ -415,7 +423,7 @@
         }
         let best = self.best_of(wanted, Links::Ignored, now, random);
         let held = best.and_then(|key| self.upstreams.get(&key));
-        held.is_some_and(|held| self.locality.distance(&held.record) != Distance::Far)
+        held.is_some_and(|held| !self.locality.distance(&held.record).leaves_zone())
     }
 
     /// The upstream that costs least. Where none of a sample will do, as for a new version that few
@@ -459,7 +467,7 @@
             let link_full = leaves && held.is_link_full(now);
             let barred = match links {
                 Links::Counted => tried || link_full,
-                Links::CountedHere => tried || link_full || distance == Distance::Far,
+                Links::CountedHere => tried || link_full || distance.leaves_zone(),
                 // One that refused for its link alone would have been taken.
                 Links::Ignored => tried && !link_full,
             };
--- a/crates/placement/tests/large.rs
+++ b/crates/placement/tests/large.rs
@@ -3,7 +3,7 @@
 use mesh::{
     CandidateShare, InstanceRecord, InstanceState, NodeAddress, NodeRecord, Track, VersionPolicy,
 };
-use placement::{Locality, PlacementView, Request, TimeSpread, Urgency};
+use placement::{Locality, PlacementView, Regions, Request, TimeSpread, Urgency};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
@@ -148,3 +148,37 @@
     view.update(elsewhere, 0);
     assert!(!chosen(&view).contains_key(&address(moved)));
 }
+
+/// A view of zones in two regions: zones 0 to 2 in one, the others in another.
+fn view_of_regions(upstreams: u32) -> PlacementView {
+    let own = NodeAddress { ip: Ipv4Addr::new(10, 200, 0, 1), port: 1 };
+    let region = |zone: u32| if zone < 3 { "west" } else { "east" };
+    let regions = (0..ZONES).map(|zone| (format!("zone-{zone}"), region(zone).to_owned()));
+    let locality = Locality::new(own, &format!("zone-{OWN_ZONE}"))
+        .with_regions(Regions::new(regions.collect()));
+    let mut view = PlacementView::new(locality);
+    for number in 0..upstreams {
+        view.update(record(number, "v1"), 0);
+    }
+    view
+}
+
+fn fill(view: &mut PlacementView, upstreams: u32, zones: &[u32]) {
+    for number in (0..upstreams).filter(|number| zones.contains(&(number % ZONES))) {
+        let held = view.get_mut(&address(number)).expect("there");
+        held.note_full(Urgency { rank: 1, target_ms: 400 }, 500, 0);
+    }
+}
+
+#[test]
+fn calls_stay_in_their_region_while_it_has_room_and_leave_it_then() {
+    for upstreams in [36, UPSTREAMS] {
+        let mut view = view_of_regions(upstreams);
+        fill(&mut view, upstreams, &[OWN_ZONE]);
+        let zones: Vec<u32> = chosen(&view).keys().map(zone_of).collect();
+        assert!(zones.iter().all(|zone| *zone < 3), "{upstreams}: {zones:?}");
+        fill(&mut view, upstreams, &[0, 1, 2]);
+        let zones: Vec<u32> = chosen(&view).keys().map(zone_of).collect();
+        assert!(!zones.is_empty() && zones.iter().all(|zone| *zone >= 3), "{upstreams}: {zones:?}");
+    }
+}
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -2,6 +2,7 @@
 
 use crate::{Checks, Validate};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// The fleet's bound on calls that are sent a second time.
@@ -67,6 +68,10 @@
     pub plain_transport: bool,
     /// Bound on repeats.
     pub retry_budget: RetryBudgetSettings,
+    /// Region of each zone; zones that are not named are all in one. Calls stay in their region while
+    /// it has room.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Bound on calls to cold upstreams.
     #[serde(default)]
     pub cold_start: ColdStartSettings,
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -24,7 +24,7 @@
 use admission::{ColdRate, JobId};
 use http1::{Response, Slot};
 use mesh::{NodeAddress, NodeLoad, NodeRecord};
-use placement::{BudgetBounds, Locality};
+use placement::{BudgetBounds, Locality, Regions};
 use settings::SidecarSettings;
 use snafu::{ResultExt, Snafu};
 use std::collections::{BTreeMap, VecDeque};
@@ -179,7 +179,9 @@
         };
         let sample = LogSample::new(settings.log_sample);
         let registry = Registry::default();
-        let locality = Locality::new(own, &settings.zone).with_link(link.bytes_per_ms());
+        let locality = Locality::new(own, &settings.zone)
+            .with_link(link.bytes_per_ms())
+            .with_regions(Regions::new(settings.regions.clone()));
         let calls = Calls::new(
             names,
             &settings.service,
