--- a/crates/coordinator/src/transport.rs
+++ b/crates/coordinator/src/transport.rs
@@ -17,7 +17,7 @@
 use std::thread;
 use std::time::Duration;
 use telemetry::BootInstant;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// Frames waiting for one peer; beyond, they are dropped, as a network would.
 const QUEUE_LENGTH: usize = 1_024;
@@ -71,7 +71,9 @@
         let queue = queues.entry(address).or_insert_with(|| self.start_sender(address));
         if let Err(TrySendError::Disconnected(frame)) = queue.try_send(frame) {
             let queue = self.start_sender(address);
-            let _ = queue.try_send(frame);
+            if queue.try_send(frame).is_err() {
+                debug!(%address, "frame_dropped");
+            }
             queues.insert(address, queue);
         }
     }
@@ -85,8 +87,11 @@
             purpose: Purpose::Coordinator,
         };
         let builder = thread::Builder::new().stack_size(STACK_BYTES);
-        // Without a thread the frames are dropped; consensus repeats what matters.
-        let _ = builder.spawn(move || send_all(target, &greeting, &frames));
+        let spawned = builder.spawn(move || send_all(target, &greeting, &frames));
+        if let Err(error) = spawned {
+            // The frames are dropped; consensus and the exchange repeat what matters.
+            warn!(%target, %error, "peer_without_thread");
+        }
         queue
     }
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -33,6 +33,7 @@
 /// 48 of the own zone the least loaded of them is in the best 6 in 100 nineteen times in twenty (0.94
 /// to the power 48 is 0.05); those of other zones are for when there is no room in the own.
 const MOST_CANDIDATES: usize = 64;
+/// Of those, most of other zones.
 const MOST_FAR_CANDIDATES: usize = 16;
 /// Of those, at least so many of other regions: for when there is no room in the own.
 const MOST_REMOTE_CANDIDATES: usize = 4;
@@ -381,8 +382,8 @@
         self.choose_of(&Wanted { track: Track::Stable, fits: any, request }, now, random)
     }
 
-    /// The upstream that should have a second try of a call: one in use, that neither rests nor is cold and has an
-    /// idle slot for all that is known.
+    /// The upstream that should have a second try of a call: one in use, that neither rests nor is cold
+    /// and has an idle slot for all that is known.
     pub fn choose_idle(
         &self,
         request: &Request<'_>,
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net.rs
@@ -318,7 +318,7 @@
             return;
         };
         if connection.lingering.is_some() && connection.output.is_empty() {
-            let _ = connection.stream.shutdown(Shutdown::Write);
+            end_sending(&connection.stream);
             if connection.ended {
                 self.close(id);
             }
@@ -356,7 +356,10 @@
         }
         self.pacer.remove(id);
         if let Some(mut connection) = self.connections.try_remove(id.place) {
-            let _ = self.poll.registry().deregister(&mut connection.stream);
+            if let Err(error) = self.poll.registry().deregister(&mut connection.stream) {
+                // It is closed all the same, which ends its events as well.
+                tracing::debug!(%error, "socket_not_deregistered");
+            }
         }
     }
 
@@ -492,7 +495,7 @@
         if let Some(connection) = self.get_mut(id) {
             flush(connection);
             if connection.lingering.is_some() && connection.output.is_empty() {
-                let _ = connection.stream.shutdown(Shutdown::Write);
+                end_sending(&connection.stream);
             }
         }
     }
@@ -540,6 +543,13 @@
     }
 }
 
+/// Tells the other side that nothing more comes. One that has closed needs not be told.
+fn end_sending(stream: &TcpStream) {
+    if let Err(error) = stream.shutdown(Shutdown::Write) {
+        tracing::debug!(%error, "end_not_sent");
+    }
+}
+
 fn flush(connection: &mut Connection) {
     write_piece(connection, usize::MAX);
 }
