--- a/crates/coordinator/tests/simulated_membership.rs
+++ b/crates/coordinator/tests/simulated_membership.rs
@@ -63,6 +63,8 @@
     now: u64,
     random: fastrand::Rng,
     weakness: Option<Weakness>,
+    /// Voters that the group should have.
+    voters: usize,
 }
 
 fn address(host: u8) -> Ipv4Addr {
@@ -71,6 +73,10 @@
 
 impl World {
     fn new(machines: u8, seed: u64, weakness: Option<Weakness>) -> Self {
+        Self::of_voters(VOTERS, machines, seed, weakness)
+    }
+
+    fn of_voters(voters: usize, machines: u8, seed: u64, weakness: Option<Weakness>) -> Self {
         let mut world = World {
             machines: Vec::new(),
             seeds: (1..=3).map(address).collect(),
@@ -82,6 +88,7 @@
             now: 0,
             random: fastrand::Rng::with_seed(seed),
             weakness,
+            voters,
         };
         for host in 1..=machines {
             world.add_machine(address(host));
@@ -125,7 +132,7 @@
         let raft = Raft::new(config, disk.hard_state, disk.snapshot.clone(), disk.entries.clone());
         machine.process = Some(Process {
             raft,
-            autopilot: Autopilot::new(VOTERS, SILENCE_MS),
+            autopilot: Autopilot::new(self.voters, SILENCE_MS),
             heard: BTreeMap::new(),
             applied: Vec::new(),
         });
@@ -446,3 +453,58 @@
     let weak = Some(Weakness::KeepsIdAfterWipe);
     assert!((0..400).any(|seed| play(3, seed, weak).is_err()));
 }
+
+/// Two voters lose their disks at one moment, all others are killed with theirs; whether the group goes
+/// on and what was acknowledged is there.
+fn play_two_disks_lost(voters: usize, seed: u64) -> Result<(), String> {
+    let mut world = World::of_voters(voters, 6, seed, None);
+    for _ in 0..CALM_TICKS {
+        world.step();
+    }
+    let leads = |machine: &Machine| {
+        machine.process.as_ref().is_some_and(|process| process.raft.is_leader())
+    };
+    let leader = world.machines.iter().find(|machine| leads(machine)).ok_or("nobody leads")?;
+    let leader = leader.process.as_ref().expect("it leads");
+    let voting = leader.raft.membership().voters.clone();
+    let is_voter = |machine: &Machine| {
+        machine.process.as_ref().is_some_and(|process| voting.contains(&process.raft.id()))
+    };
+    let mut voting: Vec<usize> =
+        (0..world.machines.len()).filter(|index| is_voter(&world.machines[*index])).collect();
+    world.random.shuffle(&mut voting);
+    let lost = &voting[..2];
+    let acknowledged = world.acknowledged.len();
+    for index in 0..world.machines.len() {
+        match lost.contains(&index) {
+            true => world.wipe(index),
+            false => world.kill(index),
+        }
+    }
+    for index in 0..world.machines.len() {
+        world.start(index, false);
+    }
+    for _ in 0..CALM_TICKS {
+        world.step();
+        world.check_histories()?;
+    }
+    world.check_acknowledged()?;
+    match world.acknowledged.len() >= acknowledged + 20 {
+        true => Ok(()),
+        false => Err("no progress after the loss".to_owned()),
+    }
+}
+
+#[test]
+fn five_voters_bear_the_loss_of_two_disks_at_once() {
+    for seed in 0..60 {
+        if let Err(broken) = play_two_disks_lost(5, seed) {
+            panic!("seed {seed}: {broken}");
+        }
+    }
+}
+
+#[test]
+fn three_voters_do_not() {
+    assert!((0..20).all(|seed| play_two_disks_lost(3, seed).is_err()));
+}
--- a/crates/settings/src/coordinator.rs
+++ b/crates/settings/src/coordinator.rs
@@ -37,9 +37,12 @@
     /// Principal whose replacements arrive signed off; empty: nobody.
     #[serde(default)]
     pub trusted_source: String,
-    /// Members that vote, once there are as many.
+    /// Members that vote, once there are as many; see [`CoordinatorSettings::voters_wanted`].
     #[serde(default = "default_voters")]
     pub voters: u64,
+    /// Machines of coordinators that may lose their disks at once.
+    #[serde(default = "default_tolerated_losses")]
+    pub tolerated_losses: u64,
     /// Time without a sign of life after which a voter is exchanged for a spare member, ms.
     #[serde(default = "default_silence_ms")]
     pub silence_ms: u64,
@@ -71,6 +74,9 @@
 fn default_voters() -> u64 {
     3
 }
+fn default_tolerated_losses() -> u64 {
+    1
+}
 fn default_silence_ms() -> u64 {
     2_000
 }
@@ -90,6 +96,14 @@
     2 * 1024 * 1024
 }
 
+impl CoordinatorSettings {
+    /// Voters that the group should have: a majority of them must outlive the losses that are to be
+    /// borne at once.
+    pub fn voters_wanted(&self) -> u64 {
+        self.voters.max(2 * self.tolerated_losses + 1)
+    }
+}
+
 impl Validate for CoordinatorSettings {
     fn validate(&self, checks: &mut Checks) {
         checks.name("fleet", &self.fleet);
@@ -98,6 +112,7 @@
         let exposed = self.canary_exposed_part > 0.0 && self.canary_exposed_part <= 1.0;
         checks.require("canary_exposed_part", exposed, "must be above 0 and at most 1");
         checks.range("voters", self.voters, 1, 9);
+        checks.range("tolerated_losses", self.tolerated_losses, 0, 4);
         checks.range("silence_ms", self.silence_ms, 2 * self.election_ms, 600_000);
         checks.range("lease_ms", self.lease_ms, 500, 60_000);
         checks.range("tick_ms", self.tick_ms, 1, 1_000);
