Those that were refused and will come back count, also while slots are free

Cause: with the rate of cold upstreams, a wait was taken for none while a slot is free; after an upstream shed, Retry-After was 50 ms for all, and they came back to be refused again.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -193,10 +193,7 @@
     /// upstream is cold for its room a second.
     fn wait_behind(&self, ahead: usize, now: Millis) -> u64 {
         let turns = (ahead + 1) as f64 / f64::from(self.limit);
-        let until_slot = match self.running as usize + ahead < self.limit as usize {
-            true => 0,
-            false => (turns * self.service_ms) as u64,
-        };
+        let until_slot = (turns * self.service_ms) as u64;
         until_slot.max(self.cold_start.room_at(ahead, now) - now)
     }
 
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -144,3 +144,21 @@
     admission.release(Some(0));
     assert_eq!(admission.service_ms(), 380.0);
 }
+
+#[test]
+fn those_that_were_refused_and_will_come_back_count_also_while_a_slot_is_free() {
+    // An upstream that sheds gives slots back at once: none waits, and many will return.
+    let mut admission = full();
+    for job in 10..14 {
+        assert_eq!(admission.submit(ticket(job, 1, 300), 0), Decision::Wait);
+    }
+    for job in 20..40 {
+        assert!(matches!(admission.submit(ticket(job, 1, 10), 0), Decision::Refuse { .. }));
+    }
+    for job in 10..14 {
+        assert!(admission.cancel(job));
+    }
+    admission.release(None);
+    // Twenty behind two slots of 100 ms each.
+    assert!(admission.retry_after_ms(0, 0) >= 1_000, "{}", admission.retry_after_ms(0, 0));
+}
