A quarantine that was cleared does not come back by who has not heard of it

Ruled out: lost notices (coordinators knew). Change: what was cleared is remembered until the quarantine that was cleared would have ended; word of that one is passed over, a later one is taken.

--- a/crates/quarantine/src/board.rs
+++ b/crates/quarantine/src/board.rs
@@ -35,10 +35,12 @@
                 Verdict::Known => return None,
                 verdict => verdict,
             },
-            PoisonNews::Cleared(fingerprint) => match self.quarantine.clear(*fingerprint) {
-                true => Verdict::Known,
-                false => return None,
-            },
+            PoisonNews::Cleared(fingerprint) => {
+                match self.quarantine.note_cleared(*fingerprint, now) {
+                    true => Verdict::Known,
+                    false => return None,
+                }
+            }
             PoisonNews::Quarantined(entry) => match self.quarantine.note_quarantined(*entry, at) {
                 true => Verdict::Quarantined(vec![*entry]),
                 false => return None,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -18,6 +18,10 @@
 /// Longest time in quarantine, milliseconds: a mended upstream is tried again within an hour, and a
 /// request that is still poison costs at most 24 upstreams a day.
 const LONGEST_SPAN_MS: u64 = 3_600_000;
+/// Ends of one quarantine differ by this much from node to node, milliseconds: by the ways of what is
+/// told of it, over links that are busy. One that begins anew within this time of the one before is known
+/// by its crashes, which are told to all.
+const CLEARED_SLACK_MS: u64 = 5_000;
 /// Several suspects that stood in this many crashes together are all put in quarantine.
 const CERTAIN_CRASHES: usize = 3;
 
@@ -83,6 +87,9 @@
     /// In which crashes a request ran, since it last ran well.
     suspects: BTreeMap<Fingerprint, BTreeSet<u64>>,
     entries: BTreeMap<Fingerprint, Entry>,
+    /// Requests that were cleared, and until when the quarantine that was cleared would have held: who
+    /// has not heard of it yet still tells of that one.
+    cleared: BTreeMap<Fingerprint, Millis>,
 }
 
 impl Quarantine {
@@ -198,11 +205,14 @@
         }
     }
 
-    /// Takes over that a request is in quarantine; returns whether that is new.
+    /// Takes over that a request is in quarantine; returns whether that is new. A quarantine that was
+    /// cleared here does not come back by the word of a node that has not heard of that.
     pub fn note_quarantined(&mut self, told: QuarantineEntry, now: Millis) -> bool {
         let left_ms = told.left_ms.min(LONGEST_SPAN_MS);
         let held = self.entries.get(&told.fingerprint);
-        if left_ms == 0 || held.is_some_and(|entry| entry.holds(now)) {
+        let was_cleared = |until: &Millis| now + left_ms <= until + CLEARED_SLACK_MS;
+        let is_old = self.cleared.get(&told.fingerprint).is_some_and(was_cleared);
+        if left_ms == 0 || is_old || held.is_some_and(|entry| entry.holds(now)) {
             return false;
         }
         let entry = Entry {
@@ -219,7 +229,30 @@
     /// returns whether anything was held against it.
     pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         let suspected = self.suspects.remove(&fingerprint).is_some();
-        self.entries.remove(&fingerprint).is_some() || suspected
+        let entry = self.entries.remove(&fingerprint);
+        if let Some(entry) = entry {
+            self.remember_cleared(fingerprint, entry.until);
+        }
+        entry.is_some() || suspected
+    }
+
+    /// Takes in word that a request was cleared elsewhere; returns whether anything was held against it
+    /// here. If nothing was, word of its quarantine may be on its way.
+    pub fn note_cleared(&mut self, fingerprint: Fingerprint, now: Millis) -> bool {
+        let held = self.clear(fingerprint);
+        self.remember_cleared(fingerprint, now + FIRST_SPAN_MS - CLEARED_SLACK_MS);
+        held
+    }
+
+    fn remember_cleared(&mut self, fingerprint: Fingerprint, until: Millis) {
+        let held = self.cleared.entry(fingerprint).or_default();
+        *held = until.max(*held);
+        if self.cleared.len() > MOST_ENTRIES {
+            let next = self.cleared.iter().min_by_key(|(_, until)| **until);
+            if let Some(fingerprint) = next.map(|(fingerprint, _)| *fingerprint) {
+                self.cleared.remove(&fingerprint);
+            }
+        }
     }
 
     /// Requests that are kept from upstreams now.
@@ -242,6 +275,7 @@
     /// Forgets what is too old to tell anything.
     pub fn expire(&mut self, now: Millis) {
         self.entries.retain(|_, entry| entry.holds(now) || entry.is_on_probation(now));
+        self.cleared.retain(|_, until| now < *until + CLEARED_SLACK_MS);
         let old = |crash: &Crash| crash.at + CRASH_MEMORY_MS <= now;
         while self.crashes.first_key_value().is_some_and(|(_, crash)| old(crash)) {
             self.forget_first_crash();
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -259,3 +259,39 @@
     quarantine.note_crash(&there, 10);
     assert!(is_kept_away(&quarantine, POISON, 20));
 }
+
+fn entry(left_ms: u64) -> QuarantineEntry {
+    QuarantineEntry { fingerprint: Fingerprint(POISON), crashes: 2, left_ms }
+}
+
+#[test]
+fn a_quarantine_that_was_cleared_does_not_come_back_by_who_has_not_heard() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.note_quarantined(entry(MINUTE), 1_000));
+    assert!(quarantine.note_cleared(Fingerprint(POISON), 3_000));
+    // An upstream's sidecar still keeps the call away, and says for how long.
+    assert!(!quarantine.note_quarantined(entry(MINUTE - 2_500), 3_500));
+    assert!(!is_kept_away(&quarantine, POISON, 3_500));
+    // One that ran at two ends after that is kept away again, and so it is told.
+    assert!(quarantine.note_quarantined(entry(MINUTE), 30_000));
+    assert!(is_kept_away(&quarantine, POISON, 30_000));
+}
+
+#[test]
+fn word_of_a_clearing_may_come_before_word_of_the_quarantine() {
+    let mut quarantine = Quarantine::default();
+    assert!(!quarantine.note_cleared(Fingerprint(POISON), 3_000), "nothing was known of it");
+    assert!(!quarantine.note_quarantined(entry(MINUTE - 2_000), 3_100));
+    assert!(quarantine.note_quarantined(entry(MINUTE), 3_000 + MINUTE));
+}
+
+#[test]
+fn two_ends_after_a_clearing_put_it_in_quarantine_again() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_crash(&report("i-1", [POISON]), 0);
+    quarantine.note_crash(&report("i-2", [POISON]), 100);
+    assert!(quarantine.clear(Fingerprint(POISON)));
+    quarantine.note_crash(&report("i-3", [POISON]), 1_000);
+    quarantine.note_crash(&report("i-4", [POISON]), 1_100);
+    assert!(is_kept_away(&quarantine, POISON, 1_200), "its own judgement needs no word");
+}
--- a/crates/sidecar/src/poison.rs
+++ b/crates/sidecar/src/poison.rs
@@ -110,7 +110,7 @@
                     known.speak_for(&report.running, now);
                 }
                 PoisonNews::Cleared(fingerprint) => {
-                    known.quarantine.clear(fingerprint);
+                    known.quarantine.note_cleared(fingerprint, now);
                 }
                 PoisonNews::Quarantined(entry) => {
                     known.quarantine.note_quarantined(entry, at);
