Red: a cleared request is kept away, and an old clearing ends a newer quarantine

The known red test ("not in time: sidecars know") does not come at will beside load. Lines first: sidecars and coordinators now say when a clearing or a quarantine is told them, how old it is, and whether it was taken (clearing_learned, clearing_told, quarantine_told, quarantine_learned).

--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -2,7 +2,7 @@
 
 use crate::{LoadBoard, Millis, Registry};
 use canary::Evidence;
-use mesh::{Fingerprint, PoisonNotice, QuarantineEntry};
+use mesh::{Fingerprint, PoisonNews, PoisonNotice, QuarantineEntry};
 use mio::Waker;
 use quarantine::{NoticeBoard, Verdict};
 use std::collections::BTreeMap;
@@ -88,7 +88,9 @@
         let mut state = self.lock();
         let former = state.poison.position();
         for notice in notices {
+            let told = ToldPoison::of(&notice);
             let verdict = state.poison.take(notice, here, now);
+            told.log(here, verdict.is_some());
             if let Some(Verdict::Quarantined(entries)) = verdict {
                 for QuarantineEntry { fingerprint, crashes, left_ms } in entries {
                     info!(%fingerprint, crashes, for_ms = left_ms, "request_quarantined");
@@ -123,3 +125,35 @@
         self.notify();
     }
 }
+
+/// What a notice tells that may end or bring back a quarantine, for the log.
+enum ToldPoison {
+    Crash,
+    Cleared { fingerprint: Fingerprint, age_ms: u64 },
+    Quarantined { fingerprint: Fingerprint, left_ms: u64, age_ms: u64 },
+}
+
+impl ToldPoison {
+    fn of(notice: &PoisonNotice) -> Self {
+        let age_ms = notice.age_ms;
+        match &notice.news {
+            PoisonNews::Crash(_) => Self::Crash,
+            PoisonNews::Cleared(fingerprint) => Self::Cleared { fingerprint: *fingerprint, age_ms },
+            PoisonNews::Quarantined(QuarantineEntry { fingerprint, left_ms, .. }) => {
+                Self::Quarantined { fingerprint: *fingerprint, left_ms: *left_ms, age_ms }
+            }
+        }
+    }
+
+    fn log(self, here: bool, taken: bool) {
+        match self {
+            Self::Crash => {}
+            Self::Cleared { fingerprint, age_ms } => {
+                info!(%fingerprint, age_ms, here, taken, "clearing_told");
+            }
+            Self::Quarantined { fingerprint, left_ms, age_ms } => {
+                info!(%fingerprint, left_ms, age_ms, here, taken, "quarantine_told");
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/poison.rs
+++ b/crates/sidecar/src/poison.rs
@@ -110,10 +110,13 @@
                     known.speak_for(&report.running, now);
                 }
                 PoisonNews::Cleared(fingerprint) => {
-                    known.quarantine.note_cleared(fingerprint, now);
+                    let held = known.quarantine.note_cleared(fingerprint, now);
+                    info!(%fingerprint, age_ms, held, "clearing_learned");
                 }
                 PoisonNews::Quarantined(entry) => {
-                    known.quarantine.note_quarantined(entry, at);
+                    let taken = known.quarantine.note_quarantined(entry, at);
+                    let QuarantineEntry { fingerprint, left_ms, .. } = entry;
+                    info!(%fingerprint, left_ms, age_ms, taken, "quarantine_told");
                 }
             }
         }
@@ -123,9 +126,8 @@
     pub fn note_kept_away(&self, service: &str, request: &Request, left_ms: u64, now: Millis) {
         let fingerprint = fingerprint(service, request);
         let entry = QuarantineEntry { fingerprint, crashes: FEWEST_CRASHES, left_ms };
-        if self.0.borrow_mut().quarantine.note_quarantined(entry, now) {
-            info!(%fingerprint, left_ms, "quarantine_learned");
-        }
+        let taken = self.0.borrow_mut().quarantine.note_quarantined(entry, now);
+        info!(%fingerprint, left_ms, taken, "quarantine_learned");
     }
 
     /// What coordinators are to be told now.
