Evidence of a canary in a group of nine, told to a coordinator that does not lead

Open finding: evidence is passed on to the leader since sidecars are linked to four coordinators only; no test showed it, and a bad version would get more than its share without. The hollow sidecar moves from many_links.rs to the shared part, its words unchanged; many_links.rs passes.

--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod crashing;
+pub mod hollow;
 
 use serde_json::{json, Value};
 use std::fs;
@@ -222,6 +223,14 @@
         None
     }
 
+    /// Sends an order to one coordinator only; the status that came back, 307 if it does not lead.
+    pub fn order_at(&self, host: u8, expected: u64, version: u64, marker: &str) -> Option<u16> {
+        let url = format!("http://{}:{}/v1/configuration", self.ip(host), self.ports.api);
+        let body = configuration(version, marker).to_string();
+        let answer = agent().put(&url).header("If-Match", expected.to_string()).send(&body).ok()?;
+        Some(answer.status().as_u16())
+    }
+
     /// The clear answer to an order: one that is not clear, as while a leader is elected, is sent
     /// again as it is.
     pub fn settled_order(&self, host: u8, expected: u64, version: u64, marker: &str) -> u16 {
--- a/crates/chutecove/tests/many_links.rs
+++ b/crates/chutecove/tests/many_links.rs
@@ -2,14 +2,12 @@
 
 mod fleet;
 
+use fleet::hollow::Hollow;
 use fleet::{wait, Fleet, Running};
-use mesh::{
-    decode_frame, encode_frame, Greeting, NodeAddress, NodeRecord, Purpose, ToCoordinator,
-    ToSidecar, PROTOCOL_VERSION,
-};
+use mesh::{encode_frame, ToCoordinator};
 use std::fs;
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -26,66 +24,6 @@
 
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A sidecar that links and pings, and does no more.
-struct Hollow {
-    stream: TcpStream,
-    input: Vec<u8>,
-}
-
-impl Hollow {
-    fn link(fleet: &Fleet, coordinator: u8, number: u16) -> Self {
-        let address = SocketAddr::from((fleet.ip(coordinator), fleet.ports.mesh));
-        let mut stream = TcpStream::connect(address).expect("it listens");
-        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a socket option");
-        let mut bytes = Vec::new();
-        let greeting = Greeting {
-            protocol: PROTOCOL_VERSION,
-            fleet: "small".to_owned(),
-            purpose: Purpose::Sidecar,
-        };
-        encode_frame(&greeting, &mut bytes);
-        let [high, low] = number.to_be_bytes();
-        let record = NodeRecord {
-            address: NodeAddress { ip: Ipv4Addr::new(10, 9, high, low), port: 1 },
-            life: 1,
-            sequence: 1,
-            zone: "a".to_owned(),
-            service: "hollow".to_owned(),
-            stopping: false,
-            instance: None,
-        };
-        encode_frame(&ToCoordinator::Report(record), &mut bytes);
-        stream.write_all(&bytes).expect("it is read");
-        Hollow { stream, input: Vec::new() }
-    }
-
-    fn next(&mut self) -> ToSidecar {
-        loop {
-            if let Some((frame, length)) = decode_frame(&self.input).expect("a frame") {
-                self.input.drain(..length);
-                return frame;
-            }
-            let mut piece = [0; 4_096];
-            let count = self.stream.read(&mut piece).expect("an answer in time");
-            assert!(count > 0, "the link was ended");
-            self.input.extend_from_slice(&piece[..count]);
-        }
-    }
-
-    /// The coordinator answers a ping on this link.
-    fn is_served(&mut self, asked_at: u64) {
-        let mut bytes = Vec::new();
-        encode_frame(&ToCoordinator::Ping { asked_at }, &mut bytes);
-        self.stream.write_all(&bytes).expect("it is read");
-        loop {
-            // Others were asked for by the thread that keeps the link alive.
-            if matches!(self.next(), ToSidecar::Pong { asked_at: found, .. } if found == asked_at) {
-                return;
-            }
-        }
-    }
-}
-
 /// Keeps links alive: a sidecar that says nothing for some seconds is taken for gone.
 struct Pinging(Arc<AtomicBool>);
 
