Ends of an upstream that keeps its id are told apart

Cause: a crash report names the incarnation by id without its start, as other places did before. Change: it names id and start; without a start told, the id as before.

--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -95,6 +95,14 @@
         self.id == other.id && (untold || self.born_ms == other.born_ms)
     }
 
+    /// A name that no other start of an upstream beside the same sidecar has, if its time was told.
+    pub fn name(&self) -> String {
+        match self.born_ms {
+            0 => self.id.clone(),
+            born_ms => format!("{}@{born_ms}", self.id),
+        }
+    }
+
     /// Whether this is a later start under the same id.
     pub fn succeeds(&self, other: &Self) -> bool {
         self.id == other.id && other.born_ms > 0 && self.born_ms > other.born_ms
--- a/crates/sidecar/src/jobs/crash.rs
+++ b/crates/sidecar/src/jobs/crash.rs
@@ -96,7 +96,8 @@
         };
         let running = self.jobs.values().filter(|job| job.started.is_some());
         let running: Vec<Fingerprint> = running.map(|job| self.fingerprint(&job.request)).collect();
-        self.poison.upstream_ended(&instance.id, &running, now);
+        // Under its id alone, a second end would be taken for the first, told twice.
+        self.poison.upstream_ended(&instance.name(), &running, now);
         // Its peers must not take it for idle: it refuses at once, and would be tried first.
         self.instance_changed |= self.gate.ended(&instance.id);
         self.crash.ended_instance = Some(instance);
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -39,12 +39,16 @@
 
 impl Node {
     fn starts(&mut self, id: &str, sequence: u64) {
+        self.starts_at(id, 0, sequence);
+    }
+
+    fn starts_at(&mut self, id: &str, born_ms: u64, sequence: u64) {
         let record = InstanceRecord {
             id: id.to_owned(),
             state: InstanceState::Ready,
             slots: SLOTS,
             cold_remaining_ms: 0,
-            born_ms: 0,
+            born_ms,
             version: String::new(),
         };
         self.jobs.gate.told(&record, sequence, 0);
@@ -101,6 +105,12 @@
     }
 }
 
+/// Name of a request that upstreams are sent without a host.
+fn fingerprint(target: &str) -> Fingerprint {
+    let (service, method, host, body) = (SERVICE, "GET", "", &b""[..]);
+    quarantine::RequestIdentity { service, method, target, host, body }.fingerprint()
+}
+
 fn replies(actions: &[JobAction]) -> Vec<HopReply> {
     let reply = |action: &JobAction| match action {
         JobAction::Reply { reply, .. } => Some(*reply),
@@ -272,16 +282,7 @@
     let mut node = node("i-1");
     let job = node.run(1, "/popular", 0);
     node.answer(job, 40);
-    let fingerprint = {
-        let identity = quarantine::RequestIdentity {
-            service: SERVICE,
-            method: "GET",
-            target: "/popular",
-            host: "",
-            body: b"",
-        };
-        identity.fingerprint()
-    };
+    let fingerprint = fingerprint("/popular");
     let running = vec![fingerprint, Fingerprint(5)];
     let report = CrashReport { node: NODE, instance: "elsewhere".to_owned(), running };
     let crashes = vec![quarantine::crash_id(&report)];
@@ -309,6 +310,26 @@
     assert!(sent(&world.begin("GET", "/safe/other")).is_some());
 }
 
+/// It was cleared, and went on ending upstreams that keep their ids: all their ends went for those that
+/// were known, so it was never kept away again.
+#[test]
+fn ends_of_an_upstream_that_keeps_its_id_are_told_apart() {
+    let mut node = node("other");
+    for (born_ms, sequence) in [(1_000, 2), (2_000, 3), (3_000, 4)] {
+        node.starts_at("i-1", born_ms, sequence);
+        let job = node.run(sequence, "/poison", sequence * 10_000);
+        node.crash(&[job], sequence * 10_000 + 50);
+        if sequence == 3 {
+            let fingerprint = fingerprint("/poison");
+            node.watch.ran_well(fingerprint, 30_060);
+        }
+    }
+    let told: Vec<String> =
+        crashes(node.watch.take_untold()).into_iter().map(|report| report.instance).collect();
+    assert_eq!(told, ["i-1@1000", "i-1@2000", "i-1@3000"]);
+    assert_eq!(node.watch.counts(40_060), (0, 1), "the third end speaks against it anew");
+}
+
 /// A sidecar that has heard of a clearing asks one beside an upstream that has not.
 #[test]
 fn a_sidecar_that_has_yet_to_hear_of_a_clearing_is_passed_over_for_others() {
--- a/crates/sidecar/tests/poison_fleet/mod.rs
+++ b/crates/sidecar/tests/poison_fleet/mod.rs
@@ -212,7 +212,9 @@
         };
         info!(at_ms = self.now, coordinator, "cleared");
         let restarts = self.restarts[coordinator];
+        let end = self.now + FOUND_OUT_MS;
         while self.restarts[coordinator] == restarts {
+            assert!(self.now < end, "no other coordinator has the clearing");
             if !self.boards[coordinator].is_held_here_only(poison()) {
                 return true;
             }
