A checkpoint without room is told, counted, and tried again a second later

Open finding, read in the code: a checkpoint for which the disk has no room was postponed without a line, and the state encoded anew with each tick (5 to 50 ms of a replica's thread at 2,400 routes were not measured). Change: line checkpoint_postponed, gauge checkpoints_postponed, one try a second. Nothing that was promised depends on a checkpoint; a log without room stands still as before. Test: full_storage.rs, a store with room for the log only; 50 orders are answered with at most one try a second. Without the pause: each order encodes the state once more (the check fails).

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -85,6 +85,8 @@
     pub matched: BTreeMap<u64, u64>,
     /// Whether its store has no room: it takes part in nothing until there is some.
     pub storage_full: bool,
+    /// Checkpoints for which the disk had no room so far.
+    pub checkpoints_postponed: u64,
     /// When the replica's thread last looked; long ago if the process or the machine stood still.
     pub checked_at: BootInstant,
 }
@@ -177,6 +179,7 @@
             quorum_contact: None,
             matched: BTreeMap::new(),
             storage_full: false,
+            checkpoints_postponed: 0,
             checked_at: BootInstant::now(),
         };
         let published = Arc::new(Mutex::new(Published { machine, status }));
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -10,13 +10,16 @@
 use std::time::Duration;
 use storage::{LogStore, StorageError};
 use telemetry::{BootInstant, SleepWatch};
-use tracing::{error, info};
+use tracing::{error, info, warn};
 use verdict::Verdict;
 
 /// Inputs taken in before the next save, so that one sync serves many of them.
 const MAX_BATCH: usize = 512;
 /// Entries that take this long to apply are told in the log, milliseconds.
 const LONG_APPLY_MS: u64 = 20;
+/// From a checkpoint for which the disk had no room to the next try: encoding the state takes time that
+/// calls of other replicas wait for.
+const CHECKPOINT_PAUSE: Duration = Duration::from_secs(1);
 /// Exit code of a process whose disk failed.
 const EXIT_DISK_FAILED: i32 = 74;
 
@@ -27,6 +30,8 @@
     /// What the store had no room for; while there is any, this replica stands still.
     unsaved: Option<Ready>,
     full_since: Option<BootInstant>,
+    /// When a checkpoint that was postponed is tried again.
+    checkpoint_at: Option<BootInstant>,
     parameters: ReplicaParameters,
     published: Arc<Mutex<Published<M>>>,
     changed: Arc<Condvar>,
@@ -61,6 +66,7 @@
             store,
             unsaved: None,
             full_since: None,
+            checkpoint_at: None,
             parameters,
             published,
             changed,
@@ -207,12 +213,28 @@
         }
         self.note_rounds();
         self.publish_status();
-        if self.store.bytes_since_checkpoint() >= self.parameters.checkpoint_bytes {
-            self.checkpoint()?;
+        let is_paused = self.checkpoint_at.is_some_and(|at| BootInstant::now() < at);
+        if !is_paused && self.store.bytes_since_checkpoint() >= self.parameters.checkpoint_bytes {
+            self.checkpoint_or_postpone()?;
         }
         Ok(())
     }
 
+    /// Makes a checkpoint, later if the disk has no room for it: nothing that was promised depends on it.
+    fn checkpoint_or_postpone(&mut self) -> Result<(), StorageError> {
+        self.checkpoint_at = None;
+        match self.checkpoint() {
+            Err(failure) if failure.is_full() => {
+                warn!(group = %self.parameters.group, error = %failure, "checkpoint_postponed");
+                self.checkpoint_at = Some(BootInstant::now() + CHECKPOINT_PAUSE);
+                let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+                published.status.checkpoints_postponed += 1;
+                Ok(())
+            }
+            made => made,
+        }
+    }
+
     /// What the core hands over next; what could not be saved comes first.
     fn next_ready(&mut self) -> Option<Ready> {
         if let Some(ready) = self.unsaved.take() {
--- a/crates/control/tests/full_storage.rs
+++ b/crates/control/tests/full_storage.rs
@@ -4,7 +4,7 @@
 use control::{Replica, ReplicaParameters, RequestError, StateMachine};
 use std::io::{Error, ErrorKind};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use storage::{LogStore, MemoryStore, StorageError};
@@ -13,6 +13,9 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 const ONLY_MEMBER: u64 = 1;
 
+/// How often a state was encoded, by tests whose replicas make checkpoints.
+static ENCODED: AtomicU64 = AtomicU64::new(0);
+
 /// Adds up what it is told.
 #[derive(Default)]
 struct Sum(u64);
@@ -27,6 +30,7 @@
     }
 
     fn encode(&self) -> Vec<u8> {
+        ENCODED.fetch_add(1, Ordering::SeqCst);
         self.0.to_le_bytes().to_vec()
     }
 
@@ -39,11 +43,13 @@
 struct Failing {
     store: MemoryStore,
     full: Arc<AtomicBool>,
+    /// Whether there is room for the log, and none for a checkpoint.
+    full_for_checkpoints: Arc<AtomicBool>,
 }
 
 impl Failing {
-    fn check(&self) -> Result<(), StorageError> {
-        if !self.full.load(Ordering::SeqCst) {
+    fn check(&self, full: &AtomicBool) -> Result<(), StorageError> {
+        if !full.load(Ordering::SeqCst) {
             return Ok(());
         }
         let source = Error::from(ErrorKind::StorageFull);
@@ -53,7 +59,7 @@
 
 impl LogStore for Failing {
     fn save(&mut self, state: Option<HardState>, entries: &[Entry]) -> Result<(), StorageError> {
-        self.check()?;
+        self.check(&self.full)?;
         self.store.save(state, entries)
     }
 
@@ -63,7 +69,8 @@
         snapshot: &Snapshot,
         entries: &[Entry],
     ) -> Result<(), StorageError> {
-        self.check()?;
+        self.check(&self.full)?;
+        self.check(&self.full_for_checkpoints)?;
         self.store.checkpoint(state, snapshot, entries)
     }
 
@@ -73,6 +80,14 @@
 }
 
 fn start(full: &Arc<AtomicBool>) -> Replica<Sum> {
+    start_with(full, &Arc::default(), 1 << 20)
+}
+
+fn start_with(
+    full: &Arc<AtomicBool>,
+    full_for_checkpoints: &Arc<AtomicBool>,
+    checkpoint_bytes: u64,
+) -> Replica<Sum> {
     let membership = Membership::of_voters([ONLY_MEMBER]);
     let meta = SnapshotMeta { index: 0, term: 0, membership: membership.clone() };
     let mut store = MemoryStore::new(Snapshot { meta, data: Vec::new() });
@@ -89,9 +104,10 @@
         },
         initial: membership,
         tick: Duration::from_millis(5),
-        checkpoint_bytes: 1 << 20,
+        checkpoint_bytes,
     };
-    let store = Failing { store, full: full.clone() };
+    let (full, full_for_checkpoints) = (full.clone(), full_for_checkpoints.clone());
+    let store = Failing { store, full, full_for_checkpoints };
     Replica::start_on(store, recovered, parameters, |_| {}).expect("started")
 }
 
@@ -131,6 +147,31 @@
     assert_eq!(replica.propose(1, PATIENCE), Ok(8), "the order without an answer was kept");
 }
 
+#[test]
+fn a_checkpoint_without_room_is_counted_and_tried_again_a_second_later() {
+    let full_for_checkpoints = Arc::new(AtomicBool::new(true));
+    let replica = start_with(&Arc::default(), &full_for_checkpoints, 1);
+    wait("it leads", true, || replica.lock().status.is_leader);
+    assert_eq!(replica.propose(3, PATIENCE), Ok(3), "the log has room");
+    let postponed = || replica.lock().status.checkpoints_postponed;
+    wait("it is counted", true, || postponed() > 0);
+    let (begun, before) = (Instant::now(), ENCODED.load(Ordering::SeqCst));
+    for _ in 0..50 {
+        replica.propose(1, PATIENCE).expect("orders go on");
+    }
+    let tries = ENCODED.load(Ordering::SeqCst) - before;
+    assert!(tries <= begun.elapsed().as_secs() + 1, "{tries} tries in {:?}", begun.elapsed());
+
+    full_for_checkpoints.store(false, Ordering::SeqCst);
+    wait("it is made", true, || {
+        replica.propose(1, PATIENCE).expect("orders go on");
+        ENCODED.load(Ordering::SeqCst) > before + tries + 1
+    });
+    let held = postponed();
+    replica.propose(1, PATIENCE).expect("orders go on");
+    assert_eq!(postponed(), held);
+}
+
 #[test]
 fn only_a_write_without_room_may_be_tried_again() {
     let io = |action, kind| {
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -167,6 +167,10 @@
         members: registry.gauge("consensus_members", "Members of the group"),
         generation: registry.gauge("config_generation", "Newest generation accepted"),
         storage_full: registry.gauge("storage_full", "Whether the disk has no room, 0 or 1"),
+        checkpoints_postponed: registry.gauge(
+            "checkpoints_postponed",
+            "Checkpoints for which the disk had no room since the start",
+        ),
         nodes: registry.gauge("registry_nodes", "Sidecars whose lease holds"),
     };
     let (for_ready, for_loop, hub) = (group.clone(), group.clone(), hub.clone());
@@ -191,6 +195,7 @@
     members: Gauge,
     generation: Gauge,
     storage_full: Gauge,
+    checkpoints_postponed: Gauge,
     nodes: Gauge,
 }
 
@@ -200,6 +205,7 @@
         self.term.set(published.status.term as i64);
         self.leads.set(i64::from(published.status.is_leader));
         self.storage_full.set(i64::from(published.status.storage_full));
+        self.checkpoints_postponed.set(published.status.checkpoints_postponed as i64);
         self.members.set(published.status.membership.members().count() as i64);
         self.generation.set(published.machine.0.newest_generation() as i64);
         drop(published);
