An offer that cannot be granted is answered at once

Open finding, read in the code: an offer in chunks, or without the header of sidecars, waited 10 s for a 408; grants decided at that moment for another body were dropped with it. Test first (chutecove/tests/offers.rs, a real sidecar): 408 instead of 503; now 503 with a refusal that says it has not run, 421 without the header, and a sized offer is granted as before. Cause: on_offer went back as soon as the length was not known, with what it had to tell.

--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -95,6 +95,13 @@
         self.grant(now)
     }
 
+    /// Refuses an offer that does not say how long its body is: it would hold up who made it for as long as a
+    /// body may take to come.
+    pub fn refuse_unsized(&self, source: Source, attempt_id: &str, now: Millis) -> JobAction {
+        let refusal = Refusal { id: attempt_id, reason: "length_unknown", ..Refusal::default() };
+        self.refuse(source, refusal, now)
+    }
+
     /// Why an offer is refused, and when to come back, milliseconds; one that is not waits for its
     /// grants from now on.
     fn why_not(
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::{Sidecar, Work, OWN_BODY_BYTES, OWN_HEADER_BYTES};
 use crate::calls::{AttemptEnd, CallAction, Origin};
-use crate::dialect::RegistrationDialect;
+use crate::dialect::{HeaderNames, RegistrationDialect};
 use crate::jobs::{JobAction, Source, UpstreamEnd};
 use crate::net::{ConnectionId, NetEvent};
 use crate::pool::{Asked, PoolEnd};
@@ -10,13 +10,44 @@
 use crate::{Attempt, Millis};
 use admission::{JobId, SendUrgency};
 use http1::{
-    write_request, write_request_head, BodyLength, ExpectedId, Headers, Offer, Request, Response,
-    ServerLimits, Slot,
+    write_request, write_request_head, BodyLength, ExpectedId, Headers, Request, RequestHead,
+    Response, ServerLimits, Slot,
 };
 use mesh::{HopReply, HopRequest, HOP_HEADER};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Of a request that no sidecar sent.
+const FOREIGN_STATUS: u16 = 421;
+
+/// A call whose body a peer offers.
+enum OfferedCall {
+    Sized {
+        attempt_id: String,
+        hop: HopRequest,
+        bytes: u64,
+    },
+    /// It does not say how long its body is, so that no link can be booked for it.
+    Unsized {
+        attempt_id: String,
+    },
+    /// It is not from a sidecar.
+    Foreign,
+}
+
+impl OfferedCall {
+    fn of(head: &RequestHead, names: HeaderNames) -> Self {
+        let Some(hop) = head.headers.text(HOP_HEADER).and_then(HopRequest::decode) else {
+            return Self::Foreign;
+        };
+        let attempt_id = head.headers.text(names.attempt_id).unwrap_or("-").to_owned();
+        match head.length {
+            BodyLength::Known(bytes) => Self::Sized { attempt_id, hop, bytes },
+            _ => Self::Unsized { attempt_id },
+        }
+    }
+}
+
 impl<D: RegistrationDialect> Sidecar<D> {
     pub(super) fn on_event(&mut self, event: NetEvent) {
         let now = self.now();
@@ -117,15 +148,20 @@
     fn on_offer(&mut self, id: ConnectionId, now: Millis) {
         let bytes = self.servers.body_bytes(id);
         let mut actions = self.jobs.body_arrived(id, bytes, now);
-        if let Some(Offer { slot, head }) = self.servers.offer(id) {
-            let hop = head.headers.text(HOP_HEADER).and_then(HopRequest::decode);
-            let BodyLength::Known(bytes) = head.length else {
-                return;
-            };
-            if let Some(hop) = hop {
-                let attempt_id = head.headers.text(self.names.attempt_id).unwrap_or("-");
-                let source = Source::Peer { connection: id, slot };
-                actions.extend(self.jobs.offer(source, attempt_id, &hop, bytes, now));
+        let offer = self.servers.offer(id);
+        let offer = offer.map(|offer| (offer.slot, OfferedCall::of(offer.head, self.names)));
+        if let Some((slot, call)) = offer {
+            let source = Source::Peer { connection: id, slot };
+            match call {
+                OfferedCall::Sized { attempt_id, hop, bytes } => {
+                    actions.extend(self.jobs.offer(source, &attempt_id, &hop, bytes, now));
+                }
+                OfferedCall::Unsized { attempt_id } => {
+                    actions.push(self.jobs.refuse_unsized(source, &attempt_id, now));
+                }
+                OfferedCall::Foreign => {
+                    self.answer(id, slot, Response::empty(FOREIGN_STATUS), now);
+                }
             }
         }
         self.work.extend(actions.into_iter().map(Work::Job));
@@ -156,7 +192,7 @@
         self.last_request = now;
         let hop = request.headers.text(HOP_HEADER).and_then(HopRequest::decode);
         let Some(hop) = hop else {
-            self.answer(id, slot, Response::empty(421), now);
+            self.answer(id, slot, Response::empty(FOREIGN_STATUS), now);
             return;
         };
         self.net.set_urgency(id, send_urgency(&hop));
