House: one name for waking the links; the length of a load stands with the load

Hub::notify was wake under another name; RegistryExchange::beaten did not say what it does (renew_list).

--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -172,7 +172,7 @@
         match frame {
             CoordinatorFrame::Vouching { member, zone: _, epoch, position } => {
                 let member = MemberId(member);
-                (self.beaten(registry, member, (epoch, position), now), false)
+                (self.renew_list(registry, member, (epoch, position), now), false)
             }
             CoordinatorFrame::Vouched { member, epoch, since, position, heard, dropped } => {
                 let member = MemberId(member);
@@ -227,7 +227,7 @@
     }
 
     /// Takes in that a list holds up to a position: all in it were heard within half a lease.
-    fn beaten(
+    fn renew_list(
         &mut self,
         registry: &mut Registry,
         member: MemberId,
--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -71,11 +71,6 @@
         self.waking.store(false, Ordering::Release);
     }
 
-    /// Notes that the registry, or what is known of poison requests, changed.
-    pub fn notify(&self) {
-        self.wake();
-    }
-
     /// Notes that the configuration or the members may have changed.
     pub fn bump(&self) {
         self.lock().revision += 1;
@@ -100,7 +95,7 @@
         }
         if state.poison.position() != former {
             drop(state);
-            self.notify();
+            self.wake();
         }
     }
 
@@ -108,7 +103,7 @@
     pub fn clear_poison(&self, fingerprint: Fingerprint, now: Millis) -> bool {
         let cleared = self.lock().poison.clear(fingerprint, now);
         if cleared {
-            self.notify();
+            self.wake();
         }
         cleared
     }
@@ -123,7 +118,7 @@
         let HubState { registry, loads, .. } = &mut *state;
         loads.retain(|address| registry.lists(address));
         drop(state);
-        self.notify();
+        self.wake();
     }
 }
 
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -12,7 +12,9 @@
 use crate::quotas::Quotas;
 use crate::Millis;
 use bundle::{best_update, Digest};
-use mesh::{encode_frame, MemberPlace, NodeAddress, NodeRecord, ToCoordinator, ToSidecar};
+use mesh::{
+    encode_frame, MemberPlace, NodeAddress, NodeLoad, NodeRecord, ToCoordinator, ToSidecar,
+};
 use speedy::{LittleEndian, Writable};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -30,8 +32,6 @@
 /// of less often.
 const NEAR_LOAD_BYTES_PER_S: f64 = 8_000.0;
 const FAR_LOAD_BYTES_PER_S: f64 = 6_000.0;
-/// Length of one load in a frame, bytes.
-pub(crate) const LOAD_BYTES: usize = 15;
 /// A coordinator that started has its list filled by the sidecars' own links, which pause for
 /// 0.8 s at most between tries, and by other coordinators. Until then its list is no proof that a
 /// sidecar is gone, milliseconds.
@@ -189,7 +189,7 @@
     /// Notes that a link ended.
     pub fn ended(&self, link: &Link) {
         if self.hub.lock().registry.disconnected(&link.node, link.life) {
-            self.hub.notify();
+            self.hub.wake();
         }
         info!(node = %link.node, life = link.life, "sidecar_disconnected");
     }
@@ -201,7 +201,7 @@
         let changed = self.hub.lock().registry.report(record, self.clock.now_ms());
         if changed {
             info!(%node, sequence, stopping, instance = ?instance, "node_reported");
-            self.hub.notify();
+            self.hub.wake();
         }
         encode_frame(&ToSidecar::ReportTaken { sequence }, output);
     }
@@ -369,7 +369,7 @@
             self.position = state.loads.position();
             loads
         };
-        let bytes = (loads.len() * LOAD_BYTES) as f64;
+        let bytes = (loads.len() * NodeLoad::BYTES) as f64;
         let pause = Duration::from_secs_f64(bytes / self.bytes_per_s);
         self.due = BootInstant::now() + pause.max(LOADS_INTERVAL);
         let any = !loads.is_empty();
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -2,13 +2,12 @@
 
 use crate::exchange::{Outgoing, RegistryExchange};
 use crate::hub::Hub;
-use crate::link::LOAD_BYTES;
 use crate::loads::ServiceLoad;
 use crate::membership::Group;
 use crate::quotas::Quotas;
 use crate::transport::Transport;
 use crate::Millis;
-use mesh::{CoordinatorFrame, MemberId, NodeAddress};
+use mesh::{CoordinatorFrame, MemberId, NodeAddress, NodeLoad};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -157,7 +156,7 @@
         }
         if now >= told.far_due {
             let loads = self.tell_loads_since(&mut told.far_loads, &far);
-            let bytes = (loads * LOAD_BYTES * far.len()) as f64;
+            let bytes = (loads * NodeLoad::BYTES * far.len()) as f64;
             let pause = Duration::from_secs_f64(bytes / FAR_LOAD_BYTES_PER_S);
             told.far_due = now + pause.max(LOADS_INTERVAL);
         }
@@ -222,7 +221,7 @@
         let (answer, changed) = exchange.receive(&mut self.hub.lock().registry, frame, now);
         drop(exchange);
         if changed {
-            self.hub.notify();
+            self.hub.wake();
         }
         self.send(answer);
     }
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -225,3 +225,8 @@
     /// Its upstream's load.
     pub load: UpstreamLoad,
 }
+
+impl NodeLoad {
+    /// Length in a frame, bytes.
+    pub const BYTES: usize = 15;
+}
