--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,9 +5,13 @@
 
 mod budget;
 mod canary_share;
+mod choice;
+mod cold_part;
+mod egress_seen;
 mod hedge;
 mod locality;
 mod pressure;
+mod service_keys;
 mod split;
 mod spread;
 mod throttle;
@@ -17,6 +21,8 @@
 
 pub use budget::{AskedBy, BudgetBounds, RetryBudget};
 pub use canary_share::CanaryShares;
+pub use choice::Request;
+pub use cold_part::PRESUMED_COLD_MS;
 pub use hedge::HedgePlan;
 pub use locality::{Distance, Locality, Regions};
 pub use pressure::{CallEnd, Pressure};
@@ -24,8 +30,8 @@
 pub use spread::TimeSpread;
 pub use throttle::Throttle;
 pub use times::{ClassTimes, Seen};
-pub use upstream::{Upstream, UpstreamKey, Urgency, PRESUMED_COLD_MS};
-pub use view::{NodeChange, PlacementView, Request};
+pub use upstream::{Upstream, UpstreamKey, Urgency};
+pub use view::{NodeChange, PlacementView};
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -1,5 +1,7 @@
 //! What a node believes of one upstream.
 
+use crate::cold_part::ColdPart;
+use crate::egress_seen::EgressSeen;
 use crate::Millis;
 use mesh::{
     most_unasked_bytes, HopReply, InstanceState, NodeAddress, NodeRecord, Track, UpstreamLoad,
@@ -10,7 +12,7 @@
 pub type UpstreamKey = NodeAddress;
 
 /// Longest that an upstream's own figures are believed, milliseconds.
-const FIGURES_AGE_MS: u64 = 1_000;
+pub(crate) const FIGURES_AGE_MS: u64 = 1_000;
 /// How long a load that came through coordinators is believed whole, and how long it takes from
 /// then on to count for nothing, milliseconds. One that does not change is told about once a
 /// second.
@@ -23,7 +25,7 @@
 const FIRST_REST_MS: u64 = 300;
 const LONGEST_REST_MS: u64 = 3_000;
 /// Longest time for which a refusal is believed, milliseconds: the queue moves on.
-const LONGEST_REFUSAL_MS: u64 = 150;
+pub(crate) const LONGEST_REFUSAL_MS: u64 = 150;
 /// Time in which the share of failures that it told loses half of its weight, milliseconds.
 const FAILING_HALF_LIFE_MS: f64 = 2_500.0;
 /// Time in which the word of calls without an answer loses half of its weight, milliseconds.
@@ -47,9 +49,6 @@
 const PACE_FRESH_MS: u64 = 2_400;
 const SLOWEST: f64 = 30.0;
 const FASTEST: f64 = 0.1;
-/// How long upstreams of a zone that was evacuated are taken for cold once it is restored, unless they
-/// tell, milliseconds: they tell each second or two, and word takes some tenths of a second.
-pub const PRESUMED_COLD_MS: u64 = 2_000;
 /// How much slower a freshly started upstream is taken to be.
 const COLD_FACTOR: f64 = 1.8;
 
@@ -68,13 +67,7 @@
     told_pace: Option<ToldPace>,
     /// When this node last learned anything of its speed.
     timed_at: Option<Millis>,
-    cold_until: Millis,
-    cold_since: Millis,
-    /// When this node's first part of what it bears comes, as a part of the time between two: drawn,
-    /// so that not all nodes send to it at once.
-    cold_phase: f64,
-    /// When this node may send it another call while it is cold; `None` if it was not cold so far.
-    cold_part_at: Option<Millis>,
+    cold: ColdPart,
     figures: Option<Figures>,
     load_seen: Option<LoadSeen>,
     /// When coordinators last brought its load.
@@ -90,28 +83,6 @@
     link: EgressSeen,
 }
 
-/// What is known of the outgoing link of its machine.
-#[derive(Clone, Copy, Debug, Default)]
-struct EgressSeen {
-    wait_ms: f64,
-    told_at: Millis,
-    /// Of the answers that this node asked for since then, bytes.
-    asked_bytes: f64,
-    /// 0 if that is not known.
-    bytes_per_ms: f64,
-    /// Until when a refusal for want of room there is believed, and when there may be room, as told.
-    full_until: Millis,
-    room_at: Millis,
-}
-
-impl EgressSeen {
-    fn tell(&mut self, wait_ms: f64, now: Millis) {
-        self.wait_ms = wait_ms;
-        self.told_at = now;
-        self.asked_bytes = 0.0;
-    }
-}
-
 /// How urgent a call is among those that wait for an upstream; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
@@ -209,10 +180,7 @@
             speed: 1.0,
             told_pace: None,
             timed_at: None,
-            cold_until: 0,
-            cold_since: 0,
-            cold_phase: 0.0,
-            cold_part_at: None,
+            cold: ColdPart::default(),
             figures: None,
             load_seen: None,
             load_told_at: None,
@@ -244,16 +212,13 @@
             self.silence = Silence::default();
         }
         if other_instance {
-            self.cold_part_at = None;
+            self.cold.restarted(now);
             self.speed = 1.0;
             self.told_pace = None;
             self.timed_at = None;
         }
         if let Some(instance) = &record.instance {
-            if other_instance || now >= self.cold_until {
-                self.cold_since = now;
-            }
-            self.cold_until = now + u64::from(instance.cold_remaining_ms);
+            self.cold.told(u64::from(instance.cold_remaining_ms), now);
         }
         self.record = record;
         self.listed = true;
@@ -262,8 +227,7 @@
     /// Takes in whether its zone is evacuated. One that is restored is taken for cold until it tells.
     pub(crate) fn set_evacuated(&mut self, evacuated: bool, now: Millis) {
         if self.evacuated && !evacuated {
-            self.cold_since = now;
-            self.cold_until = self.cold_until.max(now + PRESUMED_COLD_MS);
+            self.cold.presume(now);
         }
         self.evacuated = evacuated;
     }
@@ -275,28 +239,17 @@
 
     /// Whether it is slow after its start.
     pub fn is_cold(&self, now: Millis) -> bool {
-        now < self.cold_until
+        self.cold.is_cold(now)
     }
 
-    /// Takes in when this node's first part of what it bears comes, while it is cold.
-    pub(crate) fn with_cold_phase(self, cold_phase: f64) -> Self {
-        Self { cold_phase, ..self }
+    /// This node's part of what it bears while it is cold.
+    pub(crate) fn cold_part(&self) -> &ColdPart {
+        &self.cold
     }
 
-    /// Whether this node may send it a call now for all that it bears: always once it is warm.
-    pub(crate) fn has_cold_part(&self, spacing_ms: Option<f64>, now: Millis) -> bool {
-        let Some(spacing_ms) = spacing_ms.filter(|_| self.is_cold(now)) else {
-            return true;
-        };
-        let first_at = self.cold_since + (spacing_ms * self.cold_phase) as Millis;
-        self.cold_part_at.unwrap_or(first_at) <= now
-    }
-
-    /// Notes that a call is sent to it.
-    pub(crate) fn note_cold_use(&mut self, spacing_ms: f64, now: Millis) {
-        if self.is_cold(now) {
-            self.cold_part_at = Some(now + spacing_ms as Millis);
-        }
+    /// The same, to be changed.
+    pub(crate) fn cold_part_mut(&mut self) -> &mut ColdPart {
+        &mut self.cold
     }
 
     /// Notes whether a coordinator lists it.
@@ -344,7 +297,7 @@
     /// over, or it refused none.
     pub fn room_at(&self, now: Millis) -> Option<Millis> {
         let slot = self.refusal.map(|refusal| refusal.room_at);
-        let rooms = slot.into_iter().chain([self.link.room_at]);
+        let rooms = slot.into_iter().chain([self.link.room_at()]);
         rooms.filter(|at| *at > now).min()
     }
 
@@ -487,7 +440,7 @@
         let service_ms = f64::from(reply.service_ms);
         self.see_load(reply.running + reply.queued, service_ms, true, now);
         self.link.tell(f64::from(reply.egress_wait_ms), now);
-        self.link.bytes_per_ms = f64::from(reply.egress_bytes_per_ms);
+        self.link.set_speed(f64::from(reply.egress_bytes_per_ms));
         self.note_pace(reply.pace_percent, now);
         self.silence = Silence::default();
         self.answered_at = Some(now);
@@ -520,32 +473,23 @@
 
     /// Notes that it refused a call since its answer would have waited too long for the link.
     pub fn note_link_full(&mut self, retry_after_ms: u64, now: Millis) {
-        self.link.full_until = now + retry_after_ms.min(LONGEST_REFUSAL_MS);
-        self.link.room_at = now + retry_after_ms;
+        self.link.note_full(retry_after_ms, now);
     }
 
     /// Whether it lately refused a large answer for want of room on its machine's link.
     pub fn is_link_full(&self, now: Millis) -> bool {
-        now < self.link.full_until
+        self.link.is_full(now)
     }
 
     /// Notes that it was asked for an answer of this length.
     pub fn note_asked(&mut self, answer_bytes: f64) {
-        self.link.asked_bytes += answer_bytes;
+        self.link.note_asked(answer_bytes);
     }
 
     /// Time that an answer of this length takes over its machine's link after a run of `work_ms`,
     /// the wait for the link included, milliseconds; 0 if nothing is known of that link.
     pub(crate) fn answer_ms(&self, answer_bytes: f64, work_ms: f64, now: Millis) -> f64 {
-        let EgressSeen { wait_ms, told_at, asked_bytes, bytes_per_ms, .. } = self.link;
-        if bytes_per_ms <= 0.0 {
-            return 0.0;
-        }
-        let age = now.saturating_sub(told_at) as f64;
-        let belief = 1.0 - (age / FIGURES_AGE_MS as f64).min(1.0);
-        let ahead_ms = (wait_ms + asked_bytes / bytes_per_ms) * belief;
-        // What is ahead leaves while it runs.
-        (ahead_ms - work_ms).max(0.0) + answer_bytes / bytes_per_ms
+        self.link.answer_ms(answer_bytes, work_ms, now)
     }
 
     /// Notes a failure; it rests for a growing time.
