A member that joins moves only the links that become its own: the check could hardly fail

It allowed any change of one link, and any number lost where the newcomer was won. Now whatever is won is the newcomer, and as many are lost as won.

--- a/crates/sidecar/tests/link_choice.rs
+++ b/crates/sidecar/tests/link_choice.rs
@@ -121,7 +121,8 @@
     for (before, after) in before.iter().zip(&after) {
         let lost = before.iter().filter(|at| !after.contains(at)).count();
         let won: Vec<&Ipv4Addr> = after.iter().filter(|at| !before.contains(at)).collect();
-        assert!(won.is_empty() || won == [&newcomer] || lost <= 1, "{before:?} {after:?}");
+        assert!(won.iter().all(|at| **at == newcomer), "{before:?} {after:?}");
+        assert_eq!(lost, won.len(), "{before:?} {after:?}");
         moved += lost;
     }
     let part = moved as f64 / (982 * LINKS) as f64;
