--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -3,7 +3,8 @@
 //! Nothing of an offer has reached the upstream, so each of them can be refused with certainty, and
 //! one whose sender is gone leaves nothing behind.
 
-use super::{JobAction, Jobs, Refusal, Source, Way};
+use super::arrival::Way;
+use super::{JobAction, Jobs, Refusal, Source};
 use crate::net::ConnectionId;
 use crate::Millis;
 use admission::{Grant, Ticket, Transfer, TransferId, Transfers};
