Tests: runs side by side do not take each other's addresses; lines of processes are kept for a failure

Finding: "not within 60s: the generation is in force", once beside six other runs. Reproduced: copies of processes.rs whose process ids are alike modulo 20 (they share a block of ports): of four at once 2 and 1 failed, of six 4 (not within 60s: control leads; the signature is not operator 'alice's): a port is free between its probe and its use, and a run speaks to the other's processes. Not a fault of the product. Change: each run of processes.rs has an address of the loopback by its process id: 18 of 18 copies passed, six at once. The small fleets' tests lock their network: another copy waits. They keep the last 400 lines of each process and print them if the test panics; until now these were dropped, so no rare failure could be traced. No check is changed.

--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -7,13 +7,14 @@
 pub mod hollow;
 
 use serde_json::{json, Value};
+use std::collections::VecDeque;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
@@ -21,22 +22,50 @@
 pub const PATIENCE: Duration = Duration::from_secs(40);
 pub const SERVICE: &str = "fares";
 
-pub struct Running(Child);
+/// Last lines of a process that are shown if its test fails.
+const LINES_SHOWN: usize = 400;
+
+pub struct Running {
+    child: Child,
+    name: String,
+    lines: Arc<Mutex<VecDeque<String>>>,
+}
 
 impl Running {
     /// Id of the process.
     pub fn id(&self) -> u32 {
-        self.0.id()
+        self.child.id()
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            // A failure that comes once must leave what tells its cause.
+            let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+            lines.iter().for_each(|line| eprintln!("{} {line}", self.name));
+        }
     }
 }
 
+/// Keeps the last lines of a process, which waits for nobody to read them.
+fn keep_lines(output: ChildStdout) -> Arc<Mutex<VecDeque<String>>> {
+    let lines = Arc::new(Mutex::new(VecDeque::new()));
+    let kept = lines.clone();
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+            kept.push_back(line);
+            if kept.len() > LINES_SHOWN {
+                kept.pop_front();
+            }
+        }
+    });
+    lines
+}
+
 /// Ports that are free on every machine of a fleet.
 pub struct Ports {
     pub mesh: u16,
@@ -53,6 +82,17 @@
     pub folder: tempfile::TempDir,
     pub network: u8,
     pub ports: Ports,
+    /// Held while the addresses are in use: other runs on them wait.
+    _addresses: fs::File,
+}
+
+/// Waits until no other run uses a network's addresses. Ports that are free on one machine of a fleet may
+/// be in use on another, by a run that found other ones.
+fn lock_addresses(network: u8) -> fs::File {
+    let path = std::env::temp_dir().join(format!("chutecove-test-network-{network}"));
+    let file = fs::File::create(path).expect("created");
+    file.lock().expect("locked");
+    file
 }
 
 pub fn free_port(taken: &mut Vec<u16>, address: Ipv4Addr) -> u16 {
@@ -68,6 +108,7 @@
 
 impl Fleet {
     pub fn new(network: u8) -> Self {
+        let addresses = lock_addresses(network);
         let address = Ipv4Addr::new(127, 77, network, 1);
         let mut taken = Vec::new();
         let mut port = || free_port(&mut taken, address);
@@ -82,7 +123,7 @@
             upstream: port(),
         };
         let folder = tempfile::tempdir().expect("a folder");
-        Fleet { folder, network, ports }
+        Fleet { folder, network, ports, _addresses: addresses }
     }
 
     pub fn ip(&self, host: u8) -> Ipv4Addr {
@@ -108,8 +149,7 @@
             .spawn()
             .expect("started");
         let output = child.stdout.take().expect("piped");
-        std::thread::spawn(move || BufReader::new(output).lines().for_each(drop));
-        Running(child)
+        Running { child, name: format!("{role}-{host}"), lines: keep_lines(output) }
     }
 
     pub fn start_coordinator(&self, host: u8, bootstrap: bool) -> Running {
--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -11,8 +11,9 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
 const FIRST_PORT: u32 = 10_000;
-const PORT_BLOCKS: u32 = 20;
-const PORTS_PER_BLOCK: u32 = 1_000;
+const MOST_PORTS: u32 = 10_000;
+/// First of the loopback's second octets for this file; 64 follow, one for each 65,536 process ids.
+const FIRST_OCTET: u32 = 128;
 const LIMIT: Duration = Duration::from_secs(60);
 /// Size of the small disk, in blocks of at least 512 bytes.
 const DISK_BLOCKS: u32 = 200;
@@ -39,14 +40,21 @@
     metrics: [SocketAddr; 3],
 }
 
+/// An address of the loopback that no other run of these tests has: of its process id.
+fn own_ip() -> Ipv4Addr {
+    let [high, middle, low] = [16, 8, 0].map(|shift| std::process::id() >> shift);
+    Ipv4Addr::new(127, (FIRST_OCTET + high % 64) as u8, middle as u8, low as u8)
+}
+
 /// A free address below the range that the system uses for outgoing connections, handed out once:
 /// the tests run side by side, and a port the system chose may be taken before its process starts.
+/// Runs side by side took each other's ports in that time as long as they shared an address, and then
+/// spoke to each other's processes ("the signature is not operator 'alice's").
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = FIRST_PORT + std::process::id() % PORT_BLOCKS * PORTS_PER_BLOCK;
     loop {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_BLOCK;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % MOST_PORTS;
+        let address = SocketAddr::from((own_ip(), port as u16));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
