--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -201,14 +201,20 @@
 }
 
 /// Upstreams that one poison request ends: as many as are needed to know it, and those that ran it
-/// before word of that was everywhere.
+/// before word of that was everywhere; as many again after each clearing meanwhile.
 fn check_poison(record: &Record, note: &mut impl FnMut(Promise, String)) {
-    let mut ended: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut ended: BTreeMap<u64, Vec<Millis>> = BTreeMap::new();
     for crash in &record.crashes {
-        *ended.entry(crash.poison).or_default() += 1;
+        ended.entry(crash.poison).or_default().push(crash.at);
     }
-    for (poison, count) in ended.into_iter().filter(|(_, count)| *count > MOST_CRASHES) {
-        note(Promise::PoisonContained, format!("request {poison} ended {count} upstreams"));
+    for (poison, at) in ended {
+        let (first, last) = (at.iter().min(), at.iter().max());
+        let meanwhile = |at: &&Millis| first <= Some(*at) && Some(*at) <= last;
+        let clearings = record.clearings.iter().filter(meanwhile).count();
+        if at.len() > MOST_CRASHES * (1 + clearings) {
+            let count = at.len();
+            note(Promise::PoisonContained, format!("request {poison} ended {count} upstreams"));
+        }
     }
 }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -121,6 +121,8 @@
     pub runs: Vec<Run>,
     /// Upstreams that ended because of a request.
     pub crashes: Vec<Crash>,
+    /// When an operator cleared all that was in quarantine.
+    pub clearings: Vec<Millis>,
     /// Orders, in the order of their versions.
     pub orders: Vec<Order>,
     /// Faults.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -17,6 +17,7 @@
         calls: (0..90).map(|id| call(id, id * 100, OK)).collect(),
         runs: (0..90).map(|id| Run { call: id, machine: 12, at: id * 100 + 5 }).collect(),
         crashes: (0..6).map(|at| Crash { poison: 7, machine: 12, at }).collect(),
+        clearings: Vec::new(),
         orders: vec![
             Order { version: 1, acknowledged: Some(0) },
             Order { version: 2, acknowledged: Some(500) },
@@ -160,3 +161,13 @@
         assert_eq!(judge(&record, &BOUNDS), [], "{name}");
     }
 }
+
+#[test]
+fn a_clearing_allows_as_many_ends_again_of_requests_that_it_may_concern() {
+    let with = |crashes: u64, clearings: &[u64]| {
+        let crashes = (0..crashes).map(|at| Crash { poison: 7, machine: 12, at }).collect();
+        judge(&Record { crashes, clearings: clearings.to_vec(), ..record() }, &BOUNDS).len()
+    };
+    assert_eq!((with(12, &[3]), with(13, &[3])), (0, 1));
+    assert_eq!(with(7, &[50]), 1, "it came after the last of them");
+}
