--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -36,6 +36,12 @@
     pub fn id(&self) -> u32 {
         self.child.id()
     }
+
+    /// Sends it a signal, named as `kill` wants it.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{name}");
+    }
 }
 
 impl Drop for Running {
--- a/crates/chutecove/tests/many_links.rs
+++ b/crates/chutecove/tests/many_links.rs
@@ -8,7 +8,6 @@
 use std::fs;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -93,20 +92,15 @@
 /// Connections that are opened while the process stands still: more than are accepted at once.
 const WAITING: u16 = 100;
 
-fn signal(process: &Running, name: &str) {
-    let sent = Command::new("kill").args([name, &process.id().to_string()]).status();
-    assert!(sent.is_ok_and(|status| status.success()), "{name}");
-}
-
 #[test]
 fn all_that_connected_while_a_coordinator_stood_still_are_served() {
     let fleet = Fleet::new(8);
     let coordinator = fleet.start_coordinator(1, true);
     let is_up = || TcpStream::connect((fleet.ip(1), fleet.ports.mesh)).is_ok();
     wait("it listens", is_up);
-    signal(&coordinator, "-STOP");
+    coordinator.signal("-STOP");
     let mut links: Vec<Hollow> =
         (0..WAITING).map(|number| Hollow::link(&fleet, 1, number)).collect();
-    signal(&coordinator, "-CONT");
+    coordinator.signal("-CONT");
     links.iter_mut().for_each(|link| link.is_served(1));
 }
