--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -79,6 +79,24 @@
     )
 }
 
+/// Last lines of a process that are shown if its test fails.
+const LINES_SHOWN: usize = 60;
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            return;
+        }
+        // A failure that comes once must leave what tells its cause.
+        for role in ["control", "relay", "proxy"] {
+            let text = fs::read_to_string(self.log(role)).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let first = lines.len().saturating_sub(LINES_SHOWN);
+            lines[first..].iter().for_each(|line| eprintln!("{role} {line}"));
+        }
+    }
+}
+
 impl Fleet {
     fn create() -> Self {
         let fleet = Fleet {
