A line a second and a counter tell what was done about repeats

Now the event retry_budget (service, requests, repeats, hedges, refused, nodes) each second in which there is something to tell, and the counter sidecar_calls_repeats_refused. What calls do about the bound stands in a file of its own; no logic is changed.

--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -62,17 +62,31 @@
     }
 }
 
+/// What a node did about repeats at one service, in a span.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RepeatTally {
+    /// Requests noted.
+    pub requests: u32,
+    /// Arrivals past the first of a request.
+    pub repeats: u32,
+    /// Those of them that were hedged second tries.
+    pub hedges: u32,
+    /// Times that a repeat was not allowed; one call may ask more than once.
+    pub refused: u32,
+}
+
 /// What one node sent to each service of late.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     bounds: BudgetBounds,
     services: BTreeMap<String, VecDeque<Slice>>,
+    tallies: BTreeMap<String, RepeatTally>,
 }
 
 impl RetryBudget {
     /// An unused budget.
     pub fn new(bounds: BudgetBounds) -> Self {
-        RetryBudget { bounds, services: BTreeMap::new() }
+        RetryBudget { bounds, services: BTreeMap::new(), tallies: BTreeMap::new() }
     }
 
     fn slice(&mut self, service: &str, now: Millis) -> &mut Slice {
@@ -91,18 +105,35 @@
         slices.back_mut().expect("pushed above")
     }
 
+    /// What was done at each service since this was last asked.
+    pub fn take_tallies(&mut self) -> BTreeMap<String, RepeatTally> {
+        std::mem::take(&mut self.tallies)
+    }
+
+    fn tally(&mut self, service: &str) -> &mut RepeatTally {
+        if !self.tallies.contains_key(service) {
+            self.tallies.insert(service.to_owned(), RepeatTally::default());
+        }
+        self.tallies.get_mut(service).expect("inserted above")
+    }
+
     /// Notes a request.
     pub fn note_request(&mut self, service: &str, asked_by: AskedBy, now: Millis) {
+        self.tally(service).requests += 1;
         self.slice(service, now).by(asked_by).requests += 1;
     }
 
     /// Notes an arrival at an upstream past the first of its request.
     pub fn note_repeat(&mut self, service: &str, asked_by: AskedBy, now: Millis) {
+        self.tally(service).repeats += 1;
         self.slice(service, now).by(asked_by).repeats += 1;
     }
 
     /// Notes a hedged second try, which counts as a repeat.
     pub fn note_hedge(&mut self, service: &str, asked_by: AskedBy, now: Millis) {
+        let tally = self.tally(service);
+        tally.repeats += 1;
+        tally.hedges += 1;
         let slice = self.slice(service, now);
         slice.by(asked_by).repeats += 1;
         slice.hedges += 1;
@@ -141,7 +172,9 @@
             AskedBy::Caller => (earned(runs) - f64::from(runs.repeats)).max(0.0),
             AskedBy::Run => 0.0,
         };
-        f64::from(callers.repeats + runs.repeats) + 1.0 <= granted - kept
+        let allowed = f64::from(callers.repeats + runs.repeats) + 1.0 <= granted - kept;
+        self.tally(service).refused += u32::from(!allowed);
+        allowed
     }
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,7 +19,7 @@
 mod upstream;
 mod view;
 
-pub use budget::{AskedBy, BudgetBounds, RetryBudget};
+pub use budget::{AskedBy, BudgetBounds, RepeatTally, RetryBudget};
 pub use canary_share::CanaryShares;
 pub use choice::Request;
 pub use cold_part::PRESUMED_COLD_MS;
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -329,17 +329,15 @@
     }
 
     pub(super) fn place_within_budget(&mut self, id: CallId, now: Millis) -> Vec<CallAction> {
-        let Some(call) = self.calls.get(&id).filter(|call| call.current.is_none()) else {
+        if self.is_under_way(id) {
             return Vec::new();
-        };
-        let (service, asked_by) = (call.service.clone(), call.asked_by());
-        if !self.budget.allows(&service, asked_by, self.view.nodes(), now) {
-            info!(id = %call.attempt_id, %service, "retry_budget_spent");
+        }
+        if !self.may_repeat(id, now) {
             return self.give_up(id, SHORTEST_RETRY_AFTER_MS, now);
         }
-        if call.arrivals == 0 {
+        if let Some(call) = self.calls.get(&id).filter(|call| call.arrivals == 0) {
             // The rejected arrival counts at the service, though the call did not run there.
-            self.budget.note_repeat(&service, asked_by, now);
+            self.budget.note_repeat(&call.service, call.asked_by(), now);
         }
         self.place(id, now)
     }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -9,6 +9,7 @@
 mod hedge;
 mod keys;
 mod placing;
+mod repeats;
 mod time;
 
 use self::call::Call;
@@ -57,9 +58,6 @@
 /// Denied calls that are logged in a second beside those of the sample: whoever sends with random
 /// keys gets a hundredth of the lines that a node may write.
 const DENIALS_LOGGED_A_SECOND: u32 = 20;
-/// How long second tries are kept from an upstream whose repeated runs asked for more than the bound on
-/// repeats allows, milliseconds: a slice of the bound's window, after which some are forgotten.
-const HEDGES_BARRED_MS: u64 = 1_000;
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Origin {
@@ -168,6 +166,8 @@
     pub hedges: u64,
     /// Hedged second tries whose answer came first.
     pub hedges_won: u64,
+    /// Calls that were not sent again since the bound on repeats was reached.
+    pub repeats_refused: u64,
 }
 
 /// All calls of callers on this machine.
@@ -199,6 +199,7 @@
     /// When it is looked at whether a second try of a call pays.
     hedges_due: BTreeSet<(Millis, CallId)>,
     hedges_barred_until: Millis,
+    repeats_told_at: Millis,
     next_call: CallId,
     /// Generation by which the keys of all calls were looked up.
     keys_checked: u64,
@@ -242,6 +243,7 @@
             hedging: true,
             hedges_due: BTreeSet::new(),
             hedges_barred_until: 0,
+            repeats_told_at: 0,
             next_call: 1,
             keys_checked: 0,
             denials_logged: LogAllowance::new(DENIALS_LOGGED_A_SECOND),
@@ -411,24 +413,6 @@
         CallAction::Answer { origin, response }
     }
 
-    /// Takes down a call for the bound on repeats.
-    fn note_asked(&mut self, lineage: Lineage, service: &str, now: Millis) {
-        if lineage != Lineage::RepeatedWork {
-            self.budget.note_request(service, lineage.asked_by(), now);
-            return;
-        }
-        if !self.budget.allows(service, lineage.asked_by(), self.view.nodes(), now) {
-            self.hedges_barred_until = now + HEDGES_BARRED_MS;
-        }
-        self.budget.note_repeat(service, lineage.asked_by(), now);
-    }
-
-    /// Until when the upstream beside this node should be given no second tries, since what their runs
-    /// ask for is beyond the bound on repeats.
-    pub fn hedges_barred_until(&self) -> Millis {
-        self.hedges_barred_until
-    }
-
     fn add(&mut self, call: Call) -> CallId {
         let id = self.next_call;
         self.next_call += 1;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -66,7 +66,7 @@
 impl Metrics {
     /// Registers all figures.
     pub fn new(registry: Registry) -> Self {
-        let figures: [Figure; 40] = [
+        let figures: [Figure; 41] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -75,6 +75,9 @@
             ("calls_timed_out", "Calls whose time was over", |s| s.calls.timed_out as i64),
             ("calls_cancelled", "Calls whose caller left", |s| s.calls.cancelled as i64),
             ("calls_repeats", "Arrivals past the first", |s| s.calls.repeats as i64),
+            ("calls_repeats_refused", "Not repeated by the bound", |s| {
+                s.calls.repeats_refused as i64
+            }),
             ("calls_hedges", "Hedged second tries", |s| s.calls.hedges as i64),
             ("calls_hedges_won", "Those answered first", |s| s.calls.hedges_won as i64),
             ("calls_in_flight", "Calls without an answer", |s| s.in_flight as i64),
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -456,6 +456,7 @@
             self.links.tell_evidence(&mut self.net, evidence);
         }
         self.poison.expire(now);
+        self.calls.tell_repeats(now);
         self.calls.quota.keep_house(self.config.tenants().any_limit(), now);
         self.want_config(now);
         if now >= RESTORE_WAIT_MS {
