Repeats keep the fleet's bound however often processes start again

Cause: a bound over a window was kept as sums in a process, which end with it. A node spent in the first second of a failure what ten seconds before had earned (883 of quotebook's 1,191 requests a second, event retry_budget), ended, and earned it again, while the service still counted both. Beside it, the slack was divided by the nodes that a process happens to know.

The slack comes with time, from ten seconds after the first node is known, divided by the most nodes known in five to ten minutes.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod cold_part;
 mod egress_seen;
+mod fleet_size;
 mod hedge;
 mod locality;
 mod pressure;
--- a/crates/sidecar/src/calls/repeats.rs
+++ b/crates/sidecar/src/calls/repeats.rs
@@ -43,12 +43,14 @@
         allowed
     }
 
-    /// Logs once a second what was done about repeats at each service, if anything was.
+    /// Takes down once a second how many nodes share the bound, and logs what was done about repeats at
+    /// each service, if anything was.
     pub fn tell_repeats(&mut self, now: Millis) {
         if now < self.repeats_told_at + TOLD_EVERY_MS {
             return;
         }
         self.repeats_told_at = now;
+        self.budget.note_nodes(self.view.nodes(), now);
         for (service, tally) in self.budget.take_tallies() {
             if tally.repeats + tally.refused == 0 {
                 continue;
