Nodes that lost sight of others keep to their parts of what a cold upstream is given

The upstream's own sidecar refuses what is beyond the rate, so callers saw refusals and retries. Now the part is by the most nodes known of late.

--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -1,5 +1,6 @@
 //! All upstreams that a node knows, by service; the choice among them is in `choice`.
 
+use crate::fleet_size::FleetSize;
 use crate::service_keys::ServiceKeys;
 use crate::{Locality, Millis, Upstream, UpstreamKey};
 use mesh::{NodeRecord, UpstreamLoad, VersionPolicy};
@@ -29,6 +30,8 @@
     /// What cold upstreams of some services are given by all nodes together, calls a second.
     cold_rates: BTreeMap<Rc<str>, f64>,
     evacuated: BTreeSet<String>,
+    /// Who shares what cold upstreams are given.
+    fleet: FleetSize,
 }
 
 impl PlacementView {
@@ -41,6 +44,7 @@
             policies: BTreeMap::new(),
             cold_rates: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            fleet: FleetSize::default(),
         }
     }
 
@@ -79,7 +83,7 @@
     /// upstream what it bears; nothing has to be told, and no sender has to know of another.
     pub(crate) fn cold_spacing_ms(&self, service: &str) -> Option<f64> {
         let per_s = self.cold_rates.get(service)?;
-        Some(MILLIS_PER_SECOND * self.upstreams.len().max(1) as f64 / per_s)
+        Some(MILLIS_PER_SECOND * self.fleet.largest() as f64 / per_s)
     }
 
     /// Notes that a call is sent to an upstream, whose like are answered with so many bytes.
@@ -109,6 +113,7 @@
                 upstream.apply_policy(self.policies.get(&upstream.record.service));
                 upstream.set_evacuated(self.evacuated.contains(&upstream.record.zone), now);
                 self.upstreams.insert(upstream.record.address, upstream);
+                self.fleet.note(self.upstreams.len(), now);
                 NodeChange::Changed
             }
             Some(held) => {
@@ -177,6 +182,7 @@
             }
             kept
         });
+        self.fleet.note(self.upstreams.len(), now);
     }
 
     /// Number of nodes known.
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -101,3 +101,15 @@
     let sent = sent_in_a_second(&mut nodes(|_| true, true));
     assert_eq!(sent.iter().sum::<usize>(), 30 * 50, "{sent:?}");
 }
+
+// Nodes whose lists had shrunk sent a cold upstream more than their parts.
+#[test]
+fn nodes_that_lost_sight_of_others_send_a_cold_upstream_no_more() {
+    let mut views = nodes(|host| host == COLD, true);
+    for view in &mut views {
+        view.retain(|key| key.ip.octets()[3] <= 100, 0);
+        assert_eq!(view.nodes(), usize::from(UPSTREAMS) + 1);
+    }
+    let sent = sent_in_a_second(&mut views);
+    assert!((5..=30).contains(&sent[usize::from(COLD)]), "{sent:?}");
+}
