A process that has just started gives a cold upstream nothing before it knows what it bears, and no second burst

The class is that of the bound on repeats: a process that has just started took for unlimited what it did not know yet, and for unused what its former life had used. Without a configuration a sidecar passed on all that came from sidecars that had one; with its first one it granted a burst beside that of the process before.

Now the rate is unknown, bounded or unbounded. While it is unknown a cold upstream is given nothing, calls wait and are looked at every 20 ms; the burst counts as given when a rate is first known. Tests of other rules now say that their upstream bears any rate.

--- a/crates/admission/src/cold_start.rs
+++ b/crates/admission/src/cold_start.rs
@@ -10,6 +10,8 @@
 use crate::Millis;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Time between two looks while it is not known what a cold upstream bears, milliseconds.
+const UNKNOWN_LOOK_MS: Millis = 20;
 
 /// What a cold upstream is given, at most.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -20,19 +22,34 @@
     pub burst: f64,
 }
 
+/// What is known of the rate that cold upstreams of a service bear.
+#[derive(Clone, Copy, Debug, Default)]
+enum Knowledge {
+    /// Nothing yet: there may be a bound.
+    #[default]
+    Unknown,
+    Bounded(ColdRate),
+    Unbounded,
+}
+
 /// The calls given to an upstream, against what it bears while it is cold.
 #[derive(Clone, Debug, Default)]
 pub struct ColdStart {
-    rate: Option<ColdRate>,
+    rate: Knowledge,
     until: Millis,
     /// When the next call would be given if all of them came evenly, milliseconds.
     due: f64,
 }
 
 impl ColdStart {
-    /// Takes in what cold upstreams of the service bear; `None` if that is not bounded.
-    pub fn set_rate(&mut self, rate: Option<ColdRate>) {
-        self.rate = rate.filter(|rate| rate.per_s > 0.0);
+    /// Takes in what cold upstreams of the service bear; `None` if that is not bounded. The burst counts
+    /// as given when a rate is first known, by the process before this one.
+    pub fn set_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
+        let known = rate.filter(|rate| rate.per_s > 0.0);
+        if let (Knowledge::Unknown, Some(rate)) = (self.rate, known) {
+            self.due = now as f64 + burst_ms(rate);
+        }
+        self.rate = known.map_or(Knowledge::Unbounded, Knowledge::Bounded);
     }
 
     /// Takes in until when the upstream is cold.
@@ -43,16 +60,11 @@
     /// Takes in that another incarnation is there, which was given nothing yet. What was given to the
     /// one before counts as its burst: word of the two may cross.
     pub fn restarted(&mut self, now: Millis) {
-        if let Some(rate) = self.rate {
-            let burst_ms = rate.burst * MILLIS_PER_SECOND / rate.per_s;
-            self.due = self.due.min(now as f64 + burst_ms);
+        if let Knowledge::Bounded(rate) = self.rate {
+            self.due = self.due.min(now as f64 + burst_ms(rate));
         }
     }
 
-    fn bound(&self, now: Millis) -> Option<ColdRate> {
-        self.rate.filter(|_| now < self.until)
-    }
-
     /// When the next call may be given; `now` if it may be at once.
     pub fn next_at(&self, now: Millis) -> Millis {
         self.room_at(0, now)
@@ -60,8 +72,13 @@
 
     /// When a call behind so many others may be given.
     pub fn room_at(&self, ahead: usize, now: Millis) -> Millis {
-        let Some(rate) = self.bound(now) else {
+        if now >= self.until {
             return now;
+        }
+        let rate = match self.rate {
+            Knowledge::Unknown => return self.until.min(now + UNKNOWN_LOOK_MS),
+            Knowledge::Unbounded => return now,
+            Knowledge::Bounded(rate) => rate,
         };
         let each_ms = MILLIS_PER_SECOND / rate.per_s;
         let due = self.due.max(now as f64) + each_ms * ahead as f64;
@@ -72,10 +89,14 @@
     /// Notes that a call is given now. Those of its last second count also if they were given while
     /// it was warm: it may have become cold before that was told.
     pub fn note_start(&mut self, now: Millis) {
-        if let Some(rate) = self.rate {
+        if let Knowledge::Bounded(rate) = self.rate {
             let latest = now as f64 + MILLIS_PER_SECOND;
             let each_ms = MILLIS_PER_SECOND / rate.per_s;
             self.due = (self.due.max(now as f64) + each_ms).min(latest);
         }
     }
 }
+
+fn burst_ms(rate: ColdRate) -> f64 {
+    rate.burst * MILLIS_PER_SECOND / rate.per_s
+}
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -103,8 +103,8 @@
     }
 
     /// Takes in what cold upstreams of the service bear.
-    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>) {
-        self.cold_start.set_rate(rate);
+    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
+        self.cold_start.set_rate(rate, now);
     }
 
     /// Takes in until when the upstream is cold.
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -346,8 +346,8 @@
     }
 
     /// Takes in what cold upstreams of this service bear.
-    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>) {
-        self.admission.set_cold_rate(rate);
+    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
+        self.admission.set_cold_rate(rate, now);
     }
 
     /// Takes over for how long the upstream is cold.
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -408,14 +408,14 @@
         self.config.put_in_force(self.links.announced());
         if self.config.generation() != self.cold_rates_of {
             self.cold_rates_of = self.config.generation();
-            self.take_cold_rates();
+            self.take_cold_rates(now);
         }
         self.calls.note_configuration(&self.config, now);
         self.want_config(now);
     }
 
     /// Takes over what cold upstreams bear: the one beside this sidecar, and those it sends to.
-    fn take_cold_rates(&mut self) {
+    fn take_cold_rates(&mut self, now: Millis) {
         let bounds = &self.settings.cold_start;
         let allowed = |per_s: f64| ColdRate {
             per_s: per_s * bounds.over,
@@ -424,7 +424,8 @@
         let rates = self.config.cold_rates().map(|(service, per_s)| (service, allowed(per_s)));
         let rates: BTreeMap<Rc<str>, ColdRate> =
             rates.map(|(service, rate)| (service.into(), rate)).collect();
-        self.jobs.set_cold_rate(rates.get(self.settings.service.as_str()).copied());
+        let own = rates.get(self.settings.service.as_str()).copied();
+        self.jobs.set_cold_rate(own, now);
         let per_s = rates.into_iter().map(|(service, rate)| (service, rate.per_s)).collect();
         self.calls.view.set_cold_rates(per_s);
     }
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -28,6 +28,7 @@
     };
     jobs.gate.told(&record, 1, 0);
     jobs.refresh_limit(0);
+    jobs.set_cold_rate(None, 0);
     jobs
 }
 
