Soak: repeats at upstreams are held against the fleet's bound, also with lost answers and kills in series

No check of ours counted arrivals past the first over processes that end: the soak judged runs of calls that may run once, and nothing of the others.

--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -105,7 +105,7 @@
         self.poisons.push(repeat_poison(self.machines, number, time));
     }
 
-    fn sleep(&mut self, span_ms: std::ops::Range<u64>) {
+    pub(super) fn sleep(&mut self, span_ms: std::ops::Range<u64>) {
         thread::sleep(Duration::from_millis(self.random.u64(span_ms)));
     }
 
@@ -113,7 +113,7 @@
         hosts[self.random.usize(..hosts.len())]
     }
 
-    fn note(&mut self, kind: FaultKind, machine: u8, from: Millis) {
+    pub(super) fn note(&mut self, kind: FaultKind, machine: u8, from: Millis) {
         let to = self.clock.now();
         let coordinators = COORDINATORS.contains(&machine);
         self.done.push(Fault { kind, machine, coordinators, from, to });
@@ -216,7 +216,7 @@
         Ok(())
     }
 
-    fn kill_all_coordinators(&mut self) -> std::io::Result<()> {
+    pub(super) fn kill_all_coordinators(&mut self) -> std::io::Result<()> {
         self.let_group_rest();
         let from = self.clock.now();
         for host in COORDINATORS {
--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -19,6 +19,12 @@
 pub const DRAIN_MS: u64 = 1_000;
 /// What the sidecars are told of their links: so little that long bodies come in many grants.
 const LINK_MBPS: f64 = 6.4;
+/// The bound on repeats, per call.
+pub const REPEAT_RATIO: f64 = 0.2;
+/// Repeats granted besides.
+pub const REPEAT_SLACK: f64 = 50.0;
+/// Length of its window, seconds.
+pub const REPEAT_WINDOW_S: u64 = 10;
 /// Longest planned stop, milliseconds.
 pub const STOP_MS: u64 = 5_000;
 
@@ -144,7 +150,8 @@
              metrics_listen = \"{ip}:{}\"\nupstream = \"{ip}:{}\"\nservice = \"{service}\"\n\
              seeds = [{}]\nplain_transport = true\ndrain_ms = {DRAIN_MS}\nstop_ms = {STOP_MS}\n\
              link_mbps = {LINK_MBPS}\n\
-             [retry_budget]\nratio = 0.2\nslack = 50\nwindow_s = 10\n",
+             [retry_budget]\nratio = {REPEAT_RATIO}\nslack = {REPEAT_SLACK}\n\
+             window_s = {REPEAT_WINDOW_S}\n",
             host % 2,
             ports.mesh,
             ports.outbound,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod faults;
 mod kept;
+mod lost_answers;
 mod machines;
 mod operator;
 mod server;
@@ -15,20 +16,24 @@
 use self::clearing::Clearing;
 use self::clock::{Clock, Shared};
 use self::faults::Faults;
-use self::machines::{Machines, CALLERS, COORDINATORS, DRAIN_MS, UPSTREAMS};
+use self::machines::{
+    Machines, CALLERS, COORDINATORS, DRAIN_MS, REPEAT_RATIO, REPEAT_SLACK, REPEAT_WINDOW_S,
+    UPSTREAMS,
+};
 use self::operator::Operator;
-use self::upstream::Upstream;
+use self::upstream::{Surroundings, Upstream};
 use getopts::Options;
-use soak::{judge, Bounds, Breach, Call, Crash, Record, Run};
+use soak::{judge, Bounds, Breach, Call, Crash, Record, RepeatBounds, Run};
 use std::collections::BTreeMap;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 const BRIEF: &str = "\
 Usage: chutecove-lab soak [--minutes N]                    fresh seeds
-       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear]  seeds S, S+1, ...
+       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers]
+                                                           seeds S, S+1, ...
 
 Rounds that run at the same time need networks (1 to 200) of their own.";
 const FAULTS_TIME: Duration = Duration::from_secs(40);
@@ -36,10 +41,30 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 const READ_LIMIT: Duration = Duration::from_secs(10);
 const CALLERS_PER_MACHINE: usize = 8;
-const BOUNDS: Bounds = Bounds { apply: 2_000, drain: DRAIN_MS + 300, settle: 3_500 };
+const BOUNDS: Bounds = Bounds {
+    apply: 2_000,
+    drain: DRAIN_MS + 300,
+    settle: 3_500,
+    repeats: RepeatBounds {
+        ratio: REPEAT_RATIO,
+        slack: REPEAT_SLACK,
+        window: REPEAT_WINDOW_S * 1_000,
+    },
+};
 const MOST_PRINTED: usize = 8;
 const SECONDS_PER_MINUTE: f64 = 60.0;
 
+/// What a round strikes with.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Strain {
+    /// Drawn faults.
+    Faults,
+    /// The same, while an operator clears what is in quarantine.
+    Clearings,
+    /// Lost answers, while processes end in series.
+    LostAnswers,
+}
+
 /// Runs rounds until the time is over; an error means that a promise did not hold.
 pub fn run(arguments: &[String]) -> Result<(), crate::Failure> {
     let mut options = Options::new();
@@ -48,6 +73,7 @@
     options.optopt("", "rounds", "rounds from that seed on (1)", "N");
     options.optopt("", "network", "addresses 127.x.K.y of the fleets (1)", "K");
     options.optflag("", "clear", "an operator clears what is in quarantine meanwhile");
+    options.optflag("", "lose-answers", "answers are lost while processes end, and nothing else");
     options.optflag("h", "help", "print this text");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
     if matches.opt_present("help") {
@@ -62,10 +88,14 @@
     let parse = |error: std::num::ParseIntError| error.to_string();
     let rounds: u64 = matches.opt_get_default("rounds", 1).map_err(parse)?;
     let network: u8 = matches.opt_get_default("network", 1).map_err(parse)?;
-    let clears = matches.opt_present("clear");
+    let strain = match (matches.opt_present("clear"), matches.opt_present("lose-answers")) {
+        (_, true) => Strain::LostAnswers,
+        (true, false) => Strain::Clearings,
+        (false, false) => Strain::Faults,
+    };
     if let Some(first) = seed {
         let failures: Vec<u64> = (first..first + rounds)
-            .filter(|seed| match round(*seed, network, clears) {
+            .filter(|seed| match round(*seed, network, strain) {
                 Ok(()) => false,
                 Err(failure) => {
                     println!("{failure}");
@@ -81,7 +111,7 @@
     while Instant::now() < end {
         rounds += 1;
         let seed = fastrand::u64(..);
-        if let Err(failure) = round(seed, network, clears) {
+        if let Err(failure) = round(seed, network, strain) {
             println!("{failure}");
             failures.push(seed);
         }
@@ -98,19 +128,21 @@
 }
 
 /// One fleet from its first start to its end.
-fn round(seed: u64, network: u8, clears: bool) -> Result<(), crate::Failure> {
+fn round(seed: u64, network: u8, strain: Strain) -> Result<(), crate::Failure> {
     let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
     let clock = Clock::start();
     let mut machines = Machines::new(folder.path(), network);
     let (calls, runs) = (Shared::<Call>::default(), Shared::<Run>::default());
     let crashes = Shared::<Crash>::default();
+    let lossy = Arc::new(AtomicBool::new(false));
+    let around =
+        Surroundings { clock, runs: runs.clone(), crashes: crashes.clone(), lossy: lossy.clone() };
     for host in COORDINATORS.into_iter().chain(UPSTREAMS).chain(CALLERS) {
         machines.start(host, true).map_err(|error| error.to_string())?;
     }
     let mut upstreams = BTreeMap::new();
     for host in UPSTREAMS {
-        upstreams
-            .insert(host, Upstream::start(&machines, host, clock, runs.clone(), crashes.clone())?);
+        upstreams.insert(host, Upstream::start(&machines, host, around.clone())?);
     }
     let mut operator = Operator::new(&machines, clock);
     if !operator.send_next(START_LIMIT) {
@@ -120,9 +152,13 @@
     let version = operator.version.clone();
     wait_served(&machines)?;
     let callers = Callers::start(&machines, &away, CALLERS_PER_MACHINE, &version, clock, &calls);
-    let clearing = clears.then(|| Clearing::start(&machines, clock, seed));
+    let clearing = (strain == Strain::Clearings).then(|| Clearing::start(&machines, clock, seed));
     let mut faults = Faults::new(&mut machines, &upstreams, &mut operator, &away, clock, seed);
-    faults.run(FAULTS_TIME).map_err(|error| error.to_string())?;
+    let struck = match strain {
+        Strain::Faults | Strain::Clearings => faults.run(FAULTS_TIME),
+        Strain::LostAnswers => faults.run_lost_answers(&lossy),
+    };
+    struck.map_err(|error| error.to_string())?;
     let faults = std::mem::take(&mut faults.done);
     let clearings = clearing.map(Clearing::finish).unwrap_or_default();
     let calm_from = clock.now();
--- a/crates/lab/src/soak/server.rs
+++ b/crates/lab/src/soak/server.rs
@@ -14,10 +14,20 @@
 const LOOK: Duration = Duration::from_millis(2);
 const READ_BYTES: usize = 16 * 1024;
 
-/// What a server answers; `None` ends it.
+/// What becomes of a request.
+pub enum Reply {
+    /// It is answered.
+    Answer(Response),
+    /// Its connection is closed without an answer.
+    Cut,
+    /// The server ends.
+    End,
+}
+
+/// What a server answers.
 pub trait Handler: Send + Sync + 'static {
     /// Answers a request.
-    fn answer(&self, request: &Request) -> Option<Response>;
+    fn answer(&self, request: &Request) -> Reply;
 }
 
 /// One life of a server.
@@ -82,11 +92,16 @@
         input.extend_from_slice(&piece[..count]);
         let mut output = Vec::new();
         for (slot, request) in core.receive(&mut input, LIMITS, &mut output) {
-            let Some(response) = handler.answer(&request) else {
-                ending.store(true, Ordering::SeqCst);
-                return Ok(());
-            };
-            core.answer(slot, response, false, &mut output);
+            match handler.answer(&request) {
+                Reply::Answer(response) => {
+                    core.answer(slot, response, false, &mut output);
+                }
+                Reply::Cut => return stream.shutdown(Shutdown::Both),
+                Reply::End => {
+                    ending.store(true, Ordering::SeqCst);
+                    return Ok(());
+                }
+            }
         }
         stream.write_all(&output)?;
         if core.is_over() {
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -3,7 +3,7 @@
 
 use super::clock::{Clock, Shared};
 use super::machines::{Machines, SERVICE};
-use super::server::{Handler, Server};
+use super::server::{Handler, Reply, Server};
 use http1::{Request, Response};
 use serde_json::json;
 use soak::{Crash, Run};
@@ -21,6 +21,8 @@
 /// From the start of a poison run to the end of its upstream: others begin meanwhile.
 const TIME_TO_CRASH: Duration = Duration::from_millis(15);
 const TIME_TO_RESTART: Duration = Duration::from_millis(600);
+/// Part of the answers that is lost while upstreams are lossy.
+const LOST_PART: f64 = 0.8;
 /// Requests with this in their path are poison; a number follows that names them.
 pub const POISON: &str = "/poison-";
 /// Header that carries a call's id.
@@ -37,30 +39,45 @@
     ended: AtomicBool,
 }
 
+/// What upstreams take down, and what befalls all of them.
+#[derive(Clone)]
+pub struct Surroundings {
+    /// Time.
+    pub clock: Clock,
+    /// Runs that began.
+    pub runs: Shared<Run>,
+    /// Ends by poison requests.
+    pub crashes: Shared<Crash>,
+    /// Whether most answers are lost now.
+    pub lossy: Arc<AtomicBool>,
+}
+
 /// What an upstream does with a request.
 struct Work {
     host: u8,
-    clock: Clock,
-    runs: Shared<Run>,
-    crashes: Shared<Crash>,
+    around: Surroundings,
 }
 
 impl Handler for Work {
-    fn answer(&self, request: &Request) -> Option<Response> {
+    fn answer(&self, request: &Request) -> Reply {
+        let Surroundings { clock, runs, crashes, lossy } = &self.around;
         let path = request.path();
         if let Some((_, number)) = path.split_once(POISON) {
             thread::sleep(TIME_TO_CRASH);
             let poison = number.parse().unwrap_or(0);
-            self.crashes.push(Crash { poison, machine: self.host, at: self.clock.now() });
-            return None;
+            crashes.push(Crash { poison, machine: self.host, at: clock.now() });
+            return Reply::End;
         }
         let id = request.headers.number(ID_HEADER).unwrap_or(0);
-        self.runs.push(Run { call: id, machine: self.host, at: self.clock.now() });
+        runs.push(Run { call: id, machine: self.host, at: clock.now() });
         thread::sleep(Duration::from_millis(fastrand::u64(SHORTEST_WORK_MS..LONGEST_WORK_MS)));
+        if lossy.load(Ordering::Relaxed) && fastrand::f64() < LOST_PART {
+            return Reply::Cut;
+        }
         let response = Response::text(200, &answer_to(id, path, &request.body))
             .with_header("X-Chutecove-Seal", format!("seal-{}", self.host))
             .with_header(ID_HEADER, id.to_string());
-        Some(response)
+        Reply::Answer(response)
     }
 }
 
@@ -76,13 +93,11 @@
 }
 
 impl Upstream {
-    /// Starts the upstream of a machine; its runs go into `runs`.
+    /// Starts the upstream of a machine.
     pub fn start(
         machines: &Machines,
         host: u8,
-        clock: Clock,
-        runs: Shared<Run>,
-        crashes: Shared<Crash>,
+        around: Surroundings,
     ) -> Result<Arc<Self>, crate::Failure> {
         let ip = machines.ip(host);
         let upstream = Arc::new(Upstream {
@@ -94,7 +109,7 @@
             ended: AtomicBool::new(false),
         });
         let address = SocketAddr::from((ip, machines.ports.upstream));
-        let work = Arc::new(Work { host, clock, runs, crashes });
+        let work = Arc::new(Work { host, around });
         let first = Server::start(address, work.clone()).map_err(|error| error.to_string())?;
         let living = upstream.clone();
         thread::spawn(move || living.live(first, address, &work));
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,7 +1,7 @@
 //! The promises, each as a check over a record.
 
-use crate::{Bounds, Call, End, Fault, FaultKind, Millis, Order, Record};
-use std::collections::BTreeMap;
+use crate::{Bounds, Call, End, Fault, FaultKind, Millis, Order, Record, RepeatBounds};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 const NOT_FOUND: u16 = 404;
@@ -37,6 +37,8 @@
     Recovered,
     /// A request that crashes upstreams is kept from them.
     PoisonContained,
+    /// Calls are sent again no more often than the fleet's bound allows.
+    RepeatsBounded,
 }
 
 /// A promise that did not hold.
@@ -69,6 +71,7 @@
     check_read_back(record, &mut note);
     check_recovery(record, bounds, &mut note);
     check_poison(record, &mut note);
+    check_repeats(record, bounds, &mut note);
     breaches
 }
 
@@ -218,6 +221,40 @@
     }
 }
 
+/// Runs past the first of their call, in any window, against the calls of that window, the one before,
+/// or the one half a window before.
+fn check_repeats(record: &Record, bounds: &Bounds, note: &mut impl FnMut(Promise, String)) {
+    let RepeatBounds { ratio, slack, window } = bounds.repeats;
+    let mut sent: Vec<Millis> = record.calls.iter().map(|call| call.sent).collect();
+    sent.sort_unstable();
+    let repeats = repeated_runs(record);
+    let count = |times: &[Millis], from: Millis| {
+        let place = |at: Millis| times.partition_point(|time| *time < at);
+        place(from + window) - place(from)
+    };
+    let excess = |from: Millis| {
+        let starts = [from, from.saturating_sub(window / 2), from.saturating_sub(window)];
+        let calls = starts.iter().map(|start| count(&sent, *start)).max().unwrap_or(0);
+        let allowed = calls as f64 * ratio + slack;
+        let found = count(&repeats, from);
+        (found as f64 - allowed, from, found, allowed)
+    };
+    let worst = repeats.iter().map(|from| excess(*from)).max_by(|a, b| a.0.total_cmp(&b.0));
+    if let Some((_, from, found, allowed)) = worst.filter(|(excess, ..)| *excess > 0.0) {
+        let what = format!("{found} repeats from {from} ms on, {allowed:.0} allowed");
+        note(Promise::RepeatsBounded, what);
+    }
+}
+
+/// When runs past the first of their call began.
+fn repeated_runs(record: &Record) -> Vec<Millis> {
+    let mut runs: Vec<(Millis, u64)> = record.runs.iter().map(|run| (run.at, run.call)).collect();
+    runs.sort_unstable();
+    let mut seen = BTreeSet::new();
+    runs.retain(|(_, call)| !seen.insert(*call));
+    runs.into_iter().map(|(at, _)| at).collect()
+}
+
 fn check_recovery(record: &Record, bounds: &Bounds, note: &mut impl FnMut(Promise, String)) {
     let calm =
         |call: &&Call| call.sent > record.calm_from + bounds.settle && call.version.is_none();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,7 @@
 mod record;
 
 pub use checks::{judge, Breach, Promise};
-pub use record::{Bounds, Call, Crash, End, Fault, FaultKind, Order, Record, Run};
+pub use record::{Bounds, Call, Crash, End, Fault, FaultKind, Order, Record, RepeatBounds, Run};
 
 /// Milliseconds since the start of a soak.
 pub type Millis = u64;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -101,6 +101,17 @@
     pub to: Millis,
 }
 
+/// How often calls may be sent again.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatBounds {
+    /// Per call.
+    pub ratio: f64,
+    /// Besides.
+    pub slack: f64,
+    /// Length of the window, milliseconds.
+    pub window: Millis,
+}
+
 /// Times that the promises allow, milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -110,6 +121,8 @@
     pub drain: Millis,
     /// After a fault, until a machine is held to its promises again.
     pub settle: Millis,
+    /// The fleet's bound on repeats.
+    pub repeats: RepeatBounds,
 }
 
 /// Everything that was seen.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -1,10 +1,11 @@
 //! Each check finds the breach it is for, and nothing in a record without any.
 
 use expect_test::expect;
-use soak::{judge, Bounds, Call, Crash, End, Fault, FaultKind, Order, Record, Run};
+use soak::{judge, Bounds, Call, Crash, End, Fault, FaultKind, Order, Record, RepeatBounds, Run};
 use std::fmt::Write;
 
-const BOUNDS: Bounds = Bounds { apply: 2_000, drain: 1_000, settle: 3_000 };
+const REPEATS: RepeatBounds = RepeatBounds { ratio: 0.2, slack: 3.0, window: 3_000 };
+const BOUNDS: Bounds = Bounds { apply: 2_000, drain: 1_000, settle: 3_000, repeats: REPEATS };
 const OK: End = End::Answered { status: 200, whole: true };
 
 fn call(id: u64, sent: u64, end: End) -> Call {
@@ -48,6 +49,14 @@
     Call { version: Some(version), repeatable: true, ..call(id, sent, end) }
 }
 
+/// Calls of half a second are sent again, once each.
+fn send_again(record: &mut Record, count: u64) {
+    for id in 30..30 + count {
+        record.calls[id as usize].repeatable = true;
+        record.runs.push(Run { call: id, machine: 12, at: 3_500 + id });
+    }
+}
+
 #[test]
 fn a_good_record_has_no_breach() {
     assert_eq!(judge(&record(), &BOUNDS), []);
@@ -92,6 +101,7 @@
         ("not served when calm", |r| {
             r.calls.iter_mut().skip(80).for_each(|c| c.end = End::NotConnected);
         }),
+        ("ten sent again", |r| send_again(r, 10)),
     ];
     let mut text = String::new();
     for (name, spoil) in rows {
@@ -117,6 +127,7 @@
         an older version read back: Kept: read back Some(1), acknowledged Some(2)
         none read back: Kept: read back None, acknowledged Some(2)
         not served when calm: Recovered: 0 of 9 calls served
+        ten sent again: RepeatsBounded: 10 repeats from 3530 ms on, 9 allowed
     "#]].assert_eq(&text);
 }
 
@@ -134,6 +145,7 @@
             });
             r.calls[12].end = End::Cut;
         }),
+        ("nine sent again", |r| send_again(r, 9)),
         ("the old version within its time", |r| r.calls.push(versioned(900, 2_400, 1, 200))),
         ("the old version after a freeze", |r| {
             r.faults.push(Fault {
