A stopping sidecar looks at its sockets once more before it ends

Cause: whether the process may end is decided after each look at the sockets by the calls that were read; a connection taken in that look is read in the next one, and there was none. Now, unless the limit is reached, the sockets are looked at once more without waiting, what comes is handled, and the end is decided anew.

--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -5,6 +5,7 @@
 use crate::jobs::Source;
 use crate::stop::{Activity, StopPhase};
 use crate::Millis;
+use std::time::Duration;
 use telemetry::StopSignal;
 use tracing::info;
 
@@ -30,10 +31,22 @@
                 self.end_calls(now);
                 false
             }
-            StopPhase::Over => true,
+            StopPhase::Over => self.stop.is_at_limit(now) || !self.hears_more(),
         }
     }
 
+    /// Looks at the sockets once more: a call that came since the last look, or on a connection that was
+    /// taken in it, must not be cut unread.
+    fn hears_more(&mut self) -> bool {
+        let events = self.net.poll(Duration::ZERO);
+        let hears = !events.is_empty();
+        for event in events {
+            self.on_event(event);
+            self.do_work();
+        }
+        hears
+    }
+
     /// Gives what is left its final answer, shortly before the process ends. No call waits for the
     /// upstream beside any more (`Jobs::close` refused those), so ending one starts no other.
     fn end_calls(&mut self, now: Millis) {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -128,6 +128,12 @@
         RETURN_MS
     }
 
+    /// Whether the process must end, whatever is left.
+    pub fn is_at_limit(&self, now: Millis) -> bool {
+        let ending_ms = self.ending_ms() / LEAVING_PART;
+        self.since.is_some_and(|since| now + ending_ms >= since + self.limit_ms)
+    }
+
     /// The phase now.
     pub fn phase(&self, activity: Activity, now: Millis) -> StopPhase {
         let Some(since) = self.since else {
@@ -135,7 +141,7 @@
         };
         let limit = since + self.limit_ms;
         let ending_ms = self.ending_ms();
-        if now + ending_ms / LEAVING_PART >= limit {
+        if self.is_at_limit(now) {
             return StopPhase::Over;
         }
         if now + ending_ms >= limit {
