--- a/crates/sidecar/src/jobs/arrival.rs
+++ b/crates/sidecar/src/jobs/arrival.rs
@@ -69,22 +69,7 @@
         let suspect = hop.suspect || standing == Standing::Suspect;
         let barred = self.mismatch(hop, now).or(way.too_late(hop));
         if let Some(reason) = barred.or_else(|| self.keeps_away(standing, suspect)) {
-            let id = &attempt_id;
-            let (quarantine_left_ms, quarantine_crashes) = match standing {
-                Standing::Quarantined { left_ms } => {
-                    (left_ms, self.poison.newest_crashes(&self.service, &request))
-                }
-                Standing::Suspect | Standing::Clear => Default::default(),
-            };
-            let refusal = Refusal {
-                id,
-                reason,
-                held_ms: offered_ms,
-                retry_after_ms: waited_ms,
-                quarantine_left_ms,
-                quarantine_crashes,
-                link_full: false,
-            };
+            let refusal = self.kept_away(&attempt_id, reason, way, standing, &request);
             return vec![self.refuse(source, refusal, now)];
         }
         let kind = EgressKind { rank: hop.rank, target_ms: hop.target_ms };
@@ -94,15 +79,9 @@
             deadline_ms: hop.deadline_ms.saturating_sub(waited_ms + offered_ms),
         };
         if let Some(retry_after_ms) = self.link_refusal(leaves && !hop.begun, kind, time, now) {
-            let id = &attempt_id;
-            let reason = "link_full";
             let refusal = Refusal {
-                id,
-                reason,
-                held_ms: offered_ms,
-                retry_after_ms,
                 link_full: true,
-                ..Refusal::default()
+                ..no_room(&attempt_id, "link_full", offered_ms, retry_after_ms)
             };
             return vec![self.refuse(source, refusal, now)];
         }
@@ -115,10 +94,8 @@
         let ticket = Ticket { job, begun, rank, tenant, target_ms, patience_ms, deadline };
         let decision = self.admission.submit(ticket, now);
         if let Decision::Refuse { retry_after_ms } = decision {
-            let id = &attempt_id;
             let reason = self.why_no_room(now);
-            let held_ms = offered_ms;
-            let refusal = Refusal { id, reason, held_ms, retry_after_ms, ..Refusal::default() };
+            let refusal = no_room(&attempt_id, reason, offered_ms, retry_after_ms);
             return vec![self.refuse(source, refusal, now)];
         }
         let class = CallClass { rank, target_ms: target_ms as u32 };
@@ -146,6 +123,32 @@
         }
     }
 
+    /// The refusal of a call that is not for the upstream, or is kept from it.
+    fn kept_away<'a>(
+        &self,
+        id: &'a str,
+        reason: &'a str,
+        way: Way,
+        standing: Standing,
+        request: &Request,
+    ) -> Refusal<'a> {
+        let (quarantine_left_ms, quarantine_crashes) = match standing {
+            Standing::Quarantined { left_ms } => {
+                (left_ms, self.poison.newest_crashes(&self.service, request))
+            }
+            Standing::Suspect | Standing::Clear => Default::default(),
+        };
+        Refusal {
+            id,
+            reason,
+            held_ms: way.offered_ms,
+            retry_after_ms: way.waited_ms,
+            quarantine_left_ms,
+            quarantine_crashes,
+            link_full: false,
+        }
+    }
+
     /// When a call whose answer must leave over a link without room for it may come back,
     /// milliseconds; `None` if it may run now. What a begun run waits for is never refused for that.
     fn link_refusal(
@@ -209,3 +212,7 @@
         }
     }
 }
+
+fn no_room<'a>(id: &'a str, reason: &'a str, held_ms: u64, retry_after_ms: u64) -> Refusal<'a> {
+    Refusal { id, reason, held_ms, retry_after_ms, ..Refusal::default() }
+}
