--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod lost_answers;
 mod machines;
 mod operator;
+mod options;
 mod server;
 mod upstream;
 
@@ -21,8 +22,8 @@
     UPSTREAMS,
 };
 use self::operator::Operator;
+use self::options::{Plan, Strain};
 use self::upstream::{Surroundings, Upstream};
-use getopts::Options;
 use soak::{judge, Bounds, Breach, Call, Crash, Record, RepeatBounds, Run};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -30,12 +31,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const BRIEF: &str = "\
-Usage: chutecove-lab soak [--minutes N]                    fresh seeds
-       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers]
-                                                           seeds S, S+1, ...
-
-Rounds that run at the same time need networks (1 to 200) of their own.";
 const FAULTS_TIME: Duration = Duration::from_secs(40);
 const CALM_TIME: Duration = Duration::from_secs(6);
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -52,66 +47,18 @@
     },
 };
 const MOST_PRINTED: usize = 8;
-const SECONDS_PER_MINUTE: f64 = 60.0;
-
-/// What a round strikes with.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Strain {
-    /// Drawn faults.
-    Faults,
-    /// The same, while an operator clears what is in quarantine.
-    Clearings,
-    /// Lost answers, while processes end in series.
-    LostAnswers,
-}
 
 /// Runs rounds until the time is over; an error means that a promise did not hold.
 pub fn run(arguments: &[String]) -> Result<(), crate::Failure> {
-    let mut options = Options::new();
-    options.optopt("", "minutes", "how long (1)", "N");
-    options.optopt("", "seed", "the round of this seed", "S");
-    options.optopt("", "rounds", "rounds from that seed on (1)", "N");
-    options.optopt("", "network", "addresses 127.x.K.y of the fleets (1)", "K");
-    options.optflag("", "clear", "an operator clears what is in quarantine meanwhile");
-    options.optflag("", "lose-answers", "answers are lost while processes end, and nothing else");
-    options.optflag("h", "help", "print this text");
-    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage(BRIEF));
+    let Some(plan) = Plan::parse(arguments)? else {
+        print!("{}", options::usage());
         return Ok(());
-    }
-    let minutes: f64 = matches
-        .opt_get_default("minutes", 1.0)
-        .map_err(|error: std::num::ParseFloatError| error.to_string())?;
-    let seed: Option<u64> =
-        matches.opt_get("seed").map_err(|error: std::num::ParseIntError| error.to_string())?;
-    let parse = |error: std::num::ParseIntError| error.to_string();
-    let rounds: u64 = matches.opt_get_default("rounds", 1).map_err(parse)?;
-    let network: u8 = matches.opt_get_default("network", 1).map_err(parse)?;
-    let strain = match (matches.opt_present("clear"), matches.opt_present("lose-answers")) {
-        (_, true) => Strain::LostAnswers,
-        (true, false) => Strain::Clearings,
-        (false, false) => Strain::Faults,
     };
-    if let Some(first) = seed {
-        let failures: Vec<u64> = (first..first + rounds)
-            .filter(|seed| match round(*seed, network, strain) {
-                Ok(()) => false,
-                Err(failure) => {
-                    println!("{failure}");
-                    true
-                }
-            })
-            .collect();
-        return report(rounds, &failures);
-    }
-    let end = Instant::now() + Duration::from_secs_f64(minutes * SECONDS_PER_MINUTE);
     let mut failures = Vec::new();
     let mut rounds: u64 = 0;
-    while Instant::now() < end {
+    for seed in plan.seeds() {
         rounds += 1;
-        let seed = fastrand::u64(..);
-        if let Err(failure) = round(seed, network, strain) {
+        if let Err(failure) = round(seed, plan.network, plan.strain) {
             println!("{failure}");
             failures.push(seed);
         }
