--- a/crates/admission/src/cold_start.rs
+++ b/crates/admission/src/cold_start.rs
@@ -24,18 +24,20 @@
 
 /// What is known of the rate that cold upstreams of a service bear.
 #[derive(Clone, Copy, Debug, Default)]
-enum Knowledge {
-    /// Nothing yet: there may be a bound.
+enum RateBound {
+    /// Nothing yet: there may be one.
     #[default]
     Unknown,
+    /// They are given no more than this.
     Bounded(ColdRate),
+    /// They are given whatever comes.
     Unbounded,
 }
 
 /// The calls given to an upstream, against what it bears while it is cold.
 #[derive(Clone, Debug, Default)]
 pub struct ColdStart {
-    rate: Knowledge,
+    rate: RateBound,
     until: Millis,
     /// When the next call would be given if all of them came evenly, milliseconds.
     due: f64,
@@ -46,10 +48,10 @@
     /// as given when a rate is first known, by the process before this one.
     pub fn set_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
         let known = rate.filter(|rate| rate.per_s > 0.0);
-        if let (Knowledge::Unknown, Some(rate)) = (self.rate, known) {
+        if let (RateBound::Unknown, Some(rate)) = (self.rate, known) {
             self.due = now as f64 + burst_ms(rate);
         }
-        self.rate = known.map_or(Knowledge::Unbounded, Knowledge::Bounded);
+        self.rate = known.map_or(RateBound::Unbounded, RateBound::Bounded);
     }
 
     /// Takes in until when the upstream is cold.
@@ -60,7 +62,7 @@
     /// Takes in that another incarnation is there, which was given nothing yet. What was given to the
     /// one before counts as its burst: word of the two may cross.
     pub fn restarted(&mut self, now: Millis) {
-        if let Knowledge::Bounded(rate) = self.rate {
+        if let RateBound::Bounded(rate) = self.rate {
             self.due = self.due.min(now as f64 + burst_ms(rate));
         }
     }
@@ -76,9 +78,9 @@
             return now;
         }
         let rate = match self.rate {
-            Knowledge::Unknown => return self.until.min(now + UNKNOWN_LOOK_MS),
-            Knowledge::Unbounded => return now,
-            Knowledge::Bounded(rate) => rate,
+            RateBound::Unknown => return self.until.min(now + UNKNOWN_LOOK_MS),
+            RateBound::Unbounded => return now,
+            RateBound::Bounded(rate) => rate,
         };
         let each_ms = MILLIS_PER_SECOND / rate.per_s;
         let due = self.due.max(now as f64) + each_ms * ahead as f64;
@@ -89,7 +91,7 @@
     /// Notes that a call is given now. Those of its last second count also if they were given while
     /// it was warm: it may have become cold before that was told.
     pub fn note_start(&mut self, now: Millis) {
-        if let Knowledge::Bounded(rate) = self.rate {
+        if let RateBound::Bounded(rate) = self.rate {
             let latest = now as f64 + MILLIS_PER_SECOND;
             let each_ms = MILLIS_PER_SECOND / rate.per_s;
             self.due = (self.due.max(now as f64) + each_ms).min(latest);
--- a/crates/placement/src/budget/account.rs
+++ b/crates/placement/src/budget/account.rs
@@ -11,10 +11,10 @@
 const EARNED_PART: f64 = 0.5;
 /// Part of a node's share of the slack that comes in a window.
 const GRANTED_PART: f64 = 0.4;
-/// Part of the fleet's bound that hedged second tries may use. More than a third of the bound is left
-/// to repeats after failures, which save calls that are lost otherwise; with a ratio of 0.2, one call
-/// in twenty-five may always be hedged.
+/// Part of what a node may repeat that hedged second tries may use. The rest is left to repeats after
+/// failures, which save calls that are lost otherwise.
 const HEDGED_PART: f64 = 0.4;
+/// Parts of a window by which its requests are forgotten.
 const SLICES: u64 = 10;
 
 /// Requests in a part of the window.
