A stopping sidecar waits for calls that are half sent

What callers saw: a call whose head or body was not here whole when a stopping sidecar had nothing else left was cut without an answer; the same for a peer's call at the sidecar of an upstream, where a lost answer may mean that it ran.

Cause: whether the process may end was decided by the calls that were read whole. A request that is being read is known to its connection only, and `end_reading`, which answers such ones, ran only when whole calls were left at the limit. Found by trying the mended fault of the planned stop at other moments.

Change: requests of callers and peers that are being read count as in flight; near the limit they are answered 408.

Evidence: four of the six tests of planned_stop_moments.rs fail without the change (end of the connection in place of a status line), all pass with it, several times. The other two (a kept connection, standing still twice) pass either way.

--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -20,7 +20,8 @@
         if self.stop.close(self.calls.oldest_arrival(), now) {
             self.close_to_peers(now);
         }
-        let in_flight = self.calls.in_flight() + self.jobs.in_flight();
+        let reading = self.servers.reading_calls();
+        let in_flight = self.calls.in_flight() + self.jobs.in_flight() + reading;
         let unsent = self.net.has_unsent();
         let activity = Activity { in_flight, last_request: self.last_request, unsent };
         match self.stop.phase(activity, now) {
@@ -50,11 +51,13 @@
     /// Gives what is left its final answer, shortly before the process ends. No call waits for the
     /// upstream beside any more (`Jobs::close` refused those), so ending one starts no other.
     fn end_calls(&mut self, now: Millis) {
-        if self.calls.in_flight() == 0 {
+        let reading = self.servers.reading_calls();
+        if self.calls.in_flight() == 0 && reading == 0 {
             return;
         }
         let (running, queued) = self.jobs.load();
-        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_ends_calls");
+        let in_flight = self.calls.in_flight();
+        info!(in_flight, reading, running, queued, "sidecar_ends_calls");
         let (peers, jobs) = (&self.peers, &self.jobs);
         let was_sent =
             |attempt| peers.was_sent(attempt) || jobs.has_started(Source::Local(attempt));
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -50,6 +50,10 @@
 }
 
 impl Held {
+    fn reads_call(&self) -> bool {
+        matches!(self.kind, ServerKind::Caller | ServerKind::Peer) && self.reading.is_some()
+    }
+
     /// Takes in which request is being read now. Its time begins anew with each: one that was
     /// answered before it was whole leaves nothing of its own to the next.
     fn note_reading(&mut self, request: Option<u64>, now: Millis) {
@@ -196,10 +200,14 @@
         }
     }
 
-    /// Answers the requests of callers that are not here whole.
+    /// Calls of callers and peers that are not here whole.
+    pub fn reading_calls(&self) -> usize {
+        self.connections.values().filter(|held| held.reads_call()).count()
+    }
+
+    /// Answers the calls of callers and peers that are not here whole.
     pub fn end_reading(&mut self, net: &mut Net) {
-        let reading = |held: &Held| held.kind == ServerKind::Caller && held.reading.is_some();
-        let found = self.connections.iter().filter(|(_, held)| reading(held));
+        let found = self.connections.iter().filter(|(_, held)| held.reads_call());
         let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
         for id in ids {
             self.time_out(net, id);
