--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -1,7 +1,7 @@
 //! The product's processes and command line, with mistakes and bad input from outside.
 
 use std::fs;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -14,6 +14,10 @@
 const MOST_PORTS: u32 = 10_000;
 /// First of the loopback's second octets for this file; 64 follow, one for each 65,536 process ids.
 const FIRST_OCTET: u32 = 128;
+/// A step of a stop.
+const MOMENT: Duration = Duration::from_millis(300);
+/// Bytes of a body that is not read together with its head.
+const LONG_BODY: usize = 8_192;
 const LIMIT: Duration = Duration::from_secs(60);
 /// Size of the small disk, in blocks of at least 512 bytes.
 const DISK_BLOCKS: u32 = 200;
@@ -425,6 +429,29 @@
     assert!(told.contains("belongs to member 1"), "{told}");
 }
 
+#[test]
+fn an_order_that_is_half_sent_when_control_would_end_is_answered() {
+    let fleet = Fleet::create();
+    let control = fleet.start("control", &["--bootstrap"]);
+    wait_until("control leads", || get(fleet.metrics[0], "/readyz").is_some());
+    let body = " ".repeat(LONG_BODY);
+    let (first, second) = body.split_at(LONG_BODY / 2);
+    let head = format!(
+        "POST /v1/submit HTTP/1.1\r\nHost: control.example\r\nContent-Length: {LONG_BODY}\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(fleet.api).expect("it listens");
+    stream.set_read_timeout(Some(LIMIT)).expect("a socket option");
+    stream.write_all(format!("{head}{first}").as_bytes()).expect("it is taken");
+    thread::sleep(MOMENT);
+    let id = control.0.id().to_string();
+    Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    thread::sleep(MOMENT);
+    stream.write_all(second.as_bytes()).expect("it is taken");
+    let mut line = [0; 12];
+    let read = stream.read_exact(&mut line);
+    assert!(read.is_ok(), "it ended without an answer: {read:?}");
+}
+
 #[test]
 fn an_empty_folder_is_refused() {
     let fleet = Fleet::create();
