Storage: a line tells of a sync that takes a second or more

For the entry "not within 60s: control leads", which is not traced: whether a process that does not lead waits for its disk could not be told from its lines. The two kinds of sync stand in one place.

--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -1,6 +1,7 @@
 //! The store on disk: `identity`, `checkpoint-N` and `log-N` in one folder.
 
 use crate::record::{decode_records, encode_record, Record, TailState};
+use crate::sync::{sync_all, sync_data};
 use crate::{
     replay, DamagedSnafu, EmptyFolderSnafu, IoSnafu, LockedSnafu, LogStore, Recovered,
     StorageError, WrongOwnerSnafu,
@@ -102,14 +103,14 @@
     let mut file =
         File::create(&temporary).context(IoSnafu { action: "create", path: &temporary })?;
     file.write_all(bytes).context(IoSnafu { action: "write", path: &temporary })?;
-    file.sync_all().context(IoSnafu { action: "sync", path: &temporary })?;
+    sync_all(&file, &temporary)?;
     fs::rename(&temporary, &path).context(IoSnafu { action: "rename", path: &temporary })?;
     sync_folder(folder)
 }
 
 fn sync_folder(folder: &Path) -> Result<(), StorageError> {
     let handle = File::open(folder).context(IoSnafu { action: "open", path: folder })?;
-    handle.sync_all().context(IoSnafu { action: "sync", path: folder })
+    sync_all(&handle, folder)
 }
 
 /// A store in a folder of its own.
@@ -137,7 +138,7 @@
         let log_bytes = replay_log(&log_path, &mut state)?;
         let log = open_log(&log_path)?;
         log.set_len(log_bytes).context(IoSnafu { action: "truncate", path: &log_path })?;
-        log.sync_all().context(IoSnafu { action: "sync", path: &log_path })?;
+        sync_all(&log, &log_path)?;
         sync_folder(folder)?;
         remove_older(folder, sequence)?;
         let store = DiskStore { folder: folder.to_owned(), sequence, log, log_bytes };
@@ -235,7 +236,7 @@
 ) -> Result<File, StorageError> {
     let log_path = folder.join(format!("{LOG_PREFIX}{sequence}"));
     let log = open_log(&log_path)?;
-    log.sync_all().context(IoSnafu { action: "sync", path: &log_path })?;
+    sync_all(&log, &log_path)?;
     let checkpoint =
         Checkpoint { hard_state, snapshot: snapshot.clone(), entries: entries.to_vec() };
     let name = format!("{CHECKPOINT_PREFIX}{sequence}");
@@ -270,7 +271,7 @@
             cut.context(IoSnafu { action: "truncate", path: &path })?;
             return Err(source).context(IoSnafu { action: "write", path: &path });
         }
-        self.log.sync_data().context(IoSnafu { action: "sync", path: &path })?;
+        sync_data(&self.log, &path)?;
         self.log_bytes += bytes.len() as u64;
         Ok(())
     }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod memory;
 mod record;
+mod sync;
 
 pub use disk::{open_data_folder, DataFolder, DiskStore, FolderIdentity, IDENTITY_FILE};
 pub use memory::{CrashPoint, MemoryStore};
