House: a connection and what passes over links in files of their own; two errors get a line

net.rs had 603 lines and three jobs: the poll and its table (472 lines left), one connection with its output, and counts of what passes between machines. Nothing behaves otherwise, but a connection that is accepted and cannot be watched, and a socket option that is not taken, are told (`accepted_connection_dropped`, `socket_option_not_taken`) where they were swallowed.

--- /dev/null
+++ b/crates/sidecar/src/net/connection.rs
@@ -0,0 +1,119 @@
+//! One connection, with buffered output.
+
+use super::LinkUse;
+use admission::SendUrgency;
+use bytes::BytesMut;
+use mio::net::TcpStream;
+use socket2::{SockRef, TcpKeepalive};
+use std::io::{self, Write};
+use std::net::Shutdown;
+use std::time::Duration;
+use telemetry::BootInstant;
+
+/// A machine that went dark answers nothing; sent bytes are given up after this time.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub generation: u64,
+    pub stream: TcpStream,
+    pub input: BytesMut,
+    pub output: Vec<u8>,
+    pub sent: usize,
+    pub opening: bool,
+    pub ended: bool,
+    /// Since when this side waits for the other to end; what still comes is dropped.
+    pub lingering: Option<BootInstant>,
+    /// Whether the other side is on another machine.
+    pub remote: bool,
+    /// Order of what is sent on it among all that waits for the link.
+    pub urgency: SendUrgency,
+    pub used_for: LinkUse,
+}
+
+impl Connection {
+    pub fn new(generation: u64, stream: TcpStream, opening: bool, remote: bool) -> Self {
+        prepare(&stream);
+        Connection {
+            generation,
+            stream,
+            input: BytesMut::new(),
+            output: Vec::new(),
+            sent: 0,
+            opening,
+            ended: false,
+            lingering: None,
+            remote,
+            urgency: SendUrgency { unhurried: true, ..SendUrgency::default() },
+            used_for: LinkUse::default(),
+        }
+    }
+
+    /// Whether the connection is open; an error if it cannot be opened.
+    pub fn is_open(&self) -> io::Result<bool> {
+        if let Some(error) = self.stream.take_error()? {
+            return Err(error);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes what the socket takes.
+    pub fn flush(&mut self) {
+        self.write_piece(usize::MAX);
+    }
+
+    /// Writes at most so many bytes of what is to be sent; returns how many the socket took.
+    pub fn write_piece(&mut self, most: usize) -> usize {
+        if self.opening {
+            return 0;
+        }
+        let before = self.sent;
+        let end = self.output.len().min(before.saturating_add(most));
+        while self.sent < end {
+            match self.stream.write(&self.output[self.sent..end]) {
+                Ok(0) => break,
+                Ok(count) => self.sent += count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // A broken connection also becomes readable, which tells its end.
+                Err(_) => break,
+            }
+        }
+        let taken = self.sent - before;
+        if self.sent == self.output.len() {
+            self.sent = 0;
+            self.output = Vec::new();
+        }
+        taken
+    }
+
+    /// Tells the other side that nothing more comes. One that has closed needs not be told.
+    pub fn end_sending(&self) {
+        if let Err(error) = self.stream.shutdown(Shutdown::Write) {
+            tracing::debug!(%error, "end_not_sent");
+        }
+    }
+}
+
+/// Makes a connection notice a peer that went dark. A socket that takes an option badly is used
+/// without it.
+fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    let options = [
+        stream.set_nodelay(true),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)),
+        socket.set_tcp_keepalive(&keepalive),
+    ];
+    for error in options.into_iter().filter_map(Result::err) {
+        tracing::debug!(%error, "socket_option_not_taken");
+    }
+}
--- a/crates/sidecar/src/net.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -1,14 +1,19 @@
 //! Sockets: a table of connections over one poll, with buffered output.
 
+mod connection;
+mod usage;
+
+pub use usage::{LinkUse, Passed, SentBytes};
+
 use admission::{LinkRoom, Pacer, PacerCounts, SendUrgency};
 use bytes::BytesMut;
+use connection::Connection;
 use http1::StreamEnd;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
-use socket2::{SockRef, TcpKeepalive};
-use std::io::{self, Read, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr};
+use std::io::{self, Read};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use telemetry::BootInstant;
 
@@ -30,10 +35,6 @@
 const FIRST_LISTENER: usize = 1 << 30;
 const SCRATCH_BYTES: usize = 64 * 1024;
 const EVENTS_CAPACITY: usize = 256;
-/// A machine that went dark answers nothing; sent bytes are given up after this time.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_PROBES: u32 = 2;
 const BACKLOG_ACCEPTS: usize = 64;
 const MS_PER_SECOND: f64 = 1_000.0;
 
@@ -57,67 +58,6 @@
     NotOpened(ConnectionId),
 }
 
-#[derive(Debug)]
-struct Connection {
-    generation: u64,
-    stream: TcpStream,
-    input: BytesMut,
-    output: Vec<u8>,
-    sent: usize,
-    opening: bool,
-    ended: bool,
-    /// Since when this side waits for the other to end; what still comes is dropped.
-    lingering: Option<BootInstant>,
-    /// Whether the other side is on another machine.
-    remote: bool,
-    /// Order of what is sent on it among all that waits for the link.
-    urgency: SendUrgency,
-    used_for: LinkUse,
-}
-
-/// What a connection to another machine is for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LinkUse {
-    /// Calls that go to peers.
-    Calls,
-    /// Answers that go to peers, refusals and grants included.
-    Answers,
-    /// What coordinators are told.
-    #[default]
-    Control,
-}
-
-/// Bytes sent to other machines since the start, by use.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SentBytes {
-    /// Calls.
-    pub calls: u64,
-    /// Answers.
-    pub answers: u64,
-    /// What coordinators are told.
-    pub control: u64,
-}
-
-impl SentBytes {
-    fn note(&mut self, used_for: LinkUse, bytes: usize) {
-        let total = match used_for {
-            LinkUse::Calls => &mut self.calls,
-            LinkUse::Answers => &mut self.answers,
-            LinkUse::Control => &mut self.control,
-        };
-        *total += bytes as u64;
-    }
-}
-
-/// Bytes that passed between this machine and others.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Passed {
-    /// From others.
-    pub received: usize,
-    /// To others.
-    pub sent: usize,
-}
-
 /// All sockets of one process.
 pub struct Net {
     poll: Poll,
@@ -178,7 +118,6 @@
         other: IpAddr,
         opening: bool,
     ) -> io::Result<ConnectionId> {
-        prepare(&stream);
         let remote = other != self.own && !other.is_loopback();
         let entry = self.connections.vacant_entry();
         let place = entry.key();
@@ -186,19 +125,7 @@
         self.poll.registry().register(&mut stream, Token(place), interest)?;
         self.opened += 1;
         let generation = self.opened;
-        entry.insert(Connection {
-            generation,
-            stream,
-            input: BytesMut::new(),
-            output: Vec::new(),
-            sent: 0,
-            opening,
-            ended: false,
-            lingering: None,
-            remote,
-            urgency: SendUrgency { unhurried: true, ..SendUrgency::default() },
-            used_for: LinkUse::default(),
-        });
+        entry.insert(Connection::new(generation, stream, opening, remote));
         Ok(ConnectionId { place, generation })
     }
 
@@ -271,7 +198,7 @@
         let unsent = connection.output.len() - connection.sent;
         let Connection { remote, urgency, used_for, .. } = *connection;
         if !remote {
-            flush(connection);
+            connection.flush();
             return;
         }
         self.passed.sent += bytes.len();
@@ -289,7 +216,7 @@
         }
         self.pacer.note_at_once(bytes.len(), now_ms);
         if let Some(connection) = self.get_mut(id) {
-            flush(connection);
+            connection.flush();
         }
     }
 
@@ -301,7 +228,7 @@
                 self.pacer.remove(piece.key);
                 continue;
             };
-            let taken = write_piece(connection, piece.bytes);
+            let taken = connection.write_piece(piece.bytes);
             if taken > 0 {
                 self.pacer.handed_over(piece.key, taken, now_ms);
             }
@@ -318,7 +245,7 @@
             return;
         };
         if connection.lingering.is_some() && connection.output.is_empty() {
-            end_sending(&connection.stream);
+            connection.end_sending();
             if connection.ended {
                 self.close(id);
             }
@@ -373,7 +300,7 @@
         connection.input = BytesMut::new();
         if !self.pacer.holds(id) {
             if let Some(connection) = self.get_mut(id) {
-                flush(connection);
+                connection.flush();
             }
         }
         self.end_if_finished(id);
@@ -438,11 +365,12 @@
     fn accept(&mut self, listener: usize, happened: &mut Vec<NetEvent>) {
         for _ in 0..BACKLOG_ACCEPTS {
             match self.listeners[listener].accept() {
-                Ok((stream, other)) => {
-                    if let Ok(connection) = self.add(stream, other.ip(), false) {
+                Ok((stream, other)) => match self.add(stream, other.ip(), false) {
+                    Ok(connection) => {
                         happened.push(NetEvent::Accepted { listener, connection });
                     }
-                }
+                    Err(error) => tracing::warn!(%error, "accepted_connection_dropped"),
+                },
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
@@ -465,7 +393,7 @@
             return;
         };
         if connection.opening {
-            match opened(&connection.stream) {
+            match connection.is_open() {
                 Ok(true) => {
                     connection.opening = false;
                     happened.push(NetEvent::Opened(id));
@@ -493,9 +421,9 @@
             return;
         }
         if let Some(connection) = self.get_mut(id) {
-            flush(connection);
+            connection.flush();
             if connection.lingering.is_some() && connection.output.is_empty() {
-                end_sending(&connection.stream);
+                connection.end_sending();
             }
         }
     }
@@ -542,62 +470,3 @@
         }
     }
 }
-
-/// Tells the other side that nothing more comes. One that has closed needs not be told.
-fn end_sending(stream: &TcpStream) {
-    if let Err(error) = stream.shutdown(Shutdown::Write) {
-        tracing::debug!(%error, "end_not_sent");
-    }
-}
-
-fn flush(connection: &mut Connection) {
-    write_piece(connection, usize::MAX);
-}
-
-/// Writes at most so many bytes of what is to be sent; returns how many the socket took.
-fn write_piece(connection: &mut Connection, most: usize) -> usize {
-    if connection.opening {
-        return 0;
-    }
-    let before = connection.sent;
-    let end = connection.output.len().min(before.saturating_add(most));
-    while connection.sent < end {
-        match connection.stream.write(&connection.output[connection.sent..end]) {
-            Ok(0) => break,
-            Ok(count) => connection.sent += count,
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            // A broken connection also becomes readable, which tells its end.
-            Err(_) => break,
-        }
-    }
-    let taken = connection.sent - before;
-    if connection.sent == connection.output.len() {
-        connection.sent = 0;
-        connection.output = Vec::new();
-    }
-    taken
-}
-
-fn opened(stream: &TcpStream) -> io::Result<bool> {
-    if let Some(error) = stream.take_error()? {
-        return Err(error);
-    }
-    match stream.peer_addr() {
-        Ok(_) => Ok(true),
-        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
-        Err(error) => Err(error),
-    }
-}
-
-/// Makes a connection notice a peer that went dark. A socket that takes an option badly is used
-/// without it.
-fn prepare(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let socket = SockRef::from(stream);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-}
