--- a/crates/canary/src/analysis.rs
+++ b/crates/canary/src/analysis.rs
@@ -43,7 +43,7 @@
 pub enum Verdict {
     /// Nothing speaks against the version.
     Sound,
-    /// What is known fits a sound version as well as a bad one.
+    /// Nothing is known, or what is known fits a sound version as well as a bad one.
     Unclear,
     /// More speaks for a flaw than against it.
     Doubtful(Flaw),
@@ -71,8 +71,8 @@
     let verdict = match classes.flaw(&candidate, &usual, class) {
         Some(flaw) if value >= BAD_RATIO && enough => Verdict::Bad(flaw),
         Some(flaw) if value >= DOUBTFUL_RATIO => Verdict::Doubtful(flaw),
-        _ if value >= SOUND_RATIO => Verdict::Unclear,
-        _ => Verdict::Sound,
+        Some(_) if value < SOUND_RATIO => Verdict::Sound,
+        _ => Verdict::Unclear,
     };
     Judgement { verdict, ratio: value }
 }
