--- a/crates/canary/tests/judge.rs
+++ b/crates/canary/tests/judge.rs
@@ -93,7 +93,8 @@
         four bad answers       doubtful
         as bad as usual        sound
         nothing to compare     sound
-    "#]].assert_eq(&table);
+    "#]]
+    .assert_eq(&table);
 }
 
 #[test]
@@ -133,5 +134,6 @@
                 "bad",
             ),
         ]
-    "#]].assert_debug_eq(&verdicts);
+    "#]]
+    .assert_debug_eq(&verdicts);
 }
