Sidecar: read what upstreams state in their answers, log and count it

Changes are logged (rate_limit_stated, rate_limit_invalid) and the limit is a metric. No decision uses them yet.

--- a/crates/chutecove/src/dialect.rs
+++ b/crates/chutecove/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use bundle::{Bundle, Object};
 use coordinator::{CanaryOrder, OperatorCall, OperatorDialect, Replacement};
-use mesh::{Fingerprint, Incarnation, InstanceRecord, InstanceState, QuarantineEntry};
+use mesh::{CallRate, Fingerprint, Incarnation, InstanceRecord, InstanceState, QuarantineEntry};
 use rollout::{CanaryRecord, EvacuationRecord};
 use serde::{Deserialize, Serialize};
 use sidecar::{HeaderNames, RegistrationCall, RegistrationDialect, ReportedLoad};
@@ -19,12 +19,16 @@
     api_key: "X-Chutecove-Api-Key",
     tenant: "X-Chutecove-Tenant",
     load: "X-Chutecove-Load",
+    rate_limit: "X-Chutecove-Rate-Limit",
+    leaving: "X-Chutecove-Leaving",
 };
 
 const INSTANCES_PREFIX: &str = "/v1/instances/";
 const HEARTBEAT_SUFFIX: &str = "/heartbeat";
 const LEAVE_SUFFIX: &str = "/leave";
 const READY_PATH: &str = "/readyz";
+/// Value of the header of an upstream that is leaving.
+const LEAVING: &str = "1";
 const CONFIGURATION_PATH: &str = "/v1/configuration";
 const CANARIES_PATH: &str = "/v1/canaries";
 const EVACUATIONS_PATH: &str = "/v1/evacuations";
@@ -86,6 +90,14 @@
         None
     }
 
+    fn read_rate_limit(&self, value: &str) -> Option<CallRate> {
+        value.parse().ok()
+    }
+
+    fn read_leaving(&self, value: &str) -> bool {
+        value.trim() == LEAVING
+    }
+
     fn ready_path(&self) -> &'static str {
         READY_PATH
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -10,6 +10,7 @@
 mod member;
 mod poison;
 mod quota;
+mod rate;
 mod record;
 mod version;
 
@@ -25,6 +26,7 @@
     Clearing, CrashId, CrashReport, Fingerprint, PoisonEvent, PoisonNotice, QuarantineEntry,
 };
 pub use quota::{CreditAmount, CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
+pub use rate::{CallRate, InvalidCallRate};
 pub use record::{
     HeardNode, Incarnation, InstanceRecord, InstanceState, NodeAddress, NodeLoad, NodeRecord,
     RegistryEntry, UpstreamLoad,
--- a/crates/sidecar/examples/tenant_cost.rs
+++ b/crates/sidecar/examples/tenant_cost.rs
@@ -29,6 +29,8 @@
     api_key: "x-key",
     tenant: "x-tenant",
     load: "x-load",
+    rate_limit: "x-rate-limit",
+    leaving: "x-leaving",
 };
 
 fn route(number: usize, rank: u32) -> Object {
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod endings;
 mod offers;
+mod statements;
 mod trial;
 
 use self::at_work::ActiveRuns;
@@ -20,9 +21,10 @@
 use crate::dialect::{HeaderNames, ReportedLoad};
 use crate::net::ConnectionId;
 use crate::poison::{self, PoisonWatch};
-use crate::sample::LogSample;
+use crate::sample::{LogRateLimit, LogSample};
 use crate::transit::TransitTimes;
 use crate::Millis;
+use ::statements::StatedRate;
 use admission::{
     Admission, ColdRate, DrainGate, EgressClass, EgressReservations, FailureRate, GateState, JobId,
     LinkState, Pace, UntrackedSlots,
@@ -43,6 +45,9 @@
 /// are in use.
 const USABLE_SLOT_FRACTION: f64 = 1.0;
 const REFUSED_STATUS: u16 = 503;
+/// Logged statements of the upstream per second; one that changes its statement with every answer
+/// must not crowd out other lines.
+const MAX_STATEMENTS_LOGGED_PER_SECOND: u32 = 5;
 /// Placeholder node address, used until `with_poison_watch` provides the real one.
 const UNKNOWN_NODE: NodeAddress = NodeAddress { ip: std::net::Ipv4Addr::UNSPECIFIED, port: 0 };
 /// Status with which an upstream rejects a call that is meant for another incarnation; the call has
@@ -177,6 +182,11 @@
     failures: FailureRate,
     failures_instance: Option<Incarnation>,
     pace: Pace,
+    /// Rate limit that the current incarnation states.
+    stated_rate: StatedRate,
+    /// The incarnation that it belongs to.
+    stated_by: Option<Incarnation>,
+    statements_logged: LogRateLimit,
     /// Number of slots of the upstream that may be used at once.
     slots_used: u32,
     taken_slots: UntrackedSlots,
@@ -226,6 +236,9 @@
             failures: FailureRate::default(),
             failures_instance: None,
             pace: Pace::default(),
+            stated_rate: StatedRate::default(),
+            stated_by: None,
+            statements_logged: LogRateLimit::new(MAX_STATEMENTS_LOGGED_PER_SECOND),
             slots_used: DEFAULT_SLOTS,
             taken_slots: UntrackedSlots::default(),
             instance_changed: false,
@@ -376,6 +389,10 @@
             self.failures.clear();
             self.pace = Pace::default();
         }
+        if !self.is_current(self.stated_by.as_ref()) {
+            self.stated_by = self.gate.incarnation().cloned();
+            self.stated_rate = StatedRate::default();
+        }
     }
 
     fn reply(
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,7 +30,9 @@
 pub use calls::{Attempt, AttemptEnd, CallAction, CallCounts, CallId, Calls, Initiator, Origin};
 pub use config::Config;
 pub use currency::ConfigFreshness;
-pub use dialect::{HeaderNames, RegistrationCall, RegistrationDialect, ReportedLoad};
+pub use dialect::{
+    HeaderNames, RegistrationCall, RegistrationDialect, ReportedLoad, UpstreamStatement,
+};
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
 pub use link_meter::{LinkChange, LinkFullDetector, LinkMeter};
 pub use links::{chosen as chosen_coordinators, LinkEvent, Links};
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::net::SentBytes;
 use ::quota::GateCounts;
 use admission::PacerCounts;
+use mesh::CallRate;
 use telemetry::{Gauge, Registry};
 
 /// The values that the metrics are computed from.
@@ -35,6 +36,8 @@
     pub link_refusals: u64,
     /// Calls refused because the upstream was cold.
     pub cold_refusals: u64,
+    /// Rate limit that the upstream states.
+    pub rate_limit: Option<CallRate>,
     /// Share of recent calls that the upstream failed, in percent.
     pub failing_percent: u32,
     /// How long ago the generation in force was last confirmed to be the newest, in milliseconds.
@@ -66,7 +69,7 @@
 impl Metrics {
     /// Registers all metrics.
     pub fn new(registry: Registry) -> Self {
-        let definitions: [MetricDefinition; 41] = [
+        let definitions: [MetricDefinition; 42] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -96,6 +99,11 @@
             ("link_waiting_bytes", "Wait for the link", |s| s.link_waiting_bytes as i64),
             ("link_refusals", "Calls refused for want of the link", |s| s.link_refusals as i64),
             ("cold_refusals", "Calls a cold upstream does not bear", |s| s.cold_refusals as i64),
+            (
+                "upstream_rate_limit_milli",
+                "Thousandths of a call per second that the upstream takes; -1 without a limit",
+                |s| s.rate_limit.map_or(-1, CallRate::saturating_milli),
+            ),
             ("sent_bytes_calls", "To peers, calls", |s| s.sent_bytes.calls as i64),
             ("sent_bytes_answers", "To peers, answers", |s| s.sent_bytes.answers as i64),
             ("sent_bytes_control", "To coordinators", |s| s.sent_bytes.control as i64),
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::{Sidecar, Work, OWN_BODY_BYTES, OWN_HEADER_BYTES};
 use crate::calls::{AttemptEnd, CallAction, Origin};
-use crate::dialect::{HeaderNames, RegistrationDialect};
+use crate::dialect::{HeaderNames, RegistrationDialect, UpstreamStatement};
 use crate::jobs::{JobAction, Source, UpstreamEnd};
 use crate::net::{ConnectionId, NetEvent};
 use crate::pool::{OutgoingRequest, PoolEnd};
@@ -337,6 +337,9 @@
             if let Some(report) = report.and_then(|value| self.dialect.read_load(value)) {
                 self.jobs.note_load_report(report, now);
             }
+            let response = &answer.response;
+            let statement = UpstreamStatement::read(&response.headers, &self.names, &self.dialect);
+            self.jobs.note_statement(job, statement, response, now);
         }
         let actions = self.jobs.ended(job, end, now);
         self.work.extend(actions.into_iter().map(Work::Job));
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -353,6 +353,7 @@
             link_waiting_bytes: self.net.link_state().waiting_bytes,
             link_refusals: self.jobs.link_refusals(),
             cold_refusals: self.jobs.cold_refusals(),
+            rate_limit: self.jobs.stated_rate(),
             failing_percent: self.jobs.failing_percent(self.now()),
             confirmed_ms: self.config.freshness.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -25,6 +25,8 @@
     api_key: "x-key",
     tenant: "x-tenant",
     load: "x-load",
+    rate_limit: "x-rate-limit",
+    leaving: "x-leaving",
 };
 pub const OWN_SERVICE: &str = "own";
 pub const SERVICE: &str = "fares";
