--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -3,10 +3,14 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub mod callers;
 pub mod crashing;
 pub mod hollow;
 
+pub use callers::Caller;
+
 use serde_json::{json, Value};
+use std::borrow::Cow;
 use std::collections::VecDeque;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -205,6 +209,7 @@
         let address = (self.ip(host), self.ports.upstream);
         let server = rouille::Server::new(address, move |request| {
             counted.request_count.fetch_add(1, Ordering::SeqCst);
+            counted.note_run(host, request.header("X-Chutecove-Attempt-Id").unwrap_or_default());
             let header = |name| request.header(name).unwrap_or_default().to_owned();
             let caller = header("X-Chutecove-Caller");
             counted.callers.lock().expect("not poisoned").push(caller);
@@ -223,7 +228,9 @@
                 false => format!("{} bytes, {}", body.len(), checksum(&body)),
             };
             let fails = counted.fails.load(Ordering::SeqCst);
-            rouille::Response::text(text)
+            let mut response = rouille::Response::text(text);
+            response.headers.extend(counted.stated_headers());
+            response
                 .with_status_code(if fails { 500 } else { 200 })
                 .with_additional_header("X-Chutecove-Seal", format!("seal-{host}"))
                 .with_additional_header("X-Chutecove-Attempt-Id", header("X-Chutecove-Attempt-Id"))
@@ -423,6 +430,47 @@
     pub tenants: Mutex<Vec<String>>,
     /// Whether it answers every request with status 500.
     pub fails: AtomicBool,
+    /// Clock of the runs.
+    pub clock: RunClock,
+    /// The runs of calls with numeric ids.
+    pub runs: Mutex<Vec<soak::Run>>,
+    /// Headers that it adds to its answers.
+    stated: Mutex<Vec<(String, String)>>,
+}
+
+impl Upstream {
+    /// Adds a header to all answers from now on.
+    pub fn state(&self, name: &str, value: &str) {
+        self.stated.lock().expect("not poisoned").push((name.to_owned(), value.to_owned()));
+    }
+
+    fn stated_headers(&self) -> Vec<(Cow<'static, str>, Cow<'static, str>)> {
+        let stated = self.stated.lock().expect("not poisoned");
+        stated.iter().map(|(name, value)| (name.clone().into(), value.clone().into())).collect()
+    }
+
+    fn note_run(&self, machine: u8, id: &str) {
+        if let Ok(call) = id.parse() {
+            let run = soak::Run { call, machine, incarnation: 1, at: self.clock.now() };
+            self.runs.lock().expect("not poisoned").push(run);
+        }
+    }
+}
+
+/// Milliseconds since its creation.
+#[derive(Clone, Copy)]
+pub struct RunClock(Instant);
+
+impl Default for RunClock {
+    fn default() -> Self {
+        RunClock(Instant::now())
+    }
+}
+
+impl RunClock {
+    pub fn now(self) -> u64 {
+        self.0.elapsed().as_millis() as u64
+    }
 }
 
 pub fn agent() -> ureq::Agent {
--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -6,9 +6,11 @@
 use super::kept::{PersistentConnection, ResponseOutcome};
 use super::machines::{Machines, CALLERS};
 use super::operator::{BASE_HOST, BASE_PATH};
-use super::upstream::{expected_body, ID_HEADER, POISON};
+use super::upstream::{
+    expected_body, parse_seal, ID_HEADER, LEAVING_HEADER, POISON, RATE_LIMIT_HEADER, SEAL_HEADER,
+};
 use http1::Headers;
-use soak::{Call, CallOutcome};
+use soak::{Call, CallOutcome, PassedOn};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -40,7 +42,16 @@
     next_id: Arc<AtomicU64>,
     version: Arc<AtomicU64>,
     clock: Clock,
-    calls: EventList<Call>,
+    observations: Observations,
+}
+
+/// What callers observe.
+#[derive(Clone, Default)]
+pub struct Observations {
+    /// Calls and how they ended.
+    pub calls: EventList<Call>,
+    /// Statements of upstreams in answers.
+    pub passed_on: EventList<PassedOn>,
 }
 
 impl Callers {
@@ -53,7 +64,7 @@
         per_machine: usize,
         version: &Arc<AtomicU64>,
         clock: Clock,
-        calls: &EventList<Call>,
+        observations: &Observations,
     ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let next_id = Arc::new(AtomicU64::new(1));
@@ -69,7 +80,7 @@
                     next_id: next_id.clone(),
                     version: version.clone(),
                     clock,
-                    calls: calls.clone(),
+                    observations: observations.clone(),
                 };
                 let (stop, inactive_callers) = (stop.clone(), inactive_callers.clone());
                 threads.push(thread::spawn(move || {
@@ -117,12 +128,44 @@
         let body: Vec<u8> = (0..bytes).map(|index| (index as u64 * 7 + id) as u8).collect();
         let sent = self.clock.now();
         let outcome = match &mut self.connection {
-            Some(connection) => send_on_connection(connection, id, &path),
+            Some(connection) => {
+                let answer = send_on_connection(connection, id, &path);
+                self.note_statements(&answer);
+                to_outcome(answer, id, &path)
+            }
             None => self.send_request(id, &path, &body),
         };
         let ended = self.clock.now();
         let repeatable = repeatable || version.is_some();
-        self.calls.push(Call { id, machine: self.host, repeatable, version, sent, ended, outcome });
+        self.observations.calls.push(Call {
+            id,
+            machine: self.host,
+            repeatable,
+            version,
+            sent,
+            ended,
+            outcome,
+        });
+    }
+
+    /// Records what the answer of an upstream on the persistent connection states of the upstream.
+    fn note_statements(&self, answer: &ResponseOutcome) {
+        if let ResponseOutcome::Answered(response) = answer {
+            self.note_passed_on(|name| response.headers.text(name));
+        }
+    }
+
+    fn note_passed_on<'a>(&self, header: impl Fn(&str) -> Option<&'a str>) {
+        let Some((upstream, incarnation)) = header(SEAL_HEADER).and_then(parse_seal) else {
+            return;
+        };
+        let limited = header(RATE_LIMIT_HEADER).is_some();
+        let leaving = header(LEAVING_HEADER).is_some();
+        if limited || leaving {
+            let (machine, at) = (self.host, self.clock.now());
+            let passed_on = PassedOn { machine, upstream, incarnation, at, limited, leaving };
+            self.observations.passed_on.push(passed_on);
+        }
     }
 
     fn send_request(&self, id: u64, path: &str, body: &[u8]) -> CallOutcome {
@@ -141,6 +184,8 @@
             Err(ureq::Error::Io(error)) if is_refused(&error) => CallOutcome::NotConnected,
             Err(_) => CallOutcome::Cut,
             Ok(mut resp) => {
+                let header = |name: &str| resp.headers().get(name)?.to_str().ok();
+                self.note_passed_on(header);
                 let status = resp.status().as_u16();
                 match resp.body_mut().read_to_string() {
                     Ok(text) => CallOutcome::Answered {
@@ -154,11 +199,19 @@
     }
 }
 
-fn send_on_connection(connection: &mut PersistentConnection, id: u64, path: &str) -> CallOutcome {
+fn send_on_connection(
+    connection: &mut PersistentConnection,
+    id: u64,
+    path: &str,
+) -> ResponseOutcome {
     let mut headers = Headers::default();
     headers.push("Host", BASE_HOST);
     headers.push(ID_HEADER, id.to_string());
-    match connection.get(path, &headers) {
+    connection.get(path, &headers)
+}
+
+fn to_outcome(answer: ResponseOutcome, id: u64, path: &str) -> CallOutcome {
+    match answer {
         ResponseOutcome::NotConnected => CallOutcome::NotConnected,
         ResponseOutcome::ClosedBetween => CallOutcome::ClosedBetween,
         ResponseOutcome::Cut => CallOutcome::Cut,
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -109,7 +109,7 @@
         thread::sleep(Duration::from_millis(self.random.u64(span_ms)));
     }
 
-    fn pick_host(&mut self, hosts: &[u8]) -> u8 {
+    pub(super) fn pick_host(&mut self, hosts: &[u8]) -> u8 {
         hosts[self.random.usize(..hosts.len())]
     }
 
@@ -120,8 +120,12 @@
     }
 
     fn kill_sidecar(&mut self) -> std::io::Result<()> {
-        let hosts = [&UPSTREAMS[..], &CALLERS[..]].concat();
-        let host = self.pick_host(&hosts);
+        self.kill_one_of(&[&UPSTREAMS[..], &CALLERS[..]].concat())
+    }
+
+    /// Kills and restarts the sidecar of one of these machines.
+    pub(super) fn kill_one_of(&mut self, hosts: &[u8]) -> std::io::Result<()> {
+        let host = self.pick_host(hosts);
         let from = self.clock.now();
         if let Some(process) = self.machines.process(host) {
             process.kill();
@@ -132,7 +136,7 @@
         Ok(())
     }
 
-    fn freeze_sidecar(&mut self) {
+    pub(super) fn freeze_sidecar(&mut self) {
         let host = self.pick_host(&UPSTREAMS);
         self.freeze(host);
     }
@@ -150,7 +154,7 @@
     }
 
     /// Stops a sidecar with SIGTERM and restarts it; its callers notice through its readiness.
-    fn stop_sidecar(&mut self) -> std::io::Result<()> {
+    pub(super) fn stop_sidecar(&mut self) -> std::io::Result<()> {
         let hosts = [&UPSTREAMS[..], &CALLERS[..]].concat();
         let host = self.pick_host(&hosts);
         let from = self.clock.now();
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -11,9 +11,10 @@
 mod operator;
 mod options;
 mod server;
+mod statements;
 mod upstream;
 
-use self::callers::Callers;
+use self::callers::{Callers, Observations};
 use self::clearing::QuarantineClearer;
 use self::clock::{Clock, EventList};
 use self::faults::Faults;
@@ -24,7 +25,9 @@
 use self::operator::Operator;
 use self::options::{FaultProfile, Plan};
 use self::upstream::{Upstream, UpstreamEnvironment};
-use soak::{check_record, Bounds, Call, Crash, Record, RepeatBounds, Run, Violation};
+use soak::{
+    check_record, Bounds, Crash, LimitBounds, LimitStatement, Record, RepeatBounds, Run, Violation,
+};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::Arc;
@@ -45,6 +48,7 @@
         slack: RETRY_BUDGET_SLACK,
         window: RETRY_BUDGET_WINDOW_S * 1_000,
     },
+    limits: LimitBounds { factor: 1.5, slack: 5.0, window: 4_000, contact: 3_000, notice: 500 },
 };
 const MAX_PRINTED: usize = 8;
 
@@ -79,12 +83,14 @@
     let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
     let clock = Clock::start();
     let mut machines = Machines::new(folder.path(), network);
-    let (calls, runs) = (EventList::<Call>::default(), EventList::<Run>::default());
+    let observations = Observations::default();
+    let (runs, limits) = (EventList::<Run>::default(), EventList::<LimitStatement>::default());
     let crashes = EventList::<Crash>::default();
     let lose_responses = Arc::new(AtomicBool::new(false));
     let environment = UpstreamEnvironment {
         clock,
         runs: runs.clone(),
+        limits: limits.clone(),
         crashes: crashes.clone(),
         lose_responses: lose_responses.clone(),
     };
@@ -102,8 +108,14 @@
     let inactive_callers = Arc::new(AtomicU64::new(0));
     let version = operator.version.clone();
     wait_until_registered(&machines)?;
-    let callers =
-        Callers::start(&machines, &inactive_callers, CALLERS_PER_MACHINE, &version, clock, &calls);
+    let callers = Callers::start(
+        &machines,
+        &inactive_callers,
+        CALLERS_PER_MACHINE,
+        &version,
+        clock,
+        &observations,
+    );
     let clearer = (fault_profile == FaultProfile::RandomWithClearing)
         .then(|| QuarantineClearer::start(&machines, clock, seed));
     let mut faults =
@@ -111,6 +123,7 @@
     let fault_result = match fault_profile {
         FaultProfile::Random | FaultProfile::RandomWithClearing => faults.run(FAULTS_DURATION),
         FaultProfile::LostAnswers => faults.run_lost_answers(&lose_responses),
+        FaultProfile::Statements => faults.run_statements(FAULTS_DURATION),
     };
     fault_result.map_err(|error| error.to_string())?;
     let faults = std::mem::take(&mut faults.done);
@@ -119,8 +132,10 @@
     thread::sleep(RECOVERY_DURATION);
     callers.finish();
     let record = Record {
-        calls: calls.take(),
+        calls: observations.calls.take(),
         runs: runs.take(),
+        limits: limits.take(),
+        passed_on: observations.passed_on.take(),
         crashes: crashes.take(),
         quarantine_clears: clearings,
         submissions: operator.orders.clone(),
--- a/crates/lab/src/soak/options.rs
+++ b/crates/lab/src/soak/options.rs
@@ -7,7 +7,7 @@
 
 const BRIEF: &str = "\
 Usage: chutecove-lab soak [--minutes N]                    fresh seeds
-       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers]
+       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits]
                                                            seeds S, S+1, ...
 
 Rounds that run at the same time need networks (1 to 200) of their own.";
@@ -22,6 +22,8 @@
     RandomWithClearing,
     /// Lost responses while series of processes are killed.
     LostAnswers,
+    /// Upstreams state limits and that they leave while processes are killed.
+    Statements,
 }
 
 /// Which rounds are run.
@@ -55,12 +57,12 @@
             Some(seed) => Rounds::Consecutive { seed, count },
             None => Rounds::Timed(Duration::from_secs_f64(minutes * SECONDS_PER_MINUTE)),
         };
-        let fault_profile =
-            match (matches.opt_present("clear"), matches.opt_present("lose-answers")) {
-                (_, true) => FaultProfile::LostAnswers,
-                (true, false) => FaultProfile::RandomWithClearing,
-                (false, false) => FaultProfile::Random,
-            };
+        let fault_profile = match &matches {
+            matches if matches.opt_present("limits") => FaultProfile::Statements,
+            matches if matches.opt_present("lose-answers") => FaultProfile::LostAnswers,
+            matches if matches.opt_present("clear") => FaultProfile::RandomWithClearing,
+            _ => FaultProfile::Random,
+        };
         Ok(Some(Plan { rounds, network: number_option(&matches, "network", 1)?, fault_profile }))
     }
 
@@ -90,6 +92,7 @@
     options.optopt("", "network", "addresses 127.x.K.y of the fleets (1)", "K");
     options.optflag("", "clear", "an operator clears what is in quarantine meanwhile");
     options.optflag("", "lose-answers", "answers are lost while processes end, and nothing else");
+    options.optflag("", "limits", "upstreams state limits and that they leave, in their answers");
     options.optflag("h", "help", "print this text");
     options
 }
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -6,10 +6,10 @@
 use super::server::{Handler, Reply, Server};
 use http1::{Request, Response};
 use serde_json::json;
-use soak::{Crash, Run};
+use soak::{Crash, LimitStatement, Run};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -28,6 +28,12 @@
 pub const POISON: &str = "/poison-";
 /// Header with the id of a call.
 pub const ID_HEADER: &str = "X-Chutecove-Attempt-Id";
+/// Header that proves which upstream answered.
+pub const SEAL_HEADER: &str = "X-Chutecove-Seal";
+/// Header with the rate of calls that an upstream takes from all machines together.
+pub const RATE_LIMIT_HEADER: &str = "X-Chutecove-Rate-Limit";
+/// Header of an upstream that is leaving.
+pub const LEAVING_HEADER: &str = "X-Chutecove-Leaving";
 
 /// The upstream of one machine.
 pub struct Upstream {
@@ -38,6 +44,24 @@
     /// Whether the server is down between a crash and its restart.
     down: AtomicBool,
     stopped: AtomicBool,
+    statements: Mutex<Statements>,
+    limit_recorder: LimitRecorder,
+}
+
+/// Records the limits that one upstream states.
+struct LimitRecorder {
+    host: u8,
+    clock: Clock,
+    limits: EventList<LimitStatement>,
+}
+
+/// What the upstream states in its answers.
+#[derive(Clone, Copy, Default)]
+struct Statements {
+    incarnation: u64,
+    /// Calls per second that it takes.
+    limit_per_s: Option<f64>,
+    leaving: bool,
 }
 
 /// State shared by all upstreams: the clock, the events they record and the faults that affect
@@ -48,6 +72,8 @@
     pub clock: Clock,
     /// Runs that started.
     pub runs: EventList<Run>,
+    /// Limits that upstreams began to state.
+    pub limits: EventList<LimitStatement>,
     /// Crashes caused by poison requests.
     pub crashes: EventList<Crash>,
     /// Whether most responses are currently lost.
@@ -57,12 +83,13 @@
 /// Handles the requests of one upstream.
 struct RequestHandler {
     host: u8,
+    upstream: Arc<Upstream>,
     environment: UpstreamEnvironment,
 }
 
 impl Handler for RequestHandler {
     fn handle(&self, request: &Request) -> Reply {
-        let UpstreamEnvironment { clock, runs, crashes, lose_responses } = &self.environment;
+        let UpstreamEnvironment { clock, runs, crashes, lose_responses, .. } = &self.environment;
         let path = request.path();
         if let Some((_, number)) = path.split_once(POISON) {
             thread::sleep(CRASH_DELAY);
@@ -71,18 +98,39 @@
             return Reply::StopServer;
         }
         let id = request.headers.number(ID_HEADER).unwrap_or(0);
-        runs.push(Run { call: id, machine: self.host, at: clock.now() });
+        let incarnation = self.upstream.incarnation();
+        runs.push(Run { call: id, machine: self.host, incarnation, at: clock.now() });
         thread::sleep(Duration::from_millis(fastrand::u64(MIN_WORK_MS..MAX_WORK_MS)));
         if lose_responses.load(Ordering::Relaxed) && fastrand::f64() < LOSS_PROBABILITY {
             return Reply::CloseConnection;
         }
         let response = Response::text(200, &expected_body(id, path, &request.body))
-            .with_header("X-Chutecove-Seal", format!("seal-{}", self.host))
             .with_header(ID_HEADER, id.to_string());
-        Reply::Respond(response)
+        Reply::Respond(self.with_statements(response))
+    }
+}
+
+impl RequestHandler {
+    fn with_statements(&self, response: Response) -> Response {
+        let Statements { incarnation, limit_per_s, leaving } = self.upstream.statements();
+        let mut response =
+            response.with_header(SEAL_HEADER, format!("seal-{}-{incarnation}", self.host));
+        if let Some(per_s) = limit_per_s {
+            response = response.with_header(RATE_LIMIT_HEADER, per_s.to_string());
+        }
+        match leaving {
+            true => response.with_header(LEAVING_HEADER, "1"),
+            false => response,
+        }
     }
 }
 
+/// Returns the host and incarnation of the upstream that wrote a seal.
+pub fn parse_seal(seal: &str) -> Option<(u8, u64)> {
+    let (host, incarnation) = seal.strip_prefix("seal-")?.split_once('-')?;
+    Some((host.parse().ok()?, incarnation.parse().ok()?))
+}
+
 /// Returns the complete response body to a call with this request body.
 pub fn expected_body(id: u64, path: &str, body: &[u8]) -> String {
     let sum = checksum(body);
@@ -109,9 +157,15 @@
             draining: AtomicBool::new(false),
             down: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
+            limit_recorder: LimitRecorder {
+                host,
+                clock: environment.clock,
+                limits: environment.limits.clone(),
+            },
+            statements: Mutex::new(Statements { incarnation: 1, ..Statements::default() }),
         });
         let address = SocketAddr::from((ip, machines.ports.upstream));
-        let handler = Arc::new(RequestHandler { host, environment });
+        let handler = Arc::new(RequestHandler { host, upstream: upstream.clone(), environment });
         let first = Server::start(address, handler.clone()).map_err(|error| error.to_string())?;
         let supervised = upstream.clone();
         thread::spawn(move || supervised.restart_after_crashes(first, address, &handler));
@@ -182,9 +236,33 @@
 
     /// Continues as a new incarnation that is not draining.
     pub fn begin_new_incarnation(&self) {
-        self.incarnation.fetch_add(1, Ordering::SeqCst);
+        let mut statements = self.statements.lock().unwrap_or_else(PoisonError::into_inner);
+        let incarnation = self.incarnation.fetch_add(1, Ordering::SeqCst) + 1;
+        *statements = Statements { incarnation, ..Statements::default() };
         self.draining.store(false, Ordering::SeqCst);
     }
+
+    fn statements(&self) -> Statements {
+        *self.statements.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// States a limit in all answers from now on, or none.
+    pub fn state_limit(&self, limit_per_s: Option<f64>) {
+        let mut statements = self.statements.lock().unwrap_or_else(PoisonError::into_inner);
+        statements.limit_per_s = limit_per_s;
+        let LimitRecorder { host, clock, limits } = &self.limit_recorder;
+        limits.push(LimitStatement {
+            machine: *host,
+            incarnation: statements.incarnation,
+            at: clock.now(),
+            per_s: limit_per_s,
+        });
+    }
+
+    /// States in all answers from now on that it is leaving, and announces it in no other way.
+    pub fn state_leaving(&self) {
+        self.statements.lock().unwrap_or_else(PoisonError::into_inner).leaving = true;
+    }
 }
 
 impl Upstream {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,5 +1,6 @@
 //! Checks of the fleet's guarantees against the record of a soak test.
 
+use crate::statements::{check_leaving, check_limits};
 use crate::{
     Bounds, Call, CallOutcome, ConfigSubmission, Fault, FaultKind, Millis, Record, RepeatBounds,
 };
@@ -42,6 +43,8 @@
     PoisonContained,
     /// Calls are repeated no more often than the fleet's limit allows.
     RepeatsBounded,
+    /// An upstream that states a limit gets no more calls than the limit allows.
+    LimitKept,
 }
 
 /// A violated guarantee.
@@ -75,6 +78,8 @@
     check_recovery(record, bounds, &mut report);
     check_poison(record, &mut report);
     check_repeats(record, bounds, &mut report);
+    check_limits(record, bounds, &mut report);
+    check_leaving(record, bounds, &mut report);
     violations
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod checks;
 mod record;
+mod statements;
 
 pub use checks::{check_record, Guarantee, Violation};
 pub use record::{
-    Bounds, Call, CallOutcome, ConfigSubmission, Crash, Fault, FaultKind, Record, RepeatBounds, Run,
+    Bounds, Call, CallOutcome, ConfigSubmission, Crash, Fault, FaultKind, LimitBounds,
+    LimitStatement, PassedOn, Record, RepeatBounds, Run,
 };
 
 /// Milliseconds since the start of a soak test.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -49,10 +49,42 @@
     pub call: u64,
     /// The machine of the upstream.
     pub machine: u8,
+    /// Incarnation of the upstream.
+    pub incarnation: u64,
     /// When the execution started.
     pub at: Millis,
 }
 
+/// What an upstream states in all its answers from a time on.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitStatement {
+    /// The machine of the upstream.
+    pub machine: u8,
+    /// Incarnation of the upstream.
+    pub incarnation: u64,
+    /// When it began to state this.
+    pub at: Millis,
+    /// Calls per second that it takes from all machines together; `None` without a limit.
+    pub per_s: Option<f64>,
+}
+
+/// An answer of an upstream that reached a caller and stated something of the upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct PassedOn {
+    /// Machine of the sidecar that passed the answer on.
+    pub machine: u8,
+    /// Machine of the upstream.
+    pub upstream: u8,
+    /// Incarnation of the upstream.
+    pub incarnation: u64,
+    /// When the caller had the answer.
+    pub at: Millis,
+    /// Whether it stated a limit.
+    pub limited: bool,
+    /// Whether it stated that the upstream is leaving.
+    pub leaving: bool,
+}
+
 /// A crash of an upstream caused by a poison request.
 #[derive(Clone, Copy, Debug)]
 pub struct Crash {
@@ -114,6 +146,21 @@
     pub window: Millis,
 }
 
+/// Limit on the calls to an upstream that states how many it takes; durations in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitBounds {
+    /// Calls allowed in a window, per call that the stated limit allows.
+    pub factor: f64,
+    /// Calls allowed in addition.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Millis,
+    /// From the first statement until the limit is checked.
+    pub contact: Millis,
+    /// From the time at which a machine passed a statement on until the statement binds it.
+    pub notice: Millis,
+}
+
 /// Limits that the guarantees allow; durations in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -125,6 +172,8 @@
     pub settle: Millis,
     /// Limit on repeats of calls across the fleet.
     pub repeats: RepeatBounds,
+    /// Limit on the calls to an upstream that states one.
+    pub limits: LimitBounds,
 }
 
 /// Everything that was observed in a soak test.
@@ -134,6 +183,10 @@
     pub calls: Vec<Call>,
     /// Executions of calls by upstreams.
     pub runs: Vec<Run>,
+    /// Limits that upstreams stated, in order of time.
+    pub limits: Vec<LimitStatement>,
+    /// Statements that reached callers.
+    pub passed_on: Vec<PassedOn>,
     /// Crashes of upstreams caused by poison requests.
     pub crashes: Vec<Crash>,
     /// When an operator cleared the quarantine.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -2,13 +2,16 @@
 
 use expect_test::expect;
 use soak::{
-    check_record, Bounds, Call, CallOutcome, ConfigSubmission, Crash, Fault, FaultKind, Record,
-    RepeatBounds, Run,
+    check_record, Bounds, Call, CallOutcome, ConfigSubmission, Crash, Fault, FaultKind,
+    LimitBounds, LimitStatement, PassedOn, Record, RepeatBounds, Run,
 };
 use std::fmt::Write;
 
 const REPEATS: RepeatBounds = RepeatBounds { ratio: 0.2, slack: 3.0, window: 3_000 };
-const BOUNDS: Bounds = Bounds { apply: 2_000, drain: 1_000, settle: 3_000, repeats: REPEATS };
+const LIMITS: LimitBounds =
+    LimitBounds { factor: 1.5, slack: 5.0, window: 4_000, contact: 3_000, notice: 500 };
+const BOUNDS: Bounds =
+    Bounds { apply: 2_000, drain: 1_000, settle: 3_000, repeats: REPEATS, limits: LIMITS };
 const OK: CallOutcome = CallOutcome::Answered { status: 200, body_matches: true };
 
 fn call(id: u64, sent: u64, outcome: CallOutcome) -> Call {
@@ -19,7 +22,11 @@
 fn record() -> Record {
     Record {
         calls: (0..90).map(|id| call(id, id * 100, OK)).collect(),
-        runs: (0..90).map(|id| Run { call: id, machine: 12, at: id * 100 + 5 }).collect(),
+        runs: (0..90)
+            .map(|id| Run { call: id, machine: 12, incarnation: 1, at: id * 100 + 5 })
+            .collect(),
+        limits: Vec::new(),
+        passed_on: Vec::new(),
         crashes: (0..6).map(|at| Crash { poison: 7, machine: 12, at }).collect(),
         quarantine_clears: Vec::new(),
         submissions: vec![
@@ -52,11 +59,22 @@
     Call { version: Some(version), repeatable: true, ..call(id, sent, outcome) }
 }
 
+/// The upstream on machine 12 states a limit from the start, and machine 11 passes it on at `told_at`.
+fn state_limit(record: &mut Record, per_s: f64, told_at: u64) {
+    record.limits.push(LimitStatement { machine: 12, incarnation: 1, at: 0, per_s: Some(per_s) });
+    record.passed_on.push(PassedOn { limited: true, ..told(11, told_at) });
+}
+
+/// An answer of the upstream on machine 12 that a machine passed on, without statements.
+fn told(machine: u8, at: u64) -> PassedOn {
+    PassedOn { machine, upstream: 12, incarnation: 1, at, limited: false, leaving: false }
+}
+
 /// Repeats `count` calls once each, all of them within half a second.
 fn repeat_calls(record: &mut Record, count: u64) {
     for id in 30..30 + count {
         record.calls[id as usize].repeatable = true;
-        record.runs.push(Run { call: id, machine: 12, at: 3_500 + id });
+        record.runs.push(Run { call: id, machine: 12, incarnation: 1, at: 3_500 + id });
     }
 }
 
@@ -74,7 +92,7 @@
         }),
         ("closed between calls, but ran", |r| r.calls[3].outcome = CallOutcome::ClosedBetween),
         ("a seventh crash", |r| r.crashes.push(Crash { poison: 7, machine: 13, at: 400 })),
-        ("executed twice", |r| r.runs.push(Run { call: 3, machine: 13, at: 400 })),
+        ("executed twice", |r| r.runs.push(Run { call: 3, machine: 13, incarnation: 1, at: 400 })),
         ("refused but executed", |r| {
             r.calls[3].outcome = CallOutcome::Answered { status: 503, body_matches: true }
         }),
@@ -104,13 +122,23 @@
             });
             r.calls.push(versioned(900, 8_000, 1, 200));
         }),
-        ("call after the drain limit", |r| r.runs.push(Run { call: 900, machine: 13, at: 3_600 })),
+        ("call after the drain limit", |r| {
+            r.runs.push(Run { call: 900, machine: 13, incarnation: 1, at: 3_600 })
+        }),
         ("an older version read back", |r| r.read_back = Some(1)),
         ("no version read back", |r| r.read_back = None),
         ("not served after the faults", |r| {
             r.calls.iter_mut().skip(80).for_each(|c| c.outcome = CallOutcome::NotConnected);
         }),
         ("ten repeats", |r| repeat_calls(r, 10)),
+        ("more than the stated limit", |r| state_limit(r, 5.0, 2_100)),
+        ("more than a limit that was lowered", |r| {
+            state_limit(r, 20.0, 2_100);
+            r.limits.push(LimitStatement { at: 4_000, per_s: Some(5.0), ..r.limits[0] });
+        }),
+        ("sent to an upstream that leaves", |r| {
+            r.passed_on.push(PassedOn { leaving: true, ..told(11, 6_950) });
+        }),
     ];
     let mut text = String::new();
     for (name, mutate) in rows {
@@ -137,6 +165,18 @@
         no version read back: Kept: read back None, acknowledged Some(2)
         not served after the faults: Recovered: 0 of 9 calls served
         ten repeats: RepeatsBounded: 10 repeats from 3530 ms on, 9 allowed
+        more than the stated limit: LimitKept: upstream 12 got 41 calls in 4000 ms up to 6605 ms from machines that it had told; allowed 35
+        more than a limit that was lowered: LimitKept: upstream 12 got 41 calls in 4000 ms up to 8505 ms from machines that it had told; allowed 35
+        sent to an upstream that leaves: Drained: call 80, sent 1050 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 81, sent 1150 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 82, sent 1250 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 83, sent 1350 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 84, sent 1450 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 85, sent 1550 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 86, sent 1650 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 87, sent 1750 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 88, sent 1850 ms after machine 11 had passed on that upstream 12 leaves, reached it
+        sent to an upstream that leaves: Drained: call 89, sent 1950 ms after machine 11 had passed on that upstream 12 leaves, reached it
     "#]].assert_eq(&text);
 }
 
@@ -177,6 +217,28 @@
             r.calls[3].outcome = CallOutcome::Answered { status: 503, body_matches: true };
             r.runs.retain(|run| run.call != 3);
         }),
+        ("as many as the stated limit allows", |r| state_limit(r, 6.0, 2_100)),
+        ("more than the limit from a machine that was not told", |r| {
+            state_limit(r, 5.0, 2_100);
+            r.passed_on[0].machine = 13;
+        }),
+        ("more than the limit of another incarnation", |r| {
+            state_limit(r, 5.0, 2_100);
+            r.runs.iter_mut().for_each(|run| run.incarnation = 2);
+        }),
+        ("more than the limit from a machine that was stopped since", |r| {
+            state_limit(r, 5.0, 900);
+        }),
+        ("more than a limit that was lifted", |r| {
+            state_limit(r, 5.0, 2_100);
+            r.limits.push(LimitStatement { at: 4_000, per_s: None, ..r.limits[0] });
+        }),
+        ("sent before an upstream leaves", |r| {
+            r.passed_on.push(PassedOn { leaving: true, ..told(11, 7_900) });
+        }),
+        ("sent to an upstream that leaves, by a machine that was stopped since", |r| {
+            r.passed_on.push(PassedOn { leaving: true, ..told(11, 500) });
+        }),
     ];
     for (name, mutate) in rows {
         let mut record = record();
