--- a/crates/admission/src/cold_start.rs
+++ b/crates/admission/src/cold_start.rs
@@ -3,33 +3,25 @@
 //! An upstream that has just started sustains a limited rate of calls and collapses well above it.
 //! The limit guards against a thundering herd: an upstream that comes back idle looks best to all
 //! senders at once, and after a total power loss every upstream of a service is cold while all callers
-//! return. Calls are admitted at an even rate with a small burst (the generic cell rate algorithm), so
-//! that admitted calls wait as little as possible. The others are refused at once with the time at
-//! which there is room, instead of overloading the upstream.
+//! return. Calls beyond the rate are refused at once with the time at which there is room, instead of
+//! overloading the upstream.
 
-use crate::Millis;
+use crate::rate_limiter::RateLimiter;
+use crate::{Millis, RateLimit};
 
-const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// How long calls count that started while the upstream was considered warm, milliseconds.
+const MEMORY_MS: f64 = 1_000.0;
 /// Interval between checks while the rate limit of the service is not known yet, milliseconds.
 const UNKNOWN_RATE_POLL_MS: Millis = 20;
 
-/// Rate limit of a cold upstream.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdRate {
-    /// Sustained rate, calls per second.
-    pub per_s: f64,
-    /// Number of calls that may exceed the sustained rate after an idle period.
-    pub burst: f64,
-}
-
 /// Knowledge of the rate limit for cold upstreams of a service.
 #[derive(Clone, Copy, Debug, Default)]
-enum RateLimit {
+enum Knowledge {
     /// Not known yet; there may be a limit.
     #[default]
     Unknown,
     /// Calls are limited to this rate.
-    Limited(ColdRate),
+    Limited(RateLimit),
     /// Calls are not limited.
     Unlimited,
 }
@@ -37,23 +29,21 @@
 /// Rate limiter for an upstream that applies while the upstream is cold.
 #[derive(Clone, Debug, Default)]
 pub struct ColdStart {
-    rate: RateLimit,
+    rate: Knowledge,
     until: Millis,
-    /// Theoretical arrival time of the next call, milliseconds: when it would start if calls were evenly
-    /// spaced.
-    next_arrival_ms: f64,
+    limiter: RateLimiter,
 }
 
 impl ColdStart {
     /// Sets the rate limit for cold upstreams of the service; `None` for no limit. When a rate is first
     /// known, the burst counts as used up, because the previous process of this sidecar may have
     /// used it.
-    pub fn set_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
+    pub fn set_rate(&mut self, rate: Option<RateLimit>, now: Millis) {
         let known = rate.filter(|rate| rate.per_s > 0.0);
-        if let (RateLimit::Unknown, Some(rate)) = (self.rate, known) {
-            self.next_arrival_ms = now as f64 + burst_ms(rate);
+        if let (Knowledge::Unknown, Some(rate)) = (self.rate, known) {
+            self.limiter.use_up_burst(rate, now);
         }
-        self.rate = known.map_or(RateLimit::Unlimited, RateLimit::Limited);
+        self.rate = known.map_or(Knowledge::Unlimited, Knowledge::Limited);
     }
 
     /// Sets the end of the cold phase.
@@ -65,8 +55,8 @@
     /// the previous one are still charged, up to one burst, since reports of the two incarnations may
     /// arrive out of order.
     pub fn restarted(&mut self, now: Millis) {
-        if let RateLimit::Limited(rate) = self.rate {
-            self.next_arrival_ms = self.next_arrival_ms.min(now as f64 + burst_ms(rate));
+        if let Knowledge::Limited(rate) = self.rate {
+            self.limiter.forget_beyond_burst(rate, now);
         }
     }
 
@@ -81,27 +71,19 @@
             return now;
         }
         let rate = match self.rate {
-            RateLimit::Unknown => return self.until.min(now + UNKNOWN_RATE_POLL_MS),
-            RateLimit::Unlimited => return now,
-            RateLimit::Limited(rate) => rate,
+            Knowledge::Unknown => return self.until.min(now + UNKNOWN_RATE_POLL_MS),
+            Knowledge::Unlimited => return now,
+            Knowledge::Limited(rate) => rate,
         };
-        let interval_ms = MILLIS_PER_SECOND / rate.per_s;
-        let next_arrival_ms = self.next_arrival_ms.max(now as f64) + interval_ms * ahead as f64;
-        let at = (next_arrival_ms - rate.burst * interval_ms).ceil().max(now as f64) as Millis;
-        at.min(self.until)
+        self.limiter.room_at(rate, ahead, now).min(self.until)
     }
 
     /// Records that a call starts now. Calls of the last second also count if they started while the
     /// upstream was considered warm: it may have become cold before it reported that.
     pub fn note_start(&mut self, now: Millis) {
-        if let RateLimit::Limited(rate) = self.rate {
-            let latest = now as f64 + MILLIS_PER_SECOND;
-            let interval_ms = MILLIS_PER_SECOND / rate.per_s;
-            self.next_arrival_ms = (self.next_arrival_ms.max(now as f64) + interval_ms).min(latest);
+        if let Knowledge::Limited(rate) = self.rate {
+            self.limiter.note_start(rate, now);
+            self.limiter.forget_after(now as f64 + MEMORY_MS);
         }
     }
 }
-
-fn burst_ms(rate: ColdRate) -> f64 {
-    rate.burst * MILLIS_PER_SECOND / rate.per_s
-}
--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -125,6 +125,12 @@
         self.advance(incarnation, InstanceState::Left, now)
     }
 
+    /// Records that an incarnation stated in an answer that it is leaving; returns whether other nodes
+    /// need to be notified.
+    pub fn on_leaving(&mut self, incarnation: &Incarnation, now: Millis) -> bool {
+        self.advance(incarnation, InstanceState::Draining, now)
+    }
+
     fn is_retired(&self, incarnation: &Incarnation) -> bool {
         self.retired.iter().any(|retired| retired.may_equal(incarnation))
     }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,7 +1,9 @@
 //! Concurrency slots of an upstream and the bounded queue in front of them.
 
 use crate::shares::{TenantKey, TenantShares};
-use crate::{ColdRate, ColdStart, Millis};
+use crate::stated_limit::StatedLimit;
+use crate::{ColdStart, Millis, RateLimit};
+use mesh::CallRate;
 use std::collections::BTreeMap;
 
 /// Identifies a call at this upstream.
@@ -53,6 +55,15 @@
     },
 }
 
+/// The rate limit that delays calls although a slot is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Throttling {
+    /// The upstream is cold.
+    ColdStart,
+    /// The upstream states a limit.
+    StatedLimit,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     job: JobId,
@@ -72,6 +83,7 @@
     waiting: BTreeMap<QueueKey, Waiting>,
     shares: TenantShares,
     cold_start: ColdStart,
+    stated_limit: StatedLimit,
     arrivals: u64,
     service_ms: f64,
     /// Number of occupancy samples so far; it only matters while it is small.
@@ -90,6 +102,7 @@
             waiting: BTreeMap::new(),
             shares: TenantShares::default(),
             cold_start: ColdStart::default(),
+            stated_limit: StatedLimit::default(),
             arrivals: 0,
             service_ms: INITIAL_SERVICE_MS,
             samples: 0,
@@ -104,7 +117,7 @@
     }
 
     /// Sets the rate limit for cold upstreams of the service.
-    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
+    pub fn set_cold_rate(&mut self, rate: Option<RateLimit>, now: Millis) {
         self.cold_start.set_rate(rate, now);
     }
 
@@ -113,6 +126,11 @@
         self.cold_start.set_until(until);
     }
 
+    /// Sets the rate limit that the upstream states.
+    pub fn set_stated_rate(&mut self, rate: Option<CallRate>, now: Millis) {
+        self.stated_limit.set(rate, now);
+    }
+
     /// Records that another incarnation has taken over.
     pub fn restarted(&mut self, now: Millis) {
         self.cold_start.restarted(now);
@@ -121,12 +139,29 @@
     /// Whether a call that arrives now can start without waiting.
     fn is_free(&self, now: Millis) -> bool {
         let has_slot = self.running < self.limit && self.waiting.is_empty();
-        has_slot && self.cold_start.next_at(now) <= now
+        has_slot && self.rate_room_at(0, now) <= now
     }
 
-    /// Whether a slot is free and only the cold-start rate limit delays calls.
-    pub fn is_throttled_by_cold_start(&self, now: Millis) -> bool {
-        self.running < self.limit && self.cold_start.next_at(now) > now
+    /// Returns when the rate limits admit a call with `ahead` calls in front of it.
+    fn rate_room_at(&self, ahead: usize, now: Millis) -> Millis {
+        let cold_room_at = self.cold_start.room_at(ahead, now);
+        cold_room_at.max(self.stated_limit.room_at(ahead, now))
+    }
+
+    fn note_start(&mut self, now: Millis) {
+        self.cold_start.note_start(now);
+        self.stated_limit.note_start(now);
+    }
+
+    /// The rate limit that delays calls; `None` if there is none, or if no slot is free.
+    pub fn throttling(&self, now: Millis) -> Option<Throttling> {
+        if self.running >= self.limit || self.rate_room_at(0, now) <= now {
+            return None;
+        }
+        Some(match self.stated_limit.is_set() {
+            true => Throttling::StatedLimit,
+            false => Throttling::ColdStart,
+        })
     }
 
     /// Returns the number of slots.
@@ -153,7 +188,7 @@
     pub fn submit(&mut self, request: SlotRequest, now: Millis) -> Decision {
         if self.is_free(now) {
             self.running += 1;
-            self.cold_start.note_start(now);
+            self.note_start(now);
             let turn = self.shares.turn(request.rank, request.tenant);
             self.shares.on_admitted(request.rank, request.tenant, turn);
             self.shares.on_started(request.rank, turn);
@@ -192,11 +227,11 @@
     }
 
     /// Returns the expected wait of a call with this many ahead of it, milliseconds. It covers the wait
-    /// for a slot and, while the upstream is cold, for its rate limit.
+    /// for a slot and for the rate limits.
     fn wait_behind(&self, ahead: usize, now: Millis) -> u64 {
         let turns = (ahead + 1) as f64 / f64::from(self.limit);
         let until_slot = (turns * self.service_ms) as u64;
-        until_slot.max(self.cold_start.room_at(ahead, now) - now)
+        until_slot.max(self.rate_room_at(ahead, now) - now)
     }
 
     /// Estimates after how long a call with this patience would be admitted, milliseconds, from the rate
@@ -229,14 +264,14 @@
         }
     }
 
-    /// Starts the next waiting call if a slot is free and the cold-start limit allows it.
+    /// Starts the next waiting call if a slot is free and the rate limits allow it.
     pub fn start_next(&mut self, now: Millis) -> Option<JobId> {
-        if self.running >= self.limit || self.cold_start.next_at(now) > now {
+        if self.running >= self.limit || self.rate_room_at(0, now) > now {
             return None;
         }
         let ((_, rank, turn, ..), waiting) = self.waiting.pop_first()?;
         self.shares.on_started(rank, turn);
-        self.cold_start.note_start(now);
+        self.note_start(now);
         self.running += 1;
         Some(waiting.job)
     }
@@ -251,6 +286,20 @@
         self.remove_where(|waiting| waiting.latest_start <= now)
     }
 
+    /// Removes the calls that the rate limits do not admit before their maximum wait has passed.
+    pub fn drop_unservable(&mut self, now: Millis) -> Vec<JobId> {
+        let mut unservable = Vec::new();
+        let mut ahead = 0;
+        for waiting in self.waiting.values() {
+            if self.rate_room_at(ahead, now) > waiting.latest_start {
+                unservable.push(waiting.job);
+            } else {
+                ahead += 1;
+            }
+        }
+        self.remove_where(|waiting| unservable.contains(&waiting.job))
+    }
+
     fn remove_where(&mut self, should_remove: impl Fn(&Waiting) -> bool) -> Vec<JobId> {
         let mut jobs = Vec::new();
         let shares = &mut self.shares;
@@ -274,7 +323,7 @@
     /// or all slots are taken.
     pub fn next_start(&self, now: Millis) -> Option<Millis> {
         let waits = !self.waiting.is_empty() && self.running < self.limit;
-        waits.then(|| self.cold_start.next_at(now))
+        waits.then(|| self.rate_room_at(0, now))
     }
 
     /// Returns when the next waiting call expires.
--- a/crates/admission/tests/cold_start.rs
+++ b/crates/admission/tests/cold_start.rs
@@ -1,7 +1,7 @@
 //! Tests of the rate limit for cold upstreams: it is never exceeded in any second, and it is used up when
 //! there is enough load.
 
-use admission::{Admission, ColdRate, Decision, SlotRequest};
+use admission::{Admission, Decision, RateLimit, SlotRequest};
 
 const PER_S: f64 = 20.0;
 const BURST: f64 = 3.0;
@@ -34,7 +34,7 @@
     /// An upstream whose sidecar has just started.
     fn with_rate_known_at(now: u64, until: u64) -> Self {
         let mut admission = Admission::new(LIMIT);
-        admission.set_cold_rate(Some(ColdRate { per_s: PER_S, burst: BURST }), now);
+        admission.set_cold_rate(Some(RateLimit { per_s: PER_S, burst: BURST }), now);
         admission.set_cold_until(until);
         Upstream { admission, ends: Vec::new(), starts: Vec::new(), refused: Vec::new(), next: 0 }
     }
--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -7,8 +7,6 @@
 pub mod crashing;
 pub mod hollow;
 
-pub use callers::Caller;
-
 use serde_json::{json, Value};
 use std::borrow::Cow;
 use std::collections::VecDeque;
--- a/crates/chutecove/tests/stated_limits.rs
+++ b/crates/chutecove/tests/stated_limits.rs
@@ -3,7 +3,8 @@
 
 mod fleet;
 
-use fleet::{wait_until, Caller, Fleet, RunningProcess, SERVICE};
+use fleet::callers::Caller;
+use fleet::{wait_until, Fleet, RunningProcess, SERVICE};
 use soak::{
     check_record, Bounds, Guarantee, LimitBounds, LimitStatement, Record, RepeatBounds, Violation,
 };
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -1,6 +1,6 @@
 //! Headers that two sidecars add to the requests and responses of a call.
 
-use crate::{CrashId, InstanceState};
+use crate::{CallRate, CrashId, InstanceState};
 
 /// Name of the header that carries a [`HopRequest`] or a [`HopReply`].
 pub const HOP_HEADER: &str = "x-chutecove-hop";
@@ -31,7 +31,7 @@
 }
 
 /// Metadata that the caller's sidecar sends to the upstream's sidecar. Encoded as a header value of
-/// eleven words separated by spaces; the seventh is `-` for any instance, the last four are
+/// twelve words separated by spaces; the seventh is `-` for any instance, the last five are
 /// optional.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
@@ -64,6 +64,9 @@
     pub hedge: bool,
     /// Service time of the call at an upstream of usual speed, milliseconds; 0 if not known.
     pub usual_ms: u32,
+    /// Rate limit that the instance stated in an answer to this sender, for a sidecar that has
+    /// restarted since.
+    pub rate_limit: Option<CallRate>,
 }
 
 // Flags in the tenth word of a request.
@@ -83,16 +86,20 @@
         ];
         let mut flags: String =
             flags.into_iter().filter(|(set, _)| *set).map(|(_, flag)| flag).collect();
-        let has_flags = !flags.is_empty() || self.usual_ms > 0;
+        let has_numbers = self.usual_ms > 0 || self.rate_limit.is_some();
+        let has_flags = !flags.is_empty() || has_numbers;
         let mut departure = match self.departure {
             Some(departure) => format!(" {:x} {}", departure.clock, departure.at_ms),
             None if has_flags => " - -".to_owned(),
             None => String::new(),
         };
-        if self.usual_ms > 0 {
+        if has_numbers {
             let letters = if flags.is_empty() { "-" } else { &flags };
             flags = format!("{letters} {}", self.usual_ms);
         }
+        if let Some(rate_limit) = self.rate_limit {
+            flags.push_str(&format!(" {rate_limit}"));
+        }
         if has_flags {
             departure.push(' ');
             departure.push_str(&flags);
@@ -126,11 +133,14 @@
             repeat: false,
             hedge: false,
             usual_ms: 0,
+            rate_limit: None,
         };
         let flags = words.next().unwrap_or_default();
         let usual_ms = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+        let rate_limit = words.next().and_then(|word| word.parse().ok());
         Some(HopRequest {
             usual_ms,
+            rate_limit,
             suspect: flags.contains(SUSPECT),
             nested: flags.contains(NESTED),
             repeat: flags.contains(REPEAT),
@@ -161,7 +171,9 @@
 
 /// Metadata that the upstream's sidecar adds to every response. Encoded as a header value of the
 /// outcome and eighteen numbers or words separated by spaces; the last eleven are optional. For a
-/// call in quarantine, the ids of two crashes follow as hexadecimal numbers.
+/// call in quarantine, the ids of two crashes follow as hexadecimal numbers. An upstream that
+/// states something of itself adds four words: these ids, its rate limit or `-`, and `l` if it is
+/// leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// Outcome of the call.
@@ -206,8 +218,16 @@
     pub service_time_percent: u32,
     /// The same as reported by the upstream itself, percent; 0 if not reported.
     pub reported_service_time_percent: u32,
+    /// Rate limit that the upstream states.
+    pub rate_limit: Option<CallRate>,
+    /// Whether the upstream stated with this answer that it is leaving.
+    pub upstream_leaving: bool,
 }
 
+// Words of a reply on what the upstream states.
+const NO_RATE_LIMIT: &str = "-";
+const LEAVING: &str = "l";
+
 impl HopReply {
     /// Encodes the header value.
     pub fn encode(&self) -> String {
@@ -222,12 +242,14 @@
             InstanceState::Draining => 'd',
             InstanceState::Left => 'l',
         };
+        let states_something = self.rate_limit.is_some() || self.upstream_leaving;
         let crashes = match self.quarantine_crashes {
-            [CrashId(0), CrashId(0)] => String::new(),
+            [CrashId(0), CrashId(0)] if !states_something => String::new(),
             [first, second] => format!(" {first} {second}"),
         };
+        let statements = if states_something { self.encode_statements() } else { String::new() };
         format!(
-            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {} {} {} {} {} {}{crashes}",
+            "{outcome} {} {} {} {} {} {} {state} {} {} {} {} {} {} {} {} {} {} {}{crashes}{statements}",
             self.running,
             self.queued,
             self.limit,
@@ -248,6 +270,12 @@
         )
     }
 
+    fn encode_statements(&self) -> String {
+        let rate_limit = self.rate_limit.map(|rate| rate.to_string());
+        let leaving = if self.upstream_leaving { LEAVING } else { "-" };
+        format!(" {} {leaving}", rate_limit.as_deref().unwrap_or(NO_RATE_LIMIT))
+    }
+
     /// Decodes a header value; `None` if it is malformed.
     pub fn decode(text: &str) -> Option<HopReply> {
         let mut words = text.split(' ');
@@ -281,6 +309,8 @@
             CrashId(number.unwrap_or(0))
         };
         let quarantine_crashes = [crash(), crash()];
+        let rate_limit = words.next().and_then(|word| word.parse().ok());
+        let upstream_leaving = words.next() == Some(LEAVING);
         Some(HopReply {
             outcome,
             running,
@@ -302,6 +332,8 @@
             link_full,
             service_time_percent,
             reported_service_time_percent,
+            rate_limit,
+            upstream_leaving,
         })
     }
 }
--- a/crates/mesh/src/rate.rs
+++ b/crates/mesh/src/rate.rs
@@ -16,7 +16,7 @@
     /// Rates too large for this type become the largest one.
     pub fn from_per_s(per_s: f64) -> Option<Self> {
         let is_rate = per_s.is_finite() && per_s >= 0.0;
-        is_rate.then(|| CallRate { milli_per_s: (per_s * MILLI) as u64 })
+        is_rate.then_some(CallRate { milli_per_s: (per_s * MILLI).round() as u64 })
     }
 
     /// Calls per second.
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -25,6 +25,8 @@
         link_full: true,
         service_time_percent: 0,
         reported_service_time_percent: 0,
+        rate_limit: None,
+        upstream_leaving: false,
     }
 }
 
@@ -81,6 +83,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     }
 }
 
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -88,8 +88,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fallback {
     No,
-    /// It is cold, and this node's share of its rate is used up.
-    Cold,
+    /// It is cold or states a limit, and this node's share of its rate is used up.
+    ShareUsed,
     /// It is in backoff after failures of this node's calls.
     BackingOff,
 }
@@ -116,8 +116,8 @@
         self.choose_of(&Selection { track: Track::Stable, qualifies: any, request }, now, random)
     }
 
-    /// Selects the upstream for a hedge: a stable one that is neither in backoff nor cold, and has
-    /// an idle slot by its reported load.
+    /// Selects the upstream for a hedge: a stable one that is neither in backoff nor cold, states no
+    /// limit, and has an idle slot by its reported load.
     pub fn choose_idle(
         &self,
         request: &Request<'_>,
@@ -126,7 +126,8 @@
     ) -> Option<UpstreamKey> {
         let idle = |held: &Upstream| {
             let free = held.free_slots(now).is_some_and(|free| free >= IDLE_SLOTS);
-            free && !held.is_backing_off(now) && !held.is_cold(now)
+            let limited = held.is_cold(now) || held.stated_rate().is_some();
+            free && !held.is_backing_off(now) && !limited
         };
         self.choose_of(&Selection { track: Track::Stable, qualifies: idle, request }, now, random)
     }
@@ -192,6 +193,7 @@
         let Selection { track, ref qualifies, request } = *selection;
         let mut best: Option<((Fallback, f64), UpstreamKey)> = None;
         let cold_spacing_ms = self.cold_spacing_ms(request.service);
+        let sharers = self.sharers();
         for (key, held) in candidates {
             let distance = self.locality.distance(&held.record);
             let usable = held.track == track && held.is_live();
@@ -239,8 +241,9 @@
                     if distance != Distance::Local
                         && !held.cold_limit().permits(cold_spacing_ms, now) =>
                 {
-                    Fallback::Cold
+                    Fallback::ShareUsed
                 }
+                false if !held.stated_limit().permits(sharers, now) => Fallback::ShareUsed,
                 false => Fallback::No,
             };
             let cost = (fallback, cost + link_cost_of_upstream);
--- a/crates/placement/src/cold_limit.rs
+++ b/crates/placement/src/cold_limit.rs
@@ -1,8 +1,6 @@
 //! Rate limit of one node for an upstream that is cold after its start.
-//!
-//! Each node keeps to its own share of the rate that the upstream can handle, so that the fleet as
-//! a whole stays within that rate without coordination.
 
+use crate::rate_share::RateShare;
 use crate::Millis;
 
 /// How long the upstreams of a formerly evacuated zone count as cold after it is restored,
@@ -14,37 +12,31 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ColdLimit {
     until: Millis,
-    since: Millis,
-    /// Offset of the first permitted call, as a fraction of the spacing. It is random, so that not
-    /// all nodes send their first call at once.
-    phase: f64,
-    /// When the next call is permitted; `None` until the first one was sent.
-    next_at: Option<Millis>,
+    share: RateShare,
 }
 
 impl ColdLimit {
     /// Sets the offset of the first permitted call as a fraction of the spacing, 0 to 1.
     pub fn set_phase(&mut self, phase: f64) {
-        self.phase = phase;
+        self.share.set_phase(phase);
     }
 
     /// Resets the state for a new incarnation of the upstream.
     pub fn restarted(&mut self, now: Millis) {
-        self.next_at = None;
-        self.since = now;
+        self.share.restart(now);
     }
 
     /// Records the remaining cold time that the upstream reports.
     pub fn report_remaining(&mut self, remaining_ms: u64, now: Millis) {
         if !self.is_cold(now) {
-            self.since = now;
+            self.share.begin(now);
         }
         self.until = now + remaining_ms;
     }
 
     /// Treats the upstream as cold until it reports.
     pub fn assume_cold(&mut self, now: Millis) {
-        self.since = now;
+        self.share.begin(now);
         self.until = self.until.max(now + PRESUMED_COLD_MS);
     }
 
@@ -59,14 +51,13 @@
         let Some(spacing_ms) = spacing_ms.filter(|_| self.is_cold(now)) else {
             return true;
         };
-        let first_at = self.since + (spacing_ms * self.phase) as Millis;
-        self.next_at.unwrap_or(first_at) <= now
+        self.share.permits(spacing_ms, now)
     }
 
     /// Records that a call was sent to the upstream.
     pub fn note_sent(&mut self, spacing_ms: f64, now: Millis) {
         if self.is_cold(now) {
-            self.next_at = Some(now + spacing_ms as Millis);
+            self.share.note_sent(spacing_ms, now);
         }
     }
 }
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -2,11 +2,13 @@
 
 use crate::cold_limit::ColdLimit;
 use crate::egress_seen::EgressEstimate;
+use crate::stated_limit::StatedLimit;
 use crate::Millis;
 use mesh::{
-    max_unoffered_bytes, HopReply, InstanceState, NodeAddress, NodeRecord, Track, UpstreamLoad,
-    VersionPolicy,
+    max_unoffered_bytes, CallRate, HopReply, Incarnation, InstanceState, NodeAddress, NodeRecord,
+    Track, UpstreamLoad, VersionPolicy,
 };
+use statements::Statements;
 
 /// Identifies an upstream by the address of its sidecar.
 pub type UpstreamKey = NodeAddress;
@@ -70,6 +72,9 @@
     /// When `learned_pace` was last updated.
     pace_learned_at: Option<Millis>,
     cold: ColdLimit,
+    stated_limit: StatedLimit,
+    /// Whether an answer to this node stated that it is leaving.
+    leaving: bool,
     last_reply: Option<LastReply>,
     load_sample: Option<LoadSample>,
     /// When coordinators last reported its load.
@@ -184,6 +189,8 @@
             reported_pace: None,
             pace_learned_at: None,
             cold: ColdLimit::default(),
+            stated_limit: StatedLimit::default(),
+            leaving: false,
             last_reply: None,
             load_sample: None,
             load_reported_at: None,
@@ -256,6 +263,32 @@
         &mut self.cold
     }
 
+    /// Sets what its present incarnation has stated in answers to this node.
+    pub(crate) fn set_statements(&mut self, statements: Statements, now: Millis) {
+        self.stated_limit.set(statements.rate_limit, now);
+        self.leaving = statements.leaving;
+    }
+
+    /// The rate limit that it states, with this node's share.
+    pub(crate) fn stated_limit(&self) -> &StatedLimit {
+        &self.stated_limit
+    }
+
+    /// Mutable access to that rate limit.
+    pub(crate) fn stated_limit_mut(&mut self) -> &mut StatedLimit {
+        &mut self.stated_limit
+    }
+
+    /// Rate of calls that it states to take from all nodes together.
+    pub fn stated_rate(&self) -> Option<CallRate> {
+        self.stated_limit.rate()
+    }
+
+    /// Its present incarnation.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.record.instance.as_ref().map(mesh::InstanceRecord::incarnation)
+    }
+
     /// Sets whether a coordinator lists it.
     pub fn set_listed(&mut self, listed: bool) {
         self.listed = listed;
@@ -272,7 +305,7 @@
         let ready = |state| state == InstanceState::Ready;
         let instance_ready = self.record.instance.as_ref().is_some_and(|held| ready(held.state));
         let reply_ready = self.last_reply.is_none_or(|last_reply| ready(last_reply.reply.state));
-        let barred = self.track == Track::Barred || self.evacuated;
+        let barred = self.track == Track::Barred || self.evacuated || self.leaving;
         instance_ready && reply_ready && !self.record.stopping && !barred
     }
 
@@ -306,11 +339,14 @@
         times.filter(|at| *at > now).min()
     }
 
-    /// Maximum number of calls it executes at once.
+    /// Maximum number of calls it executes at once, also by the rate that it states.
     pub fn limit(&self) -> u32 {
         let reported = self.last_reply.map(|last_reply| last_reply.reply.limit);
         let slots = self.record.instance.as_ref().map_or(1, |instance| instance.slots);
-        reported.unwrap_or(slots).max(1)
+        let slots = reported.unwrap_or(slots);
+        let service_ms = self.load_sample.map_or(0.0, |sample| sample.service_ms);
+        let usable = self.stated_limit.usable_slots(service_ms);
+        usable.map_or(slots, |usable| usable.min(slots)).max(1)
     }
 
     /// Estimated number of calls at the upstream: its last known load, corrected by this node's own
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -3,7 +3,8 @@
 use crate::fleet_size::FleetSize;
 use crate::service_keys::ServiceKeys;
 use crate::{Locality, Millis, Upstream, UpstreamKey};
-use mesh::{NodeRecord, UpstreamLoad, VersionPolicy};
+use mesh::{Incarnation, NodeRecord, UpstreamLoad, VersionPolicy};
+use statements::{InstanceStatements, Statements};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -31,6 +32,9 @@
     /// have one.
     cold_rates: BTreeMap<Rc<str>, f64>,
     evacuated: BTreeSet<String>,
+    /// What upstreams stated in answers to this node. Outlives their records: it binds this node
+    /// also after it lost sight of an upstream, or the sidecar beside it was restarted.
+    statements: InstanceStatements,
     /// Number of nodes that share the limits on cold upstreams.
     fleet: FleetSize,
 }
@@ -45,6 +49,7 @@
             policies: BTreeMap::new(),
             cold_rates: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            statements: InstanceStatements::default(),
             fleet: FleetSize::default(),
         }
     }
@@ -92,13 +97,37 @@
     pub fn note_sent(&mut self, key: &UpstreamKey, answer_bytes: f64, now: Millis) {
         let service = self.upstreams.get(key).map(|held| held.record.service.as_str());
         let spacing_ms = service.and_then(|service| self.cold_spacing_ms(service));
+        let nodes = self.fleet.largest();
         if let Some(held) = self.upstreams.get_mut(key) {
             held.outstanding += 1;
             held.note_requested(answer_bytes.max(0.0));
             held.cold_limit_mut().note_sent(spacing_ms.unwrap_or(0.0), now);
+            held.stated_limit_mut().note_sent(nodes, now);
         }
     }
 
+    /// Records what the answer of an incarnation of an upstream stated to a call that this node sent
+    /// at `sent_at`; returns whether that changed anything.
+    pub fn note_statements(
+        &mut self,
+        key: &UpstreamKey,
+        incarnation: &Incarnation,
+        stated: Statements,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        let changed = self.statements.note(incarnation, stated, sent_at, now);
+        if let Some(held) = self.upstreams.get_mut(key).filter(|_| changed) {
+            set_statements(held, &self.statements, now);
+        }
+        changed
+    }
+
+    /// Number of nodes that share the limits on upstreams.
+    pub(crate) fn sharers(&self) -> usize {
+        self.fleet.largest()
+    }
+
     /// Version policy of a service, if one is known.
     pub fn policy(&self, service: &str) -> Option<&VersionPolicy> {
         self.policies.get(service)
@@ -112,8 +141,10 @@
                 let phase = cold_phase(self.locality.own(), &record.address);
                 let mut upstream = Upstream::new(record, now);
                 upstream.cold_limit_mut().set_phase(phase);
+                upstream.stated_limit_mut().set_phase(phase);
                 upstream.apply_policy(self.policies.get(&upstream.record.service));
                 upstream.set_evacuated(self.evacuated.contains(&upstream.record.zone), now);
+                set_statements(&mut upstream, &self.statements, now);
                 self.upstreams.insert(upstream.record.address, upstream);
                 self.fleet.note(self.upstreams.len(), now);
                 NodeChange::Changed
@@ -135,6 +166,7 @@
                     held.update(record, now);
                     held.apply_policy(self.policies.get(&held.record.service));
                     held.set_evacuated(self.evacuated.contains(&held.record.zone), now);
+                    set_statements(held, &self.statements, now);
                 }
                 NodeChange::Changed
             }
@@ -262,6 +294,13 @@
     fastrand::Rng::with_seed(seed).f64()
 }
 
+/// Applies what the present incarnation of an upstream has stated.
+fn set_statements(upstream: &mut Upstream, statements: &InstanceStatements, now: Millis) {
+    let incarnation = upstream.incarnation();
+    let stated = incarnation.map_or_else(Statements::default, |present| statements.of(&present));
+    upstream.set_statements(stated, now);
+}
+
 fn remove_from_index(
     by_service: &mut BTreeMap<Rc<str>, ServiceKeys>,
     service: &str,
--- a/crates/placement/tests/egress.rs
+++ b/crates/placement/tests/egress.rs
@@ -59,6 +59,8 @@
         egress_wait_ms,
         egress_bytes_per_ms: LINK_BYTES_PER_MS,
         link_full: false,
+        rate_limit: None,
+        upstream_leaving: false,
     }
 }
 
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -56,6 +56,8 @@
         link_full: false,
         service_time_percent: 0,
         reported_service_time_percent: 0,
+        rate_limit: None,
+        upstream_leaving: false,
     }
 }
 
--- a/crates/sidecar/src/calls/call.rs
+++ b/crates/sidecar/src/calls/call.rs
@@ -4,7 +4,7 @@
 use crate::tenants::{CompiledTenant, KeyHolder};
 use crate::Millis;
 use http1::{Request, Response};
-use mesh::{HopOutcome, NodeAddress, Track};
+use mesh::{HopOutcome, Incarnation, NodeAddress, Track};
 use placement::{RequestOrigin, Urgency};
 use std::fmt;
 use std::rc::Rc;
@@ -48,6 +48,8 @@
     /// When to consider a hedge.
     pub hedge_at: Option<Millis>,
     pub tried: Vec<NodeAddress>,
+    /// The incarnation that each attempt is meant for, by the number of the attempt.
+    pub meant_for: Vec<Option<Incarnation>>,
     /// Results of the ended attempts, logged if the call fails.
     pub history: Vec<AttemptRecord>,
     pub parked_until: Option<Millis>,
@@ -79,6 +81,19 @@
         std::mem::replace(&mut self.current, self.hedge.take())
     }
 
+    /// Records an attempt that is about to be sent; returns its number.
+    pub fn note_attempt(&mut self, to: NodeAddress, meant_for: Option<Incarnation>) -> u32 {
+        self.attempts += 1;
+        self.tried.push(to);
+        self.meant_for.push(meant_for);
+        self.attempts
+    }
+
+    /// The incarnation that an attempt is meant for.
+    pub fn incarnation_of(&self, attempt: Attempt) -> Option<&Incarnation> {
+        self.meant_for.get(attempt.number.checked_sub(1)? as usize)?.as_ref()
+    }
+
     /// Attempts that have not ended.
     pub fn active_attempts(&self) -> impl Iterator<Item = ActiveAttempt> {
         self.current.into_iter().chain(self.hedge)
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -8,8 +8,9 @@
 use crate::call_metrics::CallOutcome;
 use crate::Millis;
 use http1::Response;
-use mesh::{HopOutcome, HopReply, InstanceState, NodeAddress};
+use mesh::{CallRate, HopOutcome, HopReply, InstanceState, NodeAddress};
 use placement::{CallEnd, LatencySample};
+use statements::Statements;
 use tracing::{info, warn};
 
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -92,10 +93,14 @@
     /// Handles the end of an attempt. Late results of abandoned attempts are ignored.
     pub fn ended(&mut self, attempt: Attempt, end: AttemptEnd, now: Millis) -> Vec<CallAction> {
         let call = self.calls.get_mut(&attempt.call);
-        let Some(ActiveAttempt { to, .. }) = call.and_then(|call| call.take_attempt(attempt))
+        let Some(ActiveAttempt { to, since, .. }) =
+            call.and_then(|call| call.take_attempt(attempt))
         else {
             return Vec::new();
         };
+        if let AttemptEnd::Replied(reply, _) = &end {
+            self.note_statements(attempt, &to, reply, since, now);
+        }
         if let Some(upstream) = self.view.get_mut(&to) {
             upstream.outstanding = upstream.outstanding.saturating_sub(1);
         }
@@ -114,6 +119,30 @@
         }
     }
 
+    /// Remembers what the upstream stated of itself, as told with the reply to an attempt.
+    fn note_statements(
+        &mut self,
+        attempt: Attempt,
+        to: &NodeAddress,
+        reply: &HopReply,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        let call = self.calls.get(&attempt.call);
+        let Some(meant_for) = call.and_then(|call| call.incarnation_of(attempt)) else {
+            return;
+        };
+        let stated = Statements { rate_limit: reply.rate_limit, leaving: reply.upstream_leaving };
+        if self.view.note_statements(to, meant_for, stated, sent_at, now)
+            && self.statements_logged.allows(now)
+        {
+            info!(
+                %to, instance = %meant_for.id, per_s = ?stated.rate_limit.map(CallRate::per_s),
+                leaving = stated.leaving, "upstream_stated"
+            );
+        }
+    }
+
     pub(super) fn record_attempt(
         &mut self,
         id: CallId,
--- a/crates/sidecar/src/calls/hedge.rs
+++ b/crates/sidecar/src/calls/hedge.rs
@@ -7,7 +7,7 @@
 use super::call::{ActiveAttempt, Call};
 use super::{Attempt, CallAction, CallId, Calls};
 use crate::Millis;
-use placement::HedgePlan;
+use placement::{HedgePlan, Upstream};
 use tracing::info;
 
 /// Fraction of a service's slots that must be free for hedging. With fewer, a hedge would take a
@@ -99,14 +99,14 @@
         let to = chosen?;
         let call = &self.calls[&id];
         let mut hop = self.hop_request(call, &to, usual_ms, now);
+        let meant_for = self.view.get(&to).and_then(Upstream::incarnation);
         // A hedge that has to queue is useless.
         hop.patience_ms = 0;
         (hop.repeat, hop.hedge) = (true, true);
         let call = self.calls.get_mut(&id)?;
-        call.attempts += 1;
-        let attempt = Attempt { call: id, number: call.attempts };
+        let number = call.note_attempt(to, meant_for);
+        let attempt = Attempt { call: id, number };
         call.hedge = Some(ActiveAttempt { attempt, to, since: now });
-        call.tried.push(to);
         let request = call.request.clone();
         if self.sample.includes(&call.attempt_id) {
             info!(
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -60,6 +60,8 @@
 /// Denied calls logged per second in addition to sampled ones. A caller that tries random keys can
 /// thus cause only a hundredth of the log lines that a node may write.
 const MAX_DENIALS_LOGGED_PER_SECOND: u32 = 20;
+/// Logged changes of what upstreams state, per second.
+const MAX_STATEMENTS_LOGGED_PER_SECOND: u32 = 5;
 
 /// Where a call came from, and where its answer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -208,6 +210,7 @@
     /// Configuration generation in which the keys of all calls were last looked up.
     keys_checked: u64,
     denials_logged: LogRateLimit,
+    statements_logged: LogRateLimit,
     /// Totals since the process started.
     pub counts: CallCounts,
 }
@@ -251,6 +254,7 @@
             next_call: 1,
             keys_checked: 0,
             denials_logged: LogRateLimit::new(MAX_DENIALS_LOGGED_PER_SECOND),
+            statements_logged: LogRateLimit::new(MAX_STATEMENTS_LOGGED_PER_SECOND),
             counts: CallCounts::default(),
         }
     }
@@ -391,6 +395,7 @@
             hedge: None,
             hedge_at: None,
             tried: Vec::new(),
+            meant_for: Vec::new(),
             history: Vec::new(),
             parked_until: None,
             room_at: None,
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -6,7 +6,7 @@
 use crate::Millis;
 use http1::Request;
 use mesh::{Departure, HopRequest, NodeAddress, Track, HOP_HEADER};
-use placement::WeightedSplit;
+use placement::{Upstream, WeightedSplit};
 use tracing::info;
 
 /// Assumed usual time of a route that has neither a target latency nor an answer yet, milliseconds.
@@ -122,12 +122,12 @@
             return self.handle_no_upstream(id, now);
         };
         let hop = self.hop_request(call, &to, usual_ms, now);
+        let meant_for = self.view.get(&to).and_then(Upstream::incarnation);
         let call = self.calls.get_mut(&id).expect("looked up above");
-        call.attempts += 1;
-        let attempt = Attempt { call: id, number: call.attempts };
+        let number = call.note_attempt(to, meant_for);
+        let attempt = Attempt { call: id, number };
         call.current = Some(ActiveAttempt { attempt, to, since: now });
         call.parked_until = None;
-        call.tried.push(to);
         self.parked.remove(&id);
         let request = call.request.clone();
         let offered = self.view.is_offered(&to, request.body.len());
@@ -194,7 +194,8 @@
             true => within_deadline,
             false => within_target.max(MIN_PATIENCE_MS.min(within_deadline)),
         };
-        let record = self.view.get(to).and_then(|upstream| upstream.record.instance.as_ref());
+        let upstream = self.view.get(to);
+        let record = upstream.and_then(|upstream| upstream.record.instance.as_ref());
         HopRequest {
             deadline_ms: left,
             patience_ms: (patience as u64).min(left),
@@ -209,6 +210,7 @@
             repeat: call.arrivals > 0,
             hedge: false,
             usual_ms: self.times.usual_ms(&call.route).map_or(0, |ms| ms.round() as u32),
+            rate_limit: upstream.and_then(Upstream::stated_rate),
         }
     }
 }
--- a/crates/sidecar/src/jobs/arrival.rs
+++ b/crates/sidecar/src/jobs/arrival.rs
@@ -3,7 +3,9 @@
 
 use super::{Job, JobAction, Jobs, Refusal, Source};
 use crate::Millis;
-use admission::{Decision, EgressClass, EgressTimeLimits, GateState, SlotRequest, TenantKey};
+use admission::{
+    Decision, EgressClass, EgressTimeLimits, GateState, SlotRequest, TenantKey, Throttling,
+};
 use http1::Request;
 use mesh::{CallClass, HopRequest};
 use quarantine::RequestStatus;
@@ -76,6 +78,7 @@
             let refusal = self.early_refusal(&attempt_id, reason, delay, status, &request);
             return vec![self.refuse(source, refusal, now)];
         }
+        self.adopt_rate(hop, now);
         let kind = EgressClass { rank: hop.rank, target_ms: hop.target_ms };
         let leaves = matches!(source, Source::Peer { .. });
         let time = EgressTimeLimits {
@@ -116,6 +119,7 @@
             started: None,
             usual_ms: hop.usual_ms,
             repeat: hop.repeat,
+            upstream_leaving: false,
         };
         self.jobs.insert(job, entry);
         self.by_source.insert(source, job);
@@ -172,14 +176,20 @@
         refused
     }
 
-    /// The reason why the queue has no room for a call. Counts the refusals that are due to a cold
-    /// upstream.
-    fn no_room_reason(&mut self, now: Millis) -> &'static str {
-        if !self.admission.is_throttled_by_cold_start(now) {
-            return "no_room";
-        }
-        self.cold_refusals += 1;
-        "cold"
+    /// The reason why the queue has no room for a call. Counts the refusals that are due to a rate
+    /// limit.
+    pub(super) fn no_room_reason(&mut self, now: Millis) -> &'static str {
+        match self.admission.throttling(now) {
+            None => "no_room",
+            Some(Throttling::ColdStart) => {
+                self.cold_refusals += 1;
+                "cold"
+            }
+            Some(Throttling::StatedLimit) => {
+                self.rate_refusals += 1;
+                "rate_limit"
+            }
+        }
     }
 
     /// The reason to keep a call from the upstream because its request may crash it. Only one
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -69,7 +69,8 @@
         let upstream_ended =
             outcome == HopOutcome::Unknown && self.crash.has_ended(job.given_to.as_ref());
         let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
-        let reply = HopReply { upstream_ended, ..reply };
+        let upstream_leaving = job.upstream_leaving;
+        let reply = HopReply { upstream_ended, upstream_leaving, ..reply };
         let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
         actions.extend(self.start_queued(now));
         actions
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -26,8 +26,8 @@
 use crate::Millis;
 use ::statements::StatedRate;
 use admission::{
-    Admission, ColdRate, DrainGate, EgressClass, EgressReservations, FailureRate, GateState, JobId,
-    LinkState, Pace, UntrackedSlots,
+    Admission, DrainGate, EgressClass, EgressReservations, FailureRate, GateState, JobId,
+    LinkState, Pace, RateLimit, UntrackedSlots,
 };
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
@@ -149,6 +149,8 @@
     usual_ms: u32,
     /// Whether another upstream received the call before.
     repeat: bool,
+    /// Whether the upstream stated with its answer that it is leaving.
+    upstream_leaving: bool,
 }
 
 impl Job {
@@ -175,6 +177,7 @@
     egress: EgressReservations,
     link_refusals: u64,
     cold_refusals: u64,
+    rate_refusals: u64,
     transits: TransitTimes,
     trial: CanaryTrial,
     crash: CrashDetector,
@@ -229,6 +232,7 @@
             egress: EgressReservations::default(),
             link_refusals: 0,
             cold_refusals: 0,
+            rate_refusals: 0,
             transits: TransitTimes::default(),
             trial: CanaryTrial::default(),
             crash: CrashDetector::default(),
@@ -366,7 +370,7 @@
     }
 
     /// Sets the call rate that cold upstreams of this service can handle.
-    pub fn set_cold_rate(&mut self, rate: Option<ColdRate>, now: Millis) {
+    pub fn set_cold_rate(&mut self, rate: Option<RateLimit>, now: Millis) {
         self.admission.set_cold_rate(rate, now);
     }
 
@@ -389,10 +393,7 @@
             self.failures.clear();
             self.pace = Pace::default();
         }
-        if !self.is_current(self.stated_by.as_ref()) {
-            self.stated_by = self.gate.incarnation().cloned();
-            self.stated_rate = StatedRate::default();
-        }
+        self.refresh_statements(now);
     }
 
     fn reply(
@@ -429,6 +430,8 @@
             link_full: false,
             service_time_percent: self.pace.percent(now),
             reported_service_time_percent: self.pace.reported_percent(now),
+            rate_limit: self.stated_rate.rate(),
+            upstream_leaving: false,
         }
     }
 
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -116,6 +116,7 @@
         if let Some(reason) = self.ineligible_reason(hop, now).or(delay.late_reason(hop)) {
             return Some((reason, waited_ms));
         }
+        self.adopt_rate(hop, now);
         let HopRequest { nested, rank, target_ms, .. } = *hop;
         let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
         let deadline = now + hop.deadline_ms.saturating_sub(waited_ms);
@@ -124,7 +125,7 @@
         let slot_request =
             SlotRequest { job: 0, nested, rank, tenant, target_ms, patience_ms, deadline };
         if let Err(retry_after_ms) = self.admission.check_room(slot_request, now) {
-            return Some(("no_room", retry_after_ms));
+            return Some((self.no_room_reason(now), retry_after_ms));
         }
         let transfer = Transfer { id: self.offers.next, bytes, rank, target_ms, patience_ms };
         let result = self.offers.transfers.offer(transfer, now);
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -36,6 +36,8 @@
     pub link_refusals: u64,
     /// Calls refused because the upstream was cold.
     pub cold_refusals: u64,
+    /// Calls refused because of the rate limit that the upstream states.
+    pub rate_refusals: u64,
     /// Rate limit that the upstream states.
     pub rate_limit: Option<CallRate>,
     /// Share of recent calls that the upstream failed, in percent.
@@ -69,7 +71,7 @@
 impl Metrics {
     /// Registers all metrics.
     pub fn new(registry: Registry) -> Self {
-        let definitions: [MetricDefinition; 42] = [
+        let definitions: [MetricDefinition; 43] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -99,6 +101,7 @@
             ("link_waiting_bytes", "Wait for the link", |s| s.link_waiting_bytes as i64),
             ("link_refusals", "Calls refused for want of the link", |s| s.link_refusals as i64),
             ("cold_refusals", "Calls a cold upstream does not bear", |s| s.cold_refusals as i64),
+            ("rate_refusals", "Calls beyond the limit it states", |s| s.rate_refusals as i64),
             (
                 "upstream_rate_limit_milli",
                 "Thousandths of a call per second that the upstream takes; -1 without a limit",
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -339,7 +339,8 @@
             }
             let response = &answer.response;
             let statement = UpstreamStatement::read(&response.headers, &self.names, &self.dialect);
-            self.jobs.note_statement(job, statement, response, now);
+            let refused = self.jobs.note_statement(job, statement, response, now);
+            self.work.extend(refused.into_iter().map(Work::Job));
         }
         let actions = self.jobs.ended(job, end, now);
         self.work.extend(actions.into_iter().map(Work::Job));
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -21,7 +21,7 @@
 use crate::servers::{ServerKind, ServerTimes, Servers};
 use crate::stop::StopPlan;
 use crate::{Attempt, Millis};
-use admission::{ColdRate, JobId};
+use admission::{JobId, RateLimit};
 use http1::{Response, Slot};
 use mesh::{NodeAddress, NodeLoad, NodeRecord};
 use placement::{BudgetBounds, Locality, Regions};
@@ -354,6 +354,7 @@
             link_refusals: self.jobs.link_refusals(),
             cold_refusals: self.jobs.cold_refusals(),
             rate_limit: self.jobs.stated_rate(),
+            rate_refusals: self.jobs.rate_refusals(),
             failing_percent: self.jobs.failing_percent(self.now()),
             confirmed_ms: self.config.freshness.age_ms(self.now()),
             upstreams: self.calls.view.live_and_others(),
@@ -424,12 +425,12 @@
     /// sent to.
     fn apply_cold_rates(&mut self, now: Millis) {
         let bounds = &self.settings.cold_start;
-        let allowed = |per_s: f64| ColdRate {
+        let allowed = |per_s: f64| RateLimit {
             per_s: per_s * bounds.over,
             burst: (bounds.slack * BURST_FRACTION_OF_SLACK - 1.0).max(0.0),
         };
         let rates = self.config.cold_rates().map(|(service, per_s)| (service, allowed(per_s)));
-        let rates: BTreeMap<Rc<str>, ColdRate> =
+        let rates: BTreeMap<Rc<str>, RateLimit> =
             rates.map(|(service, rate)| (service.into(), rate)).collect();
         let own = rates.get(self.settings.service.as_str()).copied();
         self.jobs.set_cold_rate(own, now);
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -278,6 +278,8 @@
         link_full: false,
         service_time_percent: 0,
         reported_service_time_percent: 0,
+        rate_limit: None,
+        upstream_leaving: false,
     }
 }
 
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -74,6 +74,7 @@
             repeat: false,
             hedge: false,
             usual_ms: 0,
+            rate_limit: None,
         };
         let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
         self.jobs.begin(source, Rc::new(request), &hop, now)
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -177,6 +177,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     };
     let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
     jobs.begin(source, Rc::new(request), &hop, 10)
--- a/crates/sidecar/tests/egress.rs
+++ b/crates/sidecar/tests/egress.rs
@@ -220,6 +220,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     }
 }
 
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use admission::ColdRate;
+use admission::RateLimit;
 use common::{found_alive, NAMES, SERVICE};
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
@@ -62,6 +62,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     }
 }
 
@@ -445,7 +446,7 @@
 #[test]
 fn an_upstream_of_a_restored_zone_is_given_what_a_cold_one_bears_until_it_tells() {
     let mut jobs = jobs();
-    jobs.set_cold_rate(Some(ColdRate { per_s: 10.0, burst: 0.0 }), 0);
+    jobs.set_cold_rate(Some(RateLimit { per_s: 10.0, burst: 0.0 }), 0);
     jobs.set_evacuated(true, 0);
     jobs.set_evacuated(false, 5_000);
     assert!(started(&begin(&mut jobs, 1, 5_000)).is_some());
@@ -462,7 +463,7 @@
 #[test]
 fn a_call_that_a_cold_upstream_does_not_bear_is_refused_and_counted() {
     let mut jobs = jobs();
-    jobs.set_cold_rate(Some(ColdRate { per_s: 1.0, burst: 0.0 }), 0);
+    jobs.set_cold_rate(Some(RateLimit { per_s: 1.0, burst: 0.0 }), 0);
     let cold = InstanceRecord { cold_remaining_ms: 3_000, ..record("i-1", InstanceState::Ready) };
     jobs.gate.on_report(&cold, 2, 0);
     jobs.refresh_cold();
--- a/crates/sidecar/tests/offers.rs
+++ b/crates/sidecar/tests/offers.rs
@@ -122,6 +122,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     }
 }
 
--- a/crates/sidecar/tests/transit.rs
+++ b/crates/sidecar/tests/transit.rs
@@ -103,6 +103,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     }
 }
 
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -54,6 +54,7 @@
         repeat: false,
         hedge: false,
         usual_ms: 0,
+        rate_limit: None,
     };
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
--- a/crates/statements/src/lib.rs
+++ b/crates/statements/src/lib.rs
@@ -4,8 +4,10 @@
 //! The crate does no I/O; callers pass in the time as milliseconds of a monotonic clock.
 #![forbid(unsafe_code)]
 
+mod instances;
 mod rate;
 
+pub use instances::{InstanceStatements, Statements};
 pub use rate::{RateStatement, StatedRate};
 
 /// Milliseconds of a monotonic clock.
