--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -231,7 +231,9 @@
     fn wait_behind(&self, ahead: usize, now: Millis) -> u64 {
         let turns = (ahead + 1) as f64 / f64::from(self.limit);
         let until_slot = (turns * self.service_ms) as u64;
-        until_slot.max(self.rate_room_at(ahead, now) - now)
+        let until_room = self.rate_room_at(ahead, now) - now;
+        // A call that is admitted at the very end of its patience has been taken out by then.
+        until_slot.max(until_room + u64::from(until_room > 0))
     }
 
     /// Estimates after how long a call with this patience would be admitted, milliseconds, from the rate
@@ -291,7 +293,7 @@
         let mut unservable = Vec::new();
         let mut ahead = 0;
         for waiting in self.waiting.values() {
-            if self.rate_room_at(ahead, now) > waiting.latest_start {
+            if self.rate_room_at(ahead, now) >= waiting.latest_start {
                 unservable.push(waiting.job);
             } else {
                 ahead += 1;
--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -172,7 +172,7 @@
 /// Metadata that the upstream's sidecar adds to every response. Encoded as a header value of the
 /// outcome and eighteen numbers or words separated by spaces; the last eleven are optional. For a
 /// call in quarantine, the ids of two crashes follow as hexadecimal numbers. An upstream that
-/// states something of itself adds four words: these ids, its rate limit or `-`, and `l` if it is
+/// states something of itself adds four words: these ids, its rate limit or `u` if that was lifted, and `l` if it is
 /// leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
@@ -218,14 +218,26 @@
     pub service_time_percent: u32,
     /// The same as reported by the upstream itself, percent; 0 if not reported.
     pub reported_service_time_percent: u32,
-    /// Rate limit that the upstream states.
-    pub rate_limit: Option<CallRate>,
+    /// What is known of the upstream's rate limit; `None` if there is nothing to tell.
+    pub rate_limit: Option<LimitReport>,
     /// Whether the upstream stated with this answer that it is leaving.
     pub upstream_leaving: bool,
 }
 
+/// What the upstream's sidecar tells a sender of the upstream's rate limit. A sidecar that has just
+/// started knows nothing of it, so the absence of a limit is told only by the answers of upstreams
+/// whose limit the sender believes to be in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitReport {
+    /// The limit that the sender knew of is not in force any more.
+    Lifted,
+    /// The upstream states this limit.
+    Limited(CallRate),
+}
+
 // Words of a reply on what the upstream states.
-const NO_RATE_LIMIT: &str = "-";
+const NO_LIMIT_REPORT: &str = "-";
+const LIFTED: &str = "u";
 const LEAVING: &str = "l";
 
 impl HopReply {
@@ -271,9 +283,13 @@
     }
 
     fn encode_statements(&self) -> String {
-        let rate_limit = self.rate_limit.map(|rate| rate.to_string());
+        let rate_limit = match self.rate_limit {
+            None => NO_LIMIT_REPORT.to_owned(),
+            Some(LimitReport::Lifted) => LIFTED.to_owned(),
+            Some(LimitReport::Limited(rate)) => rate.to_string(),
+        };
         let leaving = if self.upstream_leaving { LEAVING } else { "-" };
-        format!(" {} {leaving}", rate_limit.as_deref().unwrap_or(NO_RATE_LIMIT))
+        format!(" {rate_limit} {leaving}")
     }
 
     /// Decodes a header value; `None` if it is malformed.
@@ -309,7 +325,7 @@
             CrashId(number.unwrap_or(0))
         };
         let quarantine_crashes = [crash(), crash()];
-        let rate_limit = words.next().and_then(|word| word.parse().ok());
+        let rate_limit = words.next().and_then(decode_limit_report);
         let upstream_leaving = words.next() == Some(LEAVING);
         Some(HopReply {
             outcome,
@@ -337,3 +353,10 @@
         })
     }
 }
+
+fn decode_limit_report(word: &str) -> Option<LimitReport> {
+    match word {
+        LIFTED => Some(LimitReport::Lifted),
+        word => word.parse().ok().map(LimitReport::Limited),
+    }
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,7 +16,8 @@
 
 pub use frame::{decode_frame, encode_frame, FrameError, MAX_FRAME_BYTES};
 pub use hop::{
-    max_unoffered_bytes, Departure, HopOutcome, HopReply, HopRequest, GRANT_HEADER, HOP_HEADER,
+    max_unoffered_bytes, Departure, HopOutcome, HopReply, HopRequest, LimitReport, GRANT_HEADER,
+    HOP_HEADER,
 };
 pub use link::{
     CoordinatorFrame, Greeting, MemberLocation, Purpose, ToCoordinator, ToSidecar, PROTOCOL_VERSION,
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -4,7 +4,7 @@
 use crate::service_keys::ServiceKeys;
 use crate::{Locality, Millis, Upstream, UpstreamKey};
 use mesh::{Incarnation, NodeRecord, UpstreamLoad, VersionPolicy};
-use statements::{InstanceStatements, Statements};
+use statements::{InstanceStatements, StatementReport, Statements};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -106,17 +106,17 @@
         }
     }
 
-    /// Records what the answer of an incarnation of an upstream stated to a call that this node sent
-    /// at `sent_at`; returns whether that changed anything.
+    /// Records what a reply told of the statements of an upstream's incarnation, to which this node
+    /// sent the call at `sent_at`; returns whether that changed anything.
     pub fn note_statements(
         &mut self,
         key: &UpstreamKey,
         incarnation: &Incarnation,
-        stated: Statements,
+        told: StatementReport,
         sent_at: Millis,
         now: Millis,
     ) -> bool {
-        let changed = self.statements.note(incarnation, stated, sent_at, now);
+        let changed = self.statements.note(incarnation, told, sent_at, now);
         if let Some(held) = self.upstreams.get_mut(key).filter(|_| changed) {
             set_statements(held, &self.statements, now);
         }
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -8,9 +8,9 @@
 use crate::call_metrics::CallOutcome;
 use crate::Millis;
 use http1::Response;
-use mesh::{CallRate, HopOutcome, HopReply, InstanceState, NodeAddress};
+use mesh::{HopOutcome, HopReply, InstanceState, NodeAddress};
 use placement::{CallEnd, LatencySample};
-use statements::Statements;
+use statements::StatementReport;
 use tracing::{info, warn};
 
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -132,13 +132,14 @@
         let Some(meant_for) = call.and_then(|call| call.incarnation_of(attempt)) else {
             return;
         };
-        let stated = Statements { rate_limit: reply.rate_limit, leaving: reply.upstream_leaving };
-        if self.view.note_statements(to, meant_for, stated, sent_at, now)
+        let told =
+            StatementReport { rate_limit: reply.rate_limit, leaving: reply.upstream_leaving };
+        if self.view.note_statements(to, meant_for, told, sent_at, now)
             && self.statements_logged.allows(now)
         {
             info!(
-                %to, instance = %meant_for.id, per_s = ?stated.rate_limit.map(CallRate::per_s),
-                leaving = stated.leaving, "upstream_stated"
+                %to, instance = %meant_for.id, rate_limit = ?told.rate_limit,
+                leaving = told.leaving, "upstream_stated"
             );
         }
     }
--- a/crates/sidecar/src/jobs/arrival.rs
+++ b/crates/sidecar/src/jobs/arrival.rs
@@ -119,6 +119,7 @@
             started: None,
             usual_ms: hop.usual_ms,
             repeat: hop.repeat,
+            told_limit: hop.rate_limit.is_some(),
             upstream_leaving: false,
         };
         self.jobs.insert(job, entry);
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -70,7 +70,8 @@
             outcome == HopOutcome::Unknown && self.crash.has_ended(job.given_to.as_ref());
         let reply = self.reply(outcome, spent_ms, retry_after_ms, now);
         let upstream_leaving = job.upstream_leaving;
-        let reply = HopReply { upstream_ended, upstream_leaving, ..reply };
+        let rate_limit = reply.rate_limit.or_else(|| self.lifted(&job));
+        let reply = HopReply { upstream_ended, upstream_leaving, rate_limit, ..reply };
         let mut actions = vec![JobAction::Reply { source: job.source, reply, response }];
         actions.extend(self.start_queued(now));
         actions
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -31,8 +31,8 @@
 };
 use http1::{Answer, ExchangeError, Request, Response, Slot};
 use mesh::{
-    CallClass, CrashId, Fingerprint, HopOutcome, HopReply, Incarnation, InstanceState, NodeAddress,
-    UpstreamLoad, VersionEvidence, VersionPolicy, HOP_HEADER,
+    CallClass, CrashId, Fingerprint, HopOutcome, HopReply, Incarnation, InstanceState, LimitReport,
+    NodeAddress, UpstreamLoad, VersionEvidence, VersionPolicy, HOP_HEADER,
 };
 use placement::PRESUMED_COLD_MS;
 use std::collections::BTreeMap;
@@ -149,6 +149,8 @@
     usual_ms: u32,
     /// Whether another upstream received the call before.
     repeat: bool,
+    /// Whether its sender believes that the upstream states a limit.
+    told_limit: bool,
     /// Whether the upstream stated with its answer that it is leaving.
     upstream_leaving: bool,
 }
@@ -430,7 +432,7 @@
             link_full: false,
             service_time_percent: self.pace.percent(now),
             reported_service_time_percent: self.pace.reported_percent(now),
-            rate_limit: self.stated_rate.rate(),
+            rate_limit: self.stated_rate.rate().map(LimitReport::Limited),
             upstream_leaving: false,
         }
     }
--- a/crates/sidecar/src/jobs/statements.rs
+++ b/crates/sidecar/src/jobs/statements.rs
@@ -4,12 +4,12 @@
 //! kept here without messages. A process that has just started knows of no statement; senders that
 //! do tell it with their calls.
 
-use super::{JobAction, Jobs};
+use super::{Job, JobAction, Jobs};
 use crate::dialect::UpstreamStatement;
 use crate::Millis;
 use admission::JobId;
 use http1::Response;
-use mesh::{CallRate, HopRequest, Incarnation};
+use mesh::{CallRate, HopRequest, Incarnation, LimitReport};
 use statements::{RateStatement, StatedRate};
 use tracing::{info, warn};
 
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Tells the sender of a job that the limit it knows of is not in force any more, which only an
+    /// answer of the upstream to this process can show.
+    pub(super) fn lifted(&self, job: &Job) -> Option<LimitReport> {
+        let is_lifted = self.stated_rate.is_heard() && self.stated_rate.rate().is_none();
+        (job.told_limit && is_lifted).then_some(LimitReport::Lifted)
+    }
+
     /// Forgets the statements of the former incarnation when another one has taken over.
     pub(super) fn refresh_statements(&mut self, now: Millis) {
         if self.is_current(self.stated_by.as_ref()) {
--- a/crates/statements/src/instances.rs
+++ b/crates/statements/src/instances.rs
@@ -2,7 +2,7 @@
 //! of them: of their records, of the sidecars beside them, of its links to coordinators.
 
 use crate::{Millis, RateStatement, StatedRate};
-use mesh::{CallRate, Incarnation};
+use mesh::{CallRate, Incarnation, LimitReport};
 use std::collections::BTreeMap;
 
 /// Maximum number of remembered incarnations. Those whose statement is the oldest are forgotten
@@ -18,6 +18,15 @@
     pub leaving: bool,
 }
 
+/// What a reply tells of the statements of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatementReport {
+    /// What it tells of the rate limit; `None` if nothing.
+    pub rate_limit: Option<LimitReport>,
+    /// Whether it tells that the upstream is leaving.
+    pub leaving: bool,
+}
+
 /// Statements of the upstreams that this sender called, by incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceStatements {
@@ -50,27 +59,27 @@
         })
     }
 
-    /// Records what the answer to a request stated that was sent to an incarnation at `sent_at`;
-    /// returns whether that changed anything.
+    /// Records what the reply to a request told that was sent to an incarnation at `sent_at`; returns
+    /// whether that changed anything.
     pub fn note(
         &mut self,
         incarnation: &Incarnation,
-        stated: Statements,
+        told: StatementReport,
         sent_at: Millis,
         now: Millis,
     ) -> bool {
-        let known = self.by_id.contains_key(&incarnation.id);
-        if !known && stated == Statements::default() {
-            return false;
-        }
-        if self.is_superseded(incarnation) {
+        if told == StatementReport::default() || self.is_superseded(incarnation) {
             return false;
         }
         let held = self.entry(incarnation, now);
-        let statement = stated.rate_limit.map_or(RateStatement::Unlimited, RateStatement::Limited);
-        let rate_changed = held.rate.note(statement, sent_at, now);
-        let is_news = stated.leaving && !held.leaving;
-        held.leaving |= stated.leaving;
+        let statement = told.rate_limit.map(|report| match report {
+            LimitReport::Lifted => RateStatement::Unlimited,
+            LimitReport::Limited(rate) => RateStatement::Limited(rate),
+        });
+        let note = |statement| held.rate.note(statement, sent_at, now);
+        let rate_changed = statement.is_some_and(note);
+        let is_news = told.leaving && !held.leaving;
+        held.leaving |= told.leaving;
         held.noted_at = now;
         self.forget_oldest();
         rate_changed || is_news
--- a/crates/statements/src/lib.rs
+++ b/crates/statements/src/lib.rs
@@ -7,7 +7,7 @@
 mod instances;
 mod rate;
 
-pub use instances::{InstanceStatements, Statements};
+pub use instances::{InstanceStatements, StatementReport, Statements};
 pub use rate::{RateStatement, StatedRate};
 
 /// Milliseconds of a monotonic clock.
--- a/crates/statements/src/rate.rs
+++ b/crates/statements/src/rate.rs
@@ -35,6 +35,11 @@
         self.rate
     }
 
+    /// Whether any answer has arrived.
+    pub fn is_heard(&self) -> bool {
+        self.heard
+    }
+
     /// Records the statement of an answer to a request that was sent at `sent_at`; returns whether
     /// the limit in force changed.
     pub fn note(&mut self, statement: RateStatement, sent_at: Millis, now: Millis) -> bool {
