--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -1,7 +1,9 @@
 //! Encoding and decoding of the headers that sidecars add to calls.
 
 use expect_test::expect;
-use mesh::{CrashId, Departure, HopOutcome, HopReply, HopRequest, InstanceState};
+use mesh::{
+    CallRate, CrashId, Departure, HopOutcome, HopReply, HopRequest, InstanceState, LimitReport,
+};
 
 fn reply() -> HopReply {
     HopReply {
@@ -47,6 +49,51 @@
     assert_eq!(HopReply::decode(&quarantined.encode()), Some(quarantined));
 }
 
+#[test]
+fn a_reply_tells_what_the_upstream_states() {
+    let rate = CallRate::from_per_s(13.3).expect("a rate");
+    let rows = [
+        (Some(LimitReport::Limited(rate)), false),
+        (Some(LimitReport::Lifted), false),
+        (None, true),
+        (Some(LimitReport::Limited(rate)), true),
+    ];
+    let mut text = String::new();
+    for (rate_limit, upstream_leaving) in rows {
+        let told = HopReply { rate_limit, upstream_leaving, ..reply() };
+        assert_eq!(HopReply::decode(&told.encode()), Some(told));
+        text += &format!("{}\n", told.encode());
+    }
+    expect![[r#"
+        a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1 0 0 0000000000000000 0000000000000000 13.3 -
+        a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1 0 0 0000000000000000 0000000000000000 u -
+        a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1 0 0 0000000000000000 0000000000000000 - l
+        a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1 0 0 0000000000000000 0000000000000000 13.3 l
+    "#]].assert_eq(&text);
+}
+
+#[test]
+fn a_rate_is_read_as_it_was_written() {
+    for per_s in [0.0, 0.2, 13.3, 1e6, 1e300] {
+        let rate = CallRate::from_per_s(per_s).expect("a rate");
+        assert_eq!(rate.to_string().parse(), Ok(rate), "{per_s}");
+    }
+    for text in ["", "-1", "NaN", "inf", "1,5", "u"] {
+        assert!(text.parse::<CallRate>().is_err(), "{text:?}");
+    }
+}
+
+#[test]
+fn a_request_tells_the_limit_that_its_sender_knows() {
+    let rate_limit = CallRate::from_per_s(0.2);
+    for usual_ms in [0, 80] {
+        let told = HopRequest { usual_ms, rate_limit, ..request() };
+        assert_eq!(HopRequest::decode(&told.encode()), Some(told));
+    }
+    let told = HopRequest { usual_ms: 80, rate_limit, ..request() };
+    expect!["900 120 2 600 1 fares - ab 77 - 80 0.2"].assert_eq(&told.encode());
+}
+
 #[test]
 fn a_reply_of_an_earlier_version_is_read_too() {
     let without_egress =
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -6,11 +6,12 @@
 use common::{found_alive, NAMES, SERVICE};
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
-use mesh::{HopOutcome, HopRequest, InstanceRecord, InstanceState};
+use mesh::{CallRate, HopOutcome, HopRequest, InstanceRecord, InstanceState, LimitReport};
 use sidecar::{
     ConnectionId, Initiator, JobAction, JobMetrics, Jobs, LogSample, ReportedLoad, Source,
-    UpstreamEnd,
+    UpstreamEnd, UpstreamStatement,
 };
+use statements::RateStatement;
 use std::rc::Rc;
 use telemetry::Registry;
 
@@ -481,3 +482,139 @@
     assert_eq!(outcomes(&begin(&mut jobs, 4, 20)).len(), 0, "the call is queued");
     assert_eq!(jobs.cold_refusals(), 1);
 }
+
+/// Runs a call whose answer states something of the upstream; returns the reply and what follows.
+fn answer(jobs: &mut Jobs, job: u64, stated: UpstreamStatement, now: u64) -> Vec<JobAction> {
+    let response = sealed(200);
+    let mut actions = jobs.note_statement(job, stated, &response, now);
+    let end = UpstreamEnd::Answered(Answer { response, reusable: true });
+    actions.extend(jobs.ended(job, end, now));
+    actions
+}
+
+fn stated(per_s: f64) -> UpstreamStatement {
+    let rate = CallRate::from_per_s(per_s).map_or(RateStatement::Invalid, RateStatement::Limited);
+    UpstreamStatement { rate, leaving: false }
+}
+
+const UNLIMITED: UpstreamStatement =
+    UpstreamStatement { rate: RateStatement::Unlimited, leaving: false };
+
+fn limit_told(actions: &[JobAction]) -> Option<LimitReport> {
+    actions.iter().find_map(|action| match action {
+        JobAction::Reply { reply, .. } => reply.rate_limit,
+        _ => None,
+    })
+}
+
+fn limited(per_s: f64) -> Option<LimitReport> {
+    CallRate::from_per_s(per_s).map(LimitReport::Limited)
+}
+
+#[test]
+fn a_stated_limit_is_kept_and_told_and_what_exceeds_it_refused_with_its_time() {
+    let mut jobs = jobs();
+    let (job, _) = started(&begin(&mut jobs, 1, 0)).expect("the job starts");
+    let actions = answer(&mut jobs, job, stated(1.0), 100);
+    assert_eq!(limit_told(&actions), limited(1.0));
+    let refused = begin(&mut jobs, 2, 110);
+    assert_eq!((outcomes(&refused), jobs.rate_refusals()), (vec![HopOutcome::Refused], 1));
+    assert_eq!(limit_told(&refused), limited(1.0), "senders learn of it from refusals, too");
+    let [JobAction::Reply { reply, .. }] = &refused[..] else { panic!("{refused:?}") };
+    assert!((490..=2_000).contains(&reply.retry_after_ms), "{}", reply.retry_after_ms);
+    assert!(started(&begin(&mut jobs, 3, 1_100)).is_some(), "the next one after a second");
+}
+
+#[test]
+fn only_the_incarnation_that_runs_can_state_a_limit() {
+    let mut jobs = jobs();
+    let (job, _) = started(&begin(&mut jobs, 1, 0)).expect("the job starts");
+    assert!(jobs.note_statement(job, stated(1.0), &Response::empty(421), 50).is_empty());
+    assert_eq!(jobs.stated_rate(), None, "another incarnation answered");
+    jobs.gate.on_report(&record("i-2", InstanceState::Ready), 1, 60);
+    jobs.refresh_limit(60);
+    answer(&mut jobs, job, stated(1.0), 100);
+    assert_eq!(jobs.stated_rate(), None, "the answer of the former one came late");
+}
+
+#[test]
+fn a_new_incarnation_has_stated_nothing() {
+    let mut jobs = jobs();
+    let (job, _) = started(&begin(&mut jobs, 1, 0)).expect("the job starts");
+    answer(&mut jobs, job, stated(1.0), 100);
+    jobs.gate.on_report(&record("i-2", InstanceState::Ready), 1, 200);
+    jobs.refresh_limit(200);
+    assert_eq!(jobs.stated_rate(), None);
+    let hop = HopRequest { rate_limit: CallRate::from_per_s(1.0), ..hop(SERVICE, Some("i-1")) };
+    jobs.begin(source(2), request(), &hop, 210);
+    assert_eq!(jobs.stated_rate(), None, "a sender knows of the former one's limit");
+}
+
+#[test]
+fn an_invalid_limit_changes_nothing() {
+    let mut jobs = jobs();
+    let (job, _) = started(&begin(&mut jobs, 1, 0)).expect("the job starts");
+    answer(&mut jobs, job, stated(1.0), 100);
+    let (job, _) = started(&begin(&mut jobs, 2, 1_100)).expect("the job starts");
+    let actions = answer(&mut jobs, job, stated(-3.0), 1_200);
+    assert_eq!(limit_told(&actions), limited(1.0));
+}
+
+#[test]
+fn a_process_that_has_just_started_learns_the_limit_from_a_call_and_forgets_it_by_an_answer() {
+    let mut jobs = jobs();
+    let knows = |rate| HopRequest { rate_limit: rate, ..hop(SERVICE, Some("i-1")) };
+    let rate = CallRate::from_per_s(1.0);
+    let refused = jobs.begin(source(1), request(), &knows(rate), 0);
+    assert_eq!(outcomes(&refused), [HopOutcome::Refused], "the former process may have used it");
+    let actions = jobs.begin(source(2), request(), &knows(rate), 1_000);
+    let (job, _) = started(&actions).expect("the first call after an interval");
+    let actions = answer(&mut jobs, job, UNLIMITED, 1_100);
+    assert_eq!(limit_told(&actions), Some(LimitReport::Lifted), "its sender knew of a limit");
+    let actions = jobs.begin(source(3), request(), &knows(None), 1_110);
+    let (job, _) = started(&actions).expect("no limit");
+    assert_eq!(limit_told(&answer(&mut jobs, job, UNLIMITED, 1_200)), None, "nothing to tell");
+    let actions = jobs.begin(source(4), request(), &knows(rate), 1_210);
+    assert!(started(&actions).is_some(), "the upstream itself said that there is none");
+}
+
+// Replies of a process that knew nothing were taken for a lifted limit, and the process after it
+// started without one.
+#[test]
+fn a_process_that_knows_nothing_lifts_no_limit() {
+    let mut jobs = jobs();
+    let knows = HopRequest { rate_limit: CallRate::from_per_s(1.0), ..hop(SERVICE, Some("i-0")) };
+    let refused = jobs.begin(source(1), request(), &knows, 0);
+    assert_eq!((outcomes(&refused), limit_told(&refused)), (vec![HopOutcome::Refused], None));
+}
+
+#[test]
+fn an_answer_that_states_leaving_closes_the_gate() {
+    let mut jobs = jobs();
+    let (job, _) = started(&begin(&mut jobs, 1, 0)).expect("the job starts");
+    let leaving = UpstreamStatement { leaving: true, ..UNLIMITED };
+    let actions = answer(&mut jobs, job, leaving, 100);
+    let [JobAction::Reply { reply, .. }] = &actions[..] else { panic!("{actions:?}") };
+    assert!(reply.upstream_leaving);
+    assert_eq!(reply.state, InstanceState::Draining);
+    assert!(jobs.take_instance_changed(), "other nodes are told");
+    assert!(started(&begin(&mut jobs, 2, 100 + DRAIN_MS / 4)).is_some(), "it was on its way");
+    assert_eq!(outcomes(&begin(&mut jobs, 3, 100 + DRAIN_MS)), [HopOutcome::Refused]);
+    jobs.gate.on_report(&record("i-1", InstanceState::Ready), 9, 200 + DRAIN_MS);
+    assert_eq!(
+        outcomes(&begin(&mut jobs, 4, 300 + DRAIN_MS)),
+        [HopOutcome::Refused],
+        "it is final"
+    );
+}
+
+#[test]
+fn queued_calls_that_a_new_limit_does_not_admit_are_refused_at_once() {
+    let mut jobs = jobs();
+    let first = begin(&mut jobs, 1, 0);
+    begin(&mut jobs, 2, 0);
+    assert!(begin(&mut jobs, 3, 0).is_empty(), "the call is queued");
+    let (first, _) = started(&first).expect("the job starts");
+    let actions = answer(&mut jobs, first, stated(0.5), 50);
+    assert_eq!(outcomes(&actions), [HopOutcome::Refused, HopOutcome::Answered]);
+}
