--- a/crates/statements/src/instances.rs
+++ b/crates/statements/src/instances.rs
@@ -43,6 +43,10 @@
 }
 
 impl Remembered {
+    fn new(born_ms: u64, now: Millis) -> Self {
+        Remembered { born_ms, rate: StatedRate::default(), leaving: false, noted_at: now }
+    }
+
     fn incarnation(&self, id: &str) -> Incarnation {
         Incarnation { id: id.to_owned(), born_ms: self.born_ms }
     }
@@ -111,9 +115,3 @@
         }
     }
 }
-
-impl Remembered {
-    fn new(born_ms: u64, now: Millis) -> Self {
-        Remembered { born_ms, rate: StatedRate::default(), leaving: false, noted_at: now }
-    }
-}
