--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -195,8 +195,8 @@
     /// Number of slots of the upstream that may be used at once.
     slots_used: u32,
     taken_slots: UntrackedSlots,
-    /// Whether the most recently registered incarnation turned out to be absent and this has not
-    /// been reported yet.
+    /// Whether it was learned from calls that the registered incarnation is absent or leaves, and
+    /// this has not been reported yet.
     instance_changed: bool,
     /// Whether the zone is evacuated, so that the upstream gets no calls.
     evacuated: bool,
@@ -365,8 +365,8 @@
         }
     }
 
-    /// Whether a change of the present incarnation must be reported, because it differs from the
-    /// most recently registered one. Resets the flag.
+    /// Whether a change of the present incarnation must be reported that it did not register itself.
+    /// Resets the flag.
     pub fn take_instance_changed(&mut self) -> bool {
         std::mem::take(&mut self.instance_changed)
     }
