--- a/crates/sidecar/tests/limit_fleet/mod.rs
+++ b/crates/sidecar/tests/limit_fleet/mod.rs
@@ -410,7 +410,7 @@
         let mut headers = Headers::default();
         headers.push("Host", HOST);
         headers.push(NAMES.attempt_id, id.to_string());
-        headers.push(NAMES.deadline_ms, (deadline - now).to_string());
+        headers.push(NAMES.deadline_ms, deadline.saturating_sub(now).to_string());
         let target = "/safe/x".to_owned();
         let request = Request { method: "GET".to_owned(), target, headers, body: Vec::new() };
         let origin = Origin { connection: ConnectionId::for_tests(node as u64), slot };
@@ -480,7 +480,7 @@
             self.outcome.refused.push((now - sent, retry_after_ms));
             self.outcome.refused_again += usize::from(returned);
             // Callers heed the time up to a third of what they have left, and return once.
-            if !returned && retry_after_ms <= (deadline - now) / 3 {
+            if !returned && retry_after_ms <= deadline.saturating_sub(now) / 3 {
                 self.schedule(retry_after_ms, Event::Return { node: machine, deadline });
             }
         }
