Review, case 1: a planned replacement and one lost disk end the group for good

A core machine is stopped as planned after its successor has had `CatchUpS`. Within the two seconds in which the coordinators still count it as a voter, another core machine loses its disk. The group never has a quorum again: the acknowledged configuration cannot be read back (CONFIG).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,4 +8,4 @@
     echo "not built: run the deploy file's build and review/build.sh"
     exit 2
 }
-exec "$case" forgotten-leave "$here/record.txt"
+exec "$case" broken-off "$here/record.txt"
--- a/review/standins/src/broken_off.rs
+++ b/review/standins/src/broken_off.rs
@@ -33,9 +33,9 @@
     }
     let routes =
         [Route { name: "r-upload", prefix: "/upload/", kind: "upload", service: "drawvault" }];
-    if !fleet.configure(1, 0, &document(1, &["quotebook", "drawvault"], &routes)) {
-        return Err("the first configuration was not acknowledged".to_owned());
-    }
+    fleet
+        .configure(&core, 1, 0, &document(1, &["quotebook", "drawvault"], &routes))
+        .ok_or("the first configuration was not acknowledged")?;
     let runs = Arc::new(AtomicU32::new(0));
     let count = runs.clone();
     let handler: Handler = Arc::new(move |upstream, head, connection| {
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use crate::http;
 use crate::record::Record;
+use crate::sys;
 use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
@@ -152,6 +153,33 @@
         }
     }
 
+    /// Stops a process as the platform does; true if it has ended within the time.
+    pub fn stop(&self, machine: &Machine, longest: Duration) -> bool {
+        let mut running = self.running.lock().unwrap();
+        let Some(index) = running.iter().position(|(name, _)| *name == machine.name) else {
+            return false;
+        };
+        let (_, mut child) = running.remove(index);
+        sys::terminate(child.id());
+        let end = Instant::now() + longest;
+        while Instant::now() < end {
+            if let Ok(Some(_)) = child.try_wait() {
+                self.record.note(format!("{} has ended", machine.name));
+                return true;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+
+    /// Empties the disk of a machine whose process is down.
+    pub fn lose_disk(&self, machine: &Machine) -> io::Result<()> {
+        self.record.note(format!("{} loses its disk", machine.name));
+        fs::remove_dir_all(self.folder.join(format!("{}-data", machine.name)))
+    }
+
     pub fn address(&self, machine: &Machine, port: u16) -> SocketAddr {
         SocketAddr::from((machine.ip, port))
     }
@@ -172,10 +200,16 @@
         false
     }
 
-    /// Sends a configuration to the core until it is acknowledged, as the operator does.
-    pub fn configure(&self, version: u64, builds_on: u64, document: &str) -> bool {
+    /// Sends a configuration to the core until it is acknowledged, as the operator does. Returns who
+    /// acknowledged it.
+    pub fn configure(
+        &self,
+        core: &[Machine],
+        version: u64,
+        builds_on: u64,
+        document: &str,
+    ) -> Option<SocketAddr> {
         let end = Instant::now() + Duration::from_secs(15);
-        let core = self.core();
         let mut target = self.address(&core[0], self.ports.control);
         let mut next = 0;
         while Instant::now() < end {
@@ -188,17 +222,13 @@
             let status = answer.as_ref().map_or(0, |answer| answer.head.status());
             match status {
                 200 => {
-                    self.record.note(format!("configuration {version:08x} is acknowledged"));
-                    return true;
+                    self.record.note(format!("{target} acknowledges configuration {version:08x}"));
+                    return Some(target);
                 }
                 307 => {
-                    let location = answer
-                        .ok()
-                        .and_then(|answer| answer.head.get("location").map(str::to_owned));
-                    let authority = location.as_deref().and_then(|location| {
-                        location.strip_prefix("http://")?.split('/').next()?.parse().ok()
-                    });
-                    target = authority.unwrap_or(target);
+                    let location =
+                        answer.ok().and_then(|answer| http::redirect_target(&answer.head));
+                    target = location.unwrap_or(target);
                 }
                 _ => {
                     next += 1;
@@ -207,7 +237,7 @@
                 }
             }
         }
-        false
+        None
     }
 
     /// Ends all processes.
--- a/review/standins/src/forgotten_leave.rs
+++ b/review/standins/src/forgotten_leave.rs
@@ -38,9 +38,9 @@
     }
     let routes =
         [Route { name: "r-order", prefix: "/order/", kind: "unsafe", service: "orderdesk" }];
-    if !fleet.configure(1, 0, &document(1, &["quotebook", "orderdesk"], &routes)) {
-        return Err("the first configuration was not acknowledged".to_owned());
-    }
+    fleet
+        .configure(&core, 1, 0, &document(1, &["quotebook", "orderdesk"], &routes))
+        .ok_or("the first configuration was not acknowledged")?;
     let runs: Arc<Mutex<Vec<u64>>> = Arc::default();
     let handler: Handler = {
         let runs = runs.clone();
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -104,3 +104,8 @@
     let body = connection.read_body(head.length())?;
     Ok(Answer { head, body })
 }
+
+/// The address that a redirect names.
+pub fn redirect_target(head: &Head) -> Option<SocketAddr> {
+    head.get("location")?.strip_prefix("http://")?.split('/').next()?.parse().ok()
+}
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod forgotten_leave;
 mod http;
+mod planned_replacement;
 mod record;
 mod sys;
 mod upstream;
@@ -38,6 +39,7 @@
     let outcome = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "broken-off" => broken_off::run(&record, trouble),
         "forgotten-leave" => forgotten_leave::run(&record, trouble),
+        "planned-replacement" => planned_replacement::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     }));
     let outcome = outcome.unwrap_or_else(|_| Err("a stand-in failed".to_owned()));
--- a/review/standins/src/sys.rs
+++ b/review/standins/src/sys.rs
@@ -1,10 +1,11 @@
-//! Socket options that the standard library does not offer.
+//! Socket options and a signal that the standard library does not offer.
 
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 
 extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn kill(pid: i32, signal: i32) -> i32;
 }
 
 const SOL_SOCKET: i32 = 1;
@@ -12,6 +13,13 @@
 const SO_LINGER: i32 = 13;
 const IPPROTO_TCP: i32 = 6;
 const TCP_MAXSEG: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Sends SIGTERM to a process that this test started.
+pub fn terminate(pid: u32) {
+    // SAFETY: `kill` takes two integers.
+    unsafe { kill(pid as i32, SIGTERM) };
+}
 
 /// Gives the connections of a listener the segments and windows of a link between machines.
 /// Loopback has segments of 64 kB, and its buffers hold some megabytes.
