--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -263,7 +263,7 @@
     let mut held = Vec::new();
     let mut ports = BTreeSet::new();
     while ports.len() < 7 {
-        let listener = TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         ports.insert(listener.local_addr()?.port());
         held.push(listener);
     }
