--- a/review/standins/src/forgotten_leave.rs
+++ b/review/standins/src/forgotten_leave.rs
@@ -4,7 +4,7 @@
 use crate::configuration::{document, Route, HOST};
 use crate::cut::CutLink;
 use crate::fleet::{Fleet, CONTACT_MS, DRAIN_MS};
-use crate::http;
+use crate::http::{self, Connection, Head};
 use crate::record::Record;
 use crate::upstream::{answer_whole, Handler, Upstream, HEARTBEAT_MS};
 use crate::Outcome;
@@ -20,6 +20,10 @@
 /// How much longer than `DRAIN_MS` the upstream serves after the acknowledgement.
 const SERVES_ON: Duration = Duration::from_secs(10);
 const CLIENT_INTERVAL: Duration = Duration::from_millis(40);
+/// Clients at once, and how long an order takes: more than the slots of one upstream hold, so that both
+/// upstreams are needed.
+const CLIENTS: u32 = 6;
+const WORK: Duration = Duration::from_millis(60);
 
 pub fn run(record: &Record, trouble: bool) -> Result<Outcome, String> {
     let text = |error: std::io::Error| error.to_string();
@@ -45,12 +49,24 @@
     let handler: Handler = {
         let runs = runs.clone();
         Arc::new(move |upstream, head, connection| {
-            runs.lock().unwrap().push(upstream.record.now_ms());
+            // One that is meant for another instance gets 421 and does not count.
+            if head.get("x-expect-instance").is_none_or(|expected| expected == upstream.id) {
+                runs.lock().unwrap().push(upstream.record.now_ms());
+            }
+            thread::sleep(WORK);
             answer_whole(upstream, head, connection)
         })
     };
     let leaving = Upstream::start(&fleet, &leaver, "i-leaver", handler);
-    let staying = Upstream::start(&fleet, &other, "i-other", Arc::new(answer_whole));
+    let staying = Upstream::start(
+        &fleet,
+        &other,
+        "i-other",
+        Arc::new(|upstream: &Upstream, head: &Head, connection: &mut Connection| {
+            thread::sleep(WORK);
+            answer_whole(upstream, head, connection)
+        }),
+    );
     for machine in [&caller, &leaver, &other] {
         if !fleet.wait_ready(machine, Duration::from_secs(15)) {
             return Err(format!("{} is not ready", machine.name));
@@ -58,11 +74,13 @@
     }
     thread::sleep(Duration::from_millis(2_500));
     let stop = Arc::new(AtomicBool::new(false));
-    let client = {
-        let (record, stop) = (record.clone(), stop.clone());
-        let address = fleet.address(&caller, fleet.ports.outbound);
-        thread::spawn(move || send_orders(&record, address, &stop))
-    };
+    let address = fleet.address(&caller, fleet.ports.outbound);
+    let clients: Vec<_> = (1..=CLIENTS)
+        .map(|client| {
+            let (record, stop) = (record.clone(), stop.clone());
+            thread::spawn(move || send_orders(&record, client, address, &stop))
+        })
+        .collect();
     thread::sleep(Duration::from_secs(3));
     if runs.lock().unwrap().is_empty() {
         return Err("the upstream got no request before it left".to_owned());
@@ -95,7 +113,7 @@
     thread::sleep(Duration::from_millis(DRAIN_MS) + SERVES_ON);
     stop.store(true, Ordering::SeqCst);
     leaving.end();
-    let answered = client.join().map_err(|_| "the client failed")?;
+    let answered: u32 = clients.into_iter().map(|client| client.join().unwrap_or_default()).sum();
     staying.end();
     // All machines are in touch from then on.
     let in_touch_at = joined_at.max(started_at) + CONTACT_MS;
@@ -133,13 +151,18 @@
 }
 
 /// Sends one order after the other; returns how many were answered with success.
-fn send_orders(record: &Record, address: std::net::SocketAddr, stop: &AtomicBool) -> u32 {
+fn send_orders(
+    record: &Record,
+    client: u32,
+    address: std::net::SocketAddr,
+    stop: &AtomicBool,
+) -> u32 {
     let (mut number, mut answered) = (0, 0);
     while !stop.load(Ordering::SeqCst) {
         number += 1;
-        let id = format!("order-{number}");
+        let id = format!("order-{client}-{number}");
         let head = format!(
-            "POST /order/{number} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
+            "POST /order/{client}/{number} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
              X-Deadline-Ms: 3000\r\n"
         );
         let status = http::call(address, &head, b"{}", Duration::from_secs(4))
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 pub const HEARTBEAT_MS: u64 = 1_500;
+const SLOTS: u32 = 4;
 /// An acknowledgement counts only if it arrives within this time.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -96,7 +97,7 @@
         let Upstream { service, zone, address, .. } = self;
         let body = format!(
             "{{\"Address\":\"{address}\",\"Info\":{{\"Service\":\"{service}\",\
-             \"Generation\":\"v1\",\"Zone\":\"{zone}\",\"Slots\":12}},\"Status\":{{\
+             \"Generation\":\"v1\",\"Zone\":\"{zone}\",\"Slots\":{SLOTS}}},\"Status\":{{\
              \"State\":\"ready\",\"Sequence\":{sequence},\"ColdRemainingMs\":0}}}}"
         );
         self.report("instances.heartbeat", &body)
