sidecar: say what a leave and a record from before a restart change

Change: `leave_without_effect` names the instance and the one that is known; `instance_restored` says whose record it is, what was known before, and the state of the gate after it. No logic changes.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -35,6 +35,18 @@
     Closed,
 }
 
+impl GateState {
+    /// Lower-case name of the state.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Absent => "absent",
+            Self::Open => "open",
+            Self::Closing => "closing",
+            Self::Closed => "closed",
+        }
+    }
+}
+
 /// Admission state of the upstream next to a sidecar.
 #[derive(Clone, Debug)]
 pub struct DrainGate {
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -13,12 +13,15 @@
     /// Restores the state of the upstream that an earlier run of this sidecar reported.
     pub(super) fn restore(&mut self, last: Option<NodeRecord>, now: Millis) {
         let own_service = last.filter(|last| last.service == self.settings.service);
-        let Some(instance) = own_service.and_then(|last| last.instance) else {
+        let Some(NodeRecord { boot_id, instance: Some(instance), .. }) = own_service else {
             return;
         };
+        let known = self.jobs.gate.id().map(str::to_owned);
         self.jobs.gate.restore(&instance, now);
         self.jobs.refresh_limit(now);
-        info!(instance = %instance.id, state = instance.state.as_str(), "instance_restored");
+        let state = instance.state.as_str();
+        let gate = self.jobs.gate.state(now).as_str();
+        info!(instance = %instance.id, state, boot_id, ?known, gate, "instance_restored");
         self.report_instance(now);
     }
 
@@ -78,6 +81,9 @@
                 if self.jobs.gate.on_leave(&incarnation, now) {
                     info!(instance = %incarnation.id, state = "left", "endpoint_state");
                     self.report_instance(now);
+                } else {
+                    let known = self.jobs.gate.id();
+                    info!(instance = %incarnation.id, ?known, "leave_without_effect");
                 }
                 true
             }
