gate: a departure holds for an incarnation that this process does not know

Cause: `DrainGate` applied a leave, a drain or a statement only to its current incarnation. A process that has just started has none, so nothing was kept, no coordinator was told, and the leave was acknowledged all the same. The coordinators' old record, ready, then opened the gate. The same on a related path: an incarnation that a late heartbeat had replaced by mistake said that it leaves, was acknowledged, and was reinstated as ready when the upstream answered 421.

Change: departures are a set of their own that only grows, merged from leaves, drains, statements and coordinators' records, whichever incarnation is current. A leave of an unknown incarnation becomes the reported record, unless another one serves. A late heartbeat of one that has left replaces nobody.

Conclusion: the order in which a leave, a heartbeat and an old record arrive makes no difference any more. Not held by this: a leave that dies with its process before any coordinator has it.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -1,7 +1,8 @@
 //! Tracks the upstream instance next to this sidecar and whether it still accepts calls.
 //!
 //! Within one incarnation the state only moves forward, and a replaced incarnation never becomes
-//! current again, however late its messages arrive. A delayed message may also come from an
+//! current again, however late its messages arrive. A departure is remembered for its incarnation
+//! even if that is not the current one: this process may have started after its last heartbeat. A delayed message may also come from an
 //! incarnation that was never seen before and replace the live one by mistake. When the upstream
 //! then rejects a call because it was addressed to another instance, the most recently replaced
 //! incarnation is reinstated.
@@ -10,6 +11,7 @@
 //! the same id. After such a restart its sequence numbers start over, and a shutdown reported by the
 //! previous incarnation does not apply to it.
 
+use crate::departures::Departures;
 use crate::Millis;
 use mesh::{Incarnation, InstanceRecord, InstanceState, MAX_VERSION_BYTES};
 use std::collections::VecDeque;
@@ -58,6 +60,7 @@
     /// The incarnation that terminated without deregistering, until another one registers.
     crashed: Option<Incarnation>,
     retired: VecDeque<Incarnation>,
+    departures: Departures,
 }
 
 #[derive(Clone, Debug)]
@@ -83,12 +86,16 @@
             previous: None,
             crashed: None,
             retired: VecDeque::new(),
+            departures: Departures::default(),
         }
     }
 
     /// Restores a record that coordinators kept from before this sidecar started.
     pub fn restore(&mut self, record: &InstanceRecord, now: Millis) {
+        let record = &self.with_departure(record);
         let incarnation = record.incarnation();
+        self.note_departure(&incarnation, record.state);
+        self.learn_start(&incarnation);
         if self.current.is_none() && !self.is_retired(&incarnation) {
             self.replace(record, 0, now);
         }
@@ -100,7 +107,10 @@
     /// Applies a report by the upstream about itself. `sequence` orders the reports of an incarnation.
     /// Returns whether other nodes need to be notified.
     pub fn on_report(&mut self, record: &InstanceRecord, sequence: u64, now: Millis) -> bool {
+        let reported_state = record.state;
+        let record = &self.with_departure(record);
         let incarnation = record.incarnation();
+        self.note_departure(&incarnation, record.state);
         if self.is_retired(&incarnation) {
             return false;
         }
@@ -109,16 +119,17 @@
             .as_ref()
             .is_some_and(|current| current.incarnation.may_equal(&incarnation));
         if !known {
-            if self.is_stale(record) {
+            let sent_before_departure = reported_state != record.state;
+            if self.is_stale(record) || (sent_before_departure && self.current.is_some()) {
                 return false;
             }
             self.replace(record, sequence, now);
             return true;
         }
+        self.learn_start(&incarnation);
         let Some(current) = &mut self.current else {
             return false;
         };
-        current.incarnation.born_ms = current.incarnation.born_ms.max(record.born_ms);
         let newer = sequence > current.newest_sequence;
         let slots_changed = newer && current.slots != record.slots;
         let mut cold_changed = false;
@@ -134,15 +145,59 @@
 
     /// Records that an incarnation deregistered; returns whether other nodes need to be notified.
     pub fn on_leave(&mut self, incarnation: &Incarnation, now: Millis) -> bool {
+        self.note_departure(incarnation, InstanceState::Left);
+        if self.is_unknown(incarnation) && !self.is_serving(now) {
+            // The departure must reach the coordinators, which may hold a record of this
+            // incarnation from before this process started.
+            let record = InstanceRecord::departed(incarnation);
+            self.replace(&record, 0, now);
+            return true;
+        }
         self.advance(incarnation, InstanceState::Left, now)
     }
 
     /// Records that an incarnation stated in an answer that it is leaving; returns whether other nodes
     /// need to be notified.
     pub fn on_leaving(&mut self, incarnation: &Incarnation, now: Millis) -> bool {
+        self.note_departure(incarnation, InstanceState::Draining);
         self.advance(incarnation, InstanceState::Draining, now)
     }
 
+    fn note_departure(&mut self, incarnation: &Incarnation, state: InstanceState) {
+        if state == InstanceState::Ready {
+            return;
+        }
+        let known = self.incarnation().filter(|current| current.may_equal(incarnation)).cloned();
+        self.departures.note(known.as_ref().unwrap_or(incarnation), state);
+    }
+
+    /// The record with the departure that is known of its incarnation.
+    fn with_departure(&mut self, record: &InstanceRecord) -> InstanceRecord {
+        let departed = self.departures.state_of(&record.incarnation());
+        let state = departed.map_or(record.state, |departed| departed.max(record.state));
+        InstanceRecord { state, ..record.clone() }
+    }
+
+    /// Takes the start time of the current incarnation from a report that states it.
+    fn learn_start(&mut self, reported: &Incarnation) {
+        if let Some(current) = &mut self.current {
+            if current.incarnation.may_equal(reported) {
+                current.incarnation.born_ms = current.incarnation.born_ms.max(reported.born_ms);
+            }
+        }
+    }
+
+    /// Whether an incarnation is neither the current one nor a replaced one.
+    fn is_unknown(&self, incarnation: &Incarnation) -> bool {
+        let is_current = self.incarnation().is_some_and(|current| current.may_equal(incarnation));
+        !is_current && !self.is_retired(incarnation)
+    }
+
+    /// Whether calls of the current incarnation are still admitted.
+    fn is_serving(&self, now: Millis) -> bool {
+        matches!(self.state(now), GateState::Open | GateState::Closing)
+    }
+
     fn is_retired(&self, incarnation: &Incarnation) -> bool {
         self.retired.iter().any(|retired| retired.may_equal(incarnation))
     }
@@ -185,8 +240,13 @@
         let Some(rejected) = self.current.take_if(|current| current.incarnation.id == id) else {
             return false;
         };
-        if let Some(previous) = self.previous.take() {
+        if let Some(mut previous) = self.previous.take() {
             self.retired.retain(|retired| *retired != previous.incarnation);
+            if let Some(departed) = self.departures.state_of(&previous.incarnation) {
+                // It announced its shutdown while it was not current.
+                previous.state = previous.state.max(departed);
+                previous.open_until.get_or_insert(0);
+            }
             self.current = Some(previous);
             self.retire(rejected);
         }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod cold_start;
+mod departures;
 mod egress;
 mod gate;
 mod health;
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -119,6 +119,8 @@
     Rejects(&'static str),
     /// It terminated without deregistering.
     Crashes(&'static str),
+    /// Coordinators pass on its record, ready, from before a restart of the sidecar.
+    Restored(&'static str),
 }
 
 fn state_after(arrivals: &[Arrival]) -> (Option<String>, GateState) {
@@ -142,6 +144,7 @@
             Arrival::Crashes(id) => {
                 gate.on_crash(id);
             }
+            Arrival::Restored(id) => gate.restore(&record(id, InstanceState::Ready), now),
         }
     }
     (gate.id().map(str::to_owned), gate.state(60_000))
@@ -239,6 +242,94 @@
     }
 }
 
+/// Guards against a departure that is lost because the sidecar has just started and does not know the
+/// incarnation: an old record or a late heartbeat then opened the gate for as long as it lived.
+#[test]
+fn a_departure_holds_in_whatever_order_it_arrives_with_older_messages() {
+    use Arrival::{Heartbeat, Leave, Restored};
+    let old = [Heartbeat("a", 9), Restored("a")];
+    let orders: [&[Arrival]; 7] = [
+        &[Leave("a")],
+        &[Leave("a"), old[0]],
+        &[Leave("a"), old[1]],
+        &[Leave("a"), old[0], old[1]],
+        &[Leave("a"), old[1], old[0]],
+        &[old[0], Leave("a"), old[1]],
+        &[old[1], Leave("a"), old[0]],
+    ];
+    for order in orders {
+        assert_eq!(state_after(order), (Some("a".to_owned()), GateState::Closed));
+    }
+}
+
+#[test]
+fn a_departure_of_one_that_is_not_current_is_remembered() {
+    use Arrival::{Drain, Heartbeat, Leave, Rejects, Restored};
+    use GateState::{Closed, Open};
+    let rows: [(&str, &[Arrival], Option<&str>, GateState); 6] = [
+        (
+            "it left while another served, then its late heartbeat",
+            &[Heartbeat("b", 1), Leave("a"), Heartbeat("a", 9)],
+            Some("b"),
+            Open,
+        ),
+        (
+            "it left while another was leaving, then its late heartbeat",
+            &[Heartbeat("b", 1), Drain("b", 2), Leave("a"), Heartbeat("a", 9)],
+            Some("b"),
+            Closed,
+        ),
+        (
+            "it drained while a late heartbeat had replaced it, and is reinstated",
+            &[Heartbeat("b", 1), Heartbeat("a", 3), Drain("b", 2), Rejects("a")],
+            Some("b"),
+            Closed,
+        ),
+        (
+            "it left while a late heartbeat had replaced it, and is reinstated",
+            &[Heartbeat("b", 1), Heartbeat("a", 3), Leave("b"), Rejects("a")],
+            Some("b"),
+            Closed,
+        ),
+        (
+            "the departure of an earlier one, then the next one registers",
+            &[Leave("a"), Heartbeat("b", 1), Restored("a"), Heartbeat("a", 9)],
+            Some("b"),
+            Open,
+        ),
+        (
+            "two departures, then late heartbeats of both",
+            &[Leave("a"), Leave("b"), Heartbeat("a", 9), Heartbeat("b", 9)],
+            Some("b"),
+            Closed,
+        ),
+    ];
+    for (name, arrivals, id, state) in rows {
+        assert_eq!(state_after(arrivals), (id.map(str::to_owned), state), "{name}");
+    }
+}
+
+#[test]
+fn a_departure_without_a_start_time_belongs_to_the_first_start_that_is_heard_of() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    assert!(gate.on_leave(&incarnation("i-1"), 0), "coordinators must hear of it");
+    gate.restore(&record_with_start("i-1", 1_000, InstanceState::Ready), 100);
+    assert_eq!(gate.state(100), GateState::Closed);
+    assert!(gate.on_report(&record_with_start("i-1", 9_000, InstanceState::Ready), 1, 5_000));
+    assert_eq!(gate.state(5_000), GateState::Open);
+}
+
+#[test]
+fn many_departures_later_the_oldest_is_forgotten_and_the_newest_still_hold() {
+    let mut gate = DrainGate::new(DRAIN_MS);
+    for number in 0..200 {
+        gate.on_leave(&incarnation(&format!("i-{number}")), number);
+    }
+    gate.restore(&record("i-199", InstanceState::Ready), 300);
+    assert!(!gate.on_report(&record("i-190", InstanceState::Ready), 9, 300));
+    assert_eq!((gate.id(), gate.state(300)), (Some("i-199"), GateState::Closed));
+}
+
 /// Record of an upstream that reports its start time.
 fn record_with_start(id: &str, born_ms: u64, state: InstanceState) -> InstanceRecord {
     InstanceRecord { born_ms, ..record(id, state) }
--- /dev/null
+++ b/crates/chutecove/tests/departures.rs
@@ -0,0 +1,96 @@
+//! Real processes: a departure that a sidecar acknowledged binds the fleet, also if the sidecar was
+//! restarted or cut off from the coordinators around it.
+
+mod fleet;
+
+use fleet::cut::CuttableLinks;
+use fleet::{agent, wait_until, Fleet, RunningProcess, Upstream, SERVICE};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CALLER: u8 = 11;
+const UPSTREAM: u8 = 12;
+/// Time until an acknowledged departure closes the upstream, as the fleet's settings say.
+const DRAIN: Duration = Duration::from_millis(1_000);
+/// Calls that are sent after it, one after the other.
+const LATE_CALLS: u32 = 60;
+
+/// A fleet with one calling machine, and one upstream whose sidecar can be cut off.
+struct World {
+    fleet: Fleet,
+    links: CuttableLinks,
+    upstream: Arc<Upstream>,
+    beside: Option<RunningProcess>,
+    _others: Vec<RunningProcess>,
+}
+
+impl World {
+    fn start(network: u8) -> Self {
+        let fleet = Fleet::new(network);
+        let mut others: Vec<RunningProcess> =
+            (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
+        others.push(fleet.start_sidecar(CALLER, "callers"));
+        let links = CuttableLinks::start(&fleet);
+        let upstream = fleet.start_upstream(UPSTREAM);
+        let mut world = World { fleet, links, upstream, beside: None, _others: others };
+        world.start_sidecar_beside();
+        let fleet = &world.fleet;
+        wait_until("the first configuration is accepted", || {
+            fleet.put_configuration(2, 0, 5, "one") == Some(200)
+        });
+        wait_until("the upstream registers", || fleet.register(UPSTREAM, "i-1", 1, false));
+        wait_until("a call is served", || world.is_served());
+        world
+    }
+
+    fn start_sidecar_beside(&mut self) {
+        let mesh_port = self.links.mesh_port;
+        self.beside = Some(self.fleet.start_sidecar_at(UPSTREAM, SERVICE, mesh_port));
+    }
+
+    fn kill_sidecar_beside(&mut self) {
+        drop(self.beside.take());
+    }
+
+    fn is_served(&self) -> bool {
+        self.fleet.call(CALLER, "/one/x").is_some_and(|(status, _)| status == 200)
+    }
+
+    /// The upstream reports that it leaves until that is acknowledged; it goes on serving.
+    fn leave(&self) {
+        let (ip, port) = (self.fleet.ip(UPSTREAM), self.fleet.ports.registration);
+        let url = format!("http://{ip}:{port}/v1/instances/i-1/leave");
+        wait_until("the departure is acknowledged", || {
+            agent().post(&url).send("").is_ok_and(|answer| answer.status() == 200)
+        });
+    }
+
+    /// Number of calls that reach the upstream after the drain time, once its sidecar is linked.
+    fn late_runs(&self) -> u64 {
+        std::thread::sleep(DRAIN);
+        wait_until("the sidecar is linked", || self.fleet.is_ready(UPSTREAM));
+        let before = self.upstream.request_count.load(Ordering::SeqCst);
+        for _ in 0..LATE_CALLS {
+            self.fleet.call(CALLER, "/one/late");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.upstream.request_count.load(Ordering::SeqCst) - before
+    }
+}
+
+/// Guards against a leave that a restarted sidecar acknowledges and forgets: coordinators then told it
+/// that the upstream was ready, and the fleet called it as long as it lived.
+#[test]
+fn a_leave_that_a_restarted_sidecar_acknowledges_binds_after_the_cut() {
+    let mut world = World::start(18);
+    world.links.cut();
+    world.kill_sidecar_beside();
+    world.start_sidecar_beside();
+    world.leave();
+    world.links.join();
+    assert_eq!(world.late_runs(), 0);
+    let fleet = &world.fleet;
+    wait_until("the next upstream registers", || fleet.register(UPSTREAM, "i-2", 1, false));
+    wait_until("it is served", || world.is_served());
+}
--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod callers;
 pub mod crashing;
+pub mod cut;
 pub mod hollow;
 
 use serde_json::{json, Value};
@@ -180,15 +181,19 @@
     }
 
     pub fn start_sidecar(&self, host: u8, service: &str) -> RunningProcess {
+        self.start_sidecar_at(host, service, self.ports.mesh)
+    }
+
+    /// Starts a sidecar that reaches the coordinators at the given port.
+    pub fn start_sidecar_at(&self, host: u8, service: &str, mesh_port: u16) -> RunningProcess {
         let (ip, ports) = (self.ip(host), &self.ports);
         let settings = format!(
             "fleet = \"small\"\nname = \"sidecar-{host}\"\nzone = \"a\"\nip = \"{ip}\"\n\
-             mesh_port = {}\noutbound_listen = \"{ip}:{}\"\ninbound_listen = \"{ip}:{}\"\n\
+             mesh_port = {mesh_port}\noutbound_listen = \"{ip}:{}\"\ninbound_listen = \"{ip}:{}\"\n\
              ready_listen = \"{ip}:{}\"\nregistration_listen = \"{ip}:{}\"\n\
              metrics_listen = \"{ip}:{}\"\nupstream = \"{ip}:{}\"\nservice = \"{service}\"\n\
              seeds = [{}]\nplain_transport = true\ndrain_ms = 1000\nstop_ms = 5000\n\
              [retry_budget]\nratio = 0.2\nslack = 50\nwindow_s = 10\n",
-            ports.mesh,
             ports.outbound,
             ports.inbound,
             ports.ready,
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -75,6 +75,18 @@
 }
 
 impl InstanceRecord {
+    /// The record of an incarnation of which nothing is known but that it has left.
+    pub fn departed(incarnation: &Incarnation) -> Self {
+        InstanceRecord {
+            id: incarnation.id.clone(),
+            version: String::new(),
+            state: InstanceState::Left,
+            slots: 0,
+            cold_remaining_ms: 0,
+            born_ms: incarnation.born_ms,
+        }
+    }
+
     /// The incarnation that the record describes.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation { id: self.id.clone(), born_ms: self.born_ms }
