sidecar: a record from before a restart opens the gate only if it is the last word

Callers saw: requests sent to an upstream whose leave a cut-off sidecar had acknowledged, after that sidecar was killed before the cut was over; for as long as the upstream lived.

Cause: an acknowledgement is sent after 0.6 s even if no coordinator holds the report (holders=0), and it dies with the process. The next process took the coordinators' record, ready, from before the cut as the truth about now, opened the gate and reported it onward. It could not tell such a record from one that ends with the process: coordinators kept no word of how the link had ended.

Change: a coordinator notes when the last link of a process ended in order, so that all it sent has arrived, and tells it with the record. A ready record opens the gate only if the process cannot have acknowledged anything unheld after that end: down for less than the 0.6 s that such an acknowledgement takes. Otherwise the upstream's next heartbeat opens it, which one that left does not send. A link that breaks off, is given up, is reset, or met a write's error does not vouch; nor does one of a process that was heard of again. Records that state a departure are always taken. Frames change: protocol version 9.

Ruled out: to refuse an acknowledgement that nobody holds.

--- a/crates/chutecove/tests/departures.rs
+++ b/crates/chutecove/tests/departures.rs
@@ -22,18 +22,19 @@
     links: CuttableLinks,
     upstream: Arc<Upstream>,
     beside: Option<RunningProcess>,
-    _others: Vec<RunningProcess>,
+    coordinators: Vec<RunningProcess>,
+    _caller: RunningProcess,
 }
 
 impl World {
     fn start(network: u8) -> Self {
         let fleet = Fleet::new(network);
-        let mut others: Vec<RunningProcess> =
-            (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
-        others.push(fleet.start_sidecar(CALLER, "callers"));
+        let coordinators = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
+        let caller = fleet.start_sidecar(CALLER, "callers");
         let links = CuttableLinks::start(&fleet);
         let upstream = fleet.start_upstream(UPSTREAM);
-        let mut world = World { fleet, links, upstream, beside: None, _others: others };
+        let mut world =
+            World { fleet, links, upstream, beside: None, coordinators, _caller: caller };
         world.start_sidecar_beside();
         let fleet = &world.fleet;
         wait_until("the first configuration is accepted", || {
@@ -66,6 +67,14 @@
         });
     }
 
+    /// Whether a coordinator logged how a link of the sidecar beside the upstream ended.
+    fn is_link_end_logged(&self, in_order: bool) -> bool {
+        let node = format!("node={}:", self.fleet.ip(UPSTREAM));
+        let end = format!("in_order={in_order}");
+        let parts = ["sidecar_disconnected", node.as_str(), end.as_str()];
+        self.coordinators.iter().any(|coordinator| coordinator.has_logged(&parts))
+    }
+
     /// Number of calls that reach the upstream after the drain time, once its sidecar is linked.
     fn late_runs(&self) -> u64 {
         std::thread::sleep(DRAIN);
@@ -94,3 +103,33 @@
     wait_until("the next upstream registers", || fleet.register(UPSTREAM, "i-2", 1, false));
     wait_until("it is served", || world.is_served());
 }
+
+/// Guards against a leave that a cut-off sidecar acknowledges although no coordinator holds it: killed
+/// before the cut was over, its next process took the upstream for ready from the coordinators' record.
+#[test]
+fn a_leave_that_a_cut_off_sidecar_acknowledges_binds_its_next_process() {
+    let mut world = World::start(19);
+    world.links.cut();
+    world.leave();
+    world.kill_sidecar_beside();
+    world.start_sidecar_beside();
+    world.links.join();
+    assert_eq!(world.late_runs(), 0);
+    let fleet = &world.fleet;
+    wait_until("the next upstream registers", || fleet.register(UPSTREAM, "i-2", 1, false));
+    wait_until("it is served", || world.is_served());
+}
+
+/// What tells a record from before a restart apart from one from before a cut.
+#[test]
+fn coordinators_tell_links_that_end_in_order_from_links_that_break() {
+    let mut world = World::start(20);
+    world.kill_sidecar_beside();
+    wait_until("a link ends in order", || world.is_link_end_logged(true));
+    assert!(!world.is_link_end_logged(false));
+    world.start_sidecar_beside();
+    wait_until("the sidecar is linked", || world.fleet.is_ready(UPSTREAM));
+    world.links.cut();
+    world.kill_sidecar_beside();
+    wait_until("a link is given up", || world.is_link_end_logged(false));
+}
--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -41,6 +41,12 @@
         self.child.id()
     }
 
+    /// Whether one of its last lines contains all of these.
+    pub fn has_logged(&self, parts: &[&str]) -> bool {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.iter().any(|line| parts.iter().all(|part| line.contains(part)))
+    }
+
     /// Sends a signal, given as an option of `kill` such as `-TERM`.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.id().to_string()]).status();
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -13,7 +13,8 @@
 use crate::Millis;
 use bundle::{best_update, Digest};
 use mesh::{
-    encode_frame, MemberLocation, NodeAddress, NodeLoad, NodeRecord, ToCoordinator, ToSidecar,
+    encode_frame, LastRecord, MemberLocation, NodeAddress, NodeLoad, NodeRecord, ToCoordinator,
+    ToSidecar,
 };
 use speedy::{LittleEndian, Writable};
 use std::collections::BTreeMap;
@@ -138,9 +139,9 @@
     /// Opens a link with the first report of a sidecar; the responses are appended to `output`.
     pub fn open(&mut self, record: NodeRecord, output: &mut Vec<u8>) -> Link {
         let (node, life) = (record.address, record.boot_id);
-        let last = self.hub.lock().registry.last_record(&node);
-        let last = last.filter(|last| last.boot_id != life);
-        info!(%node, life, restored = last.is_some(), "sidecar_connected");
+        let last = self.last_record(&node).filter(|last| last.record.boot_id != life);
+        let link_ended_ms = last.as_ref().and_then(|last| last.link_ended_ms);
+        info!(%node, life, restored = last.is_some(), ?link_ended_ms, "sidecar_connected");
         let zone = self.zone.clone();
         encode_frame(&ToSidecar::Welcome { zone, last }, output);
         let mut link =
@@ -153,6 +154,14 @@
         link
     }
 
+    fn last_record(&self, node: &NodeAddress) -> Option<LastRecord> {
+        let registry = &self.hub.lock().registry;
+        let record = registry.last_record(node)?;
+        let ended_ms = registry.link_ended_ms(node, record.boot_id, self.clock.now_ms());
+        let link_ended_ms = ended_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX));
+        Some(LastRecord { record, link_ended_ms })
+    }
+
     /// Handles a frame of a sidecar; responses are appended to `output`.
     pub fn handle_frame(&mut self, link: &mut Link, frame: ToCoordinator, output: &mut Vec<u8>) {
         let node = link.node;
@@ -188,12 +197,17 @@
         self.hub.lock().registry.alive(&node, link.boot_id, self.clock.now_ms());
     }
 
-    /// Handles the end of a link.
-    pub fn close(&self, link: &Link) {
+    /// Handles the end of a link; `in_order` tells whether everything that the sidecar sent on it has
+    /// arrived.
+    pub fn close(&self, link: &Link, in_order: bool) {
+        if in_order {
+            let now = self.clock.now_ms();
+            self.hub.lock().registry.link_ended_in_order(&link.node, link.boot_id, now);
+        }
         if self.hub.lock().registry.disconnected(&link.node, link.boot_id) {
             self.hub.wake();
         }
-        info!(node = %link.node, life = link.boot_id, "sidecar_disconnected");
+        info!(node = %link.node, life = link.boot_id, in_order, "sidecar_disconnected");
     }
 
     fn handle_report(&self, record: NodeRecord, output: &mut Vec<u8>) {
--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -46,6 +46,9 @@
 /// Interval between checks for silent and stalled links and for changes of the group.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Why a connection was closed whose stream has ended.
+const ENDED: &str = "ended";
+
 /// Takes over the connection of another coordinator, with the data read after the greeting.
 pub(crate) type ServeCoordinator = Box<dyn Fn(std::net::TcpStream, SocketAddr, Vec<u8>) + Send>;
 
@@ -58,6 +61,9 @@
     heard_at: BootInstant,
     /// Since when no pending data could be sent.
     stalled_since: Option<BootInstant>,
+    /// Whether an error was met. A failed write takes the error off the socket, so that the read
+    /// that follows reports an end in order.
+    broken: bool,
     stage: Stage,
 }
 
@@ -206,6 +212,7 @@
             sent: 0,
             heard_at: BootInstant::now(),
             stalled_since: None,
+            broken: false,
             stage: Stage::AwaitingGreeting,
         });
         Ok(())
@@ -241,6 +248,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
+                    connection.broken = true;
                     stream_ended = true;
                     break;
                 }
@@ -252,7 +260,7 @@
         }
         match self.process_input(key) {
             Ok(InputOutcome::KeepOpen) if !stream_ended => self.flush(key),
-            Ok(InputOutcome::KeepOpen) => self.close(key, "ended"),
+            Ok(InputOutcome::KeepOpen) => self.close(key, ENDED),
             Ok(InputOutcome::Close) => self.close(key, "refused"),
             Ok(InputOutcome::IsCoordinator(greeting)) => self.hand_over(key, greeting),
             Err(error) => {
@@ -345,7 +353,10 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // A broken connection also becomes readable; the read detects its end.
-                Err(_) => break,
+                Err(_) => {
+                    connection.broken = true;
+                    break;
+                }
             }
         }
         if connection.sent == connection.output.len() {
@@ -369,7 +380,8 @@
         }
         info!(peer = %connection.peer, reason, "connection_ended");
         if let Stage::Linked(link) = &connection.stage {
-            self.links.close(link);
+            let in_order = reason == ENDED && !connection.broken && connection.input.is_empty();
+            self.links.close(link, in_order);
         }
     }
 
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -62,6 +62,8 @@
     nodes: BTreeMap<NodeAddress, ListedNode>,
     gone: VecDeque<(u64, NodeAddress)>,
     last_records: BTreeMap<NodeAddress, (NodeRecord, Millis)>,
+    /// Sidecar processes whose last link to this coordinator ended in order, and when.
+    ended_links: BTreeMap<NodeAddress, (u64, Millis)>,
     leaving_states: VecDeque<(Incarnation, InstanceState)>,
 }
 
@@ -75,6 +77,7 @@
             nodes: BTreeMap::new(),
             gone: VecDeque::new(),
             last_records: BTreeMap::new(),
+            ended_links: BTreeMap::new(),
             leaving_states: VecDeque::new(),
         }
     }
@@ -91,9 +94,17 @@
         Some(record)
     }
 
+    /// Time since the last link of a sidecar process ended in order; `None` if it broke off, or if
+    /// the process was heard of afterwards.
+    pub fn link_ended_ms(&self, address: &NodeAddress, boot_id: u64, now: Millis) -> Option<u64> {
+        let (ended, at) = self.ended_links.get(address)?;
+        (*ended == boot_id).then(|| now.saturating_sub(*at))
+    }
+
     /// Handles a report of a sidecar; returns whether readers must be notified.
     pub fn report(&mut self, mut record: NodeRecord, now: Millis) -> bool {
         self.now = self.now.max(now);
+        self.ended_links.remove(&record.address);
         self.apply_leaving_state(&mut record);
         self.remember_leaving_state(&record);
         if record.instance.is_some() {
@@ -121,6 +132,7 @@
     ) {
         self.position += 1;
         let address = record.address;
+        self.ended_links.remove(&address);
         let changed_at = self.position;
         let listed =
             ListedNode { record, received_at, last_heard_at, last_heard_directly_at, changed_at };
@@ -233,6 +245,15 @@
         {
             listed.last_heard_at = now;
             listed.last_heard_directly_at = Some(now);
+            self.ended_links.remove(address);
+        }
+    }
+
+    /// Notes that the connection of a sidecar process ended in order: everything that the process
+    /// sent on it has arrived.
+    pub fn link_ended_in_order(&mut self, address: &NodeAddress, boot_id: u64, now: Millis) {
+        if self.nodes.get(address).is_some_and(|listed| listed.record.boot_id == boot_id) {
+            self.ended_links.insert(*address, (boot_id, now));
         }
     }
 
@@ -270,6 +291,7 @@
             self.remove(*address);
         }
         self.last_records.retain(|_, (_, received_at)| now < *received_at + LAST_RECORD_TTL_MS);
+        self.ended_links.retain(|_, (_, ended_at)| now < *ended_at + LAST_RECORD_TTL_MS);
         !expired.is_empty()
     }
 
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -53,6 +53,54 @@
     assert_eq!(registry.nodes(), 0);
 }
 
+/// Guards against a record from before a cut that passes for the last word of a killed sidecar.
+#[test]
+fn a_link_that_ended_in_order_vouches_until_the_process_is_heard_of_again() {
+    let ready = Some(("i-1", InstanceState::Ready));
+    let ended = || {
+        let mut registry = Registry::new(LEASE_MS);
+        registry.report(record(1, 7, 1, ready), 0);
+        registry.link_ended_in_order(&address(1), 7, 100);
+        registry.disconnected(&address(1), 7);
+        registry
+    };
+    let ended_ms = |registry: &Registry| registry.link_ended_ms(&address(1), 7, 400);
+    assert_eq!(ended_ms(&ended()), Some(300));
+
+    let mut linked_again = ended();
+    linked_again.report(record(1, 7, 1, ready), 200);
+    assert_eq!(ended_ms(&linked_again), None);
+
+    let mut second_link = ended();
+    second_link.alive(&address(1), 7, 200);
+    assert_eq!(ended_ms(&second_link), None);
+
+    let mut heard_elsewhere = ended();
+    let later = record(1, 7, 2, ready);
+    heard_elsewhere.merge_from_peer(HeardNode { record: later, silent_ms: 0 }, 200);
+    assert_eq!(ended_ms(&heard_elsewhere), None);
+
+    let mut next_process = ended();
+    next_process.report(record(1, 8, 0, None), 200);
+    next_process.link_ended_in_order(&address(1), 8, 300);
+    assert_eq!(ended_ms(&next_process), None, "its end says nothing of the record of process 7");
+
+    let mut broken = Registry::new(LEASE_MS);
+    broken.report(record(1, 7, 1, ready), 0);
+    broken.disconnected(&address(1), 7);
+    assert_eq!(ended_ms(&broken), None);
+
+    let mut stopped = Registry::new(LEASE_MS);
+    stopped.report(NodeRecord { stopping: true, ..record(1, 7, 1, ready) }, 0);
+    stopped.link_ended_in_order(&address(1), 7, 100);
+    stopped.disconnected(&address(1), 7);
+    assert_eq!(ended_ms(&stopped), Some(300), "a planned stop removes the node, not its record");
+
+    let mut forgotten = ended();
+    forgotten.expire(70_000);
+    assert_eq!(ended_ms(&forgotten), None);
+}
+
 #[test]
 fn a_lost_connection_alone_removes_nobody_but_who_was_stopping() {
     let mut registry = Registry::new(LEASE_MS);
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,8 +1,8 @@
 //! Frames that coordinators and sidecars exchange.
 
 use crate::{
-    CreditAmount, CreditAnswer, CreditRequest, HeardNode, NodeAddress, NodeLoad, NodeRecord,
-    PoisonNotice, RegistryEntry, UpstreamLoad, VersionEvidence, VersionPolicy,
+    CreditAmount, CreditAnswer, CreditRequest, HeardNode, LastRecord, NodeAddress, NodeLoad,
+    NodeRecord, PoisonNotice, RegistryEntry, UpstreamLoad, VersionEvidence, VersionPolicy,
 };
 use bundle::{BundleUpdate, Digest};
 use consensus::Message;
@@ -10,7 +10,7 @@
 use std::net::Ipv4Addr;
 
 /// Protocol version of all frames; processes of different versions refuse each other's connections.
-pub const PROTOCOL_VERSION: u16 = 8;
+pub const PROTOCOL_VERSION: u16 = 9;
 
 /// Location of a coordinator.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -192,7 +192,7 @@
         /// Zone of the coordinator; empty if none is configured.
         zone: String,
         /// Last known record of an earlier process of the sidecar at this address.
-        last: Option<NodeRecord>,
+        last: Option<LastRecord>,
     },
     /// Acknowledges reports up to a sequence number.
     ReportAcknowledged {
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -144,6 +144,17 @@
     pub instance: Option<InstanceRecord>,
 }
 
+/// What a coordinator knows of an earlier process of a sidecar.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct LastRecord {
+    /// Its last record that names an upstream.
+    pub record: NodeRecord,
+    /// Time since its last link to this coordinator ended in order, so that all it sent has arrived,
+    /// milliseconds at the time of sending. `None` if the link broke off, or if the process was
+    /// heard of elsewhere afterwards.
+    pub link_ended_ms: Option<u32>,
+}
+
 /// The version of a sidecar's record, as listed by a coordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct RegistryEntry {
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -19,9 +19,9 @@
 use bundle::BundleUpdate;
 use bytes::Buf;
 use mesh::{
-    decode_frame, encode_frame, CreditAnswer, Greeting, MemberLocation, NodeAddress, NodeLoad,
-    NodeRecord, PoisonNotice, Purpose, ToCoordinator, ToSidecar, UpstreamLoad, VersionPolicy,
-    PROTOCOL_VERSION,
+    decode_frame, encode_frame, CreditAnswer, Greeting, LastRecord, MemberLocation, NodeAddress,
+    NodeLoad, NodeRecord, PoisonNotice, Purpose, ToCoordinator, ToSidecar, UpstreamLoad,
+    VersionPolicy, PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -47,8 +47,13 @@
 /// An event from a link.
 #[derive(Debug)]
 pub enum LinkEvent {
-    /// A coordinator accepted the link; contains what it knows of an earlier run of this sidecar.
-    Welcome(Option<NodeRecord>),
+    /// A coordinator accepted the link.
+    Welcome {
+        /// What it knows of an earlier run of this sidecar.
+        last: Option<LastRecord>,
+        /// When this sidecar reported itself on the link.
+        reported_at: Millis,
+    },
     /// A new configuration.
     Config {
         /// The generation.
@@ -86,6 +91,8 @@
     connection: Option<ConnectionId>,
     open: bool,
     welcomed: bool,
+    /// When this sidecar first reported itself on the open connection.
+    reported_at: Millis,
     connecting_since: Millis,
     received_at: Millis,
     pinged_at: Option<Millis>,
@@ -220,6 +227,7 @@
             return;
         };
         link.open = true;
+        link.reported_at = now;
         link.received_at = now;
         let greeting = Greeting {
             protocol: PROTOCOL_VERSION,
@@ -289,9 +297,9 @@
                 link.lost_at = None;
                 link.same_zone = zone == self.record.zone;
                 self.welcomed = true;
-                let restored = last.is_some();
+                let (restored, reported_at) = (last.is_some(), link.reported_at);
                 info!(coordinator = %address, %zone, restored, "coordinator_linked");
-                events.push(LinkEvent::Welcome(last));
+                events.push(LinkEvent::Welcome { last, reported_at });
                 self.subscribe(net, now);
             }
             ToSidecar::ReportAcknowledged { sequence } => {
--- a/crates/sidecar/src/registrar.rs
+++ b/crates/sidecar/src/registrar.rs
@@ -7,12 +7,24 @@
 use crate::net::ConnectionId;
 use crate::Millis;
 use http1::Slot;
+use mesh::LastRecord;
 
 /// Number of coordinators that must hold the report of a departure.
 const REQUIRED_HOLDERS: usize = 2;
 /// Longest wait for them, in milliseconds; the upstream expects its answer within one second.
 const MAX_WAIT_MS: u64 = 600;
 
+/// Whether a record is the last word of the previous process of this sidecar, so that no departure
+/// was acknowledged that it does not contain. `reported_at` is when this process, whose clock starts
+/// with it, reported itself to the coordinator that sent the record.
+///
+/// That coordinator has all that the previous process sent until their link ended. A departure that
+/// was reported afterwards and that no other coordinator holds was acknowledged at the earliest
+/// [`MAX_WAIT_MS`] after that end, and before this process started.
+pub fn is_last_word(last: &LastRecord, reported_at: Millis) -> bool {
+    last.link_ended_ms.is_some_and(|ended_ms| u64::from(ended_ms) < reported_at + MAX_WAIT_MS)
+}
+
 /// A deferred acknowledgement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PendingAcknowledgement {
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -368,8 +368,8 @@
 
     fn on_link_event(&mut self, event: LinkEvent, now: Millis) {
         match event {
-            LinkEvent::Welcome(last) => {
-                self.restore(last, now);
+            LinkEvent::Welcome { last, reported_at } => {
+                self.restore(last, reported_at, now);
                 self.links.send_poison_notices(&mut self.net, self.poison.full_report(now));
                 self.process_waiting_registrations(now);
             }
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -4,24 +4,39 @@
 use super::{Sidecar, WaitingRegistration, RESTORE_WAIT_MS};
 use crate::dialect::{RegistrationCall, RegistrationDialect};
 use crate::net::ConnectionId;
+use crate::registrar::is_last_word;
 use crate::Millis;
 use http1::{Headers, Request, Response, Slot};
-use mesh::{InstanceRecord, InstanceState, NodeRecord};
+use mesh::{InstanceRecord, InstanceState, LastRecord, NodeRecord};
 use tracing::{info, warn};
 
 impl<D: RegistrationDialect> Sidecar<D> {
-    /// Restores the state of the upstream that an earlier run of this sidecar reported.
-    pub(super) fn restore(&mut self, last: Option<NodeRecord>, now: Millis) {
-        let own_service = last.filter(|last| last.service == self.settings.service);
-        let Some(NodeRecord { boot_id, instance: Some(instance), .. }) = own_service else {
+    /// Restores the state of the upstream that an earlier run of this sidecar reported. A record
+    /// that is not the last word of the previous run cannot tell that the upstream is still ready:
+    /// its next heartbeat does.
+    pub(super) fn restore(&mut self, last: Option<LastRecord>, reported_at: Millis, now: Millis) {
+        let own_service = last.filter(|last| last.record.service == self.settings.service);
+        let Some(last) = own_service else {
             return;
         };
+        let is_last_word = is_last_word(&last, reported_at);
+        let link_ended_ms = last.link_ended_ms;
+        let NodeRecord { boot_id, instance: Some(instance), .. } = last.record else {
+            return;
+        };
+        if instance.state == InstanceState::Ready && !is_last_word {
+            info!(instance = %instance.id, boot_id, ?link_ended_ms, reported_at, "instance_awaited");
+            return;
+        }
         let known = self.jobs.gate.id().map(str::to_owned);
         self.jobs.gate.restore(&instance, now);
         self.jobs.refresh_limit(now);
         let state = instance.state.as_str();
         let gate = self.jobs.gate.state(now).as_str();
-        info!(instance = %instance.id, state, boot_id, ?known, gate, "instance_restored");
+        info!(
+            instance = %instance.id, state, boot_id, ?link_ended_ms, reported_at, ?known, gate,
+            "instance_restored"
+        );
         self.report_instance(now);
     }
 
