sidecar: the end of a process counts from when it certainly ran; the model that found it

Nor was a link told apart that a living sidecar closes.

Change: a coordinator counts the end of a process from the last moment before the burst in which it arrived (contacts 250 ms apart). A sidecar that closes a link and lives on says so (`Unlink`).

Model: `sidecar/tests/departures.rs`, the real gate, acknowledgements, registries and exchange in virtual time, with kills of sidecar and coordinators, cuts, late and lost heartbeats, leaves, drains, crashes, starts under the same id, statements in answers, and resets.

Conclusion: an acknowledgement that nobody holds binds the next processes as well.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -90,10 +90,15 @@
         }
     }
 
-    /// Restores a record that coordinators kept from before this sidecar started.
-    pub fn restore(&mut self, record: &InstanceRecord, now: Millis) {
+    /// Restores a record that coordinators kept from before this sidecar started. One that states
+    /// that the upstream is ready changes nothing unless it is the last word of the process before:
+    /// that may have acknowledged a departure since. Returns whether the record was restored.
+    pub fn restore(&mut self, record: &InstanceRecord, is_last_word: bool, now: Millis) -> bool {
         let record = &self.with_departure(record);
         let incarnation = record.incarnation();
+        if record.state == InstanceState::Ready && !is_last_word {
+            return false;
+        }
         self.note_departure(&incarnation, record.state);
         self.learn_start(&incarnation);
         if self.current.is_none() && !self.is_retired(&incarnation) {
@@ -102,6 +107,7 @@
         if self.advance(&incarnation, record.state, now) {
             self.close_now(&incarnation);
         }
+        true
     }
 
     /// Applies a report by the upstream about itself. `sequence` orders the reports of an incarnation.
--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -65,12 +65,12 @@
 #[test]
 fn an_end_known_from_an_earlier_life_closes_it_at_once() {
     let mut gate = DrainGate::new(DRAIN_MS);
-    gate.restore(&record("i-1", InstanceState::Draining), 50);
+    gate.restore(&record("i-1", InstanceState::Draining), true, 50);
     assert_eq!(gate.state(50), GateState::Closed);
 
     let mut gate = DrainGate::new(DRAIN_MS);
     gate.on_report(&record("i-1", InstanceState::Ready), 7, 20);
-    gate.restore(&record("i-1", InstanceState::Left), 50);
+    gate.restore(&record("i-1", InstanceState::Left), true, 50);
     assert_eq!(gate.state(50), GateState::Closed);
 
     // After a kill of the sidecar the first report is a shutdown, which the previous process may have
@@ -84,7 +84,7 @@
 fn what_coordinators_remember_does_not_replace_a_newer_incarnation() {
     let mut gate = DrainGate::new(DRAIN_MS);
     gate.on_report(&record("i-2", InstanceState::Ready), 1, 20);
-    gate.restore(&record("i-1", InstanceState::Left), 50);
+    gate.restore(&record("i-1", InstanceState::Left), true, 50);
     assert_eq!((gate.id(), gate.state(60)), (Some("i-2"), GateState::Open));
 }
 
@@ -144,7 +144,9 @@
             Arrival::Crashes(id) => {
                 gate.on_crash(id);
             }
-            Arrival::Restored(id) => gate.restore(&record(id, InstanceState::Ready), now),
+            Arrival::Restored(id) => {
+                gate.restore(&record(id, InstanceState::Ready), true, now);
+            }
         }
     }
     (gate.id().map(str::to_owned), gate.state(60_000))
@@ -313,7 +315,7 @@
 fn a_departure_without_a_start_time_belongs_to_the_first_start_that_is_heard_of() {
     let mut gate = DrainGate::new(DRAIN_MS);
     assert!(gate.on_leave(&incarnation("i-1"), 0), "coordinators must hear of it");
-    gate.restore(&record_with_start("i-1", 1_000, InstanceState::Ready), 100);
+    gate.restore(&record_with_start("i-1", 1_000, InstanceState::Ready), true, 100);
     assert_eq!(gate.state(100), GateState::Closed);
     assert!(gate.on_report(&record_with_start("i-1", 9_000, InstanceState::Ready), 1, 5_000));
     assert_eq!(gate.state(5_000), GateState::Open);
@@ -325,7 +327,7 @@
     for number in 0..200 {
         gate.on_leave(&incarnation(&format!("i-{number}")), number);
     }
-    gate.restore(&record("i-199", InstanceState::Ready), 300);
+    gate.restore(&record("i-199", InstanceState::Ready), true, 300);
     assert!(!gate.on_report(&record("i-190", InstanceState::Ready), 9, 300));
     assert_eq!((gate.id(), gate.state(300)), (Some("i-199"), GateState::Closed));
 }
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -53,6 +53,8 @@
 pub(crate) struct Link {
     pub node: NodeAddress,
     pub boot_id: u64,
+    /// Whether the sidecar closes the link and lives on.
+    unlinked: bool,
     sent: SentRevisions,
     subscription: Option<Subscription>,
 }
@@ -140,12 +142,17 @@
     pub fn open(&mut self, record: NodeRecord, output: &mut Vec<u8>) -> Link {
         let (node, life) = (record.address, record.boot_id);
         let last = self.last_record(&node).filter(|last| last.record.boot_id != life);
-        let link_ended_ms = last.as_ref().and_then(|last| last.link_ended_ms);
-        info!(%node, life, restored = last.is_some(), ?link_ended_ms, "sidecar_connected");
+        let ended_ms = last.as_ref().and_then(|last| last.ended_ms);
+        info!(%node, life, restored = last.is_some(), ?ended_ms, "sidecar_connected");
         let zone = self.zone.clone();
         encode_frame(&ToSidecar::Welcome { zone, last }, output);
-        let mut link =
-            Link { node, boot_id: life, sent: SentRevisions::default(), subscription: None };
+        let mut link = Link {
+            node,
+            boot_id: life,
+            unlinked: false,
+            sent: SentRevisions::default(),
+            subscription: None,
+        };
         // Sent before its upstream is announced, because version and zone decide which calls it may
         // receive.
         self.update_group_frames();
@@ -157,9 +164,9 @@
     fn last_record(&self, node: &NodeAddress) -> Option<LastRecord> {
         let registry = &self.hub.lock().registry;
         let record = registry.last_record(node)?;
-        let ended_ms = registry.link_ended_ms(node, record.boot_id, self.clock.now_ms());
-        let link_ended_ms = ended_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX));
-        Some(LastRecord { record, link_ended_ms })
+        let ended_ms = registry.ended_ms(node, record.boot_id, self.clock.now_ms());
+        let ended_ms = ended_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX));
+        Some(LastRecord { record, ended_ms })
     }
 
     /// Handles a frame of a sidecar; responses are appended to `output`.
@@ -189,6 +196,7 @@
                 encode_frame(&ToSidecar::Credits(answer), output);
             }
             ToCoordinator::Applied { generation } => info!(%node, generation, "generation_applied"),
+            ToCoordinator::Unlink => link.unlinked = true,
             ToCoordinator::Ping { asked_at } => {
                 let generation = self.group.announced_generation();
                 encode_frame(&ToSidecar::Pong { asked_at, generation }, output);
@@ -200,7 +208,7 @@
     /// Handles the end of a link; `in_order` tells whether everything that the sidecar sent on it has
     /// arrived.
     pub fn close(&self, link: &Link, in_order: bool) {
-        if in_order {
+        if in_order && !link.unlinked {
             let now = self.clock.now_ms();
             self.hub.lock().registry.link_ended_in_order(&link.node, link.boot_id, now);
         }
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -60,29 +60,30 @@
     let ended = || {
         let mut registry = Registry::new(LEASE_MS);
         registry.report(record(1, 7, 1, ready), 0);
-        registry.link_ended_in_order(&address(1), 7, 100);
+        registry.alive(&address(1), 7, 1_000);
+        registry.link_ended_in_order(&address(1), 7, 1_300);
         registry.disconnected(&address(1), 7);
         registry
     };
-    let ended_ms = |registry: &Registry| registry.link_ended_ms(&address(1), 7, 400);
-    assert_eq!(ended_ms(&ended()), Some(300));
+    let ended_ms = |registry: &Registry| registry.ended_ms(&address(1), 7, 1_900);
+    assert_eq!(ended_ms(&ended()), Some(900), "it certainly ran when it was heard");
 
     let mut linked_again = ended();
-    linked_again.report(record(1, 7, 1, ready), 200);
+    linked_again.report(record(1, 7, 1, ready), 1_400);
     assert_eq!(ended_ms(&linked_again), None);
 
     let mut second_link = ended();
-    second_link.alive(&address(1), 7, 200);
+    second_link.alive(&address(1), 7, 1_400);
     assert_eq!(ended_ms(&second_link), None);
 
     let mut heard_elsewhere = ended();
     let later = record(1, 7, 2, ready);
-    heard_elsewhere.merge_from_peer(HeardNode { record: later, silent_ms: 0 }, 200);
+    heard_elsewhere.merge_from_peer(HeardNode { record: later, silent_ms: 0 }, 1_400);
     assert_eq!(ended_ms(&heard_elsewhere), None);
 
     let mut next_process = ended();
-    next_process.report(record(1, 8, 0, None), 200);
-    next_process.link_ended_in_order(&address(1), 8, 300);
+    next_process.report(record(1, 8, 0, None), 1_400);
+    next_process.link_ended_in_order(&address(1), 8, 1_500);
     assert_eq!(ended_ms(&next_process), None, "its end says nothing of the record of process 7");
 
     let mut broken = Registry::new(LEASE_MS);
@@ -92,15 +93,37 @@
 
     let mut stopped = Registry::new(LEASE_MS);
     stopped.report(NodeRecord { stopping: true, ..record(1, 7, 1, ready) }, 0);
-    stopped.link_ended_in_order(&address(1), 7, 100);
+    stopped.link_ended_in_order(&address(1), 7, 1_300);
     stopped.disconnected(&address(1), 7);
-    assert_eq!(ended_ms(&stopped), Some(300), "a planned stop removes the node, not its record");
+    assert_eq!(ended_ms(&stopped), Some(1_900), "a planned stop removes the node, not its record");
 
     let mut forgotten = ended();
     forgotten.expire(70_000);
     assert_eq!(ended_ms(&forgotten), None);
 }
 
+/// Guards against the end of a process that a cut held up: another process may have run since.
+#[test]
+fn the_end_of_a_link_that_arrives_after_a_cut_counts_from_before_the_cut() {
+    let mut registry = Registry::new(LEASE_MS);
+    let ready = Some(("i-1", InstanceState::Ready));
+    registry.report(record(1, 7, 1, ready), 0);
+    registry.alive(&address(1), 7, 1_000);
+    // What the cut held up arrives at once, the end of the connection last.
+    registry.alive(&address(1), 7, 3_400);
+    registry.alive(&address(1), 7, 3_410);
+    registry.link_ended_in_order(&address(1), 7, 3_420);
+    assert_eq!(registry.ended_ms(&address(1), 7, 3_500), Some(2_500));
+    // While frames arrive often, the end is known closely.
+    let mut registry = Registry::new(LEASE_MS);
+    for now in (0..3_000).step_by(150) {
+        registry.report(record(1, 7, now, ready), now);
+    }
+    registry.link_ended_in_order(&address(1), 7, 2_900);
+    let ended_ms = registry.ended_ms(&address(1), 7, 3_000);
+    assert!(ended_ms.is_some_and(|ms| ms <= 600), "{ended_ms:?}");
+}
+
 #[test]
 fn a_lost_connection_alone_removes_nobody_but_who_was_stopping() {
     let mut registry = Registry::new(LEASE_MS);
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -149,10 +149,10 @@
 pub struct LastRecord {
     /// Its last record that names an upstream.
     pub record: NodeRecord,
-    /// Time since its last link to this coordinator ended in order, so that all it sent has arrived,
-    /// milliseconds at the time of sending. `None` if the link broke off, or if the process was
-    /// heard of elsewhere afterwards.
-    pub link_ended_ms: Option<u32>,
+    /// Longest time for which the process may have been gone, milliseconds at the time of sending, if
+    /// its last link to this coordinator ended in order, so that all it sent has arrived. `None` if
+    /// the link broke off, or if the process lived on or was heard of elsewhere afterwards.
+    pub ended_ms: Option<u32>,
 }
 
 /// The version of a sidecar's record, as listed by a coordinator.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -39,7 +39,7 @@
 pub use net::{ConnectionId, LinkUse, Net, NetEvent, SentBytes};
 pub use poison::PoisonWatch;
 pub use quota::Quota;
-pub use registrar::{is_last_word, PendingAcknowledgement, Registrar};
+pub use registrar::{is_last_word, DepartureAnswer, PendingAcknowledgement, Registrar};
 pub use runtime::{run, SidecarError};
 pub use sample::{LogRateLimit, LogSample};
 pub use stop::{Activity, StopPhase, StopPlan};
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -4,7 +4,7 @@
 use super::{Sidecar, WaitingRegistration, RESTORE_WAIT_MS};
 use crate::dialect::{RegistrationCall, RegistrationDialect};
 use crate::net::ConnectionId;
-use crate::registrar::is_last_word;
+use crate::registrar::{is_last_word, DepartureAnswer};
 use crate::Millis;
 use http1::{Headers, Request, Response, Slot};
 use mesh::{InstanceRecord, InstanceState, LastRecord, NodeRecord};
@@ -20,21 +20,20 @@
             return;
         };
         let is_last_word = is_last_word(&last, reported_at);
-        let link_ended_ms = last.link_ended_ms;
+        let ended_ms = last.ended_ms;
         let NodeRecord { boot_id, instance: Some(instance), .. } = last.record else {
             return;
         };
-        if instance.state == InstanceState::Ready && !is_last_word {
-            info!(instance = %instance.id, boot_id, ?link_ended_ms, reported_at, "instance_awaited");
+        let known = self.jobs.gate.id().map(str::to_owned);
+        if !self.jobs.gate.restore(&instance, is_last_word, now) {
+            info!(instance = %instance.id, boot_id, ?ended_ms, reported_at, "instance_awaited");
             return;
         }
-        let known = self.jobs.gate.id().map(str::to_owned);
-        self.jobs.gate.restore(&instance, now);
         self.jobs.refresh_limit(now);
         let state = instance.state.as_str();
         let gate = self.jobs.gate.state(now).as_str();
         info!(
-            instance = %instance.id, state, boot_id, ?link_ended_ms, reported_at, ?known, gate,
+            instance = %instance.id, state, boot_id, ?ended_ms, reported_at, ?known, gate,
             "instance_restored"
         );
         self.report_instance(now);
@@ -137,10 +136,20 @@
         let now = self.now();
         let links = &self.links;
         let ready = self.registrar.ready(|sequence| links.acknowledged_by(sequence), now);
-        for pending in ready {
+        for (pending, answer) in ready {
             let (holders, linked) = self.links.acknowledged_by(pending.sequence);
-            info!(sequence = pending.sequence, holders, linked, "end_acknowledged");
-            self.answer(pending.connection, pending.slot, registered(), now);
+            let sequence = pending.sequence;
+            let response = match answer {
+                DepartureAnswer::Acknowledged => {
+                    info!(sequence, holders, linked, "end_acknowledged");
+                    registered()
+                }
+                DepartureAnswer::NotHeld => {
+                    info!(sequence, holders, linked, "end_not_acknowledged");
+                    Response::text(503, "no coordinator holds the departure yet")
+                }
+            };
+            self.answer(pending.connection, pending.slot, response, now);
         }
     }
 }
--- /dev/null
+++ b/crates/sidecar/tests/departure_fleet/links.rs
@@ -0,0 +1,298 @@
+//! The links between the sidecar and the coordinators. What a cut holds up arrives afterwards, in
+//! order, unless its sender reset the connection; nobody sees the end of a connection behind a cut.
+
+use super::coordinators::{Coordinators, Welcome, COORDINATORS};
+use super::Millis;
+use fastrand::Rng;
+use mesh::NodeRecord;
+use std::collections::VecDeque;
+
+const DELAY_MS: std::ops::Range<Millis> = 1..15;
+const PING_MS: Millis = 1_000;
+const RETRY_MS: std::ops::Range<Millis> = 50..400;
+/// Each side gives a silent link up after this time.
+const SIDECAR_SILENCE_MS: Millis = 3_000;
+const COORDINATOR_SILENCE_MS: Millis = 3_500;
+
+/// What the sidecar receives.
+#[derive(Clone, Debug)]
+pub enum ToSidecar {
+    Welcome(Welcome),
+    Held { member: usize, sequence: u64 },
+}
+
+#[derive(Clone, Debug)]
+enum ToCoordinator {
+    Open {
+        record: NodeRecord,
+        at: Millis,
+    },
+    Report(NodeRecord),
+    Ping,
+    /// The sidecar closes the connection and lives on.
+    Unlink,
+    End,
+}
+
+/// One connection; each side may have closed its end.
+#[derive(Debug, Default)]
+struct Connection {
+    boot_id: u64,
+    up: VecDeque<(Millis, ToCoordinator)>,
+    down: VecDeque<(Millis, ToSidecar)>,
+    /// Whether the sidecar's end is open, and whether it was reset.
+    sidecar_open: bool,
+    reset: bool,
+    unlinked: bool,
+    coordinator_open: bool,
+    welcomed: bool,
+    held_sequence: u64,
+    pinged_at: Millis,
+    heard_by_sidecar: Millis,
+    heard_by_coordinator: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    cut_until: Millis,
+    retry_at: Millis,
+    /// The sidecar's connection is the last one, if its end is open.
+    connections: Vec<Connection>,
+}
+
+#[derive(Debug)]
+pub struct Links {
+    links: Vec<Link>,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Links { links: (0..COORDINATORS).map(|_| Link::default()).collect() }
+    }
+}
+
+impl Link {
+    fn own(&self) -> Option<&Connection> {
+        self.connections.last().filter(|connection| connection.sidecar_open)
+    }
+
+    fn own_mut(&mut self) -> Option<&mut Connection> {
+        self.connections.last_mut().filter(|connection| connection.sidecar_open)
+    }
+}
+
+fn pop_due<T>(frames: &mut VecDeque<(Millis, T)>, now: Millis) -> Option<(Millis, T)> {
+    frames.front().filter(|(due, _)| *due <= now)?;
+    frames.pop_front()
+}
+
+impl Connection {
+    fn send(&mut self, frame: ToCoordinator, random: &mut Rng, now: Millis) {
+        let earliest = self.up.back().map_or(0, |(due, _)| *due);
+        self.up.push_back((earliest.max(now + random.u64(DELAY_MS)), frame));
+    }
+
+    fn answer(&mut self, frame: ToSidecar, now: Millis) {
+        self.down.push_back((now + DELAY_MS.start, frame));
+    }
+}
+
+impl Links {
+    pub fn any_cut(&self, now: Millis) -> bool {
+        self.links.iter().any(|link| now < link.cut_until)
+    }
+
+    pub fn cut(&mut self, number: usize, until: Millis) {
+        let link = &mut self.links[number];
+        link.cut_until = link.cut_until.max(until);
+    }
+
+    /// The sidecar's process is gone: its connections end in order, or are reset.
+    pub fn kill_sidecar(&mut self, in_order: bool) {
+        for link in &mut self.links {
+            if let Some(connection) = link.own_mut() {
+                connection.sidecar_open = false;
+                connection.reset = !in_order;
+                let due = connection.up.back().map_or(0, |(due, _)| *due);
+                connection.up.push_back((due, ToCoordinator::End));
+            }
+        }
+    }
+
+    pub fn kill_coordinator(&mut self, number: usize) {
+        for connection in &mut self.links[number].connections {
+            connection.coordinator_open = false;
+            connection.up.clear();
+        }
+    }
+
+    pub fn report(&mut self, record: &NodeRecord, random: &mut Rng, now: Millis) {
+        for link in &mut self.links {
+            if let Some(connection) = link.own_mut() {
+                connection.send(ToCoordinator::Report(record.clone()), random, now);
+            }
+        }
+    }
+
+    /// Number of coordinators that hold a report, and of linked ones.
+    pub fn acknowledged_by(&self, sequence: u64) -> (usize, usize) {
+        let welcomed = || {
+            let own = self.links.iter().filter_map(Link::own);
+            own.filter(|connection| connection.welcomed)
+        };
+        let holders = welcomed().filter(|connection| connection.held_sequence >= sequence);
+        (holders.count(), welcomed().count())
+    }
+
+    /// A coordinator acknowledged a report.
+    pub fn held(&mut self, member: usize, sequence: u64) {
+        if let Some(connection) = self.links[member].own_mut() {
+            connection.held_sequence = connection.held_sequence.max(sequence);
+        }
+    }
+
+    /// Moves all frames; returns what the sidecar receives. `report` is its record while it runs;
+    /// `broken_vouches` makes a connection that broke off look like one that ended in order.
+    pub fn step(
+        &mut self,
+        report: Option<NodeRecord>,
+        coordinators: &mut Coordinators,
+        broken_vouches: bool,
+        random: &mut Rng,
+        now: Millis,
+    ) -> Vec<ToSidecar> {
+        let mut received = Vec::new();
+        for (number, link) in self.links.iter_mut().enumerate() {
+            let is_cut = now < link.cut_until;
+            if let Some(record) = &report {
+                link.tend(number, record, coordinators, is_cut, random, now);
+            }
+            for connection in &mut link.connections {
+                connection.give_up(number, coordinators, broken_vouches, now);
+                if !is_cut {
+                    connection.deliver_up(number, coordinators, broken_vouches, now);
+                    received.extend(connection.deliver_down(now));
+                }
+            }
+            link.connections.retain(|held| held.sidecar_open || held.coordinator_open);
+        }
+        received
+    }
+}
+
+impl Link {
+    /// Connects, pings, and notices the end of its connection.
+    fn tend(
+        &mut self,
+        number: usize,
+        record: &NodeRecord,
+        coordinators: &Coordinators,
+        is_cut: bool,
+        random: &mut Rng,
+        now: Millis,
+    ) {
+        if let Some(connection) = self.own_mut() {
+            let is_ended = !connection.coordinator_open && !is_cut;
+            if is_ended || now >= connection.heard_by_sidecar + SIDECAR_SILENCE_MS {
+                connection.sidecar_open = false;
+                let due = connection.up.back().map_or(0, |(due, _)| *due);
+                connection.up.push_back((due, ToCoordinator::Unlink));
+                connection.up.push_back((due, ToCoordinator::End));
+                self.retry_at = now + random.u64(RETRY_MS);
+            } else if now >= connection.pinged_at + PING_MS {
+                connection.pinged_at = now;
+                connection.send(ToCoordinator::Ping, random, now);
+            }
+            return;
+        }
+        if now < self.retry_at {
+            return;
+        }
+        self.retry_at = now + random.u64(RETRY_MS);
+        if is_cut || !coordinators.is_up(number) {
+            return;
+        }
+        let mut connection = Connection {
+            boot_id: record.boot_id,
+            sidecar_open: true,
+            coordinator_open: true,
+            pinged_at: now,
+            heard_by_sidecar: now,
+            heard_by_coordinator: now,
+            ..Connection::default()
+        };
+        connection.send(ToCoordinator::Open { record: record.clone(), at: now }, random, now);
+        self.connections.push(connection);
+    }
+}
+
+impl Connection {
+    /// The coordinator closes a connection on which it has heard nothing for long.
+    fn give_up(
+        &mut self,
+        number: usize,
+        coordinators: &mut Coordinators,
+        broken_vouches: bool,
+        now: Millis,
+    ) {
+        if self.coordinator_open && now >= self.heard_by_coordinator + COORDINATOR_SILENCE_MS {
+            self.coordinator_open = false;
+            coordinators.closed(number, self.boot_id, broken_vouches, now);
+        }
+    }
+
+    fn deliver_up(
+        &mut self,
+        number: usize,
+        coordinators: &mut Coordinators,
+        broken_vouches: bool,
+        now: Millis,
+    ) {
+        if self.reset {
+            // What was on its way is lost with the connection.
+            self.up.retain(|(_, frame)| matches!(frame, ToCoordinator::End));
+        }
+        while let Some((_, frame)) = pop_due(&mut self.up, now) {
+            if !self.coordinator_open {
+                continue;
+            }
+            self.heard_by_coordinator = now;
+            match frame {
+                ToCoordinator::Open { record, at } => {
+                    let sequence = record.sequence;
+                    if let Some(welcome) = coordinators.open(number, record, at, now) {
+                        self.answer(ToSidecar::Welcome(welcome), now);
+                        self.answer(ToSidecar::Held { member: number, sequence }, now);
+                    }
+                }
+                ToCoordinator::Report(record) => {
+                    let sequence = record.sequence;
+                    coordinators.report(number, record, now);
+                    self.answer(ToSidecar::Held { member: number, sequence }, now);
+                }
+                ToCoordinator::Ping => {
+                    coordinators.alive(number, self.boot_id, now);
+                    self.answer(ToSidecar::Held { member: number, sequence: 0 }, now);
+                }
+                ToCoordinator::Unlink => self.unlinked = true,
+                ToCoordinator::End => {
+                    self.coordinator_open = false;
+                    let in_order = !(self.reset || self.unlinked) || broken_vouches;
+                    coordinators.closed(number, self.boot_id, in_order, now);
+                }
+            }
+        }
+    }
+
+    fn deliver_down(&mut self, now: Millis) -> Vec<ToSidecar> {
+        let mut received = Vec::new();
+        while let Some((_, frame)) = pop_due(&mut self.down, now) {
+            if self.sidecar_open {
+                self.heard_by_sidecar = now;
+                self.welcomed |= matches!(frame, ToSidecar::Welcome(_));
+                received.push(frame);
+            }
+        }
+        received
+    }
+}
--- a/crates/sidecar/tests/limit_fleet/mod.rs
+++ b/crates/sidecar/tests/limit_fleet/mod.rs
@@ -786,7 +786,7 @@
         let kept = self.random.bool();
         if let Some(last) = last.filter(|_| kept) {
             let held = &mut self.nodes[node];
-            held.jobs.gate.restore(&last, until);
+            held.jobs.gate.restore(&last, true, until);
             held.jobs.refresh_limit(until);
             self.broadcast(node);
         }
--- a/crates/sidecar/tests/registrar.rs
+++ b/crates/sidecar/tests/registrar.rs
@@ -1,13 +1,15 @@
 //! When a departure is acknowledged, and when a record from before a restart is trusted.
 
 use mesh::{LastRecord, NodeAddress, NodeRecord};
-use sidecar::{is_last_word, ConnectionId, Registrar};
+use sidecar::{is_last_word, ConnectionId, DepartureAnswer, Registrar};
 use std::net::Ipv4Addr;
 
-/// When an acknowledgement that no coordinator holds is sent.
-const UNHELD_MS: u64 = 600;
+/// How long a report waits for coordinators to hold it.
+const WAIT_MS: u64 = 600;
+/// Time after its start in which a process acknowledges nothing unheld.
+const UNHELD_AFTER_MS: u64 = 2_000;
 
-fn last(link_ended_ms: Option<u32>) -> LastRecord {
+fn last(ended_ms: Option<u32>) -> LastRecord {
     let address = NodeAddress { ip: Ipv4Addr::LOCALHOST, port: 1 };
     let record = NodeRecord {
         address,
@@ -18,25 +20,30 @@
         stopping: false,
         instance: None,
     };
-    LastRecord { record, link_ended_ms }
+    LastRecord { record, ended_ms }
 }
 
 #[test]
 fn an_acknowledgement_waits_for_the_linked_coordinators_but_not_for_ever() {
-    let connection = ConnectionId::for_tests(1);
+    use DepartureAnswer::{Acknowledged, NotHeld};
+    let late = UNHELD_AFTER_MS;
     let rows = [
-        ("two of three hold it", 10, (2, 3), true),
-        ("one of three", 10, (1, 3), false),
-        ("the only one that is linked", 10, (1, 1), true),
-        ("none is linked", UNHELD_MS - 1, (0, 0), false),
-        ("none is linked for long", UNHELD_MS, (0, 0), true),
-        ("none holds it for long", UNHELD_MS, (0, 3), true),
+        ("two of three hold it", 0, 10, (2, 3), Some(Acknowledged)),
+        ("one of three", 0, 10, (1, 3), None),
+        ("one of three for long", 0, WAIT_MS, (1, 3), Some(Acknowledged)),
+        ("the only one that is linked", 0, 10, (1, 1), Some(Acknowledged)),
+        ("none is linked", late, WAIT_MS - 1, (0, 0), None),
+        ("none is linked for long", late, WAIT_MS, (0, 0), Some(Acknowledged)),
+        ("none holds it for long", late, WAIT_MS, (0, 3), Some(Acknowledged)),
+        ("none is linked right after the start", 0, WAIT_MS, (0, 0), Some(NotHeld)),
+        ("none holds it right after the start", 0, WAIT_MS, (0, 3), Some(NotHeld)),
     ];
-    for (name, now, holders, sent) in rows {
+    for (name, reported_at, waited_ms, holders, expected) in rows {
         let mut registrar = Registrar::default();
-        registrar.defer(connection, 0, 4, 0);
-        assert_eq!(!registrar.ready(|_| holders, now).is_empty(), sent, "{name}");
-        assert_eq!(registrar.next_tick().is_none(), sent, "{name}");
+        registrar.defer(ConnectionId::for_tests(1), 0, 4, reported_at);
+        let ready = registrar.ready(|_| holders, reported_at + waited_ms);
+        assert_eq!(ready.first().map(|(_, answer)| *answer), expected, "{name}");
+        assert_eq!(registrar.next_tick().is_none(), expected.is_some(), "{name}");
     }
 }
 
@@ -46,10 +53,10 @@
 fn a_record_is_trusted_only_if_no_unheld_acknowledgement_can_have_followed_it() {
     let rows = [
         ("killed and started again at once", Some(350), 50, true),
-        ("a slow start takes nothing from it", Some(2_300), 2_000, true),
-        ("down as long as an unheld acknowledgement takes", Some(600), 0, false),
-        ("down a moment less", Some(599), 0, true),
-        ("a process lived between, or it was down for long", Some(5_000), 100, false),
+        ("a slow start takes nothing from it", Some(3_900), 2_000, true),
+        ("as long as a process needs for an unheld acknowledgement", Some(2_000), 0, false),
+        ("a moment less", Some(1_999), 0, true),
+        ("a process may have run between", Some(5_000), 100, false),
         ("the link broke off", None, 50, false),
     ];
     for (name, ended_ms, reported_at, trusted) in rows {
