Soak: departures of one machine while it is cut off and its sidecar is killed

Cause: the soak drained upstreams only while their sidecar was linked, and killed sidecars only then. The links that can be cut are shared with the tests of real processes.

--- a/crates/chutecove/tests/departures.rs
+++ b/crates/chutecove/tests/departures.rs
@@ -31,7 +31,8 @@
         let fleet = Fleet::new(network);
         let coordinators = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
         let caller = fleet.start_sidecar(CALLER, "callers");
-        let links = CuttableLinks::start(&fleet);
+        let coordinator_ips = [1, 2, 3].map(|host| fleet.ip(host));
+        let links = CuttableLinks::start(&coordinator_ips, fleet.ports.mesh).expect("free ports");
         let upstream = fleet.start_upstream(UPSTREAM);
         let mut world =
             World { fleet, links, upstream, beside: None, coordinators, _caller: caller };
--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod callers;
 pub mod crashing;
+#[path = "../../../lab/src/soak/cut.rs"]
 pub mod cut;
 pub mod hollow;
 
--- a/crates/chutecove/tests/fleet/cut.rs
+++ b/crates/lab/src/soak/cut.rs
@@ -3,8 +3,7 @@
 //! While they are cut, nothing passes and nothing is answered, not even the end of a connection, as
 //! without a route. What was open then is reset afterwards, and its bytes are lost.
 
-use super::{free_port, Fleet};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -23,35 +22,38 @@
 }
 
 impl CuttableLinks {
-    /// Starts a proxy in front of each coordinator of a fleet.
-    pub fn start(fleet: &Fleet) -> Self {
-        let mesh_port = free_port(&mut Vec::new(), fleet.ip(1));
-        let links = CuttableLinks { mesh_port, changes: Arc::default() };
-        for host in 1..=3 {
-            links.listen(fleet.ip(host), fleet.ports.mesh);
+    /// Starts a proxy in front of each coordinator, at its address and a port of its own.
+    pub fn start(coordinators: &[Ipv4Addr], target_port: u16) -> io::Result<Self> {
+        let first = TcpListener::bind((coordinators[0], 0))?;
+        let links =
+            CuttableLinks { mesh_port: first.local_addr()?.port(), changes: Arc::default() };
+        links.serve(first, SocketAddr::from((coordinators[0], target_port)));
+        for ip in &coordinators[1..] {
+            let listener = TcpListener::bind((*ip, links.mesh_port))?;
+            links.serve(listener, SocketAddr::from((*ip, target_port)));
         }
-        links
+        Ok(links)
     }
 
-    fn listen(&self, ip: Ipv4Addr, target_port: u16) {
-        let listener = TcpListener::bind((ip, self.mesh_port)).expect("the port is free");
+    fn serve(&self, listener: TcpListener, target: SocketAddr) {
         let links = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let links = links.clone();
-                let target = SocketAddr::from((ip, target_port));
                 thread::spawn(move || links.forward(stream, target));
             }
         });
     }
 
+    /// Cuts the links.
     pub fn cut(&self) {
-        assert!(!self.is_cut());
+        assert!(!self.is_cut(), "the links are cut already");
         self.changes.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Joins the links again.
     pub fn join(&self) {
-        assert!(self.is_cut());
+        assert!(self.is_cut(), "the links are not cut");
         self.changes.fetch_add(1, Ordering::SeqCst);
     }
 
--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -1,6 +1,7 @@
 //! The processes of a small fleet. Each machine has its own loopback address, since all machines
 //! use the same ports.
 
+use super::cut::CuttableLinks;
 use crate::fleet::{ManagedProcess, PortRange};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -70,13 +71,34 @@
     /// Ports of every machine.
     pub ports: Ports,
     processes: BTreeMap<u8, ManagedProcess>,
+    /// The machine whose links to the coordinators can be cut.
+    cuttable: Option<(u8, CuttableLinks)>,
 }
 
 impl Machines {
     /// Creates a fleet without processes. Settings, data directories and logs go into `folder`.
     pub fn new(folder: &Path, network: u8) -> Self {
         let ports = Ports::find();
-        Machines { folder: folder.to_owned(), network, ports, processes: BTreeMap::new() }
+        let folder = folder.to_owned();
+        Machines { folder, network, ports, processes: BTreeMap::new(), cuttable: None }
+    }
+
+    /// Puts links that can be cut between a machine and the coordinators, before its first start.
+    pub fn make_cuttable(&mut self, host: u8) -> io::Result<()> {
+        let coordinators = COORDINATORS.map(|coordinator| self.ip(coordinator));
+        self.cuttable = Some((host, CuttableLinks::start(&coordinators, self.ports.mesh)?));
+        Ok(())
+    }
+
+    /// The links that can be cut.
+    pub fn cuttable_links(&self) -> Option<&CuttableLinks> {
+        self.cuttable.as_ref().map(|(_, links)| links)
+    }
+
+    /// The port at which a sidecar reaches the coordinators.
+    fn mesh_port_of(&self, host: u8) -> u16 {
+        let cuttable = self.cuttable.as_ref().filter(|(cuttable, _)| *cuttable == host);
+        cuttable.map_or(self.ports.mesh, |(_, links)| links.mesh_port)
     }
 
     /// Returns the address of a machine.
@@ -154,7 +176,7 @@
              [retry_budget]\nratio = {RETRY_BUDGET_RATIO}\nslack = {RETRY_BUDGET_SLACK}\n\
              window_s = {RETRY_BUDGET_WINDOW_S}\n",
             host % 2,
-            ports.mesh,
+            self.mesh_port_of(host),
             ports.outbound,
             ports.inbound,
             ports.ready,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -4,6 +4,8 @@
 mod callers;
 mod clearing;
 mod clock;
+mod cut;
+mod departures;
 mod faults;
 mod kept;
 mod lost_answers;
@@ -94,6 +96,9 @@
         crashes: crashes.clone(),
         lose_responses: lose_responses.clone(),
     };
+    if fault_profile == FaultProfile::Departures {
+        machines.make_cuttable(departures::HOST).map_err(|error| error.to_string())?;
+    }
     for host in COORDINATORS.into_iter().chain(UPSTREAMS).chain(CALLERS) {
         machines.start(host, true).map_err(|error| error.to_string())?;
     }
@@ -124,6 +129,7 @@
         FaultProfile::Random | FaultProfile::RandomWithClearing => faults.run(FAULTS_DURATION),
         FaultProfile::LostAnswers => faults.run_lost_answers(&lose_responses),
         FaultProfile::Statements => faults.run_statements(FAULTS_DURATION),
+        FaultProfile::Departures => faults.run_departures(FAULTS_DURATION),
     };
     fault_result.map_err(|error| error.to_string())?;
     let faults = std::mem::take(&mut faults.done);
--- a/crates/lab/src/soak/options.rs
+++ b/crates/lab/src/soak/options.rs
@@ -7,7 +7,7 @@
 
 const BRIEF: &str = "\
 Usage: chutecove-lab soak [--minutes N]                    fresh seeds
-       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits]
+       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits | --departures]
                                                            seeds S, S+1, ...
 
 Rounds that run at the same time need networks (1 to 200) of their own.";
@@ -24,6 +24,8 @@
     LostAnswers,
     /// Upstreams state limits and that they leave while processes are killed.
     Statements,
+    /// Upstreams of one machine leave while it is cut off and its sidecar is killed.
+    Departures,
 }
 
 /// Which rounds are run.
@@ -59,6 +61,7 @@
         };
         let fault_profile = match &matches {
             matches if matches.opt_present("limits") => FaultProfile::Statements,
+            matches if matches.opt_present("departures") => FaultProfile::Departures,
             matches if matches.opt_present("lose-answers") => FaultProfile::LostAnswers,
             matches if matches.opt_present("clear") => FaultProfile::RandomWithClearing,
             _ => FaultProfile::Random,
@@ -93,6 +96,7 @@
     options.optflag("", "clear", "an operator clears what is in quarantine meanwhile");
     options.optflag("", "lose-answers", "answers are lost while processes end, and nothing else");
     options.optflag("", "limits", "upstreams state limits and that they leave, in their answers");
+    options.optflag("", "departures", "upstreams leave while their machine is cut off and killed");
     options.optflag("h", "help", "print this text");
     options
 }
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -41,6 +41,8 @@
     incarnation: AtomicU64,
     sequence: AtomicU64,
     draining: AtomicBool,
+    /// Whether it has begun to deregister, and sends no heartbeat any more.
+    leaving: AtomicBool,
     /// Whether the server is down between a crash and its restart.
     down: AtomicBool,
     stopped: AtomicBool,
@@ -155,6 +157,7 @@
             incarnation: AtomicU64::new(1),
             sequence: AtomicU64::new(1),
             draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             down: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
             limit_recorder: LimitRecorder {
@@ -172,7 +175,7 @@
         let heartbeat_source = upstream.clone();
         thread::spawn(move || {
             while !heartbeat_source.stopped.load(Ordering::Relaxed) {
-                if !heartbeat_source.down.load(Ordering::SeqCst) {
+                if heartbeat_source.sends_heartbeats() {
                     heartbeat_source.send_heartbeat();
                 }
                 thread::sleep(HEARTBEAT_INTERVAL);
@@ -223,6 +226,18 @@
         sent.is_ok_and(|answer| answer.status() == 200)
     }
 
+    fn sends_heartbeats(&self) -> bool {
+        !self.down.load(Ordering::SeqCst) && !self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Deregisters, while it goes on serving; returns whether that was acknowledged.
+    pub fn leave(&self) -> bool {
+        self.leaving.store(true, Ordering::SeqCst);
+        let url = format!("{}/i-{}/leave", self.registration, self.incarnation());
+        let sent = super::agent().post(&url).send("");
+        sent.is_ok_and(|answer| answer.status() == 200)
+    }
+
     /// Announces that the upstream is draining and returns whether that was acknowledged.
     pub fn announce_draining(&self) -> bool {
         self.draining.store(true, Ordering::SeqCst);
@@ -240,6 +255,7 @@
         let incarnation = self.incarnation.fetch_add(1, Ordering::SeqCst) + 1;
         *statements = Statements { incarnation, ..Statements::default() };
         self.draining.store(false, Ordering::SeqCst);
+        self.leaving.store(false, Ordering::SeqCst);
     }
 
     fn statements(&self) -> Statements {
--- a/crates/sidecar/tests/departure_fleet/coordinators.rs
+++ b/crates/sidecar/tests/departure_fleet/coordinators.rs
@@ -105,7 +105,7 @@
                 });
             }
         }
-        if now % EXCHANGE_MS == 0 {
+        if now.is_multiple_of(EXCHANGE_MS) {
             self.tick(now);
         }
         while let Some(entry) = self.frames.first_entry().filter(|next| next.key().0 <= now) {
--- a/crates/sidecar/tests/departure_fleet/mod.rs
+++ b/crates/sidecar/tests/departure_fleet/mod.rs
@@ -421,7 +421,7 @@
         let Some(incarnation) = gate.incarnation().filter(|_| open).cloned() else {
             return;
         };
-        if now % 50 != 0 {
+        if !now.is_multiple_of(50) {
             return;
         }
         let changed = match self.upstream.serving() {
