coordinator: the contacts of a sidecar are kept by link

Contacts stood with the listed node, not with the link that they are about.

Change: `Contacts` belongs to the link of one process.

Also: the model passed its own time, not the process's, to the acknowledgements, so that the rule of the first 2 s was without effect after the first 2 s of a history.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -7,6 +7,7 @@
 mod api;
 mod autopilot;
 mod canaries;
+mod contacts;
 mod dialect;
 mod exchange;
 mod hub;
@@ -25,6 +26,7 @@
 
 pub use autopilot::{Autopilot, Change, Facts, MemberFacts};
 pub use canaries::CanaryPolicies;
+pub use contacts::Contacts;
 pub use dialect::{CanaryOrder, OperatorCall, OperatorDialect, Replacement};
 pub use exchange::{Outgoing, RegistryExchange};
 pub use identity::{choose_member, IdentityError};
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -6,6 +6,7 @@
 //! sidecars are encoded once.
 
 use crate::canaries::CanaryPolicies;
+use crate::contacts::Contacts;
 use crate::hub::Hub;
 use crate::loads::ZoneDistance;
 use crate::membership::{Group, KnownConfiguration};
@@ -53,6 +54,7 @@
 pub(crate) struct Link {
     pub node: NodeAddress,
     pub boot_id: u64,
+    contacts: Contacts,
     /// Whether the sidecar closes the link and lives on.
     unlinked: bool,
     sent: SentRevisions,
@@ -149,6 +151,7 @@
         let mut link = Link {
             node,
             boot_id: life,
+            contacts: Contacts::first(self.clock.now_ms()),
             unlinked: false,
             sent: SentRevisions::default(),
             subscription: None,
@@ -202,15 +205,17 @@
                 encode_frame(&ToSidecar::Pong { asked_at, generation }, output);
             }
         }
-        self.hub.lock().registry.alive(&node, link.boot_id, self.clock.now_ms());
+        let now = self.clock.now_ms();
+        link.contacts.note(now);
+        self.hub.lock().registry.alive(&node, link.boot_id, now);
     }
 
     /// Handles the end of a link; `in_order` tells whether everything that the sidecar sent on it has
     /// arrived.
     pub fn close(&self, link: &Link, in_order: bool) {
         if in_order && !link.unlinked {
-            let now = self.clock.now_ms();
-            self.hub.lock().registry.link_ended_in_order(&link.node, link.boot_id, now);
+            let ran_at = link.contacts.last_before(self.clock.now_ms());
+            self.hub.lock().registry.link_ended_in_order(&link.node, link.boot_id, ran_at);
         }
         if self.hub.lock().registry.disconnected(&link.node, link.boot_id) {
             self.hub.wake();
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -15,9 +15,6 @@
 const MAX_REMOVED: usize = 1_024;
 /// Time for which the last record of a removed sidecar is kept for its return, milliseconds.
 const LAST_RECORD_TTL_MS: u64 = 60_000;
-/// Longest time in which the frames arrive that a cut held up, milliseconds: a round trip between
-/// regions, and the time between two retransmissions.
-const CONTACT_INTERVAL_MS: u64 = 250;
 
 #[derive(Clone, Debug)]
 struct ListedNode {
@@ -29,38 +26,6 @@
     /// When the sidecar was last heard from on its own link; `None` while it is not connected.
     last_heard_directly_at: Option<Millis>,
     changed_at: u64,
-    contacts: Contacts,
-}
-
-/// Two moments at which a sidecar was heard from directly, at least [`CONTACT_INTERVAL_MS`] apart.
-///
-/// What a cut held up arrives at once after it, the end of the connection included. The moment before
-/// such a burst is the last at which the process certainly ran.
-#[derive(Clone, Copy, Debug)]
-struct Contacts {
-    latest: Millis,
-    previous: Millis,
-}
-
-impl Contacts {
-    fn first(now: Millis) -> Self {
-        Contacts { latest: now, previous: now }
-    }
-
-    fn note(&mut self, now: Millis) {
-        if now >= self.latest + CONTACT_INTERVAL_MS {
-            self.previous = self.latest;
-            self.latest = now;
-        }
-    }
-
-    /// When a process whose connection ended now certainly ran.
-    fn last_before(&self, now: Millis) -> Millis {
-        match now >= self.latest + CONTACT_INTERVAL_MS {
-            true => self.latest,
-            false => self.previous,
-        }
-    }
 }
 
 impl ListedNode {
@@ -149,7 +114,6 @@
         if let Some(listed) = self.nodes.get_mut(&record.address) {
             listed.last_heard_at = now;
             listed.last_heard_directly_at = Some(now);
-            listed.contacts.note(now);
             let is_old = listed.record.boot_id == record.boot_id
                 && listed.record.sequence >= record.sequence;
             if is_old {
@@ -171,17 +135,8 @@
         let address = record.address;
         self.ended_links.remove(&address);
         let changed_at = self.position;
-        let known = self.nodes.get(&address);
-        let known = known.filter(|known| known.record.boot_id == record.boot_id);
-        let contacts = known.map_or(Contacts::first(received_at), |known| known.contacts);
-        let listed = ListedNode {
-            record,
-            received_at,
-            last_heard_at,
-            last_heard_directly_at,
-            changed_at,
-            contacts,
-        };
+        let listed =
+            ListedNode { record, received_at, last_heard_at, last_heard_directly_at, changed_at };
         self.nodes.insert(address, listed);
         self.gone.retain(|(_, gone)| *gone != address);
     }
@@ -291,17 +246,15 @@
         {
             listed.last_heard_at = now;
             listed.last_heard_directly_at = Some(now);
-            listed.contacts.note(now);
             self.ended_links.remove(address);
         }
     }
 
     /// Notes that a sidecar process ended, and its connection in order: everything that the process
-    /// sent on it has arrived.
-    pub fn link_ended_in_order(&mut self, address: &NodeAddress, boot_id: u64, now: Millis) {
-        let listed = self.nodes.get(address).filter(|listed| listed.record.boot_id == boot_id);
-        if let Some(listed) = listed {
-            self.ended_links.insert(*address, (boot_id, listed.contacts.last_before(now)));
+    /// sent on it has arrived. The process certainly ran at `ran_at`.
+    pub fn link_ended_in_order(&mut self, address: &NodeAddress, boot_id: u64, ran_at: Millis) {
+        if self.nodes.get(address).is_some_and(|listed| listed.record.boot_id == boot_id) {
+            self.ended_links.insert(*address, (boot_id, ran_at));
         }
     }
 
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -1,7 +1,7 @@
 //! The registry of sidecars: leases, boot ids, persistent leaving states, and the changes that
 //! readers receive.
 
-use coordinator::Registry;
+use coordinator::{Contacts, Registry};
 use mesh::{HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
 use std::net::Ipv4Addr;
 
@@ -60,8 +60,7 @@
     let ended = || {
         let mut registry = Registry::new(LEASE_MS);
         registry.report(record(1, 7, 1, ready), 0);
-        registry.alive(&address(1), 7, 1_000);
-        registry.link_ended_in_order(&address(1), 7, 1_300);
+        registry.link_ended_in_order(&address(1), 7, 1_000);
         registry.disconnected(&address(1), 7);
         registry
     };
@@ -93,9 +92,9 @@
 
     let mut stopped = Registry::new(LEASE_MS);
     stopped.report(NodeRecord { stopping: true, ..record(1, 7, 1, ready) }, 0);
-    stopped.link_ended_in_order(&address(1), 7, 1_300);
+    stopped.link_ended_in_order(&address(1), 7, 1_000);
     stopped.disconnected(&address(1), 7);
-    assert_eq!(ended_ms(&stopped), Some(1_900), "a planned stop removes the node, not its record");
+    assert_eq!(ended_ms(&stopped), Some(900), "a planned stop removes the node, not its record");
 
     let mut forgotten = ended();
     forgotten.expire(70_000);
@@ -105,23 +104,22 @@
 /// Guards against the end of a process that a cut held up: another process may have run since.
 #[test]
 fn the_end_of_a_link_that_arrives_after_a_cut_counts_from_before_the_cut() {
-    let mut registry = Registry::new(LEASE_MS);
-    let ready = Some(("i-1", InstanceState::Ready));
-    registry.report(record(1, 7, 1, ready), 0);
-    registry.alive(&address(1), 7, 1_000);
+    let mut contacts = Contacts::first(0);
+    contacts.note(1_000);
     // What the cut held up arrives at once, the end of the connection last.
-    registry.alive(&address(1), 7, 3_400);
-    registry.alive(&address(1), 7, 3_410);
-    registry.link_ended_in_order(&address(1), 7, 3_420);
-    assert_eq!(registry.ended_ms(&address(1), 7, 3_500), Some(2_500));
+    contacts.note(3_400);
+    contacts.note(3_410);
+    assert_eq!(contacts.last_before(3_420), 1_000);
+    // Without a cut, the last frame but those of the last moment counts.
+    let mut contacts = Contacts::first(0);
+    contacts.note(1_000);
+    assert_eq!(contacts.last_before(1_300), 1_000);
+    assert_eq!(contacts.last_before(1_100), 0);
     // While frames arrive often, the end is known closely.
-    let mut registry = Registry::new(LEASE_MS);
-    for now in (0..3_000).step_by(150) {
-        registry.report(record(1, 7, now, ready), now);
-    }
-    registry.link_ended_in_order(&address(1), 7, 2_900);
-    let ended_ms = registry.ended_ms(&address(1), 7, 3_000);
-    assert!(ended_ms.is_some_and(|ms| ms <= 600), "{ended_ms:?}");
+    let mut contacts = Contacts::first(0);
+    (0..3_000).step_by(150).for_each(|now| contacts.note(now));
+    let ran_at = contacts.last_before(2_900);
+    assert!((2_300..=2_900).contains(&ran_at), "{ran_at}");
 }
 
 #[test]
--- a/crates/sidecar/tests/departure_fleet/coordinators.rs
+++ b/crates/sidecar/tests/departure_fleet/coordinators.rs
@@ -85,10 +85,11 @@
         }
     }
 
-    pub fn closed(&mut self, number: usize, boot_id: u64, in_order: bool, now: Millis) {
+    /// A connection was closed; `ran_at` is when the process certainly ran, if it ended in order.
+    pub fn closed(&mut self, number: usize, boot_id: u64, ran_at: Option<Millis>) {
         if let Some(running) = &mut self.members[number] {
-            if in_order {
-                running.registry.link_ended_in_order(&address(), boot_id, now);
+            if let Some(ran_at) = ran_at {
+                running.registry.link_ended_in_order(&address(), boot_id, ran_at);
             }
             running.registry.disconnected(&address(), boot_id);
         }
--- a/crates/sidecar/tests/departure_fleet/links.rs
+++ b/crates/sidecar/tests/departure_fleet/links.rs
@@ -3,6 +3,7 @@
 
 use super::coordinators::{Coordinators, Welcome, COORDINATORS};
 use super::Millis;
+use coordinator::Contacts;
 use fastrand::Rng;
 use mesh::NodeRecord;
 use std::collections::VecDeque;
@@ -35,7 +36,7 @@
 }
 
 /// One connection; each side may have closed its end.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Connection {
     boot_id: u64,
     up: VecDeque<(Millis, ToCoordinator)>,
@@ -50,6 +51,7 @@
     pinged_at: Millis,
     heard_by_sidecar: Millis,
     heard_by_coordinator: Millis,
+    contacts: Contacts,
 }
 
 #[derive(Debug, Default)]
@@ -87,6 +89,24 @@
 }
 
 impl Connection {
+    fn open(boot_id: u64, now: Millis) -> Self {
+        Connection {
+            boot_id,
+            up: VecDeque::new(),
+            down: VecDeque::new(),
+            sidecar_open: true,
+            reset: false,
+            unlinked: false,
+            coordinator_open: true,
+            welcomed: false,
+            held_sequence: 0,
+            pinged_at: now,
+            heard_by_sidecar: now,
+            heard_by_coordinator: now,
+            contacts: Contacts::first(now),
+        }
+    }
+
     fn send(&mut self, frame: ToCoordinator, random: &mut Rng, now: Millis) {
         let earliest = self.up.back().map_or(0, |(due, _)| *due);
         self.up.push_back((earliest.max(now + random.u64(DELAY_MS)), frame));
@@ -212,15 +232,7 @@
         if is_cut || !coordinators.is_up(number) {
             return;
         }
-        let mut connection = Connection {
-            boot_id: record.boot_id,
-            sidecar_open: true,
-            coordinator_open: true,
-            pinged_at: now,
-            heard_by_sidecar: now,
-            heard_by_coordinator: now,
-            ..Connection::default()
-        };
+        let mut connection = Connection::open(record.boot_id, now);
         connection.send(ToCoordinator::Open { record: record.clone(), at: now }, random, now);
         self.connections.push(connection);
     }
@@ -237,7 +249,8 @@
     ) {
         if self.coordinator_open && now >= self.heard_by_coordinator + COORDINATOR_SILENCE_MS {
             self.coordinator_open = false;
-            coordinators.closed(number, self.boot_id, broken_vouches, now);
+            let ran_at = broken_vouches.then(|| self.contacts.last_before(now));
+            coordinators.closed(number, self.boot_id, ran_at);
         }
     }
 
@@ -257,6 +270,9 @@
                 continue;
             }
             self.heard_by_coordinator = now;
+            if !matches!(frame, ToCoordinator::End) {
+                self.contacts.note(now);
+            }
             match frame {
                 ToCoordinator::Open { record, at } => {
                     let sequence = record.sequence;
@@ -278,7 +294,8 @@
                 ToCoordinator::End => {
                     self.coordinator_open = false;
                     let in_order = !(self.reset || self.unlinked) || broken_vouches;
-                    coordinators.closed(number, self.boot_id, in_order, now);
+                    let ran_at = in_order.then(|| self.contacts.last_before(now));
+                    coordinators.closed(number, self.boot_id, ran_at);
                 }
             }
         }
--- a/crates/sidecar/tests/departure_fleet/mod.rs
+++ b/crates/sidecar/tests/departure_fleet/mod.rs
@@ -374,7 +374,8 @@
         };
         if leaving {
             let connection = ConnectionId::for_tests(1);
-            process.registrar.defer(connection, call, process.record.sequence, now);
+            let sequence = process.record.sequence;
+            process.registrar.defer(connection, call, sequence, now - process.started_at);
         } else {
             self.upstream.answered(call, now);
         }
@@ -392,7 +393,8 @@
             return;
         };
         let links = &self.links;
-        let ready = process.registrar.ready(|sequence| links.acknowledged_by(sequence), now);
+        let uptime_ms = now - process.started_at;
+        let ready = process.registrar.ready(|sequence| links.acknowledged_by(sequence), uptime_ms);
         for (pending, answer) in ready {
             let call = pending.slot;
             if answer == DepartureAnswer::NotHeld {
