sidecar: the error of a write belongs to its connection

Cause: as long as a part of the request is unsent, the reset is met by a write. `write_piece` dropped its error, which takes it off the socket; the read that follows returns 0, and the end was reported as one in order, which completes a body without a length. By way of `on_readiness`, `pump` and a later `send` alike, so that reading before writing would only narrow it.

Change: a connection keeps the first error of its writes, and its end is read as broken after it. Not after a broken pipe as the first error: the other side had ended its direction in order before it refused more, so all that it sent has arrived (an upstream that answers early and reads no more; else such answers would be lost). What arrived whole by its framing counts as before. Counted (`sidecar_broken_writes`) and logged as `connection_broken` with the error, at most 5 a second.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -36,7 +36,7 @@
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
 pub use link_meter::{LinkChange, LinkFullDetector, LinkMeter};
 pub use links::{chosen as chosen_coordinators, LinkEvent, Links};
-pub use net::{ConnectionId, LinkUse, Net, NetEvent, SentBytes};
+pub use net::{ConnectionId, LinkUse, Net, NetEvent, SentBytes, WriteFailure};
 pub use poison::PoisonWatch;
 pub use quota::Quota;
 pub use registrar::{is_last_word, DepartureAnswer, PendingAcknowledgement, Registrar};
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -34,6 +34,8 @@
     pub link_waiting_bytes: usize,
     /// Calls refused because their answers would have waited too long for it.
     pub link_refusals: u64,
+    /// Connections that broke off, as only a failed write showed.
+    pub broken_writes: u64,
     /// Calls refused because the upstream was cold.
     pub cold_refusals: u64,
     /// Calls refused because of the rate limit that the upstream states.
@@ -71,7 +73,7 @@
 impl Metrics {
     /// Registers all metrics.
     pub fn new(registry: Registry) -> Self {
-        let definitions: [MetricDefinition; 43] = [
+        let definitions: [MetricDefinition; 44] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -99,6 +101,9 @@
             ("connections", "Open connections", |s| s.connections as i64),
             ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
             ("link_waiting_bytes", "Wait for the link", |s| s.link_waiting_bytes as i64),
+            ("broken_writes", "Connections that broke off, as a failed write showed", |s| {
+                s.broken_writes as i64
+            }),
             ("link_refusals", "Calls refused for want of the link", |s| s.link_refusals as i64),
             ("cold_refusals", "Calls a cold upstream does not bear", |s| s.cold_refusals as i64),
             ("rate_refusals", "Calls beyond the limit it states", |s| s.rate_refusals as i64),
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -1,6 +1,6 @@
 //! One connection, with buffered output.
 
-use super::LinkUse;
+use super::{LinkUse, WriteFailure};
 use admission::SendUrgency;
 use bytes::BytesMut;
 use mio::net::TcpStream;
@@ -25,6 +25,7 @@
     pub sent: usize,
     pub opening: bool,
     pub ended: bool,
+    pub write_failure: WriteFailure,
     /// Since when this side waits for the other one to close; data received in the meantime is
     /// dropped.
     pub lingering: Option<BootInstant>,
@@ -46,6 +47,7 @@
             sent: 0,
             opening,
             ended: false,
+            write_failure: WriteFailure::default(),
             lingering: None,
             remote,
             urgency: SendUrgency { deferrable: true, ..SendUrgency::default() },
@@ -82,8 +84,12 @@
                 Ok(0) => break,
                 Ok(count) => self.sent += count,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // A broken connection also becomes readable, and reading reports its end.
-                Err(_) => break,
+                Err(error) => {
+                    self.write_failure.note(error.kind());
+                    break;
+                }
             }
         }
         let written = self.sent - before;
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -1,10 +1,13 @@
 //! The sockets of the process: a table of connections over one poll instance, with buffered output.
 
 mod connection;
+mod ending;
 mod usage;
 
+pub use ending::WriteFailure;
 pub use usage::{LinkUse, SentBytes, Traffic};
 
+use crate::LogRateLimit;
 use admission::{LinkState, Pacer, PacerCounts, SendUrgency};
 use bytes::BytesMut;
 use connection::Connection;
@@ -31,6 +34,8 @@
     }
 }
 
+/// Maximum number of broken connections logged per second.
+const BROKEN_WRITES_LOGGED_PER_S: u32 = 5;
 /// Tokens from this value on belong to listeners.
 const FIRST_LISTENER: usize = 1 << 30;
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -73,6 +78,9 @@
     /// Messages that wait for this machine's link.
     pacer: Pacer<ConnectionId>,
     sent_bytes: SentBytes,
+    /// Connections whose end would have been read as an orderly one but for a failed write.
+    broken_writes: u64,
+    broken_writes_logged: LogRateLimit,
     since: BootInstant,
     read_buffer: Vec<u8>,
 }
@@ -92,6 +100,8 @@
             traffic: Traffic::default(),
             pacer: Pacer::new(link_bytes_per_ms),
             sent_bytes: SentBytes::default(),
+            broken_writes: 0,
+            broken_writes_logged: LogRateLimit::new(BROKEN_WRITES_LOGGED_PER_S),
             since: BootInstant::now(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
         })
@@ -183,6 +193,11 @@
         self.sent_bytes
     }
 
+    /// Number of connections whose end a failed write had hidden.
+    pub fn broken_writes(&self) -> u64 {
+        self.broken_writes
+    }
+
     /// Sets the priority of messages sent on a connection from now on.
     pub fn set_urgency(&mut self, id: ConnectionId, urgency: SendUrgency) {
         if let Some(connection) = self.get_mut(id) {
@@ -441,9 +456,10 @@
         }
         let mut received = false;
         let mut received_bytes = 0;
+        let mut read_failed = false;
         let end = loop {
             match connection.stream.read(&mut self.read_buffer) {
-                Ok(0) => break Some(StreamEnd::Clean),
+                Ok(0) => break Some(connection.write_failure.end_of_stream()),
                 Ok(count) => {
                     received_bytes += count;
                     if connection.lingering.is_none() {
@@ -453,9 +469,21 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break None,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break Some(StreamEnd::Reset),
+                Err(_) => {
+                    read_failed = true;
+                    break Some(StreamEnd::Reset);
+                }
             }
         };
+        if end == Some(StreamEnd::Reset) && !read_failed {
+            self.broken_writes += 1;
+            let now_ms = self.since.elapsed().as_millis() as u64;
+            if self.broken_writes_logged.allows(now_ms) {
+                let unsent = connection.output.len() - connection.sent;
+                let error = connection.write_failure.kind();
+                tracing::info!(?error, unsent, received_bytes, "connection_broken");
+            }
+        }
         if received {
             net_events.push(NetEvent::Received(id));
         }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -352,6 +352,7 @@
             sent_bytes: self.net.sent_bytes(),
             link_waiting_bytes: self.net.link_state().waiting_bytes,
             link_refusals: self.jobs.link_refusals(),
+            broken_writes: self.net.broken_writes(),
             cold_refusals: self.jobs.cold_refusals(),
             rate_limit: self.jobs.stated_rate(),
             rate_refusals: self.jobs.rate_refusals(),
