Soak: uploads that are sent, and early answers to them that break off

Cause: no caller of the soak sent an upload but before its second version: each fourth charge was to have a body, but every even one uses a versioned route, which has none. Nor did an upstream answer early.

Change: the 32nd charge (remainder 1) uploads up to 900 kB; upstreams with small windows answer most of those of 400 kB or more early, without a length, and reset midway. Connections of the stand-in are closed when they are no longer served.

--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -23,9 +23,10 @@
 const VERSIONED_CALL_INTERVAL: u64 = 6;
 /// Every n-th call is a charge, which must not be repeated.
 const CHARGE_CALL_INTERVAL: u64 = 3;
-/// Every n-th charge has a body, long enough that sidecars stream it under flow-control grants.
-const UPLOAD_CHARGE_INTERVAL: u64 = 4;
-const UPLOAD_BYTES: std::ops::Range<usize> = 9_000..200_000;
+/// Every n-th charge has a body, long enough that sidecars stream it under flow-control grants. They
+/// are the charges with a remainder of 1, since every even one uses a versioned route.
+const UPLOAD_CHARGE_INTERVAL: u64 = 32;
+const UPLOAD_BYTES: std::ops::Range<usize> = 9_000..900_000;
 
 /// The running caller threads of a soak round.
 pub struct Callers {
@@ -123,7 +124,7 @@
         let upload = self.connection.is_none()
             && !repeatable
             && version.is_none()
-            && (id / CHARGE_CALL_INTERVAL).is_multiple_of(UPLOAD_CHARGE_INTERVAL);
+            && id / CHARGE_CALL_INTERVAL % UPLOAD_CHARGE_INTERVAL == 1;
         let bytes = if upload { fastrand::usize(UPLOAD_BYTES) } else { 0 };
         let body: Vec<u8> = (0..bytes).map(|index| (index as u64 * 7 + id) as u8).collect();
         let sent = self.clock.now();
--- a/crates/lab/src/soak/server.rs
+++ b/crates/lab/src/soak/server.rs
@@ -2,10 +2,11 @@
 
 use bytes::BytesMut;
 use http1::{Request, Response, ServerConnection, ServerLimits};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
 
@@ -13,6 +14,13 @@
     ServerLimits { header_bytes: 64 * 1024, body_bytes: 64 * 1024 * 1024, holds_offers: false };
 const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 const READ_BYTES: usize = 16 * 1024;
+/// Receive buffer and segment size of its connections; small, so that a long request stays unsent
+/// while the server does not read.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+const SEGMENT_BYTES: u32 = 1_400;
+const BACKLOG: i32 = 128;
+/// From the beginning of an early answer until its connection is reset; it has arrived by then.
+const BREAK_OFF_DELAY: Duration = Duration::from_millis(50);
 
 /// How the server treats a request.
 pub enum Reply {
@@ -28,6 +36,10 @@
 pub trait Handler: Send + Sync + 'static {
     /// Decides how to treat a request; may block while it is processed.
     fn handle(&self, request: &Request) -> Reply;
+
+    /// What is sent of an answer to a request of which this much has arrived, before the connection
+    /// is reset; `None` if the request is handled as usual.
+    fn break_off(&self, received: &[u8]) -> Option<Vec<u8>>;
 }
 
 /// A running server; a restart creates a new one.
@@ -48,7 +60,7 @@
 
     /// Binds `address` and serves it in a new thread.
     pub fn start(address: SocketAddr, handler: Arc<impl Handler>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = listen(address)?;
         listener.set_nonblocking(true)?;
         let stopping = Arc::new(AtomicBool::new(false));
         let accept_stopping = stopping.clone();
@@ -57,28 +69,38 @@
     }
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_tcp_mss(SEGMENT_BYTES)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 fn accept_all(listener: &TcpListener, handler: &Arc<impl Handler>, stopping: &Arc<AtomicBool>) {
-    let streams: Mutex<Vec<TcpStream>> = Mutex::default();
+    // Weak, so that a connection is closed as soon as it is no longer served.
+    let mut streams: Vec<Weak<TcpStream>> = Vec::new();
     while !stopping.load(Ordering::SeqCst) {
         let Ok((stream, _)) = listener.accept() else {
             thread::sleep(ACCEPT_POLL_INTERVAL);
             continue;
         };
-        let Ok(duplicate) = stream.try_clone() else {
-            continue;
-        };
-        streams.lock().unwrap_or_else(PoisonError::into_inner).push(duplicate);
+        let stream = Arc::new(stream);
+        streams.retain(|served| served.strong_count() > 0);
+        streams.push(Arc::downgrade(&stream));
         let (handler, stopping) = (handler.clone(), stopping.clone());
         // I/O errors of a connection are ignored: the peer notices them too.
-        thread::spawn(move || drop(serve(stream, &*handler, &stopping)));
+        thread::spawn(move || drop(serve(&stream, &*handler, &stopping)));
     }
-    for stream in streams.into_inner().unwrap_or_else(PoisonError::into_inner) {
+    for stream in streams.iter().filter_map(Weak::upgrade) {
         // Fails harmlessly if the peer has already closed the connection.
         drop(stream.shutdown(Shutdown::Both));
     }
 }
 
-fn serve(mut stream: TcpStream, handler: &impl Handler, stopping: &AtomicBool) -> io::Result<()> {
+fn serve(mut stream: &TcpStream, handler: &impl Handler, stopping: &AtomicBool) -> io::Result<()> {
     stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut core = ServerConnection::default();
@@ -89,7 +111,14 @@
         if count == 0 {
             return Ok(());
         }
+        let is_new = input.is_empty() && core.unanswered() == 0;
         input.extend_from_slice(&buffer[..count]);
+        if let Some(begun) = is_new.then(|| handler.break_off(&input)).flatten() {
+            stream.write_all(&begun)?;
+            thread::sleep(BREAK_OFF_DELAY);
+            SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+            return Ok(());
+        }
         let mut output = Vec::new();
         for (slot, request) in core.receive(&mut input, LIMITS, &mut output) {
             match handler.handle(&request) {
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -24,6 +24,10 @@
 const RESTART_DELAY: Duration = Duration::from_millis(600);
 /// Probability that a response is lost while responses are being lost.
 const LOSS_PROBABILITY: f64 = 0.8;
+/// Probability that a long upload is answered early and broken off.
+const BREAK_OFF_PROBABILITY: f64 = 0.7;
+/// Longer than what the buffers of a connection hold while nothing is read.
+const LONG_UPLOAD_BYTES: usize = 400_000;
 /// Marks the path of a poison request; the number of the request follows.
 pub const POISON: &str = "/poison-";
 /// Header with the id of a call.
@@ -110,9 +114,39 @@
             .with_header(ID_HEADER, id.to_string());
         Reply::Respond(self.with_statements(response))
     }
+
+    /// Answers some long uploads early, without a length, and breaks off midway.
+    fn break_off(&self, received: &[u8]) -> Option<Vec<u8>> {
+        let (id, path) = Self::long_upload(received)?;
+        if fastrand::f64() >= BREAK_OFF_PROBABILITY {
+            return None;
+        }
+        let UpstreamEnvironment { clock, runs, .. } = &self.environment;
+        let incarnation = self.upstream.incarnation();
+        runs.push(Run { call: id, machine: self.host, incarnation, at: clock.now() });
+        let body = expected_body(id, &path, &[]);
+        let half = &body[..body.len() / 2];
+        let seal = format!("seal-{}-{incarnation}", self.host);
+        let head = format!("HTTP/1.1 200 OK\r\n{ID_HEADER}: {id}\r\n{SEAL_HEADER}: {seal}\r\n\r\n");
+        Some([head.as_bytes(), half.as_bytes()].concat())
+    }
 }
 
 impl RequestHandler {
+    /// The upload of which the beginning has arrived: its id and path.
+    fn long_upload(received: &[u8]) -> Option<(u64, String)> {
+        let text = String::from_utf8_lossy(received);
+        let (head, _) = text.split_once("\r\n\r\n")?;
+        let field = |name: &str| {
+            let fields = head.lines().filter_map(|line| line.split_once(':'));
+            let mut found = fields.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+            found.next().map(|(_, value)| value.trim().to_owned())
+        };
+        let bytes: usize = field("Content-Length")?.parse().ok()?;
+        let path = head.split_whitespace().nth(1)?;
+        (bytes >= LONG_UPLOAD_BYTES).then_some((field(ID_HEADER)?.parse().ok()?, path.to_owned()))
+    }
+
     fn with_statements(&self, response: Response) -> Response {
         let Statements { incarnation, limit_per_s, leaving } = self.upstream.statements();
         let mut response =
