coordinator: a member that knows no leader asks to join

Promoted and removed again while it was down, it is told nothing, does not campaign as a learner would not, and never came back: the group stayed without it for good. The same after any removal of a learner that is down.

Change: it asks to join also while it knows no leader.

--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -238,8 +238,12 @@
     }
 
     fn maintain(&self, trusted_source: &str) {
-        if !self.is_member() {
+        // One that was a learner when it went down does not campaign, and may have been removed since.
+        let is_member = self.is_member();
+        if !is_member || self.replica.lock().status.leader.is_none() {
             self.ask_to_join();
+        }
+        if !is_member {
             return;
         }
         if !self.replica.lock().status.is_leader {
--- a/crates/coordinator/tests/simulated_membership.rs
+++ b/crates/coordinator/tests/simulated_membership.rs
@@ -228,7 +228,8 @@
         if self.now.is_multiple_of(5) {
             manage_membership(process, self.now * TICK_MS);
         }
-        let is_joining = !process.raft.membership().members().any(|id| id == process.raft.id());
+        let is_member = process.raft.membership().members().any(|id| id == process.raft.id());
+        let is_joining = !is_member || process.raft.leader().is_none();
         let member = MemberId(process.raft.id());
         if self.now.is_multiple_of(7) && process.raft.is_leader() {
             if let Ok((_, at)) = process.raft.propose(self.next_command.to_le_bytes().to_vec()) {
