Soak: a stand-in upstream that crashes resets its connections

The stand-in ended its connections in order when it crashed, which completes an answer without a length; a process that ends with unread data resets them. Change: it resets them, and answers nothing after the crash. Conclusion: the product cannot tell an end in order from another; the stand-in told a falsehood."

--- a/crates/lab/src/soak/server.rs
+++ b/crates/lab/src/soak/server.rs
@@ -95,8 +95,10 @@
         thread::spawn(move || drop(serve(&stream, &*handler, &stopping)));
     }
     for stream in streams.iter().filter_map(Weak::upgrade) {
-        // Fails harmlessly if the peer has already closed the connection.
-        drop(stream.shutdown(Shutdown::Both));
+        // A process that ends with unread data resets its connections; an end in order would complete
+        // an answer without a length. Both fail harmlessly if the peer has closed the connection.
+        drop(SockRef::from(&*stream).set_linger(Some(Duration::ZERO)));
+        drop(stream.shutdown(Shutdown::Read));
     }
 }
 
@@ -121,7 +123,11 @@
         }
         let mut output = Vec::new();
         for (slot, request) in core.receive(&mut input, LIMITS, &mut output) {
-            match handler.handle(&request) {
+            let reply = handler.handle(&request);
+            if stopping.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+            match reply {
                 Reply::Respond(response) => {
                     core.answer(slot, response, false, &mut output);
                 }
