--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -2,10 +2,10 @@
 //!
 //! Within one incarnation the state only moves forward, and a replaced incarnation never becomes
 //! current again, however late its messages arrive. A departure is remembered for its incarnation
-//! even if that is not the current one: this process may have started after its last heartbeat. A delayed message may also come from an
-//! incarnation that was never seen before and replace the live one by mistake. When the upstream
-//! then rejects a call because it was addressed to another instance, the most recently replaced
-//! incarnation is reinstated.
+//! even if that is not the current one: this process may have started after its last heartbeat. A
+//! delayed message may also come from an incarnation that was never seen before and replace the live
+//! one by mistake. When the upstream then rejects a call because it was addressed to another
+//! instance, the most recently replaced incarnation is reinstated.
 //!
 //! An incarnation is identified by its id and its start time, because an upstream may restart under
 //! the same id. After such a restart its sequence numbers start over, and a shutdown reported by the
--- a/crates/chutecove/tests/departures.rs
+++ b/crates/chutecove/tests/departures.rs
@@ -76,6 +76,15 @@
         self.coordinators.iter().any(|coordinator| coordinator.has_logged(&parts))
     }
 
+    /// Checks that the departure binds, and that the next upstream is served.
+    fn check_departed(&self) {
+        assert_eq!(self.late_runs(), 0);
+        wait_until("the next upstream registers", || {
+            self.fleet.register(UPSTREAM, "i-2", 1, false)
+        });
+        wait_until("it is served", || self.is_served());
+    }
+
     /// Number of calls that reach the upstream after the drain time, once its sidecar is linked.
     fn late_runs(&self) -> u64 {
         std::thread::sleep(DRAIN);
@@ -99,10 +108,7 @@
     world.start_sidecar_beside();
     world.leave();
     world.links.join();
-    assert_eq!(world.late_runs(), 0);
-    let fleet = &world.fleet;
-    wait_until("the next upstream registers", || fleet.register(UPSTREAM, "i-2", 1, false));
-    wait_until("it is served", || world.is_served());
+    world.check_departed();
 }
 
 /// Guards against a leave that a cut-off sidecar acknowledges although no coordinator holds it: killed
@@ -115,10 +121,7 @@
     world.kill_sidecar_beside();
     world.start_sidecar_beside();
     world.links.join();
-    assert_eq!(world.late_runs(), 0);
-    let fleet = &world.fleet;
-    wait_until("the next upstream registers", || fleet.register(UPSTREAM, "i-2", 1, false));
-    wait_until("it is served", || world.is_served());
+    world.check_departed();
 }
 
 /// What tells a record from before a restart apart from one from before a cut.
