Coordinators: name the error that ended a sidecar's link

The log said reason=ended in_order=false and swallowed the error, so that a reset, a failed write after an end, and a frame cut short could not be told apart.

The first error and the number of unread bytes are in the line now.

--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -61,9 +61,9 @@
     heard_at: BootInstant,
     /// Since when no pending data could be sent.
     stalled_since: Option<BootInstant>,
-    /// Whether an error was met. A failed write takes the error off the socket, so that the read
+    /// The first error that was met. A failed write takes the error off the socket, so that the read
     /// that follows reports an end in order.
-    broken: bool,
+    broken: Option<io::Error>,
     stage: Stage,
 }
 
@@ -212,7 +212,7 @@
             sent: 0,
             heard_at: BootInstant::now(),
             stalled_since: None,
-            broken: false,
+            broken: None,
             stage: Stage::AwaitingGreeting,
         });
         Ok(())
@@ -247,8 +247,8 @@
                 Ok(count) => connection.input.extend_from_slice(&self.read_buffer[..count]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    connection.broken = true;
+                Err(error) => {
+                    connection.broken.get_or_insert(error);
                     stream_ended = true;
                     break;
                 }
@@ -353,8 +353,8 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // A broken connection also becomes readable; the read detects its end.
-                Err(_) => {
-                    connection.broken = true;
+                Err(error) => {
+                    connection.broken.get_or_insert(error);
                     break;
                 }
             }
@@ -378,9 +378,10 @@
         if let Err(error) = self.poll.registry().deregister(&mut connection.stream) {
             warn!(peer = %connection.peer, %error, "socket_not_deregistered");
         }
-        info!(peer = %connection.peer, reason, "connection_ended");
+        let (unread, broken) = (connection.input.len(), &connection.broken);
+        info!(peer = %connection.peer, reason, unread, error = ?broken, "connection_ended");
         if let Stage::Linked(link) = &connection.stage {
-            let in_order = reason == ENDED && !connection.broken && connection.input.is_empty();
+            let in_order = reason == ENDED && broken.is_none() && unread == 0;
             self.links.close(link, in_order);
         }
     }
