Departures: a record is judged by the age of its last contact, however its link ended

The kernel of a process that has not read everything resets its connections. Resets did not vouch for the record, so the next process waited for a heartbeat.

Change: a departure is acknowledged unheld only once its own report has been held by nobody for 2 s (before: at 0.6 s, unless the process was younger than 2 s). So a record is the last word if the last contact on its link is less than 2 s older than the next process: what it lacks was reported later, and not acknowledged unheld in so short a time.

Weighed: resets that vouch while a process needs only 0.6 s for an unheld acknowledgement (a gap of 0.6 s with a ping each second: never trusted); a thread that reads all at once (makes it rarer only).

--- a/crates/coordinator/src/contacts.rs
+++ b/crates/coordinator/src/contacts.rs
@@ -8,8 +8,8 @@
 
 /// Two moments at which a frame arrived on one link, a burst apart or more.
 ///
-/// What a cut held up arrives at once after it, the end of the connection included. The moment before
-/// such a burst is the last at which the process certainly ran.
+/// What a cut held up arrives at once after it, the end of the connection included, and a reset may
+/// overtake it. The moment before such a burst is the last certain contact.
 #[derive(Clone, Copy, Debug)]
 pub struct Contacts {
     latest: Millis,
@@ -30,7 +30,8 @@
         }
     }
 
-    /// When the process certainly ran for the last time, if its connection ends now.
+    /// The last moment before which all that was sent on the link has arrived, if its connection ends
+    /// now.
     pub fn last_before(&self, now: Millis) -> Millis {
         match now >= self.latest + BURST_MS {
             true => self.latest,
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -55,8 +55,6 @@
     pub node: NodeAddress,
     pub boot_id: u64,
     contacts: Contacts,
-    /// Whether the sidecar closes the link and lives on.
-    unlinked: bool,
     sent: SentRevisions,
     subscription: Option<Subscription>,
 }
@@ -152,7 +150,6 @@
             node,
             boot_id: life,
             contacts: Contacts::first(self.clock.now_ms()),
-            unlinked: false,
             sent: SentRevisions::default(),
             subscription: None,
         };
@@ -199,7 +196,6 @@
                 encode_frame(&ToSidecar::Credits(answer), output);
             }
             ToCoordinator::Applied { generation } => info!(%node, generation, "generation_applied"),
-            ToCoordinator::Unlink => link.unlinked = true,
             ToCoordinator::Ping { asked_at } => {
                 let generation = self.group.announced_generation();
                 encode_frame(&ToSidecar::Pong { asked_at, generation }, output);
@@ -210,17 +206,16 @@
         self.hub.lock().registry.alive(&node, link.boot_id, now);
     }
 
-    /// Handles the end of a link; `in_order` tells whether everything that the sidecar sent on it has
-    /// arrived.
-    pub fn close(&self, link: &Link, in_order: bool) {
-        if in_order && !link.unlinked {
-            let ran_at = link.contacts.last_before(self.clock.now_ms());
-            self.hub.lock().registry.link_ended_in_order(&link.node, link.boot_id, ran_at);
-        }
+    /// Handles the end of a link.
+    pub fn close(&self, link: &Link) {
+        let now = self.clock.now_ms();
+        let contact_at = link.contacts.last_before(now);
+        self.hub.lock().registry.link_ended(&link.node, link.boot_id, contact_at);
         if self.hub.lock().registry.disconnected(&link.node, link.boot_id) {
             self.hub.wake();
         }
-        info!(node = %link.node, life = link.boot_id, in_order, "sidecar_disconnected");
+        let contact_ms = now.saturating_sub(contact_at);
+        info!(node = %link.node, life = link.boot_id, contact_ms, "sidecar_disconnected");
     }
 
     fn handle_report(&self, record: NodeRecord, output: &mut Vec<u8>) {
--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -46,9 +46,6 @@
 /// Interval between checks for silent and stalled links and for changes of the group.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Why a connection was closed whose stream has ended.
-const ENDED: &str = "ended";
-
 /// Takes over the connection of another coordinator, with the data read after the greeting.
 pub(crate) type ServeCoordinator = Box<dyn Fn(std::net::TcpStream, SocketAddr, Vec<u8>) + Send>;
 
@@ -260,7 +257,7 @@
         }
         match self.process_input(key) {
             Ok(InputOutcome::KeepOpen) if !stream_ended => self.flush(key),
-            Ok(InputOutcome::KeepOpen) => self.close(key, ENDED),
+            Ok(InputOutcome::KeepOpen) => self.close(key, "ended"),
             Ok(InputOutcome::Close) => self.close(key, "refused"),
             Ok(InputOutcome::IsCoordinator(greeting)) => self.hand_over(key, greeting),
             Err(error) => {
@@ -378,11 +375,11 @@
         if let Err(error) = self.poll.registry().deregister(&mut connection.stream) {
             warn!(peer = %connection.peer, %error, "socket_not_deregistered");
         }
-        let (unread, broken) = (connection.input.len(), &connection.broken);
-        info!(peer = %connection.peer, reason, unread, error = ?broken, "connection_ended");
+        let error = connection.broken.as_ref().map(tracing::field::display);
+        let unread = connection.input.len();
+        info!(peer = %connection.peer, reason, unread, error, "connection_ended");
         if let Stage::Linked(link) = &connection.stage {
-            let in_order = reason == ENDED && broken.is_none() && unread == 0;
-            self.links.close(link, in_order);
+            self.links.close(link);
         }
     }
 
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -62,8 +62,7 @@
     nodes: BTreeMap<NodeAddress, ListedNode>,
     gone: VecDeque<(u64, NodeAddress)>,
     last_records: BTreeMap<NodeAddress, (NodeRecord, Millis)>,
-    /// Sidecar processes whose last link to this coordinator ended in order, and when they certainly
-    /// ran for the last time.
+    /// Sidecar processes whose last link to this coordinator ended, and the last contact on it.
     ended_links: BTreeMap<NodeAddress, (u64, Millis)>,
     leaving_states: VecDeque<(Incarnation, InstanceState)>,
 }
@@ -95,8 +94,8 @@
         Some(record)
     }
 
-    /// Longest time for which a sidecar process may have been gone, if its last link ended in order;
-    /// `None` if it broke off, or if the process was heard of afterwards.
+    /// Time since the last contact with a sidecar process, if its last link ended and it was not heard
+    /// of afterwards.
     pub fn ended_ms(&self, address: &NodeAddress, boot_id: u64, now: Millis) -> Option<u64> {
         let (ended, at) = self.ended_links.get(address)?;
         (*ended == boot_id).then(|| now.saturating_sub(*at))
@@ -250,11 +249,11 @@
         }
     }
 
-    /// Notes that a sidecar process ended, and its connection in order: everything that the process
-    /// sent on it has arrived. The process certainly ran at `ran_at`.
-    pub fn link_ended_in_order(&mut self, address: &NodeAddress, boot_id: u64, ran_at: Millis) {
+    /// Notes that the link of a sidecar process ended: everything that the process sent on it before
+    /// `contact_at` has arrived.
+    pub fn link_ended(&mut self, address: &NodeAddress, boot_id: u64, contact_at: Millis) {
         if self.nodes.get(address).is_some_and(|listed| listed.record.boot_id == boot_id) {
-            self.ended_links.insert(*address, (boot_id, ran_at));
+            self.ended_links.insert(*address, (boot_id, contact_at));
         }
     }
 
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -186,8 +186,6 @@
     },
     /// Requests credits of tenant quotas.
     Credits(CreditRequest),
-    /// The last frame on a link that the sidecar closes while it lives on.
-    Unlink,
 }
 
 /// Frames to a sidecar.
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -149,9 +149,9 @@
 pub struct LastRecord {
     /// Its last record that names an upstream.
     pub record: NodeRecord,
-    /// Longest time for which the process may have been gone, milliseconds at the time of sending, if
-    /// its last link to this coordinator ended in order, so that all it sent has arrived. `None` if
-    /// the link broke off, or if the process lived on or was heard of elsewhere afterwards.
+    /// Time since the last contact on its last link to this coordinator, milliseconds at the time of
+    /// sending, once that ended; all that it sent before has arrived. `None` if the process was heard
+    /// of afterwards.
     pub ended_ms: Option<u32>,
 }
 
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -368,8 +368,8 @@
         let Some(link) = self.links.get_mut(&address) else {
             return;
         };
-        if link.connection.is_some() {
-            close(net, link);
+        if let Some(id) = link.connection.take() {
+            net.close(id);
         }
         if link.welcomed {
             info!(coordinator = %address, reason, "coordinator_lost");
@@ -430,8 +430,8 @@
         let found = self.links.iter().filter(|(address, link)| is_obsolete(address, link));
         let unwanted: Vec<Ipv4Addr> = found.map(|(address, _)| *address).collect();
         for address in unwanted {
-            if let Some(mut link) = self.links.remove(&address) {
-                close(net, &mut link);
+            if let Some(id) = self.links.remove(&address).and_then(|link| link.connection) {
+                net.close(id);
             }
         }
         let ping_due = |link: &&mut Link| {
@@ -466,16 +466,6 @@
     }
 }
 
-/// Closes a link. The coordinator must not take its end for the end of this process.
-fn close(net: &mut Net, link: &mut Link) {
-    if link.open {
-        send(net, link, &ToCoordinator::Unlink);
-    }
-    if let Some(id) = link.connection.take() {
-        net.close(id);
-    }
-}
-
 fn send(net: &mut Net, link: &Link, message: &ToCoordinator) {
     let Some(id) = link.connection else {
         return;
--- a/crates/sidecar/src/registrar.rs
+++ b/crates/sidecar/src/registrar.rs
@@ -2,8 +2,8 @@
 //!
 //! An acknowledged departure is binding, even if this process is killed. The acknowledgement is
 //! therefore deferred until as many coordinators as required, or as can be reached in time, hold
-//! the report. One that no coordinator holds binds through the next process, which trusts an old
-//! record only if none can have been given after it.
+//! the report. One that no coordinator holds is given only after [`UNHELD_AFTER_MS`]; it binds
+//! through the next process, which trusts a record only if it is younger than that.
 
 use crate::net::ConnectionId;
 use crate::Millis;
@@ -12,21 +12,21 @@
 
 /// Number of coordinators that must hold the report of a departure.
 const REQUIRED_HOLDERS: usize = 2;
-/// Longest wait for them, in milliseconds; the upstream expects its answer within one second.
-const MAX_WAIT_MS: u64 = 600;
-/// Time after its start in which this process acknowledges nothing that no coordinator holds, in
-/// milliseconds. It lets the next process tell whether another one may have done so in between, see
-/// [`is_last_word`], and exceeds the time from the last frame of a killed process until the next
-/// one runs.
+/// Longest wait for them, in milliseconds; the upstream expects its answer within one second. Three
+/// reports in a row last longer than [`UNHELD_AFTER_MS`].
+const MAX_WAIT_MS: u64 = 700;
+/// How long a departure has been reported in vain before it is acknowledged though no coordinator
+/// holds it, in milliseconds. It exceeds the time from the last frame of a killed process until the
+/// next one runs, see [`is_last_word`].
 const UNHELD_AFTER_MS: u64 = 2_000;
 
-/// Whether a record is the last word of the process before this one, so that no departure was
-/// acknowledged that it does not contain. `reported_at` is when this process, whose clock starts with
-/// it, reported itself to the coordinator that sent the record.
+/// Whether a record is the last word of the processes before this one, so that none of them
+/// acknowledged an unheld departure that it does not contain. `reported_at` is when this process,
+/// whose clock starts with it, reported itself to the coordinator that sent the record.
 ///
-/// That coordinator has all that the earlier process ever sent it, since their link ended in order.
-/// A process that ran in between would have acknowledged nothing unheld in its first
-/// [`UNHELD_AFTER_MS`]; so nothing was if the time between the two processes was shorter.
+/// A departure that is missing there was reported after the last contact on that link, by the same
+/// process or a later one, and was not acknowledged unheld in the [`UNHELD_AFTER_MS`] that followed.
+/// How the link ended makes no difference: a killed process that had not read everything resets it.
 pub fn is_last_word(last: &LastRecord, reported_at: Millis) -> bool {
     last.ended_ms.is_some_and(|ended_ms| u64::from(ended_ms) < reported_at + UNHELD_AFTER_MS)
 }
@@ -40,6 +40,8 @@
     pub slot: Slot,
     /// Sequence number of the report that must be held.
     pub sequence: u64,
+    /// Since when that report has been waiting.
+    pub since: Millis,
     /// When the report is answered in any case.
     pub until: Millis,
 }
@@ -57,13 +59,21 @@
 #[derive(Debug, Default)]
 pub struct Registrar {
     pending: Vec<PendingAcknowledgement>,
+    /// The latest report that was waited for, and since when.
+    latest: Option<(u64, Millis)>,
 }
 
 impl Registrar {
-    /// Defers an acknowledgement until the report is held.
+    /// Defers an acknowledgement until the report is held. An upstream that reports its departure
+    /// again waits for the same report.
     pub fn defer(&mut self, connection: ConnectionId, slot: Slot, sequence: u64, now: Millis) {
+        let since = match self.latest {
+            Some((latest, since)) if latest == sequence => since,
+            _ => now,
+        };
+        self.latest = Some((sequence, since));
         let until = now + MAX_WAIT_MS;
-        self.pending.push(PendingAcknowledgement { connection, slot, sequence, until });
+        self.pending.push(PendingAcknowledgement { connection, slot, sequence, since, until });
     }
 
     /// Takes the reports that are to be answered now; `acknowledged_by` returns how many
@@ -79,7 +89,7 @@
             if holders >= REQUIRED_HOLDERS.min(linked.max(1)) || (holders > 0 && is_due) {
                 return Some(DepartureAnswer::Acknowledged);
             }
-            is_due.then_some(match now < UNHELD_AFTER_MS {
+            is_due.then_some(match now < pending.since + UNHELD_AFTER_MS {
                 true => DepartureAnswer::NotHeld,
                 false => DepartureAnswer::Acknowledged,
             })
