--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -22,8 +22,8 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest time for which a stopping coordinator waits until its vote is taken. A change of the
-/// members takes one round of maintenance and one round of the log; two are needed.
+/// Longest time for which a stopping coordinator waits until its vote is taken: a round of the log,
+/// and an election before it if the leader is lost at that moment.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(50);
 const WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
