Proxy: a response that broke off is not complete

Cause, shown by a new row and a trace of the system calls: the upstream sends a response without a length and closes the connection with a part of the request unread, which resets it; `recvfrom` returns ECONNRESET, and the client library takes that for the end of the body. Ruled out: an end that came before the reset (the trace has none).

Change: the proxy's connections hand a reset on as an error of another kind, which fails the body; the verdict is may-have-run, as for a body that is too short.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod refusal;
 mod runtime;
 mod server;
+mod transport;
 mod upstream;
 mod watch;
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,13 +1,14 @@
 //! Sends one call to one upstream and determines from a failure whether the call may have run.
 
 use crate::ip_resolver::IpResolver;
+use crate::transport::ResetAwareConnector;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use touche::http;
 use touche::{HeaderMap, Method, StatusCode};
-use ureq::unversioned::transport::DefaultConnector;
+use ureq::unversioned::transport::{Connector, DefaultConnector};
 use verdict::Verdict;
 
 /// Response header with the fraction of a backend's slots that are in use, from 0 to 1.
@@ -139,7 +140,8 @@
         .accept(ureq::config::AutoHeaderValue::None)
         .accept_encoding(ureq::config::AutoHeaderValue::None)
         .build();
-    ureq::Agent::with_parts(config, DefaultConnector::default(), IpResolver)
+    let connector = DefaultConnector::default().chain(ResetAwareConnector);
+    ureq::Agent::with_parts(config, connector, IpResolver)
 }
 
 fn prepare<'a>(
--- a/crates/proxy/tests/verdicts.rs
+++ b/crates/proxy/tests/verdicts.rs
@@ -13,6 +13,9 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 const MAX_BODY_BYTES: u64 = 64 * 1024;
 const BODY: &[u8] = b"charge 12.50";
+/// Longer than what the buffers of a connection hold while nothing is read.
+const LONG_BODY_BYTES: usize = 8 << 20;
+const LONG_UPLOADS: usize = 20;
 
 /// How a backend fails on each connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,12 +28,19 @@
     MidHead,
     /// Closes the connection before the request body is received.
     MidBody,
+    /// Sends a part of a response without a length in the middle of the request body, and closes the
+    /// connection. Since it has not read everything, that resets the connection.
+    BrokenOff,
     /// Runs the call, then closes the connection without sending a response.
     AfterBody,
     /// Runs the call, then closes the connection in the middle of the response head.
     MidResponseHead,
     /// Runs the call, then closes the connection in the middle of the response body.
     ShortResponse,
+    /// Runs the call, then closes the connection between two chunks of the response.
+    ShortChunks,
+    /// Runs the call, then ends a response without a length by closing the connection in order.
+    NoLength,
     /// Runs the call, then announces a response body longer than the limit.
     LongResponse,
     /// Runs the call, then sends more bytes than the announced length.
@@ -87,6 +97,13 @@
             let _ = read_until_body(&mut socket);
             return;
         }
+        BackendFault::BrokenOff => {
+            let _ = read_until_body(&mut socket);
+            // The body arrives as a whole; the rest of it stays unread.
+            let _ = socket.read_exact(&mut [0]);
+            send_response(&mut socket, fault);
+            return;
+        }
         _ => {}
     }
     let body_bytes_read = read_until_body(&mut socket);
@@ -134,6 +151,11 @@
         }
         BackendFault::MidResponseHead => b"HTTP/1.1 200 OK\r\nConte",
         BackendFault::ShortResponse => b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\ndo",
+        BackendFault::ShortChunks => {
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"
+        }
+        BackendFault::BrokenOff => b"HTTP/1.1 200 OK\r\n\r\ndo",
+        BackendFault::NoLength => b"HTTP/1.1 200 OK\r\n\r\ndone",
         BackendFault::LongResponse => b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\ndone",
         BackendFault::MoreThanAnnounced => {
             b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndoneHTTP/1.1 200"
@@ -145,6 +167,15 @@
 }
 
 fn send(address: SocketAddr, client: &UpstreamClient, policy: SendPolicy) -> Observed {
+    send_body(address, client, policy, BODY)
+}
+
+fn send_body(
+    address: SocketAddr,
+    client: &UpstreamClient,
+    policy: SendPolicy,
+    body: &[u8],
+) -> Observed {
     let headers = HeaderMap::new();
     let result = client.send(
         address,
@@ -152,7 +183,7 @@
             method: &Method::POST,
             path: "/charge",
             headers: &headers,
-            body: BODY,
+            body,
             timeout: TIMEOUT,
             policy,
         },
@@ -176,9 +207,12 @@
         (BeforeHead, may_have_run, 0),
         (MidHead, may_have_run, 0),
         (MidBody, may_have_run, 0),
+        (BrokenOff, may_have_run, 0),
         (AfterBody, may_have_run, 1),
         (MidResponseHead, may_have_run, 1),
         (ShortResponse, may_have_run, 1),
+        (ShortChunks, may_have_run, 1),
+        (NoLength, Observed::Complete, 1),
         (LongResponse, may_have_run, 1),
         (MoreThanAnnounced, Observed::Complete, 1),
         (Late, may_have_run, 1),
@@ -202,6 +236,19 @@
     }
 }
 
+/// Guards against a half response that passes for a complete one since the connection was reset while
+/// the request was still being sent.
+#[test]
+fn a_response_that_breaks_off_during_a_long_upload_is_not_complete() {
+    let body = vec![b'x'; LONG_BODY_BYTES];
+    for policy in [SendPolicy::Once, SendPolicy::Repeatable].repeat(LONG_UPLOADS) {
+        let backend = backend(BackendFault::BrokenOff);
+        let client = UpstreamClient::new(MAX_BODY_BYTES);
+        let observed = send_body(backend.address, &client, policy, &body);
+        assert_eq!(observed, Observed::Failed(Verdict::MayHaveRun), "{policy:?}");
+    }
+}
+
 /// The late response to a call that timed out must not be returned for a later call.
 #[test]
 fn a_late_answer_never_reaches_another_call() {
