Tests: an answer breaks off only after the client has seen its connection

Cause: an upstream that reads nothing answered and reset the connection as soon as it had accepted it. A client thread that first looks later than that sees an ended connection, never a connected one, and the test waits for that event.

Change: the upstream begins once the client has seen that it is connected. The product is not touched.

--- a/crates/sidecar/tests/broken_off.rs
+++ b/crates/sidecar/tests/broken_off.rs
@@ -6,6 +6,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -86,10 +87,18 @@
     socket.into()
 }
 
-/// Answers one request and ends its connection; runs to its end without the client.
-fn serve(listener: TcpListener, reads: usize, answer: Vec<u8>, ending: Ending) -> JoinHandle<()> {
+/// Answers one request and ends its connection, once the client has seen that it is connected; runs
+/// to its end without the client from then on.
+fn serve(
+    listener: TcpListener,
+    connected: Receiver<()>,
+    reads: usize,
+    answer: Vec<u8>,
+    ending: Ending,
+) -> JoinHandle<()> {
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
+        connected.recv().expect("the client is connected");
         let mut read = vec![0; reads];
         stream.read_exact(&mut read).expect("the request arrives");
         stream.write_all(&answer).expect("the answer fits into the buffers");
@@ -183,9 +192,11 @@
     };
     let listener = listen();
     let address = listener.local_addr().expect("bound");
-    let served = serve(listener, reads, answer(framing, ending), ending);
+    let (tell, connected) = channel();
+    let served = serve(listener, connected, reads, answer(framing, ending), ending);
     let mut client = Client::connect(address, state == RequestState::Paced);
     client.wait_until_connected();
+    tell.send(()).expect("the upstream waits for it");
     client.net.send(client.id, &request);
     if ending == Ending::EndMidway {
         let outcome = client.finish();
