Consensus: a learner that hears nothing for an election knows no leader

What an operator saw: a first member that was restarted stayed outside its group for good, though it ran and reached every other member; the group was left without the spare that it counts on.

Cause: silence was taken for a statement about now. A learner does not campaign, so its election timeout passed without effect and it followed its last leader for ever. The member found itself in its own log and had a leader, so it asked nobody (trace: known leader 3 of term 4 at term 5, commit 0, for the whole 30 s of calm). A learner that is cut off vouched for its state in the same way: coordinators pass on a configuration as confirmed while a leader is known.

Change: at its election timeout a member that does not vote forgets its leader, as a voter does that begins to campaign. Coordinators without a leader ask to join already.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -18,11 +18,22 @@
             return;
         }
         self.ticks_since_leader += 1;
-        if self.ticks_since_leader >= self.election_deadline {
+        if self.ticks_since_leader < self.election_deadline {
+            return;
+        }
+        if self.votes() {
             self.campaign(true, false);
+        } else {
+            // It cannot campaign, but knows no leader any more either: it may be cut off, or removed.
+            self.become_follower(self.term, None);
         }
     }
 
+    /// Whether this member votes, as far as its log says.
+    fn votes(&self) -> bool {
+        self.membership.voters.contains(&self.config.id)
+    }
+
     /// Becomes a follower without a known leader, to be called after the machine was asleep for longer
     /// than an election takes. No ticks passed meanwhile, and the others may have elected a leader and
     /// committed entries that this member would miss if it kept its role. Keeps term and vote.
@@ -92,9 +103,6 @@
 
     fn campaign(&mut self, pre: bool, transfer: bool) {
         self.reset_election_timer();
-        if !self.membership.voters.contains(&self.config.id) {
-            return;
-        }
         let votes = BTreeSet::from([self.config.id]);
         let campaign_term = self.term + 1;
         if self.no_leader_yet && (pre || self.early_campaigns < MAX_EARLY_CAMPAIGNS) {
@@ -271,7 +279,7 @@
     }
 
     fn on_timeout_now(&mut self) {
-        if self.membership.voters.contains(&self.config.id) {
+        if self.votes() {
             self.campaign(false, true);
         }
     }
--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -372,6 +372,28 @@
 /// Suspends a leader while the other members elect a new one. Returns whether it is still a leader
 /// and which leader it knows after it resumes, before any message reaches it, and the commands that
 /// it has applied in the end.
+/// Guards against a learner that follows a leader of the past for good: cut off, it vouched for its state,
+/// and once its addition was discarded with the leader that proposed it, it never asked to join again.
+#[test]
+fn a_learner_that_hears_nothing_knows_no_leader() {
+    let (mut network, leader) = Network::with_leader(3);
+    let learner = 4;
+    let mut membership = network.member(leader).membership().clone();
+    membership.learners.insert(learner);
+    network.members.insert(learner, empty_member(learner, &Membership::default()));
+    network.member(leader).propose_membership(membership).expect("one learner may be added");
+    network.deliver_messages();
+    assert_eq!(network.member(learner).leader(), Some(leader));
+    network.tick(5 * ELECTION_TICKS);
+    assert_eq!(network.member(learner).leader(), Some(leader), "the leader is heard");
+    network.isolated.insert(learner);
+    network.tick(2 * ELECTION_TICKS);
+    assert_eq!(network.member(learner).leader(), None);
+    network.isolated.clear();
+    network.tick(ELECTION_TICKS);
+    assert_eq!(network.member(learner).leader(), Some(leader));
+}
+
 fn leader_that_slept(weakness: Option<Weakness>) -> (bool, Option<NodeId>, Vec<String>) {
     let membership = Membership::of_voters(1..=3);
     let mut network = Network::with_members(3);
--- a/crates/coordinator/tests/simulated_membership/planned_stops.rs
+++ b/crates/coordinator/tests/simulated_membership/planned_stops.rs
@@ -148,6 +148,14 @@
     assert_eq!(broken(simulate_restarts, None, drawn()), []);
 }
 
+/// Guards against a returned member that stays outside for good: the leader that had added it as a learner
+/// was replaced before the addition was committed, and it went on to follow the new leader, which had
+/// spoken to it once.
+#[test]
+fn a_member_whose_addition_was_discarded_asks_to_join_again() {
+    assert_eq!(simulate_restarts(25_348, None), Ok(()));
+}
+
 #[test]
 fn the_checks_notice_votes_that_are_lost_or_kept() {
     let lost = broken(simulate_replacement, Some(Defect::VoteGoesWithItsMachine), DRAWN).len();
