Consensus: leadership is handed to a voter that is heard

What would be seen: a leader that stops or resigns hands its office to a voter that is gone, since that one matches the log as well as the others until the next entry; nobody leads until the hand-over is given up and an election follows, and a stopping coordinator's vote is not taken in that time.

Cause: the place in the log, an old word, was taken for a sign of life. The choice now prefers voters that replied within two heartbeat rounds, and a transfer under way is not begun anew.

The choice moves from the replica's driver into the core (Raft::resign), where the simulation of coordinators had a copy of it, which goes.

Test: consensus network office_is_handed_to_a_voter_that_is_heard; with the former choice: '1 is gone: left Some(1), right Some(2)'. Tests of consensus, control, coordinator and simulator pass.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -9,6 +9,8 @@
 /// timeout. Members that start at the same time can split their votes, which resolves itself after a
 /// few elections; votes delayed by slow disks do not.
 const MAX_EARLY_CAMPAIGNS: u32 = 3;
+/// Heartbeat rounds within which a voter has replied if it was heard lately.
+const RECENT_ROUNDS: u64 = 2;
 
 impl Raft {
     /// Advances time by one tick.
@@ -284,6 +286,21 @@
         }
     }
 
+    /// Starts transferring leadership to the most up-to-date of the voters that were heard lately: one
+    /// that is gone matches as well as the others until the next entry. Does nothing if this member does
+    /// not lead, or transfers its leadership already.
+    pub fn resign(&mut self) {
+        let heard_since = self.round.saturating_sub(RECENT_ROUNDS);
+        let voters = &self.membership.voters;
+        let others = self.peers().into_iter().flatten().filter(|(id, _)| voters.contains(id));
+        let successor = others
+            .max_by_key(|(_, peer)| (peer.acked_round >= heard_since, peer.match_index))
+            .map(|(id, _)| *id);
+        if let Some(successor) = successor.filter(|_| self.transfer_to.is_none()) {
+            self.transfer_leadership(successor);
+        }
+    }
+
     /// Starts transferring leadership to `to`; proposals are rejected meanwhile (section 3.10).
     pub fn transfer_leadership(&mut self, to: NodeId) {
         if !self.is_leader() || !self.membership.voters.contains(&to) || to == self.config.id {
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -205,6 +205,11 @@
         &self.membership
     }
 
+    /// Whether the current membership is committed. Until then it is lost if the leader is.
+    pub fn membership_is_committed(&self) -> bool {
+        self.membership_index <= self.log.committed
+    }
+
     /// Whether this member is the leader.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader { .. })
@@ -253,7 +258,7 @@
     pub fn propose_membership(&mut self, next: Membership) -> Result<Index, ProposeError> {
         self.check_can_propose()?;
         let reject = |source| Err(ProposeError::Membership { source });
-        if self.membership_index > self.log.committed {
+        if !self.membership_is_committed() {
             return reject(MembershipError::ChangeInProgress);
         }
         if !self.committed_in_term() {
--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -205,6 +205,21 @@
     assert_eq!(network.current_leader(), Some(next));
 }
 
+/// Guards against an office that is handed to a voter that is gone: it matches as well as the others
+/// until the next entry, and the group waits for an election.
+#[test]
+fn office_is_handed_to_a_voter_that_is_heard() {
+    for gone in 0..2 {
+        let (mut network, leader) = Network::with_leader(3);
+        let followers = network.followers(leader);
+        network.isolated.insert(followers[gone]);
+        network.tick(ELECTION_TICKS);
+        network.member(leader).resign();
+        network.deliver_messages();
+        assert_eq!(network.current_leader(), Some(followers[1 - gone]), "{gone} is gone");
+    }
+}
+
 #[test]
 fn a_member_far_behind_gets_a_snapshot_in_chunks() {
     const SNAPSHOT_BYTES: usize = 700 * 1024;
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -144,14 +144,7 @@
             Input::Read(reply) => self.read(reply),
             Input::ChangeMembership(next, reply) => self.change_membership(next, reply),
             Input::TransferLeadership(done) => {
-                let most_up_to_date = self.raft.peers().and_then(|peers| {
-                    let voters = &self.raft.membership().voters;
-                    let eligible = peers.iter().filter(|(id, _)| voters.contains(id));
-                    eligible.max_by_key(|(_, progress)| progress.match_index).map(|(id, _)| *id)
-                });
-                if let Some(peer) = most_up_to_date {
-                    self.raft.transfer_leadership(peer);
-                }
+                self.raft.resign();
                 let _ = done.try_send(());
             }
         }
--- a/crates/coordinator/tests/simulated_membership.rs
+++ b/crates/coordinator/tests/simulated_membership.rs
@@ -383,7 +383,7 @@
             next.voters.remove(&member.0);
         }
         Some(Change::Demote(member)) if member.0 == process.raft.id() => {
-            transfer_leadership(process);
+            process.raft.resign();
             return;
         }
         Some(Change::Demote(member)) => {
@@ -397,16 +397,6 @@
     }
 }
 
-fn transfer_leadership(process: &mut Process) {
-    let own = process.raft.id();
-    let others = process.raft.membership().voters.iter().copied().filter(|id| *id != own);
-    let peers = process.raft.peers().cloned().unwrap_or_default();
-    let matched = |id: &u64| peers.get(id).map_or(0, |peer| peer.match_index);
-    if let Some(to) = others.max_by_key(matched) {
-        process.raft.transfer_leadership(to);
-    }
-}
-
 /// Runs a fleet through tolerable faults and a phase without faults; the error describes the
 /// violation.
 fn run_simulation(machines: u8, seed: u64, defect: Option<Defect>) -> Result<(), String> {
--- a/crates/coordinator/tests/simulated_membership/planned_stops.rs
+++ b/crates/coordinator/tests/simulated_membership/planned_stops.rs
@@ -1,13 +1,13 @@
 //! Machines that stop as planned hand their votes over, and get them back with their return.
 
-use super::{address, transfer_leadership, Defect, World, CATCH_UP_TICKS, FAULT_FREE_TICKS};
+use super::{address, Defect, World, CATCH_UP_TICKS, FAULT_FREE_TICKS};
 use std::collections::BTreeSet;
 
 /// Longest time that a stopping coordinator waits until its vote is taken, ticks.
-const HAND_OVER_TICKS: u64 = 30;
+pub(super) const HAND_OVER_TICKS: u64 = 30;
 
 impl World {
-    fn run_for(&mut self, ticks: u64) -> Result<(), String> {
+    pub(super) fn run_for(&mut self, ticks: u64) -> Result<(), String> {
         for _ in 0..ticks {
             self.step();
             self.check_histories()?;
@@ -16,14 +16,14 @@
     }
 
     /// Stops a machine as planned: it hands its leadership and its vote over, and ends.
-    fn stop(&mut self, index: usize) -> Result<(), String> {
+    pub(super) fn stop(&mut self, index: usize) -> Result<(), String> {
         let hands_over = self.defect != Some(Defect::VoteGoesWithItsMachine);
         let process = self.machines[index].process.as_ref().expect("it runs");
         let somebody_takes_it = hands_over && !process.raft.membership().learners.is_empty();
         for _ in 0..HAND_OVER_TICKS {
             let process = self.machines[index].process.as_mut().expect("it runs");
             if process.raft.is_leader() {
-                transfer_leadership(process);
+                process.raft.resign();
             }
             process.stopping = hands_over;
             let membership = process.raft.membership();
@@ -38,14 +38,14 @@
         Ok(())
     }
 
-    fn voters(&self) -> BTreeSet<u64> {
+    pub(super) fn voters(&self) -> BTreeSet<u64> {
         let mut processes = self.machines.iter().filter_map(|machine| machine.process.as_ref());
         let leader = processes.find(|process| process.raft.is_leader());
         leader.map(|leader| leader.raft.membership().voters.clone()).unwrap_or_default()
     }
 
     /// Loses the disk of a random machine that runs, which returns soon.
-    fn lose_a_disk(&mut self) -> Result<(), String> {
+    pub(super) fn lose_a_disk(&mut self) -> Result<(), String> {
         let running: Vec<usize> =
             (0..self.machines.len()).filter(|at| self.machines[*at].process.is_some()).collect();
         let lost = running[self.random.usize(..running.len())];
@@ -56,7 +56,7 @@
         Ok(())
     }
 
-    fn check_progress(&mut self) -> Result<(), String> {
+    pub(super) fn check_progress(&mut self) -> Result<(), String> {
         let acknowledged = self.acknowledged.len();
         self.run_for(FAULT_FREE_TICKS)?;
         self.check_acknowledged()?;
@@ -123,7 +123,7 @@
 /// Histories drawn by default; `MEMBERSHIP_SEEDS` draws more.
 const DRAWN: u64 = 300;
 
-fn broken(
+pub(super) fn broken(
     simulate: fn(u64, Option<Defect>) -> Result<(), String>,
     defect: Option<Defect>,
     seeds: u64,
@@ -132,7 +132,7 @@
     (0..seeds).filter_map(failed).collect()
 }
 
-fn drawn() -> u64 {
+pub(super) fn drawn() -> u64 {
     std::env::var("MEMBERSHIP_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(DRAWN)
 }
 
