Proxy: an upload that breaks off runs nowhere

What callers saw: a caller that uploaded in chunks and was lost midway had half of its upload run, with 200 and the verdict 'ran'; a payment with half of its body, say. Ends in order and resets alike.

Reproduced over processes: 'POST /pay .. Transfer-Encoding: chunked .. 4 ha' and no more: HTTP/1.1 200 OK, x-chutecove-verdict: ran. A body with a length did not get through.

Cause: the server library of the role proxy ends a chunked body at the end of the stream, wherever that comes, and tells nobody; requests with two transfer codings or a length beside one were read in one of the two ways as well. Class: an end is taken for a statement that all is said.

Change: callers are served with the framing of crate http1, as sidecars do: a call is handled only once its framing says that it is complete, and what can be read in two ways is refused. Refusals by the framing carry the verdict.

Test: chutecove processes an_upload_that_breaks_off_runs_nowhere, eight ways to break off, each ended in order and reset; failed before (above), passes.

--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -1,11 +1,12 @@
 //! Tests of the processes and the command line of `chutecove`, including operator mistakes and invalid input.
 
 use std::fs;
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,8 @@
     api: SocketAddr,
     relay: SocketAddr,
     proxy: SocketAddr,
+    /// Where the relay asks for the platform's list of machines; nobody answers unless a test does.
+    platform: SocketAddr,
     metrics: [SocketAddr; 3],
 }
 
@@ -110,6 +113,7 @@
             api: free_address(),
             relay: free_address(),
             proxy: free_address(),
+            platform: free_address(),
             metrics: [free_address(), free_address(), free_address()],
         };
         fleet.make_keys();
@@ -170,9 +174,10 @@
             &format!(
                 "fleet = \"fares\"\nname = \"relay-1\"\nzone = \"zone-a\"\nregion = \"south\"\n\
                  listen = \"{}\"\nmetrics_listen = \"{relay}\"\n\
-                 platform_url = \"http://127.0.0.1:1/machines\"\n{}\
+                 platform_url = \"http://{}/machines\"\n{}\
                  [[control]]\nid = 1\naddress = \"{}\"\n",
                 self.relay,
+                self.platform,
                 tls_settings("relay-1"),
                 self.control
             ),
@@ -453,6 +458,126 @@
     assert!(read.is_ok(), "the replica exited without an answer: {read:?}");
 }
 
+/// Serves the platform's list, with one machine.
+fn serve_machines(address: SocketAddr, backend: SocketAddr) {
+    let listener = TcpListener::bind(address).expect("the address is free");
+    let list = format!(
+        "[{{\"service\":\"fares\",\"address\":\"{backend}\",\"incarnation\":1,\"state\":\"live\",\
+         \"zone\":\"zone-a\",\"region\":\"south\"}}]"
+    );
+    serve_connections(listener, move |_| list.clone());
+}
+
+/// Starts a back end that says what it has read of each request; returns its address and the bodies.
+fn start_backend() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind(free_address()).expect("the address is free");
+    let address = listener.local_addr().expect("it is bound");
+    let bodies = Arc::new(Mutex::new(Vec::new()));
+    let seen = bodies.clone();
+    serve_connections(listener, move |body| {
+        seen.lock().expect("no thread panicked").push(body.to_owned());
+        "ran".to_owned()
+    });
+    (address, bodies)
+}
+
+/// Answers one request on each connection, in a thread of its own.
+fn serve_connections(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> String + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            thread::spawn(move || {
+                if let Ok(body) = read_request(&stream) {
+                    let answer = answer(&body);
+                    let length = answer.len();
+                    let _ = write!(
+                        &stream,
+                        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{answer}"
+                    );
+                }
+            });
+        }
+    });
+}
+
+/// Reads one request with a length; returns its body.
+fn read_request(stream: &TcpStream) -> std::io::Result<String> {
+    let mut reader = BufReader::new(stream);
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 || line == "\r\n" {
+            break;
+        }
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap_or(0);
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body)?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Sends bytes to the proxy, ends the stream in order or by a reset, and returns what comes back.
+fn send_to_proxy(proxy: SocketAddr, bytes: &str, resets: bool) -> String {
+    let mut stream = TcpStream::connect(proxy).expect("the proxy listens");
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("the read timeout is set");
+    stream.write_all(bytes.as_bytes()).expect("the kernel accepts the bytes");
+    if resets {
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("it is set");
+        return String::new();
+    }
+    stream.shutdown(Shutdown::Write).expect("the stream is open");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against half of an upload that passes for a whole request: a caller ended its stream between
+/// two chunks, and the back end ran what had come.
+#[test]
+fn an_upload_that_breaks_off_runs_nowhere() {
+    let fleet = Fleet::create();
+    let (backend, bodies) = start_backend();
+    serve_machines(fleet.platform, backend);
+    let _running = fleet.start_all();
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    let head = "POST /pay HTTP/1.1\r\nHost: fares\r\n";
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    let whole = [
+        format!("{head}Content-Length: 5\r\n\r\nwhole"),
+        format!("{chunked}2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n"),
+        format!("{chunked}2\r\nwh\r\n3\r\nole\r\n0\r\nLast: yes\r\n\r\n"),
+    ];
+    wait_until("a call runs", || send_to_proxy(fleet.proxy, &whole[0], false).contains(" 200 "));
+    let broken = [
+        format!("{head}Content-Length: 9\r\n\r\nhalf"),
+        format!("{chunked}4\r\nha"),
+        format!("{chunked}4\r\nhalf"),
+        format!("{chunked}4\r\nhalf\r\n"),
+        format!("{chunked}4\r\nhalf\r\n5"),
+        format!("{chunked}4\r\nhalf\r\n0\r\n"),
+        format!("{chunked}4\r\nhalf\r\n0\r\nLast: yes\r\n"),
+        format!("{chunked}4\r\nhalf\r\nzzz\r\n"),
+    ];
+    for bytes in &broken {
+        let answer = send_to_proxy(fleet.proxy, bytes, false);
+        assert!(!answer.contains(" 200 "), "{bytes:?}: {answer}");
+        send_to_proxy(fleet.proxy, bytes, true);
+    }
+    for bytes in &whole {
+        let answer = send_to_proxy(fleet.proxy, bytes, false);
+        assert!(answer.contains(" 200 ") && answer.ends_with("ran"), "{bytes:?}: {answer}");
+    }
+    let bodies = bodies.lock().expect("no thread panicked");
+    assert!(bodies.iter().all(|body| body == "whole"), "{bodies:?}");
+}
+
 #[test]
 fn an_empty_folder_is_refused() {
     let fleet = Fleet::create();
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     parse_request, write_response, BodyDecoder, BodyError, BodyLength, ConnectionPersistence,
-    HeadError, Request, RequestHead, Response,
+    HeadError, Headers, Request, RequestHead, Response,
 };
 use bytes::BytesMut;
 use std::collections::VecDeque;
@@ -80,10 +80,19 @@
     last_answer_written: bool,
     /// Number of requests that were read completely, or answered before their body was read.
     requests_read: u64,
+    /// Headers of the answers to input that is rejected here.
+    rejection_headers: Headers,
 }
 
 impl Default for ServerConnection {
     fn default() -> Self {
+        Self::with_rejection_headers(Headers::default())
+    }
+}
+
+impl ServerConnection {
+    /// Creates the state of a connection on which answers to rejected input carry the given headers.
+    pub fn with_rejection_headers(rejection_headers: Headers) -> Self {
         ServerConnection {
             phase: Phase::Head,
             pending: VecDeque::new(),
@@ -91,11 +100,10 @@
             closing: false,
             last_answer_written: false,
             requests_read: 0,
+            rejection_headers,
         }
     }
-}
 
-impl ServerConnection {
     /// Parses complete requests from `input`. Invalid input is answered here with an error status,
     /// and nothing after it is parsed.
     pub fn receive(
@@ -118,13 +126,17 @@
                     self.phase = Phase::Refused;
                     self.closing = true;
                     let slot = self.enqueue(false);
-                    self.answer(slot, Response::empty(status), false, output);
+                    self.answer(slot, self.rejection(status), false, output);
                 }
             }
         }
         requests
     }
 
+    fn rejection(&self, status: u16) -> Response {
+        Response { status, headers: self.rejection_headers.clone(), body: Vec::new() }
+    }
+
     fn enqueue(&mut self, keep_alive: bool) -> Slot {
         let slot = self.next_slot;
         self.next_slot += 1;
@@ -293,7 +305,7 @@
         self.phase = Phase::Refused;
         self.closing = true;
         let slot = offered.unwrap_or_else(|| self.enqueue(false));
-        self.answer(slot, Response::empty(408), true, output)
+        self.answer(slot, self.rejection(408), true, output)
     }
 }
 
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -12,11 +12,11 @@
     BudgetError, CallBudget, CallReport, CompiledRoute, RoutingTable, DEADLINE_HEADER, DEPTH_HEADER,
 };
 use http1::is_connection_header;
-use std::io::Read;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::BootInstant;
-use touche::{Body, HeaderMap, HttpBody, Method, Request, Response};
+use ureq::http::header::HeaderValue;
+use ureq::http::{HeaderMap, Method, Request, Response};
 use verdict::{Verdict, VERDICT_HEADER};
 
 /// Response header with the generation whose routes were used for the call.
@@ -24,7 +24,7 @@
 /// Maximum number of sends of one call, including the first.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// A call whose body was read completely.
+/// A call that has arrived completely.
 struct Call {
     method: Method,
     path: String,
@@ -34,14 +34,19 @@
     depth: u32,
 }
 
-/// Handles a call; every failure becomes a response with a verdict.
-pub(crate) fn handle(shared: &Shared, request: Request<Body>) -> Response<Vec<u8>> {
-    let Some(_in_flight) = shared.calls.try_enter(shared.settings.max_calls) else {
-        let refusal = Refusal::not_run(RefusalKind::Overloaded, "too many calls at once");
-        return refuse(shared, &refusal);
-    };
+/// A call as it has arrived: a request, or why it cannot be handled.
+pub(crate) type Arrival = Result<Request<Vec<u8>>, Refusal>;
+
+/// Handles a call that began to arrive at `received_at`; every failure becomes a response with a
+/// verdict.
+pub(crate) fn handle(
+    shared: &Shared,
+    arrival: Arrival,
+    received_at: BootInstant,
+) -> Response<Vec<u8>> {
     let table = shared.routing();
-    let response = match process(shared, &table, request) {
+    let processed = arrival.and_then(|request| process(shared, &table, request, received_at));
+    let response = match processed {
         Ok(response) => {
             shared.metrics.answered.inc();
             to_response(response)
@@ -70,7 +75,7 @@
     let headers = response.headers_mut();
     headers.insert(GENERATION_HEADER, table.generation.into());
     if shared.stop.is_set() {
-        headers.insert("Connection", touche::header::HeaderValue::from_static("close"));
+        headers.insert("Connection", HeaderValue::from_static("close"));
     }
     response
 }
@@ -78,10 +83,11 @@
 fn process(
     shared: &Shared,
     table: &Arc<RoutingTable>,
-    request: Request<Body>,
+    request: Request<Vec<u8>>,
+    received_at: BootInstant,
 ) -> Result<UpstreamResponse, Refusal> {
     let route = find_route(shared, table, &request)?;
-    let call = read_call(shared, &route, request)?;
+    let call = to_call(&route, request, received_at)?;
     shared.dispatcher.record_call(&route.route.name, route.route.retry_budget_percent);
     let key = call.headers.get(KEY_HEADER).cloned();
     match key {
@@ -98,7 +104,7 @@
 fn find_route(
     shared: &Shared,
     table: &RoutingTable,
-    request: &Request<Body>,
+    request: &Request<Vec<u8>>,
 ) -> Result<Arc<CompiledRoute>, Refusal> {
     if table.generation == 0 {
         let message = "no configuration is in force yet";
@@ -119,19 +125,17 @@
     Ok(route.clone())
 }
 
-fn read_call(
-    shared: &Shared,
+fn to_call(
     route: &CompiledRoute,
-    request: Request<Body>,
+    request: Request<Vec<u8>>,
+    received_at: BootInstant,
 ) -> Result<Call, Refusal> {
-    let received_at = BootInstant::now();
     let (parts, body) = request.into_parts();
     let header = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let remaining = header(DEADLINE_HEADER);
     let budget =
         CallBudget::from_headers(0, route.route.timeout_ms, remaining, header(DEPTH_HEADER))
             .map_err(budget_refusal)?;
-    let body = read_body(body, shared.settings.max_body_bytes)?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     Ok(Call {
         method: parts.method,
@@ -152,17 +156,6 @@
     Refusal::not_run(kind, error)
 }
 
-fn read_body(body: Body, max_bytes: u64) -> Result<Vec<u8>, Refusal> {
-    let mut bytes = Vec::new();
-    let read = body.into_reader().take(max_bytes + 1).read_to_end(&mut bytes);
-    read.map_err(|error| Refusal::not_run(RefusalKind::BadRequest, error))?;
-    if bytes.len() as u64 > max_bytes {
-        let message = format!("at most {max_bytes} bytes are allowed");
-        return Err(Refusal::not_run(RefusalKind::BodyTooLarge, message));
-    }
-    Ok(bytes)
-}
-
 /// Sends a call with an idempotency key, which must run at most once even if the caller resends it.
 fn send_with_claim(
     shared: &Shared,
@@ -297,7 +290,7 @@
     headers.insert(DEPTH_HEADER, call.depth.into());
     if let Some(token) = &route.token {
         let value = zeroize::Zeroizing::new(format!("Bearer {}", token.as_str()));
-        if let Ok(mut value) = touche::header::HeaderValue::from_str(&value) {
+        if let Ok(mut value) = HeaderValue::from_str(&value) {
             value.set_sensitive(true);
             headers.insert("Authorization", value);
         }
@@ -335,7 +328,7 @@
             }
         }
         if !headers.contains_key(VERDICT_HEADER) {
-            let ran = touche::header::HeaderValue::from_static("ran");
+            let ran = HeaderValue::from_static("ran");
             headers.insert(VERDICT_HEADER, ran);
         }
     }
--- a/crates/proxy/src/keyed.rs
+++ b/crates/proxy/src/keyed.rs
@@ -6,7 +6,7 @@
 use claims::{ClaimAnswer, ClaimCommand, Outcome, MAX_KEY_BYTES};
 use ring::digest::{Context, SHA256};
 use telemetry::BootInstant;
-use touche::{HeaderMap, StatusCode};
+use ureq::http::{HeaderMap, StatusCode};
 use verdict::Verdict;
 
 /// Header with the caller's idempotency key.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod applied_store;
 mod call;
+mod caller_connection;
 mod chooser;
 mod claim_link;
 mod core;
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Refusals by the proxy itself, each with a verdict on whether the call may have run.
 
 use std::fmt;
-use touche::{Response, StatusCode};
+use ureq::http::{Response, StatusCode};
 use verdict::{Verdict, VERDICT_HEADER};
 
 /// Header that marks a response as a refusal by a proxy. The hop next to the failure has already
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,23 +1,18 @@
-//! HTTP server for callers.
+//! HTTP server for callers, with a thread for each connection.
 //!
-//! `rouille` cannot send `Connection: close`, without which a planned stop would interrupt callers
-//! that keep their connections open. `touche` is the most similar library that can
-//! (docs/design/0005-libraries.md).
+//! The framing is that of crate `http1` (docs/design/0005-libraries.md).
 
-use crate::call;
+use crate::caller_connection::CallerConnection;
 use crate::runtime::Shared;
-use std::convert::Infallible;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use touche::{Body, Connection, Request, Server};
+use tracing::warn;
 use verdict::{Verdict, VERDICT_HEADER};
 
-/// Idle connections of callers are closed after this time.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 const WAKE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Read timeout of connections that are refused because of the connection limit.
@@ -63,55 +58,50 @@
 pub(crate) fn spawn(shared: Arc<Shared>) -> std::io::Result<Arc<CallerListener>> {
     let listener = TcpListener::bind(shared.settings.listen)?;
     let address = listener.local_addr()?;
-    let workers = shared.settings.workers as usize;
     let (closing, open) = (AtomicBool::new(false), AtomicUsize::new(0));
     let state = Arc::new(CallerListener { address, closing, open });
-    let (accept_state, service_state) = (state.clone(), state.clone());
-    thread::spawn(move || {
-        let server = Server::builder()
-            .max_threads(workers)
-            .read_timeout(IDLE_TIMEOUT)
-            .nodelay(true)
-            .from_connections(accepted_connections(listener, accept_state, workers));
-        let make_service = move |_: &Connection| {
-            let (shared, connection_guard) =
-                (shared.clone(), ConnectionGuard(service_state.clone()));
-            Ok::<_, Infallible>(move |request: Request<Body>| {
-                let _connection = &connection_guard;
-                Ok::<_, Infallible>(call::handle(&shared, request))
-            })
-        };
-        let _ = server.make_service(make_service);
-    });
+    let accept_state = state.clone();
+    thread::spawn(move || accept_callers(&listener, &accept_state, &shared));
     Ok(state)
 }
 
-/// Iterates over accepted connections until the listener is closed; a failed accept, such as with
-/// too many open files, is retried. Each connection occupies a thread, so connections beyond the
-/// limit are refused immediately; otherwise they would wait until another caller disconnects.
-fn accepted_connections(
-    listener: TcpListener,
-    state: Arc<CallerListener>,
-    max_connections: usize,
-) -> impl Iterator<Item = TcpStream> {
-    std::iter::from_fn(move || loop {
+/// Accepts connections until the listener is closed; a failed accept, such as with too many open
+/// files, is retried. Each connection occupies a thread, so connections beyond the limit are refused
+/// immediately; otherwise they would wait until another caller disconnects.
+fn accept_callers(listener: &TcpListener, state: &Arc<CallerListener>, shared: &Arc<Shared>) {
+    let max_connections = shared.settings.workers as usize;
+    loop {
         if state.closing.load(Ordering::SeqCst) && listener.set_nonblocking(true).is_err() {
-            return None;
+            return;
         }
         match listener.accept() {
             Ok((socket, _)) if state.open_connections() >= max_connections => {
                 refuse_connection(socket)
             }
-            Ok((socket, _)) => {
-                state.open.fetch_add(1, Ordering::SeqCst);
-                let _ = socket.set_nonblocking(false);
-                return Some(socket);
-            }
+            Ok((socket, _)) => serve(socket, state, shared),
             // The listener is closed and the accept queue of the operating system is empty.
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
             Err(_) => thread::sleep(ACCEPT_RETRY_DELAY),
         }
-    })
+    }
+}
+
+/// Serves a connection in a thread of its own. If there is none, dropping the socket closes it.
+fn serve(socket: TcpStream, state: &Arc<CallerListener>, shared: &Arc<Shared>) {
+    state.open.fetch_add(1, Ordering::SeqCst);
+    let guard = ConnectionGuard(state.clone());
+    let shared = shared.clone();
+    let serve = move || {
+        let _guard = guard;
+        let is_blocking = socket.set_nonblocking(false);
+        match is_blocking {
+            Ok(()) => CallerConnection::new(&shared, socket).serve(),
+            Err(error) => warn!(%error, "caller_not_served"),
+        }
+    };
+    if let Err(error) = thread::Builder::new().spawn(serve) {
+        warn!(%error, "caller_not_served");
+    }
 }
 
 /// Responds that the call did not run, without reading the whole request.
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -6,8 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use touche::http;
-use touche::{HeaderMap, Method, StatusCode};
+use ureq::http::{self, HeaderMap, Method, StatusCode};
 use ureq::unversioned::transport::{Connector, DefaultConnector};
 use verdict::Verdict;
 
--- a/crates/proxy/tests/verdicts.rs
+++ b/crates/proxy/tests/verdicts.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use touche::{HeaderMap, Method};
+use ureq::http::{HeaderMap, Method};
 use verdict::Verdict;
 
 const TIMEOUT: Duration = Duration::from_millis(400);
