Tests: what breaks off, is exceeded or has no body, one table for proxy and sidecar

For crate http1, by which sidecars, and now proxies too, read: framing.rs. For the proxy's client library: verdicts.rs, surplus_bytes_never_answer_another_call, bytes that look like a response behind one that is complete, at once and later.

--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -212,6 +212,85 @@
             clean,
             Some(Err(ExchangeError::CutShort)),
         ),
+        ("HTTP/1.0 without length", b"HTTP/1.0 200 OK\r\n\r\nab", clean, ok("ab", false)),
+        (
+            "HTTP/1.0 without length, reset",
+            b"HTTP/1.0 200 OK\r\n\r\nab",
+            reset,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "HTTP/1.0 short of its length",
+            b"HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nab",
+            clean,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "HTTP/1.0 that keeps the connection",
+            b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nab",
+            None,
+            ok("ab", true),
+        ),
+        (
+            "closes short of its length",
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nab",
+            clean,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "within a chunk",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab",
+            clean,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "within the last chunk's line",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+            clean,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "two lengths",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nabcd",
+            None,
+            Some(Err(ExchangeError::Malformed)),
+        ),
+        (
+            "length and chunked encoding",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            None,
+            Some(Err(ExchangeError::Malformed)),
+        ),
+        (
+            "within the head",
+            b"HTTP/1.1 200 OK\r\nContent-Le",
+            clean,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "interim only",
+            b"HTTP/1.1 100 Continue\r\n\r\n",
+            clean,
+            Some(Err(ExchangeError::CutShort)),
+        ),
+        (
+            "no content, with bytes",
+            b"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nab",
+            None,
+            Some(Ok((204, Vec::new(), false))),
+        ),
+        (
+            "not modified, with bytes",
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\nab",
+            None,
+            Some(Ok((304, Vec::new(), false))),
+        ),
+        (
+            "not modified, with a length",
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+            None,
+            Some(Ok((304, Vec::new(), true))),
+        ),
         ("no bytes", b"", clean, Some(Err(ExchangeError::NoAnswer))),
         ("garbage", b"\x00\x01garbage\r\n\r\n", None, Some(Err(ExchangeError::Malformed))),
         (
@@ -226,6 +305,39 @@
     }
 }
 
+#[test]
+fn an_answer_to_head_has_no_body_whatever_its_length_says() {
+    let mut exchange = Exchange::new("HEAD", None, 1_024, 64);
+    let mut input = BytesMut::from(&b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"[..]);
+    let answer = exchange.receive(&mut input).expect("well formed").expect("complete");
+    assert_eq!((answer.response.body.len(), answer.reusable), (0, true));
+    let mut exchange = Exchange::new("HEAD", None, 1_024, 64);
+    let mut input = BytesMut::from(&b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"[..]);
+    let answer = exchange.receive(&mut input).expect("well formed").expect("complete");
+    assert_eq!((answer.response.body.len(), answer.reusable), (0, false));
+}
+
+/// An upload is a request only once its framing says that it is complete; the end of the stream adds
+/// nothing to it.
+#[test]
+fn an_upload_that_breaks_off_is_no_request() {
+    let whole: &[&[u8]] = &[
+        b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nwhole",
+        b"POST / HTTP/1.0\r\nContent-Length: 5\r\n\r\nwhole",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nT: u\r\n\r\n",
+    ];
+    for message in whole {
+        for cut in 0..message.len() {
+            let (requests, output) = receive(&message[..cut]);
+            assert!(requests.is_empty() && output.is_empty(), "{cut}: {requests:?} {output}");
+        }
+        let (requests, _) = receive(message);
+        assert_eq!(requests.len(), 1);
+        assert_eq!(requests[0].body, b"whole");
+    }
+}
+
 #[test]
 fn no_bytes_at_all_make_it_panic() {
     let mut rng = fastrand::Rng::with_seed(11);
--- a/crates/proxy/tests/verdicts.rs
+++ b/crates/proxy/tests/verdicts.rs
@@ -284,3 +284,59 @@
         thread::sleep(TIMEOUT / 2);
     }
 }
+
+/// Bytes after a response that has none, or after the announced length, look like a response. Name,
+/// method, and what the backend sends to the first call.
+const SURPLUS: &[(&str, Method, &str)] = &[
+    ("length exceeded", Method::POST, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"),
+    ("204 with bytes", Method::POST, "HTTP/1.1 204 No Content\r\n\r\n"),
+    ("204 with a length", Method::POST, "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\ndone"),
+    ("304 with bytes", Method::POST, "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\ndone"),
+    ("HEAD with bytes", Method::HEAD, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"),
+    (
+        "chunks exceeded",
+        Method::POST,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ),
+];
+const STRAY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+
+/// Guards against bytes that belong to no call and answer the next one on their connection.
+#[test]
+fn surplus_bytes_never_answer_another_call() {
+    for late in [false, true] {
+        for (name, method, first) in SURPLUS {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            thread::spawn(move || {
+                for mut socket in listener.incoming().flatten() {
+                    thread::spawn(move || {
+                        read_until_body(&mut socket);
+                        let _ = socket.write_all(first.as_bytes());
+                        if late {
+                            thread::sleep(TIMEOUT / 8);
+                        }
+                        let _ = socket.write_all(STRAY.as_bytes());
+                        while socket.read(&mut [0; 4_096]).is_ok_and(|count| count > 0) {}
+                    });
+                }
+            });
+            let client = UpstreamClient::new(MAX_BODY_BYTES);
+            for attempt in 0..3 {
+                let headers = HeaderMap::new();
+                let request = UpstreamRequest {
+                    method,
+                    path: "/charge",
+                    headers: &headers,
+                    body: if *method == Method::HEAD { b"" } else { BODY },
+                    timeout: TIMEOUT,
+                    policy: SendPolicy::Repeatable,
+                };
+                if let Ok(response) = client.send(address, &request) {
+                    assert_ne!(response.body, b"stray", "{name}, late {late}, call {attempt}");
+                }
+                thread::sleep(TIMEOUT / 4);
+            }
+        }
+    }
+}
