Backups: a copy that lacks a part is refused

What an operator would see: a backup whose copy broke off (half of the log, the whole log or a group missing) passed 'data check' and 'data restore' with 'copied and checked', and the restored replica lacked what was accepted last, without a word.

Cause: a store reads a log that ends early as one that a crash cut, which is right for a replica's own disk. In a copy nothing tells a missing end from the end.

Change: a backup ends with a manifest of all files with digest and length, written last; check and restore compare, and restore refuses a copy without one unless told '--unverified'.

Test: chutecove backups, a_backup_that_lacks_a_part_is_refused: five damages; failed before ('the end of the log is missing: left Some(0), right Some(1)'), passes. The backup test over processes passes.

--- a/crates/chutecove/src/cli/data.rs
+++ b/crates/chutecove/src/cli/data.rs
@@ -1,5 +1,6 @@
 //! The subcommand `chutecove data`.
 
+use crate::cli::manifest::{is_copied, Manifest, MANIFEST_FILE};
 use crate::cli::{parse_options, positional_argument};
 use crate::exit::Failure;
 use consensus::Payload;
@@ -15,10 +16,13 @@
        chutecove data show DIR         (identity, groups, positions, generations)
        chutecove data backup DIR DEST  (copies a stopped replica's folder, after a check)
        chutecove data restore SRC DIR  (copies a backup to an empty folder, after a check)";
+const UNVERIFIED: &str = "unverified";
 
 /// Checks, prints or copies the data folder of a control replica.
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
-    let Some(matches) = parse_options(Options::new(), BRIEF, arguments)? else {
+    let mut options = Options::new();
+    options.optflag("", UNVERIFIED, "restore a copy that has no manifest, which may lack its end");
+    let Some(matches) = parse_options(options, BRIEF, arguments)? else {
         return Ok(());
     };
     let verb = positional_argument(&matches, 0, "VERB")?;
@@ -26,9 +30,13 @@
     match verb {
         "check" => check(folder).map(|groups| println!("{} groups are intact", groups.len())),
         "show" => show(folder),
-        "backup" | "restore" => {
+        "backup" => {
             let destination = Path::new(positional_argument(&matches, 2, "DEST")?);
-            copy(folder, destination)
+            back_up(folder, destination)
+        }
+        "restore" => {
+            let destination = Path::new(positional_argument(&matches, 2, "DIR")?);
+            restore(folder, destination, matches.opt_present(UNVERIFIED))
         }
         _ => Err(Failure::usage(BRIEF)),
     }
@@ -49,6 +57,9 @@
 
 fn check(folder: &Path) -> Result<Vec<PathBuf>, Failure> {
     DataFolder::identity(folder).map_err(Failure::refused)?;
+    if folder.join(MANIFEST_FILE).exists() {
+        stored_manifest(folder)?;
+    }
     let groups = list_groups(folder)?;
     for group in &groups {
         DiskStore::inspect(group).map_err(Failure::refused)?;
@@ -89,6 +100,33 @@
     }
 }
 
+fn back_up(source: &Path, destination: &Path) -> Result<(), Failure> {
+    copy(source, destination)?;
+    let manifest = Manifest::of_folder(source).map_err(Failure::refused)?;
+    manifest.verify(destination).map_err(Failure::refused)?;
+    manifest.store_in(destination).map_err(Failure::refused)?;
+    println!("copied and checked");
+    Ok(())
+}
+
+fn restore(source: &Path, destination: &Path, unverified: bool) -> Result<(), Failure> {
+    let manifest = match unverified {
+        true => Manifest::of_folder(source).map_err(Failure::refused)?,
+        false => stored_manifest(source)?,
+    };
+    copy(source, destination)?;
+    manifest.verify(destination).map_err(Failure::refused)?;
+    println!("copied and checked");
+    Ok(())
+}
+
+/// The manifest of a folder whose files are what it says.
+fn stored_manifest(folder: &Path) -> Result<Manifest, Failure> {
+    let manifest = Manifest::stored_in(folder).map_err(Failure::refused)?;
+    manifest.verify(folder).map_err(Failure::refused)?;
+    Ok(manifest)
+}
+
 fn copy(source: &Path, destination: &Path) -> Result<(), Failure> {
     let identity = DataFolder::identity(source).map_err(Failure::refused)?;
     // A running replica holds the lock; its files could change while they are copied.
@@ -102,7 +140,6 @@
     copy_folder(source, destination)
         .map_err(|error| Failure::refused(format!("{}: {error}", destination.display())))?;
     check(destination)?;
-    println!("copied and checked");
     Ok(())
 }
 
@@ -113,7 +150,7 @@
         let target = destination.join(entry.file_name());
         if entry.file_type()?.is_dir() {
             copy_folder(&entry.path(), &target)?;
-        } else {
+        } else if is_copied(&entry.file_name().to_string_lossy()) {
             fs::copy(entry.path(), &target)?;
             fs::File::open(&target)?.sync_all()?;
         }
--- a/crates/chutecove/src/cli/mod.rs
+++ b/crates/chutecove/src/cli/mod.rs
@@ -7,6 +7,7 @@
 pub mod explain;
 pub mod interface;
 pub mod keys;
+mod manifest;
 pub mod members;
 pub mod proxy;
 pub mod quarantine;
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -16,7 +16,8 @@
 
 /// Name of the file that records the owner of a data folder.
 pub const IDENTITY_FILE: &str = "identity";
-const LOCK_FILE: &str = "lock";
+/// Name of the file by which a process holds a data folder.
+pub const LOCK_FILE: &str = "lock";
 const CHECKPOINT_PREFIX: &str = "checkpoint-";
 const LOG_PREFIX: &str = "log-";
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,7 +11,7 @@
 mod record;
 mod sync;
 
-pub use disk::{open_data_folder, DataFolder, DiskStore, FolderIdentity, IDENTITY_FILE};
+pub use disk::{open_data_folder, DataFolder, DiskStore, FolderIdentity, IDENTITY_FILE, LOCK_FILE};
 pub use memory::{CrashPoint, MemoryStore};
 pub use record::{decode_records, encode_record, Record, TailState};
 
