--- a/crates/chutecove/tests/backups.rs
+++ b/crates/chutecove/tests/backups.rs
@@ -10,6 +10,9 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
 const ENTRIES: u64 = 20;
 
+/// What is damaged in a backup, and how.
+type Damage = (&'static str, fn(&Path));
+
 fn run(folder: &Path, arguments: &[&str]) -> Output {
     Command::new(PROGRAM).args(arguments).current_dir(folder).output().expect("it starts")
 }
@@ -55,7 +58,7 @@
 /// that a crash cut, so accepted entries were gone without a word.
 #[test]
 fn a_backup_that_lacks_a_part_is_refused() {
-    let damages: [(&str, fn(&Path)); 5] = [
+    let damages: [Damage; 5] = [
         ("the end of the log is missing", |backup| {
             let log = backup.join(CONFIG_GROUP).join("log-1");
             let half = fs::metadata(&log).expect("it is there").len() / 2;
