--- a/crates/consensus/tests/network.rs
+++ b/crates/consensus/tests/network.rs
@@ -241,6 +241,30 @@
     assert_eq!(network.applied_by(lagging).last().map(String::as_str), Some("after"));
 }
 
+/// A snapshot that breaks off with its leader is not continued by the next one's, even if that has the
+/// same index and membership.
+#[test]
+fn a_snapshot_of_two_leaders_is_never_put_together() {
+    const PIECE: usize = 1_000;
+    let membership = Membership::of_voters(1..=3);
+    let mut member = empty_member(3, &membership);
+    let meta = SnapshotMeta { index: 50, term: 1, membership };
+    let chunk = |from, offset: usize| {
+        let data = vec![from as u8; PIECE];
+        let (meta, offset, total) = (meta.clone(), offset as u64, 2 * PIECE as u64);
+        let body = Body::SnapshotChunk { meta, offset, total, data, round: 1 };
+        Message { from, to: 3, term: 1 + from, body }
+    };
+    member.step(chunk(1, 0));
+    member.step(chunk(2, PIECE));
+    assert_eq!(member.log().snapshot().meta.index, 0, "the first half is of another leader");
+    member.step(chunk(2, 0));
+    member.step(chunk(1, PIECE));
+    assert_eq!(member.log().snapshot().meta.index, 0, "the second half is of a former leader");
+    member.step(chunk(2, PIECE));
+    assert_eq!(member.log().snapshot().data, vec![2; 2 * PIECE]);
+}
+
 #[test]
 fn membership_changes_are_refused_when_two_majorities_could_form() {
     let (mut network, leader) = Network::with_leader(3);
