Tests: backups, no process starts while a data folder is held

The test did not say why; it prints what the command tells now. Reproduced, 10 of 300 runs beside load: 'data is in use by another process'. Cause, in the test: a child of another test shares the files that this process has open until it runs its program, the lock of the folder among them. Folders are held and processes started one at a time now; what is checked is unchanged. 600 of 600 runs pass beside the same load.

--- a/crates/chutecove/tests/backups.rs
+++ b/crates/chutecove/tests/backups.rs
@@ -4,7 +4,8 @@
 use control::CONFIG_GROUP;
 use std::fs;
 use std::path::Path;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
+use std::sync::{Mutex, PoisonError};
 use storage::{open_data_folder, DiskStore, FolderIdentity, LogStore};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_chutecove");
@@ -13,18 +14,32 @@
 /// What is damaged in a backup, and how.
 type Damage = (&'static str, fn(&Path));
 
+/// Held while a data folder is, and while a process starts: until it runs its program, it shares the
+/// files that this process has open, and with them the hold on the folder of another test.
+static HELD: Mutex<()> = Mutex::new(());
+
 fn run(folder: &Path, arguments: &[&str]) -> Output {
-    Command::new(PROGRAM).args(arguments).current_dir(folder).output().expect("it starts")
+    let mut command = Command::new(PROGRAM);
+    command.args(arguments).current_dir(folder).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = {
+        let _held = HELD.lock().unwrap_or_else(PoisonError::into_inner);
+        command.spawn().expect("it starts")
+    };
+    child.wait_with_output().expect("it ends")
 }
 
-fn succeeds(folder: &Path, arguments: &[&str]) -> bool {
-    run(folder, arguments).status.success()
+/// Runs a command that must succeed.
+fn succeed(folder: &Path, arguments: &[&str]) {
+    let output = run(folder, arguments);
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{arguments:?}: {told}");
 }
 
 /// Writes the data folder of a replica that has accepted some entries and stopped.
 fn write_data(folder: &Path) {
+    let _held = HELD.lock().unwrap_or_else(PoisonError::into_inner);
     let identity = FolderIdentity { fleet: "fares".to_owned(), member: 1 };
-    let _held = open_data_folder(folder, &identity, true).expect("it is created");
+    let _folder = open_data_folder(folder, &identity, true).expect("it is created");
     let meta = SnapshotMeta { index: 0, term: 0, membership: Membership::of_voters([1]) };
     let initial = Snapshot { meta, data: Vec::new() };
     let (mut store, _) =
@@ -47,9 +62,9 @@
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path();
     write_data(&path.join("data"));
-    assert!(succeeds(path, &["data", "backup", "data", "backup"]));
-    assert!(succeeds(path, &["data", "check", "backup"]));
-    assert!(succeeds(path, &["data", "restore", "backup", "restored"]));
+    succeed(path, &["data", "backup", "data", "backup"]);
+    succeed(path, &["data", "check", "backup"]);
+    succeed(path, &["data", "restore", "backup", "restored"]);
     assert_eq!(last_entry(&path.join("restored")), ENTRIES);
     assert!(!path.join("restored/manifest").exists(), "it is of the backup only");
 }
@@ -82,7 +97,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path();
         write_data(&path.join("data"));
-        assert!(succeeds(path, &["data", "backup", "data", "backup"]));
+        succeed(path, &["data", "backup", "data", "backup"]);
         damage(&path.join("backup"));
         let output = run(path, &["data", "restore", "backup", "restored"]);
         assert_eq!(output.status.code(), Some(1), "{name}");
@@ -97,7 +112,8 @@
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path();
     write_data(&path.join("data"));
-    assert!(!succeeds(path, &["data", "restore", "data", "restored"]));
-    assert!(succeeds(path, &["data", "restore", "--unverified", "data", "restored"]));
+    let refused = run(path, &["data", "restore", "data", "restored"]);
+    assert_eq!(refused.status.code(), Some(1));
+    succeed(path, &["data", "restore", "--unverified", "data", "restored"]);
     assert_eq!(last_entry(&path.join("restored")), ENTRIES);
 }
