--- a/crates/coordinator/tests/simulated_membership/overlapping_stops.rs
+++ b/crates/coordinator/tests/simulated_membership/overlapping_stops.rs
@@ -213,6 +213,13 @@
     assert_eq!(broken(simulate_disturbed_replacement, None, drawn()), []);
 }
 
+/// Guards against a stop in which leadership returns to the member that stops: three elections in a row
+/// lose votes, and nobody leads for the rest of the stop.
+#[test]
+fn a_stop_in_which_nobody_leads_for_long_hands_the_vote_over() {
+    assert_eq!(simulate_disturbed_replacement(9_497, None), Ok(()));
+}
+
 #[test]
 fn the_check_notices_a_member_that_gives_up_soon() {
     let defect = Some(Defect::GivesUpSoon);
