review: large uploads take sidecars over their memory (case 5)

Clients upload files of the largest size that the configuration allows, five at once on each of two machines. The sidecar beside them holds every body whole and has no bound on their sum: it goes above MemoryMb and is killed, each time.

--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -160,6 +160,14 @@
         }
     }
 
+    /// Memory of its own that the process of a host holds, in kB: neither the program nor its files.
+    pub fn memory_kb(&self, host: u8) -> Option<u64> {
+        let running = self.processes.iter().find(|running| running.host == host)?;
+        let status = fs::read_to_string(format!("/proc/{}/status", running.child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Sends a signal, named as for `kill`, to the process of a host.
     pub fn signal(&self, host: u8, name: &str) -> io::Result<()> {
         for running in self.processes.iter().filter(|running| running.host == host) {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod operator;
 mod pipelined;
 mod record;
+mod uploads;
 mod upstream;
 
 use record::Record;
@@ -37,6 +38,7 @@
     record.say(&format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "departure" => departure::run(trouble, &record),
+        "uploads" => uploads::run(trouble, &record),
         "pipelined" => pipelined::run(trouble, &record),
         _ => Ok(Outcome::NotRun("no such case")),
     };
