--- a/review/standins-2/src/uploads.rs
+++ b/review/standins-2/src/uploads.rs
@@ -1,16 +1,17 @@
 //! Clients upload files of the largest size that the configuration allows. A platform stand-in ends
 //! processes whose memory is above their machine's, as the pages say.
 
-use crate::client::is_ready;
+use crate::client::{ask, is_ready};
 use crate::fleet::{Fleet, ZONES};
 use crate::http;
 use crate::operator::{configure, Route, HOST};
 use crate::record::Record;
 use crate::upstream::Upstream;
 use crate::Outcome;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, Write};
 use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -59,7 +60,14 @@
         timeout_ms: 3_000,
         target_ms: 500,
     };
-    if !configure(&fleet, &[route], record) {
+    let orders = Route {
+        prefix: "/orders/",
+        kind: "unsafe",
+        service: "drawvault",
+        timeout_ms: 3_000,
+        target_ms: 500,
+    };
+    if !configure(&fleet, &[route, orders], record) {
         return Ok(Outcome::NotRun("the configuration was not taken"));
     }
     thread::sleep(Duration::from_secs(3));
@@ -70,6 +78,8 @@
     let bytes = if trouble { LARGEST_BYTES } else { USUAL_BYTES };
     let addresses = FRONTS.map(|front| fleet.at(front, "outbound"));
     let platform = Platform::new(fleet);
+    let asking = Arc::new(AtomicBool::new(true));
+    let clerks = addresses.map(|address| order(address, asking.clone(), record));
     let body: Arc<[u8]> = vec![b'd'; bytes].into();
     let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
     for round in 0..ROUNDS {
@@ -95,6 +105,17 @@
             thread::sleep(Duration::from_millis(10));
         }
     }
+    asking.store(false, Ordering::SeqCst);
+    let orders: Vec<(String, u16)> =
+        clerks.into_iter().flat_map(|clerk| clerk.join().unwrap_or_default()).collect();
+    let ran: BTreeSet<String> =
+        upstreams.iter().flat_map(|upstream| upstream.runs()).map(|run| run.id).collect();
+    let lost = orders.iter().filter(|(id, status)| *status == 0 && ran.contains(id)).count();
+    record.say(&format!(
+        "orders (small and unsafe) of other clients on the same machines: {}; run, and their connection \
+         ended without an answer: {lost}",
+        orders.len()
+    ));
     let state = platform.lock();
     for (host, peak) in &state.peaks {
         let ends = state.ends.get(host).copied().unwrap_or(0);
@@ -108,6 +129,30 @@
     Ok(if machines >= MACHINES { Outcome::Broken } else { Outcome::Held })
 }
 
+/// Sends small unsafe requests, ten a second; returns their ids and answers, 0 for none.
+fn order(
+    address: SocketAddrV4,
+    asking: Arc<AtomicBool>,
+    record: &Record,
+) -> thread::JoinHandle<Vec<(String, u16)>> {
+    let record = record.clone();
+    thread::spawn(move || {
+        let mut clients = Vec::new();
+        let mut number = 0;
+        while asking.load(Ordering::SeqCst) {
+            number += 1;
+            let record = record.clone();
+            clients.push(thread::spawn(move || {
+                let id = format!("e{:02x}{number:013x}", address.ip().octets()[3]);
+                let sent = ask(address, "POST", &format!("/orders/{number}"), &id, &record);
+                (sent.id, sent.status)
+            }));
+            thread::sleep(Duration::from_millis(100));
+        }
+        clients.into_iter().filter_map(|client| client.join().ok()).collect()
+    })
+}
+
 /// Uploads a body and returns how that ended.
 fn upload(address: SocketAddrV4, id: &str, body: &[u8], record: &Record) -> String {
     let ask = || -> io::Result<u16> {
