--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/release/standins-2 ] || exit 2
 [ -x target/release/chutecove-platform ] || exit 2
-exec target/review-2/release/standins-2 departure review/4/record.txt
+exec target/review-2/release/standins-2 removal review/4/record.txt
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/release/standins-2 ] || exit 2
 [ -x target/release/chutecove-platform ] || exit 2
-exec target/review-2/release/standins-2 pipelined review/6/record.txt
+exec target/review-2/release/standins-2 uploads review/6/record.txt
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases in review/4 to review/6. Needs no network: they use the standard
+# Builds the stand-ins of the cases in review/4, review/5 and review/6. Needs no network: they use the standard
 # library alone. Arguments go to cargo, for example an empty --target-dir to try the build with.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,8 +8,8 @@
 mod fleet;
 mod http;
 mod operator;
-mod pipelined;
 mod record;
+mod removal;
 mod uploads;
 mod upstream;
 
@@ -38,8 +38,8 @@
     record.say(&format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "departure" => departure::run(trouble, &record),
+        "removal" => removal::run(trouble, &record),
         "uploads" => uploads::run(trouble, &record),
-        "pipelined" => pipelined::run(trouble, &record),
         _ => Ok(Outcome::NotRun("no such case")),
     };
     match outcome {
