Orders are acknowledged once the group could bear the next lost disk

Seen: a core machine is killed for good while its successor stands by with the whole log; 1 s later another one acknowledges a configuration and loses its disk.

Cause: an order was acknowledged with two of three voters while the third was gone and its vote had not moved (silence_ms, 2 s). Shown by the log of the machine that stays: no membership_changed between the kill and the lost disk.

Change: Raft::settled_index. An order of the coordinators' interface is acknowledged once every voter holds it and the membership that makes them voters, as long as a spare could take a missing voter's place; without one a quorum is enough, as before, and after 3 s of a voter that lags too. The line settlement_slow tells of waits from 0.3 s on.

Ruled out: that the spare lacks the log (it holds the version), and a wrong exchange after the loss: with one of three voters left no change of the membership is possible.

What no order of acknowledgements bears stands in design 0027.

--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -358,7 +358,15 @@
 
     /// Returns the version and marker in force, from whichever coordinator can confirm them.
     pub fn read_configuration(&self) -> Option<(u64, String)> {
-        (1..=3).find_map(|host| {
+        self.read_configuration_at(1..=3)
+    }
+
+    /// Returns the version and marker in force, from whichever of these coordinators can confirm them.
+    pub fn read_configuration_at(
+        &self,
+        hosts: impl IntoIterator<Item = u8>,
+    ) -> Option<(u64, String)> {
+        hosts.into_iter().find_map(|host| {
             let url = format!("http://{}:{}/v1/configuration", self.ip(host), self.ports.api);
             let mut answer = agent().get(&url).call().ok().filter(|found| found.status() == 200)?;
             let text = answer.body_mut().read_to_string().ok()?;
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -74,7 +74,7 @@
             voter == id || peers.get(&voter).is_some_and(|peer| peer.recently_active)
         });
         for peer in peers.values_mut() {
-            peer.recently_active = false;
+            peer.start_activity_period();
         }
         quorum_active
     }
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -32,6 +32,8 @@
     pub acked_round: u64,
     /// Whether the peer has replied since the last quorum check (section 6.2).
     pub recently_active: bool,
+    /// Whether the peer had replied between the two quorum checks before.
+    pub previously_active: bool,
     /// Whether a probe was sent that is not yet replied to.
     pub probe_in_flight: bool,
 }
@@ -45,6 +47,7 @@
             mode: Mode::Probe,
             acked_round: 0,
             recently_active: true,
+            previously_active: true,
             probe_in_flight: false,
         }
     }
@@ -56,6 +59,18 @@
         self.acked_round = self.acked_round.max(round);
     }
 
+    /// Starts the time until the next quorum check.
+    pub fn start_activity_period(&mut self) {
+        self.previously_active = self.recently_active;
+        self.recently_active = false;
+    }
+
+    /// Whether the peer has replied within the last one or two election timeouts. A new leader takes that
+    /// for granted of all peers at first.
+    pub fn is_live(&self) -> bool {
+        self.recently_active || self.previously_active
+    }
+
     /// Records that the peer accepted entries up to `index`.
     pub fn record_accepted(&mut self, index: Index) {
         self.match_index = self.match_index.max(index);
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,6 +1,6 @@
 //! Log replication, commit index and snapshot transfer (sections 3.5, 3.6 and 5).
 
-use crate::progress::Mode;
+use crate::progress::{Mode, Progress};
 use crate::raft::{Raft, Role, Weakness};
 use crate::{AppendResult, Body, Entry, Index, NodeId, Snapshot, SnapshotMeta};
 
@@ -266,6 +266,44 @@
         }
     }
 
+    /// The highest committed index that bears the loss of any one more disk: every voter holds it, and
+    /// the membership that makes them voters. If no spare can take the vote of a missing voter, that is
+    /// the commit index, since then the missing one is the loss that the group bears. 0 on a member that
+    /// does not lead, and while a change of the membership is under way.
+    pub fn settled_index(&self) -> Index {
+        let Some(peers) = self.peers() else {
+            return 0;
+        };
+        if !self.membership_is_committed() {
+            return 0;
+        }
+        // With an even number of voters a vote is moving: another voter has one too many.
+        let is_moving = self.membership.voters.len().is_multiple_of(2);
+        if !is_moving && !self.has_spare() {
+            return self.log.committed;
+        }
+        let held_by = |voter: &NodeId| match peers.get(voter) {
+            Some(progress) => progress.match_index,
+            None if *voter == self.config.id => self.log.persisted,
+            None => 0,
+        };
+        let held_by_all = self.membership.voters.iter().map(held_by).min().unwrap_or(0);
+        match held_by_all >= self.membership_index {
+            true => held_by_all.min(self.log.committed),
+            false => 0,
+        }
+    }
+
+    /// Whether a learner that needs no snapshot was heard lately.
+    fn has_spare(&self) -> bool {
+        let is_ready = |progress: &Progress| {
+            progress.is_live() && !matches!(progress.mode, Mode::Snapshot { .. })
+        };
+        let learners = &self.membership.learners;
+        let mut peers = self.peers().into_iter().flatten();
+        peers.any(|(peer, progress)| learners.contains(peer) && is_ready(progress))
+    }
+
     fn on_commit_advanced(&mut self) {
         self.start_waiting_reads();
         // The commit index is sent immediately instead of with the next heartbeat, because followers
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use storage::{DiskStore, LogStore, Recovered, StorageError};
 use telemetry::BootInstant;
+use tracing::info;
 use verdict::Verdict;
 
 /// Fixed parameters of one replica of one group.
@@ -85,6 +86,10 @@
     pub quorum_contact: Option<BootInstant>,
     /// Highest log index known to match on each peer; filled only on the leader.
     pub matched: BTreeMap<u64, u64>,
+    /// Highest log index that bears the loss of one more disk, see [`Raft::settled_index`]; 0 on a
+    /// replica that does not lead. The commit index, once a voter has lagged for so long that waiting
+    /// for it or for its successor is given up.
+    pub settled: u64,
     /// Whether the disk is full; the replica takes no part in consensus until space is available.
     pub storage_full: bool,
     /// Number of checkpoints postponed so far because the disk was full.
@@ -98,7 +103,16 @@
 /// other threads may run before the replica's thread, and must not act on the outdated status.
 const MAX_STATUS_AGE: Duration = Duration::from_millis(500);
 
+/// Wait for an applied command to be settled from which it is logged: some round trips between regions.
+const SLOW_SETTLEMENT: Duration = Duration::from_millis(300);
+
 impl ReplicaStatus {
+    /// The other voters that are not known to hold the log up to `index`.
+    pub fn voters_behind(&self, index: u64) -> Vec<u64> {
+        let is_behind = |voter: &&u64| self.matched.get(voter).is_some_and(|held| *held < index);
+        self.membership.voters.iter().filter(is_behind).copied().collect()
+    }
+
     /// The leader, if one is known and the status is not outdated.
     pub fn current_leader(&self) -> Option<u64> {
         self.leader.filter(|_| self.updated_at.elapsed() < MAX_STATUS_AGE)
@@ -182,6 +196,7 @@
             membership_committed: raft.membership_is_committed(),
             quorum_contact: None,
             matched: BTreeMap::new(),
+            settled: 0,
             storage_full: false,
             checkpoints_postponed: 0,
             updated_at: BootInstant::now(),
@@ -231,6 +246,43 @@
         self.request(timeout, Verdict::MayHaveRun, |reply| Input::Propose(command, reply))
     }
 
+    /// Proposes a command and waits until it is applied, and until it would survive the loss of one more
+    /// disk, see [`ReplicaStatus::settled`]. What a caller is told as done must be proposed so.
+    pub fn propose_settled(
+        &self,
+        command: M::Command,
+        timeout: Duration,
+    ) -> Result<M::Answer, RequestError> {
+        let deadline = BootInstant::now() + timeout;
+        let answer = self.propose(command, timeout)?;
+        match self.wait_until_settled(deadline) {
+            true => Ok(answer),
+            false => Err(RequestError::Unanswered { verdict: Verdict::MayHaveRun }),
+        }
+    }
+
+    /// Waits until everything applied so far is settled; returns whether it is. A replica that no longer
+    /// leads cannot tell.
+    fn wait_until_settled(&self, deadline: BootInstant) -> bool {
+        let started = BootInstant::now();
+        let mut published = self.lock();
+        let applied = published.status.applied;
+        let voters_behind = published.status.voters_behind(applied);
+        let waits_for = |status: &ReplicaStatus| status.is_leader && status.settled < applied;
+        while waits_for(&published.status) && BootInstant::now() < deadline {
+            let left = deadline.saturating_duration_since(BootInstant::now());
+            published = self.wait_for_change(published, left);
+        }
+        let is_settled = published.status.is_leader && published.status.settled >= applied;
+        drop(published);
+        let waited = started.elapsed();
+        if !is_settled || waited >= SLOW_SETTLEMENT {
+            let waited_ms = waited.as_millis() as u64;
+            info!(applied, is_settled, waited_ms, ?voters_behind, "settlement_slow");
+        }
+        is_settled
+    }
+
     /// Waits until a quorum has confirmed that this replica leads and it has applied everything
     /// committed before the call. Returns the applied index.
     pub fn read(&self, timeout: Duration) -> Result<u64, RequestError> {
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -21,6 +21,9 @@
 /// Delay before retrying a checkpoint that failed because the disk was full. Each attempt encodes
 /// the whole state, which delays calls from other replicas.
 const CHECKPOINT_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time for which a voter may lag until acknowledgements no longer wait for it: longer than a silent one
+/// keeps its vote, and short enough that an order which is repeated is acknowledged within some seconds.
+const LAG_LIMIT: Duration = Duration::from_secs(3);
 /// Process exit code after a disk failure.
 const EXIT_DISK_FAILED: i32 = 74;
 
@@ -46,6 +49,8 @@
     /// Heartbeat rounds not yet answered by a quorum, with their start time.
     rounds: VecDeque<(u64, BootInstant)>,
     quorum_contact: Option<BootInstant>,
+    /// Since when committed entries have not been settled, on a leader.
+    unsettled_since: Option<BootInstant>,
 }
 
 enum Proposal<M: StateMachine> {
@@ -79,6 +84,7 @@
             next_read: 1,
             rounds: VecDeque::new(),
             quorum_contact: None,
+            unsettled_since: None,
         }
     }
 
@@ -384,11 +390,28 @@
         }
     }
 
+    /// The highest log index that counts as settled.
+    fn settled_index(&mut self) -> u64 {
+        let (settled, committed) = (self.raft.settled_index(), self.raft.log().committed);
+        if !self.raft.is_leader() || settled >= committed {
+            self.unsettled_since = None;
+            return settled;
+        }
+        let since = *self.unsettled_since.get_or_insert_with(BootInstant::now);
+        match since.elapsed() < LAG_LIMIT {
+            true => settled,
+            false => committed,
+        }
+    }
+
     fn publish_status(&mut self) {
+        let settled = self.settled_index();
         let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
         let status = &mut published.status;
         let is_leader = self.raft.is_leader();
         let leader_changed = status.is_leader != is_leader || status.leader != self.raft.leader();
+        let settled_changed = status.settled != settled;
+        status.settled = settled;
         status.is_leader = is_leader;
         status.leader = self.raft.leader();
         status.term = self.raft.term();
@@ -407,6 +430,8 @@
         drop(published);
         if leader_changed {
             info!(group = %self.parameters.group, ?leader, term, "leader_changed");
+        }
+        if leader_changed || settled_changed {
             self.changed.notify_all();
         }
     }
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -123,7 +123,7 @@
         let operator = self.trusted_source.clone();
         let request_id = format!("replace-{version}-{:x}", fastrand::u64(..));
         let proposal = Request { operator, request_id, command };
-        match self.group.replica.propose(proposal, PROPOSE_TIMEOUT) {
+        match self.group.replica.propose_settled(proposal, PROPOSE_TIMEOUT) {
             Ok(answer) => proposal_response(version, answer),
             Err(error) => self.proposal_error(request, version, &error),
         }
@@ -147,7 +147,7 @@
         let operator = self.trusted_source.clone();
         let request_id = format!("order-{:x}", fastrand::u64(..));
         let proposal = Request { operator, request_id, command };
-        match self.group.replica.propose(proposal, PROPOSE_TIMEOUT) {
+        match self.group.replica.propose_settled(proposal, PROPOSE_TIMEOUT) {
             Ok(answer) => proposal_response(0, answer),
             Err(error) => self.proposal_error(request, 0, &error),
         }
--- a/crates/coordinator/tests/simulated_membership.rs
+++ b/crates/coordinator/tests/simulated_membership.rs
@@ -5,6 +5,8 @@
 mod overlapping_stops;
 #[path = "simulated_membership/planned_stops.rs"]
 mod planned_stops;
+#[path = "simulated_membership/unplanned_removals.rs"]
+mod unplanned_removals;
 
 use consensus::{
     Config, Entry, HardState, Membership, Message, Payload, ProposeError, Raft, Snapshot,
@@ -35,6 +37,8 @@
     VoteKept,
     /// The removal of a stopping voter is confirmed to it before it is committed.
     ConfirmsEarly,
+    /// A command is acknowledged once a quorum holds it, whether the group could bear the next loss or not.
+    AcknowledgesUnsettled,
     /// A stopping voter ends 1.5 s after it has given its leadership away, whether its vote is taken or not.
     GivesUpSoon,
 }
@@ -90,6 +94,8 @@
     packets: VecDeque<(u64, Ipv4Addr, Ipv4Addr, Packet)>,
     acknowledged: Vec<u64>,
     proposed: BTreeMap<(Ipv4Addr, u64), u64>,
+    /// Commands that are applied where they were proposed, and not settled yet.
+    unsettled: BTreeMap<(Ipv4Addr, u64), u64>,
     next_command: u64,
     now: u64,
     random: fastrand::Rng,
@@ -122,6 +128,7 @@
             packets: VecDeque::new(),
             acknowledged: Vec::new(),
             proposed: BTreeMap::new(),
+            unsettled: BTreeMap::new(),
             next_command: 1,
             now: 0,
             random: fastrand::Rng::with_seed(seed),
@@ -187,6 +194,7 @@
         self.machines[index].process = None;
         let own = self.machines[index].address;
         self.proposed.retain(|(address, _), _| *address != own);
+        self.unsettled.retain(|(address, _), _| *address != own);
     }
 
     fn wipe(&mut self, index: usize) {
@@ -312,6 +320,7 @@
             }
         }
         self.process_ready(index);
+        self.acknowledge(index);
         if let Some(leader) = announced {
             self.send(own, leader.address(), Packet::Stopping(member));
         }
@@ -351,7 +360,7 @@
                     u64::from_le_bytes(bytes[..8].try_into().expect("a command has eight bytes"));
                 process.applied.push(command);
                 if self.proposed.remove(&(own, entry.index)) == Some(command) {
-                    self.acknowledged.push(command);
+                    self.unsettled.insert((own, entry.index), command);
                 }
             }
             for message in ready.messages {
@@ -361,6 +370,21 @@
         }
     }
 
+    /// Acknowledges what is settled at a leader.
+    fn acknowledge(&mut self, index: usize) {
+        let machine = &self.machines[index];
+        let Some(process) = &machine.process else { return };
+        let settled = match self.defect {
+            Some(Defect::AcknowledgesUnsettled) => process.raft.log().committed,
+            _ => process.raft.settled_index(),
+        };
+        let own = machine.address;
+        let is_done = |at: &(Ipv4Addr, u64)| at.0 == own && at.1 <= settled;
+        let done = self.unsettled.iter().filter(|(at, _)| is_done(at));
+        self.acknowledged.extend(done.map(|(_, command)| *command));
+        self.unsettled.retain(|at, _| !is_done(at));
+    }
+
     fn histories(&self) -> Vec<&Vec<u64>> {
         let processes = self.machines.iter().filter_map(|machine| machine.process.as_ref());
         processes.map(|process| &process.applied).collect()
