--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -169,6 +169,22 @@
         self.advance(incarnation, InstanceState::Draining, now)
     }
 
+    /// Applies a departure that coordinators know of; returns whether other nodes need to be notified.
+    /// It was acknowledged a while ago, so the gate closes at once.
+    pub fn on_known_departure(
+        &mut self,
+        incarnation: &Incarnation,
+        state: InstanceState,
+        now: Millis,
+    ) -> bool {
+        self.note_departure(incarnation, state);
+        let changed = self.advance(incarnation, state, now);
+        if changed {
+            self.close_now(incarnation);
+        }
+        changed
+    }
+
     fn note_departure(&mut self, incarnation: &Incarnation, state: InstanceState) {
         if state == InstanceState::Ready {
             return;
--- a/crates/chutecove/tests/departures.rs
+++ b/crates/chutecove/tests/departures.rs
@@ -5,6 +5,7 @@
 
 use fleet::cut::CuttableLinks;
 use fleet::{agent, wait_until, Fleet, RunningProcess, Upstream, SERVICE};
+use std::fs;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -91,6 +92,19 @@
         self.beside.as_ref().expect("it runs")
     }
 
+    /// Kills all coordinators and the sidecar beside the upstream at one moment, and starts them again.
+    fn kill_and_start_all(&mut self, without_disk: Option<u8>) {
+        self.coordinators.clear();
+        self.kill_sidecar_beside();
+        if let Some(host) = without_disk {
+            fs::remove_dir_all(self.fleet.data_dir(host)).expect("the disk is lost");
+        }
+        let fleet = &self.fleet;
+        let start = |host| fleet.start_coordinator(host, without_disk != Some(host));
+        self.coordinators = (1..=3).map(start).collect();
+        self.start_sidecar_beside();
+    }
+
     /// Whether the calling machine applied the second configuration.
     fn is_applied_by_caller(&self) -> bool {
         let node = format!("node={}:", self.fleet.ip(CALLER));
@@ -167,10 +181,10 @@
     assert!(world.beside().has_logged(&["instance_restored"]));
 }
 
-/// Guards against a record from before a cut that opens the gate: the process may have acknowledged a
-/// departure since.
+/// Guards against a record from before a cut that opens the gate, and against a heartbeat from before it that
+/// arrives late: the process may have acknowledged a departure since. One that left sends no second one.
 #[test]
-fn a_record_from_before_a_cut_waits_for_a_heartbeat() {
+fn a_record_from_before_a_cut_waits_for_heartbeats() {
     let mut world = World::start(25);
     world.links.cut();
     wait_until("the links are given up", || world.is_given_up());
@@ -180,5 +194,32 @@
     wait_until("the record is not trusted", || world.beside().has_logged(&["instance_awaited"]));
     assert!(!world.is_served());
     assert!(world.fleet.register(UPSTREAM, "i-1", 2, false));
-    wait_until("a heartbeat opens the gate", || world.is_served());
+    wait_until("it is held", || world.beside().has_logged(&["heartbeat_held", "sequence=2"]));
+    assert!(!world.is_served());
+    let mut sequence = 2;
+    wait_until("the next heartbeats open the gate", || {
+        sequence += 1;
+        world.fleet.register(UPSTREAM, "i-1", sequence, false) && world.is_served()
+    });
+}
+
+/// Guards against a departure that only memory holds: the core and the sidecar were killed at one moment,
+/// and a heartbeat that was sent before the leave opened the gate of the next process.
+#[test]
+fn a_leave_outlives_the_whole_core_and_a_late_heartbeat_changes_nothing() {
+    let mut world = World::start_linked_directly(27);
+    world.leave();
+    world.kill_and_start_all(None);
+    wait_until("a late heartbeat arrives", || world.fleet.register(UPSTREAM, "i-1", 1, false));
+    world.check_departed();
+}
+
+/// The same for a drain that a heartbeat announced, while one of the disks is lost.
+#[test]
+fn a_drain_outlives_the_whole_core_and_one_disk() {
+    let mut world = World::start_linked_directly(28);
+    wait_until("the drain is acknowledged", || world.fleet.register(UPSTREAM, "i-1", 3, true));
+    world.kill_and_start_all(Some(2));
+    wait_until("a late heartbeat arrives", || world.fleet.register(UPSTREAM, "i-1", 2, false));
+    world.check_departed();
 }
--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -222,6 +222,7 @@
             CoordinatorFrame::Message(_)
             | CoordinatorFrame::Loads { .. }
             | CoordinatorFrame::Poison { .. }
+            | CoordinatorFrame::Departures { .. }
             | CoordinatorFrame::Evidence { .. }
             | CoordinatorFrame::CreditPull { .. }
             | CoordinatorFrame::CreditTransfer { .. }
--- a/crates/coordinator/src/hub.rs
+++ b/crates/coordinator/src/hub.rs
@@ -1,12 +1,13 @@
 //! Shared state about sidecars, and the waker of the thread that serves their links.
 
-use crate::{LoadTable, Millis, Registry};
+use crate::departure_store::DepartureWriter;
+use crate::{LoadTable, Millis, Registry, Source};
 use canary::Evidence;
-use mesh::{Fingerprint, PoisonEvent, PoisonNotice, QuarantineEntry};
+use mesh::{Fingerprint, KnownDeparture, PoisonEvent, PoisonNotice, QuarantineEntry};
 use mio::Waker;
 use quarantine::{NoticeLog, Verdict};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use tracing::{info, warn};
 
@@ -16,6 +17,12 @@
     waker: OnceLock<Waker>,
     /// Whether the link thread was woken and has not handled the wake-up yet.
     wake_pending: AtomicBool,
+    /// Wakes the thread that writes departures.
+    departure_writer: OnceLock<DepartureWriter>,
+    /// Position up to which departures are on disk.
+    durable_departures: AtomicU64,
+    /// Whether all other coordinators have told the departures that they know.
+    departures_complete: AtomicBool,
 }
 
 /// State that the links are served from.
@@ -45,6 +52,9 @@
             state: Mutex::new(state),
             waker: OnceLock::new(),
             wake_pending: AtomicBool::new(false),
+            departure_writer: OnceLock::new(),
+            durable_departures: AtomicU64::new(0),
+            departures_complete: AtomicBool::new(false),
         }
     }
 
@@ -70,6 +80,51 @@
         }
     }
 
+    /// Sets what wakes the thread that writes departures; called once.
+    pub fn set_departure_writer(&self, writer: DepartureWriter) {
+        if self.departure_writer.set(writer).is_err() {
+            warn!("the writer of departures is already set");
+        }
+    }
+
+    /// Wakes the thread that writes departures. It also looks for new ones by itself twice a second.
+    pub fn write_departures(&self) {
+        if let Some(writer) = self.departure_writer.get() {
+            // A full channel means that it is woken already.
+            let _ = writer.try_send(());
+        }
+    }
+
+    /// Notes that departures are on disk up to a position.
+    pub fn set_durable_departures(&self, position: u64) {
+        self.durable_departures.store(position, Ordering::Release);
+    }
+
+    /// Position up to which departures are on disk.
+    pub fn durable_departures(&self) -> u64 {
+        self.durable_departures.load(Ordering::Acquire)
+    }
+
+    /// Adds departures that another coordinator told, and wakes who writes them and tells them on.
+    pub fn receive_departures(&self, departures: Vec<KnownDeparture>, now: Millis) {
+        if self.lock().registry.add_departures(departures, Source::Peer, now) {
+            self.write_departures();
+            self.wake();
+        }
+    }
+
+    /// Notes whether all other coordinators have told the departures that they know.
+    pub fn set_departures_complete(&self, complete: bool) {
+        if self.departures_complete.swap(complete, Ordering::AcqRel) != complete {
+            self.wake();
+        }
+    }
+
+    /// Whether all other coordinators have told the departures that they know.
+    pub fn are_departures_complete(&self) -> bool {
+        self.departures_complete.load(Ordering::Acquire)
+    }
+
     /// Notes that the link thread handled the wake-up.
     pub fn clear_wake_pending(&self) {
         self.wake_pending.store(false, Ordering::Release);
--- a/crates/coordinator/src/link.rs
+++ b/crates/coordinator/src/link.rs
@@ -14,8 +14,8 @@
 use crate::Millis;
 use bundle::{best_update, Digest};
 use mesh::{
-    encode_frame, LastRecord, MemberLocation, NodeAddress, NodeLoad, NodeRecord, ToCoordinator,
-    ToSidecar,
+    encode_frame, KnownDeparture, LastRecord, MemberLocation, NodeAddress, NodeLoad, NodeRecord,
+    ToCoordinator, ToSidecar,
 };
 use speedy::{LittleEndian, Writable};
 use std::collections::BTreeMap;
@@ -57,6 +57,18 @@
     contacts: Contacts,
     sent: SentRevisions,
     subscription: Option<Subscription>,
+    /// The latest report of a departure that is not on disk yet.
+    unacknowledged: Option<Unacknowledged>,
+    /// Whether the sidecar was told that this coordinator knows of all departures.
+    departures_complete: bool,
+}
+
+/// A report that is acknowledged once its departure is on disk.
+#[derive(Clone, Copy, Debug)]
+struct Unacknowledged {
+    sequence: u64,
+    /// Position of the departure.
+    position: u64,
 }
 
 /// Revisions of the group's state up to which a sidecar was updated.
@@ -152,15 +164,58 @@
             contacts: Contacts::first(self.clock.now_ms()),
             sent: SentRevisions::default(),
             subscription: None,
+            unacknowledged: None,
+            departures_complete: false,
         };
+        let known = self.hub.lock().registry.departures().beside(&node);
+        self.send_departures(&mut link, known, output);
         // Sent before its upstream is announced, because version and zone decide which calls it may
         // receive.
         self.update_group_frames();
         self.send_group_updates(&mut link, output);
-        self.handle_report(record, output);
+        self.handle_report(&mut link, record, output);
         link
     }
 
+    /// Sends a sidecar departures beside it, if there are any or if it was not told yet that this
+    /// coordinator knows of all.
+    fn send_departures(
+        &self,
+        link: &mut Link,
+        departures: Vec<KnownDeparture>,
+        output: &mut Vec<u8>,
+    ) {
+        let complete = self.knows_departures();
+        if departures.is_empty() && (link.departures_complete || !complete) {
+            return;
+        }
+        link.departures_complete = complete;
+        encode_frame(&ToSidecar::Departures { complete, departures }, output);
+    }
+
+    /// Whether this coordinator knows of all acknowledged departures, as far as it can tell: whoever
+    /// else holds one has told it, or is out of reach for long.
+    pub fn knows_departures(&self) -> bool {
+        self.is_complete() || self.hub.are_departures_complete()
+    }
+
+    /// Tells a sidecar of new departures beside it, and acknowledges its report of one that is on disk
+    /// by now.
+    pub fn send_departure_updates(
+        &self,
+        link: &mut Link,
+        new: &[KnownDeparture],
+        output: &mut Vec<u8>,
+    ) {
+        let beside = new.iter().filter(|departure| departure.node == link.node);
+        self.send_departures(link, beside.cloned().collect(), output);
+        let durable = self.hub.durable_departures();
+        if let Some(due) = link.unacknowledged.take_if(|report| report.position <= durable) {
+            let sequence = due.sequence;
+            encode_frame(&ToSidecar::ReportAcknowledged { sequence }, output);
+        }
+    }
+
     fn last_record(&self, node: &NodeAddress) -> Option<LastRecord> {
         let registry = &self.hub.lock().registry;
         let record = registry.last_record(node)?;
@@ -173,7 +228,7 @@
     pub fn handle_frame(&mut self, link: &mut Link, frame: ToCoordinator, output: &mut Vec<u8>) {
         let node = link.node;
         match frame {
-            ToCoordinator::Report(record) => self.handle_report(record, output),
+            ToCoordinator::Report(record) => self.handle_report(link, record, output),
             ToCoordinator::ConfigRequest { held } => {
                 output.extend_from_slice(&self.config_frame(held));
             }
@@ -218,15 +273,26 @@
         info!(node = %link.node, life = link.boot_id, contact_ms, "sidecar_disconnected");
     }
 
-    fn handle_report(&self, record: NodeRecord, output: &mut Vec<u8>) {
+    /// Handles a report. One that states a departure is acknowledged once that is on disk: it binds this
+    /// coordinator's next process too.
+    fn handle_report(&self, link: &mut Link, record: NodeRecord, output: &mut Vec<u8>) {
         let sequence = record.sequence;
         let instance = record.instance.clone();
         let (node, stopping) = (record.address, record.stopping);
-        let changed = self.hub.lock().registry.report(record, self.clock.now_ms());
+        let (changed, position) = {
+            let registry = &mut self.hub.lock().registry;
+            let changed = registry.report(record.clone(), self.clock.now_ms());
+            (changed, registry.departures().position_of(&record))
+        };
         if changed {
             info!(%node, sequence, stopping, instance = ?instance, "node_reported");
             self.hub.wake();
         }
+        if position > self.hub.durable_departures() {
+            self.hub.write_departures();
+            link.unacknowledged = Some(Unacknowledged { sequence, position });
+            return;
+        }
         encode_frame(&ToSidecar::ReportAcknowledged { sequence }, output);
     }
 
--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -81,6 +81,17 @@
     IsCoordinator(usize),
 }
 
+/// What links are told about departures.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct DepartureState {
+    /// Position of the latest departure.
+    position: u64,
+    /// Position up to which departures are on disk.
+    durable: u64,
+    /// Whether this coordinator knows of all departures.
+    complete: bool,
+}
+
 /// The event loop with its sockets.
 pub(crate) struct LinkServer {
     fleet: String,
@@ -95,6 +106,8 @@
     accepts_pending: bool,
     /// Last sent position of the registry, position of poison events, and revision of the group.
     sent_positions: (u64, u64, u64),
+    /// State of the departures up to which sidecars were updated.
+    sent_departures: DepartureState,
     /// When changes since then are due to be sent.
     update_at: Option<BootInstant>,
     updated_at: BootInstant,
@@ -126,6 +139,7 @@
             read_buffer: vec![0; READ_BUFFER_BYTES],
             accepts_pending: false,
             sent_positions: (0, 0, 0),
+            sent_departures: DepartureState::default(),
             update_at: None,
             updated_at: now,
             swept_at: now,
@@ -394,6 +408,7 @@
         let (registry, poison) = (state.registry.position(), state.poison.position());
         let current_positions = (registry, poison, state.revision);
         drop(state);
+        self.send_departure_updates();
         if current_positions.2 != self.sent_positions.2 {
             self.sent_positions.2 = current_positions.2;
             self.links.update_group_frames();
@@ -420,6 +435,25 @@
         }
     }
 
+    /// Tells sidecars what is new about departures, and acknowledges those that are on disk by now.
+    fn send_departure_updates(&mut self) {
+        let hub = &self.links.hub;
+        let previous = self.sent_departures;
+        let (new, position) = {
+            let departures = hub.lock();
+            let departures = departures.registry.departures();
+            (departures.since(previous.position), departures.position())
+        };
+        let durable = hub.durable_departures();
+        let complete = self.links.knows_departures();
+        self.sent_departures = DepartureState { position, durable, complete };
+        if self.sent_departures != previous {
+            self.send_to_all(|links, link, output| {
+                links.send_departure_updates(link, &new, output);
+            });
+        }
+    }
+
     fn send_to_all(&mut self, mut append_updates: impl FnMut(&Links, &mut Link, &mut Vec<u8>)) {
         let mut updated = Vec::new();
         for (key, connection) in &mut self.connections {
--- a/crates/coordinator/src/listener.rs
+++ b/crates/coordinator/src/listener.rs
@@ -134,7 +134,8 @@
                 | CoordinatorFrame::RecordsRequest { .. }
                 | CoordinatorFrame::Records { .. }
                 | CoordinatorFrame::Loads { .. }
-                | CoordinatorFrame::Poison { .. }) => self.registry_loop.receive(frame),
+                | CoordinatorFrame::Poison { .. }
+                | CoordinatorFrame::Departures { .. }) => self.registry_loop.receive(frame),
                 CoordinatorFrame::CreditPull { member, missing } => {
                     self.quotas.handle_pull(member, &missing)
                 }
--- a/crates/coordinator/src/registry.rs
+++ b/crates/coordinator/src/registry.rs
@@ -3,13 +3,12 @@
 //! A sidecar counts as heard directly while messages arrive on its own link. A sidecar that is only
 //! disconnected from this coordinator stays listed as long as another coordinator reports it.
 
+use crate::departures::{Departures, Source};
 use crate::Millis;
-use mesh::{HeardNode, Incarnation, InstanceState, NodeAddress, NodeRecord, RegistryEntry};
+use mesh::{HeardNode, KnownDeparture, NodeAddress, NodeRecord, RegistryEntry};
 use std::collections::{BTreeMap, VecDeque};
 use tracing::info;
 
-/// Number of incarnations whose leaving state is remembered.
-const MAX_LEAVING_STATES: usize = 4_096;
 /// Number of removals kept for readers that are behind; one that is further behind receives the
 /// complete list.
 const MAX_REMOVED: usize = 1_024;
@@ -64,7 +63,7 @@
     last_records: BTreeMap<NodeAddress, (NodeRecord, Millis)>,
     /// Sidecar processes whose last link to this coordinator ended, and the last contact on it.
     ended_links: BTreeMap<NodeAddress, (u64, Millis)>,
-    leaving_states: VecDeque<(Incarnation, InstanceState)>,
+    departures: Departures,
 }
 
 impl Registry {
@@ -78,10 +77,30 @@
             gone: VecDeque::new(),
             last_records: BTreeMap::new(),
             ended_links: BTreeMap::new(),
-            leaving_states: VecDeque::new(),
+            departures: Departures::default(),
         }
     }
 
+    /// The departures known here.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
+    /// Adds departures that were read from disk or received from another coordinator; returns whether
+    /// any of them was new.
+    pub fn add_departures(
+        &mut self,
+        departures: Vec<KnownDeparture>,
+        source: Source,
+        now: Millis,
+    ) -> bool {
+        let mut changed = false;
+        for departure in departures {
+            changed |= self.departures.note(departure, source, now);
+        }
+        changed
+    }
+
     /// The last known record of a node, with the leaving state of its incarnation applied.
     pub fn last_record(&self, address: &NodeAddress) -> Option<NodeRecord> {
         let listed = self.nodes.get(address).map(|listed| (&listed.record, listed.received_at));
@@ -106,7 +125,7 @@
         self.now = self.now.max(now);
         self.ended_links.remove(&record.address);
         self.apply_leaving_state(&mut record);
-        self.remember_leaving_state(&record);
+        self.departures.note_record(&record, Source::Own, now);
         if record.instance.is_some() {
             self.last_records.insert(record.address, (record.clone(), now));
         }
@@ -168,7 +187,7 @@
                 }
             }
         }
-        self.remember_leaving_state(&record);
+        self.departures.note_record(&record, Source::Peer, now);
         if record.instance.is_some() {
             self.last_records.insert(record.address, (record.clone(), now));
         }
@@ -308,27 +327,8 @@
         let Some(instance) = &mut record.instance else {
             return;
         };
-        let incarnation = instance.incarnation();
-        let leaving_state =
-            self.leaving_states.iter().find(|(known, _)| known.may_equal(&incarnation));
-        if let Some((_, state)) = leaving_state {
-            instance.state = instance.state.max(*state);
-        }
-    }
-
-    fn remember_leaving_state(&mut self, record: &NodeRecord) {
-        let leaving =
-            record.instance.as_ref().filter(|instance| instance.state != InstanceState::Ready);
-        let Some(instance) = leaving else {
-            return;
-        };
-        let incarnation = instance.incarnation();
-        match self.leaving_states.iter_mut().find(|(known, _)| known.may_equal(&incarnation)) {
-            Some((_, state)) => *state = instance.state,
-            None => self.leaving_states.push_back((incarnation, instance.state)),
-        }
-        if self.leaving_states.len() > MAX_LEAVING_STATES {
-            self.leaving_states.pop_front();
+        if let Some(state) = self.departures.state_of(&instance.incarnation()) {
+            instance.state = instance.state.max(state);
         }
     }
 
--- a/crates/coordinator/src/registry_loop.rs
+++ b/crates/coordinator/src/registry_loop.rs
@@ -1,6 +1,7 @@
 //! Maintains the registry and the loads: expires leases, and exchanges both with other
 //! coordinators.
 
+use crate::departure_exchange::DepartureExchange;
 use crate::exchange::{Outgoing, RegistryExchange};
 use crate::hub::Hub;
 use crate::loads::ServiceLoad;
@@ -38,7 +39,7 @@
     far_loads: u64,
     far_due_at: BootInstant,
     poison: u64,
-    /// [`Transport::gaps`] of each other coordinator when it was last sent poison events.
+    /// [`Transport::gaps`] of each other coordinator when it was last sent everything.
     gaps: BTreeMap<MemberId, u64>,
     leases_checked_at: BootInstant,
 }
@@ -67,6 +68,7 @@
     clock: Clock,
     quotas: Arc<Quotas>,
     exchange: Mutex<RegistryExchange>,
+    departures: Mutex<DepartureExchange>,
 }
 
 impl RegistryLoop {
@@ -81,7 +83,8 @@
         group.note_zone(group.own, zone);
         let exchange = RegistryExchange::new(group.own, zone, fastrand::u64(1..));
         let (zone, exchange) = (zone.to_owned(), Mutex::new(exchange));
-        RegistryLoop { zone, hub, group, transport, clock, quotas, exchange }
+        let departures = Mutex::new(DepartureExchange::new(group.own));
+        RegistryLoop { zone, hub, group, transport, clock, quotas, exchange, departures }
     }
 
     /// Starts the loop.
@@ -122,19 +125,37 @@
         drop(exchange);
         self.send(due);
         self.send_loads(sent, &peers);
-        self.send_poison_events(sent, &peers, now);
-    }
-
-    /// Sends new poison events to other coordinators, and all events to those that may have missed
-    /// some: a coordinator that missed a clearing would keep the request in quarantine at all its
-    /// sidecars.
-    fn send_poison_events(&self, sent: &mut SentState, peers: &[MemberId], now: Millis) {
         let may_have_missed = |peer: &MemberId| {
             let gaps = self.transport.gaps(*peer);
             sent.gaps.insert(*peer, gaps).unwrap_or(0) != gaps
         };
         let (behind, others): (Vec<MemberId>, Vec<MemberId>) =
             peers.iter().copied().partition(may_have_missed);
+        self.send_poison_events(sent, &behind, &others, now);
+        self.send_departures(&behind, &others, now);
+    }
+
+    /// Sends new departures to other coordinators, and all recent ones to those that may have missed
+    /// some.
+    fn send_departures(&self, behind: &[MemberId], others: &[MemberId], now: Millis) {
+        let mut exchange = self.departures.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = exchange.due(self.hub.lock().registry.departures(), behind, others, now);
+        let complete = exchange.is_complete(&self.group.members());
+        drop(exchange);
+        self.hub.set_departures_complete(complete);
+        self.send(due);
+    }
+
+    /// Sends new poison events to other coordinators, and all events to those that may have missed
+    /// some: a coordinator that missed a clearing would keep the request in quarantine at all its
+    /// sidecars.
+    fn send_poison_events(
+        &self,
+        sent: &mut SentState,
+        behind: &[MemberId],
+        others: &[MemberId],
+        now: Millis,
+    ) {
         let state = self.hub.lock();
         let all_notices = if behind.is_empty() { Vec::new() } else { state.poison.all(now) };
         let new_notices = state.poison.forwarded_since(sent.poison, now);
@@ -142,7 +163,7 @@
         drop(state);
         for (peers, notices) in [(behind, all_notices), (others, new_notices)] {
             if !notices.is_empty() {
-                self.send_all(&peers, CoordinatorFrame::Poison { notices });
+                self.send_all(peers, CoordinatorFrame::Poison { notices });
             }
         }
     }
@@ -217,6 +238,15 @@
                 self.hub.receive_poison(notices, false, now);
                 return;
             }
+            CoordinatorFrame::Departures { member, whole, departures } => {
+                if whole {
+                    let mut exchange =
+                        self.departures.lock().unwrap_or_else(PoisonError::into_inner);
+                    exchange.heard_whole(MemberId(member));
+                }
+                self.hub.receive_departures(departures, now);
+                return;
+            }
             frame => frame,
         };
         let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/coordinator/src/runtime.rs
+++ b/crates/coordinator/src/runtime.rs
@@ -3,6 +3,7 @@
 use crate::api::{self, Api};
 use crate::autopilot::Autopilot;
 use crate::canaries::{CanaryLoop, CanaryPolicies};
+use crate::departure_store::DepartureStore;
 use crate::dialect::OperatorDialect;
 use crate::hub::Hub;
 use crate::identity::{self, IdentityError};
@@ -13,6 +14,7 @@
 use crate::quotas::Quotas;
 use crate::registry_loop::RegistryLoop;
 use crate::transport::Transport;
+use crate::Source;
 use consensus::{Config, Membership};
 use control::{ConfigState, Replica, ReplicaParameters, CONFIG_GROUP};
 use mesh::{CoordinatorFrame, MemberId};
@@ -94,6 +96,9 @@
     let seeds: Vec<Ipv4Addr> = settings.seeds.iter().map(|seed| *seed.ip()).collect();
     let group = Arc::new(Group::new(own, replica, transport.clone(), clock, autopilot, seeds));
     let hub = Arc::new(Hub::new(settings.lease_ms));
+    let (store, departures) = DepartureStore::open(folder.path()).context(StorageSnafu)?;
+    hub.lock().registry.add_departures(departures, Source::Own, clock.now_ms());
+    store.spawn(hub.clone(), clock);
     let policies = CanaryPolicies::new(settings.canary_exposed_part);
     let quotas = Arc::new(Quotas::new(group.clone(), transport.clone(), clock));
     let (hub_for_links, quotas_for_links) = (hub.clone(), quotas.clone());
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -29,8 +29,8 @@
 pub use quota::{CreditAmount, CreditAnswer, CreditAsk, CreditGrant, CreditRequest, TenantId};
 pub use rate::{CallRate, InvalidCallRate};
 pub use record::{
-    HeardNode, Incarnation, InstanceRecord, InstanceState, LastRecord, NodeAddress, NodeLoad,
-    NodeRecord, RegistryEntry, UpstreamLoad,
+    HeardNode, Incarnation, InstanceRecord, InstanceState, KnownDeparture, LastRecord, NodeAddress,
+    NodeLoad, NodeRecord, RegistryEntry, UpstreamLoad,
 };
 pub use version::{
     time_bin, CallClass, CandidateShare, ClassEvidence, ClassOutcomes, Track, VersionEvidence,
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -1,8 +1,9 @@
 //! Frames that coordinators and sidecars exchange.
 
 use crate::{
-    CreditAmount, CreditAnswer, CreditRequest, HeardNode, LastRecord, NodeAddress, NodeLoad,
-    NodeRecord, PoisonNotice, RegistryEntry, UpstreamLoad, VersionEvidence, VersionPolicy,
+    CreditAmount, CreditAnswer, CreditRequest, HeardNode, KnownDeparture, LastRecord, NodeAddress,
+    NodeLoad, NodeRecord, PoisonNotice, RegistryEntry, UpstreamLoad, VersionEvidence,
+    VersionPolicy,
 };
 use bundle::{BundleUpdate, Digest};
 use consensus::Message;
@@ -10,7 +11,7 @@
 use std::net::Ipv4Addr;
 
 /// Protocol version of all frames; processes of different versions refuse each other's connections.
-pub const PROTOCOL_VERSION: u16 = 9;
+pub const PROTOCOL_VERSION: u16 = 10;
 
 /// Location of a coordinator.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -132,6 +133,16 @@
         /// In the order of arrival.
         notices: Vec<PoisonNotice>,
     },
+    /// Departures of upstreams that the sender learned of.
+    Departures {
+        /// The sender.
+        member: u64,
+        /// Whether these are all recent ones that it knows, not only those that its own sidecars
+        /// reported lately.
+        whole: bool,
+        /// In the order in which they were learned.
+        departures: Vec<KnownDeparture>,
+    },
     /// Requests credits that the sender's pools lack; answered with the credits that the receiver
     /// can spare.
     CreditPull {
@@ -199,7 +210,16 @@
         /// Last known record of an earlier process of the sidecar at this address.
         last: Option<LastRecord>,
     },
-    /// Acknowledges reports up to a sequence number.
+    /// Departures of upstreams beside the sidecar.
+    Departures {
+        /// Whether the coordinator knows of all that were acknowledged, as far as it can tell: it has run
+        /// for some time, or all others have told it what they know.
+        complete: bool,
+        /// The departures.
+        departures: Vec<KnownDeparture>,
+    },
+    /// Acknowledges reports up to a sequence number. A report of a departure is on the coordinator's disk
+    /// by then.
     ReportAcknowledged {
         /// Sequence of the report.
         sequence: u64,
--- a/crates/mesh/src/record.rs
+++ b/crates/mesh/src/record.rs
@@ -155,6 +155,17 @@
     pub ended_ms: Option<u32>,
 }
 
+/// An incarnation that announced that it leaves, or that it has left.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct KnownDeparture {
+    /// The sidecar beside it.
+    pub node: NodeAddress,
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The latest state known; never [`InstanceState::Ready`].
+    pub state: InstanceState,
+}
+
 /// The version of a sidecar's record, as listed by a coordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct RegistryEntry {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod currency;
 mod dialect;
+mod heartbeat_trust;
 mod jobs;
 mod link_meter;
 mod links;
@@ -33,6 +34,7 @@
 pub use dialect::{
     HeaderNames, RegistrationCall, RegistrationDialect, ReportedLoad, UpstreamStatement,
 };
+pub use heartbeat_trust::{HeartbeatTrust, HeldHeartbeat};
 pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
 pub use link_meter::{LinkChange, LinkFullDetector, LinkMeter};
 pub use links::{chosen as chosen_coordinators, LinkEvent, Links};
--- a/crates/sidecar/src/links/mod.rs
+++ b/crates/sidecar/src/links/mod.rs
@@ -19,9 +19,9 @@
 use bundle::BundleUpdate;
 use bytes::Buf;
 use mesh::{
-    decode_frame, encode_frame, CreditAnswer, Greeting, LastRecord, MemberLocation, NodeAddress,
-    NodeLoad, NodeRecord, PoisonNotice, Purpose, ToCoordinator, ToSidecar, UpstreamLoad,
-    VersionPolicy, PROTOCOL_VERSION,
+    decode_frame, encode_frame, CreditAnswer, Greeting, KnownDeparture, LastRecord, MemberLocation,
+    NodeAddress, NodeLoad, NodeRecord, PoisonNotice, Purpose, ToCoordinator, ToSidecar,
+    UpstreamLoad, VersionPolicy, PROTOCOL_VERSION,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -54,6 +54,13 @@
         /// When this sidecar reported itself on the link.
         reported_at: Millis,
     },
+    /// Departures of upstreams beside this sidecar that a coordinator knows of.
+    Departures {
+        /// Whether it knows of all that were acknowledged, as far as it can tell.
+        complete: bool,
+        /// The departures.
+        departures: Vec<KnownDeparture>,
+    },
     /// A new configuration.
     Config {
         /// The generation.
@@ -302,6 +309,9 @@
                 events.push(LinkEvent::Welcome { last, reported_at });
                 self.subscribe(net, now);
             }
+            ToSidecar::Departures { complete, departures } => {
+                events.push(LinkEvent::Departures { complete, departures });
+            }
             ToSidecar::ReportAcknowledged { sequence } => {
                 link.acked_sequence = link.acked_sequence.max(sequence)
             }
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -9,6 +9,7 @@
 use crate::calls::{CallAction, Calls};
 use crate::config::Config;
 use crate::dialect::{HeaderNames, RegistrationCall, RegistrationDialect};
+use crate::heartbeat_trust::HeartbeatTrust;
 use crate::jobs::{JobAction, Jobs};
 use crate::link_meter::{LinkFullDetector, LinkMeter};
 use crate::links::{LinkEvent, Links};
@@ -102,6 +103,7 @@
     upstream: Pool<JobId>,
     links: Links,
     registrar: Registrar,
+    heartbeat_trust: HeartbeatTrust,
     waiting_registrations: Vec<WaitingRegistration>,
     config: Config,
     calls: Calls,
@@ -226,6 +228,7 @@
             upstream: Pool::new(UPSTREAM_IDLE_MS),
             links,
             registrar: Registrar::default(),
+            heartbeat_trust: HeartbeatTrust::default(),
             waiting_registrations: Vec::new(),
             config: Config::default(),
             calls,
@@ -374,6 +377,9 @@
                 self.links.send_poison_notices(&mut self.net, self.poison.full_report(now));
                 self.process_waiting_registrations(now);
             }
+            LinkEvent::Departures { complete, departures } => {
+                self.learn_departures(departures, complete, now);
+            }
             LinkEvent::Config { generation, confirmed: false, update } => {
                 self.config.prepare(generation, &update);
             }
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -3,11 +3,12 @@
 
 use super::{Sidecar, WaitingRegistration, RESTORE_WAIT_MS};
 use crate::dialect::{RegistrationCall, RegistrationDialect};
+use crate::heartbeat_trust::HeldHeartbeat;
 use crate::net::ConnectionId;
 use crate::registrar::{is_last_word, DepartureAnswer};
 use crate::Millis;
 use http1::{Headers, Request, Response, Slot};
-use mesh::{InstanceRecord, InstanceState, LastRecord, NodeRecord};
+use mesh::{InstanceRecord, InstanceState, KnownDeparture, LastRecord, NodeRecord};
 use tracing::{info, warn};
 
 impl<D: RegistrationDialect> Sidecar<D> {
@@ -27,6 +28,7 @@
         let known = self.jobs.gate.id().map(str::to_owned);
         if !self.jobs.gate.restore(&instance, is_last_word, now) {
             info!(instance = %instance.id, boot_id, ?ended_ms, reported_at, "instance_awaited");
+            self.heartbeat_trust.doubt(instance.incarnation());
             return;
         }
         self.jobs.refresh_limit(now);
@@ -39,6 +41,30 @@
         self.report_instance(now);
     }
 
+    /// Applies departures of upstreams that a coordinator knows of. An earlier process of this sidecar
+    /// may have acknowledged them.
+    pub(super) fn learn_departures(
+        &mut self,
+        departures: Vec<KnownDeparture>,
+        complete: bool,
+        now: Millis,
+    ) {
+        for KnownDeparture { incarnation, state, .. } in departures {
+            if self.jobs.gate.on_known_departure(&incarnation, state, now) {
+                info!(instance = %incarnation.id, state = state.as_str(), "departure_learned");
+                self.report_instance(now);
+            }
+        }
+        if !complete || self.heartbeat_trust.is_informed() {
+            return;
+        }
+        let held = self.heartbeat_trust.informed();
+        info!(uptime_ms = now, held = held.is_some(), "departures_known");
+        if let Some(HeldHeartbeat { record, sequence }) = held {
+            self.heartbeat(&record, sequence, now);
+        }
+    }
+
     pub(super) fn report_instance(&mut self, now: Millis) -> u64 {
         let instance = self.jobs.gate.record(now);
         let sequence = self.links.report(&mut self.net, |record| record.instance = instance);
@@ -118,6 +144,10 @@
         sequence: u64,
         now: Millis,
     ) -> bool {
+        if !self.heartbeat_trust.admits(record, sequence, now) {
+            info!(instance = %record.id, sequence, "heartbeat_held");
+            return false;
+        }
         let record = &self.config.with_capped_cold_time(record, &self.settings.service);
         if self.jobs.gate.on_report(record, sequence, now) {
             let state = record.state.as_str();
--- a/crates/sidecar/tests/departure_fleet/links.rs
+++ b/crates/sidecar/tests/departure_fleet/links.rs
@@ -5,7 +5,7 @@
 use super::Millis;
 use coordinator::Contacts;
 use fastrand::Rng;
-use mesh::NodeRecord;
+use mesh::{KnownDeparture, NodeRecord};
 use std::collections::VecDeque;
 
 const DELAY_MS: std::ops::Range<Millis> = 1..15;
@@ -19,6 +19,7 @@
 #[derive(Clone, Debug)]
 pub enum ToSidecar {
     Welcome(Welcome),
+    Departures { complete: bool, departures: Vec<KnownDeparture> },
     Held { member: usize, sequence: u64 },
 }
 
@@ -41,6 +42,8 @@
     reset: bool,
     coordinator_open: bool,
     welcomed: bool,
+    /// Whether the coordinator has received the first report.
+    is_linked: bool,
     held_sequence: u64,
     pinged_at: Millis,
     heard_by_sidecar: Millis,
@@ -92,6 +95,7 @@
             reset: false,
             coordinator_open: true,
             welcomed: false,
+            is_linked: false,
             held_sequence: 0,
             pinged_at: now,
             heard_by_sidecar: now,
@@ -106,7 +110,8 @@
     }
 
     fn answer(&mut self, frame: ToSidecar, now: Millis) {
-        self.down.push_back((now + DELAY_MS.start, frame));
+        let earliest = self.down.back().map_or(0, |(due, _)| *due);
+        self.down.push_back((earliest.max(now + DELAY_MS.start), frame));
     }
 }
 
@@ -133,10 +138,12 @@
         }
     }
 
-    pub fn kill_coordinator(&mut self, number: usize) {
+    pub fn kill_coordinator(&mut self, number: usize, now: Millis) {
         for connection in &mut self.links[number].connections {
             connection.coordinator_open = false;
             connection.up.clear();
+            // What waits for its disk is never sent.
+            connection.down.retain(|(due, _)| *due <= now + DELAY_MS.end);
         }
     }
 
@@ -183,6 +190,7 @@
                 connection.give_up(number, coordinators, now);
                 if !is_cut {
                     connection.deliver_up(number, coordinators, now);
+                    connection.tell_departures(number, coordinators, now);
                     received.extend(connection.deliver_down(now));
                 }
             }
@@ -252,16 +260,24 @@
             }
             match frame {
                 ToCoordinator::Open { record, at } => {
-                    let sequence = record.sequence;
+                    let (sequence, held) = (record.sequence, record.clone());
                     if let Some(welcome) = coordinators.open(number, record, at, now) {
                         self.answer(ToSidecar::Welcome(welcome), now);
-                        self.answer(ToSidecar::Held { member: number, sequence }, now);
+                        if let Some((complete, departures)) =
+                            coordinators.departures_for(number, true, now)
+                        {
+                            self.answer(ToSidecar::Departures { complete, departures }, now);
+                        }
+                        self.is_linked = true;
+                        let synced_at = coordinators.synced_at(number, &held, now);
+                        self.answer(ToSidecar::Held { member: number, sequence }, synced_at);
                     }
                 }
                 ToCoordinator::Report(record) => {
                     let sequence = record.sequence;
-                    coordinators.report(number, record, now);
-                    self.answer(ToSidecar::Held { member: number, sequence }, now);
+                    coordinators.report(number, record.clone(), now);
+                    let synced_at = coordinators.synced_at(number, &record, now);
+                    self.answer(ToSidecar::Held { member: number, sequence }, synced_at);
                 }
                 ToCoordinator::Ping => {
                     coordinators.alive(number, self.boot_id, now);
@@ -272,6 +288,16 @@
         }
     }
 
+    /// The coordinator tells the sidecar what is new about departures.
+    fn tell_departures(&mut self, number: usize, coordinators: &mut Coordinators, now: Millis) {
+        if !self.coordinator_open || !self.is_linked {
+            return;
+        }
+        if let Some((complete, departures)) = coordinators.departures_for(number, false, now) {
+            self.answer(ToSidecar::Departures { complete, departures }, now);
+        }
+    }
+
     /// The coordinator closes its end.
     fn end(&mut self, number: usize, coordinators: &mut Coordinators, now: Millis) {
         self.coordinator_open = false;
--- a/crates/sidecar/tests/departure_fleet/mod.rs
+++ b/crates/sidecar/tests/departure_fleet/mod.rs
@@ -10,8 +10,8 @@
 use coordinators::{Coordinators, Welcome, COORDINATORS};
 use fastrand::Rng;
 use links::{Links, ToSidecar};
-use mesh::{Incarnation, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
-use sidecar::{is_last_word, ConnectionId, DepartureAnswer, Registrar};
+use mesh::{Incarnation, InstanceRecord, InstanceState, KnownDeparture, NodeAddress, NodeRecord};
+use sidecar::{is_last_word, ConnectionId, DepartureAnswer, HeartbeatTrust, Registrar};
 use std::net::Ipv4Addr;
 use upstream::{Message, Upstream};
 
@@ -47,6 +47,8 @@
     UnheldAtOnce,
     /// A record opens the gate however long ago the link of its process ended.
     TrustedForLong,
+    /// Coordinators keep departures in memory alone.
+    ForgottenWithTheCore,
     /// An old record of a ready upstream never opens the gate, and neither does a heartbeat.
     NeverOpens,
 }
@@ -75,6 +77,7 @@
     started_at: Millis,
     gate: DrainGate,
     registrar: Registrar,
+    trust: HeartbeatTrust,
     record: NodeRecord,
     welcomed: bool,
     waiting: Vec<(u64, Message)>,
@@ -95,9 +98,31 @@
     disturbed_at: Millis,
     /// What strikes around the departure of the current upstream.
     ambush: Option<Ambush>,
+    herd: Option<Herd>,
     outcome: Outcome,
 }
 
+/// The whole core and the sidecar are killed at one moment after a departure, once or twice.
+#[derive(Clone, Copy, Debug)]
+struct Herd {
+    /// When each kill comes, and the coordinator that loses its disk then.
+    strikes: [Option<(Millis, Option<usize>)>; 2],
+}
+
+impl Herd {
+    fn draw(leaves_at: Millis, random: &mut Rng) -> Option<Self> {
+        if random.u32(..3) > 0 {
+            return None;
+        }
+        let lost_disk = |random: &mut Rng| random.bool().then(|| random.usize(..COORDINATORS));
+        let first_at = leaves_at + random.u64(20..1_500);
+        let first = Some((first_at, lost_disk(random)));
+        let second = (random.u32(..3) == 0)
+            .then(|| (first_at + random.u64(5_000..7_000), lost_disk(random)));
+        Some(Herd { strikes: [first, second] })
+    }
+}
+
 /// A cut and one or two kills around a departure.
 #[derive(Clone, Copy, Debug)]
 struct Ambush {
@@ -180,11 +205,12 @@
             starts_at: 0,
             boot_id: 0,
             links: Links::default(),
-            coordinators: Coordinators::new(),
+            coordinators: Coordinators::new(variant != Variant::ForgottenWithTheCore),
             upstream,
             acknowledged: Vec::new(),
             disturbed_at: 0,
             ambush: None,
+            herd: None,
             outcome: Outcome::default(),
             random,
         }
@@ -209,6 +235,7 @@
     /// Draws what strikes the machine, at any time and around departures.
     fn disturb(&mut self) {
         self.strike_ambush();
+        self.strike_herd();
         if self.random.u32(..STRIKE_ODDS) == 0 {
             let down_ms = self.random.u64(DOWN_MS);
             self.kill_sidecar(down_ms);
@@ -221,7 +248,7 @@
             let member = self.random.usize(..COORDINATORS);
             let up_at = self.now + self.random.u64(DOWN_MS);
             self.coordinators.kill(member, up_at);
-            self.links.kill_coordinator(member);
+            self.links.kill_coordinator(member, self.now);
         }
         if self.links.any_cut(self.now) {
             self.disturbed_at = self.now;
@@ -231,6 +258,9 @@
     fn strike_ambush(&mut self) {
         if self.upstream.started_at() + STEP_MS == self.now {
             self.ambush = Ambush::draw(self.upstream.leaves_at(), &mut self.random);
+            let spared = self.ambush.is_none();
+            self.herd =
+                spared.then(|| Herd::draw(self.upstream.leaves_at(), &mut self.random)).flatten();
         }
         let Some(ambush) = self.ambush else {
             return;
@@ -249,6 +279,26 @@
         }
     }
 
+    fn strike_herd(&mut self) {
+        let strikes = self.herd.map(|herd| herd.strikes).into_iter().flatten().flatten();
+        for (at, lost_disk) in strikes {
+            if self.now != at / STEP_MS * STEP_MS {
+                continue;
+            }
+            for number in 0..COORDINATORS {
+                let up_at = self.now + self.random.u64(DOWN_MS);
+                self.coordinators.kill(number, up_at);
+                self.links.kill_coordinator(number, self.now);
+            }
+            if let Some(number) = lost_disk {
+                self.coordinators.wipe(number);
+            }
+            let down_ms = self.random.u64(DOWN_MS);
+            self.kill_sidecar(down_ms);
+            self.disturbed_at = self.now + DOWN_MS.end;
+        }
+    }
+
     fn kill_sidecar(&mut self, down_ms: Millis) {
         if self.process.take().is_some() {
             let reads_all = self.random.bool();
@@ -277,6 +327,7 @@
             started_at: self.now,
             gate: DrainGate::new(DRAIN_MS),
             registrar: Registrar::default(),
+            trust: HeartbeatTrust::default(),
             record,
             welcomed: false,
             waiting: Vec::new(),
@@ -289,6 +340,9 @@
         for frame in received {
             match frame {
                 ToSidecar::Welcome(welcome) => self.restore(welcome),
+                ToSidecar::Departures { complete, departures } => {
+                    self.learn_departures(complete, departures);
+                }
                 ToSidecar::Held { member, sequence } => self.links.held(member, sequence),
             }
         }
@@ -315,12 +369,36 @@
                 self.outcome.awaited += usize::from(!restored);
                 if restored {
                     self.report();
+                } else {
+                    process.trust.doubt(instance.incarnation());
                 }
             }
         }
         self.process_waiting();
     }
 
+    fn learn_departures(&mut self, complete: bool, departures: Vec<KnownDeparture>) {
+        let now = self.now;
+        let Some(process) = &mut self.process else {
+            return;
+        };
+        let mut changed = false;
+        for KnownDeparture { incarnation, state, .. } in departures {
+            changed |= process.gate.on_known_departure(&incarnation, state, now);
+        }
+        let held = match complete && !process.trust.is_informed() {
+            true => process.trust.informed(),
+            false => None,
+        };
+        if let Some(held) = held {
+            changed |= self.variant != Variant::NeverOpens
+                && process.gate.on_report(&held.record, held.sequence, now);
+        }
+        if changed {
+            self.report();
+        }
+    }
+
     fn report(&mut self) {
         let Some(process) = &mut self.process else {
             return;
@@ -331,10 +409,10 @@
     }
 
     fn step_upstream(&mut self) {
-        let process = self.process.as_ref().map(|process| process.record.boot_id);
-        for (boot_id, call, message) in self.upstream.step(process, &mut self.random, self.now) {
-            // A message that is late is lost with the process that its connection led to.
-            if process != Some(boot_id) {
+        let runs = self.process.is_some();
+        for (call, message) in self.upstream.step(runs, &mut self.random, self.now) {
+            // An opening packet that was lost is sent again: a message may reach the next process.
+            if !runs {
                 continue;
             }
             let Some(process) = &mut self.process else {
@@ -366,8 +444,10 @@
         let gate = &mut process.gate;
         let (changed, leaving) = match message {
             Message::Heartbeat { record, sequence } => {
-                let changed =
-                    self.variant != Variant::NeverOpens && gate.on_report(&record, sequence, now);
+                let uptime_ms = now - process.started_at;
+                let admitted = process.trust.admits(&record, sequence, uptime_ms);
+                let opens = self.variant != Variant::NeverOpens && admitted;
+                let changed = opens && gate.on_report(&record, sequence, now);
                 (changed, record.state != InstanceState::Ready)
             }
             Message::Leave(incarnation) => {
--- a/crates/sidecar/tests/departure_fleet/upstream.rs
+++ b/crates/sidecar/tests/departure_fleet/upstream.rs
@@ -37,7 +37,6 @@
 /// What is on its way to the sidecar.
 #[derive(Debug)]
 struct InTransit {
-    boot_id: u64,
     call: u64,
     message: Message,
 }
@@ -160,22 +159,21 @@
         self.open.remove(&call);
     }
 
-    /// Sends what is due; returns the messages that arrive now, with the sidecar process that they
-    /// were sent to.
+    /// Sends what is due; returns the messages that arrive now.
     pub fn step(
         &mut self,
-        process: Option<u64>,
+        sidecar_runs: bool,
         random: &mut Rng,
         now: Millis,
-    ) -> Vec<(u64, u64, Message)> {
+    ) -> Vec<(u64, Message)> {
         self.end_or_start(random, now);
-        if let Some(boot_id) = process.filter(|_| self.serving().is_some()) {
-            self.send_due(boot_id, random, now);
+        if sidecar_runs && self.serving().is_some() {
+            self.send_due(random, now);
         }
         let mut arrived = Vec::new();
         while let Some(entry) = self.in_transit.first_entry().filter(|next| next.key().0 <= now) {
-            let InTransit { boot_id, call, message } = entry.remove();
-            arrived.push((boot_id, call, message));
+            let InTransit { call, message } = entry.remove();
+            arrived.push((call, message));
         }
         arrived
     }
@@ -202,7 +200,7 @@
         }
     }
 
-    fn send_due(&mut self, boot_id: u64, random: &mut Rng, now: Millis) {
+    fn send_due(&mut self, random: &mut Rng, now: Millis) {
         let departs = now >= self.leaves_at && self.style != Style::Crashes;
         let waits = self
             .open
@@ -214,12 +212,12 @@
                 Style::Drains => self.heartbeat(InstanceState::Draining),
                 _ => Message::Leave(self.named()),
             };
-            self.send(boot_id, message, true, random, now);
+            self.send(message, true, random, now);
         }
         if now >= self.heartbeat_at && !departs {
             self.heartbeat_at = now + random.u64(HEARTBEAT_MS);
             let message = self.heartbeat(InstanceState::Ready);
-            self.send(boot_id, message, false, random, now);
+            self.send(message, false, random, now);
         }
     }
 
@@ -235,24 +233,19 @@
         Incarnation { id: self.incarnation.id.clone(), born_ms }
     }
 
-    fn send(
-        &mut self,
-        boot_id: u64,
-        message: Message,
-        departs: bool,
-        random: &mut Rng,
-        now: Millis,
-    ) {
+    fn send(&mut self, message: Message, departs: bool, random: &mut Rng, now: Millis) {
         self.next_call += 1;
         let call = self.next_call;
         self.lost = !self.lost && random.u32(..10) == 0;
         if self.lost {
             return;
         }
-        let is_late = random.u32(..8) == 0;
+        // The last heartbeats before a departure are late more often: they contradict it.
+        let is_last = now + HEARTBEAT_MS.end >= self.leaves_at;
+        let is_late = random.u32(..if is_last { 3 } else { 8 }) == 0;
         let delay_ms = if is_late { random.u64(LATE_MS) } else { 1 };
         let departs = departs.then(|| self.incarnation.clone());
         self.open.insert(call, OpenCall { sent_at: now, departs });
-        self.in_transit.insert((now + delay_ms, call), InTransit { boot_id, call, message });
+        self.in_transit.insert((now + delay_ms, call), InTransit { call, message });
     }
 }
--- a/crates/sidecar/tests/departures.rs
+++ b/crates/sidecar/tests/departures.rs
@@ -26,7 +26,7 @@
         restored += outcome.restored;
         awaited += outcome.awaited;
         linked += usize::from(outcome.over_linked > 0);
-        over.extend((outcome.over > 0).then_some(seed));
+        over.extend((outcome.over + outcome.over_linked > 0).then_some(seed));
         shut.extend((outcome.shut > 0).then_some(seed));
     }
     println!(
@@ -41,7 +41,8 @@
 fn the_checks_notice_each_broken_variant() {
     let noticed = |variant| {
         let outcomes = histories(BROKEN_SEEDS, variant);
-        outcomes.filter(|(_, outcome)| outcome.over > 0 || outcome.shut > 0).count()
+        let is_broken = |outcome: &Outcome| outcome.over + outcome.over_linked + outcome.shut > 0;
+        outcomes.filter(|(_, outcome)| is_broken(outcome)).count()
     };
     for variant in [
         Variant::Former,
@@ -49,6 +50,7 @@
         Variant::RecordTrusted,
         Variant::UnheldAtOnce,
         Variant::TrustedForLong,
+        Variant::ForgottenWithTheCore,
         Variant::NeverOpens,
     ] {
         let count = noticed(variant);
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -99,7 +99,11 @@
 }
 
 /// Writes a file atomically: writes and syncs a temporary file, renames it and syncs the folder.
-fn write_atomically(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+pub(crate) fn write_atomically(
+    folder: &Path,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), StorageError> {
     let temporary = folder.join(format!("{name}.tmp"));
     let path = folder.join(name);
     let mut file =
@@ -110,7 +114,7 @@
     sync_folder(folder)
 }
 
-fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
     let handle = File::open(folder).context(IoSnafu { action: "open", path: folder })?;
     sync_all(&handle, folder)
 }
@@ -166,7 +170,7 @@
     }
 }
 
-fn open_log(path: &Path) -> Result<File, StorageError> {
+pub(crate) fn open_log(path: &Path) -> Result<File, StorageError> {
     OpenOptions::new()
         .create(true)
         .append(true)
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -7,11 +7,13 @@
 #![forbid(unsafe_code)]
 
 mod disk;
+mod journal;
 mod memory;
 mod record;
 mod sync;
 
 pub use disk::{open_data_folder, DataFolder, DiskStore, FolderIdentity, IDENTITY_FILE, LOCK_FILE};
+pub use journal::Journal;
 pub use memory::{CrashPoint, MemoryStore};
 pub use record::{decode_records, encode_record, Record, TailState};
 
--- a/crates/storage/tests/disk.rs
+++ b/crates/storage/tests/disk.rs
@@ -3,7 +3,9 @@
 use consensus::{Entry, HardState, Membership, Payload, Snapshot, SnapshotMeta};
 use std::fs;
 use std::path::{Path, PathBuf};
-use storage::{open_data_folder, DiskStore, FolderIdentity, LogStore, Recovered, StorageError};
+use storage::{
+    open_data_folder, DiskStore, FolderIdentity, Journal, LogStore, Recovered, StorageError,
+};
 
 const SAVES: u64 = 12;
 
@@ -133,3 +135,45 @@
     let (_, recovered) = DiskStore::open(folder.path(), first_snapshot()).unwrap();
     assert_eq!(recovered, state);
 }
+
+/// A crash at every byte of a journal leaves the records before it, and further ones follow them.
+#[test]
+fn a_journal_keeps_what_was_appended_and_drops_a_torn_end() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, records) = Journal::<String>::open(folder.path(), "notes").unwrap();
+    assert_eq!(records, Vec::<String>::new());
+    let mut ends = vec![0];
+    for text in ["one", "two", "three"] {
+        journal.append(&text.to_owned()).unwrap();
+        ends.push(journal.bytes());
+    }
+    drop(journal);
+    let path = folder.path().join("notes");
+    let whole = fs::read(&path).unwrap();
+    for cut in 0..=whole.len() {
+        fs::write(&path, &whole[..cut]).unwrap();
+        let (mut journal, records) = Journal::<String>::open(folder.path(), "notes").unwrap();
+        let complete = ends.iter().filter(|end| **end <= cut as u64).count() - 1;
+        assert_eq!(records, ["one", "two", "three"][..complete], "cut at {cut}");
+        journal.append(&"next".to_owned()).unwrap();
+        let (_, records) = Journal::<String>::open(folder.path(), "notes").unwrap();
+        assert_eq!(records.last().map(String::as_str), Some("next"), "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_journal_is_replaced_as_a_whole_and_refuses_damage() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = Journal::<String>::open(folder.path(), "notes").unwrap();
+    journal.append(&"old".to_owned()).unwrap();
+    journal.replace(&"new".to_owned()).unwrap();
+    journal.append(&"newer".to_owned()).unwrap();
+    let (_, records) = Journal::<String>::open(folder.path(), "notes").unwrap();
+    assert_eq!(records, ["new", "newer"]);
+    let path = folder.path().join("notes");
+    let mut bytes = fs::read(&path).unwrap();
+    bytes[9] ^= 1;
+    fs::write(&path, &bytes).unwrap();
+    let damaged = Journal::<String>::open(folder.path(), "notes");
+    assert!(matches!(damaged, Err(StorageError::Damaged { .. })));
+}
