--- /dev/null
+++ b/crates/chutecove/tests/endless.rs
@@ -0,0 +1,170 @@
+//! Real processes: upstreams that send bytes without end, and large uploads at once. Memory stays bounded,
+//! the connection is closed, and other calls are served.
+
+mod fleet;
+
+use fleet::{wait_until, Fleet, RunningProcess};
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+const CALLER: u8 = 11;
+const UPSTREAM: u8 = 12;
+const SERVICE: &str = fleet::SERVICE;
+/// Memory of the smallest machine that a sidecar is made for, and the part of it that may be used.
+const MACHINE_KB: u64 = 160 * 1_024;
+const USED_PERCENT: u64 = 60;
+const LARGEST_BYTES: usize = 64 * 1_024 * 1_024;
+
+/// What an upstream sends, first once and then without end, by the last word of the path.
+const ENDLESS: [(&str, &str, &str); 6] = [
+    ("head", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"),
+    ("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nno end, \r\n"),
+    ("close", "HTTP/1.1 200 OK\r\n\r\n", "no end, "),
+    ("trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n"),
+    ("interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+    ("noise", "", "no answer at all "),
+];
+
+/// An upstream that answers most calls, and some without end. Counts the connections that were closed on
+/// an answer without end.
+fn start_upstream(fleet: &Fleet) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind((fleet.ip(UPSTREAM), fleet.ports.upstream)).expect("free");
+    let cut_off = Arc::new(AtomicUsize::new(0));
+    let counted = cut_off.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let cut_off = counted.clone();
+            std::thread::spawn(move || serve(stream, &cut_off));
+        }
+    });
+    cut_off
+}
+
+/// Serves one connection; `None` once it is closed.
+fn serve(mut stream: TcpStream, cut_off: &AtomicUsize) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    loop {
+        let (mut path, mut id, mut length) = (String::new(), String::new(), 0);
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+            let line = line.trim_end();
+            if line.is_empty() {
+                break;
+            }
+            match line.split_once(": ") {
+                Some((name, value)) if name.eq_ignore_ascii_case("x-chutecove-attempt-id") => {
+                    value.clone_into(&mut id);
+                }
+                Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
+                    length = value.parse().ok()?;
+                }
+                _ if path.is_empty() => line.split(' ').nth(1)?.clone_into(&mut path),
+                _ => {}
+            }
+        }
+        std::io::copy(&mut reader.by_ref().take(length), &mut std::io::sink()).ok()?;
+        let endless = ENDLESS.iter().find(|(kind, ..)| path.ends_with(kind));
+        if let Some((_, start, repeated)) = endless {
+            stream.write_all(start.as_bytes()).ok()?;
+            let piece = repeated.repeat(4_096);
+            while stream.write_all(piece.as_bytes()).is_ok() {}
+            cut_off.fetch_add(1, Ordering::SeqCst);
+            return None;
+        }
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Chutecove-Seal: seal\r\nX-Chutecove-Attempt-Id: {id}\r\n\
+             Content-Length: 4\r\n\r\ndone"
+        );
+        stream.write_all(answer.as_bytes()).ok()?;
+    }
+}
+
+/// The largest memory that a process has ever used, in kB.
+fn peak_kb(process: &RunningProcess) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.id())).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("it is stated");
+    line.split_whitespace().nth(1).and_then(|number| number.parse().ok()).expect("a number")
+}
+
+struct World {
+    fleet: Arc<Fleet>,
+    cut_off: Arc<AtomicUsize>,
+    sidecars: [RunningProcess; 2],
+    _coordinators: Vec<RunningProcess>,
+}
+
+impl World {
+    fn start(network: u8) -> Self {
+        let fleet = Arc::new(Fleet::new(network));
+        let coordinators = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
+        let cut_off = start_upstream(&fleet);
+        let sidecars =
+            [fleet.start_sidecar(CALLER, "callers"), fleet.start_sidecar(UPSTREAM, SERVICE)];
+        wait_until("the first configuration is accepted", || {
+            fleet.put_configuration(2, 0, 5, "one") == Some(200)
+        });
+        wait_until("the upstream registers", || fleet.register(UPSTREAM, "i-1", 1, false));
+        let world = World { fleet, cut_off, sidecars, _coordinators: coordinators };
+        wait_until("a call is served", || world.is_served());
+        world
+    }
+
+    fn is_served(&self) -> bool {
+        self.fleet.call(CALLER, "/one/x").is_some_and(|(status, _)| status == 200)
+    }
+
+    fn check_memory(&self) {
+        for (number, sidecar) in self.sidecars.iter().enumerate() {
+            let peak = peak_kb(sidecar);
+            let allowed = MACHINE_KB * USED_PERCENT / 100;
+            println!("sidecar {number}: peak {peak} kB of {allowed}");
+            assert!(peak <= allowed, "sidecar {number} used {peak} kB");
+        }
+    }
+}
+
+/// Guards against a sidecar that reads while bytes come: an upstream that sent bytes without end ended it by
+/// its memory, and every call that it had.
+#[test]
+fn answers_without_end_are_cut_off_and_fill_no_memory() {
+    let world = World::start(29);
+    for (kind, ..) in ENDLESS {
+        let before = world.cut_off.load(Ordering::SeqCst);
+        let (status, _) = world.fleet.call(CALLER, &format!("/one/{kind}")).expect("an answer");
+        assert!([502, 504].contains(&status), "{kind}: it may have run, so {status} is wrong");
+        wait_until("its connection is closed", || world.cut_off.load(Ordering::SeqCst) > before);
+        wait_until("other calls are served", || world.is_served());
+    }
+    world.check_memory();
+}
+
+/// Guards against uploads that take a sidecar above its memory: all at once, then the largest one alone,
+/// which is always served.
+#[test]
+fn large_uploads_at_once_are_served_or_refused_within_the_memory() {
+    let world = World::start(30);
+    let body: Arc<[u8]> = vec![b'u'; LARGEST_BYTES].into();
+    let uploads: Vec<_> = (0..5)
+        .map(|_| {
+            let (fleet, body) = (world.fleet.clone(), body.clone());
+            std::thread::spawn(move || fleet.upload(CALLER, "/one/upload", &body))
+        })
+        .collect();
+    while uploads.iter().any(|upload| !upload.is_finished()) {
+        wait_until("small calls are served meanwhile", || world.is_served());
+    }
+    for upload in uploads {
+        let outcome = upload.join().expect("joined");
+        // A client that is refused while it still writes may see its connection closed.
+        assert!(outcome.is_none_or(|(status, _)| [200, 503, 504].contains(&status)));
+    }
+    wait_until("the largest upload alone is served", || {
+        let outcome = world.fleet.upload(CALLER, "/one/upload", &body);
+        outcome.is_some_and(|(status, _)| status == 200)
+    });
+    world.check_memory();
+}
--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -31,6 +31,9 @@
 /// simultaneous return of a whole zone of a large fleet, and bounds the memory used during a
 /// connection flood.
 const MAX_UNGREETED: usize = 1_024;
+/// Maximum unparsed input of a connection before its sidecar has reported itself, bytes. Greeting and first
+/// report have some hundred; a connection that is not linked yet may come from anywhere.
+const MAX_UNLINKED_INPUT_BYTES: usize = 64 * 1024;
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
 /// A link without data from its sidecar for this long is closed; sidecars ping once a second.
 const SILENCE_LIMIT: Duration = Duration::from_millis(3_500);
@@ -264,7 +267,11 @@
                     break;
                 }
             }
-            if connection.input.len() > MAX_FRAME_BYTES + READ_BUFFER_BYTES {
+            let longest = match connection.stage {
+                Stage::AwaitingGreeting | Stage::AwaitingReport => MAX_UNLINKED_INPUT_BYTES,
+                Stage::Linked(_) => MAX_FRAME_BYTES,
+            };
+            if connection.input.len() > longest + READ_BUFFER_BYTES {
                 stream_ended = true;
                 break;
             }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -1,7 +1,7 @@
 //! Body length and incremental body decoding.
 
 use crate::head::{AmbiguousLengthSnafu, HeadError};
-use crate::Headers;
+use crate::{BodySink, Headers};
 use bytes::{Buf, BytesMut};
 use snafu::{ensure, Snafu};
 
@@ -28,6 +28,9 @@
     /// The body exceeds the size limit.
     #[snafu(display("message body exceeds the size limit"))]
     TooLong,
+    /// There is no memory for the body now.
+    #[snafu(display("no memory for the message body"))]
+    NoRoom,
     /// The chunked encoding is invalid.
     #[snafu(display("malformed chunked encoding"))]
     Malformed,
@@ -84,7 +87,11 @@
 
     /// Decodes body bytes from `input` and appends them to `output`; returns true once the body is
     /// complete.
-    pub fn take(&mut self, input: &mut BytesMut, output: &mut Vec<u8>) -> Result<bool, BodyError> {
+    pub fn take(
+        &mut self,
+        input: &mut BytesMut,
+        output: &mut impl BodySink,
+    ) -> Result<bool, BodyError> {
         loop {
             match self.state {
                 State::Done => return Ok(true),
@@ -140,12 +147,12 @@
         &mut self,
         remaining: u64,
         input: &mut BytesMut,
-        output: &mut Vec<u8>,
+        output: &mut impl BodySink,
     ) -> Result<u64, BodyError> {
         let count = remaining.min(input.len() as u64);
         self.decoded_bytes += count;
         ensure!(self.decoded_bytes <= self.max_bytes, TooLongSnafu);
-        output.extend_from_slice(&input[..count as usize]);
+        output.put(&input[..count as usize])?;
         input.advance(count as usize);
         Ok(remaining - count)
     }
--- a/crates/http1/src/exchange.rs
+++ b/crates/http1/src/exchange.rs
@@ -1,6 +1,10 @@
 //! Client side of a connection: one request at a time and its response.
 
-use crate::{parse_response, BodyDecoder, BodyError, HeadError, Headers, Response, ResponseHead};
+use crate::budget::BodyBuffer;
+use crate::{
+    parse_response, BodyDecoder, BodyError, BodyLength, ByteBudget, HeadError, Headers, Response,
+    ResponseHead,
+};
 use bytes::BytesMut;
 use snafu::Snafu;
 
@@ -36,6 +40,9 @@
     /// The response exceeds the size limit.
     #[snafu(display("the answer is longer than allowed"))]
     TooLong,
+    /// There is no memory for the response now.
+    #[snafu(display("no memory for the answer"))]
+    NoRoom,
 }
 
 /// The request id by which responses to other requests are recognized.
@@ -59,7 +66,7 @@
 #[derive(Debug)]
 enum Phase {
     Head,
-    Body { head: ResponseHead, decoder: BodyDecoder, body: Vec<u8>, foreign: bool },
+    Body { head: ResponseHead, decoder: BodyDecoder, body: BodyBuffer, foreign: bool },
     Finished,
 }
 
@@ -74,6 +81,7 @@
     phase: Phase,
     response_started: bool,
     interim: Vec<Headers>,
+    budget: ByteBudget,
 }
 
 impl Exchange {
@@ -93,9 +101,15 @@
             phase: Phase::Head,
             response_started: false,
             interim: Vec::new(),
+            budget: ByteBudget::default(),
         }
     }
 
+    /// Charges the body of the response to a budget.
+    pub fn with_budget(self, budget: ByteBudget) -> Self {
+        Exchange { budget, ..self }
+    }
+
     /// Parses received bytes; `None` while the response is incomplete.
     pub fn receive(&mut self, input: &mut BytesMut) -> Result<Option<Answer>, ExchangeError> {
         loop {
@@ -161,7 +175,13 @@
             }
         }
         let decoder = BodyDecoder::new(head.length, self.max_body_bytes).map_err(body_error)?;
-        Ok(Phase::Body { head, decoder, body: Vec::new(), foreign })
+        let mut body = BodyBuffer::new(&self.budget);
+        if let BodyLength::Known(bytes) = head.length {
+            if !body.reserve(bytes) {
+                return Err(ExchangeError::NoRoom);
+            }
+        }
+        Ok(Phase::Body { head, decoder, body, foreign })
     }
 
     fn is_foreign(&self, head: &ResponseHead) -> bool {
@@ -172,13 +192,13 @@
         received_id.is_some_and(|id| id != expected.value.as_slice())
     }
 
-    fn finish(&mut self, head: ResponseHead, body: Vec<u8>, input_is_empty: bool) -> Answer {
+    fn finish(&mut self, head: ResponseHead, body: BodyBuffer, input_is_empty: bool) -> Answer {
         // Bytes after a complete response belong to no request, and after a response to another
         // request more such responses may follow.
         let reusable = head.keep_alive && input_is_empty && self.foreign_responses == 0;
         let mut headers = head.headers;
         headers.remove_connection_headers();
-        let response = Response { status: head.status, headers, body };
+        let response = Response { status: head.status, headers, body: body.freeze() };
         Answer { response, reusable }
     }
 }
@@ -194,5 +214,6 @@
     match error {
         BodyError::TooLong => ExchangeError::TooLong,
         BodyError::Malformed => ExchangeError::Malformed,
+        BodyError::NoRoom => ExchangeError::NoRoom,
     }
 }
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -1,6 +1,7 @@
 //! Complete messages.
 
 use crate::Headers;
+use bytes::Bytes;
 
 /// A complete request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,8 +12,8 @@
     pub target: String,
     /// Header fields, including hop-by-hop ones.
     pub headers: Headers,
-    /// Decoded body.
-    pub body: Vec<u8>,
+    /// Decoded body, shared by all that hold the request.
+    pub body: Bytes,
 }
 
 impl Request {
@@ -30,8 +31,8 @@
     /// Header fields; [`crate::ServerConnection`] removes hop-by-hop ones before it sends a
     /// response.
     pub headers: Headers,
-    /// Decoded body.
-    pub body: Vec<u8>,
+    /// Decoded body, shared by all that hold the response.
+    pub body: Bytes,
 }
 
 impl Response {
@@ -44,7 +45,7 @@
     pub fn text(status: u16, text: &str) -> Self {
         let mut headers = Headers::default();
         headers.push("Content-Type", "text/plain");
-        Response { status, headers, body: text.as_bytes().to_vec() }
+        Response { status, headers, body: Bytes::copy_from_slice(text.as_bytes()) }
     }
 
     /// Sets a header, replacing any previous values.
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,14 +1,20 @@
 //! Server side of a connection: parses requests and writes the answers in the same order.
 
+use crate::budget::BodyBuffer;
 use crate::{
-    parse_request, write_response, BodyDecoder, BodyError, BodyLength, ConnectionPersistence,
-    HeadError, Headers, Request, RequestHead, Response,
+    parse_request, write_response_head, BodyDecoder, BodyError, BodyLength, ByteBudget,
+    ConnectionPersistence, HeadError, Headers, Output, Request, RequestHead, Response,
 };
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
 
+/// Status of the answer to a request for whose body there is no memory: it has not run.
+const NO_ROOM_STATUS: u16 = 503;
 /// Maximum number of pipelined requests of one connection that are unanswered.
 const MAX_PIPELINED: usize = 64;
+/// When a request for whose body there was no memory may come again, in seconds: about the time that a
+/// body of some tens of megabytes takes to be passed on.
+const NO_ROOM_RETRY_AFTER_S: &str = "0.5";
 
 /// Limits on the requests of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +38,8 @@
     pub slot: Slot,
     /// Head of the request.
     pub head: &'a RequestHead,
+    /// Whether there is memory for its body. Otherwise it must be refused.
+    pub has_room: bool,
 }
 
 /// Slot of a request whose body was offered, and whether any part of the body has been allowed.
@@ -39,6 +47,7 @@
 struct Offered {
     slot: Slot,
     allowed: bool,
+    has_room: bool,
 }
 
 #[derive(Debug)]
@@ -47,7 +56,7 @@
     Body {
         head: RequestHead,
         decoder: BodyDecoder,
-        body: Vec<u8>,
+        body: BodyBuffer,
         /// Set if the body was offered; other requests get their slot once they are complete.
         offered: Option<Offered>,
     },
@@ -59,7 +68,14 @@
 struct PendingAnswer {
     slot: Slot,
     keep_alive: bool,
-    answer: Option<Vec<u8>>,
+    answer: Option<EncodedAnswer>,
+}
+
+/// An answer that waits for its turn.
+#[derive(Debug)]
+struct EncodedAnswer {
+    head: Vec<u8>,
+    body: Bytes,
 }
 
 /// A complete request.
@@ -82,6 +98,7 @@
     requests_read: u64,
     /// Headers of the answers to input that is rejected here.
     rejection_headers: Headers,
+    budget: ByteBudget,
 }
 
 impl Default for ServerConnection {
@@ -101,16 +118,23 @@
             last_answer_written: false,
             requests_read: 0,
             rejection_headers,
+            budget: ByteBudget::default(),
         }
     }
 
+    /// Charges the bodies of requests to a budget. One for which there is no room is answered with status
+    /// 503 before it is read, or with 413 if there will never be room.
+    pub fn with_budget(self, budget: ByteBudget) -> Self {
+        ServerConnection { budget, ..self }
+    }
+
     /// Parses complete requests from `input`. Invalid input is answered here with an error status,
     /// and nothing after it is parsed.
     pub fn receive(
         &mut self,
         input: &mut BytesMut,
         limits: ServerLimits,
-        output: &mut Vec<u8>,
+        output: &mut impl Output,
     ) -> Vec<(Slot, Request)> {
         let mut requests = Vec::new();
         while self.pending.len() < MAX_PIPELINED && !self.closing {
@@ -134,7 +158,11 @@
     }
 
     fn rejection(&self, status: u16) -> Response {
-        Response { status, headers: self.rejection_headers.clone(), body: Vec::new() }
+        let mut headers = self.rejection_headers.clone();
+        if status == NO_ROOM_STATUS {
+            headers.push("Retry-After", NO_ROOM_RETRY_AFTER_S);
+        }
+        Response { status, headers, body: Bytes::new() }
     }
 
     fn enqueue(&mut self, keep_alive: bool) -> Slot {
@@ -148,7 +176,7 @@
         &mut self,
         input: &mut BytesMut,
         limits: ServerLimits,
-        output: &mut Vec<u8>,
+        output: &mut impl Output,
     ) -> Result<Option<CompleteRequest>, u16> {
         if matches!(self.phase, Phase::Head) {
             let parsed = parse_request(input, limits.header_bytes).map_err(head_status)?;
@@ -156,17 +184,28 @@
                 return Ok(None);
             };
             let _ = input.split_to(length);
-            let decoder = BodyDecoder::new(head.length, limits.body_bytes).map_err(body_status)?;
+            let largest = limits.body_bytes.min(self.budget.longest_body());
+            let decoder = BodyDecoder::new(head.length, largest).map_err(body_status)?;
+            let mut body = BodyBuffer::new(&self.budget);
+            let has_room = match head.length {
+                BodyLength::Known(bytes) => body.reserve(bytes),
+                _ => true,
+            };
             let body_pending = head.length != BodyLength::Known(0) && input.is_empty();
             let expects_continue = body_pending && head.headers.has_token("expect", "100-continue");
             // An interim answer must not overtake the answers to earlier requests.
             let defers = expects_continue && limits.holds_offers && self.pending.is_empty();
-            let offered =
-                defers.then(|| Offered { slot: self.enqueue(head.keep_alive), allowed: false });
+            if !has_room && !defers {
+                return Err(NO_ROOM_STATUS);
+            }
+            let offered = defers.then(|| {
+                let slot = self.enqueue(head.keep_alive);
+                Offered { slot, allowed: false, has_room }
+            });
             if expects_continue && !defers {
-                output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                output.put(b"HTTP/1.1 100 Continue\r\n\r\n");
             }
-            self.phase = Phase::Body { head, decoder, body: Vec::new(), offered };
+            self.phase = Phase::Body { head, decoder, body, offered };
         }
         let Phase::Body { decoder, body, .. } = &mut self.phase else {
             return Ok(None);
@@ -180,30 +219,30 @@
         };
         self.requests_read += 1;
         let RequestHead { method, target, keep_alive, headers, .. } = head;
-        let request = Request { method, target, headers, body };
+        let request = Request { method, target, headers, body: body.freeze() };
         Ok(Some(CompleteRequest { request, keep_alive, slot: offered.map(|offered| offered.slot) }))
     }
 
     /// The request whose offered body has not been allowed yet; `None` once a part of it was.
     pub fn offer(&self) -> Option<Offer<'_>> {
         match &self.phase {
-            Phase::Body { head, offered: Some(Offered { slot, allowed: false }), .. } => {
-                Some(Offer { slot: *slot, head })
-            }
+            Phase::Body {
+                head, offered: Some(Offered { slot, allowed: false, has_room }), ..
+            } => Some(Offer { slot: *slot, head, has_room: *has_room }),
             _ => None,
         }
     }
 
     /// Allows the client to send `bytes` more bytes of an offered body, by an interim answer that
     /// carries the number in `header`.
-    pub fn allow(&mut self, slot: Slot, header: &str, bytes: u64, output: &mut Vec<u8>) {
+    pub fn allow(&mut self, slot: Slot, header: &str, bytes: u64, output: &mut impl Output) {
         let Phase::Body { offered: Some(offered), .. } = &mut self.phase else {
             return;
         };
         if offered.slot == slot {
             offered.allowed = true;
             let interim = format!("HTTP/1.1 100 Continue\r\n{header}: {bytes}\r\n\r\n");
-            output.extend_from_slice(interim.as_bytes());
+            output.put(interim.as_bytes());
         }
     }
 
@@ -241,7 +280,7 @@
         slot: Slot,
         mut response: Response,
         close: bool,
-        output: &mut Vec<u8>,
+        output: &mut impl Output,
     ) -> bool {
         self.end_offered_request(slot);
         let Some(pending) = self.pending.iter_mut().find(|pending| pending.slot == slot) else {
@@ -253,20 +292,21 @@
             false => ConnectionPersistence::Close,
         };
         response.headers.remove_connection_headers();
-        let mut bytes = Vec::with_capacity(response.body.len() + 256);
         let Response { status, headers, body } = response;
-        write_response(&mut bytes, status, &headers, &body, persistence);
-        pending.answer = Some(bytes);
+        let mut head = Vec::with_capacity(256);
+        write_response_head(&mut head, status, &headers, body.len(), persistence);
+        pending.answer = Some(EncodedAnswer { head, body });
         self.write_ready_answers(output)
     }
 
-    fn write_ready_answers(&mut self, output: &mut Vec<u8>) -> bool {
+    fn write_ready_answers(&mut self, output: &mut impl Output) -> bool {
         while !self.last_answer_written {
-            let Some(PendingAnswer { answer: Some(bytes), keep_alive, .. }) = self.pending.front()
+            let Some(PendingAnswer { answer: Some(answer), keep_alive, .. }) = self.pending.front()
             else {
                 break;
             };
-            output.extend_from_slice(bytes);
+            output.put(&answer.head);
+            output.put_shared(&answer.body);
             self.last_answer_written = !keep_alive;
             self.pending.pop_front();
         }
@@ -297,7 +337,7 @@
 
     /// Answers the incomplete request with status 408 and stops parsing. Returns true if the
     /// connection must be closed once `output` has been sent.
-    pub fn time_out(&mut self, output: &mut Vec<u8>) -> bool {
+    pub fn time_out(&mut self, output: &mut impl Output) -> bool {
         let offered = match &self.phase {
             Phase::Body { offered, .. } => offered.map(|offered| offered.slot),
             _ => None,
@@ -320,5 +360,6 @@
     match error {
         BodyError::TooLong => 413,
         BodyError::Malformed => 400,
+        BodyError::NoRoom => NO_ROOM_STATUS,
     }
 }
--- a/crates/http1/src/write.rs
+++ b/crates/http1/src/write.rs
@@ -48,17 +48,28 @@
     headers: &Headers,
     body: &[u8],
     persistence: ConnectionPersistence,
+) {
+    write_response_head(output, status, headers, body.len(), persistence);
+    output.extend_from_slice(body);
+}
+
+/// Appends the head of a response with a body of `body_bytes`, which the caller sends afterwards.
+pub fn write_response_head(
+    output: &mut Vec<u8>,
+    status: u16,
+    headers: &Headers,
+    body_bytes: usize,
+    persistence: ConnectionPersistence,
 ) {
     let _ = write!(output, "HTTP/1.1 {status} {}\r\n", reason_phrase(status));
     write_fields(output, headers);
     if status >= 200 && status != 204 && status != 304 {
-        let _ = write!(output, "Content-Length: {}\r\n", body.len());
+        let _ = write!(output, "Content-Length: {body_bytes}\r\n");
     }
     if persistence == ConnectionPersistence::Close {
         output.extend_from_slice(b"Connection: close\r\n");
     }
     output.extend_from_slice(b"\r\n");
-    output.extend_from_slice(body);
 }
 
 fn write_fields(output: &mut Vec<u8>, headers: &Headers) {
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -87,7 +87,7 @@
         input.extend_from_slice(&message[split..]);
         requests.extend(connection.receive(&mut input, LIMITS, &mut output));
         assert_eq!(requests.len(), 2, "split at {split}");
-        assert_eq!(requests[0].1.body, b"abcde");
+        assert_eq!(requests[0].1.body, &b"abcde"[..]);
         assert_eq!(requests[0].1.target, "/a?b=c");
         assert_eq!(requests[1].1.target, "/next");
         assert!(output.is_empty());
@@ -141,8 +141,9 @@
 fn response_outcome(bytes: &[u8], end: Option<StreamEnd>) -> Option<Outcome> {
     let mut exchange = exchange();
     let mut input = BytesMut::from(bytes);
-    let outcome =
-        |answer: http1::Answer| (answer.response.status, answer.response.body, answer.reusable);
+    let outcome = |answer: http1::Answer| {
+        (answer.response.status, answer.response.body.to_vec(), answer.reusable)
+    };
     match exchange.receive(&mut input) {
         Ok(Some(answer)) => Some(Ok(outcome(answer))),
         Err(error) => Some(Err(error)),
@@ -334,7 +335,7 @@
         }
         let (requests, _) = receive(message);
         assert_eq!(requests.len(), 1);
-        assert_eq!(requests[0].body, b"whole");
+        assert_eq!(requests[0].body, &b"whole"[..]);
     }
 }
 
--- a/crates/proxy/src/caller_connection.rs
+++ b/crates/proxy/src/caller_connection.rs
@@ -164,7 +164,7 @@
         builder = builder.header(name, value);
     }
     let bad = |error| Refusal::not_run(RefusalKind::BadRequest, error);
-    builder.body(request.body).map_err(bad)
+    builder.body(request.body.to_vec()).map_err(bad)
 }
 
 fn has_close(response: &http::Response<Vec<u8>>) -> bool {
@@ -177,5 +177,5 @@
     for (name, value) in &parts.headers {
         headers.push(name.as_str(), value.as_bytes());
     }
-    Response { status: parts.status.as_u16(), headers, body }
+    Response { status: parts.status.as_u16(), headers, body: body.into() }
 }
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -83,6 +83,10 @@
     /// that is nearly saturated. 0 if it is not known.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Memory of this machine for this process, in MiB. It bounds the bodies that are held at the same time,
+    /// see [`SidecarSettings::body_budget_bytes`].
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Whether a repeatable call that takes longer than nearly all similar calls is hedged: also
     /// sent to a second upstream that has an idle slot, within the limit on repeats.
     #[serde(default = "default_hedging")]
@@ -93,6 +97,16 @@
     pub log_sample: u64,
 }
 
+/// Part of a machine's memory that a process may use at most; the rest is a margin for what the allocator keeps.
+const USED_FRACTION: f64 = 0.6;
+/// Memory for everything but bodies, in MiB: the program, tables, and what was read and not parsed yet.
+const OTHER_MB: f64 = 16.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
+fn default_memory_mb() -> u64 {
+    160
+}
+
 fn default_hedging() -> bool {
     true
 }
@@ -101,6 +115,13 @@
     16
 }
 
+impl SidecarSettings {
+    /// Bytes of the bodies that may be held at the same time.
+    pub fn body_budget_bytes(&self) -> u64 {
+        ((self.memory_mb as f64 * USED_FRACTION - OTHER_MB) * BYTES_PER_MB) as u64
+    }
+}
+
 impl Validate for SidecarSettings {
     fn validate(&self, checks: &mut Checks) {
         checks.name("fleet", &self.fleet);
@@ -113,6 +134,7 @@
         checks.require("service", !self.service.is_empty(), "must name a service");
         checks.range("drain_ms", self.drain_ms, 100, 600_000);
         checks.range("stop_ms", self.stop_ms, 500, 600_000);
+        checks.range("memory_mb", self.memory_mb, 48, 1 << 20);
         checks.range("log_sample", self.log_sample, 1, 1_000_000);
         checks.range("retry_budget.window_s", self.retry_budget.window_s, 1, 3_600);
         checks.require("link_mbps", self.link_mbps >= 0.0, "must not be below 0");
--- a/crates/sidecar/examples/tenant_cost.rs
+++ b/crates/sidecar/examples/tenant_cost.rs
@@ -183,7 +183,7 @@
             method: "GET".to_owned(),
             target: format!("/lepu{}/2f", slot as usize % ROUTES),
             headers,
-            body: Vec::new(),
+            body: bytes::Bytes::new(),
         };
         let (origin, now) = (Origin { connection, slot }, slot / 1_000);
         calls.begin(origin, request, config, now);
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -13,6 +13,10 @@
 use std::collections::BTreeMap;
 use tracing::info;
 
+/// When a body for which there was no memory may be offered again, milliseconds: about the time that one
+/// of some tens of megabytes takes to be passed on.
+const MEMORY_RETRY_AFTER_MS: u64 = 500;
+
 #[derive(Debug)]
 struct PendingOffer {
     attempt_id: String,
@@ -103,6 +107,13 @@
         self.refuse(source, refusal, now)
     }
 
+    /// Refuses an offer for whose body there is no memory now.
+    pub fn refuse_unfunded(&self, source: Source, attempt_id: &str, now: Millis) -> JobAction {
+        let (reason, retry_after_ms) = ("memory_full", MEMORY_RETRY_AFTER_MS);
+        let refusal = Refusal { id: attempt_id, reason, retry_after_ms, ..Refusal::default() };
+        self.refuse(source, refusal, now)
+    }
+
     /// The reason to refuse an offer and the time after which it may be retried, in milliseconds.
     /// An offer that is not refused is queued for grants.
     fn refusal_reason(
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -36,6 +36,8 @@
     pub link_refusals: u64,
     /// Connections that broke off, as only a failed write showed.
     pub broken_writes: u64,
+    /// Bytes of the bodies in memory.
+    pub body_bytes: u64,
     /// Calls refused because the upstream was cold.
     pub cold_refusals: u64,
     /// Calls refused because of the rate limit that the upstream states.
@@ -73,7 +75,7 @@
 impl Metrics {
     /// Registers all metrics.
     pub fn new(registry: Registry) -> Self {
-        let definitions: [MetricDefinition; 44] = [
+        let definitions: [MetricDefinition; 45] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -101,6 +103,7 @@
             ("connections", "Open connections", |s| s.connections as i64),
             ("link_percent", "Part of the link in use", |s| i64::from(s.link_percent)),
             ("link_waiting_bytes", "Wait for the link", |s| s.link_waiting_bytes as i64),
+            ("body_bytes", "Bytes of the bodies in memory", |s| s.body_bytes as i64),
             ("broken_writes", "Connections that broke off, as a failed write showed", |s| {
                 s.broken_writes as i64
             }),
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -1,8 +1,9 @@
 //! One connection, with buffered output.
 
-use super::{LinkUse, WriteFailure};
+use super::{LinkUse, WriteFailure, MAX_CONTROL_INPUT_BYTES, MAX_INPUT_BYTES};
 use admission::SendUrgency;
 use bytes::BytesMut;
+use http1::OutputQueue;
 use mio::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
 use std::io::{self, Write};
@@ -21,8 +22,7 @@
     pub generation: u64,
     pub stream: TcpStream,
     pub input: BytesMut,
-    pub output: Vec<u8>,
-    pub sent: usize,
+    pub output: OutputQueue,
     pub opening: bool,
     pub ended: bool,
     pub write_failure: WriteFailure,
@@ -43,8 +43,7 @@
             generation,
             stream,
             input: BytesMut::new(),
-            output: Vec::new(),
-            sent: 0,
+            output: OutputQueue::default(),
             opening,
             ended: false,
             write_failure: WriteFailure::default(),
@@ -55,6 +54,15 @@
         }
     }
 
+    /// Whether more may be read. What a connection that is being closed receives is dropped.
+    pub fn has_room(&self) -> bool {
+        let limit = match self.used_for {
+            LinkUse::Control => MAX_CONTROL_INPUT_BYTES,
+            LinkUse::Calls | LinkUse::Answers => MAX_INPUT_BYTES,
+        };
+        self.lingering.is_some() || self.input.len() < limit
+    }
+
     /// Whether the connection is established; an error if it failed.
     pub fn is_open(&self) -> io::Result<bool> {
         if let Some(error) = self.stream.take_error()? {
@@ -77,12 +85,16 @@
         if self.opening {
             return 0;
         }
-        let before = self.sent;
-        let end = self.output.len().min(before.saturating_add(most));
-        while self.sent < end {
-            match self.stream.write(&self.output[self.sent..end]) {
+        let mut written = 0;
+        while written < most && !self.output.is_empty() {
+            let piece = self.output.front();
+            let piece = &piece[..piece.len().min(most - written)];
+            match self.stream.write(piece) {
                 Ok(0) => break,
-                Ok(count) => self.sent += count,
+                Ok(count) => {
+                    self.output.advance(count);
+                    written += count;
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // A broken connection also becomes readable, and reading reports its end.
@@ -92,11 +104,6 @@
                 }
             }
         }
-        let written = self.sent - before;
-        if self.sent == self.output.len() {
-            self.sent = 0;
-            self.output = Vec::new();
-        }
         written
     }
 
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -11,7 +11,8 @@
 use admission::{LinkState, Pacer, PacerCounts, SendUrgency};
 use bytes::BytesMut;
 use connection::Connection;
-use http1::StreamEnd;
+use http1::{Output, OutputQueue, StreamEnd};
+use mesh::MAX_FRAME_BYTES;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
@@ -38,7 +39,13 @@
 const BROKEN_WRITES_LOGGED_PER_S: u32 = 5;
 /// Tokens from this value on belong to listeners.
 const FIRST_LISTENER: usize = 1 << 30;
+/// Bytes read from a connection before it is the next one's turn.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// A connection with this many unparsed bytes is not read until some of them are taken, so that its peer is
+/// held up by the window. More than the longest message head.
+const MAX_INPUT_BYTES: usize = 64 * 1024;
+/// The same for messages of coordinators, which are parsed once they are complete.
+const MAX_CONTROL_INPUT_BYTES: usize = MAX_FRAME_BYTES + READ_BUFFER_BYTES;
 const EVENTS_CAPACITY: usize = 256;
 const MAX_ACCEPTS_PER_POLL: usize = 64;
 const MS_PER_SECOND: f64 = 1_000.0;
@@ -71,6 +78,8 @@
     /// Listeners that still have connections to accept although no further event will report them,
     /// since the poll only reports new ones.
     pending_accepts: Vec<usize>,
+    /// Connections that may have more to read although no further event will report it.
+    pending_reads: Vec<ConnectionId>,
     connections: Slab<Connection>,
     opened: u64,
     own_ip: IpAddr,
@@ -94,6 +103,7 @@
             events: Events::with_capacity(EVENTS_CAPACITY),
             listeners: Vec::new(),
             pending_accepts: Vec::new(),
+            pending_reads: Vec::new(),
             connections: Slab::new(),
             opened: 0,
             own_ip,
@@ -207,30 +217,39 @@
 
     /// Sends bytes as soon as the link and the socket allow it.
     pub fn send(&mut self, id: ConnectionId, bytes: &[u8]) {
+        let mut message = OutputQueue::default();
+        message.put(bytes);
+        self.send_message(id, message);
+    }
+
+    /// Sends a message, whose long parts are shared and not copied, as soon as the link and the socket
+    /// allow it.
+    pub fn send_message(&mut self, id: ConnectionId, message: OutputQueue) {
         let Some(connection) = self.get_mut(id) else {
             return;
         };
-        connection.output.extend_from_slice(bytes);
-        let unsent = connection.output.len() - connection.sent;
+        let length = message.len();
+        connection.output.append(message);
+        let unsent = connection.output.len();
         let Connection { remote, urgency, used_for, .. } = *connection;
         if !remote {
             connection.flush();
             return;
         }
-        self.traffic.sent += bytes.len();
-        self.sent_bytes.note(used_for, bytes.len());
+        self.traffic.sent += length;
+        self.sent_bytes.note(used_for, length);
         let now_ms = self.now_ms();
         if self.pacer.is_waiting(id) {
-            self.pacer.push(id, bytes.len(), urgency, now_ms);
+            self.pacer.push(id, length, urgency, now_ms);
             return;
         }
-        if !self.pacer.bypasses_pacing(bytes.len(), urgency) {
+        if !self.pacer.bypasses_pacing(length, urgency) {
             // Includes the unsent rest of earlier messages, which must go first.
             self.pacer.push(id, unsent, urgency, now_ms);
             self.pump();
             return;
         }
-        self.pacer.note_unpaced(bytes.len(), now_ms);
+        self.pacer.note_unpaced(length, now_ms);
         if let Some(connection) = self.get_mut(id) {
             connection.flush();
         }
@@ -347,7 +366,9 @@
     /// Waits for events, for at most `longest`.
     pub fn poll(&mut self, longest: Duration) -> Vec<NetEvent> {
         let mut net_events = Vec::new();
-        let longest = if self.pending_accepts.is_empty() { longest } else { Duration::ZERO };
+        let reads = self.take_due_reads();
+        let is_due = !self.pending_accepts.is_empty() || !reads.is_empty();
+        let longest = if is_due { Duration::ZERO } else { longest };
         if let Err(error) = self.poll.poll(&mut self.events, Some(longest)) {
             if error.kind() != io::ErrorKind::Interrupted {
                 tracing::error!(%error, "poll_failed");
@@ -362,6 +383,9 @@
                 (event.token().0, readable, event.is_writable() || event.is_error())
             })
             .collect();
+        for id in reads {
+            self.read(id, &mut net_events);
+        }
         for listener in std::mem::take(&mut self.pending_accepts) {
             self.accept(listener, &mut net_events);
         }
@@ -447,8 +471,25 @@
         }
     }
 
+    /// Takes the connections that may have more to read and room for it.
+    fn take_due_reads(&mut self) -> Vec<ConnectionId> {
+        let (mut due, mut waiting) = (Vec::new(), Vec::new());
+        for id in std::mem::take(&mut self.pending_reads) {
+            match self.get_mut(id).map(|connection| connection.has_room()) {
+                Some(true) => due.push(id),
+                Some(false) => waiting.push(id),
+                None => {}
+            }
+        }
+        self.pending_reads = waiting;
+        due
+    }
+
+    /// Reads what has arrived on a connection, up to a bound; the rest is read in a later turn.
     fn read(&mut self, id: ConnectionId, net_events: &mut Vec<NetEvent>) {
-        let Some(connection) = self.connections.get_mut(id.index) else {
+        let found = self.connections.get_mut(id.index);
+        let Some(connection) = found.filter(|connection| connection.generation == id.generation)
+        else {
             return;
         };
         if connection.ended {
@@ -458,6 +499,12 @@
         let mut received_bytes = 0;
         let mut read_failed = false;
         let end = loop {
+            if received_bytes >= READ_BUFFER_BYTES || !connection.has_room() {
+                if !self.pending_reads.contains(&id) {
+                    self.pending_reads.push(id);
+                }
+                break None;
+            }
             match connection.stream.read(&mut self.read_buffer) {
                 Ok(0) => break Some(connection.write_failure.end_of_stream()),
                 Ok(count) => {
@@ -479,7 +526,7 @@
             self.broken_writes += 1;
             let now_ms = self.since.elapsed().as_millis() as u64;
             if self.broken_writes_logged.allows(now_ms) {
-                let unsent = connection.output.len() - connection.sent;
+                let unsent = connection.output.len();
                 let error = connection.write_failure.kind();
                 tracing::info!(?error, unsent, received_bytes, "connection_broken");
             }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -2,7 +2,11 @@
 
 use crate::net::{ConnectionId, LinkUse, Net, NetEvent};
 use crate::Millis;
-use http1::{Answer, Exchange, ExchangeError, ExpectedId, Request, StreamEnd};
+use bytes::Bytes;
+use http1::{
+    Answer, ByteBudget, Exchange, ExchangeError, ExpectedId, Output, OutputQueue, Request,
+    StreamEnd,
+};
 use mesh::GRANT_HEADER;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,8 +33,10 @@
 pub struct OutgoingRequest {
     /// The method, which determines the framing of the answer.
     pub method: String,
-    /// The encoded request, or only its head if its body is offered.
-    pub bytes: Vec<u8>,
+    /// The encoded head.
+    pub head: Vec<u8>,
+    /// The body, unless it is offered.
+    pub body: Bytes,
     /// The request whose body is offered and sent only as the receiver grants it.
     pub offered: Option<Rc<Request>>,
     /// The id that the answer must carry.
@@ -74,6 +80,8 @@
 #[derive(Debug)]
 pub struct Pool<K> {
     idle_limit_ms: u64,
+    /// What the bodies of answers are charged to.
+    budget: ByteBudget,
     connections: BTreeMap<ConnectionId, PooledConnection<K>>,
     by_key: BTreeMap<K, ConnectionId>,
     idle: BTreeMap<SocketAddr, Vec<ConnectionId>>,
@@ -83,9 +91,10 @@
 
 impl<K: Copy + Ord> Pool<K> {
     /// Creates a pool that keeps idle connections open for `idle_limit_ms`.
-    pub fn new(idle_limit_ms: u64) -> Self {
+    pub fn new(idle_limit_ms: u64, budget: ByteBudget) -> Self {
         Pool {
             idle_limit_ms,
+            budget,
             connections: BTreeMap::new(),
             by_key: BTreeMap::new(),
             idle: BTreeMap::new(),
@@ -103,6 +112,7 @@
         }
         match net.connect(address) {
             Ok(id) => {
+                net.set_use(id, LinkUse::Calls);
                 let state = State::Probing { since: now };
                 self.connections.insert(id, PooledConnection { address, key: None, state });
             }
@@ -125,7 +135,7 @@
         now: Millis,
     ) -> Option<PoolEnd> {
         if let Some(id) = self.take_idle(net, address) {
-            let state = send(net, id, outgoing);
+            let state = send(net, id, outgoing, &self.budget);
             self.connections.insert(id, PooledConnection { address, key: Some(key), state });
             self.by_key.insert(key, id);
             return None;
@@ -204,7 +214,9 @@
             return;
         };
         match std::mem::replace(&mut conn.state, State::Idle { since: now }) {
-            State::Opening { outgoing, .. } => conn.state = send(net, id, outgoing),
+            State::Opening { outgoing, .. } => {
+                conn.state = send(net, id, outgoing, &self.budget);
+            }
             State::Probing { .. } => {
                 self.probe_result = Some(true);
                 self.idle.entry(conn.address).or_default().push(id);
@@ -335,10 +347,14 @@
 }
 
 /// Sends a request, except for a body that is only offered.
-fn send(net: &mut Net, id: ConnectionId, outgoing: OutgoingRequest) -> State {
-    net.send(id, &outgoing.bytes);
-    let OutgoingRequest { method, expected, offered, .. } = outgoing;
+fn send(net: &mut Net, id: ConnectionId, outgoing: OutgoingRequest, budget: &ByteBudget) -> State {
+    let OutgoingRequest { method, head, body, expected, offered } = outgoing;
+    let mut message = OutputQueue::default();
+    message.put(&head);
+    message.put_shared(&body);
+    net.send_message(id, message);
     let exchange = Exchange::new(&method, expected, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES);
+    let exchange = exchange.with_budget(budget.clone());
     let unsent = offered.map(|request| UnsentBody { request, sent: 0 });
     State::Busy { exchange, unsent }
 }
@@ -354,12 +370,14 @@
         let Some(UnsentBody { request, sent }) = unsent else {
             return;
         };
-        let remaining = &request.body[*sent..];
+        let remaining = request.body.len() - *sent;
         // Sidecars of an earlier version accept the whole body at once.
-        let granted = interim.number(GRANT_HEADER).map_or(remaining.len(), |bytes| bytes as usize);
-        let piece = &remaining[..granted.min(remaining.len())];
-        net.send(id, piece);
+        let granted = interim.number(GRANT_HEADER).map_or(remaining, |bytes| bytes as usize);
+        let piece = request.body.slice(*sent..*sent + granted.min(remaining));
         *sent += piece.len();
+        let mut message = OutputQueue::default();
+        message.push(piece);
+        net.send_message(id, message);
         if *sent == request.body.len() {
             *unsent = None;
         }
--- a/crates/sidecar/src/runtime/dispatch.rs
+++ b/crates/sidecar/src/runtime/dispatch.rs
@@ -1,6 +1,6 @@
 //! Passes socket events to the decision-making parts, and carries out the actions that they return.
 
-use super::{Sidecar, Work, OWN_BODY_BYTES, OWN_HEADER_BYTES};
+use super::{Sidecar, Work, OWN_HEADER_BYTES, PEER_BODY_BYTES, REGISTRATION_BODY_BYTES};
 use crate::calls::{AttemptEnd, CallAction, Origin};
 use crate::dialect::{HeaderNames, RegistrationDialect, UpstreamStatement};
 use crate::jobs::{JobAction, Source, UpstreamEnd};
@@ -9,9 +9,10 @@
 use crate::servers::ServerKind;
 use crate::{Attempt, Millis};
 use admission::{JobId, SendUrgency};
+use bytes::Bytes;
 use http1::{
-    write_request, write_request_head, BodyLength, ExpectedId, Headers, Request, RequestHead,
-    Response, ServerLimits, Slot,
+    write_request_head, BodyLength, ExpectedId, Headers, Offer, Request, Response, ServerLimits,
+    Slot,
 };
 use mesh::{HopReply, HopRequest, HOP_HEADER};
 use std::net::SocketAddr;
@@ -31,16 +32,24 @@
     Unsized {
         attempt_id: String,
     },
+    /// There is no memory for the body.
+    Unfunded {
+        attempt_id: String,
+    },
     /// The request was not sent by a sidecar.
     Foreign,
 }
 
 impl OfferedCall {
-    fn of(head: &RequestHead, names: HeaderNames) -> Self {
+    fn of(offer: Offer<'_>, names: HeaderNames) -> Self {
+        let head = offer.head;
         let Some(hop) = head.headers.text(HOP_HEADER).and_then(HopRequest::decode) else {
             return Self::Foreign;
         };
         let attempt_id = head.headers.text(names.attempt_id).unwrap_or("-").to_owned();
+        if !offer.has_room {
+            return Self::Unfunded { attempt_id };
+        }
         match head.length {
             BodyLength::Known(bytes) => Self::Sized { attempt_id, hop, bytes },
             _ => Self::Unsized { attempt_id },
@@ -150,13 +159,16 @@
         let bytes = self.servers.body_bytes(id);
         let mut actions = self.jobs.body_arrived(id, bytes, now);
         let offer = self.servers.offer(id);
-        let offer = offer.map(|offer| (offer.slot, OfferedCall::of(offer.head, self.names)));
+        let offer = offer.map(|offer| (offer.slot, OfferedCall::of(offer, self.names)));
         if let Some((slot, call)) = offer {
             let source = Source::Peer { connection: id, slot };
             match call {
                 OfferedCall::Sized { attempt_id, hop, bytes } => {
                     actions.extend(self.jobs.offer(source, &attempt_id, &hop, bytes, now));
                 }
+                OfferedCall::Unfunded { attempt_id } => {
+                    actions.push(self.jobs.refuse_unfunded(source, &attempt_id, now));
+                }
                 OfferedCall::Unsized { attempt_id } => {
                     actions.push(self.jobs.refuse_unsized(source, &attempt_id, now));
                 }
@@ -175,10 +187,15 @@
                 body_bytes: u64::from(self.config.limits().body_bytes),
                 holds_offers: false,
             },
-            _ => ServerLimits {
+            ServerKind::Peer => ServerLimits {
                 header_bytes: OWN_HEADER_BYTES,
-                body_bytes: OWN_BODY_BYTES,
-                holds_offers: kind == ServerKind::Peer,
+                body_bytes: PEER_BODY_BYTES,
+                holds_offers: true,
+            },
+            ServerKind::Registration | ServerKind::Ready | ServerKind::Metrics => ServerLimits {
+                header_bytes: OWN_HEADER_BYTES,
+                body_bytes: REGISTRATION_BODY_BYTES,
+                holds_offers: false,
             },
         }
     }
@@ -247,20 +264,21 @@
     }
 
     pub(super) fn encode_request(&self, request: &Request, headers: &Headers) -> OutgoingRequest {
-        let mut bytes = Vec::with_capacity(request.body.len() + 512);
-        write_request(&mut bytes, &request.method, &request.target, headers, &request.body);
-        let expected = self.expected_id(request);
-        OutgoingRequest { method: request.method.clone(), bytes, offered: None, expected }
+        let Request { method, target, body, .. } = request;
+        let mut head = Vec::with_capacity(512);
+        write_request_head(&mut head, method, target, headers, body.len());
+        let (method, body) = (method.clone(), body.clone());
+        OutgoingRequest { method, head, body, offered: None, expected: self.expected_id(request) }
     }
 
     /// Builds a request whose body is sent only as the receiver grants it.
     fn encode_offer(&self, request: Rc<Request>, mut headers: Headers) -> OutgoingRequest {
         headers.set("expect", "100-continue");
         let Request { method, target, body, .. } = &*request;
-        let mut bytes = Vec::new();
-        write_request_head(&mut bytes, method, target, &headers, body.len());
-        let expected = self.expected_id(&request);
-        OutgoingRequest { method: method.clone(), bytes, expected, offered: Some(request) }
+        let mut head = Vec::new();
+        write_request_head(&mut head, method, target, &headers, body.len());
+        let (method, expected) = (method.clone(), self.expected_id(&request));
+        OutgoingRequest { method, head, body: Bytes::new(), expected, offered: Some(request) }
     }
 
     fn expected_id(&self, request: &Request) -> Option<ExpectedId> {
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -23,7 +23,7 @@
 use crate::stop::StopPlan;
 use crate::{Attempt, Millis};
 use admission::{JobId, RateLimit};
-use http1::{Response, Slot};
+use http1::{ByteBudget, Response, Slot};
 use mesh::{NodeAddress, NodeLoad, NodeRecord};
 use placement::{BudgetBounds, Locality, Regions};
 use settings::SidecarSettings;
@@ -46,7 +46,9 @@
 /// them after some seconds.
 const UPSTREAM_IDLE_MS: u64 = 4_000;
 const OWN_HEADER_BYTES: usize = 64 * 1024;
-const OWN_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const PEER_BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// A registration of an upstream has some hundred bytes; other own endpoints take no body.
+const REGISTRATION_BODY_BYTES: u64 = 64 * 1024;
 const OWN_HEADER_MS: u64 = 10_000;
 const OWN_IDLE_MS: u64 = 60_000;
 /// How long messages of the upstream wait for the coordinators' knowledge of an earlier run of this
@@ -101,6 +103,8 @@
     servers: Servers,
     peers: Pool<Attempt>,
     upstream: Pool<JobId>,
+    /// What all bodies in memory are charged to.
+    body_budget: ByteBudget,
     links: Links,
     registrar: Registrar,
     heartbeat_trust: HeartbeatTrust,
@@ -209,7 +213,8 @@
             job_metrics,
         );
         let jobs = jobs.with_poison_watch(poison.clone());
-        info!(name = %settings.name, %own, service = %settings.service, "sidecar_started");
+        let body_budget = ByteBudget::new(settings.body_budget_bytes());
+        info!(name = %settings.name, %own, body_budget = body_budget.limit(), service = %settings.service, "sidecar_started");
         warn!("connections between processes are not encrypted: plain_transport is set");
         Ok(Sidecar {
             stop: StopPlan::new(settings.stop_ms),
@@ -223,9 +228,10 @@
             sleep: SuspendDetector::default(),
             net,
             listeners,
-            servers: Servers::default(),
-            peers: Pool::new(PEER_IDLE_MS / 2),
-            upstream: Pool::new(UPSTREAM_IDLE_MS),
+            servers: Servers::new(body_budget.clone()),
+            peers: Pool::new(PEER_IDLE_MS / 2, body_budget.clone()),
+            upstream: Pool::new(UPSTREAM_IDLE_MS, body_budget.clone()),
+            body_budget,
             links,
             registrar: Registrar::default(),
             heartbeat_trust: HeartbeatTrust::default(),
@@ -356,6 +362,7 @@
             link_waiting_bytes: self.net.link_state().waiting_bytes,
             link_refusals: self.jobs.link_refusals(),
             broken_writes: self.net.broken_writes(),
+            body_bytes: self.body_budget.held(),
             cold_refusals: self.jobs.cold_refusals(),
             rate_limit: self.jobs.stated_rate(),
             rate_refusals: self.jobs.rate_refusals(),
--- a/crates/sidecar/src/runtime/registration.rs
+++ b/crates/sidecar/src/runtime/registration.rs
@@ -7,6 +7,7 @@
 use crate::net::ConnectionId;
 use crate::registrar::{is_last_word, DepartureAnswer};
 use crate::Millis;
+use bytes::Bytes;
 use http1::{Headers, Request, Response, Slot};
 use mesh::{InstanceRecord, InstanceState, KnownDeparture, LastRecord, NodeRecord};
 use tracing::{info, warn};
@@ -187,5 +188,5 @@
 fn registered() -> Response {
     let mut headers = Headers::default();
     headers.push("Content-Type", "application/json");
-    Response { status: 200, headers, body: b"{}".to_vec() }
+    Response { status: 200, headers, body: Bytes::from_static(b"{}") }
 }
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -3,7 +3,9 @@
 
 use crate::net::{ConnectionId, LinkUse, Net};
 use crate::Millis;
-use http1::{Offer, Request, Response, ServerConnection, ServerLimits, Slot};
+use http1::{
+    ByteBudget, Offer, OutputQueue, Request, Response, ServerConnection, ServerLimits, Slot,
+};
 use mesh::GRANT_HEADER;
 use std::collections::BTreeMap;
 
@@ -66,13 +68,20 @@
 #[derive(Debug, Default)]
 pub struct Servers {
     connections: BTreeMap<ConnectionId, ServedConnection>,
+    /// What the bodies of requests are charged to.
+    budget: ByteBudget,
 }
 
 impl Servers {
+    /// Creates the state without connections.
+    pub fn new(budget: ByteBudget) -> Self {
+        Servers { budget, ..Servers::default() }
+    }
+
     /// Adds a new connection.
     pub fn accepted(&mut self, net: &mut Net, id: ConnectionId, kind: ServerKind, now: Millis) {
         net.set_use(id, LinkUse::Answers);
-        let core = ServerConnection::default();
+        let core = ServerConnection::default().with_budget(self.budget.clone());
         let conn = ServedConnection { kind, core, reading: None, idle_since: now };
         self.connections.insert(id, conn);
     }
@@ -96,16 +105,18 @@
         let Some(input) = net.input(id) else {
             return Vec::new();
         };
-        let mut output = Vec::new();
+        let mut output = OutputQueue::default();
         let requests = conn.core.receive(input, limits, &mut output);
         let reading = conn.core.reading(input);
         conn.note_reading(reading, now);
         conn.idle_since = now;
         net.trim(id);
-        if !output.is_empty() {
-            net.send(id, &output);
+        let has_answered = !output.is_empty();
+        let is_quiet = conn.core.unanswered() == 0 && requests.is_empty();
+        if has_answered {
+            net.send_message(id, output);
         }
-        if conn.core.unanswered() == 0 && requests.is_empty() && !output.is_empty() {
+        if has_answered && is_quiet {
             self.finish_if_done(net, id);
         }
         requests
@@ -135,9 +146,9 @@
         let Some(conn) = self.connections.get_mut(&id) else {
             return;
         };
-        let mut output = Vec::new();
+        let mut output = OutputQueue::default();
         conn.core.allow(slot, GRANT_HEADER, bytes, &mut output);
-        net.send(id, &output);
+        net.send_message(id, output);
     }
 
     /// Answers a request; `close` ends the connection after it. Requests that were held back behind
@@ -154,10 +165,10 @@
         let Some(conn) = self.connections.get_mut(&id) else {
             return;
         };
-        let mut output = Vec::new();
+        let mut output = OutputQueue::default();
         let over = conn.core.answer(slot, response, close, &mut output);
         conn.idle_since = now;
-        net.send(id, &output);
+        net.send_message(id, output);
         if over {
             self.connections.remove(&id);
             net.finish(id);
@@ -220,9 +231,9 @@
             return;
         };
         conn.reading = None;
-        let mut output = Vec::new();
+        let mut output = OutputQueue::default();
         let over = conn.core.time_out(&mut output);
-        net.send(id, &output);
+        net.send_message(id, output);
         if over {
             self.connections.remove(&id);
             net.finish(id);
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -211,7 +211,7 @@
             method: method.to_owned(),
             target: path.to_owned(),
             headers,
-            body: Vec::new(),
+            body: bytes::Bytes::new(),
         };
         let origin = Origin { connection: self.connection(), slot: self.next_slot };
         self.calls.begin_from(initiator, origin, request, &self.config, self.now)
--- a/crates/sidecar/tests/crash.rs
+++ b/crates/sidecar/tests/crash.rs
@@ -59,7 +59,8 @@
         let mut headers = Headers::default();
         headers.push(NAMES.attempt_id, format!("id-{slot}"));
         let target = path.to_owned();
-        let request = Request { method: "GET".to_owned(), target, headers, body: Vec::new() };
+        let request =
+            Request { method: "GET".to_owned(), target, headers, body: bytes::Bytes::new() };
         let hop = HopRequest {
             deadline_ms: 1_000,
             patience_ms: 500,
--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -162,7 +162,8 @@
     headers.push(NAMES.attempt_id, format!("id-{slot}"));
     headers.push("Authorization", SECRET);
     let body = SECRET.as_bytes().to_vec();
-    let request = Request { method: "POST".to_owned(), target: "/".to_owned(), headers, body };
+    let request =
+        Request { method: "POST".to_owned(), target: "/".to_owned(), headers, body: body.into() };
     let hop = HopRequest {
         deadline_ms: 1_000,
         patience_ms: 50,
--- a/crates/sidecar/tests/drawn_ends.rs
+++ b/crates/sidecar/tests/drawn_ends.rs
@@ -160,7 +160,7 @@
             1 => {
                 if let Some(outcome) = client.read(&mut socket, random.usize(1..40)) {
                     let body = outcome.ok().map(|answer| answer.response.body);
-                    return body == script.is_complete().then_some(script.body);
+                    return body == script.is_complete().then_some(script.body.into());
                 }
             }
             _ if !arriving.is_empty() => {
--- a/crates/sidecar/tests/egress.rs
+++ b/crates/sidecar/tests/egress.rs
@@ -232,7 +232,7 @@
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "id-1");
     let (method, target) = ("GET".to_owned(), "/pack".to_owned());
-    let request = Request { method, target, headers, body: Vec::new() };
+    let request = Request { method, target, headers, body: bytes::Bytes::new() };
     jobs.begin(source, Rc::new(request), hop, now)
 }
 
--- a/crates/sidecar/tests/hedge.rs
+++ b/crates/sidecar/tests/hedge.rs
@@ -355,7 +355,7 @@
             let AttemptEnd::Replied(reply, mut response) = answered(spent_ms, 200) else {
                 panic!("not an answer");
             };
-            response.body = vec![b'x'; bytes];
+            response.body = vec![b'x'; bytes].into();
             world.calls.ended(attempt, AttemptEnd::Replied(reply, response), world.now);
         }
         world.now += 1_000;
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -71,8 +71,12 @@
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
     headers.push(NAMES.expect_instance, "forged");
-    let request =
-        Request { method: "GET".to_owned(), target: "/".to_owned(), headers, body: Vec::new() };
+    let request = Request {
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers,
+        body: bytes::Bytes::new(),
+    };
     Rc::new(request)
 }
 
--- a/crates/sidecar/tests/limit_fleet/mod.rs
+++ b/crates/sidecar/tests/limit_fleet/mod.rs
@@ -412,7 +412,8 @@
         headers.push(NAMES.attempt_id, id.to_string());
         headers.push(NAMES.deadline_ms, deadline.saturating_sub(now).to_string());
         let target = "/safe/x".to_owned();
-        let request = Request { method: "GET".to_owned(), target, headers, body: Vec::new() };
+        let request =
+            Request { method: "GET".to_owned(), target, headers, body: bytes::Bytes::new() };
         let origin = Origin { connection: ConnectionId::for_tests(node as u64), slot };
         let call = OpenCall { id, machine: node, sent: now, deadline, returned };
         self.open.insert(slot, call);
--- a/crates/sidecar/tests/offers.rs
+++ b/crates/sidecar/tests/offers.rs
@@ -131,7 +131,12 @@
     headers.push(NAMES.attempt_id, "7");
     headers.push("expect", "100-continue");
     let body = vec![0; BODY_BYTES as usize];
-    Rc::new(Request { method: "POST".to_owned(), target: "/".to_owned(), headers, body })
+    Rc::new(Request {
+        method: "POST".to_owned(),
+        target: "/".to_owned(),
+        headers,
+        body: body.into(),
+    })
 }
 
 #[test]
--- a/crates/sidecar/tests/poison_fleet/mod.rs
+++ b/crates/sidecar/tests/poison_fleet/mod.rs
@@ -94,7 +94,7 @@
         method: "GET".to_owned(),
         target: "/poison".to_owned(),
         headers: Headers::default(),
-        body: Vec::new(),
+        body: bytes::Bytes::new(),
     }
 }
 
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -173,7 +173,7 @@
         headers.push(NAMES.attempt_id, "id.1");
         headers.push(NAMES.tenant, "a");
         let (method, target) = ("GET".to_owned(), path.to_owned());
-        let request = Request { method, target, headers, body: Vec::new() };
+        let request = Request { method, target, headers, body: bytes::Bytes::new() };
         let origin = sidecar::Origin { connection: world.connection(), slot };
         let (config, now) = (&world.config, world.now);
         let initiator = sidecar::Initiator::LocalRun;
@@ -191,7 +191,7 @@
         headers.push(NAMES.attempt_id, "id");
         headers.push(NAMES.api_key, key);
         let (method, target) = ("GET".to_owned(), "/safe/1".to_owned());
-        let request = Request { method, target, headers, body: Vec::new() };
+        let request = Request { method, target, headers, body: bytes::Bytes::new() };
         let origin = sidecar::Origin { connection: world.connection(), slot: 7 };
         status(&world.calls.begin(origin, request, &world.config, world.now))
     };
@@ -500,7 +500,7 @@
             headers.push(NAMES.tenant, *tenant);
         }
         let (method, target) = ("GET".to_owned(), "/".to_owned());
-        let request = Rc::new(Request { method, target, headers, body: Vec::new() });
+        let request = Rc::new(Request { method, target, headers, body: bytes::Bytes::new() });
         let source = Source::Peer { connection: world.connection(), slot };
         actions.extend(jobs.begin(source, request, &hop, 0));
     }
--- a/crates/sidecar/tests/transit.rs
+++ b/crates/sidecar/tests/transit.rs
@@ -110,8 +110,12 @@
 fn begin(jobs: &mut Jobs, slot: u64, deadline_ms: u64, sent: u64, now: u64) -> Vec<JobAction> {
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
-    let request =
-        Request { method: "GET".to_owned(), target: "/".to_owned(), headers, body: Vec::new() };
+    let request = Request {
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers,
+        body: bytes::Bytes::new(),
+    };
     jobs.begin(source(slot), Rc::new(request), &hop(deadline_ms, sent), now)
 }
 
--- a/crates/sidecar/tests/trial.rs
+++ b/crates/sidecar/tests/trial.rs
@@ -58,8 +58,12 @@
     };
     let mut headers = Headers::default();
     headers.push(NAMES.attempt_id, "7");
-    let request =
-        Request { method: "GET".to_owned(), target: "/".to_owned(), headers, body: Vec::new() };
+    let request = Request {
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers,
+        body: bytes::Bytes::new(),
+    };
     let source = Source::Peer { connection: ConnectionId::for_tests(1), slot };
     jobs.begin(source, Rc::new(request), &hop, now)
 }
