Trailers and interim answers without end are cut off

Could be seen: a server in trouble sends trailers of a chunked body, or interim answers, without end; they are read until the call's deadline, as are trailers of a client until its time is over.

Cause: trailer bytes were counted and compared only when a body byte came; interim answers were counted nowhere.

Change: trailers count towards the longest body, interim answers that nobody asked for towards the longest head. A peer that takes an offered body piece by piece may grant without a limit (64 MB are 8,192 grants).

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -52,7 +52,7 @@
 pub struct BodyDecoder {
     state: State,
     max_bytes: u64,
-    /// Body and trailer bytes so far; checked against `max_bytes` as body bytes are taken.
+    /// Body and trailer bytes so far, at most `max_bytes`.
     decoded_bytes: u64,
 }
 
@@ -136,6 +136,7 @@
                     Some(line) if line.is_empty() => self.state = State::Done,
                     Some(line) => {
                         self.decoded_bytes += line.len() as u64;
+                        ensure!(self.decoded_bytes <= self.max_bytes, TooLongSnafu);
                         ensure!(line.contains(&b':'), MalformedSnafu);
                     }
                 },
--- a/crates/http1/src/exchange.rs
+++ b/crates/http1/src/exchange.rs
@@ -81,6 +81,10 @@
     phase: Phase,
     response_started: bool,
     interim: Vec<Headers>,
+    /// Whether the peer answers with an interim response for each part of the body that it takes.
+    expects_grants: bool,
+    /// Length of the interim responses that nothing asked for, in bytes.
+    interim_bytes: usize,
     budget: ByteBudget,
 }
 
@@ -101,6 +105,8 @@
             phase: Phase::Head,
             response_started: false,
             interim: Vec::new(),
+            expects_grants: false,
+            interim_bytes: 0,
             budget: ByteBudget::default(),
         }
     }
@@ -110,6 +116,11 @@
         Exchange { budget, ..self }
     }
 
+    /// Expects any number of `100 Continue` responses, which allow to send parts of the body.
+    pub fn with_grants(self) -> Self {
+        Exchange { expects_grants: true, ..self }
+    }
+
     /// Parses received bytes; `None` while the response is incomplete.
     pub fn receive(&mut self, input: &mut BytesMut) -> Result<Option<Answer>, ExchangeError> {
         loop {
@@ -123,7 +134,7 @@
                         return Ok(None);
                     };
                     let _ = input.split_to(length);
-                    self.phase = self.after_head(head)?;
+                    self.phase = self.after_head(head, length)?;
                 }
                 Phase::Body { head, mut decoder, mut body, foreign } => {
                     if !decoder.take(input, &mut body).map_err(body_error)? {
@@ -159,8 +170,15 @@
         }
     }
 
-    fn after_head(&mut self, head: ResponseHead) -> Result<Phase, ExchangeError> {
+    fn after_head(&mut self, head: ResponseHead, length: usize) -> Result<Phase, ExchangeError> {
         if head.status < FIRST_FINAL_STATUS {
+            // Interim responses without end never lead to a final one.
+            if !(self.expects_grants && head.status == CONTINUE) {
+                self.interim_bytes += length;
+                if self.interim_bytes > self.max_head_bytes {
+                    return Err(ExchangeError::TooLong);
+                }
+            }
             // Bounded, so that a peer that keeps sending interim responses cannot exhaust memory.
             if head.status == CONTINUE && self.interim.len() < MAX_INTERIM {
                 self.interim.push(head.headers);
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -355,6 +355,7 @@
     net.send_message(id, message);
     let exchange = Exchange::new(&method, expected, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES);
     let exchange = exchange.with_budget(budget.clone());
+    let exchange = if offered.is_some() { exchange.with_grants() } else { exchange };
     let unsent = offered.map(|request| UnsentBody { request, sent: 0 });
     State::Busy { exchange, unsent }
 }
