A stopping coordinator does not stand for election

Cause: the stopping member is elected while it stops, hands the office over again, and its candidacies split the others' votes; nobody leads for 2.4 s of the 4 s (design 0027).

Change: Raft::retire, called when a coordinator begins to hand its vote over: it votes, but neither campaigns nor takes an office that is handed to it.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -23,7 +23,7 @@
         if self.ticks_since_leader < self.election_deadline {
             return;
         }
-        if self.votes() {
+        if self.votes() && !self.is_retiring {
             self.campaign(true, false);
         } else {
             // It cannot campaign, but knows no leader any more either: it may be cut off, or removed.
@@ -36,6 +36,11 @@
         self.membership.voters.contains(&self.config.id)
     }
 
+    /// Does not stand for election any more, since this member stops. It votes for others.
+    pub fn retire(&mut self) {
+        self.is_retiring = true;
+    }
+
     /// Becomes a follower without a known leader, to be called after the machine was asleep for longer
     /// than an election takes. No ticks passed meanwhile, and the others may have elected a leader and
     /// committed entries that this member would miss if it kept its role. Keeps term and vote.
@@ -281,7 +286,7 @@
     }
 
     fn on_timeout_now(&mut self) {
-        if self.votes() {
+        if self.votes() && !self.is_retiring {
             self.campaign(false, true);
         }
     }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -136,6 +136,8 @@
     pub(crate) election_deadline: u32,
     /// Whether no leader has been known since this member started.
     pub(crate) no_leader_yet: bool,
+    /// Whether this member stops and does not stand for election.
+    pub(crate) is_retiring: bool,
     /// Elections started in that time.
     pub(crate) early_campaigns: u32,
     pub(crate) rng: fastrand::Rng,
@@ -172,6 +174,7 @@
             ticks_since_quorum_check: 0,
             election_deadline: 0,
             no_leader_yet: true,
+            is_retiring: false,
             early_campaigns: 0,
             rng,
             round: 0,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -135,6 +135,7 @@
     Read(Reply<u64>),
     ChangeMembership(Membership, Reply<u64>),
     TransferLeadership(SyncSender<()>),
+    Retire,
 }
 
 /// Handle to a replica; clones refer to the same replica.
@@ -313,6 +314,13 @@
         answer.recv_timeout(timeout).unwrap_or(Err(unanswered))
     }
 
+    /// Does not stand for election any more, since this process stops: leadership that returns to it would
+    /// have to be handed over once more.
+    pub fn retire(&self) {
+        // A closed channel means that the process is exiting.
+        let _ = self.inputs.send(Input::Retire);
+    }
+
     /// Transfers leadership to the most up-to-date voter before a planned shutdown and waits until
     /// this replica no longer leads. Does nothing in a group with a single voter.
     pub fn transfer_leadership(&self, timeout: Duration) {
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -149,6 +149,7 @@
             Input::Propose(command, reply) => self.propose(&command, reply),
             Input::Read(reply) => self.read(reply),
             Input::ChangeMembership(next, reply) => self.change_membership(next, reply),
+            Input::Retire => self.raft.retire(),
             Input::TransferLeadership(done) => {
                 self.raft.resign();
                 let _ = done.try_send(());
@@ -456,7 +457,7 @@
 fn reject_input<M: StateMachine>(input: Input<M>) {
     let refusal = RequestError::NotLeader { leader: None };
     match input {
-        Input::Message(_) => {}
+        Input::Message(_) | Input::Retire => {}
         Input::Propose(_, reply) => {
             let _ = reply.try_send(Err(refusal));
         }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -134,6 +134,7 @@
     /// whoever leads until `deadline`, and hands the leadership over first if it is still here.
     pub fn hand_over_vote(&self, deadline: BootInstant) {
         self.stopping.store(true, Ordering::Release);
+        self.replica.retire();
         if !self.has_vote() || self.replica.lock().status.membership.learners.is_empty() {
             return;
         }
--- a/crates/coordinator/tests/simulated_membership/overlapping_stops.rs
+++ b/crates/coordinator/tests/simulated_membership/overlapping_stops.rs
@@ -47,6 +47,7 @@
                 stop.somebody_takes_it = !membership.learners.is_empty();
                 stop.handing_over_since = Some(now);
                 process.stopping = true;
+                process.raft.retire();
             }
             return false;
         };
