Departures are looked up by position, and their exchange has tests of its own

Cause: what is new was found by a look at all known departures (up to 4,096) on every turn of the link thread. Change: they are in the order of their positions, so the first new one is found by bisection. Not measured: small fleets have some tens of them.

Tests: registry.rs: departures from a position on, own and others', moving forward only; whole lists to who may have missed some, and when a coordinator knows of all.

--- a/crates/coordinator/src/departures.rs
+++ b/crates/coordinator/src/departures.rs
@@ -82,14 +82,12 @@
 
     /// The departures learned after a position, from whomever.
     pub fn since(&self, position: u64) -> Vec<KnownDeparture> {
-        let newer = self.known.iter().filter(|known| known.position > position);
-        newer.map(|known| known.departure.clone()).collect()
+        self.newer(position).map(|known| known.departure.clone()).collect()
     }
 
     /// The departures learned after a position from the coordinator's own sidecars or disk.
     pub fn own_since(&self, position: u64) -> Vec<KnownDeparture> {
-        let newer = self.known.iter().filter(|known| known.position > position);
-        let own = newer.filter(|known| known.source == Source::Own);
+        let own = self.newer(position).filter(|known| known.source == Source::Own);
         own.map(|known| known.departure.clone()).collect()
     }
 
@@ -104,6 +102,11 @@
         self.position
     }
 
+    fn newer(&self, position: u64) -> impl Iterator<Item = &Known> {
+        let first = self.known.partition_point(|known| known.position <= position);
+        self.known.range(first..)
+    }
+
     fn find(&self, incarnation: &Incarnation) -> Option<usize> {
         self.known.iter().position(|known| known.departure.incarnation.may_equal(incarnation))
     }
--- a/crates/coordinator/tests/registry.rs
+++ b/crates/coordinator/tests/registry.rs
@@ -1,8 +1,11 @@
 //! The registry of sidecars: leases, boot ids, persistent leaving states, and the changes that
 //! readers receive.
 
-use coordinator::{Contacts, Registry};
-use mesh::{HeardNode, InstanceRecord, InstanceState, NodeAddress, NodeRecord};
+use coordinator::{Contacts, DepartureExchange, Outgoing, Registry, Source};
+use mesh::{
+    CoordinatorFrame, HeardNode, InstanceRecord, InstanceState, KnownDeparture, MemberId,
+    NodeAddress, NodeRecord,
+};
 use std::net::Ipv4Addr;
 
 const LEASE_MS: u64 = 3_000;
@@ -392,3 +395,60 @@
     let last = registry.last_record(&address(1)).expect("the sidecar is known");
     assert_eq!(remaining(&last), 0);
 }
+
+/// The departures that a coordinator keeps on disk and passes on, by the position at which it learned them.
+#[test]
+fn departures_are_told_from_a_position_on_and_only_move_forward() {
+    let mut registry = Registry::new(LEASE_MS);
+    registry.report(record(1, 7, 1, Some(("i-1", InstanceState::Draining))), 0);
+    let told =
+        HeardNode { record: record(2, 7, 1, Some(("i-2", InstanceState::Left))), silent_ms: 0 };
+    registry.merge_from_peer(told, 10);
+    let ids = |departures: Vec<KnownDeparture>| -> Vec<String> {
+        departures.into_iter().map(|known| known.incarnation.id).collect()
+    };
+    let position = registry.departures().position();
+    assert_eq!(ids(registry.departures().since(0)), ["i-1", "i-2"]);
+    assert_eq!(ids(registry.departures().own_since(0)), ["i-1"], "others tell theirs themselves");
+    assert_eq!(ids(registry.departures().since(position)), [""; 0]);
+
+    registry.report(record(1, 7, 2, Some(("i-1", InstanceState::Left))), 20);
+    assert_eq!(ids(registry.departures().since(position)), ["i-1"], "it is further on");
+    let left = registry.departures().beside(&address(1));
+    assert_eq!(left.iter().map(|known| known.state).collect::<Vec<_>>(), [InstanceState::Left]);
+
+    let older = KnownDeparture { state: InstanceState::Draining, ..left[0].clone() };
+    assert!(!registry.add_departures(vec![older], Source::Peer, 30), "it never moves back");
+    assert_eq!(ids(registry.departures().recent(600_015)), ["i-1"], "long ago is not passed on");
+}
+
+/// What a coordinator tells others about departures, and when it knows of all of them.
+#[test]
+fn a_coordinator_that_missed_departures_is_told_all_of_them() {
+    let members: Vec<MemberId> =
+        (1..=3).map(|host| MemberId::first_at(Ipv4Addr::new(10, 0, 1, host))).collect();
+    let mut registry = Registry::new(LEASE_MS);
+    let mut exchange = DepartureExchange::new(members[0]);
+    registry.report(record(1, 7, 1, Some(("i-1", InstanceState::Left))), 0);
+    let told = |frames: Vec<Outgoing>| -> Vec<(MemberId, bool, usize)> {
+        let told = |(to, frame): Outgoing| match frame {
+            CoordinatorFrame::Departures { whole, departures, .. } => (to, whole, departures.len()),
+            frame => panic!("{frame:?}"),
+        };
+        frames.into_iter().map(told).collect()
+    };
+    let (behind, others) = (&members[1..2], &members[2..]);
+    let frames = exchange.due(registry.departures(), behind, others, 10);
+    assert_eq!(told(frames), [(members[1], true, 1), (members[2], false, 1)]);
+    let frames = exchange.due(registry.departures(), &[], &members[1..], 20);
+    assert_eq!(told(frames), [], "nothing is new");
+    let frames = exchange.due(registry.departures(), &members[2..], behind, 30);
+    assert_eq!(told(frames), [(members[2], true, 1)], "it may have missed some");
+
+    assert!(!exchange.is_complete(&members), "nobody has told anything");
+    exchange.heard_whole(members[1]);
+    assert!(!exchange.is_complete(&members));
+    exchange.heard_whole(members[2]);
+    assert!(exchange.is_complete(&members));
+    assert!(!exchange.is_complete(&[]), "it is not in the group yet");
+}
