A coordinator's connection may bring much behind its greeting

Change: reading pauses at the limit, what is complete is parsed, and only what is left over counts.

Tests: a_coordinator_that_sends_much_behind_its_greeting_is_heard fails on the commit before, passes; a_greeting_without_end_is_cut_off (20 connections of 6 MB, peak below 64 MB).

--- a/crates/chutecove/tests/endless.rs
+++ b/crates/chutecove/tests/endless.rs
@@ -4,6 +4,10 @@
 mod fleet;
 
 use fleet::{wait_until, Fleet, RunningProcess};
+use mesh::{
+    encode_frame, CoordinatorFrame, Greeting, NodeAddress, NodeLoad, Purpose, UpstreamLoad,
+    PROTOCOL_VERSION,
+};
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -142,6 +146,54 @@
     world.check_memory();
 }
 
+/// Bytes that a test sends to a coordinator that should not keep them.
+const FLOOD_BYTES: usize = 6 * 1024 * 1024;
+
+/// Guards against a connection to a coordinator that has said nothing and fills its memory: each could leave
+/// 8 MB there.
+#[test]
+fn a_greeting_without_end_is_cut_off() {
+    let fleet = Fleet::new(31);
+    let coordinator = fleet.start_coordinator(1, true);
+    let address = (fleet.ip(1), fleet.ports.mesh);
+    wait_until("it listens", || TcpStream::connect(address).is_ok());
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        let length = (FLOOD_BYTES as u32).to_le_bytes();
+        stream.write_all(&length).expect("sent");
+        let sent = stream.write_all(&vec![0; FLOOD_BYTES]);
+        assert!(sent.is_err(), "it took all of a greeting that is none");
+    }
+    let peak = peak_kb(&coordinator);
+    assert!(peak < 64 * 1_024, "the coordinator used {peak} kB");
+}
+
+/// Guards against a limit for greetings that shuts coordinators out: frames follow theirs at once.
+#[test]
+fn a_coordinator_that_sends_much_behind_its_greeting_is_heard() {
+    let fleet = Fleet::new(32);
+    let _coordinator = fleet.start_coordinator(1, true);
+    let address = (fleet.ip(1), fleet.ports.mesh);
+    wait_until("it listens", || TcpStream::connect(address).is_ok());
+    let greeting = Greeting {
+        protocol: PROTOCOL_VERSION,
+        fleet: "small".to_owned(),
+        purpose: Purpose::Coordinator,
+    };
+    let address_of_node = NodeAddress { ip: fleet.ip(9), port: 1 };
+    let load = NodeLoad { address: address_of_node, load: UpstreamLoad::default() };
+    let loads = CoordinatorFrame::Loads { loads: vec![load; 20_000] };
+    let mut bytes = Vec::new();
+    encode_frame(&greeting, &mut bytes);
+    encode_frame(&loads, &mut bytes);
+    assert!(bytes.len() > 256 * 1_024, "more than may wait before a greeting");
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.write_all(&bytes).expect("it is read");
+    let mut receipt = [0];
+    stream.read_exact(&mut receipt).expect("a receipt for the frame");
+    assert_eq!(receipt, *b"h");
+}
+
 /// Guards against uploads that take a sidecar above its memory: all at once, then the largest one alone,
 /// which is always served.
 #[test]
--- a/crates/coordinator/src/link_server.rs
+++ b/crates/coordinator/src/link_server.rs
@@ -76,6 +76,27 @@
     Linked(Link),
 }
 
+impl Connection {
+    /// Maximum length of the unparsed input, bytes.
+    fn max_input_bytes(&self) -> usize {
+        match self.stage {
+            Stage::AwaitingGreeting | Stage::AwaitingReport => MAX_UNLINKED_INPUT_BYTES,
+            Stage::Linked(_) => MAX_FRAME_BYTES + READ_BUFFER_BYTES,
+        }
+    }
+}
+
+/// Why reading a connection paused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadEnd {
+    /// Nothing more has arrived.
+    Drained,
+    /// The unparsed input is as long as it may be.
+    Full,
+    /// The connection ended.
+    Ended,
+}
+
 /// Result of processing the input of a connection.
 enum InputOutcome {
     KeepOpen,
@@ -248,46 +269,53 @@
     }
 
     fn read(&mut self, key: usize) {
-        let Some(connection) = self.connections.get_mut(key) else {
+        while let Some(end) = self.read_available(key) {
+            match self.process_input(key) {
+                Ok(InputOutcome::KeepOpen) if end == ReadEnd::Full && self.is_over_limit(key) => {
+                    self.close(key, "too_long");
+                }
+                Ok(InputOutcome::KeepOpen) if end == ReadEnd::Full => continue,
+                Ok(InputOutcome::KeepOpen) if end == ReadEnd::Drained => self.flush(key),
+                Ok(InputOutcome::KeepOpen) => self.close(key, "ended"),
+                Ok(InputOutcome::Close) => self.close(key, "refused"),
+                Ok(InputOutcome::IsCoordinator(greeting)) => self.hand_over(key, greeting),
+                Err(error) => {
+                    warn!(%error, "link_unreadable");
+                    self.close(key, "unreadable");
+                }
+            }
             return;
-        };
-        let mut stream_ended = false;
+        }
+    }
+
+    /// Reads until the socket would block, or until there is more than a connection may leave unparsed.
+    fn read_available(&mut self, key: usize) -> Option<ReadEnd> {
+        let connection = self.connections.get_mut(key)?;
         loop {
+            if connection.input.len() > connection.max_input_bytes() {
+                return Some(ReadEnd::Full);
+            }
             match connection.stream.read(&mut self.read_buffer) {
-                Ok(0) => {
-                    stream_ended = true;
-                    break;
-                }
+                Ok(0) => return Some(ReadEnd::Ended),
                 Ok(count) => connection.input.extend_from_slice(&self.read_buffer[..count]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Some(ReadEnd::Drained);
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     connection.broken.get_or_insert(error);
-                    stream_ended = true;
-                    break;
+                    return Some(ReadEnd::Ended);
                 }
             }
-            let longest = match connection.stage {
-                Stage::AwaitingGreeting | Stage::AwaitingReport => MAX_UNLINKED_INPUT_BYTES,
-                Stage::Linked(_) => MAX_FRAME_BYTES,
-            };
-            if connection.input.len() > longest + READ_BUFFER_BYTES {
-                stream_ended = true;
-                break;
-            }
-        }
-        match self.process_input(key) {
-            Ok(InputOutcome::KeepOpen) if !stream_ended => self.flush(key),
-            Ok(InputOutcome::KeepOpen) => self.close(key, "ended"),
-            Ok(InputOutcome::Close) => self.close(key, "refused"),
-            Ok(InputOutcome::IsCoordinator(greeting)) => self.hand_over(key, greeting),
-            Err(error) => {
-                warn!(%error, "link_unreadable");
-                self.close(key, "unreadable");
-            }
         }
     }
 
+    /// Whether a connection left too much unparsed, though what was complete is parsed.
+    fn is_over_limit(&self, key: usize) -> bool {
+        let connection = self.connections.get(key);
+        connection.is_some_and(|connection| connection.input.len() > connection.max_input_bytes())
+    }
+
     /// Processes all complete frames of a connection.
     fn process_input(&mut self, key: usize) -> Result<InputOutcome, FrameError> {
         let Some(connection) = self.connections.get_mut(key) else {
