--- a/crates/chutecove/tests/endless.rs
+++ b/crates/chutecove/tests/endless.rs
@@ -172,7 +172,7 @@
 #[test]
 fn a_coordinator_that_sends_much_behind_its_greeting_is_heard() {
     let fleet = Fleet::new(32);
-    let _coordinator = fleet.start_coordinator(1, true);
+    let coordinator = fleet.start_coordinator(1, true);
     let address = (fleet.ip(1), fleet.ports.mesh);
     wait_until("it listens", || TcpStream::connect(address).is_ok());
     let greeting = Greeting {
@@ -187,8 +187,11 @@
     encode_frame(&greeting, &mut bytes);
     encode_frame(&loads, &mut bytes);
     assert!(bytes.len() > 256 * 1_024, "more than may wait before a greeting");
+    // All of it has arrived before the coordinator reads the greeting.
+    coordinator.signal("-STOP");
     let mut stream = TcpStream::connect(address).expect("it listens");
     stream.write_all(&bytes).expect("it is read");
+    coordinator.signal("-CONT");
     let mut receipt = [0];
     stream.read_exact(&mut receipt).expect("a receipt for the frame");
     assert_eq!(receipt, *b"h");
