Long bodies are given back to the system when they are dropped

Found by a test of its own (uploads_of_every_manner_stay_within_the_memory_and_give_it_back: in chunks, standing still, 60 of 4 MB, 200 of 60 kB, the largest one alone after each): a peak of 150,876 kB of 98,304, though the budget for bodies held.

Cause: the allocator keeps allocations below 32 MB in its heap once such a one was freed; 72 MB of bodies stayed there beside the next long one. Change: a body above 1 MB gets an allocation of 33 MB at least, which is mapped by itself; pages that nothing is written to take no memory. The budget is charged by what a body holds, no longer by its capacity.

Ruled out: bodies that are not charged (the gauge's counter is 0 after each manner: the largest one alone is served).

--- a/crates/chutecove/tests/endless.rs
+++ b/crates/chutecove/tests/endless.rs
@@ -223,3 +223,74 @@
     });
     world.check_memory();
 }
+
+/// How a client sends its upload.
+#[derive(Clone, Copy, Debug)]
+enum Manner {
+    /// In chunks, so that its length is not known.
+    Chunked,
+    /// Nine tenths of it, and then nothing.
+    StandsStill,
+    /// At once.
+    Plain,
+}
+
+/// Sends an upload and reads the status of its answer; `None` if the connection ends first.
+fn upload_in_manner(fleet: &Fleet, manner: Manner, bytes: usize) -> Option<String> {
+    let mut stream = TcpStream::connect((fleet.ip(CALLER), fleet.ports.outbound)).ok()?;
+    let framing = match manner {
+        Manner::Chunked => "Transfer-Encoding: chunked".to_owned(),
+        Manner::StandsStill | Manner::Plain => format!("Content-Length: {bytes}"),
+    };
+    let head = format!("POST /one/upload HTTP/1.1\r\nHost: fares.example\r\n{framing}\r\n\r\n");
+    stream.write_all(head.as_bytes()).ok()?;
+    let body = vec![b'u'; bytes];
+    match manner {
+        Manner::Chunked => {
+            for piece in body.chunks(64 * 1_024) {
+                stream.write_all(format!("{:x}\r\n", piece.len()).as_bytes()).ok()?;
+                stream.write_all(piece).ok()?;
+                stream.write_all(b"\r\n").ok()?;
+            }
+            stream.write_all(b"0\r\n\r\n").ok()?;
+        }
+        Manner::StandsStill => stream.write_all(&body[..bytes / 10 * 9]).ok()?,
+        Manner::Plain => stream.write_all(&body).ok()?,
+    }
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).ok().filter(|count| *count > 0)?;
+    Some(line.split(' ').nth(1)?.to_owned())
+}
+
+/// Guards against bodies that are counted only by a length in their head, that keep their room for ever, or
+/// that are too small to be counted.
+#[test]
+fn uploads_of_every_manner_stay_within_the_memory_and_give_it_back() {
+    let world = World::start(33);
+    for (manner, clients, bytes) in [
+        (Manner::Chunked, 5, LARGEST_BYTES),
+        (Manner::StandsStill, 5, LARGEST_BYTES),
+        (Manner::Plain, 60, LARGEST_BYTES / 16),
+        (Manner::Plain, 200, 60 * 1_024),
+    ] {
+        let uploads: Vec<_> = (0..clients)
+            .map(|_| {
+                let fleet = world.fleet.clone();
+                std::thread::spawn(move || upload_in_manner(&fleet, manner, bytes))
+            })
+            .collect();
+        wait_until("small calls are served meanwhile", || world.is_served());
+        for upload in uploads {
+            let status = upload.join().expect("joined");
+            let allowed = ["200", "408", "502", "503", "504"];
+            let is_told = status.as_deref().is_none_or(|status| allowed.contains(&status));
+            assert!(is_told, "{manner:?}: {status:?}");
+        }
+        wait_until("its room is given back", || {
+            let largest = vec![b'u'; LARGEST_BYTES];
+            let outcome = world.fleet.upload(CALLER, "/one/upload", &largest);
+            outcome.is_some_and(|(status, _)| status == 200)
+        });
+    }
+    world.check_memory();
+}
--- a/crates/http1/src/budget.rs
+++ b/crates/http1/src/budget.rs
@@ -12,6 +12,11 @@
 const SMALL_BODY_BYTES: u64 = 64 * 1024;
 /// Part of a budget that is left to small bodies, in bytes, so that a few long ones never keep them out.
 const LEFT_TO_SMALL_BODIES: u64 = 8 * 1024 * 1024;
+/// Bodies above this length, in bytes, get an allocation of [`MAPPED_BYTES`] at least.
+const LONG_BODY_BYTES: usize = 1024 * 1024;
+/// The C library's allocator maps what is longer than 32 MiB by itself and gives it back when it is freed. It
+/// would keep shorter allocations of many bodies in its heap. Pages that nothing is written to take no memory.
+const MAPPED_BYTES: usize = 33 * 1024 * 1024;
 /// The smallest step by which a body of unknown length grows, in bytes.
 const MIN_GROWTH: usize = 16 * 1024;
 
@@ -119,11 +124,17 @@
     pub fn reserve(&mut self, bytes: u64) -> bool {
         let reserved = self.reservation.grow_to(bytes);
         if reserved {
-            self.data.reserve_exact((bytes as usize).saturating_sub(self.data.len()));
+            self.allocate(bytes as usize);
         }
         reserved
     }
 
+    /// Makes the allocation long enough for `bytes` bytes.
+    fn allocate(&mut self, bytes: usize) {
+        let capacity = if bytes > LONG_BODY_BYTES { bytes.max(MAPPED_BYTES) } else { bytes };
+        self.data.reserve_exact(capacity.saturating_sub(self.data.len()));
+    }
+
     /// Bytes received so far.
     pub fn len(&self) -> usize {
         self.data.len()
@@ -155,7 +166,7 @@
 impl BodySink for BodyBuffer {
     fn put(&mut self, bytes: &[u8]) -> Result<(), BodyError> {
         let needed = self.data.len() + bytes.len();
-        if needed > self.data.capacity() {
+        if needed as u64 > self.reservation.bytes {
             // Grows by a quarter, since twice the length may be more than there is room for.
             let wanted = needed.max(self.data.len() + (self.data.len() / 4).max(MIN_GROWTH));
             let has_room = self.reserve(wanted as u64) || self.reserve(needed as u64);
