Sidecar and control: log what a closed connection leaves unanswered, unsent and unread, and who holds an order

No decision is changed; counting what the kernel holds unread at the exit takes it off the sockets. Checked: cargo test -p sidecar -p control, clippy.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -113,6 +113,12 @@
         self.membership.voters.iter().filter(is_behind).copied().collect()
     }
 
+    /// The other members whose disks are known to hold the log up to `index`.
+    pub fn held_by(&self, index: u64) -> Vec<u64> {
+        let holds = |(_, held): &(&u64, &u64)| **held >= index;
+        self.matched.iter().filter(holds).map(|(member, _)| *member).collect()
+    }
+
     /// The leader, if one is known and the status is not outdated.
     pub fn current_leader(&self) -> Option<u64> {
         self.leader.filter(|_| self.updated_at.elapsed() < MAX_STATUS_AGE)
@@ -275,10 +281,16 @@
             published = self.wait_for_change(published, left);
         }
         let is_settled = published.status.is_leader && published.status.settled >= applied;
+        let held_by = published.status.held_by(applied);
+        let membership = published.status.membership.clone();
         drop(published);
         let waited = started.elapsed();
+        let waited_ms = waited.as_millis() as u64;
+        if is_settled {
+            let Membership { voters, learners } = &membership;
+            info!(applied, ?held_by, ?voters, ?learners, waited_ms, "order_settled");
+        }
         if !is_settled || waited >= SLOW_SETTLEMENT {
-            let waited_ms = waited.as_millis() as u64;
             info!(applied, is_settled, waited_ms, ?voters_behind, "settlement_slow");
         }
         is_settled
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -36,6 +36,8 @@
     pub link_refusals: u64,
     /// Connections that broke off, as only a failed write showed.
     pub broken_writes: u64,
+    /// Requests whose connection was ended without an answer to them.
+    pub requests_dropped: u64,
     /// Bytes of the bodies in memory.
     pub body_bytes: u64,
     /// Calls refused because the upstream was cold.
@@ -75,7 +77,7 @@
 impl Metrics {
     /// Registers all metrics.
     pub fn new(registry: Registry) -> Self {
-        let definitions: [MetricDefinition; 45] = [
+        let definitions: [MetricDefinition; 46] = [
             ("calls_begun", "Calls taken in", |s| s.calls.begun as i64),
             ("calls_answered", "Answers of upstreams passed on", |s| s.calls.answered as i64),
             ("calls_refused", "Calls refused, not run", |s| s.calls.refused as i64),
@@ -107,6 +109,7 @@
             ("broken_writes", "Connections that broke off, as a failed write showed", |s| {
                 s.broken_writes as i64
             }),
+            ("requests_dropped", "Requests ended without an answer", |s| s.requests_dropped as i64),
             ("link_refusals", "Calls refused for want of the link", |s| s.link_refusals as i64),
             ("cold_refusals", "Calls a cold upstream does not bear", |s| s.cold_refusals as i64),
             ("rate_refusals", "Calls beyond the limit it states", |s| s.rate_refusals as i64),
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -6,7 +6,7 @@
 use http1::OutputQueue;
 use mio::net::TcpStream;
 use socket2::{SockRef, TcpKeepalive};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::Shutdown;
 use std::time::Duration;
 use telemetry::BootInstant;
@@ -107,6 +107,21 @@
         written
     }
 
+    /// Takes what has arrived off the socket; returns how many bytes that were.
+    pub fn drain(&mut self, buffer: &mut [u8]) -> usize {
+        let mut drained = 0;
+        while drained < MAX_INPUT_BYTES {
+            match self.stream.read(buffer) {
+                Ok(0) => break,
+                Ok(count) => drained += count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // Nothing more has arrived, or the connection is broken.
+                Err(_) => break,
+            }
+        }
+        drained
+    }
+
     /// Shuts down the sending direction. This fails harmlessly if the other side has already
     /// closed.
     pub fn shutdown_write(&self) {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -1,9 +1,11 @@
 //! The sockets of the process: a table of connections over one poll instance, with buffered output.
 
+mod closing;
 mod connection;
 mod ending;
 mod usage;
 
+pub use closing::Leftovers;
 pub use ending::WriteFailure;
 pub use usage::{LinkUse, SentBytes, Traffic};
 
@@ -37,6 +39,8 @@
 
 /// Maximum number of broken connections logged per second.
 const BROKEN_WRITES_LOGGED_PER_S: u32 = 5;
+/// Maximum number of connections logged per second that were closed with data left on them.
+const DROPPED_LOGGED_PER_S: u32 = 5;
 /// Tokens from this value on belong to listeners.
 const FIRST_LISTENER: usize = 1 << 30;
 /// Bytes read from a connection before it is the next one's turn.
@@ -90,6 +94,7 @@
     /// Connections whose end would have been read as an orderly one but for a failed write.
     broken_writes: u64,
     broken_writes_logged: LogRateLimit,
+    dropped_logged: LogRateLimit,
     since: BootInstant,
     read_buffer: Vec<u8>,
 }
@@ -112,6 +117,7 @@
             sent_bytes: SentBytes::default(),
             broken_writes: 0,
             broken_writes_logged: LogRateLimit::new(BROKEN_WRITES_LOGGED_PER_S),
+            dropped_logged: LogRateLimit::new(DROPPED_LOGGED_PER_S),
             since: BootInstant::now(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
         })
@@ -274,19 +280,6 @@
         }
     }
 
-    /// Shuts down a connection being finished once its output has been written.
-    fn end_if_finished(&mut self, id: ConnectionId) {
-        let Some(connection) = self.get_mut(id) else {
-            return;
-        };
-        if connection.lingering.is_some() && connection.output.is_empty() {
-            connection.shutdown_write();
-            if connection.ended {
-                self.close(id);
-            }
-        }
-    }
-
     /// Time until the link has room for the next waiting message, in milliseconds; `None` if no
     /// message waits.
     pub fn due_in_ms(&self) -> Option<u64> {
@@ -312,57 +305,6 @@
         self.connections.iter().any(|(_, connection)| !connection.output.is_empty())
     }
 
-    /// Closes a connection immediately.
-    pub fn close(&mut self, id: ConnectionId) {
-        if self.get_mut(id).is_none() {
-            return;
-        }
-        self.pacer.remove(id);
-        if let Some(mut connection) = self.connections.try_remove(id.index) {
-            if let Err(error) = self.poll.registry().deregister(&mut connection.stream) {
-                // The socket is closed anyway, which removes it from the poll.
-                tracing::debug!(%error, "socket_not_deregistered");
-            }
-        }
-    }
-
-    /// Closes a connection gracefully: its output is written first, followed by the end of the
-    /// stream. The connection is dropped when the other side closes it too, or by [`Net::sweep`].
-    pub fn finish(&mut self, id: ConnectionId) {
-        let Some(connection) = self.get_mut(id) else {
-            return;
-        };
-        connection.lingering = Some(BootInstant::now());
-        connection.input = BytesMut::new();
-        if !self.pacer.is_waiting(id) {
-            if let Some(connection) = self.get_mut(id) {
-                connection.flush();
-            }
-        }
-        self.end_if_finished(id);
-    }
-
-    /// Drops connections that were finished more than `longest` ago and that the other side has not
-    /// closed.
-    pub fn sweep(&mut self, longest: Duration) {
-        // Output that waits for the link does not mean that the peer has stopped reading.
-        let is_stale = |index: usize, connection: &Connection| {
-            let id = ConnectionId { index, generation: connection.generation };
-            let waits = self.pacer.is_waiting(id) && !connection.ended;
-            !waits && connection.lingering.is_some_and(|since| since.elapsed() > longest)
-        };
-        let of = |(index, connection): (usize, &Connection)| ConnectionId {
-            index,
-            generation: connection.generation,
-        };
-        let found =
-            self.connections.iter().filter(|(index, connection)| is_stale(*index, connection));
-        let ids: Vec<ConnectionId> = found.map(of).collect();
-        for id in ids {
-            self.close(id);
-        }
-    }
-
     /// Waits for events, for at most `longest`.
     pub fn poll(&mut self, longest: Duration) -> Vec<NetEvent> {
         let mut net_events = Vec::new();
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -141,7 +141,7 @@
     while !sidecar.should_exit(stop) {
         sidecar.run_once(reload);
     }
-    info!("sidecar_stopped");
+    sidecar.log_exit();
     Ok(())
 }
 
@@ -362,6 +362,7 @@
             link_waiting_bytes: self.net.link_state().waiting_bytes,
             link_refusals: self.jobs.link_refusals(),
             broken_writes: self.net.broken_writes(),
+            requests_dropped: self.servers.dropped(),
             body_bytes: self.body_budget.held(),
             cold_refusals: self.jobs.cold_refusals(),
             rate_limit: self.jobs.stated_rate(),
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -3,6 +3,7 @@
 use super::{Sidecar, Work};
 use crate::dialect::RegistrationDialect;
 use crate::jobs::Source;
+use crate::net::Leftovers;
 use crate::stop::{Activity, StopPhase};
 use crate::Millis;
 use std::time::Duration;
@@ -36,6 +37,18 @@
         }
     }
 
+    /// Logs what the process leaves behind: requests without an answer, and data on its sockets.
+    pub(super) fn log_exit(&mut self) {
+        let in_flight = self.calls.in_flight();
+        let (reading, dropped) = (self.servers.partial_calls(), self.servers.dropped());
+        let left = self.net.leftovers();
+        let Leftovers { connections, finishing, unsent_bytes, unread_bytes } = left;
+        info!(
+            in_flight,
+            reading, dropped, connections, finishing, unsent_bytes, unread_bytes, "sidecar_stopped"
+        );
+    }
+
     /// Polls the sockets once more: a call that arrived since the last poll, or on a connection
     /// accepted in it, must not be lost unread.
     fn poll_more_events(&mut self) -> bool {
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -70,6 +70,7 @@
     connections: BTreeMap<ConnectionId, ServedConnection>,
     /// What the bodies of requests are charged to.
     budget: ByteBudget,
+    dropped: u64,
 }
 
 impl Servers {
@@ -124,10 +125,8 @@
 
     /// Finishes a connection whose input could not be parsed, after the error has been answered.
     fn finish_if_done(&mut self, net: &mut Net, id: ConnectionId) {
-        let over = self.connections.get(&id).is_some_and(|conn| conn.core.is_over());
-        if over {
-            self.connections.remove(&id);
-            net.finish(id);
+        if self.connections.get(&id).is_some_and(|conn| conn.core.is_over()) {
+            self.finish(net, id);
         }
     }
 
@@ -170,9 +169,26 @@
         conn.idle_since = now;
         net.send_message(id, output);
         if over {
-            self.connections.remove(&id);
-            net.finish(id);
+            self.finish(net, id);
+        }
+    }
+
+    /// Ends a connection after its output. Requests without an answer, if any, get none.
+    fn finish(&mut self, net: &mut Net, id: ConnectionId) {
+        let Some(conn) = self.connections.remove(&id) else {
+            return;
+        };
+        let unanswered = conn.core.unanswered();
+        if unanswered > 0 {
+            self.dropped += unanswered as u64;
+            tracing::info!(kind = ?conn.kind, unanswered, "requests_dropped");
         }
+        net.finish(id);
+    }
+
+    /// Number of requests whose connection was ended without an answer to them.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
     }
 
     /// Removes a connection that the other side ended; returns true if it was a server connection.
@@ -206,8 +222,7 @@
             self.time_out(net, id);
         }
         for id in idle {
-            self.connections.remove(&id);
-            net.finish(id);
+            self.finish(net, id);
         }
     }
 
@@ -235,8 +250,7 @@
         let over = conn.core.time_out(&mut output);
         net.send_message(id, output);
         if over {
-            self.connections.remove(&id);
-            net.finish(id);
+            self.finish(net, id);
         }
     }
 }
