--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -282,8 +282,13 @@
         version: u64,
         marker: &str,
     ) -> Option<u16> {
+        self.put_document(host, expected, &configuration(version, marker))
+    }
+
+    /// Sends a document as the configuration and follows redirects to the leader; returns the status.
+    pub fn put_document(&self, host: u8, expected: u64, document: &Value) -> Option<u16> {
         let mut url = format!("http://{}:{}/v1/configuration", self.ip(host), self.ports.api);
-        let body = configuration(version, marker).to_string();
+        let body = document.to_string();
         for _ in 0..3 {
             let request = agent().put(&url).header("If-Match", expected.to_string());
             let answer = request.send(&body).ok()?;
--- /dev/null
+++ b/crates/chutecove/tests/lost_requests.rs
@@ -0,0 +1,207 @@
+//! Requests that were read and passed on end with a complete answer: pipelined ones, ones whose upstream or
+//! caller reads late, and ones on a connection that is being closed, at a planned stop and without one.
+
+mod fleet;
+
+use fleet::{configuration, wait_until, Fleet, RunningProcess};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+const CALLER: u8 = 11;
+const UPSTREAM: u8 = 12;
+const SERVICE: &str = fleet::SERVICE;
+const MS: Duration = Duration::from_millis(1);
+/// Longer than a connection whose other side is unreachable stays open, and shorter than a planned stop.
+const LATE_MS: u64 = 2_600;
+/// More than the kernel takes for a connection whose other side does not read.
+const LONG_BYTES: usize = 12 * 1_024 * 1_024;
+/// More than a kernel takes for a process that has not begun to read.
+const UPLOAD_BYTES: usize = 400_000;
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A request as an upstream reads it.
+#[derive(Default)]
+struct ReceivedHead {
+    path: String,
+    attempt_id: String,
+    body_bytes: u64,
+}
+
+/// Reads the head of a message; `None` once the connection has ended.
+fn read_head(reader: &mut impl BufRead) -> Option<ReceivedHead> {
+    let mut head = ReceivedHead::default();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Some(head);
+        }
+        match line.split_once(": ") {
+            Some((name, value)) if name.eq_ignore_ascii_case("x-chutecove-attempt-id") => {
+                value.clone_into(&mut head.attempt_id);
+            }
+            Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
+                head.body_bytes = value.parse().ok()?;
+            }
+            _ if head.path.is_empty() => line.split(' ').nth(1)?.clone_into(&mut head.path),
+            _ => {}
+        }
+    }
+}
+
+/// Starts an upstream that does as the path says: `/one/work/MS` answers after a time, `/one/late/MS` reads
+/// the body after a time, `/one/long/BYTES` answers with so many bytes. Counts what it has begun.
+fn start_upstream(fleet: &Fleet) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind((fleet.ip(UPSTREAM), fleet.ports.upstream)).expect("free");
+    let begun = Arc::new(AtomicUsize::new(0));
+    let counted = begun.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let begun = counted.clone();
+            thread::spawn(move || serve(stream, &begun));
+        }
+    });
+    begun
+}
+
+/// Serves one connection; `None` once it is closed.
+fn serve(mut stream: TcpStream, begun: &AtomicUsize) -> Option<()> {
+    // A small buffer, so that a body that is not wanted yet stays with the kernel.
+    let mut reader = BufReader::with_capacity(512, stream.try_clone().ok()?);
+    loop {
+        let head = read_head(&mut reader)?;
+        begun.fetch_add(1, Ordering::SeqCst);
+        let mut words = head.path.split('/').skip(2);
+        let (kind, number) = (words.next()?, words.next().and_then(|word| word.parse().ok()));
+        let number: u64 = number.unwrap_or(0);
+        if matches!(kind, "work" | "late") {
+            thread::sleep(number as u32 * MS);
+        }
+        std::io::copy(&mut reader.by_ref().take(head.body_bytes), &mut std::io::sink()).ok()?;
+        let body = vec![b'x'; if kind == "long" { number as usize } else { 4 }];
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Chutecove-Seal: seal\r\nX-Chutecove-Attempt-Id: {}\r\n\
+             Content-Length: {}\r\n\r\n",
+            head.attempt_id,
+            body.len()
+        );
+        stream.write_all(answer.as_bytes()).ok()?;
+        stream.write_all(&body).ok()?;
+    }
+}
+
+/// The configuration with a time-out that is longer than anything here takes.
+fn patient_configuration() -> Value {
+    let mut document = configuration(5, "one");
+    document["objects"][1]["Route"]["timeout_ms"] = json!(9_000);
+    document
+}
+
+struct World {
+    fleet: Arc<Fleet>,
+    begun: Arc<AtomicUsize>,
+    caller: RunningProcess,
+    _others: Vec<RunningProcess>,
+}
+
+impl World {
+    fn start(network: u8) -> Self {
+        let fleet = Arc::new(Fleet::new(network));
+        let mut others: Vec<_> = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
+        let begun = start_upstream(&fleet);
+        let caller = fleet.start_sidecar(CALLER, "callers");
+        others.push(fleet.start_sidecar(UPSTREAM, SERVICE));
+        wait_until("the first configuration is accepted", || {
+            fleet.put_document(2, 0, &patient_configuration()) == Some(200)
+        });
+        wait_until("the upstream registers", || fleet.register(UPSTREAM, "i-1", 1, false));
+        let world = World { fleet, begun, caller, _others: others };
+        wait_until("a call is served", || {
+            world.fleet.call(CALLER, "/one/x").is_some_and(|(status, _)| status == 200)
+        });
+        world.begun.store(0, Ordering::SeqCst);
+        world
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect((self.fleet.ip(CALLER), self.fleet.ports.outbound));
+        let stream = stream.expect("the sidecar listens");
+        stream.set_read_timeout(Some(READ_TIMEOUT)).expect("it is set");
+        stream
+    }
+
+    fn wait_until_begun(&self, count: usize) {
+        wait_until("the upstream works", || self.begun.load(Ordering::SeqCst) >= count);
+    }
+}
+
+fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: fares.example\r\nX-Chutecove-Attempt-Id: {id}\r\n\r\n")
+}
+
+/// Reads one answer; returns its status and how much of its body arrived of how much was announced.
+fn read_answer(reader: &mut impl BufRead) -> Option<(String, u64, u64)> {
+    let head = read_head(reader)?;
+    let arrived = std::io::copy(&mut reader.by_ref().take(head.body_bytes), &mut std::io::sink())
+        .unwrap_or(0);
+    Some((head.path, arrived, head.body_bytes))
+}
+
+#[test]
+fn pipelined_requests_at_work_are_answered_at_a_planned_stop() {
+    let world = World::start(35);
+    let mut stream = world.connect();
+    let requests: Vec<String> = (0..4).map(|n| get("/one/work/700", &format!("p-{n}"))).collect();
+    stream.write_all(requests.concat().as_bytes()).expect("sent");
+    world.wait_until_begun(4);
+    world.caller.signal("-TERM");
+    let mut reader = BufReader::new(stream);
+    let answers: Vec<_> = std::iter::from_fn(|| read_answer(&mut reader)).collect();
+    let statuses: Vec<&str> = answers.iter().map(|(status, ..)| status.as_str()).collect();
+    assert_eq!(statuses, ["200"; 4], "of four requests that an upstream worked on");
+}
+
+#[test]
+fn an_upload_whose_upstream_reads_late_is_answered() {
+    let world = World::start(36);
+    let mut stream = world.connect();
+    let head = format!(
+        "POST /one/late/{LATE_MS} HTTP/1.1\r\nHost: fares.example\r\n\
+         X-Chutecove-Attempt-Id: u-1\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.write_all(&vec![b'x'; UPLOAD_BYTES]).expect("sent");
+    world.wait_until_begun(1);
+    world.caller.signal("-TERM");
+    let answer = read_answer(&mut BufReader::new(stream));
+    assert_eq!(answer, Some(("200".to_owned(), 4, 4)));
+    assert_eq!(world.begun.load(Ordering::SeqCst), 1, "it ran once");
+}
+
+#[test]
+fn a_caller_that_reads_late_gets_its_whole_answer() {
+    let world = World::start(37);
+    let mut stream = world.connect();
+    stream.write_all(get(&format!("/one/long/{LONG_BYTES}"), "l-1").as_bytes()).expect("sent");
+    thread::sleep(LATE_MS as u32 * MS);
+    let answer = read_answer(&mut BufReader::new(stream));
+    assert_eq!(answer, Some(("200".to_owned(), LONG_BYTES as u64, LONG_BYTES as u64)));
+}
+
+#[test]
+fn a_caller_that_reads_late_gets_its_whole_answer_at_a_planned_stop() {
+    let world = World::start(38);
+    let mut stream = world.connect();
+    stream.write_all(get(&format!("/one/long/{LONG_BYTES}"), "l-1").as_bytes()).expect("sent");
+    world.wait_until_begun(1);
+    world.caller.signal("-TERM");
+    thread::sleep(LATE_MS as u32 * MS);
+    let answer = read_answer(&mut BufReader::new(stream));
+    assert_eq!(answer, Some(("200".to_owned(), LONG_BYTES as u64, LONG_BYTES as u64)));
+}
