http1: an answer that closes waits for the requests that were taken behind it

What callers saw: of four pipelined requests at work when the sidecar beside them got SIGTERM, one was answered; the connection closed behind it, and the upstreams ran the other three for nobody. The role proxy handled all requests of such a batch and dropped the answers. Cause: ServerConnection::answer closed behind the answer that was given with close, whatever had been taken from the connection since. Class: a decision about a connection is made for one request on it. Change: with close nothing more is taken from the connection, and the answer to the last request that was taken closes it. An answer's head is written when its turn comes, since only then is it known whether it closes. What is not taken is not waited for. Ruled out: that clients send such requests again does not help the ones that were passed on: the rule excuses only those that were not.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -68,14 +68,8 @@
 struct PendingAnswer {
     slot: Slot,
     keep_alive: bool,
-    answer: Option<EncodedAnswer>,
-}
-
-/// An answer that waits for its turn.
-#[derive(Debug)]
-struct EncodedAnswer {
-    head: Vec<u8>,
-    body: Bytes,
+    /// The answer, if it waits for its turn.
+    answer: Option<Response>,
 }
 
 /// A complete request.
@@ -272,9 +266,9 @@
         }
     }
 
-    /// Answers a request; `close` ends the connection after this answer. Answers are appended to
-    /// `output` in the order of the requests. Returns true if the connection must be closed once
-    /// `output` has been sent.
+    /// Answers a request. With `close`, no further request is taken from the connection, which ends after
+    /// the answers to those that were taken. Answers are appended to `output` in the order of the
+    /// requests. Returns true if the connection must be closed once `output` has been sent.
     pub fn answer(
         &mut self,
         slot: Slot,
@@ -286,29 +280,32 @@
         let Some(pending) = self.pending.iter_mut().find(|pending| pending.slot == slot) else {
             return self.last_answer_written;
         };
-        pending.keep_alive &= !close;
-        let persistence = match pending.keep_alive {
-            true => ConnectionPersistence::Keep,
-            false => ConnectionPersistence::Close,
-        };
         response.headers.remove_connection_headers();
-        let Response { status, headers, body } = response;
-        let mut head = Vec::with_capacity(256);
-        write_response_head(&mut head, status, &headers, body.len(), persistence);
-        pending.answer = Some(EncodedAnswer { head, body });
+        pending.answer = Some(response);
+        if close {
+            self.close_after_last();
+        }
         self.write_ready_answers(output)
     }
 
+    /// Takes no further request; the answer to the last one that was taken closes the connection. Those
+    /// before it may be at work, so that closing behind an earlier one would lose them.
+    fn close_after_last(&mut self) {
+        self.closing = true;
+        if let Some(last) = self.pending.back_mut() {
+            last.keep_alive = false;
+        }
+    }
+
     fn write_ready_answers(&mut self, output: &mut impl Output) -> bool {
         while !self.last_answer_written {
-            let Some(PendingAnswer { answer: Some(answer), keep_alive, .. }) = self.pending.front()
+            let Some(response) = self.pending.front_mut().and_then(|pending| pending.answer.take())
             else {
                 break;
             };
-            output.put(&answer.head);
-            output.put_shared(&answer.body);
+            let keep_alive = self.pending.pop_front().is_some_and(|pending| pending.keep_alive);
+            write_answer(response, keep_alive, output);
             self.last_answer_written = !keep_alive;
-            self.pending.pop_front();
         }
         self.closing |= self.last_answer_written;
         self.last_answer_written
@@ -325,9 +322,10 @@
     }
 
     /// Index of the request that is being received, from 0; `None` if no incomplete request has
-    /// arrived.
+    /// arrived, or if none is taken any more.
     pub fn reading(&self, input: &BytesMut) -> Option<u64> {
         let in_progress = match self.phase {
+            _ if self.closing => false,
             Phase::Head => !input.is_empty(),
             Phase::Body { .. } => true,
             Phase::Refused => false,
@@ -349,6 +347,18 @@
     }
 }
 
+fn write_answer(response: Response, keep_alive: bool, output: &mut impl Output) {
+    let persistence = match keep_alive {
+        true => ConnectionPersistence::Keep,
+        false => ConnectionPersistence::Close,
+    };
+    let Response { status, headers, body } = response;
+    let mut head = Vec::with_capacity(256);
+    write_response_head(&mut head, status, &headers, body.len(), persistence);
+    output.put(&head);
+    output.put_shared(&body);
+}
+
 fn head_status(error: HeadError) -> u16 {
     match error {
         HeadError::TooLong => 431,
