Sidecar: a process on this machine that reads late is not taken for an unreachable one

Cause: TCP_USER_TIMEOUT of 1.5 s. The kernel applies it to a closed window as well, although the other side lives and acknowledges each probe. Class: a limit that is meant for unreachable peers also ends connections whose peer is slow. Evidence: connection_broken error=TimedOut unsent=8652800 1.76 s after the job started; passes with 60,000 and 120,000 bytes, fails with 200,000, 360,000 and 1,000,000 (what a receiver takes before its process reads). Change: callers on this machine, and the upstream while a request beyond the smallest window is sent to it, are given 30 s; the deadline of the call ends an upload to an upstream that is silent. Peers on other machines read always and keep 1.5 s. Price: an upload over 16 KiB on a connection to the upstream that has gone silent is noticed at its deadline, not after 1.5 s.

--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -14,6 +14,9 @@
 /// Sent data that an unreachable machine has not acknowledged after this time breaks the
 /// connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for a process on this machine that may be slow to read. The kernel cannot tell one that has
+/// stopped from one that reads later, so this is longer than any call lasts.
+const LATE_READER_TIMEOUT: Duration = Duration::from_secs(30);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -34,11 +37,15 @@
     /// Priority of its messages among all that wait for the link.
     pub urgency: SendUrgency,
     pub used_for: LinkUse,
+    /// Whether the other side may leave unread what was sent, though it is reachable.
+    awaits_reader: bool,
 }
 
 impl Connection {
     pub fn new(generation: u64, stream: TcpStream, opening: bool, remote: bool) -> Self {
-        set_socket_options(&stream);
+        // Whoever connects to this machine from itself reads answers when it likes.
+        let awaits_reader = !remote && !opening;
+        set_socket_options(&stream, unacknowledged_timeout(awaits_reader));
         Connection {
             generation,
             stream,
@@ -51,6 +58,21 @@
             remote,
             urgency: SendUrgency { deferrable: true, ..SendUrgency::default() },
             used_for: LinkUse::default(),
+            awaits_reader,
+        }
+    }
+
+    /// States whether the other side may leave unread what is sent from now on. Peers on other machines
+    /// never do, and a machine that is unreachable must be noticed.
+    pub fn set_awaits_reader(&mut self, awaits_reader: bool) {
+        let awaits_reader = awaits_reader && !self.remote;
+        if self.awaits_reader == awaits_reader {
+            return;
+        }
+        self.awaits_reader = awaits_reader;
+        let timeout = Some(unacknowledged_timeout(awaits_reader));
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(timeout) {
+            tracing::debug!(%error, "socket_option_not_taken");
         }
     }
 
@@ -131,9 +153,16 @@
     }
 }
 
+fn unacknowledged_timeout(awaits_reader: bool) -> Duration {
+    match awaits_reader {
+        true => LATE_READER_TIMEOUT,
+        false => UNACKNOWLEDGED_TIMEOUT,
+    }
+}
+
 /// Sets the options by which a connection detects an unreachable peer. If an option cannot be set,
 /// the socket is used without it.
-fn set_socket_options(stream: &TcpStream) {
+fn set_socket_options(stream: &TcpStream, unacknowledged: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -141,7 +170,7 @@
         .with_retries(KEEPALIVE_PROBES);
     let options = [
         stream.set_nodelay(true),
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
+        socket.set_tcp_user_timeout(Some(unacknowledged)),
         socket.set_tcp_keepalive(&keepalive),
     ];
     for error in options.into_iter().filter_map(Result::err) {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    /// States whether the other side may leave unread what is sent on a connection from now on. A process
+    /// on this machine is then given time to read.
+    pub fn set_awaits_reader(&mut self, id: ConnectionId, awaits_reader: bool) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.set_awaits_reader(awaits_reader);
+        }
+    }
+
     /// Bytes sent to other machines since the start.
     pub fn sent_bytes(&self) -> SentBytes {
         self.sent_bytes
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -17,6 +17,10 @@
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 const MAX_ANSWER_BODY_BYTES: u64 = 64 * 1024 * 1024;
 
+/// A receiver takes this much of a request before its process reads any of it: the smallest window that
+/// systems open connections with.
+const SMALLEST_WINDOW_BYTES: usize = 16 * 1024;
+
 /// How an outgoing request ended.
 #[derive(Debug)]
 pub enum PoolEnd {
@@ -352,6 +356,8 @@
     let mut message = OutputQueue::default();
     message.put(&head);
     message.put_shared(&body);
+    // The upstream may read the body only when it begins to work on it.
+    net.set_awaits_reader(id, message.len() > SMALLEST_WINDOW_BYTES);
     net.send_message(id, message);
     let exchange = Exchange::new(&method, expected, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES);
     let exchange = exchange.with_budget(budget.clone());
