Sidecar: a connection being finished keeps what it has not sent

What callers saw: an answer beyond the kernel's buffers ended midway, if it closed its connection (as each does after SIGTERM) and the caller read it more than 1 s later. Cause: a connection being finished was dropped 1 s after the last answer was written to it, whether or not that had been sent. Class: a time that is meant for the other side's close also runs while this side is not done. Evidence: connection_dropped finishing_ms=1008 unsent=8650752. Change: the second begins once the end has been sent.

--- a/crates/sidecar/src/net/closing.rs
+++ b/crates/sidecar/src/net/closing.rs
@@ -1,6 +1,6 @@
 //! How connections are closed: at once or after their output, and what is left on them then.
 
-use super::{Connection, ConnectionId, Net};
+use super::{Connection, ConnectionId, LinkUse, Net};
 use bytes::BytesMut;
 use std::time::Duration;
 use telemetry::BootInstant;
@@ -25,6 +25,7 @@
             return;
         };
         if connection.lingering.is_some() && connection.output.is_empty() {
+            connection.lingering = Some(BootInstant::now());
             connection.shutdown_write();
             if connection.ended {
                 self.close(id);
@@ -63,27 +64,32 @@
         self.end_if_finished(id);
     }
 
-    /// Drops connections that were finished more than `longest` ago and that the other side has not
+    /// Drops connections whose end was sent more than `longest` ago and that the other side has not
     /// closed.
     pub fn sweep(&mut self, longest: Duration) {
-        // Output that waits for the link does not mean that the peer has stopped reading.
-        let is_stale = |index: usize, connection: &Connection| {
-            let id = ConnectionId { index, generation: connection.generation };
-            let waits = self.pacer.is_waiting(id) && !connection.ended;
-            !waits && connection.lingering.is_some_and(|since| since.elapsed() > longest)
+        let is_stale = |connection: &Connection| {
+            let can_send = !connection.output.is_empty() && !connection.is_broken();
+            !can_send && connection.lingering.is_some_and(|since| since.elapsed() > longest)
         };
         let of = |(index, connection): (usize, &Connection)| ConnectionId {
             index,
             generation: connection.generation,
         };
-        let found =
-            self.connections.iter().filter(|(index, connection)| is_stale(*index, connection));
+        let found = self.connections.iter().filter(|(_, connection)| is_stale(connection));
         let ids: Vec<ConnectionId> = found.map(of).collect();
         for id in ids {
             self.close(id);
         }
     }
 
+    /// Whether the other side of a connection with a client has not closed it after its last answer.
+    pub fn is_finishing(&self) -> bool {
+        let is_finishing = |connection: &Connection| {
+            connection.lingering.is_some() && connection.used_for == LinkUse::Answers
+        };
+        self.connections.iter().any(|(_, connection)| is_finishing(connection))
+    }
+
     /// What is left on the connections. Reads what has arrived in the meantime.
     pub fn leftovers(&mut self) -> Leftovers {
         let mut left = Leftovers { connections: self.connections.len(), ..Leftovers::default() };
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -29,8 +29,8 @@
     pub opening: bool,
     pub ended: bool,
     pub write_failure: WriteFailure,
-    /// Since when this side waits for the other one to close; data received in the meantime is
-    /// dropped.
+    /// Since when this side has nothing more to send than its output, or waits for the other one to close;
+    /// data received in the meantime is dropped.
     pub lingering: Option<BootInstant>,
     /// Whether the other side is on another machine.
     pub remote: bool,
@@ -85,6 +85,11 @@
         self.lingering.is_some() || self.input.len() < limit
     }
 
+    /// Whether nothing more can be sent.
+    pub fn is_broken(&self) -> bool {
+        self.ended || self.write_failure.kind().is_some()
+    }
+
     /// Whether the connection is established; an error if it failed.
     pub fn is_open(&self) -> io::Result<bool> {
         if let Some(error) = self.stream.take_error()? {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -413,12 +413,12 @@
             self.pump();
             return;
         }
-        if let Some(connection) = self.get_mut(id) {
-            connection.flush();
-            if connection.lingering.is_some() && connection.output.is_empty() {
-                connection.shutdown_write();
-            }
-        }
+        let Some(connection) = self.get_mut(id).filter(|connection| !connection.output.is_empty())
+        else {
+            return;
+        };
+        connection.flush();
+        self.end_if_finished(id);
     }
 
     /// Takes the connections that may have more to read and room for it.
