Sidecar: a stopping process exits once callers have closed behind their last answers

What callers saw: the last answer of a stopping sidecar ended midway, if its caller had sent more on the connection and had not read it yet: 128,000 of 1,048,576 bytes arrived. Cause: the process ended as soon as its own output was empty. What a caller sends to a closed socket resets the connection, and the kernel then discards what it had still to send. Class: an end decided on what this side has done, not on what the other side has got. Evidence: sidecar_stopped finishing=1 unsent_bytes=0 in each failing run. What a stop needs to know is not computed any more while no stop was requested.

--- a/crates/chutecove/tests/lost_requests.rs
+++ b/crates/chutecove/tests/lost_requests.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CALLER: u8 = 11;
 const UPSTREAM: u8 = 12;
@@ -22,6 +22,9 @@
 const LONG_BYTES: usize = 12 * 1_024 * 1_024;
 /// More than a kernel takes for a process that has not begun to read.
 const UPLOAD_BYTES: usize = 400_000;
+/// More than a receiver takes whose process does not read, and less than the kernel takes to send.
+const KERNEL_BYTES: usize = 1_024 * 1_024;
+const SHORT_BYTES: usize = 4;
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A request as an upstream reads it.
@@ -56,7 +59,8 @@
 }
 
 /// Starts an upstream that does as the path says: `/one/work/MS` answers after a time, `/one/late/MS` reads
-/// the body after a time, `/one/long/BYTES` answers with so many bytes. Counts what it has begun.
+/// the body after a time, `/one/long/BYTES/MS` answers with so many bytes after a time. Counts what it has
+/// begun.
 fn start_upstream(fleet: &Fleet) -> Arc<AtomicUsize> {
     let listener = TcpListener::bind((fleet.ip(UPSTREAM), fleet.ports.upstream)).expect("free");
     let begun = Arc::new(AtomicUsize::new(0));
@@ -78,13 +82,12 @@
         let head = read_head(&mut reader)?;
         begun.fetch_add(1, Ordering::SeqCst);
         let mut words = head.path.split('/').skip(2);
-        let (kind, number) = (words.next()?, words.next().and_then(|word| word.parse().ok()));
-        let number: u64 = number.unwrap_or(0);
-        if matches!(kind, "work" | "late") {
-            thread::sleep(number as u32 * MS);
-        }
+        let kind = words.next()?;
+        let mut number = || words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+        let body_bytes = if kind == "long" { number() } else { SHORT_BYTES };
+        thread::sleep(number() as u32 * MS);
         std::io::copy(&mut reader.by_ref().take(head.body_bytes), &mut std::io::sink()).ok()?;
-        let body = vec![b'x'; if kind == "long" { number as usize } else { 4 }];
+        let body = vec![b'x'; body_bytes];
         let answer = format!(
             "HTTP/1.1 200 OK\r\nX-Chutecove-Seal: seal\r\nX-Chutecove-Attempt-Id: {}\r\n\
              Content-Length: {}\r\n\r\n",
@@ -194,6 +197,32 @@
     assert_eq!(answer, Some(("200".to_owned(), LONG_BYTES as u64, LONG_BYTES as u64)));
 }
 
+/// Sends a request each few milliseconds until the connection is closed or a time is over. What is sent
+/// behind the last answer counts as not read.
+fn send_more(stream: &mut TcpStream, longest: Duration) {
+    let end = Instant::now() + longest;
+    for number in 0.. {
+        let request = get("/one/x", &format!("m-{number}"));
+        if Instant::now() >= end || stream.write_all(request.as_bytes()).is_err() {
+            return;
+        }
+        thread::sleep(5 * MS);
+    }
+}
+
+#[test]
+fn the_last_answer_of_a_stopping_sidecar_is_delivered_though_its_caller_sends_more() {
+    let world = World::start(39);
+    let mut stream = world.connect();
+    let path = format!("/one/long/{KERNEL_BYTES}/{LATE_MS}");
+    stream.write_all(get(&path, "l-1").as_bytes()).expect("sent");
+    world.wait_until_begun(1);
+    world.caller.signal("-TERM");
+    send_more(&mut stream, (LATE_MS + 500) as u32 * MS);
+    let answer = read_answer(&mut BufReader::new(stream));
+    assert_eq!(answer, Some(("200".to_owned(), KERNEL_BYTES as u64, KERNEL_BYTES as u64)));
+}
+
 #[test]
 fn a_caller_that_reads_late_gets_its_whole_answer_at_a_planned_stop() {
     let world = World::start(38);
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -18,12 +18,16 @@
             let (running, queued) = self.jobs.load();
             info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
         }
+        if !self.stop.has_begun() {
+            return false;
+        }
         if self.stop.close(self.calls.oldest_arrival(), now) {
             self.close_to_peers(now);
         }
         let reading = self.servers.partial_calls();
         let in_flight = self.calls.in_flight() + self.jobs.in_flight() + reading;
-        let unsent = self.net.has_unsent();
+        // Data that comes after the exit resets its connection, which discards what the kernel has not sent.
+        let unsent = self.net.has_unsent() || self.net.is_finishing();
         let activity = Activity { in_flight, last_request: self.last_request, unsent };
         match self.stop.phase(activity, now) {
             StopPhase::Running | StopPhase::Serving | StopPhase::Finishing | StopPhase::Closed => {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -58,7 +58,7 @@
     pub in_flight: usize,
     /// When the last request arrived.
     pub last_request: Millis,
-    /// Whether answers have not been sent completely.
+    /// Whether answers have not been sent completely, or callers have not closed behind their last ones.
     pub unsent: bool,
 }
 
