Tests: a disk is lost right after an acknowledgement while all other machines lose power

Drawn before the loss: nothing, a spare that may have no time to catch up, planned replacements, kills for good, a lost disk, a restart, a cut, one or two of them; then the disk of who acknowledged, or of another one, and the power of all, started again in any order.

--- a/crates/coordinator/tests/simulated_membership.rs
+++ b/crates/coordinator/tests/simulated_membership.rs
@@ -5,6 +5,8 @@
 mod overlapping_stops;
 #[path = "simulated_membership/planned_stops.rs"]
 mod planned_stops;
+#[path = "simulated_membership/power_losses.rs"]
+mod power_losses;
 #[path = "simulated_membership/unplanned_removals.rs"]
 mod unplanned_removals;
 
@@ -39,6 +41,8 @@
     ConfirmsEarly,
     /// A command is acknowledged once a quorum holds it, whether the group could bear the next loss or not.
     AcknowledgesUnsettled,
+    /// Other members are told of an entry before it is on disk.
+    TellsBeforeSync,
     /// A stopping voter ends 1.5 s after it has given its leadership away, whether its vote is taken or not.
     GivesUpSoon,
 }
