--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub use crate::core::{PreparedConfig, ProxyCore, ProxyWeakness, ReplyEffect};
 pub use chooser::{RelayAddress, RelayChooser};
+pub use local_backend::HealthEndpoint;
 pub use refusal::{Refusal, RefusalKind, HOP_HEADER};
 pub use runtime::{
     load_operator_keys, load_seal_keys, relay_address, run, unsupported_reason, ProxyError,
--- a/crates/proxy/src/local_backend.rs
+++ b/crates/proxy/src/local_backend.rs
@@ -3,6 +3,7 @@
 use crate::runtime::Shared;
 use endpoints::EndpointKey;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -15,6 +16,26 @@
     state: String,
 }
 
+/// The health endpoint of a backend.
+pub struct HealthEndpoint {
+    agent: ureq::Agent,
+    url: String,
+}
+
+impl HealthEndpoint {
+    /// The endpoint of the backend at an address.
+    pub fn new(address: SocketAddr) -> Self {
+        HealthEndpoint { agent: agent(), url: format!("http://{address}/health") }
+    }
+
+    /// Whether the backend says that it is draining. One that cannot be asked, or whose response is
+    /// incomplete, does not say so.
+    pub fn is_draining(&self) -> bool {
+        let health = fetch_health(&self.agent, &self.url);
+        health.is_some_and(|health| health.state == "draining")
+    }
+}
+
 /// Starts a polling thread for each local backend; one that is draining is reported as leaving. An
 /// unreachable backend is not: its health endpoint may be wrong or out of date, so the results of
 /// the proxy's calls decide.
@@ -24,10 +45,9 @@
         let interval = Duration::from_millis(shared.settings.health_poll_ms);
         thread::spawn(move || {
             let key = EndpointKey::new(&backend.service, backend.address);
-            let agent = agent();
-            let url = format!("http://{}/health", backend.address);
+            let endpoint = HealthEndpoint::new(backend.address);
             while !shared.stop.is_set() {
-                if fetch_health(&agent, &url).is_some_and(|health| health.state == "draining") {
+                if endpoint.is_draining() {
                     shared.observe_leaving(&key);
                 }
                 thread::sleep(interval);
--- a/crates/proxy/tests/verdicts.rs
+++ b/crates/proxy/tests/verdicts.rs
@@ -249,6 +249,91 @@
     }
 }
 
+/// Heads of responses that would be whole with their last line.
+const HEADS: [&str; 5] = [
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Field: value\r\n\r\n",
+    "HTTP/1.0 200 OK\r\n\r\n",
+    "HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+];
+
+/// Starts a backend that answers so many calls on each connection whole, and stops in the head of the next.
+fn backend_that_stops(head: &'static str, length: usize, whole: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            thread::spawn(move || {
+                for _ in 0..whole {
+                    read_until_body(&mut socket);
+                    let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+                }
+                read_until_body(&mut socket);
+                let _ = socket.write_all(&head.as_bytes()[..length]);
+            });
+        }
+    });
+    address
+}
+
+/// Sends a call without a body; returns the status and the length of the response's body.
+fn call(
+    client: &UpstreamClient,
+    address: SocketAddr,
+    method: &Method,
+    policy: SendPolicy,
+) -> Result<(u16, usize), Verdict> {
+    let headers = HeaderMap::new();
+    let (body, timeout) = (&[][..], 10 * TIMEOUT);
+    let request =
+        UpstreamRequest { method, path: "/balance", headers: &headers, body, timeout, policy };
+    let response = client.send(address, &request).map_err(|error| error.verdict)?;
+    Ok((response.status.as_u16(), response.body.len()))
+}
+
+#[test]
+fn a_head_that_stops_at_any_byte_is_no_response() {
+    let mut checked = 0;
+    for head in HEADS {
+        for length in 0..head.len() {
+            for method in [Method::GET, Method::HEAD, Method::POST] {
+                let address = backend_that_stops(head, length, 0);
+                let client = UpstreamClient::new(MAX_BODY_BYTES);
+                let stopped = call(&client, address, &method, SendPolicy::Once);
+                let what = format!("{method} {:?}", &head[..length]);
+                assert_eq!(stopped, Err(Verdict::MayHaveRun), "{what}");
+                checked += 1;
+            }
+        }
+    }
+    assert!(checked > 500, "{checked}");
+}
+
+/// On a kept connection the head stops behind a whole response; the call may then be sent once more, on
+/// another connection, and gets a whole response there.
+#[test]
+fn a_head_that_stops_behind_a_response_is_no_response() {
+    let mut stopped = 0;
+    for head in HEADS {
+        for length in 0..head.len() {
+            let address = backend_that_stops(head, length, 1);
+            let client = UpstreamClient::new(MAX_BODY_BYTES);
+            let what = &head[..length];
+            for attempt in 0..2 {
+                match call(&client, address, &Method::GET, SendPolicy::Repeatable) {
+                    Ok(whole) => assert_eq!(whole, (200, 4), "{attempt} {what:?}"),
+                    Err(verdict) => {
+                        assert_eq!((verdict, attempt), (Verdict::MayHaveRun, 1), "{what:?}");
+                        stopped += 1;
+                    }
+                }
+            }
+        }
+    }
+    assert!(stopped > 200, "{stopped} calls met a head that stops");
+}
+
 /// The late response to a call that timed out must not be returned for a later call.
 #[test]
 fn a_late_answer_never_reaches_another_call() {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,6 @@
 pub use crate::core::{RelayCore, RelayParameters, RelayWeakness};
 pub use confirmation::Ticket;
 pub use history::BundleHistory;
-pub use platform::{parse_machines, Machine, MachineState, PlatformError};
+pub use platform::{parse_machines, Machine, MachineList, MachineState, PlatformError};
 pub use runtime::{run, RelayError, RunningRelay};
 pub use session::SessionId;
--- a/crates/relay/src/platform.rs
+++ b/crates/relay/src/platform.rs
@@ -81,11 +81,10 @@
 pub(crate) fn spawn(shared: &Arc<Shared>) {
     let shared = shared.clone();
     thread::spawn(move || {
-        let agent = agent();
-        let mut version = String::new();
+        let mut list = MachineList::new(&shared.settings.platform_url);
         let interval = Duration::from_millis(shared.settings.platform_poll_ms);
         while !shared.stop.is_set() {
-            match fetch(&agent, &shared.settings.platform_url, &mut version) {
+            match list.fetch() {
                 Ok(Some(listed)) => merge_list(&shared, &listed),
                 Ok(None) => {}
                 Err(error) => debug!(%error, "platform_list_failed"),
@@ -104,24 +103,35 @@
     config.into()
 }
 
-/// Fetches the list; `None` if it is unchanged since `version`, which is updated otherwise.
-fn fetch(
-    agent: &ureq::Agent,
-    url: &str,
-    version: &mut String,
-) -> Result<Option<Vec<Endpoint>>, PlatformError> {
-    let request_error = |source| PlatformError::Request { source: Box::new(source) };
-    let mut response =
-        agent.get(url).header("If-None-Match", version.as_str()).call().map_err(request_error)?;
-    if response.status() == 304 {
-        return Ok(None);
+/// The platform's list of machines, as fetched from one address.
+pub struct MachineList {
+    agent: ureq::Agent,
+    url: String,
+    /// Entity tag of the list that was fetched last.
+    version: String,
+}
+
+impl MachineList {
+    /// A list that has not been fetched yet.
+    pub fn new(url: &str) -> Self {
+        MachineList { agent: agent(), url: url.to_owned(), version: String::new() }
+    }
+
+    /// Fetches the list; `None` if it is unchanged since it was fetched last.
+    pub fn fetch(&mut self) -> Result<Option<Vec<Endpoint>>, PlatformError> {
+        let request_error = |source| PlatformError::Request { source: Box::new(source) };
+        let request = self.agent.get(&self.url).header("If-None-Match", self.version.as_str());
+        let mut response = request.call().map_err(request_error)?;
+        if response.status() == 304 {
+            return Ok(None);
+        }
+        let etag = response.headers().get("ETag").and_then(|etag| etag.to_str().ok());
+        let etag = etag.unwrap_or_default().to_owned();
+        let text = response.body_mut().with_config().limit(MAX_LIST_BYTES).read_to_string();
+        let listed = parse_machines(&text.map_err(request_error)?)?;
+        self.version = etag;
+        Ok(Some(listed))
     }
-    let etag = response.headers().get("ETag").and_then(|etag| etag.to_str().ok());
-    let etag = etag.unwrap_or_default().to_owned();
-    let text = response.body_mut().with_config().limit(MAX_LIST_BYTES).read_to_string();
-    let listed = parse_machines(&text.map_err(request_error)?)?;
-    *version = etag;
-    Ok(Some(listed))
 }
 
 fn merge_list(shared: &Shared, listed: &[Endpoint]) {
