SIGHUP ends no role

What operators saw: a signal to reload the settings ended coordinators, control replicas, relays and proxies at once; sent to all three coordinators, no order and no read was answered any more. Sidecars and the platform's programs handled it. Cause: the handler was installed by each program for itself, and four of six had none. Class: a default of the system that each caller has to undo. Change: whoever handles the signals to stop handles this one too. Not done: coordinators, control, relays and proxies read their settings at the start only.

--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -42,6 +42,11 @@
         self.child.id()
     }
 
+    /// Whether it has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|ended| ended.is_none())
+    }
+
     /// Whether one of its last lines contains all of these.
     pub fn has_logged(&self, parts: &[&str]) -> bool {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/chutecove/tests/processes.rs
+++ b/crates/chutecove/tests/processes.rs
@@ -310,6 +310,22 @@
     assert!(!found, "control stores a secret in the clear");
 }
 
+#[test]
+fn a_signal_to_reload_ends_no_role() {
+    let fleet = Fleet::create();
+    let mut running = fleet.start_all();
+    for process in &running {
+        let id = process.0.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &id]).status().unwrap().success());
+    }
+    fleet.write_bundle(1_000);
+    fleet.roll_out(1, 0);
+    fleet.wait_in_force(1);
+    for process in running.iter_mut().rev() {
+        assert_eq!(terminate(process), Some(0));
+    }
+}
+
 #[test]
 fn keys_are_replaced_while_everything_runs() {
     let fleet = Fleet::create();
--- a/crates/telemetry/src/signal.rs
+++ b/crates/telemetry/src/signal.rs
@@ -23,12 +23,14 @@
 }
 
 impl StopSignal {
-    /// Installs the signal handlers.
+    /// Installs the signal handlers. SIGHUP, which would end the process as well, is handled and ignored;
+    /// a process that reloads its settings installs a [`ReloadSignal`] too.
     pub fn install() -> Result<Self, StopSignalError> {
         let stopped = Arc::new(AtomicBool::new(false));
         for signal in [SIGTERM, SIGINT] {
             signal_hook::flag::register(signal, stopped.clone()).context(StopSignalSnafu)?;
         }
+        ReloadSignal::install()?;
         Ok(StopSignal { stopped })
     }
 
