Soak: planned work alone, and callers that pipeline

Why: a call that is cut at a planned stop was only judged while no process was killed nearby, which is rarely so in the other profiles, and no caller of the soak sent a request before the answer to the one before it.

--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -59,6 +59,11 @@
         self.signal("TERM");
     }
 
+    /// Tells the process that its settings have changed (SIGHUP).
+    pub fn reload(&mut self) {
+        self.signal("HUP");
+    }
+
     /// Freezes the process (SIGSTOP).
     pub fn freeze(&mut self) {
         self.signal("STOP");
--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -1,9 +1,9 @@
 //! Caller threads, each of which sends calls through one sidecar. Half of them open a connection
 //! for each call and stop calling while their sidecar is not ready; the other half reuse a
-//! persistent connection until it is closed.
+//! persistent connection until it is closed, and half of these send several calls on it at once.
 
 use super::clock::{Clock, EventList};
-use super::kept::{PersistentConnection, ResponseOutcome};
+use super::kept::{KeptRequest, PersistentConnection, ResponseOutcome};
 use super::machines::{Machines, CALLERS};
 use super::operator::{BASE_HOST, BASE_PATH};
 use super::upstream::{
@@ -19,6 +19,8 @@
 
 const CALL_PAUSE_MS: std::ops::Range<u64> = 5..40;
 const POISON_PAUSE_MS: std::ops::Range<u64> = 20..120;
+/// Calls that a pipelining caller sends at once.
+const PIPELINED_CALLS: std::ops::RangeInclusive<usize> = 1..=4;
 /// Every n-th call uses a route that only one configuration version has.
 const VERSIONED_CALL_INTERVAL: u64 = 6;
 /// Every n-th call is a charge, which must not be repeated.
@@ -38,6 +40,8 @@
 struct Caller {
     /// Persistent connection; `None` for a caller that opens one per call.
     connection: Option<PersistentConnection>,
+    /// Whether it sends further calls on its connection before the first one is answered.
+    pipelines: bool,
     host: u8,
     base: String,
     next_id: Arc<AtomicU64>,
@@ -76,6 +80,7 @@
                 let connection = (number % 2 == 0).then(|| PersistentConnection::new(address));
                 let mut caller = Caller {
                     connection,
+                    pipelines: number % 4 == 0,
                     host,
                     base: format!("http://{}:{}", machines.ip(host), machines.ports.outbound),
                     next_id: next_id.clone(),
@@ -109,44 +114,83 @@
     }
 }
 
+/// A call that has not been sent.
+struct PlannedCall {
+    id: u64,
+    path: String,
+    /// Configuration version whose route it uses.
+    version: Option<u64>,
+    repeatable: bool,
+}
+
+impl PlannedCall {
+    /// Body of the call, if it has a connection of its own.
+    fn body(&self) -> Vec<u8> {
+        let is_upload =
+            !self.repeatable && self.id / CHARGE_CALL_INTERVAL % UPLOAD_CHARGE_INTERVAL == 1;
+        let bytes = if is_upload { fastrand::usize(UPLOAD_BYTES) } else { 0 };
+        (0..bytes).map(|index| (index as u64 * 7 + self.id) as u8).collect()
+    }
+
+    fn kept_request(&self) -> KeptRequest {
+        let mut headers = Headers::default();
+        headers.push("Host", BASE_HOST);
+        headers.push(ID_HEADER, self.id.to_string());
+        KeptRequest { path: self.path.clone(), headers }
+    }
+}
+
 impl Caller {
-    fn call(&mut self) {
+    fn plan(&self) -> PlannedCall {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
-        let repeatable = !id.is_multiple_of(CHARGE_CALL_INTERVAL);
+        let is_charge = id.is_multiple_of(CHARGE_CALL_INTERVAL);
         let newest = self.version.load(Ordering::SeqCst);
         let versioned = id.is_multiple_of(VERSIONED_CALL_INTERVAL) && newest > 1;
         let version = versioned.then(|| newest - fastrand::u64(0..=1));
         let path = match version {
             Some(version) => format!("/v{version}/{id}"),
-            None if repeatable => format!("{BASE_PATH}{id}"),
-            None => format!("/charge/{id}"),
+            None if is_charge => format!("/charge/{id}"),
+            None => format!("{BASE_PATH}{id}"),
         };
-        let upload = self.connection.is_none()
-            && !repeatable
-            && version.is_none()
-            && id / CHARGE_CALL_INTERVAL % UPLOAD_CHARGE_INTERVAL == 1;
-        let bytes = if upload { fastrand::usize(UPLOAD_BYTES) } else { 0 };
-        let body: Vec<u8> = (0..bytes).map(|index| (index as u64 * 7 + id) as u8).collect();
+        PlannedCall { id, path, version, repeatable: !is_charge || version.is_some() }
+    }
+
+    fn call(&mut self) {
+        let mut calls = vec![self.plan()];
+        if self.pipelines {
+            for _ in 1..fastrand::usize(PIPELINED_CALLS) {
+                calls.push(self.plan());
+            }
+            // Callers send only what may be repeated before the answer to an earlier call.
+            if calls.len() > 1 {
+                calls.retain(|call| call.repeatable);
+            }
+        }
         let sent = self.clock.now();
-        let outcome = match &mut self.connection {
+        let outcomes = match &mut self.connection {
             Some(connection) => {
-                let answer = send_on_connection(connection, id, &path);
-                self.note_statements(&answer);
-                to_outcome(answer, id, &path)
+                let requests: Vec<KeptRequest> =
+                    calls.iter().map(PlannedCall::kept_request).collect();
+                let answers = connection.get_all(&requests);
+                answers.iter().for_each(|answer| self.note_statements(answer));
+                calls.iter().zip(answers).map(|(call, answer)| to_outcome(answer, call)).collect()
             }
-            None => self.send_request(id, &path, &body),
+            None => calls.iter().map(|call| self.send_request(call)).collect::<Vec<_>>(),
         };
         let ended = self.clock.now();
-        let repeatable = repeatable || version.is_some();
-        self.observations.calls.push(Call {
-            id,
-            machine: self.host,
-            repeatable,
-            version,
-            sent,
-            ended,
-            outcome,
-        });
+        for (call, outcome) in calls.into_iter().zip(outcomes) {
+            let PlannedCall { id, version, repeatable, .. } = call;
+            let machine = self.host;
+            self.observations.calls.push(Call {
+                id,
+                machine,
+                repeatable,
+                version,
+                sent,
+                ended,
+                outcome,
+            });
+        }
     }
 
     /// Records what the answer of an upstream on the persistent connection states of the upstream.
@@ -169,13 +213,15 @@
         }
     }
 
-    fn send_request(&self, id: u64, path: &str, body: &[u8]) -> CallOutcome {
+    fn send_request(&self, call: &PlannedCall) -> CallOutcome {
+        let PlannedCall { id, path, .. } = call;
+        let body = call.body();
         let url = format!("{}{path}", self.base);
         let (agent, id_text) = (super::agent(), id.to_string());
         let result = match body.is_empty() {
             true => agent.get(url).header("Host", BASE_HOST).header(ID_HEADER, id_text).call(),
             false => {
-                agent.post(url).header("Host", BASE_HOST).header(ID_HEADER, id_text).send(body)
+                agent.post(url).header("Host", BASE_HOST).header(ID_HEADER, id_text).send(&body)
             }
         };
         match result {
@@ -191,7 +237,7 @@
                 match resp.body_mut().read_to_string() {
                     Ok(text) => CallOutcome::Answered {
                         status,
-                        body_matches: text == expected_body(id, path, body),
+                        body_matches: text == expected_body(*id, path, &body),
                     },
                     Err(_) => CallOutcome::Cut,
                 }
@@ -200,24 +246,13 @@
     }
 }
 
-fn send_on_connection(
-    connection: &mut PersistentConnection,
-    id: u64,
-    path: &str,
-) -> ResponseOutcome {
-    let mut headers = Headers::default();
-    headers.push("Host", BASE_HOST);
-    headers.push(ID_HEADER, id.to_string());
-    connection.get(path, &headers)
-}
-
-fn to_outcome(answer: ResponseOutcome, id: u64, path: &str) -> CallOutcome {
+fn to_outcome(answer: ResponseOutcome, call: &PlannedCall) -> CallOutcome {
     match answer {
         ResponseOutcome::NotConnected => CallOutcome::NotConnected,
         ResponseOutcome::ClosedBetween => CallOutcome::ClosedBetween,
         ResponseOutcome::Cut => CallOutcome::Cut,
         ResponseOutcome::Answered(response) => {
-            let body_matches = response.body == expected_body(id, path, &[]).as_bytes();
+            let body_matches = response.body == expected_body(call.id, &call.path, &[]).as_bytes();
             CallOutcome::Answered { status: response.status, body_matches }
         }
     }
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -21,7 +21,7 @@
 /// Pause between two faults on coordinators, in which their group recovers.
 const GROUP_RECOVERY: Duration = Duration::from_millis(2_500);
 /// Time after which callers that watch the readiness have stopped calling.
-const READINESS_NOTICE_DELAY: Duration = Duration::from_millis(1_500);
+pub(super) const READINESS_NOTICE_DELAY: Duration = Duration::from_millis(1_500);
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(2);
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const DRAIN_WAIT: Duration = Duration::from_millis(DRAIN_MS + 1_000);
@@ -174,9 +174,10 @@
         Ok(())
     }
 
-    fn wait_ready(&self, host: u8) {
+    pub(super) fn wait_ready(&self, host: u8) {
         let deadline = Instant::now() + READY_TIMEOUT;
-        while !self.machines.is_ready(host) && Instant::now() < deadline {
+        let is_sidecar = !COORDINATORS.contains(&host);
+        while is_sidecar && !self.machines.is_ready(host) && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(20));
         }
     }
--- a/crates/lab/src/soak/kept.rs
+++ b/crates/lab/src/soak/kept.rs
@@ -42,25 +42,92 @@
         self.stream.is_some()
     }
 
-    /// Sends a request without a body and waits for the response.
-    pub fn get(&mut self, path: &str, headers: &Headers) -> ResponseOutcome {
+    /// Sends requests without a body, each before the answer to the one before it, and waits for the
+    /// responses, which arrive in the same order.
+    pub fn get_all(&mut self, requests: &[KeptRequest]) -> Vec<ResponseOutcome> {
         let reused = self.is_open();
         let Some(mut stream) = self.stream.take().or_else(|| connect(self.address)) else {
-            return ResponseOutcome::NotConnected;
+            return requests.iter().map(|_| ResponseOutcome::NotConnected).collect();
         };
         let mut bytes = Vec::new();
-        write_request(&mut bytes, "GET", path, headers, &[]);
+        for request in requests {
+            write_request(&mut bytes, "GET", &request.path, &request.headers, &[]);
+        }
         if stream.write_all(&bytes).is_err() {
+            return requests.iter().map(|_| closed_without_response(reused)).collect();
+        }
+        let mut reader = ResponseReader { stream, input: BytesMut::new(), ended: false };
+        let mut outcomes: Vec<ResponseOutcome> = Vec::new();
+        for _ in requests {
+            // Behind another response the connection is a reused one.
+            let reused = reused || !outcomes.is_empty();
+            outcomes.push(reader.read(reused));
+        }
+        self.stream = (!reader.ended && reader.input.is_empty()).then_some(reader.stream);
+        outcomes
+    }
+}
+
+/// A request on a persistent connection.
+pub struct KeptRequest {
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Headers,
+}
+
+/// Reads the responses on a connection, one after the other.
+struct ResponseReader {
+    stream: TcpStream,
+    /// What has arrived of the next responses.
+    input: BytesMut,
+    /// Whether no further response follows.
+    ended: bool,
+}
+
+impl ResponseReader {
+    fn read(&mut self, reused: bool) -> ResponseOutcome {
+        if self.ended {
             return closed_without_response(reused);
         }
         let mut exchange = Exchange::new("GET", None, MAX_HEAD_BYTES, MAX_BODY_BYTES);
-        match read_response(&mut stream, &mut exchange) {
+        match self.read_response(&mut exchange) {
             Ok(Answer { response, reusable }) => {
-                self.stream = reusable.then_some(stream);
+                // What follows belongs to the next response.
+                self.ended = !reusable && self.input.is_empty();
                 ResponseOutcome::Answered(response)
             }
-            Err(no_bytes_received) if no_bytes_received => closed_without_response(reused),
-            Err(_) => ResponseOutcome::Cut,
+            Err(no_bytes_received) => {
+                self.ended = true;
+                match no_bytes_received {
+                    true => closed_without_response(reused),
+                    false => ResponseOutcome::Cut,
+                }
+            }
+        }
+    }
+
+    /// Reads one response. On failure, returns whether the connection closed before any byte of it.
+    fn read_response(&mut self, exchange: &mut Exchange) -> Result<Answer, bool> {
+        let mut any_received = !self.input.is_empty();
+        loop {
+            if let Some(answer) = exchange.receive(&mut self.input).map_err(|_| false)? {
+                return Ok(answer);
+            }
+            let mut buffer = [0; READ_BYTES];
+            match self.stream.read(&mut buffer) {
+                Ok(0) => {
+                    return exchange.end_of_stream(StreamEnd::Clean).map_err(|_| !any_received)
+                }
+                Ok(count) => {
+                    any_received = true;
+                    self.input.extend_from_slice(&buffer[..count]);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                // The read timed out; the connection was not closed.
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Err(false),
+                Err(_) => return Err(!any_received),
+            }
         }
     }
 }
@@ -79,26 +146,3 @@
     stream.set_nodelay(true).ok()?;
     Some(stream)
 }
-
-/// Reads the response. On failure, returns whether the connection closed before any byte of it.
-fn read_response(stream: &mut TcpStream, exchange: &mut Exchange) -> Result<Answer, bool> {
-    let mut input = BytesMut::new();
-    let mut any_received = false;
-    loop {
-        let mut buffer = [0; READ_BYTES];
-        match stream.read(&mut buffer) {
-            Ok(0) => return exchange.end_of_stream(StreamEnd::Clean).map_err(|_| !any_received),
-            Ok(count) => {
-                any_received = true;
-                input.extend_from_slice(&buffer[..count]);
-            }
-            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-            // The read timed out; the connection was not closed.
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return Err(false),
-            Err(_) => return Err(!any_received),
-        }
-        if let Some(answer) = exchange.receive(&mut input).map_err(|_| false)? {
-            return Ok(answer);
-        }
-    }
-}
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod machines;
 mod operator;
 mod options;
+mod planned;
 mod server;
 mod statements;
 mod upstream;
@@ -130,6 +131,7 @@
         FaultProfile::LostAnswers => faults.run_lost_answers(&lose_responses),
         FaultProfile::Statements => faults.run_statements(FAULTS_DURATION),
         FaultProfile::Departures => faults.run_departures(FAULTS_DURATION),
+        FaultProfile::Planned => faults.run_planned(FAULTS_DURATION),
     };
     fault_result.map_err(|error| error.to_string())?;
     let faults = std::mem::take(&mut faults.done);
--- a/crates/lab/src/soak/options.rs
+++ b/crates/lab/src/soak/options.rs
@@ -7,7 +7,7 @@
 
 const BRIEF: &str = "\
 Usage: chutecove-lab soak [--minutes N]                    fresh seeds
-       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits | --departures]
+       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits | --departures | --planned]
                                                            seeds S, S+1, ...
 
 Rounds that run at the same time need networks (1 to 200) of their own.";
@@ -26,6 +26,8 @@
     Statements,
     /// Upstreams of one machine leave while it is cut off and its sidecar is killed.
     Departures,
+    /// Stops, reloads, new versions and departures as planned, and nothing else.
+    Planned,
 }
 
 /// Which rounds are run.
@@ -62,6 +64,7 @@
         let fault_profile = match &matches {
             matches if matches.opt_present("limits") => FaultProfile::Statements,
             matches if matches.opt_present("departures") => FaultProfile::Departures,
+            matches if matches.opt_present("planned") => FaultProfile::Planned,
             matches if matches.opt_present("lose-answers") => FaultProfile::LostAnswers,
             matches if matches.opt_present("clear") => FaultProfile::RandomWithClearing,
             _ => FaultProfile::Random,
@@ -97,6 +100,7 @@
     options.optflag("", "lose-answers", "answers are lost while processes end, and nothing else");
     options.optflag("", "limits", "upstreams state limits and that they leave, in their answers");
     options.optflag("", "departures", "upstreams leave while their machine is cut off and killed");
+    options.optflag("", "planned", "stops, reloads, versions and departures as planned, no faults");
     options.optflag("h", "help", "print this text");
     options
 }
