Sidecar: a stop waits for callers and peers to close, not for who watches it

Change: only connections that carry calls are waited for. sidecar_stopped says whether the limit ended the stop (at_limit). Test: a_stop_does_not_wait_for_clients_of_the_readiness_check failed before (run with the former servers.rs), passes.

--- a/crates/sidecar/src/net/closing.rs
+++ b/crates/sidecar/src/net/closing.rs
@@ -1,6 +1,6 @@
 //! How connections are closed: at once or after their output, and what is left on them then.
 
-use super::{Connection, ConnectionId, LinkUse, Net};
+use super::{Connection, ConnectionId, Net};
 use bytes::BytesMut;
 use std::time::Duration;
 use telemetry::BootInstant;
@@ -82,12 +82,10 @@
         }
     }
 
-    /// Whether the other side of a connection with a client has not closed it after its last answer.
-    pub fn is_finishing(&self) -> bool {
-        let is_finishing = |connection: &Connection| {
-            connection.lingering.is_some() && connection.used_for == LinkUse::Answers
-        };
-        self.connections.iter().any(|(_, connection)| is_finishing(connection))
+    /// Whether a connection is open, or being finished and not closed by the other side yet.
+    pub fn is_open(&self, id: ConnectionId) -> bool {
+        let found = self.connections.get(id.index);
+        found.is_some_and(|connection| connection.generation == id.generation)
     }
 
     /// What is left on the connections. Reads what has arrived in the meantime.
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -27,7 +27,7 @@
         let reading = self.servers.partial_calls();
         let in_flight = self.calls.in_flight() + self.jobs.in_flight() + reading;
         // Data that comes after the exit resets its connection, which discards what the kernel has not sent.
-        let unsent = self.net.has_unsent() || self.net.is_finishing();
+        let unsent = self.net.has_unsent() || self.servers.awaits_close(&self.net);
         let activity = Activity { in_flight, last_request: self.last_request, unsent };
         match self.stop.phase(activity, now) {
             StopPhase::Running | StopPhase::Serving | StopPhase::Finishing | StopPhase::Closed => {
@@ -43,13 +43,21 @@
 
     /// Logs what the process leaves behind: requests without an answer, and data on its sockets.
     pub(super) fn log_exit(&mut self) {
+        let at_limit = self.stop.is_at_limit(self.now());
         let in_flight = self.calls.in_flight();
         let (reading, dropped) = (self.servers.partial_calls(), self.servers.dropped());
         let left = self.net.leftovers();
         let Leftovers { connections, finishing, unsent_bytes, unread_bytes } = left;
         info!(
+            at_limit,
             in_flight,
-            reading, dropped, connections, finishing, unsent_bytes, unread_bytes, "sidecar_stopped"
+            reading,
+            dropped,
+            connections,
+            finishing,
+            unsent_bytes,
+            unread_bytes,
+            "sidecar_stopped"
         );
     }
 
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -52,8 +52,12 @@
 }
 
 impl ServedConnection {
+    fn carries_calls(&self) -> bool {
+        matches!(self.kind, ServerKind::Caller | ServerKind::Peer)
+    }
+
     fn has_partial_call(&self) -> bool {
-        matches!(self.kind, ServerKind::Caller | ServerKind::Peer) && self.reading.is_some()
+        self.carries_calls() && self.reading.is_some()
     }
 
     /// Records which request is being received now. The timeout starts anew with each request: one
@@ -71,6 +75,8 @@
     /// What the bodies of requests are charged to.
     budget: ByteBudget,
     dropped: u64,
+    /// Connections of callers and peers that were ended here, and that they may not have closed yet.
+    finishing: Vec<ConnectionId>,
 }
 
 impl Servers {
@@ -183,9 +189,18 @@
             self.dropped += unanswered as u64;
             tracing::info!(kind = ?conn.kind, unanswered, "requests_dropped");
         }
+        if conn.carries_calls() {
+            self.finishing.push(id);
+        }
         net.finish(id);
     }
 
+    /// Whether a caller or peer has not closed its connection behind the last answer. Others, such as
+    /// clients of the readiness check, are not waited for.
+    pub fn awaits_close(&self, net: &Net) -> bool {
+        self.finishing.iter().any(|id| net.is_open(*id))
+    }
+
     /// Number of requests whose connection was ended without an answer to them.
     pub fn dropped(&self) -> u64 {
         self.dropped
@@ -202,6 +217,7 @@
 
     /// Ends connections that are too slow or have been idle for too long.
     pub fn tick(&mut self, net: &mut Net, times: impl Fn(ServerKind) -> ServerTimes, now: Millis) {
+        self.finishing.retain(|id| net.is_open(*id));
         let mut slow = Vec::new();
         let mut idle = Vec::new();
         for (id, conn) in &mut self.connections {
