Soak: core machines that are replaced for good, with and without a signal

Soon after (at any moment of 4 s after a signal, or after the acknowledgement that follows a kill) another one loses its disk.

--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -2,7 +2,9 @@
 
 use super::callers::repeat_poison;
 use super::clock::Clock;
-use super::machines::{Machines, CALLERS, COORDINATORS, DRAIN_MS, STOP_LIMIT_MS, UPSTREAMS};
+use super::machines::{
+    is_coordinator, Machines, CALLERS, COORDINATORS, DRAIN_MS, STOP_LIMIT_MS, UPSTREAMS,
+};
 use super::operator::Operator;
 use super::upstream::Upstream;
 use soak::{Fault, FaultKind, Millis};
@@ -115,7 +117,7 @@
 
     pub(super) fn record_fault(&mut self, kind: FaultKind, machine: u8, from: Millis) {
         let to = self.clock.now();
-        let coordinators = COORDINATORS.contains(&machine);
+        let coordinators = is_coordinator(machine);
         self.done.push(Fault { kind, machine, coordinators, from, to });
     }
 
@@ -176,8 +178,7 @@
 
     pub(super) fn wait_ready(&self, host: u8) {
         let deadline = Instant::now() + READY_TIMEOUT;
-        let is_sidecar = !COORDINATORS.contains(&host);
-        while is_sidecar && !self.machines.is_ready(host) && Instant::now() < deadline {
+        while !is_coordinator(host) && !self.machines.is_ready(host) && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(20));
         }
     }
--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -64,10 +64,22 @@
     }
 }
 
+/// Host number of the first machine that replaces a coordinator; the ones below the upstreams' are free.
+pub fn first_successor() -> u8 {
+    COORDINATORS[COORDINATORS.len() - 1] + 1
+}
+
+/// Whether a host runs a coordinator, one of the first or a successor.
+pub fn is_coordinator(host: u8) -> bool {
+    host < UPSTREAMS[0]
+}
+
 /// All processes of a fleet; dropping it kills them.
 pub struct Machines {
     folder: PathBuf,
     network: u8,
+    /// Hosts whose coordinators have not been removed.
+    coordinators: Vec<u8>,
     /// Ports of every machine.
     pub ports: Ports,
     processes: BTreeMap<u8, ManagedProcess>,
@@ -80,7 +92,41 @@
     pub fn new(folder: &Path, network: u8) -> Self {
         let ports = Ports::find();
         let folder = folder.to_owned();
-        Machines { folder, network, ports, processes: BTreeMap::new(), cuttable: None }
+        Machines {
+            folder,
+            network,
+            coordinators: COORDINATORS.to_vec(),
+            ports,
+            processes: BTreeMap::new(),
+            cuttable: None,
+        }
+    }
+
+    /// Hosts whose coordinators have not been removed.
+    pub fn coordinators(&self) -> &[u8] {
+        &self.coordinators
+    }
+
+    /// Addresses of the coordinators that have not been removed.
+    pub fn coordinator_addresses(&self) -> Vec<Ipv4Addr> {
+        self.coordinators.iter().map(|host| self.ip(*host)).collect()
+    }
+
+    /// Starts an empty coordinator on a host that had none.
+    pub fn add_coordinator(&mut self, host: u8) -> io::Result<()> {
+        self.coordinators.push(host);
+        self.start(host, false)
+    }
+
+    /// Removes a coordinator for good. The settings of all others name machines that exist from now on.
+    pub fn remove(&mut self, host: u8) -> io::Result<()> {
+        self.coordinators.retain(|other| *other != host);
+        self.processes.remove(&host);
+        let hosts: Vec<u8> = self.processes.keys().copied().collect();
+        for host in hosts {
+            self.write_settings(host, false)?;
+        }
+        Ok(())
     }
 
     /// Puts links that can be cut between a machine and the coordinators, before its first start.
@@ -108,7 +154,8 @@
 
     fn seeds(&self) -> String {
         let seed = |host: u8| format!("\"{}:{}\"", self.ip(host), self.ports.api);
-        COORDINATORS.map(seed).join(", ")
+        let first = self.coordinators.iter().take(COORDINATORS.len());
+        first.map(|host| seed(*host)).collect::<Vec<_>>().join(", ")
     }
 
     fn data_dir(&self, host: u8) -> PathBuf {
@@ -117,14 +164,9 @@
 
     /// Starts the process of a machine; `bootstrap` is set only for the first start of the fleet.
     pub fn start(&mut self, host: u8, bootstrap: bool) -> io::Result<()> {
-        let (role, settings) = match COORDINATORS.contains(&host) {
-            true => ("coordinator", self.coordinator_settings(host, bootstrap)),
-            false => ("sidecar", self.sidecar_settings(host)),
-        };
+        let role = role_of(host);
         let name = format!("{role}-{host}");
-        let path = self.folder.join(format!("{name}.toml"));
-        fs::write(&path, settings)?;
-        let path = path.to_string_lossy().into_owned();
+        let path = self.write_settings(host, bootstrap)?.to_string_lossy().into_owned();
         let arguments = ["product", role, "--settings", &path].map(str::to_owned);
         let log = self.folder.join(format!("{name}.log"));
         let process = ManagedProcess::start(&name, &arguments, &log)?;
@@ -132,6 +174,17 @@
         Ok(())
     }
 
+    /// Writes the settings file of a machine; returns its path.
+    fn write_settings(&self, host: u8, bootstrap: bool) -> io::Result<PathBuf> {
+        let settings = match is_coordinator(host) {
+            true => self.coordinator_settings(host, bootstrap),
+            false => self.sidecar_settings(host),
+        };
+        let path = self.folder.join(format!("{}-{host}.toml", role_of(host)));
+        fs::write(&path, settings)?;
+        Ok(path)
+    }
+
     /// Returns the process of a machine, if it has been started.
     pub fn process(&mut self, host: u8) -> Option<&mut ManagedProcess> {
         self.processes.get_mut(&host)
@@ -187,3 +240,10 @@
         )
     }
 }
+
+fn role_of(host: u8) -> &'static str {
+    match is_coordinator(host) {
+        true => "coordinator",
+        false => "sidecar",
+    }
+}
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod options;
 mod planned;
+mod removals;
 mod server;
 mod statements;
 mod upstream;
@@ -132,6 +133,7 @@
         FaultProfile::Statements => faults.run_statements(FAULTS_DURATION),
         FaultProfile::Departures => faults.run_departures(FAULTS_DURATION),
         FaultProfile::Planned => faults.run_planned(FAULTS_DURATION),
+        FaultProfile::Removals => faults.run_removals(FAULTS_DURATION),
     };
     fault_result.map_err(|error| error.to_string())?;
     let faults = std::mem::take(&mut faults.done);
--- a/crates/lab/src/soak/operator.rs
+++ b/crates/lab/src/soak/operator.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Calls these coordinators from now on.
+    pub fn call(&mut self, coordinators: Vec<Ipv4Addr>) {
+        self.coordinators = coordinators;
+    }
+
     /// Sends the next version until it is acknowledged or `timeout` has passed, and returns whether
     /// it was acknowledged. If the previous version was not acknowledged, sends that one again.
     pub fn send_next_version(&mut self, timeout: Duration) -> bool {
--- a/crates/lab/src/soak/options.rs
+++ b/crates/lab/src/soak/options.rs
@@ -7,7 +7,8 @@
 
 const BRIEF: &str = "\
 Usage: chutecove-lab soak [--minutes N]                    fresh seeds
-       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits | --departures | --planned]
+       chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits |
+                                    --departures | --planned | --removals]
                                                            seeds S, S+1, ...
 
 Rounds that run at the same time need networks (1 to 200) of their own.";
@@ -28,6 +29,8 @@
     Departures,
     /// Stops, reloads, new versions and departures as planned, and nothing else.
     Planned,
+    /// Core machines are replaced for good, with and without a signal, and disks are lost.
+    Removals,
 }
 
 /// Which rounds are run.
@@ -65,6 +68,7 @@
             matches if matches.opt_present("limits") => FaultProfile::Statements,
             matches if matches.opt_present("departures") => FaultProfile::Departures,
             matches if matches.opt_present("planned") => FaultProfile::Planned,
+            matches if matches.opt_present("removals") => FaultProfile::Removals,
             matches if matches.opt_present("lose-answers") => FaultProfile::LostAnswers,
             matches if matches.opt_present("clear") => FaultProfile::RandomWithClearing,
             _ => FaultProfile::Random,
@@ -101,6 +105,7 @@
     options.optflag("", "limits", "upstreams state limits and that they leave, in their answers");
     options.optflag("", "departures", "upstreams leave while their machine is cut off and killed");
     options.optflag("", "planned", "stops, reloads, versions and departures as planned, no faults");
+    options.optflag("", "removals", "core machines are replaced for good, and disks are lost");
     options.optflag("h", "help", "print this text");
     options
 }
