Sidecar: processes on this machine have no time limit of the kernel's to read what they were sent

Cause: for a closed window the kernel applies TCP_USER_TIMEOUT from the first time that the window was closed on the connection, if it never opened wide enough for the next segment; so the second or third short stall ends a kept connection. Seen apart from the product too: stalls of 0.6 s, 1.5 s of timeout, small receive buffer: the third request fails after 0.46 s; with usual buffers it does not. The limit of 16 KiB below which 1.5 s applied was larger than small windows. Change: no such timeout for callers on this machine, nor for the upstream while more than 2 KiB is sent to it; the call's deadline ends an upload, 30 s a connection being finished whose output nobody reads. connection_broken names the errors of reads as well, and the use. Test: uploads_whose_upstream_stalls_again_and_again_are_answered failed 3 of 3 (upload 2, TimedOut after 327 ms), passes 3 of 3. Remains: links to coordinators and peers keep 1.5 s; bodies go to peers in grants of 8 KiB, which no window is too small for.

--- a/crates/chutecove/tests/lost_requests.rs
+++ b/crates/chutecove/tests/lost_requests.rs
@@ -5,8 +5,9 @@
 
 use fleet::{configuration, wait_until, Fleet, RunningProcess};
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -25,6 +26,13 @@
 /// More than a receiver takes whose process does not read, and less than the kernel takes to send.
 const KERNEL_BYTES: usize = 1_024 * 1_024;
 const SHORT_BYTES: usize = 4;
+/// A receive buffer that holds less than a small upload.
+const SMALL_BUFFER_BYTES: usize = 4 * 1_024;
+const SMALL_UPLOAD_BYTES: usize = 14_000;
+/// Time that an upstream leaves a small upload unread; a few of them are longer than a connection whose
+/// other side is unreachable stays open.
+const STALL_MS: u64 = 700;
+const BACKLOG: i32 = 64;
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A request as an upstream reads it.
@@ -61,8 +69,8 @@
 /// Starts an upstream that does as the path says: `/one/work/MS` answers after a time, `/one/late/MS` reads
 /// the body after a time, `/one/long/BYTES/MS` answers with so many bytes after a time. Counts what it has
 /// begun.
-fn start_upstream(fleet: &Fleet) -> Arc<AtomicUsize> {
-    let listener = TcpListener::bind((fleet.ip(UPSTREAM), fleet.ports.upstream)).expect("free");
+fn start_upstream(fleet: &Fleet, buffer_bytes: Option<usize>) -> Arc<AtomicUsize> {
+    let listener = listen((fleet.ip(UPSTREAM), fleet.ports.upstream).into(), buffer_bytes);
     let begun = Arc::new(AtomicUsize::new(0));
     let counted = begun.clone();
     thread::spawn(move || {
@@ -74,6 +82,17 @@
     begun
 }
 
+/// Listens with receive buffers of this size, or of the usual one.
+fn listen(address: SocketAddr, buffer_bytes: Option<usize>) -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    if let Some(bytes) = buffer_bytes {
+        socket.set_recv_buffer_size(bytes).expect("a small buffer");
+    }
+    socket.bind(&address.into()).expect("the address is free");
+    socket.listen(BACKLOG).expect("listening");
+    socket.into()
+}
+
 /// Serves one connection; `None` once it is closed.
 fn serve(mut stream: TcpStream, begun: &AtomicUsize) -> Option<()> {
     // A small buffer, so that a body that is not wanted yet stays with the kernel.
@@ -115,9 +134,14 @@
 
 impl World {
     fn start(network: u8) -> Self {
+        Self::with_receive_buffers(network, None)
+    }
+
+    /// Starts a fleet whose upstream has receive buffers of this size.
+    fn with_receive_buffers(network: u8, buffer_bytes: Option<usize>) -> Self {
         let fleet = Arc::new(Fleet::new(network));
         let mut others: Vec<_> = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
-        let begun = start_upstream(&fleet);
+        let begun = start_upstream(&fleet, buffer_bytes);
         let caller = fleet.start_sidecar(CALLER, "callers");
         others.push(fleet.start_sidecar(UPSTREAM, SERVICE));
         wait_until("the first configuration is accepted", || {
@@ -170,16 +194,34 @@
     assert_eq!(statuses, ["200"; 4], "of four requests that an upstream worked on");
 }
 
+/// Sends an upload that the upstream begins to read after a time.
+fn upload(stream: &mut TcpStream, late_ms: u64, bytes: usize, id: &str) {
+    let head = format!(
+        "POST /one/late/{late_ms} HTTP/1.1\r\nHost: fares.example\r\n\
+         X-Chutecove-Attempt-Id: {id}\r\nContent-Length: {bytes}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.write_all(&vec![b'x'; bytes]).expect("sent");
+}
+
+/// Guards against a connection that is given up at the first stall, since the kernel counts from an earlier
+/// one on the same connection.
+#[test]
+fn uploads_whose_upstream_stalls_again_and_again_are_answered() {
+    let world = World::with_receive_buffers(44, Some(SMALL_BUFFER_BYTES));
+    let mut stream = world.connect();
+    for number in 0..6 {
+        upload(&mut stream, STALL_MS, SMALL_UPLOAD_BYTES, &format!("s-{number}"));
+        let answer = read_answer(&mut BufReader::new(&stream));
+        assert_eq!(answer, Some(("200".to_owned(), 4, 4)), "upload {number}");
+    }
+}
+
 #[test]
 fn an_upload_whose_upstream_reads_late_is_answered() {
     let world = World::start(36);
     let mut stream = world.connect();
-    let head = format!(
-        "POST /one/late/{LATE_MS} HTTP/1.1\r\nHost: fares.example\r\n\
-         X-Chutecove-Attempt-Id: u-1\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).expect("sent");
-    stream.write_all(&vec![b'x'; UPLOAD_BYTES]).expect("sent");
+    upload(&mut stream, LATE_MS, UPLOAD_BYTES, "u-1");
     world.wait_until_begun(1);
     world.caller.signal("-TERM");
     let answer = read_answer(&mut BufReader::new(stream));
--- a/crates/sidecar/src/net/closing.rs
+++ b/crates/sidecar/src/net/closing.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 use telemetry::BootInstant;
 
+/// Output of a connection being finished that its other side has not read after this time is dropped:
+/// longer than callers wait for an answer.
+const LATE_READER_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// What is on the open connections when the process exits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Leftovers {
@@ -69,7 +73,8 @@
     pub fn sweep(&mut self, longest: Duration) {
         let is_stale = |connection: &Connection| {
             let can_send = !connection.output.is_empty() && !connection.is_broken();
-            !can_send && connection.lingering.is_some_and(|since| since.elapsed() > longest)
+            let longest = if can_send { LATE_READER_TIMEOUT } else { longest };
+            connection.lingering.is_some_and(|since| since.elapsed() > longest)
         };
         let of = |(index, connection): (usize, &Connection)| ConnectionId {
             index,
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -14,9 +14,6 @@
 /// Sent data that an unreachable machine has not acknowledged after this time breaks the
 /// connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The same for a process on this machine that may be slow to read. The kernel cannot tell one that has
-/// stopped from one that reads later, so this is longer than any call lasts.
-const LATE_READER_TIMEOUT: Duration = Duration::from_secs(30);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -70,7 +67,7 @@
             return;
         }
         self.awaits_reader = awaits_reader;
-        let timeout = Some(unacknowledged_timeout(awaits_reader));
+        let timeout = unacknowledged_timeout(awaits_reader);
         if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(timeout) {
             tracing::debug!(%error, "socket_option_not_taken");
         }
@@ -158,16 +155,15 @@
     }
 }
 
-fn unacknowledged_timeout(awaits_reader: bool) -> Duration {
-    match awaits_reader {
-        true => LATE_READER_TIMEOUT,
-        false => UNACKNOWLEDGED_TIMEOUT,
-    }
+/// `None` for a process that may read late: the kernel applies the timeout to a closed window as well, and
+/// counts from the first time that the window was closed on the connection, however long ago that was.
+fn unacknowledged_timeout(awaits_reader: bool) -> Option<Duration> {
+    (!awaits_reader).then_some(UNACKNOWLEDGED_TIMEOUT)
 }
 
 /// Sets the options by which a connection detects an unreachable peer. If an option cannot be set,
 /// the socket is used without it.
-fn set_socket_options(stream: &TcpStream, unacknowledged: Duration) {
+fn set_socket_options(stream: &TcpStream, unacknowledged: Option<Duration>) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -175,7 +171,7 @@
         .with_retries(KEEPALIVE_PROBES);
     let options = [
         stream.set_nodelay(true),
-        socket.set_tcp_user_timeout(Some(unacknowledged)),
+        socket.set_tcp_user_timeout(unacknowledged),
         socket.set_tcp_keepalive(&keepalive),
     ];
     for error in options.into_iter().filter_map(Result::err) {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -447,7 +447,7 @@
         }
         let mut received = false;
         let mut received_bytes = 0;
-        let mut read_failed = false;
+        let mut read_failure = None;
         let end = loop {
             if received_bytes >= READ_BUFFER_BYTES || !connection.has_room() {
                 if !self.pending_reads.contains(&id) {
@@ -466,19 +466,20 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break None,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    read_failed = true;
+                Err(error) => {
+                    read_failure = Some(error.kind());
                     break Some(StreamEnd::Reset);
                 }
             }
         };
-        if end == Some(StreamEnd::Reset) && !read_failed {
-            self.broken_writes += 1;
+        if end == Some(StreamEnd::Reset) {
+            self.broken_writes += u64::from(read_failure.is_none());
             let now_ms = self.since.elapsed().as_millis() as u64;
             if self.broken_writes_logged.allows(now_ms) {
                 let unsent = connection.output.len();
-                let error = connection.write_failure.kind();
-                tracing::info!(?error, unsent, received_bytes, "connection_broken");
+                let error = read_failure.or(connection.write_failure.kind());
+                let used_for = connection.used_for;
+                tracing::info!(?error, ?used_for, unsent, received_bytes, "connection_broken");
             }
         }
         if received {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -17,9 +17,8 @@
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 const MAX_ANSWER_BODY_BYTES: u64 = 64 * 1024 * 1024;
 
-/// A receiver takes this much of a request before its process reads any of it: the smallest window that
-/// systems open connections with.
-const SMALLEST_WINDOW_BYTES: usize = 16 * 1024;
+/// Any receiver takes this much of a request before its process reads any of it.
+const SMALLEST_WINDOW_BYTES: usize = 2 * 1024;
 
 /// How an outgoing request ended.
 #[derive(Debug)]
