Soak: with sound upstreams no call is broken off, and long uploads are read late

In rounds of planned work upstreams answer whatever they get, begin to read half of the long uploads after 1.65 s, and each 502 counts as a broken promise: after a SIGTERM it is the same as a cut connection.

--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -97,6 +97,7 @@
         limits: limits.clone(),
         crashes: crashes.clone(),
         lose_responses: lose_responses.clone(),
+        is_sound: fault_profile == FaultProfile::Planned,
     };
     if fault_profile == FaultProfile::Departures {
         machines.make_cuttable(departures::HOST).map_err(|error| error.to_string())?;
@@ -152,6 +153,7 @@
         faults,
         faults_end: calm_from,
         read_back: operator.read_back(READ_BACK_TIMEOUT),
+        sound_upstreams: fault_profile == FaultProfile::Planned,
     };
     upstreams.values().for_each(|upstream| upstream.stop());
     let breaches = check_record(&record, &BOUNDS);
--- a/crates/lab/src/soak/server.rs
+++ b/crates/lab/src/soak/server.rs
@@ -37,6 +37,9 @@
     /// Decides how to treat a request; may block while it is processed.
     fn handle(&self, request: &Request) -> Reply;
 
+    /// How long the rest of a request of which this much has arrived is left unread.
+    fn read_delay(&self, received: &[u8]) -> Duration;
+
     /// What is sent of an answer to a request of which this much has arrived, before the connection
     /// is reset; `None` if the request is handled as usual.
     fn break_off(&self, received: &[u8]) -> Option<Vec<u8>>;
@@ -121,6 +124,9 @@
             SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
             return Ok(());
         }
+        if is_new {
+            thread::sleep(handler.read_delay(&input));
+        }
         let mut output = Vec::new();
         for (slot, request) in core.receive(&mut input, LIMITS, &mut output) {
             let reply = handler.handle(&request);
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -26,6 +26,10 @@
 const LOSS_PROBABILITY: f64 = 0.8;
 /// Probability that a long upload is answered early and broken off.
 const BREAK_OFF_PROBABILITY: f64 = 0.7;
+/// Probability that a long upload is read late.
+const LATE_READ_PROBABILITY: f64 = 0.5;
+/// Longer than a connection to an unreachable machine stays open, shorter than the timeout of a route.
+const LATE_READ_DELAY: Duration = Duration::from_millis(1_650);
 /// Longer than what the buffers of a connection hold while nothing is read.
 const LONG_UPLOAD_BYTES: usize = 400_000;
 /// Marks the path of a poison request; the number of the request follows.
@@ -84,6 +88,8 @@
     pub crashes: EventList<Crash>,
     /// Whether most responses are currently lost.
     pub lose_responses: Arc<AtomicBool>,
+    /// Whether upstreams give every request they get a whole answer.
+    pub is_sound: bool,
 }
 
 /// Handles the requests of one upstream.
@@ -115,8 +121,23 @@
         Reply::Respond(self.with_statements(response))
     }
 
+    /// Begins to read some long uploads late, if upstreams break none off.
+    fn read_delay(&self, received: &[u8]) -> Duration {
+        let reads_late = self.environment.is_sound
+            && Self::long_upload(received).is_some()
+            && fastrand::f64() < LATE_READ_PROBABILITY;
+        if reads_late {
+            LATE_READ_DELAY
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Answers some long uploads early, without a length, and breaks off midway.
     fn break_off(&self, received: &[u8]) -> Option<Vec<u8>> {
+        if self.environment.is_sound {
+            return None;
+        }
         let (id, path) = Self::long_upload(received)?;
         if fastrand::f64() >= BREAK_OFF_PROBABILITY {
             return None;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,6 +8,8 @@
 use std::fmt;
 
 const NOT_FOUND: u16 = 404;
+/// Answer to a call that may have run, and whose answer is not known.
+const BROKEN_OFF_STATUS: u16 = 502;
 /// Statuses that guarantee that the call was not executed and never will be.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Minimum share of the calls after the last fault that must be served.
@@ -179,9 +181,9 @@
     report: &mut impl FnMut(Guarantee, String),
 ) {
     // A call that was in flight when an idle connection closed was not read, unless it ran.
-    let cut =
+    let is_cut =
         call.outcome == CallOutcome::Cut || (call.outcome == CallOutcome::ClosedBetween && ran > 0);
-    if !cut {
+    if !is_cut && !(record.sound_upstreams && is_broken_off(call)) {
         return;
     }
     let unplanned = |fault: &&Fault| {
@@ -199,6 +201,11 @@
     }
 }
 
+/// Whether the fleet has broken off a call that an upstream had, and answered in its place.
+fn is_broken_off(call: &Call) -> bool {
+    matches!(call.outcome, CallOutcome::Answered { status: BROKEN_OFF_STATUS, .. })
+}
+
 fn check_drains(record: &Record, bounds: &Bounds, report: &mut impl FnMut(Guarantee, String)) {
     let drains = record.faults.iter().filter(|fault| fault.kind == FaultKind::Drain);
     for drain in drains {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -199,4 +199,6 @@
     pub faults_end: Millis,
     /// Configuration version read back at the end.
     pub read_back: Option<u64>,
+    /// Whether upstreams gave every request that they got a whole answer.
+    pub sound_upstreams: bool,
 }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -51,6 +51,7 @@
         ],
         faults_end: 5_000,
         read_back: Some(2),
+        sound_upstreams: true,
     }
 }
 
