--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -183,7 +183,8 @@
     // A call that was in flight when an idle connection closed was not read, unless it ran.
     let is_cut =
         call.outcome == CallOutcome::Cut || (call.outcome == CallOutcome::ClosedBetween && ran > 0);
-    if !is_cut && !(record.sound_upstreams && is_broken_off(call)) {
+    let is_broken_off = record.sound_upstreams && is_broken_off(call);
+    if !is_cut && !is_broken_off {
         return;
     }
     let unplanned = |fault: &&Fault| {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -12,6 +12,7 @@
     LimitBounds { factor: 1.5, slack: 5.0, window: 4_000, contact: 3_000, notice: 500 };
 const BOUNDS: Bounds =
     Bounds { apply: 2_000, drain: 1_000, settle: 3_000, repeats: REPEATS, limits: LIMITS };
+const BROKEN_OFF: CallOutcome = CallOutcome::Answered { status: 502, body_matches: false };
 const OK: CallOutcome = CallOutcome::Answered { status: 200, body_matches: true };
 
 fn call(id: u64, sent: u64, outcome: CallOutcome) -> Call {
@@ -103,6 +104,11 @@
         ("outdated version in use", |r| r.calls.push(versioned(900, 8_000, 1, 200))),
         ("new version missing", |r| r.calls.push(versioned(900, 8_000, 2, 404))),
         ("cut by a planned stop", |r| r.calls[12].outcome = CallOutcome::Cut),
+        ("broken off though its upstream is sound", |r| r.calls[12].outcome = BROKEN_OFF),
+        ("broken off by its upstream, which is no violation", |r| {
+            r.calls[12].outcome = BROKEN_OFF;
+            r.sound_upstreams = false;
+        }),
         ("cut during a coordinator's fault", |r| {
             r.faults.push(Fault {
                 kind: FaultKind::Kill,
@@ -159,6 +165,7 @@
         outdated version in use: InForce: call 900 at 8000 ms on machine 11 used version 1, got 200; version 2 was due
         new version missing: InForce: call 900 at 8000 ms on machine 11 used version 2, got 404; version 2 was due
         cut by a planned stop: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
+        broken off though its upstream is sound: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
         cut during a coordinator's fault: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
         outdated version during another sidecar's fault: InForce: call 900 at 8000 ms on machine 11 used version 1, got 200; version 2 was due
         call after the drain limit: Drained: call 900 on machine 13 1100 ms after the acknowledgement
