Soak: a call that was not read and is cut within 200 ms of being sent has crossed the end of its process

The check took each cut call for a broken promise. The users' rule counts one that was passed on, or that ends later than LossSlackMs (200) after it was sent. Change: bound loss_slack; only calls that did not run are excused by it. Not done: to close the listeners before the last look would make it a refused connection; what is cut so is listed in the postmortem.

--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -46,6 +46,7 @@
 const BOUNDS: Bounds = Bounds {
     apply: 2_000,
     drain: DRAIN_MS + 300,
+    loss_slack: 200,
     settle: 3_500,
     repeats: RepeatBounds {
         ratio: RETRY_BUDGET_RATIO,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -180,9 +180,14 @@
     bounds: &Bounds,
     report: &mut impl FnMut(Guarantee, String),
 ) {
-    // A call that was in flight when an idle connection closed was not read, unless it ran.
-    let is_cut =
-        call.outcome == CallOutcome::Cut || (call.outcome == CallOutcome::ClosedBetween && ran > 0);
+    // A call that was in flight when an idle connection closed was not read, unless it ran. Nor was one
+    // that came so shortly before the process ended.
+    let has_crossed = ran == 0 && call.ended.saturating_sub(call.sent) <= bounds.loss_slack;
+    let is_cut = match call.outcome {
+        CallOutcome::Cut => !has_crossed,
+        CallOutcome::ClosedBetween => ran > 0,
+        _ => false,
+    };
     let is_broken_off = record.sound_upstreams && is_broken_off(call);
     if !is_cut && !is_broken_off {
         return;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -168,6 +168,8 @@
     pub apply: Millis,
     /// From the acknowledgement that an upstream is leaving until its last new call.
     pub drain: Millis,
+    /// From the time at which a call was sent until the process that it was sent to must have read it.
+    pub loss_slack: Millis,
     /// Time after a fault until guarantees on the affected machine are checked again.
     pub settle: Millis,
     /// Limit on repeats of calls across the fleet.
