--- a/crates/chutecove/tests/head_stops.rs
+++ b/crates/chutecove/tests/head_stops.rs
@@ -4,12 +4,13 @@
 mod fleet;
 
 use chutecove::operator::{encode_hex, OperatorClient, OperatorSettings};
+use fleet::raw_http::{read_head, skip_body, RawHead};
 use fleet::{wait_until, Fleet, RunningProcess, SERVICE};
 use ring::rand::SystemRandom;
 use ring::signature::Ed25519KeyPair;
 use socket2::SockRef;
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::Command;
@@ -75,7 +76,7 @@
     loop {
         let head = read_head(&mut reader)?;
         let numbers: Vec<usize> =
-            head.path.split('/').filter_map(|word| word.parse().ok()).collect();
+            head.target.split('/').filter_map(|word| word.parse().ok()).collect();
         let [kind, length, manner, ..] = numbers[..] else {
             skip_body(&mut reader, &head)?;
             let answer =
@@ -99,38 +100,6 @@
     }
 }
 
-#[derive(Default)]
-struct ReceivedHead {
-    /// Path of a request, or status of an answer.
-    path: String,
-    body_bytes: u64,
-    lines: Vec<String>,
-}
-
-/// Reads the head of a message; `None` once the connection has ended.
-fn read_head(reader: &mut impl BufRead) -> Option<ReceivedHead> {
-    let mut head = ReceivedHead::default();
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
-        let line = line.trim_end();
-        if line.is_empty() {
-            return Some(head);
-        }
-        if head.path.is_empty() {
-            line.split(' ').nth(1)?.clone_into(&mut head.path);
-        }
-        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length: ") {
-            head.body_bytes = value.parse().ok()?;
-        }
-        head.lines.push(line.to_owned());
-    }
-}
-
-fn skip_body(reader: &mut impl BufRead, head: &ReceivedHead) -> Option<u64> {
-    std::io::copy(&mut reader.by_ref().take(head.body_bytes), &mut std::io::sink()).ok()
-}
-
 struct World {
     fleet: Fleet,
     stopped: Arc<AtomicUsize>,
@@ -158,7 +127,7 @@
     }
 
     /// Sends a call through the sidecar of a host; returns the head of the answer.
-    fn call(&self, host: u8, start_line: &str, body_bytes: usize, id: &str) -> ReceivedHead {
+    fn call(&self, host: u8, start_line: &str, body_bytes: usize, id: &str) -> RawHead {
         let address = (self.fleet.ip(host), self.fleet.ports.outbound);
         let mut stream = TcpStream::connect(address).expect("the sidecar listens");
         stream.set_read_timeout(Some(READ_TIMEOUT)).expect("it is set");
@@ -172,8 +141,8 @@
     }
 }
 
-fn check(answer: &ReceivedHead, what: &str) {
-    assert!(["502", "503", "504"].contains(&answer.path.as_str()), "{what}: {:?}", answer.lines);
+fn check(answer: &RawHead, what: &str) {
+    assert!(["502", "503", "504"].contains(&answer.target.as_str()), "{what}: {:?}", answer.lines);
     let sealed = |line: &String| line.to_ascii_lowercase().starts_with("x-chutecove-seal");
     assert!(!answer.lines.iter().any(sealed), "{what}: {:?}", answer.lines);
 }
@@ -197,7 +166,7 @@
                         // The head then stops behind a whole answer on the same connection.
                         let whole =
                             world.call(host, "GET /one/x HTTP/1.1", 0, &format!("w-{calls}"));
-                        assert_eq!(whole.path, "200", "{:?}", whole.lines);
+                        assert_eq!(whole.target, "200", "{:?}", whole.lines);
                     }
                     let path = path(kind, length, manner);
                     let line = format!("{method} {path}/{calls} HTTP/{version}");
--- a/crates/chutecove/tests/lost_requests.rs
+++ b/crates/chutecove/tests/lost_requests.rs
@@ -3,10 +3,11 @@
 
 mod fleet;
 
+use fleet::raw_http::{read_head, skip_body};
 use fleet::{configuration, wait_until, Fleet, RunningProcess};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -37,37 +38,6 @@
 const BACKLOG: i32 = 64;
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A request as an upstream reads it.
-#[derive(Default)]
-struct ReceivedHead {
-    path: String,
-    attempt_id: String,
-    body_bytes: u64,
-}
-
-/// Reads the head of a message; `None` once the connection has ended.
-fn read_head(reader: &mut impl BufRead) -> Option<ReceivedHead> {
-    let mut head = ReceivedHead::default();
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
-        let line = line.trim_end();
-        if line.is_empty() {
-            return Some(head);
-        }
-        match line.split_once(": ") {
-            Some((name, value)) if name.eq_ignore_ascii_case("x-chutecove-attempt-id") => {
-                value.clone_into(&mut head.attempt_id);
-            }
-            Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
-                head.body_bytes = value.parse().ok()?;
-            }
-            _ if head.path.is_empty() => line.split(' ').nth(1)?.clone_into(&mut head.path),
-            _ => {}
-        }
-    }
-}
-
 /// Starts an upstream that does as the path says: `/one/work/MS` answers after a time, `/one/late/MS` reads
 /// the body after a time, `/one/long/BYTES/MS` answers with so many bytes after a time. Counts what it has
 /// begun.
@@ -102,12 +72,12 @@
     loop {
         let head = read_head(&mut reader)?;
         begun.fetch_add(1, Ordering::SeqCst);
-        let mut words = head.path.split('/').skip(2);
+        let mut words = head.target.split('/').skip(2);
         let kind = words.next()?;
         let mut number = || words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
         let body_bytes = if kind == "long" { number() } else { SHORT_BYTES };
         thread::sleep(number() as u32 * MS);
-        std::io::copy(&mut reader.by_ref().take(head.body_bytes), &mut std::io::sink()).ok()?;
+        skip_body(&mut reader, &head)?;
         let body = vec![b'x'; body_bytes];
         let answer = format!(
             "HTTP/1.1 200 OK\r\nX-Chutecove-Seal: seal\r\nX-Chutecove-Attempt-Id: {}\r\n\
@@ -177,9 +147,8 @@
 /// Reads one answer; returns its status and how much of its body arrived of how much was announced.
 fn read_answer(reader: &mut impl BufRead) -> Option<(String, u64, u64)> {
     let head = read_head(reader)?;
-    let arrived = std::io::copy(&mut reader.by_ref().take(head.body_bytes), &mut std::io::sink())
-        .unwrap_or(0);
-    Some((head.path, arrived, head.body_bytes))
+    let arrived = skip_body(reader, &head).unwrap_or(0);
+    Some((head.target, arrived, head.body_bytes))
 }
 
 #[test]
