Tests: links that can be cut have a port of the fleet's own, and a failing test shows what processes say on stderr

The logs of all three coordinators end behind departures_read, 2 ms after one had taken a link. Cause: the links take any free port on the coordinators' addresses, right after the coordinators were started; on a slow machine that may be one on which they are about to listen. Nothing else listens on the same port of all three. Change: the port is drawn with the fleet's others. The soak draws ports from a range of its own, below the system's.

--- a/crates/chutecove/tests/departures.rs
+++ b/crates/chutecove/tests/departures.rs
@@ -45,7 +45,8 @@
         let coordinators = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
         let caller = fleet.start_sidecar(CALLER, "callers");
         let coordinator_ips = [1, 2, 3].map(|host| fleet.ip(host));
-        let links = CuttableLinks::start(&coordinator_ips, fleet.ports.mesh).expect("free ports");
+        let links = CuttableLinks::start(&coordinator_ips, fleet.ports.cut, fleet.ports.mesh)
+            .expect("free ports");
         let mesh_port = mesh_port(&fleet, &links);
         let upstream = fleet.start_upstream(UPSTREAM);
         let mut world = World {
--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -17,7 +17,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -73,10 +73,9 @@
     }
 }
 
-/// Reads the output of a process in a thread and keeps its last lines, so that the process never blocks
-/// on a full pipe.
-fn keep_lines(output: ChildStdout) -> Arc<Mutex<VecDeque<String>>> {
-    let lines = Arc::new(Mutex::new(VecDeque::new()));
+/// Reads an output of a process in a thread and keeps its last lines, so that the process never blocks on a
+/// full pipe.
+fn keep_lines(output: impl Read + Send + 'static, lines: &Arc<Mutex<VecDeque<String>>>) {
     let kept = lines.clone();
     std::thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -87,7 +86,6 @@
             }
         }
     });
-    lines
 }
 
 /// Ports that every host of a fleet uses.
@@ -100,6 +98,8 @@
     pub ready: u16,
     pub registration: u16,
     pub upstream: u16,
+    /// Where links that can be cut reach the coordinators.
+    pub cut: u16,
 }
 
 /// A fleet of processes and the addresses they use.
@@ -146,6 +146,7 @@
             ready: port(),
             registration: port(),
             upstream: port(),
+            cut: port(),
         };
         let folder = tempfile::tempdir().expect("a folder");
         Fleet { folder, network, ports, _address_lock: address_lock }
@@ -170,11 +171,13 @@
         let mut child = Command::new(PROGRAM)
             .args([role, "--settings", path.to_str().expect("a path")])
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(Stdio::piped())
             .spawn()
             .expect("started");
-        let output = child.stdout.take().expect("piped");
-        RunningProcess { child, name: format!("{role}-{host}"), lines: keep_lines(output) }
+        let lines = Arc::new(Mutex::new(VecDeque::new()));
+        keep_lines(child.stdout.take().expect("piped"), &lines);
+        keep_lines(child.stderr.take().expect("piped"), &lines);
+        RunningProcess { child, name: format!("{role}-{host}"), lines }
     }
 
     pub fn start_coordinator(&self, host: u8, bootstrap: bool) -> RunningProcess {
--- a/crates/lab/src/soak/cut.rs
+++ b/crates/lab/src/soak/cut.rs
@@ -22,9 +22,10 @@
 }
 
 impl CuttableLinks {
-    /// Starts a proxy in front of each coordinator, at its address and a port of its own.
-    pub fn start(coordinators: &[Ipv4Addr], target_port: u16) -> io::Result<Self> {
-        let first = TcpListener::bind((coordinators[0], 0))?;
+    /// Starts a proxy in front of each coordinator, at its address and this port, or any if it is 0. Any
+    /// port may be one that a coordinator is about to listen on.
+    pub fn start(coordinators: &[Ipv4Addr], port: u16, target_port: u16) -> io::Result<Self> {
+        let first = TcpListener::bind((coordinators[0], port))?;
         let links =
             CuttableLinks { mesh_port: first.local_addr()?.port(), changes: Arc::default() };
         links.serve(first, SocketAddr::from((coordinators[0], target_port)));
--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -132,7 +132,7 @@
     /// Puts links that can be cut between a machine and the coordinators, before its first start.
     pub fn make_cuttable(&mut self, host: u8) -> io::Result<()> {
         let coordinators = COORDINATORS.map(|coordinator| self.ip(coordinator));
-        self.cuttable = Some((host, CuttableLinks::start(&coordinators, self.ports.mesh)?));
+        self.cuttable = Some((host, CuttableLinks::start(&coordinators, 0, self.ports.mesh)?));
         Ok(())
     }
 
