Sidecar: log own answers during a stop, and what an exit cuts

What could not be told apart: hop_failed had neither the age of the call nor the time it has left; an answer from a fallback, a 408 and an exit with jobs at work left no line that names a request. Now: hop_failed held_ms left_ms; call_answered_in_stop id status peers held_ms left_ms stopping_ms for each answer of the sidecar's own after the signal; job_cut and call_cut for each request that the exit leaves, with the peer; sidecar_stopped stopping_ms jobs; request_timed_out. No behaviour changes.

--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -14,6 +14,8 @@
 use tracing::{info, warn};
 
 const FIRST_SERVER_ERROR: u16 = 500;
+const UNKNOWN_STATUS: u16 = 502;
+const REFUSED_STATUS: u16 = 503;
 
 impl Calls {
     /// Handles a call for which no upstream was chosen: parks it for a short time or gives it up.
@@ -60,12 +62,14 @@
     /// The final answer of a call that no upstream answered successfully.
     fn final_answer(&mut self, call: Call, retry_after_ms: u64, now: Millis) -> CallAction {
         if let Some(response) = call.fallback.clone() {
+            self.log_answer_in_stop(&call, response.status, now);
             self.counts.answered += 1;
             self.note_outcome(&call, CallOutcome::UpstreamFailed, now);
             return CallAction::Answer { origin: call.origin, response };
         }
         let held_ms = now.saturating_sub(call.arrived);
         if call.arrivals == 0 {
+            self.log_answer_in_stop(&call, REFUSED_STATUS, now);
             self.return_credit(call.holder.as_ref(), now);
             self.counts.refused += 1;
             self.note_outcome(&call, CallOutcome::Refused, now);
@@ -78,6 +82,7 @@
             );
             return refusal(call.origin, retry_after_ms);
         }
+        self.log_answer_in_stop(&call, UNKNOWN_STATUS, now);
         self.counts.failed += 1;
         self.note_outcome(&call, CallOutcome::Failed, now);
         warn!(
@@ -87,7 +92,7 @@
             verdict = "may-have-run",
             "call_failed"
         );
-        CallAction::Answer { origin: call.origin, response: Response::empty(502) }
+        CallAction::Answer { origin: call.origin, response: Response::empty(UNKNOWN_STATUS) }
     }
 
     /// Handles the end of an attempt. Late results of abandoned attempts are ignored.
@@ -178,8 +183,14 @@
         kind: &str,
         now: Millis,
     ) {
-        let id = self.calls.get(&attempt.call).map_or("-", |call| &call.attempt_id);
-        info!(%id, %to, try_number = attempt.number, outcome = kind, "hop_failed");
+        if let Some(call) = self.calls.get(&attempt.call) {
+            let held_ms = now.saturating_sub(call.arrived);
+            let left_ms = call.deadline.saturating_sub(now);
+            info!(
+                id = %call.attempt_id, %to, try_number = attempt.number, outcome = kind, held_ms, left_ms,
+                "hop_failed"
+            );
+        }
         if let Some(upstream) = self.view.get_mut(to) {
             upstream.note_failure(now);
         }
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -211,6 +211,8 @@
     keys_checked: u64,
     denials_logged: LogRateLimit,
     statements_logged: LogRateLimit,
+    /// When the process was told to stop.
+    stop_began_at: Option<Millis>,
     /// Totals since the process started.
     pub counts: CallCounts,
 }
@@ -255,6 +257,7 @@
             keys_checked: 0,
             denials_logged: LogRateLimit::new(MAX_DENIALS_LOGGED_PER_SECOND),
             statements_logged: LogRateLimit::new(MAX_STATEMENTS_LOGGED_PER_SECOND),
+            stop_began_at: None,
             counts: CallCounts::default(),
         }
     }
@@ -269,6 +272,11 @@
         self.hedging = hedging;
     }
 
+    /// Records that the process was told to stop.
+    pub fn note_stop(&mut self, now: Millis) {
+        self.stop_began_at.get_or_insert(now);
+    }
+
     /// Number of calls without a final answer.
     pub fn in_flight(&self) -> usize {
         self.calls.len() + self.quota.waiting()
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -68,6 +68,35 @@
         active.into_iter().map(|active| CallAction::Abort(active.attempt)).collect()
     }
 
+    /// Logs a call that gets its answer while the process is stopping, though none from an upstream that
+    /// was asked last: with the peers that still have it, and the time left until its deadline.
+    pub(super) fn log_answer_in_stop(&self, call: &Call, status: u16, now: Millis) {
+        let Some(stop_began_at) = self.stop_began_at else {
+            return;
+        };
+        let peers: Vec<String> =
+            call.active_attempts().map(|active| active.to.to_string()).collect();
+        info!(
+            id = %call.attempt_id, status, arrivals = call.arrivals, peers = %peers.join(","),
+            held_ms = now.saturating_sub(call.arrived),
+            left_ms = call.deadline.saturating_sub(now),
+            stopping_ms = now.saturating_sub(stop_began_at), "call_answered_in_stop"
+        );
+    }
+
+    /// Logs the calls that the exit of the process leaves without an answer.
+    pub fn log_left(&self, now: Millis) {
+        for call in self.calls.values() {
+            let peers: Vec<String> =
+                call.active_attempts().map(|active| active.to.to_string()).collect();
+            info!(
+                id = %call.attempt_id, peers = %peers.join(","),
+                held_ms = now.saturating_sub(call.arrived),
+                left_ms = call.deadline.saturating_sub(now), "call_cut"
+            );
+        }
+    }
+
     /// Gives every call its final answer, because the process is stopping. `was_sent` returns whether
     /// an attempt was sent completely; one that was not cannot have run.
     pub fn end_all(
@@ -112,8 +141,9 @@
                 verdict = "may-have-run", "call_timed_out"
             );
             self.note_unanswered(&call, now);
+            let response = call.fallback.clone().unwrap_or_else(|| Response::empty(504));
+            self.log_answer_in_stop(&call, response.status, now);
             actions.extend(self.abort(&call));
-            let response = call.fallback.unwrap_or_else(|| Response::empty(504));
             actions.push(CallAction::Answer { origin: call.origin, response });
         }
         actions.extend(self.tick_hedges(now));
--- a/crates/sidecar/src/jobs/endings.rs
+++ b/crates/sidecar/src/jobs/endings.rs
@@ -8,6 +8,7 @@
 use admission::{GateState, JobId};
 use http1::{ExchangeError, Response, Slot};
 use mesh::{CallClass, HopOutcome, HopReply};
+use std::net::SocketAddr;
 use tracing::info;
 
 /// Jobs are aborted at the upstream when their deadline has passed by this much, in milliseconds.
@@ -164,6 +165,26 @@
         Some(self.refuse(job.source, refusal, now))
     }
 
+    /// Logs the jobs that the exit of the process cuts. `peer_of` returns the address behind a connection.
+    pub fn log_left(
+        &self,
+        peer_of: impl Fn(ConnectionId) -> Option<SocketAddr>,
+        stopping_ms: u64,
+        now: Millis,
+    ) {
+        for job in self.jobs.values() {
+            let peer = match job.source {
+                Source::Peer { connection, .. } => peer_of(connection),
+                Source::Local(_) => None,
+            };
+            info!(
+                id = %job.attempt_id, ?peer, started = job.started.is_some(),
+                held_ms = now.saturating_sub(job.arrived),
+                left_ms = job.deadline.saturating_sub(now), stopping_ms, "job_cut"
+            );
+        }
+    }
+
     /// Cancels a job whose caller is no longer waiting.
     pub fn cancel(&mut self, source: Source, now: Millis) -> Vec<JobAction> {
         if self.offers.end(source, now).is_some() {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -161,6 +161,13 @@
         found.filter(|connection| connection.generation == id.generation)
     }
 
+    /// The address of the other side of a connection.
+    pub fn remote_address(&self, id: ConnectionId) -> Option<SocketAddr> {
+        let found = self.connections.get(id.index);
+        let connection = found.filter(|connection| connection.generation == id.generation)?;
+        connection.stream.peer_addr().ok()
+    }
+
     /// Received data that has not been consumed yet.
     pub fn input(&mut self, id: ConnectionId) -> Option<&mut BytesMut> {
         self.get_mut(id).map(|connection| &mut connection.input)
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -15,6 +15,7 @@
     pub(super) fn should_exit(&mut self, stop: &StopSignal) -> bool {
         let now = self.now();
         if stop.is_set() && self.stop.begin(now) {
+            self.calls.note_stop(now);
             let (running, queued) = self.jobs.load();
             info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
         }
@@ -43,14 +44,19 @@
 
     /// Logs what the process leaves behind: requests without an answer, and data on its sockets.
     pub(super) fn log_exit(&mut self) {
-        let at_limit = self.stop.is_at_limit(self.now());
-        let in_flight = self.calls.in_flight();
+        let now = self.now();
+        let (at_limit, stopping_ms) = (self.stop.is_at_limit(now), self.stop.elapsed_ms(now));
+        self.calls.log_left(now);
+        self.jobs.log_left(|id| self.net.remote_address(id), stopping_ms, now);
+        let (in_flight, jobs) = (self.calls.in_flight(), self.jobs.in_flight());
         let (reading, dropped) = (self.servers.partial_calls(), self.servers.dropped());
         let left = self.net.leftovers();
         let Leftovers { connections, finishing, unsent_bytes, unread_bytes } = left;
         info!(
             at_limit,
+            stopping_ms,
             in_flight,
+            jobs,
             reading,
             dropped,
             connections,
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -276,6 +276,7 @@
             return;
         };
         conn.reading = None;
+        tracing::info!(kind = ?conn.kind, bytes = conn.core.body_bytes(), verdict = "not-run", "request_timed_out");
         let mut output = OutputQueue::default();
         let over = conn.core.time_out(&mut output);
         net.send_message(id, output);
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -88,6 +88,11 @@
         self.since.is_some()
     }
 
+    /// Time since the stop was requested, in milliseconds.
+    pub fn elapsed_ms(&self, now: Millis) -> u64 {
+        self.since.map_or(0, |since| now.saturating_sub(since))
+    }
+
     /// Whether a new call with `left_ms` until its deadline is accepted now.
     pub fn accepts(&self, left_ms: u64, now: Millis) -> bool {
         let Some(since) = self.since else {
