--- a/crates/chutecove/tests/fleet/mod.rs
+++ b/crates/chutecove/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 #[path = "../../../lab/src/soak/cut.rs"]
 pub mod cut;
 pub mod hollow;
+pub mod late_upstream;
 pub mod raw_http;
 
 use serde_json::{json, Value};
--- a/crates/chutecove/tests/lost_requests.rs
+++ b/crates/chutecove/tests/lost_requests.rs
@@ -3,12 +3,12 @@
 
 mod fleet;
 
+use fleet::late_upstream::start_upstream;
 use fleet::raw_http::{read_head, skip_body};
 use fleet::{configuration, wait_until, Fleet, RunningProcess};
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -26,7 +26,6 @@
 const UPLOAD_BYTES: usize = 400_000;
 /// More than a receiver takes whose process does not read, and less than the kernel takes to send.
 const KERNEL_BYTES: usize = 1_024 * 1_024;
-const SHORT_BYTES: usize = 4;
 /// A receive buffer that holds less than a small upload.
 const SMALL_BUFFER_BYTES: usize = 4 * 1_024;
 const SMALL_UPLOAD_BYTES: usize = 14_000;
@@ -35,61 +34,8 @@
 const STALL_MS: u64 = 700;
 /// From the opening of a connection until its first request.
 const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(20);
-const BACKLOG: i32 = 64;
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Starts an upstream that does as the path says: `/one/work/MS` answers after a time, `/one/late/MS` reads
-/// the body after a time, `/one/long/BYTES/MS` answers with so many bytes after a time. Counts what it has
-/// begun.
-fn start_upstream(fleet: &Fleet, buffer_bytes: Option<usize>) -> Arc<AtomicUsize> {
-    let listener = listen((fleet.ip(UPSTREAM), fleet.ports.upstream).into(), buffer_bytes);
-    let begun = Arc::new(AtomicUsize::new(0));
-    let counted = begun.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let begun = counted.clone();
-            thread::spawn(move || serve(stream, &begun));
-        }
-    });
-    begun
-}
-
-/// Listens with receive buffers of this size, or of the usual one.
-fn listen(address: SocketAddr, buffer_bytes: Option<usize>) -> TcpListener {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    if let Some(bytes) = buffer_bytes {
-        socket.set_recv_buffer_size(bytes).expect("a small buffer");
-    }
-    socket.bind(&address.into()).expect("the address is free");
-    socket.listen(BACKLOG).expect("listening");
-    socket.into()
-}
-
-/// Serves one connection; `None` once it is closed.
-fn serve(mut stream: TcpStream, begun: &AtomicUsize) -> Option<()> {
-    // A small buffer, so that a body that is not wanted yet stays with the kernel.
-    let mut reader = BufReader::with_capacity(512, stream.try_clone().ok()?);
-    loop {
-        let head = read_head(&mut reader)?;
-        begun.fetch_add(1, Ordering::SeqCst);
-        let mut words = head.target.split('/').skip(2);
-        let kind = words.next()?;
-        let mut number = || words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
-        let body_bytes = if kind == "long" { number() } else { SHORT_BYTES };
-        thread::sleep(number() as u32 * MS);
-        skip_body(&mut reader, &head)?;
-        let body = vec![b'x'; body_bytes];
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nX-Chutecove-Seal: seal\r\nX-Chutecove-Attempt-Id: {}\r\n\
-             Content-Length: {}\r\n\r\n",
-            head.attempt_id,
-            body.len()
-        );
-        stream.write_all(answer.as_bytes()).ok()?;
-        stream.write_all(&body).ok()?;
-    }
-}
-
 /// The configuration with a time-out that is longer than anything here takes.
 fn patient_configuration() -> Value {
     let mut document = configuration(5, "one");
@@ -113,7 +59,7 @@
     fn with_receive_buffers(network: u8, buffer_bytes: Option<usize>) -> Self {
         let fleet = Arc::new(Fleet::new(network));
         let mut others: Vec<_> = (1..=3).map(|host| fleet.start_coordinator(host, true)).collect();
-        let begun = start_upstream(&fleet, buffer_bytes);
+        let begun = start_upstream(&fleet, UPSTREAM, buffer_bytes);
         let caller = fleet.start_sidecar(CALLER, "callers");
         others.push(fleet.start_sidecar(UPSTREAM, SERVICE));
         wait_until("the first configuration is accepted", || {
