Sidecar: a stopping sidecar takes no call of a peer that outlasts it, and says so

Cause: a call of a caller is accepted during a stop only if it ends before the limit; a call of a peer was accepted until peers were told, 2.3 to 3.3 s after the signal, whatever time it had left. The process exits 5.75 s after the signal, the sender sees the hop as lost, and a call that may not be repeated becomes a 502. Change: from the signal on, the deadline of a peer's call must lie before the moment at which remaining calls get their final answers; others are refused as not run, those that wait in the queue included. Each reply of a stopping sidecar tells how much time a call may have, so that senders choose another upstream themselves, from the first reply after the signal on; sidecars of an earlier version ignore the word.

--- a/crates/mesh/src/hop.rs
+++ b/crates/mesh/src/hop.rs
@@ -173,7 +173,7 @@
 /// outcome and eighteen numbers or words separated by spaces; the last eleven are optional. For a
 /// call in quarantine, the ids of two crashes follow as hexadecimal numbers. An upstream that
 /// states something of itself adds four words: these ids, its rate limit or `u` if that was lifted, and `l` if it is
-/// leaving.
+/// leaving. A sidecar that is stopping adds a fifth, the longest time of a call that it accepts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopReply {
     /// Outcome of the call.
@@ -222,6 +222,9 @@
     pub rate_limit: Option<LimitReport>,
     /// Whether the upstream stated with this answer that it is leaving.
     pub upstream_leaving: bool,
+    /// Longest remaining time of a call that the sidecar still accepts, because it is stopping,
+    /// milliseconds; `None` if it is not. Sidecars of an earlier version neither set nor evaluate it.
+    pub accepts_ms: Option<u32>,
 }
 
 /// What the upstream's sidecar tells a sender of the upstream's rate limit. A sidecar that has just
@@ -254,7 +257,8 @@
             InstanceState::Draining => 'd',
             InstanceState::Left => 'l',
         };
-        let states_something = self.rate_limit.is_some() || self.upstream_leaving;
+        let states_something =
+            self.rate_limit.is_some() || self.upstream_leaving || self.accepts_ms.is_some();
         let crashes = match self.quarantine_crashes {
             [CrashId(0), CrashId(0)] if !states_something => String::new(),
             [first, second] => format!(" {first} {second}"),
@@ -289,7 +293,8 @@
             Some(LimitReport::Limited(rate)) => rate.to_string(),
         };
         let leaving = if self.upstream_leaving { LEAVING } else { "-" };
-        format!(" {rate_limit} {leaving}")
+        let accepts = self.accepts_ms.map_or_else(String::new, |ms| format!(" {ms}"));
+        format!(" {rate_limit} {leaving}{accepts}")
     }
 
     /// Decodes a header value; `None` if it is malformed.
@@ -327,6 +332,7 @@
         let quarantine_crashes = [crash(), crash()];
         let rate_limit = words.next().and_then(decode_limit_report);
         let upstream_leaving = words.next() == Some(LEAVING);
+        let accepts_ms = words.next().and_then(|word| word.parse().ok());
         Some(HopReply {
             outcome,
             running,
@@ -350,6 +356,7 @@
             reported_service_time_percent,
             rate_limit,
             upstream_leaving,
+            accepts_ms,
         })
     }
 }
--- a/crates/mesh/tests/hop.rs
+++ b/crates/mesh/tests/hop.rs
@@ -29,6 +29,7 @@
         reported_service_time_percent: 0,
         rate_limit: None,
         upstream_leaving: false,
+        accepts_ms: None,
     }
 }
 
@@ -73,6 +74,19 @@
     .assert_eq(&text);
 }
 
+#[test]
+fn a_reply_of_a_stopping_sidecar_tells_what_it_still_accepts() {
+    let told = HopReply { accepts_ms: Some(3_200), ..reply() };
+    expect![
+        "a 3 1 9 120 97 0 d 12 40 75 800 0 0 310 1900 1 0 0 0000000000000000 0000000000000000 - - 3200"
+    ]
+    .assert_eq(&told.encode());
+    for accepts_ms in [None, Some(0), Some(3_200)] {
+        let told = HopReply { accepts_ms, upstream_leaving: true, ..reply() };
+        assert_eq!(HopReply::decode(&told.encode()), Some(told));
+    }
+}
+
 #[test]
 fn a_rate_is_read_as_it_was_written() {
     for per_s in [0.0, 0.2, 13.3, 1e6, 1e300] {
--- a/crates/placement/examples/choice_cost.rs
+++ b/crates/placement/examples/choice_cost.rs
@@ -53,6 +53,7 @@
                 spread: &LatencyHistogram::default(),
                 moved_bytes: 1_500.0,
                 target_ms: 400.0,
+                left_ms: 2_000,
                 body_bytes: 0,
                 tried: &[],
             };
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -53,6 +53,8 @@
     pub moved_bytes: f64,
     /// Remaining time until the target latency, milliseconds.
     pub target_ms: f64,
+    /// Remaining time until its deadline, milliseconds.
+    pub left_ms: u64,
     /// Length of the request body, bytes.
     pub body_bytes: usize,
     /// Upstreams that already received or refused the call.
@@ -196,7 +198,8 @@
         let sharers = self.sharers();
         for (key, held) in candidates {
             let distance = self.locality.distance(&held.record);
-            let usable = held.track == track && held.is_live();
+            let ends_first = distance != Distance::Local && held.ends_within(request.left_ms, now);
+            let usable = held.track == track && held.is_live() && !ends_first;
             if !usable || held.is_full(request.urgency, now) || !qualifies(held) {
                 continue;
             }
--- a/crates/placement/src/upstream.rs
+++ b/crates/placement/src/upstream.rs
@@ -309,6 +309,16 @@
         instance_ready && reply_ready && !self.record.stopping && !barred
     }
 
+    /// Whether its sidecar is stopping, and ends before a call with `left_ms` until its deadline.
+    pub fn ends_within(&self, left_ms: u64, now: Millis) -> bool {
+        let accepts = |last_reply: &LastReply| {
+            let accepts_ms = last_reply.reply.accepts_ms?;
+            Some((last_reply.at + u64::from(accepts_ms)).saturating_sub(now))
+        };
+        let accepts_ms = self.last_reply.as_ref().and_then(accepts);
+        accepts_ms.is_some_and(|accepts_ms| left_ms > accepts_ms)
+    }
+
     /// Whether it is live and runs a stable version rather than a canary.
     pub fn is_stable(&self) -> bool {
         self.track == Track::Stable && self.is_live()
--- a/crates/placement/tests/canary.rs
+++ b/crates/placement/tests/canary.rs
@@ -66,6 +66,7 @@
             spread: &spread,
             moved_bytes: 100.0,
             target_ms: 500.0,
+            left_ms: 2_000,
             body_bytes: 0,
             tried: &tried,
         };
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -69,6 +69,7 @@
                 spread: &LatencyHistogram::default(),
                 moved_bytes: 1_500.0,
                 target_ms: 400.0,
+                left_ms: 2_000,
                 body_bytes: 0,
                 tried: &[],
             };
--- a/crates/placement/tests/egress.rs
+++ b/crates/placement/tests/egress.rs
@@ -61,6 +61,7 @@
         link_full: false,
         rate_limit: None,
         upstream_leaving: false,
+        accepts_ms: None,
     }
 }
 
@@ -83,6 +84,7 @@
         spread: &LatencyHistogram::default(),
         moved_bytes: answer_bytes,
         target_ms: 1_500.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried: &[],
     };
--- a/crates/placement/tests/large.rs
+++ b/crates/placement/tests/large.rs
@@ -57,6 +57,7 @@
         spread,
         moved_bytes: 1_500.0,
         target_ms: 400.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried: &[],
     }
--- a/crates/placement/tests/statements.rs
+++ b/crates/placement/tests/statements.rs
@@ -67,6 +67,7 @@
         spread: &LatencyHistogram::default(),
         moved_bytes: 1_500.0,
         target_ms: 400.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried,
     };
@@ -174,6 +175,7 @@
         spread: &LatencyHistogram::default(),
         moved_bytes: 1_500.0,
         target_ms: 400.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried: &[],
     };
--- a/crates/placement/tests/view.rs
+++ b/crates/placement/tests/view.rs
@@ -58,6 +58,7 @@
         reported_service_time_percent: 0,
         rate_limit: None,
         upstream_leaving: false,
+        accepts_ms: None,
     }
 }
 
@@ -89,6 +90,7 @@
         spread: &LatencyHistogram::default(),
         moved_bytes: 1_500.0,
         target_ms: 400.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried,
     };
@@ -255,6 +257,7 @@
         spread,
         moved_bytes,
         target_ms: 400.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried: &[],
     };
@@ -500,6 +503,7 @@
             spread: &spread,
             moved_bytes: 100.0,
             target_ms: 400.0,
+            left_ms: 2_000,
             body_bytes: 0,
             tried: &tried,
         };
@@ -518,6 +522,7 @@
         spread: &spread,
         moved_bytes: 100.0,
         target_ms: 400.0,
+        left_ms: 2_000,
         body_bytes: 0,
         tried: &[],
     };
@@ -567,3 +572,25 @@
     assert!(view.get(&address(2)).expect("known upstream").is_cold(91), "until it reports");
     assert!(!view.get(&address(2)).expect("known upstream").is_cold(90 + 2_000));
 }
+
+#[test]
+fn a_call_that_outlasts_a_stopping_upstream_goes_elsewhere() {
+    // The calls of these tests have 2 s left.
+    let rows = [
+        // longest time of a call that it accepts, time since it said so, whether it is chosen
+        (None, 0, Some(2)),
+        (Some(2_000), 0, Some(2)),
+        (Some(2_100), 100, Some(2)),
+        (Some(2_100), 101, Some(1)),
+        (Some(1_999), 0, Some(1)),
+        (Some(0), 5_000, Some(1)),
+    ];
+    for (accepts_ms, since_ms, expected) in rows {
+        let mut view = view(&[(1, "b"), (2, "a")]);
+        let told = HopReply { accepts_ms, ..reply(0, 0) };
+        view.get_mut(&address(2)).expect("known upstream").note_reply(told, 50);
+        assert_eq!(choose(&view, &[], 50 + since_ms), expected, "{accepts_ms:?}, {since_ms} ms");
+        view.update(NodeRecord { boot_id: 9, ..record(2, "a", InstanceState::Ready) }, 60);
+        assert_eq!(choose(&view, &[], 6_000), Some(2), "its next process accepts all again");
+    }
+}
--- a/crates/sidecar/src/calls/endings.rs
+++ b/crates/sidecar/src/calls/endings.rs
@@ -219,6 +219,8 @@
         let route = call.route.clone();
         let arrived = call.arrived;
         let moved_bytes = (call.request.body.len() + response.body.len()) as f64;
+        let left_ms = call.deadline.saturating_sub(now);
+        let outlasts_stop = reply.accepts_ms.is_some_and(|ms| left_ms > u64::from(ms));
         if self.sample.includes(&call.attempt_id) {
             info!(
                 id = %call.attempt_id, %to, try_number = attempt.number, outcome = ?reply.outcome,
@@ -244,6 +246,8 @@
                         .note(&route, LatencySample { spent_ms, pace, reported_pace, moved_bytes });
                 }
                 HopOutcome::Answered => upstream.note_success(),
+                // It has capacity for calls that end before it.
+                HopOutcome::Refused if outlasts_stop => {}
                 HopOutcome::Refused if reply.link_full => {
                     upstream.note_link_full(u64::from(reply.retry_after_ms), now);
                 }
--- a/crates/sidecar/src/calls/placing.rs
+++ b/crates/sidecar/src/calls/placing.rs
@@ -169,6 +169,7 @@
             spread: self.times.spread(&call.route),
             moved_bytes: self.times.moved_bytes(&call.route).unwrap_or(body_bytes as f64),
             target_ms: call.target_ms.saturating_sub(elapsed).max(1) as f64,
+            left_ms: hop_time_left(call, now),
             body_bytes,
             tried: &call.tried,
         }
@@ -182,7 +183,7 @@
         usual_ms: f64,
         now: Millis,
     ) -> HopRequest {
-        let left = call.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN_MS).max(1);
+        let left = hop_time_left(call, now);
         let pace = self.view.get(to).map_or(1.0, |upstream| upstream.pace(now));
         let planned = usual_ms * pace * PLANNED_TIME_FACTOR;
         let target = call.target_ms as f64;
@@ -214,3 +215,8 @@
         }
     }
 }
+
+/// Time that a peer is given for a call, in milliseconds.
+fn hop_time_left(call: &Call, now: Millis) -> u64 {
+    call.deadline.saturating_sub(now).saturating_sub(HOP_MARGIN_MS).max(1)
+}
--- a/crates/sidecar/src/jobs/arrival.rs
+++ b/crates/sidecar/src/jobs/arrival.rs
@@ -78,6 +78,11 @@
             let refusal = self.early_refusal(&attempt_id, reason, delay, status, &request);
             return vec![self.refuse(source, refusal, now)];
         }
+        let deadline = now + hop.deadline_ms.saturating_sub(waited_ms + offered_ms);
+        if let Some(reason) = self.outlasts_stop(source, deadline) {
+            let refusal = self.stop_refusal(&attempt_id, reason, offered_ms);
+            return vec![self.refuse(source, refusal, now)];
+        }
         self.adopt_rate(hop, now);
         let kind = EgressClass { rank: hop.rank, target_ms: hop.target_ms };
         let leaves = matches!(source, Source::Peer { .. });
@@ -94,7 +99,6 @@
         }
         let job = self.next_job;
         self.next_job += 1;
-        let deadline = now + hop.deadline_ms.saturating_sub(waited_ms + offered_ms);
         let HopRequest { nested, rank, target_ms, .. } = *hop;
         let patience_ms = hop.patience_ms.saturating_sub(waited_ms);
         let tenant = request.headers.get(self.names.tenant).map(TenantKey::of);
@@ -133,6 +137,17 @@
         }
     }
 
+    /// Builds the refusal of a call that would outlast this process.
+    pub(super) fn stop_refusal<'a>(
+        &self,
+        id: &'a str,
+        reason: &'a str,
+        held_ms: u64,
+    ) -> Refusal<'a> {
+        let retry_after_ms = self.stop_bound.map_or(0, |bound| bound.retry_after_ms);
+        no_room(id, reason, held_ms, retry_after_ms)
+    }
+
     /// Builds the refusal of a call that is not eligible for this upstream or is quarantined.
     fn early_refusal<'a>(
         &self,
--- a/crates/sidecar/src/jobs/mod.rs
+++ b/crates/sidecar/src/jobs/mod.rs
@@ -53,6 +53,9 @@
 /// Status with which an upstream rejects a call that is meant for another incarnation; the call has
 /// not run.
 const WRONG_INSTANCE_STATUS: u16 = 421;
+/// Reason to refuse a call whose deadline is later than the end of this process.
+const OUTLASTS_STOP: &str = "stopping_before_deadline";
+
 /// Who is waiting for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
@@ -210,9 +213,27 @@
     /// retry budget.
     pub hedges_barred_until: Millis,
     next_job: JobId,
+    /// Set while the process is stopping.
+    stop_bound: Option<StopBound>,
     closed: bool,
 }
 
+/// What bounds the calls of peers while the process is stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopBound {
+    /// Latest deadline of a call that ends before the process.
+    pub latest_deadline: Millis,
+    /// When a refused call may be retried here, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+impl StopBound {
+    /// Longest remaining time of a call that is accepted now, in milliseconds.
+    fn accepts_ms(self, now: Millis) -> u32 {
+        u32::try_from(self.latest_deadline.saturating_sub(now)).unwrap_or(u32::MAX)
+    }
+}
+
 impl Jobs {
     /// Creates the inbound side of a sidecar whose upstream belongs to `service`.
     pub fn new(
@@ -255,6 +276,7 @@
             active_runs: BTreeMap::new(),
             hedges_barred_until: 0,
             next_job: 1,
+            stop_bound: None,
             closed: false,
         }
     }
@@ -434,6 +456,7 @@
             reported_service_time_percent: self.pace.reported_percent(now),
             rate_limit: self.stated_rate.rate().map(LimitReport::Limited),
             upstream_leaving: false,
+            accepts_ms: self.stop_bound.map(|bound| bound.accepts_ms(now)),
         }
     }
 
@@ -450,6 +473,12 @@
         JobAction::Reply { source, reply, response: Response::empty(REFUSED_STATUS) }
     }
 
+    /// The answer to a call of a peer that has not arrived completely when the process ends.
+    pub fn stopping_response(&self, now: Millis) -> Response {
+        let reply = self.reply(HopOutcome::Refused, 0, 0, now);
+        Response::empty(REFUSED_STATUS).with_header(HOP_HEADER, reply.encode())
+    }
+
     /// Number of calls refused so far because the upstream was cold.
     pub fn cold_refusals(&self) -> u64 {
         self.cold_refusals
@@ -466,6 +495,30 @@
         self.link_refusals
     }
 
+    /// Accepts only calls of peers that end before the process, which is stopping, and refuses the
+    /// queued ones that do not.
+    pub fn begin_stop(&mut self, bound: StopBound, now: Millis) -> Vec<JobAction> {
+        self.stop_bound = Some(bound);
+        let outlasts = |job: &Job| {
+            job.started.is_none() && self.outlasts_stop(job.source, job.deadline).is_some()
+        };
+        let found = self.jobs.iter().filter(|(_, job)| outlasts(job));
+        let ids: Vec<JobId> = found.map(|(id, _)| *id).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            self.admission.cancel(id);
+            actions.extend(self.refuse_queued(id, OUTLASTS_STOP, now));
+        }
+        actions
+    }
+
+    /// The reason to refuse a call of a peer that may still be at work when this process ends: its
+    /// sender would not learn how it ended.
+    fn outlasts_stop(&self, source: Source, deadline: Millis) -> Option<&'static str> {
+        let bound = self.stop_bound.filter(|_| matches!(source, Source::Peer { .. }))?;
+        (deadline > bound.latest_deadline).then_some(OUTLASTS_STOP)
+    }
+
     /// Stops accepting calls because the process is stopping, and refuses the queued ones.
     pub fn close(&mut self, now: Millis) -> Vec<JobAction> {
         self.closed = true;
--- a/crates/sidecar/src/jobs/offers.rs
+++ b/crates/sidecar/src/jobs/offers.rs
@@ -88,6 +88,11 @@
         if self.offers.by_source.contains_key(&source) {
             return Vec::new();
         }
+        let deadline = now + hop.deadline_ms;
+        if let Some(reason) = self.outlasts_stop(source, deadline) {
+            let refusal = self.stop_refusal(attempt_id, reason, 0);
+            return vec![self.refuse(source, refusal, now)];
+        }
         if let Some((reason, retry_after_ms)) = self.refusal_reason(hop, bytes, now) {
             let refusal = Refusal { id: attempt_id, reason, retry_after_ms, ..Refusal::default() };
             return vec![self.refuse(source, refusal, now)];
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -35,7 +35,7 @@
     HeaderNames, RegistrationCall, RegistrationDialect, ReportedLoad, UpstreamStatement,
 };
 pub use heartbeat_trust::{HeartbeatTrust, HeldHeartbeat};
-pub use jobs::{JobAction, Jobs, Source, UpstreamEnd};
+pub use jobs::{JobAction, Jobs, Source, StopBound, UpstreamEnd};
 pub use link_meter::{LinkChange, LinkFullDetector, LinkMeter};
 pub use links::{chosen as chosen_coordinators, LinkEvent, Links};
 pub use net::{ConnectionId, LinkUse, Net, NetEvent, SentBytes, WriteFailure};
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -2,7 +2,7 @@
 
 use super::{Sidecar, Work};
 use crate::dialect::RegistrationDialect;
-use crate::jobs::Source;
+use crate::jobs::{Source, StopBound};
 use crate::net::Leftovers;
 use crate::stop::{Activity, StopPhase};
 use crate::Millis;
@@ -15,9 +15,7 @@
     pub(super) fn should_exit(&mut self, stop: &StopSignal) -> bool {
         let now = self.now();
         if stop.is_set() && self.stop.begin(now) {
-            self.calls.note_stop(now);
-            let (running, queued) = self.jobs.load();
-            info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
+            self.begin_stop(now);
         }
         if !self.stop.has_begun() {
             return false;
@@ -42,6 +40,20 @@
         }
     }
 
+    /// From now on, calls of peers are accepted only if they end before this process.
+    fn begin_stop(&mut self, now: Millis) {
+        let (running, queued) = self.jobs.load();
+        info!(in_flight = self.calls.in_flight(), running, queued, "sidecar_stopping");
+        self.calls.note_stop(now);
+        let Some(latest_deadline) = self.stop.latest_deadline() else {
+            return;
+        };
+        let retry_after_ms = self.stop.retry_after_ms();
+        let actions = self.jobs.begin_stop(StopBound { latest_deadline, retry_after_ms }, now);
+        self.work.extend(actions.into_iter().map(Work::Job));
+        self.do_work();
+    }
+
     /// Logs what the process leaves behind: requests without an answer, and data on its sockets.
     pub(super) fn log_exit(&mut self) {
         let now = self.now();
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -88,6 +88,12 @@
         self.since.is_some()
     }
 
+    /// Latest deadline of a call that ends before the remaining calls get their final answers; `None` if
+    /// no stop was requested.
+    pub fn latest_deadline(&self) -> Option<Millis> {
+        self.since.map(|since| since + self.limit_ms.saturating_sub(self.ending_ms()))
+    }
+
     /// Time since the stop was requested, in milliseconds.
     pub fn elapsed_ms(&self, now: Millis) -> u64 {
         self.since.map_or(0, |since| now.saturating_sub(since))
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -390,3 +390,16 @@
     }
     assert_eq!(retry_after_ms(&actions), Some(600));
 }
+
+/// A peer that ends before a call has capacity for those that end before it.
+#[test]
+fn a_peer_that_refuses_what_outlasts_it_is_not_taken_for_full() {
+    let mut world = World::with_upstreams(1);
+    let (attempt, _) = sent(&world.begin("GET", "/safe/1")).expect("it is sent");
+    let refused = HopReply { accepts_ms: Some(1_000), ..reply(HopOutcome::Refused) };
+    let end = AttemptEnd::Replied(refused, Response::empty(503));
+    let actions = world.calls.ended(attempt, end, world.now);
+    assert_eq!(status(&actions), Some(503), "the only upstream has refused it");
+    assert!(sent(&world.begin("GET", "/safe/2")).is_none(), "two seconds are too long as well");
+    assert!(sent(&world.begin_with_deadline("/safe/3", 900)).is_some());
+}
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -280,6 +280,7 @@
         reported_service_time_percent: 0,
         rate_limit: None,
         upstream_leaving: false,
+        accepts_ms: None,
     }
 }
 
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -6,10 +6,13 @@
 use common::{found_alive, NAMES, SERVICE};
 use expect_test::expect;
 use http1::{Answer, ExchangeError, Headers, Request, Response};
-use mesh::{CallRate, HopOutcome, HopRequest, InstanceRecord, InstanceState, LimitReport};
+use mesh::{
+    CallRate, HopOutcome, HopReply, HopRequest, InstanceRecord, InstanceState, LimitReport,
+    HOP_HEADER,
+};
 use sidecar::{
-    ConnectionId, Initiator, JobAction, JobMetrics, Jobs, LogSample, ReportedLoad, Source,
-    UpstreamEnd, UpstreamStatement,
+    Attempt, ConnectionId, Initiator, JobAction, JobMetrics, Jobs, LogSample, ReportedLoad, Source,
+    StopBound, UpstreamEnd, UpstreamStatement,
 };
 use statements::RateStatement;
 use std::rc::Rc;
@@ -622,3 +625,62 @@
     let actions = answer(&mut jobs, first, stated(0.5), 50);
     assert_eq!(outcomes(&actions), [HopOutcome::Refused, HopOutcome::Answered]);
 }
+
+/// The bound of a process that ends its calls `ends_ms` after the start of a test.
+fn stop_bound(ends_ms: u64) -> StopBound {
+    StopBound { latest_deadline: ends_ms, retry_after_ms: 1_500 }
+}
+
+#[test]
+fn a_stopping_sidecar_takes_no_call_of_a_peer_that_outlasts_it() {
+    // The calls of these tests have 1 s left.
+    for (ends_ms, expected) in [(1_100, vec![]), (1_099, vec![HopOutcome::Refused])] {
+        let mut jobs = jobs();
+        assert!(jobs.begin_stop(stop_bound(ends_ms), 50).is_empty());
+        let actions = begin(&mut jobs, 1, 100);
+        assert_eq!(outcomes(&actions), expected, "ends at {ends_ms} ms");
+        let offered = jobs.offer(source(2), "8", &hop(SERVICE, Some("i-1")), 1, 100);
+        assert_eq!(outcomes(&offered), expected, "offered, ends at {ends_ms} ms");
+    }
+}
+
+#[test]
+fn a_stopping_sidecar_tells_with_each_reply_what_it_accepts() {
+    let mut jobs = jobs();
+    jobs.begin_stop(stop_bound(900), 50);
+    let [JobAction::Reply { reply, .. }] = &begin(&mut jobs, 1, 100)[..] else {
+        panic!("it is refused");
+    };
+    assert_eq!((reply.accepts_ms, reply.retry_after_ms), (Some(800), 1_500));
+    assert_eq!(reply.state, InstanceState::Ready, "shorter calls are accepted");
+}
+
+#[test]
+fn a_stop_refuses_what_waits_and_would_outlast_it_and_ends_nothing_at_work() {
+    let mut jobs = jobs();
+    begin(&mut jobs, 1, 0);
+    begin(&mut jobs, 2, 0);
+    assert!(begin(&mut jobs, 3, 0).is_empty(), "the call is queued");
+    assert!(jobs.begin_stop(stop_bound(1_000), 10).is_empty(), "all end before it");
+    assert_eq!(outcomes(&jobs.begin_stop(stop_bound(999), 10)), [HopOutcome::Refused]);
+    assert_eq!(jobs.load(), (2, 0));
+}
+
+#[test]
+fn a_stopping_sidecar_takes_calls_of_its_own_callers_as_its_plan_says() {
+    let mut jobs = jobs();
+    jobs.begin_stop(stop_bound(500), 50);
+    let local = Source::Local(Attempt { call: 1, number: 1 });
+    let actions = jobs.begin(local, request(), &hop(SERVICE, Some("i-1")), 100);
+    assert!(started(&actions).is_some(), "{actions:?}");
+}
+
+#[test]
+fn a_peer_whose_call_has_not_arrived_is_told_that_it_has_not_run() {
+    let mut jobs = jobs();
+    jobs.close(100);
+    let response = jobs.stopping_response(100);
+    let reply = response.headers.text(HOP_HEADER).and_then(HopReply::decode);
+    let told = reply.map(|reply| (reply.outcome, reply.state));
+    assert_eq!(told, Some((HopOutcome::Refused, InstanceState::Left)));
+}
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -135,3 +135,9 @@
         assert!(ends.is_some_and(|after| after >= limit_ms * 5 / 6), "{limit_ms}: {ends:?}");
     }
 }
+
+#[test]
+fn peers_are_told_a_deadline_before_the_remaining_calls_are_ended() {
+    assert_eq!(StopPlan::new(LIMIT_MS).latest_deadline(), None);
+    assert_eq!(plan().latest_deadline(), Some(STOPPED_AT + LIMIT_MS - ENDING_MS));
+}
