Sidecar: a stop waits only for whoever may lack a part of a long answer

What one saw: beside callers that come back after each refusal no stop ended before its limit (at_limit=true finishing=11), which stretches each roll and cuts calls, since at the limit the last look at the sockets is passed over. Cause: each refused caller holds its connection for a moment behind its 503, and one of them always does. Change: a connection is waited for only if its answers, since its other side last showed that it had read those before, exceed the 2 KiB that any receiver takes before its process reads. What is shorter is with the other side's kernel and no reset takes it back. Evidence: a_stop_beside_callers_that_come_back_ends_before_its_limit failed before (at_limit=true), passes now; the_last_answer_of_a_stopping_sidecar_is_delivered_though_its_caller_sends_more and the rest of lost_requests.rs pass unchanged (7 of 7).

--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -37,6 +37,8 @@
     }
 }
 
+/// Any receiver takes this much before its process reads any of it.
+pub const SMALLEST_WINDOW_BYTES: usize = 2 * 1024;
 /// Maximum number of broken connections logged per second.
 const BROKEN_WRITES_LOGGED_PER_S: u32 = 5;
 /// Maximum number of connections logged per second that were closed with data left on them.
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,6 +1,6 @@
 //! Client connections of the sidecar: one request at a time on each, kept open between requests.
 
-use crate::net::{ConnectionId, LinkUse, Net, NetEvent};
+use crate::net::{ConnectionId, LinkUse, Net, NetEvent, SMALLEST_WINDOW_BYTES};
 use crate::Millis;
 use bytes::Bytes;
 use http1::{
@@ -17,9 +17,6 @@
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 const MAX_ANSWER_BODY_BYTES: u64 = 64 * 1024 * 1024;
 
-/// Any receiver takes this much of a request before its process reads any of it.
-const SMALLEST_WINDOW_BYTES: usize = 2 * 1024;
-
 /// How an outgoing request ended.
 #[derive(Debug)]
 pub enum PoolEnd {
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -1,7 +1,7 @@
 //! Server connections of the sidecar: from callers, peers, the upstream that registers, and clients
 //! of the readiness and metrics endpoints.
 
-use crate::net::{ConnectionId, LinkUse, Net};
+use crate::net::{ConnectionId, LinkUse, Net, SMALLEST_WINDOW_BYTES};
 use crate::Millis;
 use http1::{
     ByteBudget, Offer, OutputQueue, Request, Response, ServerConnection, ServerLimits, Slot,
@@ -46,6 +46,10 @@
     idle_since: Millis,
     /// Whether nothing has arrived on it yet.
     is_new: bool,
+    /// Whether a request has come before the answer to an earlier one.
+    is_pipelined: bool,
+    /// Bytes of answers since the other side last showed that it had read those before.
+    unread_answer_bytes: usize,
 }
 
 /// A request that has not arrived completely.
@@ -65,6 +69,20 @@
         self.carries_calls() && self.reading.is_some()
     }
 
+    /// Records requests that arrived; `was_idle` tells whether all earlier ones had been answered then.
+    /// Whoever sends one request at a time has read the answer to the one before.
+    fn note_requests(&mut self, was_idle: bool) {
+        self.is_pipelined |= !was_idle || self.core.unanswered() > 1;
+        if !self.is_pipelined {
+            self.unread_answer_bytes = 0;
+        }
+    }
+
+    /// Whether its answers may exceed what the other side takes before it reads.
+    fn may_hold_answers(&self) -> bool {
+        self.unread_answer_bytes > SMALLEST_WINDOW_BYTES
+    }
+
     /// Records which request is being received now. The timeout starts anew with each request: one
     /// that was answered before it was complete does not use up the time of the next one.
     fn note_reading(&mut self, request: Option<u64>, now: Millis) {
@@ -80,7 +98,8 @@
     /// What the bodies of requests are charged to.
     budget: ByteBudget,
     dropped: u64,
-    /// Connections of callers and peers that were ended here, and that they may not have closed yet.
+    /// Connections of callers and peers that were ended here behind long answers, and that they may not
+    /// have closed yet.
     finishing: Vec<ConnectionId>,
 }
 
@@ -94,7 +113,15 @@
     pub fn accepted(&mut self, net: &mut Net, id: ConnectionId, kind: ServerKind, now: Millis) {
         net.set_use(id, LinkUse::Answers);
         let core = ServerConnection::default().with_budget(self.budget.clone());
-        let conn = ServedConnection { kind, core, reading: None, idle_since: now, is_new: true };
+        let conn = ServedConnection {
+            kind,
+            core,
+            reading: None,
+            idle_since: now,
+            is_new: true,
+            is_pipelined: false,
+            unread_answer_bytes: 0,
+        };
         self.connections.insert(id, conn);
     }
 
@@ -118,8 +145,13 @@
             return Vec::new();
         };
         conn.is_new = false;
+        let was_idle = conn.core.unanswered() == 0;
         let mut output = OutputQueue::default();
         let requests = conn.core.receive(input, limits, &mut output);
+        if !requests.is_empty() {
+            conn.note_requests(was_idle);
+        }
+        conn.unread_answer_bytes += output.len();
         let reading = conn.core.reading(input);
         conn.note_reading(reading, now);
         conn.idle_since = now;
@@ -178,6 +210,7 @@
         };
         let mut output = OutputQueue::default();
         let over = conn.core.answer(slot, response, close, &mut output);
+        conn.unread_answer_bytes += output.len();
         conn.idle_since = now;
         net.send_message(id, output);
         if over {
@@ -195,14 +228,15 @@
             self.dropped += unanswered as u64;
             tracing::info!(kind = ?conn.kind, unanswered, "requests_dropped");
         }
-        if conn.carries_calls() {
+        if conn.carries_calls() && conn.may_hold_answers() {
             self.finishing.push(id);
         }
         net.finish(id);
     }
 
-    /// Whether a caller or peer has not closed its connection behind the last answer. Others, such as
-    /// clients of the readiness check, are not waited for.
+    /// Whether a caller or peer has not closed its connection behind answers that may still be with this
+    /// machine's kernel. Short answers are with the other side's; whoever watches the readiness is not
+    /// waited for.
     pub fn awaits_close(&self, net: &Net) -> bool {
         self.finishing.iter().any(|id| net.is_open(*id))
     }
