Sidecar: at the end of a stop, what comes late is refused with a time, and all of it is looked at

Cause: in that time each request of which a first part was there got a 408 at once, in each turn; at the limit the listeners stayed open and the last look at the sockets was passed over; a 408 to a peer carries no outcome. Change: from the moment of the final answers on, new connections are refused, a request has 100 ms to arrive and is then refused with 503 and Retry-After (a peer's as not run), and the last look is taken at the limit too. sidecar_ends_calls is logged when calls are ended, not in each turn. Evidence: a_request_that_begins_to_arrive_at_the_end_of_a_stop_is_refused_with_a_time had no 503 among its answers before, passes now; the tests of planned stops pass unchanged (planned_stop, planned_stop_moments, lost_requests).

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -336,6 +336,12 @@
     /// Answers the incomplete request with status 408 and stops parsing. Returns true if the
     /// connection must be closed once `output` has been sent.
     pub fn time_out(&mut self, output: &mut impl Output) -> bool {
+        self.refuse_partial(self.rejection(408), output)
+    }
+
+    /// Answers the incomplete request before the rest of it is read, and stops parsing. Returns true if
+    /// the connection must be closed once `output` has been sent.
+    pub fn refuse_partial(&mut self, response: Response, output: &mut impl Output) -> bool {
         let offered = match &self.phase {
             Phase::Body { offered, .. } => offered.map(|offered| offered.slot),
             _ => None,
@@ -343,7 +349,7 @@
         self.phase = Phase::Refused;
         self.closing = true;
         let slot = offered.unwrap_or_else(|| self.enqueue(false));
-        self.answer(slot, self.rejection(408), true, output)
+        self.answer(slot, response, true, output)
     }
 }
 
--- a/crates/sidecar/src/calls/mod.rs
+++ b/crates/sidecar/src/calls/mod.rs
@@ -521,8 +521,12 @@
 }
 
 fn refusal(origin: Origin, retry_after_ms: u64) -> CallAction {
+    CallAction::Answer { origin, response: refusal_response(retry_after_ms) }
+}
+
+/// The answer to a call that has not run, with the time after which its caller may come back.
+pub fn refusal_response(retry_after_ms: u64) -> Response {
     let bounded = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
     let seconds = format!("{:.3}", bounded as f64 / 1_000.0);
-    let response = Response::empty(503).with_header("Retry-After", seconds);
-    CallAction::Answer { origin, response }
+    Response::empty(503).with_header("Retry-After", seconds)
 }
--- a/crates/sidecar/src/runtime/stopping.rs
+++ b/crates/sidecar/src/runtime/stopping.rs
@@ -1,9 +1,11 @@
 //! The steps of the event loop while the process stops.
 
 use super::{Sidecar, Work};
+use crate::calls::refusal_response;
 use crate::dialect::RegistrationDialect;
 use crate::jobs::{Source, StopBound};
 use crate::net::Leftovers;
+use crate::servers::ServerKind;
 use crate::stop::{Activity, StopPhase};
 use crate::Millis;
 use std::time::Duration;
@@ -36,7 +38,7 @@
                 self.end_remaining_calls(now);
                 false
             }
-            StopPhase::Done => self.stop.is_at_limit(now) || self.is_drained(now),
+            StopPhase::Done => self.is_drained(now) || self.stop.is_at_limit(now),
         }
     }
 
@@ -100,24 +102,41 @@
         received
     }
 
-    /// Gives the remaining calls their final answers shortly before the process exits. No call is
-    /// queued for the local upstream any more (`Jobs::close` refused those), so ending one does not
-    /// start another.
+    /// Shortly before the process exits, refuses new connections, calls that have not arrived completely
+    /// among them, and gives the remaining calls their final answers.
     fn end_remaining_calls(&mut self, now: Millis) {
-        let reading = self.servers.partial_calls();
-        if self.calls.in_flight() == 0 && reading == 0 {
-            return;
+        for event in self.net.stop_listening() {
+            self.on_event(event);
+        }
+        self.refuse_partial_calls(now);
+        if self.calls.in_flight() > 0 {
+            self.end_calls_at_work(now);
         }
+        self.do_work();
+    }
+
+    /// Tells callers and peers that the calls which they have begun to send have not run.
+    fn refuse_partial_calls(&mut self, now: Millis) {
+        let caller_response = refusal_response(self.stop.retry_after_ms());
+        let peer_response = self.jobs.stopping_response(now);
+        let refusal = |kind| match kind {
+            ServerKind::Peer => peer_response.clone(),
+            _ => caller_response.clone(),
+        };
+        self.servers.refuse_partial_calls(&mut self.net, refusal, now);
+    }
+
+    /// Gives the remaining calls their final answers. No call is queued for the local upstream any more
+    /// (`Jobs::close` refused those), so ending one does not start another.
+    fn end_calls_at_work(&mut self, now: Millis) {
         let (running, queued) = self.jobs.load();
         let in_flight = self.calls.in_flight();
-        info!(in_flight, reading, running, queued, "sidecar_ends_calls");
+        info!(in_flight, running, queued, "sidecar_ends_calls");
         let (peers, jobs) = (&self.peers, &self.jobs);
         let was_sent =
             |attempt| peers.was_sent(attempt) || jobs.has_started(Source::Local(attempt));
         let actions = self.calls.end_all(was_sent, self.stop.retry_after_ms(), now);
         self.work.extend(actions.into_iter().map(Work::Call));
-        self.servers.time_out_partial_requests(&mut self.net);
-        self.do_work();
     }
 
     /// Makes the local upstream unavailable to peers until this sidecar has restarted.
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -9,9 +9,12 @@
 use mesh::GRANT_HEADER;
 use std::collections::BTreeMap;
 
-/// Whoever opens a connection sends the first request within this time, in milliseconds.
+/// Whoever opens a connection sends the first request within this time, in milliseconds, and a request that
+/// has begun to arrive is there.
 const FIRST_REQUEST_MS: Millis = 100;
 
+const TIMED_OUT_STATUS: u16 = 408;
+
 /// Who is connected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerKind {
@@ -295,24 +298,43 @@
         self.connections.values().filter(|conn| conn.has_partial_call()).count()
     }
 
-    /// Answers the calls from callers and peers that have not arrived completely.
-    pub fn time_out_partial_requests(&mut self, net: &mut Net) {
-        let found = self.connections.iter().filter(|(_, conn)| conn.has_partial_call());
-        let ids: Vec<ConnectionId> = found.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.time_out(net, id);
+    /// Refuses the calls from callers and peers that have begun to arrive and are not there in time. They
+    /// have not run.
+    pub fn refuse_partial_calls(
+        &mut self,
+        net: &mut Net,
+        refusal: impl Fn(ServerKind) -> Response,
+        now: Millis,
+    ) {
+        let is_due = |reading: Reading| reading.since + FIRST_REQUEST_MS <= now;
+        let is_late =
+            |conn: &ServedConnection| conn.carries_calls() && conn.reading.is_some_and(is_due);
+        let found = self.connections.iter().filter(|(_, conn)| is_late(conn));
+        let late: Vec<(ConnectionId, ServerKind)> =
+            found.map(|(id, conn)| (*id, conn.kind)).collect();
+        for (id, kind) in late {
+            self.refuse_partial(net, id, refusal(kind));
         }
     }
 
     /// Answers a request that has not arrived completely with status 408; nothing more is read.
     fn time_out(&mut self, net: &mut Net, id: ConnectionId) {
+        self.refuse_partial(net, id, Response::empty(TIMED_OUT_STATUS));
+    }
+
+    /// Answers a request that has not arrived completely; nothing more is read.
+    fn refuse_partial(&mut self, net: &mut Net, id: ConnectionId, response: Response) {
         let Some(conn) = self.connections.get_mut(&id) else {
             return;
         };
         conn.reading = None;
-        tracing::info!(kind = ?conn.kind, bytes = conn.core.body_bytes(), verdict = "not-run", "request_timed_out");
+        tracing::info!(
+            kind = ?conn.kind, status = response.status, body_bytes = conn.core.body_bytes(),
+            verdict = "not-run", "partial_request_refused"
+        );
         let mut output = OutputQueue::default();
-        let over = conn.core.time_out(&mut output);
+        let over = conn.core.refuse_partial(response, &mut output);
+        conn.unread_answer_bytes += output.len();
         net.send_message(id, output);
         if over {
             self.finish(net, id);
