Soak: all sidecars stopped in turn, and own answers judged by the sender's stop alone

What was missing: stops overlapped only in pairs, no request took longer than 40 ms but late uploads, callers left a stopping sidecar, and any 502 counted the same. The judge: a 502, or a 504 before the time-out, is a call that was broken off, unless the call was sent in the first half of a stop of its own sidecar and ended in the last sixth of it; signals are recorded for each process.

--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -4,7 +4,7 @@
 
 use super::clock::{Clock, EventList};
 use super::kept::{KeptRequest, PersistentConnection, ResponseOutcome};
-use super::machines::{Machines, CALLERS};
+use super::machines::{host_bit, Machines, CALLERS};
 use super::operator::{BASE_HOST, BASE_PATH};
 use super::upstream::{
     expected_body, parse_seal, ID_HEADER, LEAVING_HEADER, POISON, RATE_LIMIT_HEADER, SEAL_HEADER,
@@ -19,6 +19,9 @@
 
 const CALL_PAUSE_MS: std::ops::Range<u64> = 5..40;
 const POISON_PAUSE_MS: std::ops::Range<u64> = 20..120;
+const REFUSED_STATUS: u16 = 503;
+/// How long a caller that comes back keeps its connection behind a refusal.
+const HOLD_MS: std::ops::Range<u64> = 40..240;
 /// Calls that a pipelining caller sends at once.
 const PIPELINED_CALLS: std::ops::RangeInclusive<usize> = 1..=4;
 /// Every n-th call uses a route that only one configuration version has.
@@ -36,12 +39,26 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+/// Which callers a round has.
+#[derive(Clone, Debug)]
+pub struct CallerPlan {
+    /// Machines that have callers.
+    pub hosts: Vec<u8>,
+    /// Callers at each machine.
+    pub per_machine: usize,
+    /// Whether a quarter of them come back to a sidecar that has refused them.
+    pub some_return: bool,
+}
+
 /// State of one caller thread.
 struct Caller {
     /// Persistent connection; `None` for a caller that opens one per call.
     connection: Option<PersistentConnection>,
     /// Whether it sends further calls on its connection before the first one is answered.
     pipelines: bool,
+    /// Whether it calls a sidecar that is not ready as well, and keeps a connection for a while behind a
+    /// refusal.
+    returns: bool,
     host: u8,
     base: String,
     next_id: Arc<AtomicU64>,
@@ -60,13 +77,12 @@
 }
 
 impl Callers {
-    /// Starts `per_machine` callers at each machine of [`CALLERS`]. Bit `i` of `inactive_callers`
-    /// tells the callers of machine `CALLERS[i]` to stop opening connections. `version` is the
-    /// newest configuration version sent.
+    /// Starts callers. The [`host_bit`] of a machine in `inactive_callers` tells the callers there to open
+    /// no connections. `version` is the newest configuration version sent.
     pub fn start(
         machines: &Machines,
         inactive_callers: &Arc<AtomicU64>,
-        per_machine: usize,
+        plan: &CallerPlan,
         version: &Arc<AtomicU64>,
         clock: Clock,
         observations: &Observations,
@@ -74,13 +90,14 @@
         let stop = Arc::new(AtomicBool::new(false));
         let next_id = Arc::new(AtomicU64::new(1));
         let mut threads = Vec::new();
-        for (index, host) in CALLERS.into_iter().enumerate() {
-            for number in 0..per_machine {
+        for host in plan.hosts.iter().copied() {
+            for number in 0..plan.per_machine {
                 let address = SocketAddr::from((machines.ip(host), machines.ports.outbound));
                 let connection = (number % 2 == 0).then(|| PersistentConnection::new(address));
                 let mut caller = Caller {
                     connection,
                     pipelines: number % 4 == 0,
+                    returns: plan.some_return && number % 4 == 1,
                     host,
                     base: format!("http://{}:{}", machines.ip(host), machines.ports.outbound),
                     next_id: next_id.clone(),
@@ -91,10 +108,11 @@
                 let (stop, inactive_callers) = (stop.clone(), inactive_callers.clone());
                 threads.push(thread::spawn(move || {
                     while !stop.load(Ordering::Relaxed) {
-                        let inactive = inactive_callers.load(Ordering::SeqCst) & (1 << index) != 0;
+                        let inactive =
+                            inactive_callers.load(Ordering::SeqCst) & host_bit(host) != 0;
                         let connected =
                             caller.connection.as_ref().is_some_and(PersistentConnection::is_open);
-                        if !inactive || connected {
+                        if !inactive || connected || caller.returns {
                             caller.call();
                         }
                         thread::sleep(Duration::from_millis(fastrand::u64(CALL_PAUSE_MS)));
@@ -234,6 +252,9 @@
                 let header = |name: &str| resp.headers().get(name)?.to_str().ok();
                 self.note_passed_on(header);
                 let status = resp.status().as_u16();
+                if self.returns && status == REFUSED_STATUS {
+                    thread::sleep(Duration::from_millis(fastrand::u64(HOLD_MS)));
+                }
                 match resp.body_mut().read_to_string() {
                     Ok(text) => CallOutcome::Answered {
                         status,
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -3,7 +3,7 @@
 use super::callers::repeat_poison;
 use super::clock::Clock;
 use super::machines::{
-    is_coordinator, Machines, CALLERS, COORDINATORS, DRAIN_MS, STOP_LIMIT_MS, UPSTREAMS,
+    host_bit, is_coordinator, Machines, CALLERS, COORDINATORS, DRAIN_MS, STOP_LIMIT_MS, UPSTREAMS,
 };
 use super::operator::Operator;
 use super::upstream::Upstream;
@@ -25,7 +25,7 @@
 /// Time after which callers that watch the readiness have stopped calling.
 pub(super) const READINESS_NOTICE_DELAY: Duration = Duration::from_millis(1_500);
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(2);
-const READY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const DRAIN_WAIT: Duration = Duration::from_millis(DRAIN_MS + 1_000);
 
 /// Fault injector of one round.
@@ -36,7 +36,7 @@
     pub upstreams: &'a BTreeMap<u8, Arc<Upstream>>,
     /// Sends versions between faults.
     pub operator: &'a mut Operator,
-    /// Machines whose callers are told to open no connections: bit `i` stands for `CALLERS[i]`.
+    /// Machines whose callers are told to open no connections, by [`host_bit`].
     pub inactive_callers: &'a Arc<AtomicU64>,
     /// Clock of the round.
     pub clock: Clock,
@@ -163,15 +163,14 @@
         if let Some(process) = self.machines.process(host) {
             process.terminate();
         }
-        let bit = CALLERS.iter().position(|caller| *caller == host).map_or(0, |index| 1 << index);
         thread::sleep(READINESS_NOTICE_DELAY);
-        self.inactive_callers.fetch_or(bit, Ordering::SeqCst);
+        self.inactive_callers.fetch_or(host_bit(host), Ordering::SeqCst);
         if let Some(process) = self.machines.process(host) {
             process.wait_exit(Duration::from_millis(STOP_LIMIT_MS));
         }
         self.machines.start(host, false)?;
         self.wait_ready(host);
-        self.inactive_callers.fetch_and(!bit, Ordering::SeqCst);
+        self.inactive_callers.fetch_and(!host_bit(host), Ordering::SeqCst);
         self.record_fault(FaultKind::Stop, host, from);
         Ok(())
     }
--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -69,6 +69,11 @@
     COORDINATORS[COORDINATORS.len() - 1] + 1
 }
 
+/// The bit that stands for a host in a set of hosts.
+pub fn host_bit(host: u8) -> u64 {
+    1 << host
+}
+
 /// Whether a host runs a coordinator, one of the first or a successor.
 pub fn is_coordinator(host: u8) -> bool {
     host < UPSTREAMS[0]
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -14,23 +14,25 @@
 mod options;
 mod planned;
 mod removals;
+mod rolls;
 mod server;
 mod statements;
 mod upstream;
 
-use self::callers::{Callers, Observations};
+use self::callers::{CallerPlan, Callers, Observations};
 use self::clearing::QuarantineClearer;
 use self::clock::{Clock, EventList};
 use self::faults::Faults;
 use self::machines::{
     Machines, CALLERS, COORDINATORS, DRAIN_MS, RETRY_BUDGET_RATIO, RETRY_BUDGET_SLACK,
-    RETRY_BUDGET_WINDOW_S, UPSTREAMS,
+    RETRY_BUDGET_WINDOW_S, STOP_LIMIT_MS, UPSTREAMS,
 };
-use self::operator::Operator;
+use self::operator::{Operator, ROUTE_TIMEOUT_MS};
 use self::options::{FaultProfile, Plan};
 use self::upstream::{Upstream, UpstreamEnvironment};
 use soak::{
-    check_record, Bounds, Crash, LimitBounds, LimitStatement, Record, RepeatBounds, Run, Violation,
+    check_record, Bounds, Crash, FaultKind, LimitBounds, LimitStatement, Record, RepeatBounds, Run,
+    Violation,
 };
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -43,10 +45,14 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const READ_BACK_TIMEOUT: Duration = Duration::from_secs(10);
 const CALLERS_PER_MACHINE: usize = 8;
+/// With callers at every sidecar, as many calls as the upstreams have slots for.
+const CALLERS_PER_MACHINE_IN_ROLLS: usize = 4;
 const BOUNDS: Bounds = Bounds {
     apply: 2_000,
     drain: DRAIN_MS + 300,
     loss_slack: 200,
+    stop_limit: STOP_LIMIT_MS,
+    route_timeout: ROUTE_TIMEOUT_MS,
     settle: 3_500,
     repeats: RepeatBounds {
         ratio: RETRY_BUDGET_RATIO,
@@ -98,7 +104,8 @@
         limits: limits.clone(),
         crashes: crashes.clone(),
         lose_responses: lose_responses.clone(),
-        is_sound: fault_profile == FaultProfile::Planned,
+        is_sound: fault_profile.is_planned(),
+        long_work_probability: long_work_probability(fault_profile),
     };
     if fault_profile == FaultProfile::Departures {
         machines.make_cuttable(departures::HOST).map_err(|error| error.to_string())?;
@@ -120,7 +127,7 @@
     let callers = Callers::start(
         &machines,
         &inactive_callers,
-        CALLERS_PER_MACHINE,
+        &caller_plan(fault_profile),
         &version,
         clock,
         &observations,
@@ -135,6 +142,7 @@
         FaultProfile::Statements => faults.run_statements(FAULTS_DURATION),
         FaultProfile::Departures => faults.run_departures(FAULTS_DURATION),
         FaultProfile::Planned => faults.run_planned(FAULTS_DURATION),
+        FaultProfile::Rolls => faults.run_rolls(FAULTS_DURATION),
         FaultProfile::Removals => faults.run_removals(FAULTS_DURATION),
     };
     fault_result.map_err(|error| error.to_string())?;
@@ -154,11 +162,12 @@
         faults,
         faults_end: calm_from,
         read_back: operator.read_back(READ_BACK_TIMEOUT),
-        sound_upstreams: fault_profile == FaultProfile::Planned,
+        sound_upstreams: fault_profile.is_planned(),
     };
     upstreams.values().for_each(|upstream| upstream.stop());
     let breaches = check_record(&record, &BOUNDS);
     println!("{}", summary(seed, &record, &breaches));
+    println!("seed {seed}: {}", stop_summary(&record));
     if breaches.is_empty() {
         return Ok(());
     }
@@ -207,6 +216,36 @@
     )
 }
 
+/// Rolls have callers beside the upstreams as well, so that each sidecar that stops serves both sides.
+fn caller_plan(fault_profile: FaultProfile) -> CallerPlan {
+    let some_return = fault_profile.is_planned();
+    match fault_profile {
+        FaultProfile::Rolls => {
+            let hosts = CALLERS.into_iter().chain(UPSTREAMS).collect();
+            CallerPlan { hosts, per_machine: CALLERS_PER_MACHINE_IN_ROLLS, some_return }
+        }
+        _ => CallerPlan { hosts: CALLERS.to_vec(), per_machine: CALLERS_PER_MACHINE, some_return },
+    }
+}
+
+/// Probability that a request works for longer than usual, up to more than half of a planned stop.
+fn long_work_probability(fault_profile: FaultProfile) -> f64 {
+    match fault_profile {
+        FaultProfile::Rolls => 0.25,
+        FaultProfile::Planned => 0.06,
+        _ => 0.0,
+    }
+}
+
+/// How many processes were stopped as planned, and how long that took.
+fn stop_summary(record: &Record) -> String {
+    let stops = record.faults.iter().filter(|fault| fault.kind == FaultKind::Stop);
+    let times: Vec<u64> = stops.map(|fault| fault.to.saturating_sub(fault.from)).collect();
+    let mean_ms = times.iter().sum::<u64>() / (times.len() as u64).max(1);
+    let longest_ms = times.iter().max().copied().unwrap_or(0);
+    format!("{} stops, mean {mean_ms} ms, longest {longest_ms} ms", times.len())
+}
+
 /// Creates an HTTP client for a single call. Connections are not pooled, so a closed connection
 /// always belongs to that call.
 fn agent() -> ureq::Agent {
--- a/crates/lab/src/soak/operator.rs
+++ b/crates/lab/src/soak/operator.rs
@@ -14,6 +14,8 @@
 pub const BASE_HOST: &str = "fares.example";
 /// Path prefix of the route that every version has.
 pub const BASE_PATH: &str = "/base/";
+/// Longest time of a call, milliseconds; more than half of a planned stop.
+pub const ROUTE_TIMEOUT_MS: u64 = 3_000;
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 const MAX_REDIRECTS: u32 = 3;
 
@@ -112,7 +114,7 @@
         json!({ "Route": {
             "name": name, "host": BASE_HOST, "path_prefix": path, "methods": [],
             "targets": [{ "service": SERVICE, "weight": 1 }], "secret": null,
-            "timeout_ms": 2_000, "repeatable": repeatable, "priority": "normal",
+            "timeout_ms": ROUTE_TIMEOUT_MS, "repeatable": repeatable, "priority": "normal",
             "retry_budget_percent": 20, "max_staleness_s": 0, "attempts": 2,
             "target_latency_ms": 500, "rank": 0, "annotation": "",
         } })
--- a/crates/lab/src/soak/options.rs
+++ b/crates/lab/src/soak/options.rs
@@ -8,7 +8,7 @@
 const BRIEF: &str = "\
 Usage: chutecove-lab soak [--minutes N]                    fresh seeds
        chutecove-lab soak --seed S [--rounds N] [--network K] [--clear | --lose-answers | --limits |
-                                    --departures | --planned | --removals]
+                                    --departures | --planned | --rolls | --removals]
                                                            seeds S, S+1, ...
 
 Rounds that run at the same time need networks (1 to 200) of their own.";
@@ -29,10 +29,19 @@
     Departures,
     /// Stops, reloads, new versions and departures as planned, and nothing else.
     Planned,
+    /// All sidecars are stopped in turn, again and again; stops overlap.
+    Rolls,
     /// Core machines are replaced for good, with and without a signal, and disks are lost.
     Removals,
 }
 
+impl FaultProfile {
+    /// Whether all that happens is planned work.
+    pub fn is_planned(self) -> bool {
+        matches!(self, Self::Planned | Self::Rolls)
+    }
+}
+
 /// Which rounds are run.
 pub enum Rounds {
     /// `count` rounds with consecutive seeds from `seed` on.
@@ -68,6 +77,7 @@
             matches if matches.opt_present("limits") => FaultProfile::Statements,
             matches if matches.opt_present("departures") => FaultProfile::Departures,
             matches if matches.opt_present("planned") => FaultProfile::Planned,
+            matches if matches.opt_present("rolls") => FaultProfile::Rolls,
             matches if matches.opt_present("removals") => FaultProfile::Removals,
             matches if matches.opt_present("lose-answers") => FaultProfile::LostAnswers,
             matches if matches.opt_present("clear") => FaultProfile::RandomWithClearing,
@@ -105,6 +115,7 @@
     options.optflag("", "limits", "upstreams state limits and that they leave, in their answers");
     options.optflag("", "departures", "upstreams leave while their machine is cut off and killed");
     options.optflag("", "planned", "stops, reloads, versions and departures as planned, no faults");
+    options.optflag("", "rolls", "all sidecars are stopped in turn, and stops overlap");
     options.optflag("", "removals", "core machines are replaced for good, and disks are lost");
     options.optflag("h", "help", "print this text");
     options
--- a/crates/lab/src/soak/planned.rs
+++ b/crates/lab/src/soak/planned.rs
@@ -2,7 +2,7 @@
 //! be lost in it.
 
 use super::faults::Faults;
-use super::machines::{CALLERS, COORDINATORS, DRAIN_MS, STOP_LIMIT_MS, UPSTREAMS};
+use super::machines::{host_bit, CALLERS, COORDINATORS, DRAIN_MS, STOP_LIMIT_MS, UPSTREAMS};
 use soak::FaultKind;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -19,12 +19,13 @@
     pub fn run_planned(&mut self, time: Duration) -> std::io::Result<()> {
         let deadline = Instant::now() + time;
         while Instant::now() < deadline {
-            match self.random.u32(0..8) {
+            match self.random.u32(0..9) {
                 0..=2 => self.stop_one(&CALLERS)?,
                 3 => self.stop_one(&UPSTREAMS)?,
                 4 => self.stop_two()?,
                 5 => self.stop_one(&COORDINATORS)?,
                 6 => self.leave_in_order(),
+                7 => self.stop_in_turn()?,
                 _ => self.reload_all(),
             }
             for _ in 0..self.random.u32(VERSIONS_IN_SERIES) {
@@ -49,15 +50,16 @@
 
     /// Stops processes one shortly after the other and starts them again; new versions come meanwhile.
     fn stop_together(&mut self, hosts: &[u8]) -> std::io::Result<()> {
-        let from = self.clock.now();
+        let mut signaled = Vec::new();
         for host in hosts {
+            signaled.push(self.clock.now());
             if let Some(process) = self.machines.process(*host) {
                 process.terminate();
             }
             self.sleep(OVERLAP_MS);
         }
         self.operator.send_next_version(ACKNOWLEDGE_TIMEOUT);
-        for host in hosts {
+        for (host, from) in hosts.iter().zip(signaled) {
             self.wait_until_stopped(*host);
             self.machines.start(*host, false)?;
             self.wait_ready(*host);
@@ -76,12 +78,10 @@
         }
     }
 
-    fn tell_callers(&self, host: u8, is_ready: bool) {
-        let position = CALLERS.iter().position(|caller| *caller == host);
-        let bit = position.map_or(0, |index| 1 << index);
+    pub(super) fn tell_callers(&self, host: u8, is_ready: bool) {
         match is_ready {
-            true => self.inactive_callers.fetch_and(!bit, Ordering::SeqCst),
-            false => self.inactive_callers.fetch_or(bit, Ordering::SeqCst),
+            true => self.inactive_callers.fetch_and(!host_bit(host), Ordering::SeqCst),
+            false => self.inactive_callers.fetch_or(host_bit(host), Ordering::SeqCst),
         };
     }
 
@@ -99,7 +99,7 @@
         upstream.begin_new_incarnation();
     }
 
-    fn reload_all(&mut self) {
+    pub(super) fn reload_all(&mut self) {
         for host in CALLERS.into_iter().chain(UPSTREAMS).chain(COORDINATORS) {
             if let Some(process) = self.machines.process(host) {
                 process.reload();
--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -18,6 +18,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 const MIN_WORK_MS: u64 = 2;
 const MAX_WORK_MS: u64 = 40;
+/// How long a request works that takes longer than usual, up to a little less than the timeout of a route.
+const LONG_WORK_MS: std::ops::Range<u64> = 300..2_900;
 /// Time from the start of a poison request to the crash, so that other requests are in progress
 /// then.
 const CRASH_DELAY: Duration = Duration::from_millis(15);
@@ -90,6 +92,8 @@
     pub lose_responses: Arc<AtomicBool>,
     /// Whether upstreams give every request they get a whole answer.
     pub is_sound: bool,
+    /// Probability that a request takes longer than usual.
+    pub long_work_probability: f64,
 }
 
 /// Handles the requests of one upstream.
@@ -112,7 +116,7 @@
         let id = request.headers.number(ID_HEADER).unwrap_or(0);
         let incarnation = self.upstream.incarnation();
         runs.push(Run { call: id, machine: self.host, incarnation, at: clock.now() });
-        thread::sleep(Duration::from_millis(fastrand::u64(MIN_WORK_MS..MAX_WORK_MS)));
+        thread::sleep(self.work_time());
         if lose_responses.load(Ordering::Relaxed) && fastrand::f64() < LOSS_PROBABILITY {
             return Reply::CloseConnection;
         }
@@ -154,6 +158,13 @@
 }
 
 impl RequestHandler {
+    /// How long a request works.
+    fn work_time(&self) -> Duration {
+        let is_long = fastrand::f64() < self.environment.long_work_probability;
+        let range = if is_long { LONG_WORK_MS } else { MIN_WORK_MS..MAX_WORK_MS };
+        Duration::from_millis(fastrand::u64(range))
+    }
+
     /// The upload of which the beginning has arrived: its id and path.
     fn long_upload(received: &[u8]) -> Option<(u64, String)> {
         let text = String::from_utf8_lossy(received);
--- a/crates/sidecar/tests/stated_limits.rs
+++ b/crates/sidecar/tests/stated_limits.rs
@@ -18,6 +18,8 @@
     apply: 2_000,
     drain: DRAIN_MS,
     loss_slack: 200,
+    stop_limit: 0,
+    route_timeout: 0,
     settle: 3_500,
     repeats: RepeatBounds { ratio: 0.2, slack: 60.0, window: 10_000 },
     limits: LimitBounds { factor: 1.5, slack: 5.0, window: 4_000, contact: 3_000, notice: 500 },
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -10,6 +10,8 @@
 const NOT_FOUND: u16 = 404;
 /// Answer to a call that may have run, and whose answer is not known.
 const BROKEN_OFF_STATUS: u16 = 502;
+/// Answer to a call whose time is over.
+const TIMED_OUT_STATUS: u16 = 504;
 /// Statuses that guarantee that the call was not executed and never will be.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Minimum share of the calls after the last fault that must be served.
@@ -188,7 +190,9 @@
         CallOutcome::ClosedBetween => ran > 0,
         _ => false,
     };
-    let is_broken_off = record.sound_upstreams && is_broken_off(call);
+    let is_broken_off = record.sound_upstreams
+        && is_broken_off(call, bounds)
+        && !ends_with_its_process(call, record, bounds);
     if !is_cut && !is_broken_off {
         return;
     }
@@ -207,9 +211,28 @@
     }
 }
 
-/// Whether the fleet has broken off a call that an upstream had, and answered in its place.
-fn is_broken_off(call: &Call) -> bool {
-    matches!(call.outcome, CallOutcome::Answered { status: BROKEN_OFF_STATUS, .. })
+/// Whether the fleet has broken off a call that an upstream had, and answered in its place, before the time
+/// of the call was over.
+fn is_broken_off(call: &Call, bounds: &Bounds) -> bool {
+    let is_early = call.ended < call.sent + bounds.route_timeout;
+    match call.outcome {
+        CallOutcome::Answered { status: BROKEN_OFF_STATUS, .. } => true,
+        CallOutcome::Answered { status: TIMED_OUT_STATUS, .. } => is_early,
+        _ => false,
+    }
+}
+
+/// Whether a call was sent early in a planned stop of the process that it was sent to, or before it, and was
+/// still at work in the last sixth of that stop. A stop of any other process is no excuse.
+fn ends_with_its_process(call: &Call, record: &Record, bounds: &Bounds) -> bool {
+    let ends = |fault: &&Fault| {
+        fault.kind == FaultKind::Stop
+            && fault.machine == call.machine
+            && call.sent <= fault.from + bounds.stop_limit / 2
+            && call.ended >= fault.from + bounds.stop_limit * 5 / 6
+            && call.ended <= fault.from + bounds.stop_limit + bounds.loss_slack
+    };
+    record.faults.iter().any(|fault| ends(&fault))
 }
 
 fn check_drains(record: &Record, bounds: &Bounds, report: &mut impl FnMut(Guarantee, String)) {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -170,6 +170,10 @@
     pub drain: Millis,
     /// From the time at which a call was sent until the process that it was sent to must have read it.
     pub loss_slack: Millis,
+    /// From the signal to stop until a process must have ended.
+    pub stop_limit: Millis,
+    /// Longest time of a call.
+    pub route_timeout: Millis,
     /// Time after a fault until guarantees on the affected machine are checked again.
     pub settle: Millis,
     /// Limit on repeats of calls across the fleet.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -14,11 +14,14 @@
     apply: 2_000,
     drain: 1_000,
     loss_slack: 200,
+    stop_limit: 900,
+    route_timeout: 300,
     settle: 3_000,
     repeats: REPEATS,
     limits: LIMITS,
 };
 const BROKEN_OFF: CallOutcome = CallOutcome::Answered { status: 502, body_matches: false };
+const TIMED_OUT: CallOutcome = CallOutcome::Answered { status: 504, body_matches: false };
 const OK: CallOutcome = CallOutcome::Answered { status: 200, body_matches: true };
 
 fn call(id: u64, sent: u64, outcome: CallOutcome) -> Call {
@@ -120,6 +123,23 @@
             r.calls[12].outcome = CallOutcome::Cut;
         }),
         ("broken off though its upstream is sound", |r| r.calls[12].outcome = BROKEN_OFF),
+        ("broken off in the last sixth of its process's stop, which is no violation", |r| {
+            r.calls[14] = Call { ended: 1_760, ..call(14, 1_400, BROKEN_OFF) };
+        }),
+        ("broken off before the last sixth", |r| {
+            r.calls[14] = Call { ended: 1_740, ..call(14, 1_400, BROKEN_OFF) };
+        }),
+        ("sent late in the stop and broken off at its end", |r| {
+            r.calls[15] = Call { ended: 1_760, ..call(15, 1_500, BROKEN_OFF) };
+        }),
+        ("broken off in the last sixth of a peer's stop", |r| {
+            r.faults[0].machine = 12;
+            r.calls[14] = Call { ended: 1_760, ..call(14, 1_400, BROKEN_OFF) };
+        }),
+        ("timed out before its time", |r| r.calls[12].outcome = TIMED_OUT),
+        ("timed out at its time, which is no violation", |r| {
+            r.calls[12] = Call { ended: 1_500, ..call(12, 1_200, TIMED_OUT) };
+        }),
         ("broken off by its upstream, which is no violation", |r| {
             r.calls[12].outcome = BROKEN_OFF;
             r.sound_upstreams = false;
@@ -182,6 +202,10 @@
         cut by a planned stop: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
         cut unread, long after it was sent: StopCutsNothing: call 12 on machine 11, 1200 to 1401 ms
         broken off though its upstream is sound: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
+        broken off before the last sixth: StopCutsNothing: call 14 on machine 11, 1400 to 1740 ms
+        sent late in the stop and broken off at its end: StopCutsNothing: call 15 on machine 11, 1500 to 1760 ms
+        broken off in the last sixth of a peer's stop: StopCutsNothing: call 14 on machine 11, 1400 to 1760 ms
+        timed out before its time: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
         cut during a coordinator's fault: StopCutsNothing: call 12 on machine 11, 1200 to 1220 ms
         outdated version during another sidecar's fault: InForce: call 900 at 8000 ms on machine 11 used version 1, got 200; version 2 was due
         call after the drain limit: Drained: call 900 on machine 13 1100 ms after the acknowledgement
