Sidecar: a closing answer that is read late is delivered, though its caller sends more

Cause: a connection is dropped 1 s after its end was sent; more input then resets it, and this machine's kernel drops what it still holds. Change: behind answers that may still be with the kernel (more than 2 KiB since the other side last showed that it had read) a connection is kept until its caller closes, 30 s at most; in a stop 1 s, counted from the signal for what was sent before.

--- a/crates/chutecove/tests/lost_requests.rs
+++ b/crates/chutecove/tests/lost_requests.rs
@@ -182,6 +182,20 @@
     assert_eq!(answer, Some(("200".to_owned(), KERNEL_BYTES as u64, KERNEL_BYTES as u64)));
 }
 
+/// Guards against a connection that is dropped a second after its end was sent, while the answer is with this
+/// machine's kernel: what its caller sends then takes the rest back.
+#[test]
+fn a_closing_answer_that_is_read_late_is_delivered_though_its_caller_sends_more() {
+    let world = World::start(49);
+    let mut stream = world.connect();
+    let path = format!("/one/long/{KERNEL_BYTES}");
+    let request = get(&path, "l-1").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).expect("sent");
+    send_more(&mut stream, LATE_MS as u32 * MS);
+    let answer = read_answer(&mut BufReader::new(stream));
+    assert_eq!(answer, Some(("200".to_owned(), KERNEL_BYTES as u64, KERNEL_BYTES as u64)));
+}
+
 #[test]
 fn a_caller_that_reads_late_gets_its_whole_answer_at_a_planned_stop() {
     let world = World::start(38);
--- a/crates/sidecar/src/net/closing.rs
+++ b/crates/sidecar/src/net/closing.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 use telemetry::BootInstant;
 
-/// Output of a connection being finished that its other side has not read after this time is dropped:
-/// longer than callers wait for an answer.
-const LATE_READER_TIMEOUT: Duration = Duration::from_secs(30);
+/// What the other side of a connection being finished has not read after this time is dropped: longer than
+/// callers wait for an answer.
+pub const LATE_READER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// What is on the open connections when the process exits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,11 +54,13 @@
 
     /// Closes a connection gracefully: its output is written first, followed by the end of the
     /// stream. The connection is dropped when the other side closes it too, or by [`Net::sweep`].
-    pub fn finish(&mut self, id: ConnectionId) {
+    /// `holds_answers` tells whether the other side may not have taken all that was written.
+    pub fn finish(&mut self, id: ConnectionId, holds_answers: bool) {
         let Some(connection) = self.get_mut(id) else {
             return;
         };
         connection.lingering = Some(BootInstant::now());
+        connection.holds_answers = holds_answers;
         connection.input = BytesMut::new();
         if !self.pacer.is_waiting(id) {
             if let Some(connection) = self.get_mut(id) {
@@ -69,11 +71,16 @@
     }
 
     /// Drops connections whose end was sent more than `longest` ago and that the other side has not
-    /// closed.
-    pub fn sweep(&mut self, longest: Duration) {
+    /// closed; those that may hold answers after `longest_with_answers`, since a reset by what the other
+    /// side sends would take the answers back.
+    pub fn sweep(&mut self, longest: Duration, longest_with_answers: Duration) {
         let is_stale = |connection: &Connection| {
             let can_send = !connection.output.is_empty() && !connection.is_broken();
-            let longest = if can_send { LATE_READER_TIMEOUT } else { longest };
+            let longest = match connection.holds_answers {
+                _ if can_send => LATE_READER_TIMEOUT,
+                true => longest_with_answers,
+                false => longest,
+            };
             connection.lingering.is_some_and(|since| since.elapsed() > longest)
         };
         let of = |(index, connection): (usize, &Connection)| ConnectionId {
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -29,6 +29,8 @@
     /// Since when this side has nothing more to send than its output, or waits for the other one to close;
     /// data received in the meantime is dropped.
     pub lingering: Option<BootInstant>,
+    /// Whether answers on it may still be with this machine's kernel when it is being finished.
+    pub holds_answers: bool,
     /// Whether the other side is on another machine.
     pub remote: bool,
     /// Priority of its messages among all that wait for the link.
@@ -52,6 +54,7 @@
             ended: false,
             write_failure: WriteFailure::default(),
             lingering: None,
+            holds_answers: false,
             remote,
             urgency: SendUrgency { deferrable: true, ..SendUrgency::default() },
             used_for: LinkUse::default(),
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -5,7 +5,7 @@
 mod ending;
 mod usage;
 
-pub use closing::Leftovers;
+pub use closing::{Leftovers, LATE_READER_TIMEOUT};
 pub use ending::WriteFailure;
 pub use usage::{LinkUse, SentBytes, Traffic};
 
--- a/crates/sidecar/src/runtime/mod.rs
+++ b/crates/sidecar/src/runtime/mod.rs
@@ -14,7 +14,7 @@
 use crate::link_meter::{LinkFullDetector, LinkMeter};
 use crate::links::{LinkEvent, Links};
 use crate::metrics::{Metrics, Snapshot};
-use crate::net::{ConnectionId, Net};
+use crate::net::{ConnectionId, Net, LATE_READER_TIMEOUT};
 use crate::poison::PoisonWatch;
 use crate::pool::Pool;
 use crate::registrar::Registrar;
@@ -464,8 +464,18 @@
         self.links.request_config(&mut self.net, generation, digest, now);
     }
 
+    /// How long callers are given to read the last answers on a connection. A process that stops cannot
+    /// wait for long, but as long after the signal as for any other connection.
+    fn longest_with_answers(&self, now: Millis) -> Duration {
+        let stopping = Duration::from_millis(self.stop.elapsed_ms(now));
+        match stopping < LINGER_TIMEOUT {
+            true => LATE_READER_TIMEOUT,
+            false => LINGER_TIMEOUT,
+        }
+    }
+
     fn run_housekeeping(&mut self, now: Millis) {
-        self.net.sweep(LINGER_TIMEOUT);
+        self.net.sweep(LINGER_TIMEOUT, self.longest_with_answers(now));
         self.watch_link(now);
         for (attempt, end) in self.peers.tick(&mut self.net, now) {
             self.peer_ended(attempt, end, now);
--- a/crates/sidecar/src/servers.rs
+++ b/crates/sidecar/src/servers.rs
@@ -231,10 +231,11 @@
             self.dropped += unanswered as u64;
             tracing::info!(kind = ?conn.kind, unanswered, "requests_dropped");
         }
-        if conn.carries_calls() && conn.may_hold_answers() {
+        let holds_answers = conn.carries_calls() && conn.may_hold_answers();
+        if holds_answers {
             self.finishing.push(id);
         }
-        net.finish(id);
+        net.finish(id, holds_answers);
     }
 
     /// Whether a caller or peer has not closed its connection behind answers that may still be with this
--- a/crates/sidecar/tests/egress.rs
+++ b/crates/sidecar/tests/egress.rs
@@ -126,9 +126,9 @@
     let mut sockets = Sockets::open(1);
     let id = sockets.id(0);
     sockets.net.send(id, &pattern(LARGE_BYTES, 2));
-    sockets.net.finish(id);
+    sockets.net.finish(id, false);
     // Output that waits for the link is no reason to drop the connection.
-    sockets.net.sweep(Duration::ZERO);
+    sockets.net.sweep(Duration::ZERO, Duration::ZERO);
     sockets.run_until(&[0], |sockets| sockets.peer(0).ended);
     assert_eq!(sockets.peer(0).received, pattern(LARGE_BYTES, 2));
 }
