--- a/crates/sidecar/tests/decision_log.rs
+++ b/crates/sidecar/tests/decision_log.rs
@@ -103,7 +103,7 @@
     let lost = outbound(|world| end(world, "/unsafe/1", AttemptEnd::Lost));
     expect![[r#"
         call_placed id=id-1 route=unsafe service=fares rank=1 target_ms=600 try_number=1 to=10.0.0.1:8300 patience_ms=150 left_ms=1992 told_ms=2000
-        hop_failed id=id-1 to=10.0.0.1:8300 try_number=1 outcome="lost"
+        hop_failed id=id-1 to=10.0.0.1:8300 try_number=1 outcome="lost" held_ms=40 left_ms=1960
         call_failed id=id-1 route=unsafe service=fares tries=1 arrivals=1 held_ms=40 trail=10.0.0.1:8300@40ms:lost/0:0+0of0 verdict="may-have-run""#]].assert_eq(&lost);
     let timed_out = outbound(|world| {
         world.begin("GET", "/safe/1");
