--- a/crates/lab/src/soak/machines.rs
+++ b/crates/lab/src/soak/machines.rs
@@ -170,10 +170,10 @@
     /// Starts the process of a machine; `bootstrap` is set only for the first start of the fleet.
     pub fn start(&mut self, host: u8, bootstrap: bool) -> io::Result<()> {
         let role = role_of(host);
-        let name = format!("{role}-{host}");
+        let name = process_name(host);
         let path = self.write_settings(host, bootstrap)?.to_string_lossy().into_owned();
         let arguments = ["product", role, "--settings", &path].map(str::to_owned);
-        let log = self.folder.join(format!("{name}.log"));
+        let log = self.folder.join(log_name(host));
         let process = ManagedProcess::start(&name, &arguments, &log)?;
         self.processes.insert(host, process);
         Ok(())
@@ -246,6 +246,15 @@
     }
 }
 
+/// The name of the log of a machine's processes, in the folder of the fleet.
+pub fn log_name(host: u8) -> String {
+    format!("{}.log", process_name(host))
+}
+
+fn process_name(host: u8) -> String {
+    format!("{}-{host}", role_of(host))
+}
+
 fn role_of(host: u8) -> &'static str {
     match is_coordinator(host) {
         true => "coordinator",
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -17,6 +17,7 @@
 mod rolls;
 mod server;
 mod statements;
+mod stops;
 mod upstream;
 
 use self::callers::{CallerPlan, Callers, Observations};
@@ -29,10 +30,10 @@
 };
 use self::operator::{Operator, ROUTE_TIMEOUT_MS};
 use self::options::{FaultProfile, Plan};
+use self::stops::LoggedStops;
 use self::upstream::{Upstream, UpstreamEnvironment};
 use soak::{
-    check_record, Bounds, Crash, FaultKind, LimitBounds, LimitStatement, Record, RepeatBounds, Run,
-    Violation,
+    check_record, Bounds, Crash, LimitBounds, LimitStatement, Record, RepeatBounds, Run, Violation,
 };
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -167,7 +168,7 @@
     upstreams.values().for_each(|upstream| upstream.stop());
     let breaches = check_record(&record, &BOUNDS);
     println!("{}", summary(seed, &record, &breaches));
-    println!("seed {seed}: {}", stop_summary(&record));
+    println!("seed {seed}: {}", LoggedStops::read(folder.path()));
     if breaches.is_empty() {
         return Ok(());
     }
@@ -237,15 +238,6 @@
     }
 }
 
-/// How many processes were stopped as planned, and how long that took.
-fn stop_summary(record: &Record) -> String {
-    let stops = record.faults.iter().filter(|fault| fault.kind == FaultKind::Stop);
-    let times: Vec<u64> = stops.map(|fault| fault.to.saturating_sub(fault.from)).collect();
-    let mean_ms = times.iter().sum::<u64>() / (times.len() as u64).max(1);
-    let longest_ms = times.iter().max().copied().unwrap_or(0);
-    format!("{} stops, mean {mean_ms} ms, longest {longest_ms} ms", times.len())
-}
-
 /// Creates an HTTP client for a single call. Connections are not pooled, so a closed connection
 /// always belongs to that call.
 fn agent() -> ureq::Agent {
