Tests: an offer that is refused midway, and whatever a stopping sidecar takes from a peer ends before it

For each moment of stops of 0.6 to 30 s: a call of a peer that is taken has its deadline before the final answers.

--- a/crates/http1/tests/offers.rs
+++ b/crates/http1/tests/offers.rs
@@ -89,6 +89,18 @@
     receiver.check(expect!["took [], wrote HTTP/1.1 100 Continue|x-grant: 4||HTTP/1.1 408 Request Timeout|Content-Length: 0|Connection: close||"]);
 }
 
+#[test]
+fn an_offer_that_is_refused_midway_gets_the_answer_that_says_why() {
+    let mut receiver = Receiver::default();
+    receiver.receive(OFFER);
+    receiver.allow(4);
+    receiver.receive("01");
+    let refusal = Response::empty(503).with_header("x-hop", "r");
+    assert!(receiver.connection.refuse_partial(refusal, &mut receiver.output));
+    receiver.receive("23456789GET /b HTTP/1.1\r\n\r\n");
+    receiver.check(expect!["took [], wrote HTTP/1.1 100 Continue|x-grant: 4||HTTP/1.1 503 Service Unavailable|x-hop: r|Content-Length: 0|Connection: close||"]);
+}
+
 #[test]
 fn a_body_that_came_along_is_no_offer() {
     let mut receiver = Receiver::default();
--- a/crates/sidecar/src/calls/time.rs
+++ b/crates/sidecar/src/calls/time.rs
@@ -68,8 +68,8 @@
         active.into_iter().map(|active| CallAction::Abort(active.attempt)).collect()
     }
 
-    /// Logs a call that gets its answer while the process is stopping, though none from an upstream that
-    /// was asked last: with the peers that still have it, and the time left until its deadline.
+    /// Logs an answer that this sidecar gives itself while it is stopping, with the peers that still have the
+    /// call.
     pub(super) fn log_answer_in_stop(&self, call: &Call, status: u16, now: Millis) {
         let Some(stop_began_at) = self.stop_began_at else {
             return;
--- a/crates/sidecar/tests/jobs.rs
+++ b/crates/sidecar/tests/jobs.rs
@@ -11,8 +11,8 @@
     HOP_HEADER,
 };
 use sidecar::{
-    Attempt, ConnectionId, Initiator, JobAction, JobMetrics, Jobs, LogSample, ReportedLoad, Source,
-    StopBound, UpstreamEnd, UpstreamStatement,
+    Activity, Attempt, ConnectionId, Initiator, JobAction, JobMetrics, Jobs, LogSample,
+    ReportedLoad, Source, StopBound, StopPhase, StopPlan, UpstreamEnd, UpstreamStatement,
 };
 use statements::RateStatement;
 use std::rc::Rc;
@@ -684,3 +684,28 @@
     let told = reply.map(|reply| (reply.outcome, reply.state));
     assert_eq!(told, Some((HopOutcome::Refused, InstanceState::Left)));
 }
+
+/// Whatever a stopping sidecar takes from a peer is at work at most until the final answers are given.
+#[test]
+fn no_call_of_a_peer_outlasts_the_stop_that_took_it() {
+    const SIGNAL_MS: u64 = 1_000;
+    const CALL_MS: u64 = 1_000;
+    for limit_ms in [600, 1_500, 3_000, 6_000, 30_000] {
+        let mut plan = StopPlan::new(limit_ms);
+        plan.begin(SIGNAL_MS);
+        let latest_deadline = plan.latest_deadline().expect("it has begun");
+        let mut taken = 0;
+        for at in (SIGNAL_MS..SIGNAL_MS + limit_ms).step_by(10) {
+            let mut jobs = jobs();
+            jobs.begin_stop(StopBound { latest_deadline, retry_after_ms: 1_500 }, SIGNAL_MS);
+            if outcomes(&begin(&mut jobs, 1, at)).is_empty() {
+                taken += 1;
+                let activity = Activity { in_flight: 1, last_request: at, unsent: false };
+                let phase = plan.phase(activity, at + CALL_MS - 1);
+                let is_over = matches!(phase, StopPhase::Ending | StopPhase::Done);
+                assert!(!is_over, "limit {limit_ms} ms, taken at {at} ms: {phase:?}");
+            }
+        }
+        assert_eq!(taken > 0, limit_ms > CALL_MS + 100, "limit {limit_ms} ms");
+    }
+}
