--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -46,6 +46,18 @@
         self.exit_status.is_none()
     }
 
+    /// What the system says of the process: how it ended, or its state.
+    pub fn describe(&mut self) -> String {
+        if !self.is_running() {
+            return format!("{}: ended, {:?}", self.name, self.exit_status);
+        }
+        let id = self.child.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let state = status.lines().find(|line| line.starts_with("State")).unwrap_or("no state");
+        let waits_in = std::fs::read_to_string(format!("/proc/{id}/wchan")).unwrap_or_default();
+        format!("{}: {id}, {state}, waits in {waits_in:?}", self.name)
+    }
+
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) {
         if self.is_running() {
--- a/crates/lab/src/soak/rolls.rs
+++ b/crates/lab/src/soak/rolls.rs
@@ -125,9 +125,13 @@
             }
             Stage::Starting { since } => {
                 let is_over = since.elapsed() >= super::faults::READY_TIMEOUT;
-                if !is_over && !self.machines.is_ready(host) {
+                let is_ready = self.machines.is_ready(host);
+                if !is_over && !is_ready {
                     return Ok(stage);
                 }
+                if let Some(process) = self.machines.process(host).filter(|_| !is_ready) {
+                    println!("not ready in time: {}", process.describe());
+                }
                 self.tell_callers(host, true);
                 Ok(Stage::Ready)
             }
