Soak: upstreams have ids of their own

Cause: the stand-ins named their incarnations i-1, i-2 on each machine; a departure binds the whole fleet by the id of what leaves, which the platform makes new at each start. Host 13 left as i-1, and i-1 of hosts 11, 12 and 14 was closed at their next restarts. Change: the id has the host in it.

--- a/crates/lab/src/soak/upstream.rs
+++ b/crates/lab/src/soak/upstream.rs
@@ -280,7 +280,7 @@
 
     /// Sends a heartbeat to the sidecar and returns whether it was acknowledged.
     fn send_heartbeat(&self) -> bool {
-        let id = format!("i-{}", self.incarnation.load(Ordering::SeqCst));
+        let id = self.instance_id();
         let body = json!({
             "service": SERVICE,
             "slots": SLOTS,
@@ -292,6 +292,11 @@
         sent.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// The id of the incarnation, which no other upstream has: a departure binds the whole fleet by it.
+    fn instance_id(&self) -> String {
+        format!("i-{}-{}", self.limit_recorder.host, self.incarnation())
+    }
+
     fn sends_heartbeats(&self) -> bool {
         !self.down.load(Ordering::SeqCst) && !self.leaving.load(Ordering::SeqCst)
     }
@@ -299,7 +304,7 @@
     /// Deregisters, while it goes on serving; returns whether that was acknowledged.
     pub fn leave(&self) -> bool {
         self.leaving.store(true, Ordering::SeqCst);
-        let url = format!("{}/i-{}/leave", self.registration, self.incarnation());
+        let url = format!("{}/{}/leave", self.registration, self.instance_id());
         let sent = super::agent().post(&url).send("");
         sent.is_ok_and(|answer| answer.status() == 200)
     }
